Serve a request from one end to the other by separate processes

Settings in INI, the folder merged and checked, the daemon round a core without input or output, the operators' command, and stand-ins for engine, plain service, key-value service, host list and weight store.

Found on the way: a load placed by a daemon that then lost the load order was reported to its successor, so the first daemon held the endpoint as busy; the placement now carries who ordered it. A grant asked of an owner that died was awaited for ever; it is now asked for again after 1 s under a new attempt id.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+# `make demo` and `make test` install what they need on a fresh machine.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := core daemon cli standins
+
+.PHONY: install demo test lint processes
+
+$(VENV)/.installed: requirements.txt packages/*/pyproject.toml
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check \
+		--no-deps --no-build-isolation $(PACKAGES:%=-e packages/%)
+	touch $@
+
+install: $(VENV)/.installed
+
+demo: install
+	$(BIN)/python -m knapweedbridge_standins.demo
+
+test: install
+	$(BIN)/python features/run.py
+
+lint: install
+	$(BIN)/ruff check .
+	$(BIN)/ruff format --check .
+	$(BIN)/mypy packages/*/src
+
+processes: install
+	$(BIN)/python bench/processes.py
--- /dev/null
+++ b/features/path/steps/bridge_steps.py
@@ -0,0 +1,121 @@
+from behave import given, then, when
+
+from knapweedbridge_core import Bridge, Complete, events, parse_adapter_version
+from knapweedbridge_core.actions import (
+    AskReport,
+    Dispatch,
+    Finish,
+    OrderEndpoint,
+    StoreRead,
+    StoreWrite,
+)
+from knapweedbridge_core.configuration import build
+
+SECTIONS = {
+    "team optics": {},
+    "adapter refill": {"team": "optics", "base_model": "namib-7b"},
+    "version refill@1": {},
+    "adapter fitting": {"team": "optics", "base_model": "namib-7b"},
+    "version fitting@1": {},
+    "endpoint draft-0": {
+        "address": "127.0.0.1:1",
+        "data_centre": "dc1",
+        "base_model": "namib-7b",
+    },
+}
+
+
+class Core:
+    """Drives one core by hand; the platform answers at once."""
+
+    def __init__(self, slots):
+        self.bridge = Bridge("host-0", "dc1")
+        self.now_s = 100.0
+        self.actions = []
+        sections = {**SECTIONS}
+        sections["endpoint draft-0"] = {
+            **SECTIONS["endpoint draft-0"],
+            "slots": str(slots),
+        }
+        self.tell(events.ConfigurationRead(build(1, sections)[0]))
+        self.tell(events.Tick())
+
+    def tell(self, event):
+        for action in self.bridge.handle(event, self.now_s):
+            self.actions.append(action)
+            self._answer(action)
+
+    def _answer(self, action):
+        if isinstance(action, (StoreRead, StoreWrite)):
+            self.tell(events.StoreReplied(action.token, True, True, {}))
+        elif isinstance(action, AskReport):
+            self.tell(events.EndpointReported(action.endpoint, (), {}, self.now_s))
+
+    def taken(self, kind):
+        return [action for action in self.actions if isinstance(action, kind)]
+
+
+@given('a daemon core that owns engine "draft-0" with {slots:d} slots')
+def core(context, slots):
+    context.core = Core(slots)
+    context.requests = 0
+
+
+@when('a request for "{name}" arrives')
+def arrives(context, name):
+    context.requests += 1
+    request = events.Request(
+        request_id=f"r{context.requests}",
+        caller="counter",
+        team="optics",
+        model=parse_adapter_version(name),
+        service="",
+        priority="normal",
+        non_idempotent=False,
+        idempotency_key="",
+        deadline_s=context.core.now_s + 60,
+        fingerprint="f",
+    )
+    context.core.tell(events.RequestArrived(request))
+
+
+@when('the engine ends the load of "{name}"')
+def load_ends(context, name):
+    model = parse_adapter_version(name)
+    context.core.tell(events.OrderEnded("draft-0", "load", model, True))
+
+
+@when("the attempt ends whole")
+def attempt_ends(context):
+    sent = context.core.taken(Dispatch)[0]
+    ended = events.AttemptEnded(sent.request_id, sent.attempt_id, Complete(3))
+    context.core.tell(ended)
+
+
+@when("{seconds:d} seconds pass")
+def pass_time(context, seconds):
+    for _ in range(seconds * 5):
+        context.core.now_s += 0.2
+        context.core.tell(events.Tick())
+
+
+@then('the engine is ordered to {kind} "{name}"')
+def ordered(context, kind, name):
+    orders = [(o.kind, str(o.model)) for o in context.core.taken(OrderEndpoint)]
+    assert (kind, name) in orders, orders
+
+
+@then("no eviction was ordered")
+def no_eviction(context):
+    orders = [order.kind for order in context.core.taken(OrderEndpoint)]
+    assert "evict" not in orders, orders
+
+
+@then('the request is dispatched to "{endpoint}"')
+def dispatched(context, endpoint):
+    assert context.core.taken(Dispatch)[-1].endpoint == endpoint
+
+
+@then('the request is finished as "{outcome}"')
+def finished(context, outcome):
+    assert type(context.core.taken(Finish)[-1].outcome).__name__ == outcome
--- /dev/null
+++ b/packages/cli/src/knapweedbridge_cli/__init__.py
@@ -0,0 +1,5 @@
+"""The operators' command of knapweedbridge."""
+
+from knapweedbridge_cli.main import main
+
+__all__ = ["main"]
--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/actions.py
@@ -0,0 +1,99 @@
+"""What the core asks of the shell."""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from knapweedbridge_core.names import AdapterVersion
+from knapweedbridge_core.outcomes import Outcome
+
+
+@dataclass(slots=True, frozen=True)
+class SendPeer:
+    """Send a message to another daemon."""
+
+    host: str
+    message: Any
+
+
+@dataclass(slots=True, frozen=True)
+class Dispatch:
+    """Stream a request from an endpoint."""
+
+    request_id: str
+    attempt_id: str
+    endpoint: str
+    address: str
+
+
+@dataclass(slots=True, frozen=True)
+class Finish:
+    """Give a request its final outcome."""
+
+    request_id: str
+    outcome: Outcome
+
+
+@dataclass(slots=True, frozen=True)
+class OrderEndpoint:
+    """Order an endpoint to load or evict."""
+
+    endpoint: str
+    address: str
+    kind: str
+    model: AdapterVersion
+    weights: str
+    number: int
+
+
+@dataclass(slots=True, frozen=True)
+class AskReport:
+    """Ask an endpoint for a report."""
+
+    endpoint: str
+    address: str
+
+
+@dataclass(slots=True, frozen=True)
+class StoreRead:
+    """Read keys of the key-value service."""
+
+    token: str
+    keys: tuple[str, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class StoreWrite:
+    """Write keys if every compared key has the revision named (0: absent)."""
+
+    token: str
+    compares: dict[str, int]
+    puts: dict[str, bytes]
+
+
+@dataclass(slots=True, frozen=True)
+class Record:
+    """Add an event to the time line."""
+
+    kind: str
+    fields: dict[str, Any] = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class Count:
+    """Add to a counter."""
+
+    name: str
+    value: int = 1
+
+
+Action = (
+    SendPeer
+    | Dispatch
+    | Finish
+    | OrderEndpoint
+    | AskReport
+    | StoreRead
+    | StoreWrite
+    | Record
+    | Count
+)
--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/events.py
@@ -0,0 +1,175 @@
+"""What the shell tells the core."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from knapweedbridge_core.configuration import Configuration
+from knapweedbridge_core.names import AdapterVersion
+from knapweedbridge_core.outcomes import Outcome
+
+
+@dataclass(slots=True, frozen=True)
+class ListedHost:
+    """One line of the platform's lagging list."""
+
+    name: str
+    kind: str
+    data_centre: str
+    address: str
+    leaving: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Request:
+    """One request of a caller, without its body.
+
+    Parameters
+    ----------
+    request_id : str
+        Unique over all daemons.
+    caller, team : str
+        The caller's key and its team.
+    model : AdapterVersion or None
+        What a model request runs on.
+    service : str
+        The plain service that a call names, or empty.
+    priority : str
+        ``interactive``, ``normal`` or ``batch``.
+    non_idempotent : bool
+        Whether it may run at most once.
+    idempotency_key : str
+        Key by which a repeat is known, or empty.
+    deadline_s : float
+        When its answer is worthless, on the daemon's clock.
+    fingerprint : str
+        Hash of caller, model and body.
+    """
+
+    request_id: str
+    caller: str
+    team: str
+    model: AdapterVersion | None
+    service: str
+    priority: str
+    non_idempotent: bool
+    idempotency_key: str
+    deadline_s: float
+    fingerprint: str
+
+
+@dataclass(slots=True, frozen=True)
+class Tick:
+    """Time went on."""
+
+
+@dataclass(slots=True, frozen=True)
+class DrainBegan:
+    """The daemon was asked to stop: it takes nothing new and hands over."""
+
+
+@dataclass(slots=True, frozen=True)
+class ConfigurationRead:
+    """A configuration was read from the platform or a peer."""
+
+    configuration: Configuration
+
+
+@dataclass(slots=True, frozen=True)
+class HostsListed:
+    """The platform's list was read."""
+
+    hosts: tuple[ListedHost, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class PeerLinked:
+    """A stream to a peer stands."""
+
+    host: str
+
+
+@dataclass(slots=True, frozen=True)
+class PeerUnlinked:
+    """No stream to the peer stands."""
+
+    host: str
+
+
+@dataclass(slots=True, frozen=True)
+class PeerHeard:
+    """A peer sent a message."""
+
+    host: str
+    message: Any
+
+
+@dataclass(slots=True, frozen=True)
+class RequestArrived:
+    """A caller sent a request."""
+
+    request: Request
+
+
+@dataclass(slots=True, frozen=True)
+class AttemptEnded:
+    """An attempt the core dispatched ended."""
+
+    request_id: str
+    attempt_id: str
+    outcome: Outcome
+
+
+@dataclass(slots=True, frozen=True)
+class CallerLeft:
+    """The caller went away before its answer was whole."""
+
+    request_id: str
+
+
+@dataclass(slots=True, frozen=True)
+class OrderEnded:
+    """An endpoint answered an order, or failed to."""
+
+    endpoint: str
+    kind: str
+    model: AdapterVersion
+    succeeded: bool
+    detail: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class EndpointReported:
+    """A report of an endpoint arrived; it may be old.
+
+    Parameters
+    ----------
+    taken_s : float
+        When the request for the report was sent, on the daemon's clock.
+    """
+
+    endpoint: str
+    loaded: tuple[AdapterVersion, ...]
+    running: dict[AdapterVersion, int]
+    taken_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class StoreReplied:
+    """The key-value service answered, or did not.
+
+    Parameters
+    ----------
+    token : str
+        Token of the call.
+    known : bool
+        False where the call may have taken effect without our knowing.
+    applied : bool
+        Whether the comparisons held.
+    values : dict of str to (bytes, revision)
+        What was read.
+    """
+
+    token: str
+    known: bool
+    applied: bool
+    values: dict[str, tuple[bytes, int]]
--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/outcomes.py
@@ -0,0 +1,69 @@
+"""Tagged outcomes of an attempt and of a request."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Reason(StrEnum):
+    """Stable codes that say why a request has no answer."""
+
+    BAD_REQUEST = "bad_request"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    UNKNOWN_MODEL = "unknown_model"
+    NO_ENDPOINT = "no_endpoint"
+    NOT_LOADED = "not_loaded"
+    DEADLINE = "deadline"
+    OVERLOAD = "overload"
+    LIMIT = "limit"
+    BLAMED = "blamed"
+    DRAINING = "draining"
+    STORE_DOWN = "store_down"
+    CONNECT_FAILED = "connect_failed"
+    ENDPOINT_REFUSED = "endpoint_refused"
+    STREAM_BROKEN = "stream_broken"
+    WRONG_ADAPTER = "wrong_adapter"
+    REPEATED = "repeated"
+    CANCELLED = "cancelled"
+
+
+@dataclass(slots=True, frozen=True)
+class Complete:
+    """The whole answer was delivered."""
+
+    tokens: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class NotRun:
+    """It is proved that the request did not run.
+
+    Parameters
+    ----------
+    reason : Reason
+        Why it was not run.
+    retry_after_s : float or None
+        When to come back; None where asking again cannot help.
+    """
+
+    reason: Reason
+    retry_after_s: float | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Unknown:
+    """The request may have run, in part or whole.
+
+    Parameters
+    ----------
+    reason : Reason
+        What went wrong after it may have started.
+    tokens : int
+        Tokens already delivered to the caller.
+    """
+
+    reason: Reason
+    tokens: int = 0
+
+
+Outcome = Complete | NotRun | Unknown
--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/settings.py
@@ -0,0 +1,132 @@
+"""Settings of one daemon: one INI file, checked whole at the start."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from knapweedbridge_core.errors import CheckError
+from knapweedbridge_core.faults import Fault, read_ini
+from knapweedbridge_core.schema import (
+    Address,
+    Choice,
+    Flag,
+    Key,
+    Name,
+    Number,
+    Section,
+    Text,
+)
+
+SECTIONS: dict[str, Section] = {
+    "host": Section(
+        "Who this daemon is.",
+        {
+            "name": Key(Name(), None, "Name of the host in the platform's list."),
+            "data_centre": Key(Name(), None, "Data centre the host stands in."),
+        },
+    ),
+    "listen": Section(
+        "The addresses this daemon listens on.",
+        {
+            "callers": Key(Address(), None, "Address of the callers' face."),
+            "administration": Key(Address(), None, "Address of the operators' face."),
+            "peers": Key(Address(), None, "Address for streams from other daemons."),
+            "first_key_hash": Key(
+                Text(), "", "SHA-256 of the operators' key until one is configured."
+            ),
+            "certificate_file": Key(Text(), "", "PEM certificate; empty: no TLS."),
+            "key_file": Key(Text(), "", "PEM private key of the certificate."),
+        },
+    ),
+    "platform": Section(
+        "The platform's parts.",
+        {
+            "key_value": Key(Text(), None, "URL of the key-value service."),
+            "host_list": Key(Text(), None, "URL of the list of hosts."),
+            "timeout_s": Key(Number(0.01, 60), "2", "Bound on one call, seconds."),
+            "poll_s": Key(Number(0.05, 600), "2", "Pause between reads, seconds."),
+            "watch": Key(Flag(), "yes", "Whether this daemon may watch the service."),
+        },
+    ),
+    "peers": Section(
+        "Streams between daemons.",
+        {
+            "secret_file": Key(Text(), "", "File of the shared secret of the peers."),
+            "heartbeat_s": Key(Number(0.05, 60), "0.5", "Heartbeat period, seconds."),
+            "silence_s": Key(Number(0.1, 600), "2", "Silence that closes, seconds."),
+        },
+    ),
+    "requests": Section(
+        "The life of a request.",
+        {
+            "deadline_s": Key(
+                Number(0.1, 3600), "60", "Default deadline of a request, seconds."
+            ),
+            "connect_timeout_s": Key(
+                Number(0.01, 60), "1", "Bound on connecting to an endpoint, seconds."
+            ),
+            "first_token_timeout_s": Key(
+                Number(0.1, 600), "20", "Bound before the first token, seconds."
+            ),
+            "token_gap_timeout_s": Key(
+                Number(0.05, 600), "5", "Bound between two tokens, seconds."
+            ),
+            "drain_timeout_s": Key(
+                Number(0, 86400), "600", "Longest wait for streams at exit, seconds."
+            ),
+        },
+    ),
+    "logs": Section(
+        "Logs and metrics.",
+        {
+            "level": Key(Choice("info", "debug"), "info", "What is written."),
+            "statsd": Key(Text(), "", "host:port of statsd over UDP; empty: none."),
+            "timeline_events": Key(
+                Number(100, 1_000_000, whole=True), "10000", "Events kept in memory."
+            ),
+        },
+    ),
+}
+
+
+@dataclass(slots=True)
+class Settings:
+    """Checked settings, a value a section and key."""
+
+    values: dict[str, dict[str, Any]]
+
+    def get(self, section: str, key: str) -> Any:
+        """Return one checked value."""
+        return self.values[section][key]
+
+    @property
+    def host(self) -> str:
+        """Name of this host."""
+        return self.values["host"]["name"]
+
+    @property
+    def data_centre(self) -> str:
+        """Data centre of this host."""
+        return self.values["host"]["data_centre"]
+
+
+def read_settings(file: str, text: str) -> Settings:
+    """Check the text of a settings file.
+
+    Raises
+    ------
+    CheckError
+        With every fault, each naming file, section and key.
+    """
+    parser, faults = read_ini(file, text)
+    for title in parser.sections():
+        if title not in SECTIONS:
+            allowed = ", ".join(SECTIONS)
+            faults.append(Fault(file, title, "", f"unknown; allowed: {allowed}"))
+    values: dict[str, dict[str, Any]] = {}
+    for title, section in SECTIONS.items():
+        items = dict(parser[title]) if parser.has_section(title) else {}
+        values[title], found = section.read(file, title, items)
+        faults += found
+    if faults:
+        raise CheckError(faults)
+    return Settings(values)
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/__init__.py
@@ -0,0 +1,5 @@
+"""The daemon of knapweedbridge."""
+
+from knapweedbridge_daemon.daemon import Daemon
+
+__all__ = ["Daemon"]
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/daemon.py
@@ -0,0 +1,164 @@
+"""The daemon: the core with sockets, timers and the platform round it."""
+
+import secrets
+import signal
+import time
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+import anyio
+import httpx
+from anyio.abc import TaskGroup
+from eliot import log_message
+
+from knapweedbridge_core import Bridge, events
+from knapweedbridge_core.settings import Settings
+from knapweedbridge_core.timeline import Timeline
+from knapweedbridge_daemon.administration import Administration
+from knapweedbridge_daemon.callers import CallersApp
+from knapweedbridge_daemon.configurations import read_configuration, read_root
+from knapweedbridge_daemon.driver import Driver
+from knapweedbridge_daemon.errors import DaemonError
+from knapweedbridge_daemon.hosts import HostList, HttpHostList
+from knapweedbridge_daemon.metrics import Metrics
+from knapweedbridge_daemon.peers import Peers
+from knapweedbridge_daemon.store import EtcdStore, KeyValueStore
+from knapweedbridge_daemon.web import make_config, serve_until
+
+MAX_CONNECTIONS = 2000
+
+
+class Daemon:
+    """One daemon on one entry host.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._stop = anyio.Event()
+
+    def stop(self) -> None:
+        """Ask the daemon to finish what is in flight and end."""
+        self._stop.set()
+
+    async def run(self) -> None:
+        """Serve until a signal asks to stop, then finish what is in flight."""
+        async with AsyncExitStack() as stack:
+            store = self._open_store(stack)
+            hosts = self._open_hosts(stack)
+            client = self._open_client()
+            await stack.enter_async_context(client)
+            driver = self._make_driver(store, client)
+            await self._serve(driver, store, hosts, client)
+
+    def _open_store(self, stack: AsyncExitStack) -> KeyValueStore:
+        url = self._settings.get("platform", "key_value")
+        store = EtcdStore(url, self._settings.get("platform", "timeout_s"))
+        stack.push_async_callback(store.close)
+        return store
+
+    def _open_hosts(self, stack: AsyncExitStack) -> HostList:
+        url = self._settings.get("platform", "host_list")
+        hosts = HttpHostList(url, self._settings.get("platform", "timeout_s"))
+        stack.push_async_callback(hosts.close)
+        return hosts
+
+    def _open_client(self) -> httpx.AsyncClient:
+        requests = self._settings.values["requests"]
+        timeout = httpx.Timeout(
+            requests["first_token_timeout_s"], connect=requests["connect_timeout_s"]
+        )
+        limits = httpx.Limits(
+            max_connections=MAX_CONNECTIONS,
+            keepalive_expiry=requests["connect_timeout_s"],
+        )
+        return httpx.AsyncClient(timeout=timeout, limits=limits, trust_env=False)
+
+    def _make_driver(self, store: KeyValueStore, client: httpx.AsyncClient) -> Driver:
+        settings = self._settings
+        bridge = Bridge(settings.host, settings.data_centre, time.time_ns())
+        timeline = Timeline(settings.host, settings.get("logs", "timeline_events"))
+        metrics = Metrics(settings.get("logs", "statsd"))
+        return Driver(bridge, store, client, timeline, metrics)
+
+    async def _serve(
+        self,
+        driver: Driver,
+        store: KeyValueStore,
+        hosts: HostList,
+        client: httpx.AsyncClient,
+    ) -> None:
+        settings = self._settings
+        first_key_hash = settings.get("listen", "first_key_hash")
+        administration = Administration(driver, store, first_key_hash).app()
+        callers = CallersApp(driver, client, settings.get("requests", "deadline_s"))
+        drain_s = settings.get("requests", "drain_timeout_s")
+        faces = {"callers": callers, "administration": administration}
+        async with anyio.create_task_group() as background:
+            peers = self._make_peers(driver)
+            driver.peers = peers
+            heartbeat_s = settings.get("peers", "heartbeat_s")
+            background.start_soon(driver.run, background, heartbeat_s)
+            background.start_soon(self._serve_peers, peers)
+            background.start_soon(self._read_hosts, driver, hosts, background)
+            background.start_soon(self._read_configuration, driver, store)
+            background.start_soon(self._await_signal, driver)
+            log_message("daemon.started", host=settings.host)
+            async with anyio.create_task_group() as tasks:
+                for name, app in faces.items():
+                    config = make_config(settings.get("listen", name), drain_s)
+                    tasks.start_soon(serve_until, app, config, self._stop)
+            log_message("daemon.stopped", host=settings.host)
+            background.cancel_scope.cancel()
+
+    def _make_peers(self, driver: Driver) -> Peers:
+        path = self._settings.get("peers", "secret_file")
+        secret = Path(path).read_bytes().strip() if path else secrets.token_bytes(32)
+        silence_s = self._settings.get("peers", "silence_s")
+        return Peers(self._settings.host, secret, silence_s, driver.submit)
+
+    async def _serve_peers(self, peers: Peers) -> None:
+        ip, _, port = self._settings.get("listen", "peers").rpartition(":")
+        listener = await anyio.create_tcp_listener(
+            local_host=ip, local_port=int(port), reuse_port=False
+        )
+        await listener.serve(peers.serve)
+
+    async def _read_hosts(
+        self, driver: Driver, hosts: HostList, tasks: TaskGroup
+    ) -> None:
+        while True:
+            try:
+                listed = await hosts.read()
+            except DaemonError:
+                driver.count("platform.host_list_failed")
+            else:
+                await driver.submit(events.HostsListed(listed))
+                addresses = {
+                    host.name: host.address for host in listed if host.kind == "daemon"
+                }
+                assert driver.peers is not None
+                driver.peers.want(tasks, addresses)
+            await anyio.sleep(self._settings.get("platform", "poll_s"))
+
+    async def _read_configuration(self, driver: Driver, store: KeyValueStore) -> None:
+        while True:
+            try:
+                root = await read_root(store)
+                if root.generation > driver.bridge.configuration.generation:
+                    read = await read_configuration(store, root)
+                    await driver.submit(events.ConfigurationRead(read))
+            except DaemonError:
+                driver.count("platform.key_value_failed")
+            await anyio.sleep(self._settings.get("platform", "poll_s"))
+
+    async def _await_signal(self, driver: Driver) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                log_message("daemon.draining", host=self._settings.host)
+                await driver.submit(events.DrainBegan())
+                self._stop.set()
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/driver.py
@@ -0,0 +1,184 @@
+"""Drives the core: one task owns it, and carries out what it asks for."""
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import httpx
+from anyio.abc import TaskGroup
+from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+
+from knapweedbridge_core import Bridge, events
+from knapweedbridge_core.actions import (
+    AskReport,
+    Count,
+    Dispatch,
+    Finish,
+    OrderEndpoint,
+    Record,
+    SendPeer,
+    StoreRead,
+    StoreWrite,
+)
+from knapweedbridge_core.timeline import Timeline, TimelineEvent
+from knapweedbridge_daemon.endpoints import HttpEndpoint
+from knapweedbridge_daemon.errors import EndpointError, StoreError
+from knapweedbridge_daemon.metrics import Metrics
+from knapweedbridge_daemon.peers import Peers
+from knapweedbridge_daemon.store import KeyValueStore, Transaction
+
+INBOX_EVENTS = 10_000
+
+
+class Driver:
+    """The task that owns the core.
+
+    Parameters
+    ----------
+    bridge : Bridge
+        The core; nothing else may change it.
+    store : KeyValueStore
+        The platform's service.
+    client : httpx.AsyncClient
+        Connections to endpoints.
+    timeline : Timeline
+        Ring that takes the core's records.
+    metrics : Metrics
+        Counters.
+    """
+
+    def __init__(
+        self,
+        bridge: Bridge,
+        store: KeyValueStore,
+        client: httpx.AsyncClient,
+        timeline: Timeline,
+        metrics: Metrics,
+    ) -> None:
+        self.bridge = bridge
+        self.peers: Peers | None = None
+        self._store = store
+        self._client = client
+        self._timeline = timeline
+        self._metrics = metrics
+        send, receive = anyio.create_memory_object_stream[Any](INBOX_EVENTS)
+        self._inbox = send
+        self._events = receive
+        self._waiting: dict[str, MemoryObjectSendStream[Dispatch | Finish]] = {}
+        self._tasks: TaskGroup | None = None
+        self._carriers: dict[type, Callable[[Any], None]] = {
+            SendPeer: self._send_peer,
+            Dispatch: self._tell_request,
+            Finish: self._tell_request,
+            OrderEndpoint: lambda action: self._start(self._order, action),
+            AskReport: lambda action: self._start(self._report, action),
+            StoreRead: lambda action: self._start(self._read, action),
+            StoreWrite: lambda action: self._start(self._write, action),
+            Record: self._record,
+            Count: self._count,
+        }
+
+    async def submit(self, event: Any) -> None:
+        """Give the core an event."""
+        await self._inbox.send(event)
+
+    async def run(self, tasks: TaskGroup, tick_s: float) -> None:
+        """Own the core until cancelled."""
+        self._tasks = tasks
+        tasks.start_soon(self._tick, tick_s)
+        async for event in self._events:
+            for action in self.bridge.handle(event, time.monotonic()):
+                self._carriers[type(action)](action)
+
+    async def _tick(self, tick_s: float) -> None:
+        while True:
+            await self._inbox.send(events.Tick())
+            await anyio.sleep(tick_s)
+
+    def follow(self, request_id: str) -> MemoryObjectReceiveStream[Dispatch | Finish]:
+        """Return the stream on which the core tells what becomes of a request."""
+        send, receive = anyio.create_memory_object_stream[Dispatch | Finish](8)
+        self._waiting[request_id] = send
+        return receive
+
+    def unfollow(self, request_id: str) -> None:
+        """Forget a request that `follow` named."""
+        self._waiting.pop(request_id, None)
+
+    @property
+    def following(self) -> int:
+        """Requests that have no final outcome yet."""
+        return len(self._waiting)
+
+    def count(self, name: str, value: int = 1) -> None:
+        """Add to a counter."""
+        self._metrics.count(name, value)
+
+    def select_timeline(self, wanted: dict[str, str]) -> list[TimelineEvent]:
+        """Return this daemon's events whose fields have the wanted values."""
+        return self._timeline.select(**wanted)
+
+    def _start(self, work: Callable[..., Any], action: Any) -> None:
+        assert self._tasks is not None
+        self._tasks.start_soon(work, action)
+
+    def _send_peer(self, action: SendPeer) -> None:
+        if self.peers is not None:
+            self.peers.send(action.host, action.message)
+
+    def _tell_request(self, action: Dispatch | Finish) -> None:
+        stream = self._waiting.get(action.request_id)
+        if stream is not None:
+            stream.send_nowait(action)
+
+    def _record(self, action: Record) -> None:
+        self._timeline.add(action.kind, action.fields, time.time_ns() // 1000)
+
+    def _count(self, action: Count) -> None:
+        self.count(action.name, action.value)
+
+    async def _order(self, action: OrderEndpoint) -> None:
+        succeeded, detail = True, ""
+        try:
+            await HttpEndpoint(self._client, action.address).order(action)
+        except EndpointError as error:
+            succeeded, detail = False, str(error)
+        ended = events.OrderEnded(
+            action.endpoint, action.kind, action.model, succeeded, detail
+        )
+        await self.submit(ended)
+
+    async def _report(self, action: AskReport) -> None:
+        asked_s = time.monotonic()
+        try:
+            report = await HttpEndpoint(self._client, action.address).report()
+        except EndpointError:
+            await anyio.sleep(1.0)
+            self._start(self._report, action)
+            return
+        reported = events.EndpointReported(
+            action.endpoint, report.loaded, report.running, asked_s
+        )
+        await self.submit(reported)
+
+    async def _read(self, action: StoreRead) -> None:
+        values: dict[str, tuple[bytes, int]] = {}
+        known = True
+        try:
+            for key in action.keys:
+                found = await self._store.read(key)
+                if found is not None:
+                    values[key] = found
+        except StoreError:
+            known = False
+        await self.submit(events.StoreReplied(action.token, known, known, values))
+
+    async def _write(self, action: StoreWrite) -> None:
+        known, applied = True, False
+        try:
+            transaction = Transaction(action.compares, action.puts)
+            applied = await self._store.write(transaction)
+        except StoreError as error:
+            known = not error.may_have_applied
+        await self.submit(events.StoreReplied(action.token, known, applied, {}))
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/errors.py
@@ -0,0 +1,27 @@
+"""Errors of the daemon's layer; each turns what came from a library."""
+
+
+class DaemonError(Exception):
+    """Base of every error of the daemon."""
+
+
+class StoreError(DaemonError):
+    """The key-value service did not answer.
+
+    Parameters
+    ----------
+    may_have_applied : bool
+        True where a write may have taken effect although no answer came.
+    """
+
+    def __init__(self, message: str, may_have_applied: bool = False) -> None:
+        super().__init__(message)
+        self.may_have_applied = may_have_applied
+
+
+class EndpointError(DaemonError):
+    """An endpoint refused an order or did not answer."""
+
+
+class PeerError(DaemonError):
+    """A peer stream could not be set up."""
