Split the core into one module a role

Each side (member, owner, load order, callers) handles its own events and messages over a shared context, so that each can grow by itself.

--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/context.py
@@ -0,0 +1,100 @@
+"""What the sides of one daemon's core share."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from typing import Any
+
+from knapweedbridge_core.actions import Action, Record, SendPeer
+from knapweedbridge_core.configuration import Configuration, EndpointEntry
+from knapweedbridge_core.members import Members
+from knapweedbridge_core.view import View
+
+Handler = Callable[[Any], None]
+
+
+class Context:
+    """State that several sides read, and the way to act.
+
+    Parameters
+    ----------
+    host, data_centre : str
+        Who this daemon is and where it stands.
+    incarnation : int
+        Number that rises with each start of the host.
+    """
+
+    def __init__(self, host: str, data_centre: str, incarnation: int) -> None:
+        self.host = host
+        self.data_centre = data_centre
+        self.incarnation = incarnation
+        self.configuration = Configuration()
+        self.members = Members(host, data_centre)
+        self.view = View()
+        self.leaving: set[str] = set()
+        self.now_s = 0.0
+        self.sender = host
+        self._actions: list[Action] = []
+        self._handlers: dict[type, list[Handler]] = {}
+
+    def take(self, side: "Side") -> None:
+        """Let a side handle its events and messages."""
+        for kind, handler in side.handlers().items():
+            self._handlers.setdefault(kind, []).append(handler)
+
+    def handle(self, event: Any, now_s: float) -> list[Action]:
+        """Take one event at one time and return what is to be done."""
+        self.now_s = now_s
+        self._actions = []
+        self.dispatch(event)
+        return self._actions
+
+    def dispatch(self, event: Any) -> None:
+        """Hand an event or a message to the sides that take it."""
+        for handler in self._handlers.get(type(event), []):
+            handler(event)
+
+    def receive(self, sender: str, message: Any) -> None:
+        """Take a peer's message, or one of this daemon's own."""
+        outer, self.sender = self.sender, sender
+        self.dispatch(message)
+        self.sender = outer
+
+    def do(self, action: Action) -> None:
+        """Ask the shell for an action."""
+        self._actions.append(action)
+
+    def send(self, host: str, message: Any) -> None:
+        """Send a message to a daemon, which may be this one."""
+        if host == self.host:
+            self.receive(self.host, message)
+        else:
+            self.do(SendPeer(host, message))
+
+    def record(self, kind: str, **fields: Any) -> None:
+        """Add an event to the time line."""
+        self.do(Record(kind, fields))
+
+    def engines(self) -> list[EndpointEntry]:
+        """Return the model engines that are not leaving."""
+        return [
+            entry
+            for entry in self.configuration.endpoints.values()
+            if entry.kind == "engine" and entry.name not in self.leaving
+        ]
+
+
+class Side(ABC):
+    """One role of a daemon.
+
+    Parameters
+    ----------
+    context : Context
+        What it shares with the other sides.
+    """
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    @abstractmethod
+    def handlers(self) -> dict[type, Handler]:
+        """Return the events and messages this side takes."""
