--- a/packages/daemon/src/knapweedbridge_daemon/callers.py
+++ b/packages/daemon/src/knapweedbridge_daemon/callers.py
@@ -4,56 +4,24 @@
 import json
 import time
 import uuid
-from contextlib import aclosing
 from typing import Any
 
-import anyio
 import httpx
 from starlette.requests import ClientDisconnect, Request
 from starlette.types import Receive, Scope, Send
 
 from knapweedbridge_core import events
-from knapweedbridge_core.actions import Dispatch, Finish
 from knapweedbridge_core.configuration import Configuration, KeyEntry, Service
 from knapweedbridge_core.errors import NameFormatError
 from knapweedbridge_core.names import AdapterVersion, parse_adapter_version
-from knapweedbridge_core.outcomes import Complete, NotRun, Outcome, Reason, Unknown
+from knapweedbridge_core.outcomes import NotRun, Reason
+from knapweedbridge_daemon.answers import RefusedError, send_error, send_json
+from knapweedbridge_daemon.calls import Call
 from knapweedbridge_daemon.driver import Driver
-from knapweedbridge_daemon.endpoints import AttemptFailedError, HttpEndpoint
 from knapweedbridge_daemon.keys import bearer_key
 
 MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
 MAX_BODY_BYTES = 4 << 20
-DONE = b"data: [DONE]"
-STATUS = {
-    Reason.BAD_REQUEST: 400,
-    Reason.UNAUTHENTICATED: 401,
-    Reason.FORBIDDEN: 403,
-    Reason.UNKNOWN_MODEL: 404,
-    Reason.REPEATED: 409,
-    Reason.LIMIT: 429,
-    Reason.BLAMED: 422,
-    Reason.STREAM_BROKEN: 502,
-    Reason.WRONG_ADAPTER: 502,
-}
-DEFAULT_STATUS = 503
-
-
-class RefusedError(Exception):
-    """A request was refused before the core saw it."""
-
-    def __init__(self, reason: Reason, message: str) -> None:
-        super().__init__(message)
-        self.reason = reason
-
-
-def error_body(outcome: NotRun | Unknown, message: str = "") -> dict[str, Any]:
-    """Make the JSON body of an error."""
-    run = "not_run" if isinstance(outcome, NotRun) else "unknown"
-    text = message or str(outcome.reason).replace("_", " ")
-    return {
-        "error": {"message": text, "type": run, "code": str(outcome.reason), "run": run}
-    }
 
 
 class CallersApp:
@@ -77,7 +45,7 @@
         try:
             await self._serve(request, send)
         except RefusedError as error:
-            await _send_error(send, NotRun(error.reason), str(error))
+            await send_error(send, NotRun(error.reason), str(error))
         except ClientDisconnect:
             return
 
@@ -87,11 +55,11 @@
         if key is None:
             raise RefusedError(Reason.UNAUTHENTICATED, "no such key")
         if request.url.path == "/v1/models":
-            await _send_json(send, 200, _models(configuration, key))
+            await send_json(send, 200, _models(configuration, key))
             return
         body = await _read_body(request)
         wanted = self._describe(request, body, configuration, key)
-        call = _Call(self._driver, self._client, request, send, body, wanted)
+        call = Call(self._driver, self._client, request, send, body, wanted)
         await call.run()
 
     def _describe(
@@ -166,136 +134,6 @@
         )
 
 
-class _Call:
-    """One request under way: follows the core, streams its attempts."""
-
-    def __init__(
-        self,
-        driver: Driver,
-        client: httpx.AsyncClient,
-        request: Request,
-        send: Send,
-        body: bytes,
-        wanted: events.Request,
-    ) -> None:
-        self._driver = driver
-        self._client = client
-        self._http = request
-        self._send = send
-        self._wanted = wanted
-        self._body = body
-        self._streamed = False
-        if wanted.model is not None:
-            fields = json.loads(body)
-            self._streamed = bool(fields.get("stream"))
-            fields["model"] = str(wanted.model)
-            self._body = json.dumps(fields).encode()
-        self._started = False
-        self._tokens = 0
-
-    async def run(self) -> None:
-        request_id = self._wanted.request_id
-        follow = self._driver.follow(request_id)
-        try:
-            await self._driver.submit(events.RequestArrived(self._wanted))
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._watch_caller)
-                await self._follow(follow)
-                tasks.cancel_scope.cancel()
-        finally:
-            self._driver.unfollow(request_id)
-            with anyio.CancelScope(shield=True):
-                await self._driver.submit(events.CallerLeft(request_id))
-
-    async def _watch_caller(self) -> None:
-        while True:
-            message = await self._http.receive()
-            if message["type"] == "http.disconnect":
-                raise ClientDisconnect
-
-    async def _follow(self, follow: Any) -> None:
-        async for step in follow:
-            if isinstance(step, Finish):
-                await self._finish(step.outcome)
-                return
-            outcome = await self._attempt(step)
-            ended = events.AttemptEnded(step.request_id, step.attempt_id, outcome)
-            await self._driver.submit(ended)
-
-    async def _finish(self, outcome: Outcome) -> None:
-        if isinstance(outcome, Complete):
-            await self._send({"type": "http.response.body", "body": b""})
-        elif not self._started:
-            await _send_error(self._send, outcome)
-        elif self._streamed:
-            event = json.dumps(error_body(outcome)).encode()
-            last = {"type": "http.response.body", "body": b"data: " + event + b"\n\n"}
-            await self._send(last)
-
-    async def _attempt(self, step: Dispatch) -> Outcome:
-        endpoint = HttpEndpoint(self._client, step.address)
-        headers = {
-            "content-type": self._http.headers.get("content-type", "application/json"),
-            "x-request-id": self._wanted.request_id,
-            "x-attempt-id": step.attempt_id,
-        }
-        path = self._http.url.path
-        if self._http.url.query:
-            path += "?" + self._http.url.query
-        attempt = endpoint.stream(self._http.method, path, self._body, headers)
-        try:
-            async with attempt as response:
-                return await self._relay(response)
-        except AttemptFailedError as error:
-            return self._with_tokens(error.outcome)
-
-    def _with_tokens(self, outcome: Outcome) -> Outcome:
-        if isinstance(outcome, Unknown):
-            return Unknown(outcome.reason, self._tokens)
-        return outcome
-
-    async def _relay(self, response: Any) -> Outcome:
-        claimed = response.headers.get("x-model", str(self._wanted.model))
-        if self._wanted.model is not None and claimed != str(self._wanted.model):
-            return Unknown(Reason.WRONG_ADAPTER, self._tokens)
-        if not self._streamed:
-            body = b"".join([chunk async for chunk in response.chunks])
-            await self._begin(response)
-            await self._send_chunk(body)
-            return Complete(1)
-        tail = b""
-        async with aclosing(response.chunks) as chunks:
-            async for chunk in chunks:
-                if not self._started:
-                    await self._begin(response)
-                self._tokens += chunk.count(b"data: ")
-                tail = (tail + chunk)[-64:]
-                await self._send_chunk(chunk)
-        if DONE not in tail:
-            return Unknown(Reason.STREAM_BROKEN, self._tokens)
-        return Complete(self._tokens)
-
-    async def _begin(self, response: Any) -> None:
-        self._started = True
-        kind = response.headers.get("content-type", "application/json")
-        headers = [
-            (b"content-type", kind.encode()),
-            (b"x-request-id", self._wanted.request_id.encode()),
-        ]
-        await self._send(
-            {
-                "type": "http.response.start",
-                "status": response.status,
-                "headers": headers,
-            }
-        )
-
-    async def _send_chunk(self, chunk: bytes) -> None:
-        await self._send(
-            {"type": "http.response.body", "body": chunk, "more_body": True}
-        )
-
-
 def _model(name: Any, configuration: Configuration) -> AdapterVersion:
     try:
         model = parse_adapter_version(str(name))
@@ -337,27 +175,6 @@
     return body
 
 
-async def _send_json(
-    send: Send, status: int, body: Any, headers: list[tuple[bytes, bytes]] | None = None
-) -> None:
-    start = {
-        "type": "http.response.start",
-        "status": status,
-        "headers": [(b"content-type", b"application/json"), *(headers or [])],
-    }
-    await send(start)
-    await send({"type": "http.response.body", "body": json.dumps(body).encode()})
-
-
-async def _send_error(send: Send, outcome: NotRun | Unknown, message: str = "") -> None:
-    headers = []
-    if isinstance(outcome, NotRun) and outcome.retry_after_s is not None:
-        seconds = max(1, round(outcome.retry_after_s))
-        headers = [(b"retry-after", str(seconds).encode())]
-    status = STATUS.get(outcome.reason, DEFAULT_STATUS)
-    await _send_json(send, status, error_body(outcome, message), headers)
-
-
 async def _lifespan(receive: Receive, send: Send) -> None:
     while True:
         message = await receive()
