--- a/bench/processes.py
+++ b/bench/processes.py
@@ -105,7 +105,7 @@
 
 def main() -> int:
     """Run the shape and print what the callers saw."""
-    with Deployment(Example(base_port=21000)) as deployment:
+    with Deployment(Example(base_port=26000)) as deployment:
         print("processes:", ", ".join(deployment.processes))
         findings = anyio.run(run, deployment)
     print("answers:", dict(findings.answers))
