--- a/packages/core/src/knapweedbridge_core/actions.py
+++ b/packages/core/src/knapweedbridge_core/actions.py
@@ -1,6 +1,7 @@
 """What the core asks of the shell."""
 
 from dataclasses import dataclass, field
+from math import inf
 from typing import Any
 
 from knapweedbridge_core.names import AdapterVersion
@@ -35,7 +36,16 @@
 
 @dataclass(slots=True, frozen=True)
 class OrderEndpoint:
-    """Order an endpoint to load or evict."""
+    """Order an endpoint to load or evict.
+
+    Parameters
+    ----------
+    number : int
+        Fencing number of the owner.
+    not_after_s : float
+        When the order may no longer be sent, on the daemon's monotonic clock; the
+        shell reads the clock anew right before it sends.
+    """
 
     endpoint: str
     address: str
@@ -43,14 +53,23 @@
     model: AdapterVersion
     weights: str
     number: int
+    not_after_s: float = inf
 
 
 @dataclass(slots=True, frozen=True)
 class AskReport:
-    """Ask an endpoint for a report."""
+    """Ask an endpoint for a report.
+
+    Parameters
+    ----------
+    number : int
+        Fencing number of the owner; an endpoint that checks numbers refuses older
+        orders from then on.
+    """
 
     endpoint: str
     address: str
+    number: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -63,11 +82,20 @@
 
 @dataclass(slots=True, frozen=True)
 class StoreWrite:
-    """Write keys if every compared key has the revision named (0: absent)."""
+    """Write keys if every compared key has the revision named (0: absent).
+
+    Parameters
+    ----------
+    lease_s : float
+        The keys go when the write is not repeated for this long; 0: they stay. A
+        repeat that finds them gone is answered as not applied, and writes them anew
+        when it is repeated once more.
+    """
 
     token: str
     compares: dict[str, int]
     puts: dict[str, bytes]
+    lease_s: float = 0.0
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/core/src/knapweedbridge_core/events.py
+++ b/packages/core/src/knapweedbridge_core/events.py
@@ -128,13 +128,20 @@
 
 @dataclass(slots=True, frozen=True)
 class OrderEnded:
-    """An endpoint answered an order, or failed to."""
+    """An endpoint answered an order, or failed to.
+
+    Parameters
+    ----------
+    known : bool
+        False where the order may have taken effect, or may yet.
+    """
 
     endpoint: str
     kind: str
     model: AdapterVersion
     succeeded: bool
     detail: str = ""
+    known: bool = True
 
 
 @dataclass(slots=True, frozen=True)
