Judge attempts by proof, and bound retries by a budget

Cause: 404, 409, 429 and 503 of any endpoint counted as proof that nothing ran, and were repeated; a stream that broke lost its count of delivered tokens in the relay, so that the request was repeated and its text doubled; a request whose first attempt may have run was told not_run when a later one was refused; a dispatched request had no deadline; a grant went to the endpoint's present owner, not the one that gave it, and one that came late stayed; CallerLeft followed every request.

Plain services now get and give all end-to-end headers.

--- a/packages/core/src/knapweedbridge_core/actions.py
+++ b/packages/core/src/knapweedbridge_core/actions.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from knapweedbridge_core.names import AdapterVersion
-from knapweedbridge_core.outcomes import Outcome
+from knapweedbridge_core.outcomes import FinalOutcome
 
 
 @dataclass(slots=True, frozen=True)
@@ -26,12 +26,37 @@
     address: str
 
 
+@dataclass(slots=True, frozen=True)
+class Resume:
+    """Go on with an attempt's stream over a new connection.
+
+    Parameters
+    ----------
+    offset : int
+        Events already delivered to the caller.
+    """
+
+    request_id: str
+    attempt_id: str
+    endpoint: str
+    address: str
+    offset: int
+
+
+@dataclass(slots=True, frozen=True)
+class CancelAttempt:
+    """Tell an endpoint, over a new connection, to stop an attempt."""
+
+    attempt_id: str
+    address: str
+
+
 @dataclass(slots=True, frozen=True)
 class Finish:
     """Give a request its final outcome."""
 
     request_id: str
-    outcome: Outcome
+    outcome: FinalOutcome
 
 
 @dataclass(slots=True, frozen=True)
@@ -117,6 +142,8 @@
 Action = (
     SendPeer
     | Dispatch
+    | Resume
+    | CancelAttempt
     | Finish
     | OrderEndpoint
     | AskReport
--- a/packages/core/src/knapweedbridge_core/events.py
+++ b/packages/core/src/knapweedbridge_core/events.py
@@ -43,6 +43,8 @@
         When its answer is worthless, on the daemon's clock.
     fingerprint : str
         Hash of caller, model and body.
+    streamed : bool
+        Whether the caller asked for a stream of events.
     """
 
     request_id: str
@@ -55,6 +57,7 @@
     idempotency_key: str
     deadline_s: float
     fingerprint: str
+    streamed: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -119,6 +122,14 @@
     outcome: Outcome
 
 
+@dataclass(slots=True, frozen=True)
+class AttemptCancelled:
+    """An endpoint was told to cancel an attempt, or could not be told."""
+
+    attempt_id: str
+    confirmed: bool
+
+
 @dataclass(slots=True, frozen=True)
 class CallerLeft:
     """The caller went away before its answer was whole."""
--- a/packages/core/src/knapweedbridge_core/outcomes.py
+++ b/packages/core/src/knapweedbridge_core/outcomes.py
@@ -24,6 +24,11 @@
     STREAM_BROKEN = "stream_broken"
     WRONG_ADAPTER = "wrong_adapter"
     REPEATED = "repeated"
+    ALREADY_RUN = "already_run"
+    KEY_REUSED = "key_reused"
+    ENDPOINT_FAILED = "endpoint_failed"
+    SILENT = "silent"
+    RESUME_FAILED = "resume_failed"
     CANCELLED = "cancelled"
 
 
@@ -60,10 +65,33 @@
         What went wrong after it may have started.
     tokens : int
         Tokens already delivered to the caller.
+    retry_after_s : float or None
+        When asking again may tell more; None where it cannot.
     """
 
     reason: Reason
     tokens: int = 0
+    retry_after_s: float | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Recorded:
+    """The answer that an earlier request with the same idempotency key got.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status of that answer.
+    content_type : str
+        Its content type.
+    body : bytes
+        The whole body.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
 
 
 Outcome = Complete | NotRun | Unknown
+FinalOutcome = Outcome | Recorded
--- a/packages/core/src/knapweedbridge_core/request_side.py
+++ b/packages/core/src/knapweedbridge_core/request_side.py
@@ -1,15 +1,38 @@
 """The callers' side: routes requests, asks for grants, retries."""
 
+from dataclasses import dataclass
+
 from knapweedbridge_core import events, messages, rendezvous
-from knapweedbridge_core.actions import Count, Dispatch, Finish
+from knapweedbridge_core.actions import (
+    CancelAttempt,
+    Count,
+    Dispatch,
+    Finish,
+    Resume,
+)
 from knapweedbridge_core.context import Context, Handler, Side
 from knapweedbridge_core.names import AdapterVersion
-from knapweedbridge_core.outcomes import Complete, NotRun, Outcome, Reason, Unknown
-from knapweedbridge_core.requests import LiveRequest, may_retry
+from knapweedbridge_core.outcomes import (
+    FinalOutcome,
+    NotRun,
+    Outcome,
+    Reason,
+    Recorded,
+    Unknown,
+)
+from knapweedbridge_core.requests import LiveRequest
+from knapweedbridge_core.retries import RETRY_AFTER_S, Again, GoOn, RetryBudget, decide
 
 WANT_AGAIN_S = 1.0
 GRANT_TIMEOUT_S = 1.0
-RETRY_AFTER_S = 1.0
+LATE_GRANT_S = 30.0
+
+
+@dataclass(slots=True, frozen=True)
+class _HeldGrant:
+    owner: str
+    returned: messages.GrantReturned
+    since_s: float
 
 
 class RequestSide(Side):
@@ -18,7 +41,10 @@
     def __init__(self, context: Context) -> None:
         super().__init__(context)
         self.live: dict[str, LiveRequest] = {}
+        self.budget = RetryBudget()
         self._wanted_at_s: dict[AdapterVersion, float] = {}
+        self._cancelling: dict[str, _HeldGrant] = {}
+        self._unanswered: dict[str, _HeldGrant] = {}
 
     def handlers(self) -> dict[type, Handler]:
         """See `Side.handlers`."""
@@ -26,6 +52,7 @@
             events.Tick: self._tick,
             events.RequestArrived: self._request_arrived,
             events.AttemptEnded: self._attempt_ended,
+            events.AttemptCancelled: self._attempt_cancelled,
             events.CallerLeft: self._caller_left,
             messages.GrantGiven: self._grant_given,
             messages.GrantRefused: self._grant_refused,
@@ -39,6 +66,7 @@
     def _request_arrived(self, event: events.RequestArrived) -> None:
         request = event.request
         self.live[request.request_id] = LiveRequest(request)
+        self.budget.earn(self._context.now_s)
         self._context.record("request.arrived", request=request.request_id)
         if self._context.members.draining:
             outcome = NotRun(Reason.DRAINING, RETRY_AFTER_S)
@@ -58,9 +86,9 @@
             for entry in self._context.configuration.endpoints.values()
             if entry.service == live.request.service
             and entry.name not in self._context.leaving
-            and entry.name not in live.tried
         ]
-        name = rendezvous.choose(live.request.request_id, names)
+        fresh = [name for name in names if name not in live.tried] or names
+        name = rendezvous.choose(live.request.request_id, fresh)
         if name is None:
             outcome = NotRun(Reason.NO_ENDPOINT, RETRY_AFTER_S)
             self._finish(live.request.request_id, outcome)
@@ -85,9 +113,9 @@
         name = min(
             fresh, key=lambda held: (self._context.view.endpoints[held].running, held)
         )
-        attempt_id = live.next_attempt(name)
-        live.asked_s = self._context.now_s
         owner = self._context.view.endpoints[name].owner
+        attempt_id = live.next_attempt(name, owner)
+        live.asked_s = self._context.now_s
         self._context.send(owner, messages.GrantAsk(attempt_id, name, model))
 
     def _want(self, model: AdapterVersion) -> None:
@@ -106,9 +134,14 @@
             for model, at_s in self._wanted_at_s.items()
             if self._context.now_s - at_s < WANT_AGAIN_S
         }
+        self._unanswered = {
+            attempt_id: held
+            for attempt_id, held in self._unanswered.items()
+            if self._context.now_s - held.since_s < LATE_GRANT_S
+        }
         for live in list(self.live.values()):
             self._forget_lost_grant(live)
-            if not live.endpoint:
+            if not live.endpoint and self._context.now_s >= live.retry_at_s:
                 self._route(live)
 
     def _forget_lost_grant(self, live: LiveRequest) -> None:
@@ -116,13 +149,19 @@
         # attempt id, so that a late grant of the old one cannot be used.
         overdue = self._context.now_s - live.asked_s > GRANT_TIMEOUT_S
         if live.endpoint and not live.dispatched and overdue:
-            self._return_grant(live)
-            live.endpoint = ""
-            live.attempts_unused += 1
+            self._forget_grant(live)
+
+    def _forget_grant(self, live: LiveRequest) -> None:
+        self._let_go(live, False)
+        live.endpoint = ""
+        live.attempts_unused += 1
 
     def _dispatch(self, live: LiveRequest) -> None:
+        entry = self._context.configuration.endpoints.get(live.endpoint)
+        if entry is None:
+            self._forget_grant(live)
+            return
         live.dispatched = True
-        entry = self._context.configuration.endpoints[live.endpoint]
         request_id = live.request.request_id
         self._context.do(
             Dispatch(request_id, live.attempt_id, entry.name, entry.address)
@@ -137,8 +176,11 @@
 
     def _grant_given(self, message: messages.GrantGiven) -> None:
         live = self._of_attempt(message.attempt_id)
+        late = self._unanswered.pop(message.attempt_id, None)
         if live is not None:
             self._dispatch(live)
+        elif late is not None:
+            self._context.send(late.owner, late.returned)
 
     def _grant_refused(self, message: messages.GrantRefused) -> None:
         live = self._of_attempt(message.attempt_id)
@@ -156,44 +198,106 @@
         live = self.live.get(event.request_id)
         if live is None or live.attempt_id != event.attempt_id:
             return
-        self._return_grant(live)
+        if not live.dispatched or not live.endpoint:
+            return
+        live.note(event.outcome)
         self._context.record(
             "attempt.ended",
             request=event.request_id,
             attempt=event.attempt_id,
             outcome=type(event.outcome).__name__,
         )
-        if may_retry(live, event.outcome, self._context.now_s):
-            live.endpoint = ""
-            self._context.do(Count("request.retried"))
-            self._route(live)
+        decision = decide(live, event.outcome, self.budget, self._context.now_s)
+        if isinstance(decision, GoOn):
+            self._resume(live)
+            return
+        self._let_go(live, isinstance(event.outcome, Unknown))
+        if isinstance(decision, Again):
+            self._again(live, decision.at_s)
         else:
-            self._finish(event.request_id, event.outcome)
+            self._finish(event.request_id, decision.outcome)
 
-    def _return_grant(self, live: LiveRequest) -> None:
-        model = live.request.model
-        view = self._context.view.endpoints.get(live.endpoint)
-        if model is not None and view is not None and live.attempt_id:
-            returned = messages.GrantReturned(live.attempt_id, live.endpoint, model)
-            self._context.send(view.owner, returned)
+    def _resume(self, live: LiveRequest) -> None:
+        entry = self._context.configuration.endpoints.get(live.endpoint)
+        if entry is None:
+            self._let_go(live, True)
+            outcome = Unknown(Reason.RESUME_FAILED, live.delivered)
+            self._finish(live.request.request_id, outcome)
+            return
+        live.resumes += 1
+        request_id = live.request.request_id
+        self._context.do(Count("attempt.resumed"))
+        self._context.record(
+            "attempt.resumed",
+            request=request_id,
+            attempt=live.attempt_id,
+            offset=live.delivered,
+        )
+        self._context.do(
+            Resume(
+                request_id, live.attempt_id, entry.name, entry.address, live.delivered
+            )
+        )
+
+    def _again(self, live: LiveRequest, at_s: float) -> None:
+        live.endpoint = ""
+        live.retry_at_s = at_s
+        self._context.do(Count("request.retried"))
+        if at_s <= self._context.now_s:
+            self._route(live)
+
+    def _let_go(self, live: LiveRequest, maybe_running: bool) -> None:
+        # While the endpoint may still run the attempt, the grant pins its
+        # adapter: it is given back only after the endpoint was told to stop.
+        if not live.attempt_id or not live.endpoint or live.request.model is None:
+            return
+        returned = messages.GrantReturned(
+            live.attempt_id, live.endpoint, live.request.model
+        )
+        held = _HeldGrant(live.owner, returned, self._context.now_s)
+        entry = self._context.configuration.endpoints.get(live.endpoint)
+        if maybe_running and live.dispatched and entry is not None:
+            self._cancelling[live.attempt_id] = held
+            self._context.do(CancelAttempt(live.attempt_id, entry.address))
+            return
+        if not live.dispatched:
+            # The stream to the owner may drop this return and yet the owner
+            # may have heard the question: a late grant is returned again.
+            self._unanswered[live.attempt_id] = held
+        self._context.send(live.owner, returned)
+
+    def _attempt_cancelled(self, event: events.AttemptCancelled) -> None:
+        held = self._cancelling.pop(event.attempt_id, None)
+        if held is not None:
+            self._context.send(held.owner, held.returned)
+        if not event.confirmed:
+            self._context.do(Count("attempt.cancel_failed"))
 
     def _caller_left(self, event: events.CallerLeft) -> None:
         live = self.live.get(event.request_id)
         if live is not None:
-            self._return_grant(live)
-            self._finish(event.request_id, Unknown(Reason.CANCELLED))
+            self._let_go(live, True)
+            self._finish(event.request_id, Unknown(Reason.CANCELLED, live.delivered))
 
     def _expire_requests(self) -> None:
         for request_id, live in list(self.live.items()):
-            waiting = not live.dispatched
-            if waiting and self._context.now_s >= live.request.deadline_s:
-                self._return_grant(live)
-                self._finish(request_id, NotRun(Reason.DEADLINE, RETRY_AFTER_S))
+            if self._context.now_s < live.request.deadline_s:
+                continue
+            self._let_go(live, True)
+            if live.dispatched and live.endpoint:
+                outcome: Outcome = Unknown(Reason.DEADLINE, live.delivered)
+            else:
+                outcome = NotRun(Reason.DEADLINE, RETRY_AFTER_S)
+            self._finish(request_id, outcome)
 
-    def _finish(self, request_id: str, outcome: Outcome) -> None:
-        del self.live[request_id]
+    def _finish(self, request_id: str, outcome: FinalOutcome) -> None:
+        live = self.live.pop(request_id)
+        if not isinstance(outcome, Recorded):
+            outcome = live.honest(outcome)
         self._context.do(Finish(request_id, outcome))
-        word = "complete" if isinstance(outcome, Complete) else str(outcome.reason)
+        word = "complete"
+        if isinstance(outcome, (NotRun, Unknown)):
+            word = str(outcome.reason)
         self._context.do(Count(f"request.{word}"))
         self._context.record(
             "request.finished",
@@ -206,5 +310,6 @@
         self._context.view.changed(message)
         loaded = set(message.loaded)
         for live in list(self.live.values()):
-            if not live.endpoint and live.request.model in loaded:
+            due = self._context.now_s >= live.retry_at_s
+            if not live.endpoint and due and live.request.model in loaded:
                 self._route(live)
--- a/packages/core/src/knapweedbridge_core/requests.py
+++ b/packages/core/src/knapweedbridge_core/requests.py
@@ -3,14 +3,26 @@
 from dataclasses import dataclass, field
 
 from knapweedbridge_core.events import Request
-from knapweedbridge_core.outcomes import Complete, NotRun, Outcome
-
-MAX_ATTEMPTS = 3
+from knapweedbridge_core.outcomes import NotRun, Outcome, Reason, Unknown
 
 
 @dataclass(slots=True)
 class LiveRequest:
-    """A request that has no final outcome yet."""
+    """A request that has no final outcome yet.
+
+    Parameters
+    ----------
+    owner : str
+        Who was asked for the grant of the present attempt, and gets it back.
+    retry_at_s : float
+        Before this time it is not routed again, on the daemon's clock.
+    resumes : int
+        Times the present attempt was resumed.
+    delivered : int
+        Tokens that the caller has, of all attempts.
+    maybe_ran : Reason or None
+        Why an earlier attempt may have run, if one may have.
+    """
 
     request: Request
     attempts: int = 0
@@ -18,7 +30,12 @@
     asked_s: float = 0.0
     attempt_id: str = ""
     endpoint: str = ""
+    owner: str = ""
     dispatched: bool = False
+    retry_at_s: float = 0.0
+    resumes: int = 0
+    delivered: int = 0
+    maybe_ran: Reason | None = None
     tried: set[str] = field(default_factory=set)
 
     @property
@@ -26,22 +43,29 @@
         """Attempts that were dispatched."""
         return self.attempts - self.attempts_unused
 
-    def next_attempt(self, endpoint: str) -> str:
+    def next_attempt(self, endpoint: str, owner: str = "") -> str:
         """Begin another attempt and return its id."""
         self.attempts += 1
         self.endpoint = endpoint
+        self.owner = owner
         self.attempt_id = f"{self.request.request_id}.{self.attempts}"
         self.dispatched = False
+        self.resumes = 0
         self.tried.add(endpoint)
         return self.attempt_id
 
+    def note(self, outcome: Outcome) -> None:
+        """Keep of an attempt's outcome what binds the request's own."""
+        if isinstance(outcome, Unknown):
+            self.maybe_ran = outcome.reason
+            self.delivered = max(self.delivered, outcome.tokens)
+
+    def honest(self, outcome: Outcome) -> Outcome:
+        """Return an outcome that no earlier attempt contradicts.
 
-def may_retry(live: LiveRequest, outcome: Outcome, now_s: float) -> bool:
-    """Tell whether another attempt is allowed after an outcome."""
-    if isinstance(outcome, Complete):
-        return False
-    if now_s >= live.request.deadline_s or live.attempts_run >= MAX_ATTEMPTS:
-        return False
-    if isinstance(outcome, NotRun):
-        return True
-    return not live.request.non_idempotent and outcome.tokens == 0
+        A request of which one attempt may have run is not told to be not run,
+        whatever became of the attempts after it.
+        """
+        if isinstance(outcome, NotRun) and self.maybe_ran is not None:
+            return Unknown(self.maybe_ran, self.delivered, outcome.retry_after_s)
+        return outcome
--- a/packages/core/src/knapweedbridge_core/settings.py
+++ b/packages/core/src/knapweedbridge_core/settings.py
@@ -70,6 +70,15 @@
             "token_gap_timeout_s": Key(
                 Number(0.05, 600), "5", "Bound between two tokens, seconds."
             ),
+            "connection_idle_s": Key(
+                Number(0, 600), "2", "Idle life of a pooled connection, seconds."
+            ),
+            "connection_age_s": Key(
+                Number(0.1, 86400), "60", "Greatest age of the pool, seconds."
+            ),
+            "keepalive_s": Key(
+                Number(1, 600), "5", "Silence before the kernel probes, seconds."
+            ),
             "drain_timeout_s": Key(
                 Number(0, 86400), "600", "Longest wait for streams at exit, seconds."
             ),
--- a/packages/daemon/src/knapweedbridge_daemon/answers.py
+++ b/packages/daemon/src/knapweedbridge_daemon/answers.py
@@ -13,10 +13,15 @@
     Reason.FORBIDDEN: 403,
     Reason.UNKNOWN_MODEL: 404,
     Reason.REPEATED: 409,
+    Reason.ALREADY_RUN: 409,
+    Reason.KEY_REUSED: 422,
     Reason.LIMIT: 429,
     Reason.BLAMED: 422,
     Reason.STREAM_BROKEN: 502,
     Reason.WRONG_ADAPTER: 502,
+    Reason.ENDPOINT_FAILED: 502,
+    Reason.RESUME_FAILED: 502,
+    Reason.SILENT: 504,
 }
 DEFAULT_STATUS = 503
 
@@ -54,7 +59,7 @@
 async def send_error(send: Send, outcome: NotRun | Unknown, message: str = "") -> None:
     """Send an outcome without an answer, with `Retry-After` where it applies."""
     headers = []
-    if isinstance(outcome, NotRun) and outcome.retry_after_s is not None:
+    if outcome.retry_after_s is not None:
         seconds = max(1, round(outcome.retry_after_s))
         headers = [(b"retry-after", str(seconds).encode())]
     status = STATUS.get(outcome.reason, DEFAULT_STATUS)
--- a/packages/daemon/src/knapweedbridge_daemon/callers.py
+++ b/packages/daemon/src/knapweedbridge_daemon/callers.py
@@ -6,7 +6,6 @@
 import uuid
 from typing import Any
 
-import httpx
 from starlette.requests import ClientDisconnect, Request
 from starlette.types import Receive, Scope, Send
 
@@ -17,6 +16,7 @@
 from knapweedbridge_core.outcomes import NotRun, Reason
 from knapweedbridge_daemon.answers import RefusedError, send_error, send_json
 from knapweedbridge_daemon.calls import Call
+from knapweedbridge_daemon.connections import Connections
 from knapweedbridge_daemon.driver import Driver
 from knapweedbridge_daemon.keys import bearer_key
 
@@ -28,10 +28,10 @@
     """ASGI application of the callers' face."""
 
     def __init__(
-        self, driver: Driver, client: httpx.AsyncClient, deadline_s: float
+        self, driver: Driver, connections: Connections, deadline_s: float
     ) -> None:
         self._driver = driver
-        self._client = client
+        self._connections = connections
         self._deadline_s = deadline_s
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
@@ -59,7 +59,7 @@
             return
         body = await _read_body(request)
         wanted = self._describe(request, body, configuration, key)
-        call = Call(self._driver, self._client, request, send, body, wanted)
+        call = Call(self._driver, self._connections, request, send, body, wanted)
         await call.run()
 
     def _describe(
@@ -77,7 +77,8 @@
         self, request: Request, body: bytes, configuration: Configuration, key: KeyEntry
     ) -> events.Request:
         try:
-            name = json.loads(body)["model"]
+            fields = json.loads(body)
+            name = fields["model"]
         except (ValueError, KeyError, TypeError):
             raise RefusedError(Reason.BAD_REQUEST, "the body names no model") from None
         application = configuration.applications.get(name)
@@ -92,6 +93,7 @@
             model=model,
             priority=application.priority if application else "normal",
             non_idempotent=bool(application and application.non_idempotent),
+            streamed=bool(fields.get("stream")),
         )
 
     def _describe_service(
@@ -114,6 +116,7 @@
         service: str = "",
         priority: str = "normal",
         non_idempotent: bool = False,
+        streamed: bool = False,
     ) -> events.Request:
         try:
             within_s = float(request.headers.get("x-deadline-s", self._deadline_s))
@@ -131,6 +134,7 @@
             idempotency_key=request.headers.get("idempotency-key", ""),
             deadline_s=time.monotonic() + within_s,
             fingerprint=hashlib.blake2b(seen, digest_size=16).hexdigest(),
+            streamed=streamed,
         )
 
 
--- a/packages/daemon/src/knapweedbridge_daemon/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/calls.py
@@ -1,52 +1,96 @@
 """One request under way: follows the core, carries out its attempts."""
 
 import json
+import time
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack
 from typing import Any
 
 import anyio
-import httpx
-from starlette.requests import ClientDisconnect, Request
+from starlette.requests import Request
 from starlette.types import Send
 
 from knapweedbridge_core import events
-from knapweedbridge_core.actions import Dispatch, Finish
-from knapweedbridge_core.outcomes import Complete, Outcome, Reason, Unknown
+from knapweedbridge_core.actions import Dispatch, Finish, Resume
+from knapweedbridge_core.outcomes import (
+    Complete,
+    FinalOutcome,
+    Outcome,
+    Reason,
+    Recorded,
+    Unknown,
+)
 from knapweedbridge_daemon.answers import error_body, send_error
+from knapweedbridge_daemon.connections import Connections
 from knapweedbridge_daemon.driver import Driver
 from knapweedbridge_daemon.endpoints import (
     AttemptFailedError,
     EndpointResponse,
     HttpEndpoint,
 )
-from knapweedbridge_daemon.relay import pump
+from knapweedbridge_daemon.relay import Relay, WrongModelError, bounded, check_model
+
+# Headers that belong to one connection, or that this daemon sets itself.
+NOT_PASSED_ON = frozenset(
+    {
+        "authorization",
+        "connection",
+        "content-length",
+        "expect",
+        "host",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
 
 
 class Call:
-    """One request under way: follows the core, streams its attempts."""
+    """One request under way: follows the core, streams its attempts.
+
+    Parameters
+    ----------
+    driver : Driver
+        The task that owns the core.
+    connections : Connections
+        Connections to endpoints.
+    request : Request
+        The caller's request, its body read.
+    send : callable
+        Takes the answer's ASGI messages.
+    body : bytes
+        The caller's body.
+    wanted : events.Request
+        The request as the core knows it.
+    """
 
     def __init__(
         self,
         driver: Driver,
-        client: httpx.AsyncClient,
+        connections: Connections,
         request: Request,
         send: Send,
         body: bytes,
         wanted: events.Request,
     ) -> None:
         self._driver = driver
-        self._client = client
+        self._connections = connections
         self._http = request
         self._send = send
         self._wanted = wanted
         self._body = body
-        self._streamed = False
         if wanted.model is not None:
             fields = json.loads(body)
-            self._streamed = bool(fields.get("stream"))
             fields["model"] = str(wanted.model)
             self._body = json.dumps(fields).encode()
+        self._relay = Relay(str(wanted.model or ""), self._send_chunk)
         self._started = False
-        self._tokens = 0
+        self._finished = False
+        self._sent_whole = 0
 
     async def run(self) -> None:
         """Answer the request, or tell the core that the caller left."""
@@ -55,90 +99,168 @@
         try:
             await self._driver.submit(events.RequestArrived(self._wanted))
             async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._watch_caller)
+                tasks.start_soon(self._watch_caller, tasks.cancel_scope)
                 await self._follow(follow)
                 tasks.cancel_scope.cancel()
         finally:
             self._driver.unfollow(request_id)
-            with anyio.CancelScope(shield=True):
-                await self._driver.submit(events.CallerLeft(request_id))
+            if not self._finished:
+                with anyio.CancelScope(shield=True):
+                    await self._driver.submit(events.CallerLeft(request_id))
 
-    async def _watch_caller(self) -> None:
+    async def _watch_caller(self, scope: anyio.CancelScope) -> None:
         while True:
             message = await self._http.receive()
             if message["type"] == "http.disconnect":
-                raise ClientDisconnect
+                scope.cancel()
+                return
 
     async def _follow(self, follow: Any) -> None:
-        async for step in follow:
-            if isinstance(step, Finish):
-                await self._finish(step.outcome)
-                return
-            outcome = await self._attempt(step)
-            ended = events.AttemptEnded(step.request_id, step.attempt_id, outcome)
-            await self._driver.submit(ended)
+        async with anyio.create_task_group() as attempts:
+            async for step in follow:
+                if isinstance(step, Finish):
+                    attempts.cancel_scope.cancel()
+                    break
+                attempts.start_soon(self._carry_out, step)
+        # Out of the cancelled scope: the caller still gets its last word.
+        self._finished = True
+        await self._finish(step.outcome)
+
+    async def _carry_out(self, step: Dispatch | Resume) -> None:
+        outcome = await self._attempt(step)
+        ended = events.AttemptEnded(step.request_id, step.attempt_id, outcome)
+        await self._driver.submit(ended)
 
-    async def _finish(self, outcome: Outcome) -> None:
-        if isinstance(outcome, Complete):
-            await self._send({"type": "http.response.body", "body": b""})
+    async def _finish(self, outcome: FinalOutcome) -> None:
+        if isinstance(outcome, Recorded):
+            await self._start(outcome.status, [("content-type", outcome.content_type)])
+            await self._end(outcome.body)
+        elif isinstance(outcome, Complete):
+            await self._end(b"")
         elif not self._started:
             await send_error(self._send, outcome)
-        elif self._streamed:
+        elif self._wanted.streamed:
             event = json.dumps(error_body(outcome)).encode()
-            last = {"type": "http.response.body", "body": b"data: " + event + b"\n\n"}
-            await self._send(last)
-
-    async def _attempt(self, step: Dispatch) -> Outcome:
-        endpoint = HttpEndpoint(self._client, step.address)
-        headers = {
-            "content-type": self._http.headers.get("content-type", "application/json"),
-            "x-request-id": self._wanted.request_id,
-            "x-attempt-id": step.attempt_id,
-        }
+            await self._end(b"data: " + event + b"\n\n")
+        # Else an answer without a stream of events was begun and broke: it has
+        # no place for an error, and an end would make it look whole. The web
+        # server closes the connection when the application returns unfinished.
+
+    async def _attempt(self, step: Dispatch | Resume) -> Outcome:
+        try:
+            if isinstance(step, Resume):
+                return await self._resume(step)
+            return await self._dispatch(step)
+        except AttemptFailedError as error:
+            return await self._failed(error.outcome)
+        except WrongModelError:
+            return Unknown(Reason.WRONG_ADAPTER, self._tokens)
+
+    async def _failed(self, outcome: Outcome) -> Outcome:
+        if not isinstance(outcome, Unknown):
+            return outcome
+        if outcome.reason == Reason.SILENT:
+            self._driver.count("connection.silent")
+            await self._connections.retire()
+        return Unknown(outcome.reason, self._tokens)
+
+    @property
+    def _tokens(self) -> int:
+        return max(self._relay.events, self._sent_whole)
+
+    async def _dispatch(self, step: Dispatch) -> Outcome:
+        model = self._wanted.model
+        left_s = max(0.0, self._wanted.deadline_s - time.monotonic())
+        head_s = left_s
+        if self._wanted.streamed:
+            head_s = min(left_s, self._connections.bounds.first_token_timeout_s)
         path = self._http.url.path
         if self._http.url.query:
             path += "?" + self._http.url.query
-        attempt = endpoint.stream(self._http.method, path, self._body, headers)
-        try:
-            async with attempt as response:
-                return await self._relay(response)
-        except AttemptFailedError as error:
-            return self._with_tokens(error.outcome)
+        async with AsyncExitStack() as stack:
+            pooled = self._connections.pooled()
+            client = await stack.enter_async_context(pooled)
+            endpoint = HttpEndpoint(client, step.address, model is not None)
+            attempt = endpoint.stream(
+                self._http.method, path, self._body, self._headers(step), head_s
+            )
+            response = await stack.enter_async_context(attempt)
+            if model is not None and response.status == 200:
+                return await self._relay_model(response)
+            return await self._pass_on(response)
 
-    def _with_tokens(self, outcome: Outcome) -> Outcome:
-        if isinstance(outcome, Unknown):
-            return Unknown(outcome.reason, self._tokens)
-        return outcome
+    def _headers(self, step: Dispatch) -> dict[str, str]:
+        headers = {"content-type": "application/json"}
+        if self._wanted.model is None:
+            headers = {
+                name: value
+                for name, value in self._http.headers.items()
+                if name not in NOT_PASSED_ON
+            }
+        headers["x-request-id"] = self._wanted.request_id
+        headers["x-attempt-id"] = step.attempt_id
+        return headers
 
-    async def _relay(self, response: EndpointResponse) -> Outcome:
+    async def _relay_model(self, response: EndpointResponse) -> Outcome:
         claimed = response.headers.get("x-model", str(self._wanted.model))
-        if self._wanted.model is not None and claimed != str(self._wanted.model):
+        if claimed != str(self._wanted.model):
             return Unknown(Reason.WRONG_ADAPTER, self._tokens)
-        if not self._streamed:
-            body = b"".join([chunk async for chunk in response.chunks])
-            await self._begin(response)
-            await self._send_chunk(body)
-            return Complete(1)
+        if not self._wanted.streamed:
+            return await self._pass_on(response)
+        return await self._relay_events(response)
+
+    async def _relay_events(self, response: EndpointResponse) -> Outcome:
         if not self._started:
-            await self._begin(response)
-        ended = await pump(response.chunks, self._send_chunk)
-        self._tokens += ended.events
-        if not ended.whole:
+            await self._start_from(response)
+        bounds = self._connections.bounds
+        first_s = bounds.first_token_timeout_s
+        if self._relay.events:
+            first_s = bounds.token_gap_timeout_s
+        await self._relay.pump(
+            bounded(response.chunks, first_s, bounds.token_gap_timeout_s)
+        )
+        if not self._relay.whole:
             return Unknown(Reason.STREAM_BROKEN, self._tokens)
         return Complete(self._tokens)
 
-    async def _begin(self, response: Any) -> None:
-        self._started = True
-        kind = response.headers.get("content-type", "application/json")
+    async def _resume(self, step: Resume) -> Outcome:
+        # A new connection: if the endpoint answers on it, only the old
+        # connection was lost, and the stream goes on here.
+        endpoint = HttpEndpoint(self._connections.fresh, step.address)
+        head_s = self._connections.bounds.connect_timeout_s
+        attempt = endpoint.resume(step.attempt_id, step.offset, head_s)
+        async with attempt as response:
+            return await self._relay_events(response)
+
+    async def _pass_on(self, response: EndpointResponse) -> Outcome:
+        """Pass on an answer that is not a stream of events, once it is whole."""
+        body = await _join(response.chunks)
+        if self._wanted.model is not None:
+            check_model(body, str(self._wanted.model))
+        await self._start_from(response)
+        self._sent_whole = 1
+        await self._send_chunk(body)
+        return Complete(1)
+
+    async def _start_from(self, response: EndpointResponse) -> None:
         headers = [
-            (b"content-type", kind.encode()),
-            (b"x-request-id", self._wanted.request_id.encode()),
+            (name, value)
+            for name, value in response.headers.multi_items()
+            if name.lower() not in NOT_PASSED_ON
         ]
+        if self._wanted.model is not None:
+            kind = response.headers.get("content-type", "application/json")
+            headers = [("content-type", kind)]
+        await self._start(response.status, headers)
+
+    async def _start(self, status: int, headers: list[tuple[str, str]]) -> None:
+        self._started = True
+        headers = [*headers, ("x-request-id", self._wanted.request_id)]
         await self._send(
             {
                 "type": "http.response.start",
-                "status": response.status,
-                "headers": headers,
+                "status": status,
+                "headers": [(name.encode(), text.encode()) for name, text in headers],
             }
         )
 
@@ -146,3 +268,10 @@
         await self._send(
             {"type": "http.response.body", "body": chunk, "more_body": True}
         )
+
+    async def _end(self, last: bytes) -> None:
+        await self._send({"type": "http.response.body", "body": last})
+
+
+async def _join(chunks: AsyncIterator[bytes]) -> bytes:
+    return b"".join([chunk async for chunk in chunks])
--- a/packages/daemon/src/knapweedbridge_daemon/daemon.py
+++ b/packages/daemon/src/knapweedbridge_daemon/daemon.py
@@ -7,7 +7,6 @@
 from pathlib import Path
 
 import anyio
-import httpx
 from anyio.abc import TaskGroup
 from eliot import log_message
 
@@ -17,6 +16,7 @@
 from knapweedbridge_daemon.administration import Administration
 from knapweedbridge_daemon.callers import CallersApp
 from knapweedbridge_daemon.configurations import read_configuration, read_root
+from knapweedbridge_daemon.connections import Bounds, Connections
 from knapweedbridge_daemon.driver import Driver
 from knapweedbridge_daemon.errors import DaemonError
 from knapweedbridge_daemon.hosts import HostList, HttpHostList
@@ -25,8 +25,6 @@
 from knapweedbridge_daemon.store import EtcdStore, KeyValueStore
 from knapweedbridge_daemon.web import make_config, serve_until
 
-MAX_CONNECTIONS = 2000
-
 
 class Daemon:
     """One daemon on one entry host.
@@ -50,10 +48,10 @@
         async with AsyncExitStack() as stack:
             store = self._open_store(stack)
             hosts = self._open_hosts(stack)
-            client = self._open_client()
-            await stack.enter_async_context(client)
-            driver = self._make_driver(store, client)
-            await self._serve(driver, store, hosts, client)
+            bounds = Bounds.of(self._settings.values["requests"])
+            connections = await stack.enter_async_context(Connections(bounds))
+            driver = self._make_driver(store, connections)
+            await self._serve(driver, store, hosts, connections)
 
     def _open_store(self, stack: AsyncExitStack) -> KeyValueStore:
         url = self._settings.get("platform", "key_value")
@@ -67,35 +65,26 @@
         stack.push_async_callback(hosts.close)
         return hosts
 
-    def _open_client(self) -> httpx.AsyncClient:
-        requests = self._settings.values["requests"]
-        timeout = httpx.Timeout(
-            requests["first_token_timeout_s"], connect=requests["connect_timeout_s"]
-        )
-        limits = httpx.Limits(
-            max_connections=MAX_CONNECTIONS,
-            keepalive_expiry=requests["connect_timeout_s"],
-        )
-        return httpx.AsyncClient(timeout=timeout, limits=limits, trust_env=False)
-
-    def _make_driver(self, store: KeyValueStore, client: httpx.AsyncClient) -> Driver:
+    def _make_driver(self, store: KeyValueStore, connections: Connections) -> Driver:
         settings = self._settings
         bridge = Bridge(settings.host, settings.data_centre, time.time_ns())
         timeline = Timeline(settings.host, settings.get("logs", "timeline_events"))
         metrics = Metrics(settings.get("logs", "statsd"))
-        return Driver(bridge, store, client, timeline, metrics)
+        return Driver(bridge, store, connections.fresh, timeline, metrics)
 
     async def _serve(
         self,
         driver: Driver,
         store: KeyValueStore,
         hosts: HostList,
-        client: httpx.AsyncClient,
+        connections: Connections,
     ) -> None:
         settings = self._settings
         first_key_hash = settings.get("listen", "first_key_hash")
         administration = Administration(driver, store, first_key_hash).app()
-        callers = CallersApp(driver, client, settings.get("requests", "deadline_s"))
+        callers = CallersApp(
+            driver, connections, settings.get("requests", "deadline_s")
+        )
         drain_s = settings.get("requests", "drain_timeout_s")
         faces = {"callers": callers, "administration": administration}
         async with anyio.create_task_group() as background:
--- a/packages/daemon/src/knapweedbridge_daemon/driver.py
+++ b/packages/daemon/src/knapweedbridge_daemon/driver.py
@@ -12,11 +12,13 @@
 from knapweedbridge_core import Bridge, events
 from knapweedbridge_core.actions import (
     AskReport,
+    CancelAttempt,
     Count,
     Dispatch,
     Finish,
     OrderEndpoint,
     Record,
+    Resume,
     SendPeer,
     StoreRead,
     StoreWrite,
@@ -30,6 +32,8 @@
 
 INBOX_EVENTS = 10_000
 
+Step = Dispatch | Resume | Finish
+
 
 class Driver:
     """The task that owns the core.
@@ -65,12 +69,14 @@
         send, receive = anyio.create_memory_object_stream[Any](INBOX_EVENTS)
         self._inbox = send
         self._events = receive
-        self._waiting: dict[str, MemoryObjectSendStream[Dispatch | Finish]] = {}
+        self._waiting: dict[str, MemoryObjectSendStream[Step]] = {}
         self._tasks: TaskGroup | None = None
         self._carriers: dict[type, Callable[[Any], None]] = {
             SendPeer: self._send_peer,
             Dispatch: self._tell_request,
+            Resume: self._tell_request,
             Finish: self._tell_request,
+            CancelAttempt: lambda action: self._start(self._cancel, action),
             OrderEndpoint: lambda action: self._start(self._order, action),
             AskReport: lambda action: self._start(self._report, action),
             StoreRead: lambda action: self._start(self._read, action),
@@ -96,9 +102,9 @@
             await self._inbox.send(events.Tick())
             await anyio.sleep(tick_s)
 
-    def follow(self, request_id: str) -> MemoryObjectReceiveStream[Dispatch | Finish]:
+    def follow(self, request_id: str) -> MemoryObjectReceiveStream[Step]:
         """Return the stream on which the core tells what becomes of a request."""
-        send, receive = anyio.create_memory_object_stream[Dispatch | Finish](8)
+        send, receive = anyio.create_memory_object_stream[Step](8)
         self._waiting[request_id] = send
         return receive
 
@@ -127,7 +133,7 @@
         if self.peers is not None:
             self.peers.send(action.host, action.message)
 
-    def _tell_request(self, action: Dispatch | Finish) -> None:
+    def _tell_request(self, action: Step) -> None:
         stream = self._waiting.get(action.request_id)
         if stream is not None:
             stream.send_nowait(action)
@@ -138,6 +144,15 @@
     def _count(self, action: Count) -> None:
         self.count(action.name, action.value)
 
+    async def _cancel(self, action: CancelAttempt) -> None:
+        confirmed = True
+        try:
+            endpoint = HttpEndpoint(self._client, action.address)
+            await endpoint.cancel(action.attempt_id)
+        except EndpointError:
+            confirmed = False
+        await self.submit(events.AttemptCancelled(action.attempt_id, confirmed))
+
     async def _order(self, action: OrderEndpoint) -> None:
         succeeded, detail = True, ""
         try:
--- a/packages/daemon/src/knapweedbridge_daemon/endpoints.py
+++ b/packages/daemon/src/knapweedbridge_daemon/endpoints.py
@@ -1,20 +1,31 @@
 """Endpoints: model engines and plain services, as the daemon speaks to them."""
 
+import json
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from typing import Any
 
+import anyio
 import httpx
 
 from knapweedbridge_core.actions import OrderEndpoint
 from knapweedbridge_core.names import parse_adapter_version
 from knapweedbridge_core.outcomes import NotRun, Outcome, Reason, Unknown
 from knapweedbridge_daemon.errors import EndpointError
+from knapweedbridge_daemon.relay import SilenceError
 
 ORDER_TIMEOUT_S = 30.0
-REFUSING_STATUS = frozenset({404, 409, 429, 503})
+CANCEL_TIMEOUT_S = 1.0
+REPORT_TIMEOUT_S = 5.0
+HEAD_BYTES = 65536
+WRITING_EVENT = "send_request_headers.started"
+
+# docs/design/outcomes-and-retries.md gives the table.
+ENGINE_REFUSING_STATUS = frozenset({404, 429})
+ENGINE_REFUSING_CODES = frozenset({"not_loaded", "overloaded", "starting", "draining"})
+GATEWAY_STATUS = frozenset({502, 503, 504})
 
 
 @dataclass(slots=True)
@@ -37,7 +48,12 @@
 
     @abstractmethod
     def stream(
-        self, method: str, path: str, body: bytes, headers: dict[str, str]
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: dict[str, str],
+        head_timeout_s: float,
     ) -> Any:
         """Open an attempt; a context manager of a response with chunks.
 
@@ -47,6 +63,20 @@
             With `NotRun` only where that is proved, else with `Unknown`.
         """
 
+    @abstractmethod
+    def resume(self, attempt_id: str, offset: int, head_timeout_s: float) -> Any:
+        """Open a running attempt's stream again, from one event on.
+
+        Raises
+        ------
+        AttemptFailedError
+            With `Unknown`: that a resume failed proves nothing of the attempt.
+        """
+
+    @abstractmethod
+    async def cancel(self, attempt_id: str) -> None:
+        """Stop an attempt; may raise EndpointError."""
+
     @abstractmethod
     async def order(self, order: OrderEndpoint) -> None:
         """Carry out a load or an eviction; may raise EndpointError."""
@@ -65,38 +95,114 @@
     chunks: AsyncIterator[bytes]
 
 
+class _Writing:
+    """Learns from the HTTP library whether any byte of a request was written.
+
+    A connection of the pool may have been closed by the far side before the
+    request was written, or after: only this tells the two apart.
+    """
+
+    def __init__(self) -> None:
+        self.began = False
+
+    async def __call__(self, event: str, info: Any) -> None:
+        """Take one event of the HTTP library's trace."""
+        if event.endswith(WRITING_EVENT):
+            self.began = True
+
+
 class HttpEndpoint(Endpoint):
-    """An endpoint behind the HTTP interface that model servers share."""
+    """An endpoint behind the HTTP interface that model servers share.
 
-    def __init__(self, client: httpx.AsyncClient, address: str) -> None:
+    Parameters
+    ----------
+    client : httpx.AsyncClient
+        Its connections.
+    address : str
+        IP number and port.
+    engine : bool
+        Whether a model engine stands there, or else a plain service.
+    """
+
+    def __init__(
+        self, client: httpx.AsyncClient, address: str, engine: bool = True
+    ) -> None:
         self._client = client
         self._base = f"http://{address}"
+        self._engine = engine
 
     @asynccontextmanager
     async def stream(
-        self, method: str, path: str, body: bytes, headers: dict[str, str]
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: dict[str, str],
+        head_timeout_s: float,
     ) -> AsyncIterator[EndpointResponse]:
         """See `Endpoint.stream`."""
+        writing = _Writing()
         request = self._client.build_request(
-            method, self._base + path, content=body, headers=headers
+            method,
+            self._base + path,
+            content=body,
+            headers=headers,
+            extensions={"trace": writing},
         )
         try:
-            response = await self._client.send(request, stream=True)
-        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as error:
-            outcome = NotRun(Reason.CONNECT_FAILED)
-            raise AttemptFailedError(outcome) from error
-        except httpx.HTTPError as error:
-            raise AttemptFailedError(Unknown(Reason.STREAM_BROKEN)) from error
-        try:
-            if response.status_code in REFUSING_STATUS:
-                raise AttemptFailedError(NotRun(Reason.ENDPOINT_REFUSED))
+            with anyio.fail_after(head_timeout_s):
+                response = await self._client.send(request, stream=True)
+        except (httpx.HTTPError, TimeoutError) as error:
+            raise AttemptFailedError(_failed(writing, error)) from error
+        async with _closing(response):
+            if self._engine:
+                await self._raise_for_engine(response)
+            elif response.status_code in GATEWAY_STATUS:
+                raise AttemptFailedError(Unknown(Reason.ENDPOINT_FAILED))
             yield EndpointResponse(
                 response.status_code, response.headers, response.aiter_raw()
             )
+
+    @staticmethod
+    async def _raise_for_engine(response: httpx.Response) -> None:
+        status = response.status_code
+        if status in ENGINE_REFUSING_STATUS:
+            reason = Reason.NOT_LOADED if status == 404 else Reason.ENDPOINT_REFUSED
+            raise AttemptFailedError(NotRun(reason))
+        if status < 500:
+            return
+        if await _error_code(response) in ENGINE_REFUSING_CODES:
+            raise AttemptFailedError(NotRun(Reason.ENDPOINT_REFUSED))
+        raise AttemptFailedError(Unknown(Reason.ENDPOINT_FAILED))
+
+    @asynccontextmanager
+    async def resume(
+        self, attempt_id: str, offset: int, head_timeout_s: float
+    ) -> AsyncIterator[EndpointResponse]:
+        """See `Endpoint.resume`."""
+        url = f"{self._base}/v1/streams/{attempt_id}"
+        request = self._client.build_request("GET", url, params={"offset": offset})
+        try:
+            with anyio.fail_after(head_timeout_s):
+                response = await self._client.send(request, stream=True)
+        except (httpx.HTTPError, TimeoutError) as error:
+            raise AttemptFailedError(Unknown(Reason.RESUME_FAILED)) from error
+        async with _closing(response):
+            if response.status_code != 200:
+                raise AttemptFailedError(Unknown(Reason.RESUME_FAILED))
+            yield EndpointResponse(200, response.headers, response.aiter_raw())
+
+    async def cancel(self, attempt_id: str) -> None:
+        """See `Endpoint.cancel`."""
+        try:
+            response = await self._client.post(
+                f"{self._base}/v1/cancel",
+                json={"attempt_id": attempt_id},
+                timeout=CANCEL_TIMEOUT_S,
+            )
+            response.raise_for_status()
         except httpx.HTTPError as error:
-            raise AttemptFailedError(Unknown(Reason.STREAM_BROKEN)) from error
-        finally:
-            await response.aclose()
+            raise EndpointError(f"cancel: {error!r}") from error
 
     async def order(self, order: OrderEndpoint) -> None:
         """See `Endpoint.order`."""
@@ -118,7 +224,9 @@
     async def report(self) -> Report:
         """See `Endpoint.report`."""
         try:
-            response = await self._client.get(f"{self._base}/report")
+            response = await self._client.get(
+                f"{self._base}/report", timeout=REPORT_TIMEOUT_S
+            )
             response.raise_for_status()
             found = response.json()
             running = {
@@ -129,3 +237,36 @@
             return Report(loaded, running)
         except (httpx.HTTPError, ValueError, KeyError) as error:
             raise EndpointError(f"report: {error!r}") from error
+
+
+def _failed(writing: _Writing, error: Exception) -> Outcome:
+    if not writing.began:
+        return NotRun(Reason.CONNECT_FAILED)
+    if isinstance(error, (TimeoutError, httpx.TimeoutException)):
+        return Unknown(Reason.SILENT)
+    return Unknown(Reason.STREAM_BROKEN)
+
+
+@asynccontextmanager
+async def _closing(response: httpx.Response) -> AsyncIterator[None]:
+    try:
+        yield
+    except httpx.HTTPError as error:
+        raise AttemptFailedError(Unknown(Reason.STREAM_BROKEN)) from error
+    except SilenceError as error:
+        raise AttemptFailedError(Unknown(Reason.SILENT)) from error
+    finally:
+        with anyio.CancelScope(shield=True):
+            await response.aclose()
+
+
+async def _error_code(response: httpx.Response) -> str:
+    body = b""
+    async for chunk in response.aiter_raw():
+        body += chunk
+        if len(body) > HEAD_BYTES:
+            break
+    try:
+        return str(json.loads(body)["error"]["code"])
+    except (ValueError, KeyError, TypeError):
+        return ""
