Heartbeats with a few neighbours, suspicion confirmed by others, configuration by peers

Every daemon held a stream to and sent heartbeats to every other, polled the root each poll_s, and read whole parts without checking their content. Now three rings give each daemon at most six neighbours; silence is confirmed by up to three others before it counts; news of members rides on heartbeats. Two daemons of a data centre watch the root, the rest hear the changes of sections from peers. Streams open on demand, are acknowledged, and close when idle; the handshake names its direction and both hosts. A root carries a token, parts are verified against their names, and a lost reply is settled by writing the same once more and looking for the token.

--- a/packages/core/src/knapweedbridge_core/bridge.py
+++ b/packages/core/src/knapweedbridge_core/bridge.py
@@ -4,7 +4,8 @@
 
 from knapweedbridge_core.actions import Action
 from knapweedbridge_core.configuration import Configuration
-from knapweedbridge_core.context import Context
+from knapweedbridge_core.configuration_side import ConfigurationSide
+from knapweedbridge_core.context import Context, Timing
 from knapweedbridge_core.ledger import Ledger
 from knapweedbridge_core.load_side import LoadSide
 from knapweedbridge_core.member_side import MemberSide
@@ -23,15 +24,25 @@
         Who this daemon is and where it stands.
     incarnation : int
         Number that rises with each start of the host.
+    timing : Timing, optional
+        Bounds that the settings give.
     """
 
-    def __init__(self, host: str, data_centre: str, incarnation: int = 1) -> None:
-        self._context = Context(host, data_centre, incarnation)
+    def __init__(
+        self,
+        host: str,
+        data_centre: str,
+        incarnation: int = 1,
+        timing: Timing | None = None,
+    ) -> None:
+        self._context = Context(host, data_centre, incarnation, timing or Timing())
         self.requests = RequestSide(self._context)
         self.owner = OwnerSide(self._context)
         self.loads = LoadSide(self._context)
         member = MemberSide(self._context)
-        for side in (member, self.owner, self.loads, self.requests):
+        self.distribution = ConfigurationSide(self._context)
+        sides = (member, self.distribution, self.owner, self.loads, self.requests)
+        for side in sides:
             self._context.take(side)
 
     def handle(self, event: Any, now_s: float) -> list[Action]:
--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/changes.py
@@ -0,0 +1,94 @@
+"""Takes a change of a few sections over into a built configuration.
+
+Building 28,000 adapters anew for each change would cost a daemon more than all
+its other control; here only the look-ups that a change touches are copied.
+"""
+
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from knapweedbridge_core.configuration import Configuration, add_sections, build_order
+from knapweedbridge_core.names import parse_adapter_version
+from knapweedbridge_core.parts import Changes, Parts
+
+DEFAULT_LOADS_PER_S = Configuration().loads_per_s
+
+_LOOK_UPS = {
+    "team": "teams",
+    "key": "keys_by_hash",
+    "adapter": "adapters",
+    "version": "versions",
+    "application": "applications",
+    "service": "services",
+    "endpoint": "endpoints",
+}
+
+
+def change(
+    older: Configuration, generation: int, token: str, parts: Parts, changes: Changes
+) -> Configuration:
+    """Return the configuration that follows an older one.
+
+    Parameters
+    ----------
+    older : Configuration
+        Stays as it is; look-ups that do not change are shared with it.
+    generation, token : int, str
+        Of the new root.
+    parts : Parts
+        The new parts.
+    changes : dict of str to dict or None
+        Sections that differ between the two; None: removed.
+    """
+    kinds = {title.partition(" ")[0] for title in changes}
+    copies: dict[str, Any] = {
+        name: dict(getattr(older, name))
+        for kind, name in _LOOK_UPS.items()
+        if kind in kinds
+    }
+    newer = replace(older, generation=generation, token=token, parts=parts, **copies)
+    for title in sorted(changes, key=build_order, reverse=True):
+        _remove(newer, title, older)
+    add_sections(
+        newer, {title: items for title, items in changes.items() if items is not None}
+    )
+    return newer
+
+
+def _remove(newer: Configuration, title: str, older: Configuration) -> None:
+    kind, _, name = title.partition(" ")
+    _REMOVERS.get(kind, _remove_named)(newer, kind, name.strip(), older)
+
+
+def _remove_named(
+    newer: Configuration, kind: str, name: str, older: Configuration
+) -> None:
+    getattr(newer, _LOOK_UPS[kind]).pop(name, None)
+
+
+def _remove_version(
+    newer: Configuration, kind: str, name: str, older: Configuration
+) -> None:
+    newer.versions.pop(parse_adapter_version(name), None)
+
+
+def _remove_key(
+    newer: Configuration, kind: str, name: str, older: Configuration
+) -> None:
+    for digest, entry in older.keys_by_hash.items():
+        if entry.name == name:
+            newer.keys_by_hash.pop(digest, None)
+
+
+def _remove_limit(
+    newer: Configuration, kind: str, name: str, older: Configuration
+) -> None:
+    newer.loads_per_s = DEFAULT_LOADS_PER_S
+
+
+_REMOVERS: dict[str, Callable[[Configuration, str, str, Configuration], None]] = {
+    "version": _remove_version,
+    "key": _remove_key,
+    "weight_store": _remove_limit,
+}
--- a/packages/core/src/knapweedbridge_core/configuration.py
+++ b/packages/core/src/knapweedbridge_core/configuration.py
@@ -1,13 +1,12 @@
 """The configuration in force: adapters, versions, routes, rules, endpoints, keys."""
 
-import hashlib
 from dataclasses import dataclass, field
+from sys import intern
 from typing import Any
 
-import msgpack
-
 from knapweedbridge_core.faults import Fault
 from knapweedbridge_core.names import AdapterVersion, is_name, parse_adapter_version
+from knapweedbridge_core.parts import Parts, Sections
 from knapweedbridge_core.schema import (
     Address,
     Choice,
@@ -19,9 +18,7 @@
     Text,
 )
 
-Sections = dict[str, dict[str, str]]
-
-PARTS = 64
+__all__ = ["Configuration", "Sections", "build"]
 
 SECTION_KINDS: dict[str, Section] = {
     "team": Section(
@@ -155,10 +152,15 @@
 
 @dataclass(slots=True)
 class Configuration:
-    """One generation of the configuration, ready for look-ups."""
+    """One generation of the configuration, ready for look-ups.
+
+    The sections stay packed in ``parts``: kept unpacked they would cost more
+    memory than all else a daemon holds for control.
+    """
 
     generation: int = 0
-    sections: Sections = field(default_factory=dict)
+    token: str = ""
+    parts: Parts = field(default_factory=Parts)
     teams: dict[str, Team] = field(default_factory=dict)
     keys_by_hash: dict[str, KeyEntry] = field(default_factory=dict)
     adapters: dict[str, Adapter] = field(default_factory=dict)
@@ -168,6 +170,11 @@
     endpoints: dict[str, EndpointEntry] = field(default_factory=dict)
     loads_per_s: float = 3.0
 
+    @property
+    def sections(self) -> Sections:
+        """All sections, unpacked anew at each call."""
+        return self.parts.sections()
+
     def base_model_of(self, model: AdapterVersion) -> str:
         """Name the base model that an adapter version refines."""
         return self.adapters[model.adapter].base_model
@@ -175,21 +182,39 @@
 
 def build(generation: int, sections: Sections) -> tuple[Configuration, list[Fault]]:
     """Build a configuration from merged sections, with the faults found."""
-    configuration = Configuration(generation, sections)
+    configuration = Configuration(generation, "", Parts.of(sections))
+    return configuration, add_sections(configuration, sections)
+
+
+def build_parts(
+    generation: int, token: str, parts: Parts
+) -> tuple[Configuration, list[Fault]]:
+    """Build a configuration from its parts, with the faults found."""
+    configuration = Configuration(generation, token, parts)
+    return configuration, add_sections(configuration, parts.sections())
+
+
+def add_sections(into: Configuration, sections: Sections) -> list[Fault]:
+    """Add sections to the look-ups, what others refer to first."""
     faults: list[Fault] = []
-    for title in sorted(sections, key=_build_order):
+    for title in sorted(sections, key=build_order):
         kind, _, name = title.partition(" ")
         values, found = SECTION_KINDS[kind].read("", title, sections[title])
         faults += found
         if not found:
-            faults += _add(configuration, kind, title, name.strip(), values)
-    return configuration, faults
+            faults += _add(into, kind, title, intern(name.strip()), values)
+    return faults
 
 
 _ORDER = {kind: place for place, kind in enumerate(SECTION_KINDS)}
 
 
-def _build_order(title: str) -> tuple[int, str]:
+# Thousands of adapters name the same few teams and models: one string each.
+_SHARED_NAMES = ("team", "base_model", "data_centre", "service", "kind")
+
+
+def build_order(title: str) -> tuple[int, str]:
+    """Return the sorting key by which sections are added."""
     return _ORDER.get(title.partition(" ")[0], len(_ORDER)), title
 
 
@@ -201,6 +226,9 @@
         return []
     if kind != "version" and not is_name(name):
         return [Fault("", title, "", f"{name!r} is no name")]
+    for key in _SHARED_NAMES:
+        if key in values:
+            values[key] = intern(values[key])
     team = values.get("team")
     if team is not None and team not in into.teams:
         return [Fault("", title, "team", f"no section [team {team}]")]
@@ -284,26 +312,3 @@
     "service": _add_service,
     "endpoint": _add_endpoint,
 }
-
-
-def part_of(title: str) -> int:
-    """Return the part that holds a section; one change rewrites one part."""
-    digest = hashlib.blake2b(title.encode(), digest_size=2).digest()
-    return int.from_bytes(digest, "big") % PARTS
-
-
-def split_parts(sections: Sections) -> dict[str, bytes]:
-    """Split sections into parts named by the hash of their content."""
-    buckets: list[Sections] = [{} for _ in range(PARTS)]
-    for title in sorted(sections):
-        buckets[part_of(title)][title] = sections[title]
-    packed = [msgpack.packb(bucket) for bucket in buckets if bucket]
-    return {hashlib.sha256(part).hexdigest(): part for part in packed}
-
-
-def join_parts(parts: list[bytes]) -> Sections:
-    """Join what `split_parts` made."""
-    sections: Sections = {}
-    for part in parts:
-        sections.update(msgpack.unpackb(part))
-    return sections
--- a/packages/core/src/knapweedbridge_core/context.py
+++ b/packages/core/src/knapweedbridge_core/context.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from knapweedbridge_core.actions import Action, Record, SendPeer
@@ -12,6 +13,22 @@
 Handler = Callable[[Any], None]
 
 
+@dataclass(slots=True, frozen=True)
+class Timing:
+    """What the settings say of the pool.
+
+    Parameters
+    ----------
+    silence_s : float
+        Silence of a neighbour after which it is suspected.
+    whole_deployment : bool
+        Whether the pool is all data centres or only the daemon's own.
+    """
+
+    silence_s: float = 2.0
+    whole_deployment: bool = True
+
+
 class Context:
     """State that several sides read, and the way to act.
 
@@ -21,14 +38,20 @@
         Who this daemon is and where it stands.
     incarnation : int
         Number that rises with each start of the host.
+    timing : Timing
+        Bounds that the settings give.
     """
 
-    def __init__(self, host: str, data_centre: str, incarnation: int) -> None:
+    def __init__(
+        self, host: str, data_centre: str, incarnation: int, timing: Timing
+    ) -> None:
         self.host = host
         self.data_centre = data_centre
         self.incarnation = incarnation
         self.configuration = Configuration()
-        self.members = Members(host, data_centre)
+        self.members = Members(host, data_centre, timing.whole_deployment)
+        self.silence_s = timing.silence_s
+        self.isolated = False
         self.view = View()
         self.leaving: set[str] = set()
         self.now_s = 0.0
--- a/packages/core/src/knapweedbridge_core/errors.py
+++ b/packages/core/src/knapweedbridge_core/errors.py
@@ -25,3 +25,7 @@
 
 class MessageError(CoreError):
     """A peer sent bytes that are no message of ours."""
+
+
+class ContentError(CoreError):
+    """A part of the configuration is not what its name says."""
--- a/packages/core/src/knapweedbridge_core/events.py
+++ b/packages/core/src/knapweedbridge_core/events.py
@@ -6,6 +6,7 @@
 from knapweedbridge_core.configuration import Configuration
 from knapweedbridge_core.names import AdapterVersion
 from knapweedbridge_core.outcomes import Outcome
+from knapweedbridge_core.parts import Parts, Root
 
 
 @dataclass(slots=True, frozen=True)
@@ -77,6 +78,33 @@
     configuration: Configuration
 
 
+@dataclass(slots=True, frozen=True)
+class PartsRead:
+    """The parts of a root were read from the platform."""
+
+    root: Root
+    parts: Parts
+
+
+@dataclass(slots=True, frozen=True)
+class RootSeen:
+    """The platform's service showed its root, whatever its generation."""
+
+    root: Root
+
+
+@dataclass(slots=True, frozen=True)
+class GenerationTaken:
+    """A new generation came in force on this daemon."""
+
+    generation: int
+
+
+@dataclass(slots=True, frozen=True)
+class GenerationsAsked:
+    """An operator wants to know which generation each member holds."""
+
+
 @dataclass(slots=True, frozen=True)
 class HostsListed:
     """The platform's list was read."""
--- a/packages/core/src/knapweedbridge_core/members.py
+++ b/packages/core/src/knapweedbridge_core/members.py
@@ -1,9 +1,47 @@
-"""Who lives: the platform's list corrected by the streams between daemons."""
+"""Who lives: the platform's list corrected by what daemons tell each other."""
 
+import zlib
 from dataclasses import dataclass
+from enum import IntEnum
+from typing import NamedTuple
 
 from knapweedbridge_core.events import ListedHost
-from knapweedbridge_core.messages import Heartbeat
+from knapweedbridge_core.rings import Rings
+
+
+class Status(IntEnum):
+    """What is known of a daemon; of one number, the higher word counts."""
+
+    UNKNOWN = 0
+    ALIVE = 1
+    DRAINING = 2
+    DEAD = 3
+
+
+class MemberState(NamedTuple):
+    """The word on one daemon, as it travels.
+
+    Parameters
+    ----------
+    host : str
+        Name of the daemon.
+    incarnation : int
+        Number of its start.
+    refuted : int
+        How often this start refuted that it was dead.
+    status : int
+        A `Status`.
+    """
+
+    host: str
+    incarnation: int
+    refuted: int
+    status: int
+
+    @property
+    def rank(self) -> tuple[int, int, int]:
+        """Of two words on a daemon the one of higher rank counts."""
+        return self.incarnation, self.refuted, self.status
 
 
 @dataclass(slots=True)
@@ -13,66 +51,141 @@
     name: str
     data_centre: str
     address: str
-    linked: bool = False
-    draining: bool = False
+    state: MemberState
+    listed: bool = True
     generation: int = 0
 
+    @property
+    def linked(self) -> bool:
+        """Whether it lives."""
+        return self.state.status in (Status.ALIVE, Status.DRAINING)
+
+    @property
+    def draining(self) -> bool:
+        """Whether it takes nothing new."""
+        return self.state.status == Status.DRAINING
+
+    @property
+    def incarnation(self) -> int:
+        """Number of its start."""
+        return self.state.incarnation
+
+
+def _checksum(state: MemberState) -> int:
+    text = f"{state.host} {state.incarnation} {state.refuted} {state.status}"
+    return zlib.crc32(text.encode())
+
 
 class Members:
-    """The daemons of the pool as this one sees them."""
+    """The daemons of the pool as this one sees them.
+
+    Parameters
+    ----------
+    host, data_centre : str
+        Who this daemon is and where it stands.
+    whole_deployment : bool
+        Whether the pool is all data centres of the list, or only its own.
+    """
 
-    def __init__(self, host: str, data_centre: str) -> None:
+    def __init__(
+        self, host: str, data_centre: str, whole_deployment: bool = True
+    ) -> None:
         self._host = host
         self._data_centre = data_centre
+        self._whole_deployment = whole_deployment
         self._members: dict[str, Member] = {}
+        self._rings = Rings(host)
+        self._neighbours: list[str] | None = None
         self.draining = False
+        self.unsure = False
 
-    def listed(self, hosts: tuple[ListedHost, ...]) -> None:
-        """Take the platform's list."""
+    def listed(self, hosts: tuple[ListedHost, ...]) -> list[Member]:
+        """Take the platform's list, and return who is new on it."""
         daemons = {
             host.name: host
             for host in hosts
-            if host.kind == "daemon" and host.name != self._host
+            if host.kind == "daemon"
+            and host.name != self._host
+            and (self._whole_deployment or host.data_centre == self._data_centre)
         }
-        for name in list(self._members):
-            if name not in daemons and not self._members[name].linked:
+        for name, member in list(self._members.items()):
+            member.listed = name in daemons
+            if not member.listed and not member.linked:
                 del self._members[name]
+        new: list[Member] = []
         for name, host in daemons.items():
-            member = self._members.get(name)
-            if member is None:
-                member = Member(name, host.data_centre, host.address)
-                self._members[name] = member
-            member.address = host.address
-
-    def linked(self, host: str, linked: bool) -> None:
-        """Note that a stream to a peer stands or fell."""
-        if host in self._members:
-            self._members[host].linked = linked
-
-    def heard(self, heartbeat: Heartbeat) -> None:
-        """Take a heartbeat."""
-        member = self._members.get(heartbeat.host)
-        if member is not None:
-            member.draining = heartbeat.draining
-            member.generation = heartbeat.generation
+            if name not in self._members:
+                state = MemberState(name, 0, 0, Status.UNKNOWN)
+                self._members[name] = Member(
+                    name, host.data_centre, host.address, state
+                )
+                new.append(self._members[name])
+            self._members[name].address = host.address
+        self._neighbours = None
+        return new
+
+    def get(self, host: str) -> Member | None:
+        """Return a member, or None."""
+        return self._members.get(host)
+
+    def take(self, state: MemberState) -> bool:
+        """Take a word on a member, and return whether it changed anything."""
+        member = self._members.get(state.host)
+        if member is None or state.rank <= member.state.rank:
+            return False
+        was_linked = member.linked
+        member.state = MemberState(*state)
+        if was_linked != member.linked:
+            self._neighbours = None
+        if not member.linked and not member.listed:
+            del self._members[state.host]
+        return True
+
+    def neighbours(self) -> list[str]:
+        """Name the few members this daemon exchanges heartbeats with."""
+        if self._neighbours is None:
+            dead = Status.DEAD
+            names = [m.name for m in self._members.values() if m.state.status != dead]
+            self._neighbours = self._rings.neighbours(names)
+        return self._neighbours
+
+    def states(self) -> list[MemberState]:
+        """Return the word on each other member."""
+        return [
+            member.state
+            for member in self._members.values()
+            if member.state.status != Status.UNKNOWN
+        ]
+
+    def digest(self, own: MemberState) -> int:
+        """Return a checksum that members who agree on who lives have in common."""
+        total = _checksum(own)
+        for member in self._members.values():
+            if member.linked:
+                total ^= _checksum(member.state)
+        return total
 
     def peers(self) -> list[Member]:
-        """Return the peers with a stream."""
+        """Return the other members that live."""
         return [member for member in self._members.values() if member.linked]
 
     def known(self) -> list[Member]:
-        """Return all peers, with or without a stream."""
+        """Return all other members, whether they live or not."""
         return list(self._members.values())
 
     def available(self, data_centre: str | None = None) -> list[str]:
-        """Name the daemons that may take a role, this one among them."""
+        """Name the daemons that may take a role, this one among them.
+
+        A daemon that is unsure of what it knows, as after a pause, does not
+        name itself.
+        """
         names = [
             member.name
             for member in self._members.values()
-            if member.linked
-            and not member.draining
+            if member.state.status == Status.ALIVE
             and data_centre in (None, member.data_centre)
         ]
-        if not self.draining and data_centre in (None, self._data_centre):
+        busy = self.draining or self.unsure
+        if not busy and data_centre in (None, self._data_centre):
             names.append(self._host)
         return names
--- a/packages/core/src/knapweedbridge_core/messages.py
+++ b/packages/core/src/knapweedbridge_core/messages.py
@@ -3,7 +3,7 @@
 A message travels as ``[tag, field, field, ...]`` in the order of its class.
 """
 
-from dataclasses import dataclass, fields
+from dataclasses import dataclass, field, fields
 from typing import Any, TypeVar, dataclass_transform
 
 import msgpack
@@ -13,6 +13,7 @@
 
 _CLASSES: dict[str, type] = {}
 _MODEL_EXTENSION = 1
+MAX_MESSAGE_BYTES = 1 << 22
 
 T = TypeVar("T")
 
@@ -27,12 +28,25 @@
 
 @message
 class Heartbeat:
-    """A daemon lives, and knows this generation."""
+    """A daemon lives, and knows this generation.
+
+    Parameters
+    ----------
+    refuted : int
+        How often this incarnation refuted that it was dead.
+    digest : int
+        Checksum of the members as the sender sees them.
+    states : list
+        What changed lately, each a `members.MemberState`.
+    """
 
     host: str
     incarnation: int
     generation: int
     draining: bool
+    refuted: int = 0
+    digest: int = 0
+    states: list[Any] = field(default_factory=list)
 
 
 @message
@@ -124,14 +138,16 @@
 
 def encode(sent: Any) -> bytes:
     """Encode one message."""
-    values = [getattr(sent, field.name) for field in fields(sent)]
+    values = [getattr(sent, each.name) for each in fields(sent)]
     return msgpack.packb([type(sent).__name__, *values], default=_pack_default)
 
 
-def unpacker(max_message_bytes: int = 1 << 24) -> msgpack.Unpacker:
+def unpacker(max_message_bytes: int = MAX_MESSAGE_BYTES) -> msgpack.Unpacker:
     """Make the incremental decoder of one peer stream."""
     return msgpack.Unpacker(
-        ext_hook=_unpack_extension, max_buffer_size=max_message_bytes
+        ext_hook=_unpack_extension,
+        max_buffer_size=max_message_bytes,
+        strict_map_key=False,
     )
 
 
@@ -148,3 +164,93 @@
         return _CLASSES[tag](*values)
     except (TypeError, ValueError, KeyError) as error:
         raise MessageError(f"no message of ours: {packed!r:.200}") from error
+
+
+@message
+class SilenceAsk:
+    """A daemon hears nothing from another and asks whether this one does."""
+
+    host: str
+
+
+@message
+class SilenceTold:
+    """Whether a daemon answered the one that was asked to try it."""
+
+    host: str
+    answered: bool
+
+
+@message
+class ProbeAsk:
+    """Any answer will do."""
+
+
+@message
+class ProbeTold:
+    """The answer to a probe."""
+
+
+@message
+class MembersAsk:
+    """A daemon that may have missed something asks for all members."""
+
+
+@message
+class MembersTold:
+    """All members as the sender sees them, each a `members.MemberState`."""
+
+    states: list[Any]
+
+
+@message
+class ConfigurationAsk:
+    """A daemon holds this generation and asks for the sender's."""
+
+    generation: int
+    token: str
+
+
+@message
+class ConfigurationChanged:
+    """The changes from the generation asked from to the sender's.
+
+    Parameters
+    ----------
+    digests : dict of int to str
+        New names of the parts that changed, by place.
+    sections : dict of str to dict or None
+        New content of each changed section; None: removed.
+    """
+
+    base_token: str
+    generation: int
+    token: str
+    digests: dict[int, str]
+    sections: dict[str, Any]
+
+
+@message
+class ConfigurationRoot:
+    """The sender's root, where its changes do not reach back far enough."""
+
+    generation: int
+    token: str
+    digests: list[str]
+
+
+@message
+class PartsAsk:
+    """Asks for parts by place; the token is the root's."""
+
+    token: str
+    places: list[int]
+
+
+@message
+class PartTold:
+    """One part of a root."""
+
+    token: str
+    place: int
+    content: bytes
--- a/packages/core/src/knapweedbridge_core/settings.py
+++ b/packages/core/src/knapweedbridge_core/settings.py
@@ -53,6 +53,11 @@
             "secret_file": Key(Text(), "", "File of the shared secret of the peers."),
             "heartbeat_s": Key(Number(0.05, 60), "0.5", "Heartbeat period, seconds."),
             "silence_s": Key(Number(0.1, 600), "2", "Silence that closes, seconds."),
+            "pool": Key(
+                Choice("deployment", "data_centre"),
+                "deployment",
+                "Whether daemons of all data centres act together.",
+            ),
         },
     ),
     "requests": Section(
--- a/packages/daemon/src/knapweedbridge_daemon/administration.py
+++ b/packages/daemon/src/knapweedbridge_daemon/administration.py
@@ -8,6 +8,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
+from knapweedbridge_core import events
 from knapweedbridge_core.errors import CheckError
 from knapweedbridge_core.folder import merge_folder
 from knapweedbridge_daemon.configurations import Accepted, write_configuration
@@ -71,7 +72,12 @@
         body = json.loads(await request.body())
         try:
             sections = merge_folder(body["files"].items())
-            ended = await write_configuration(self._store, body["based_on"], sections)
+            ended = await write_configuration(
+                self._store,
+                body["based_on"],
+                sections,
+                self._driver.bridge.distribution.highest_known,
+            )
         except CheckError as error:
             faults = [str(fault) for fault in error.faults]
             return JSONResponse({"faults": faults}, status_code=422)
@@ -83,6 +89,7 @@
     async def _status(self, request: Request) -> Response:
         if not self._allowed(request):
             return _refused()
+        await self._driver.submit(events.GenerationsAsked())
         bridge = self._driver.bridge
         peers = {
             member.name: {"linked": member.linked, "generation": member.generation}
@@ -92,6 +99,8 @@
             {
                 "host": bridge.host,
                 "generation": bridge.configuration.generation,
+                "configuration": bridge.distribution.status(),
+                "isolated": bridge.members.unsure,
                 "owned": sorted(bridge.ledgers),
                 "requests": self._driver.following,
                 "peers": peers,
--- a/packages/daemon/src/knapweedbridge_daemon/daemon.py
+++ b/packages/daemon/src/knapweedbridge_daemon/daemon.py
@@ -11,11 +11,11 @@
 from eliot import log_message
 
 from knapweedbridge_core import Bridge, events
+from knapweedbridge_core.context import Timing
 from knapweedbridge_core.settings import Settings
 from knapweedbridge_core.timeline import Timeline
 from knapweedbridge_daemon.administration import Administration
 from knapweedbridge_daemon.callers import CallersApp
-from knapweedbridge_daemon.configurations import read_configuration, read_root
 from knapweedbridge_daemon.connections import Bounds, Connections
 from knapweedbridge_daemon.driver import Driver
 from knapweedbridge_daemon.errors import DaemonError
@@ -23,6 +23,7 @@
 from knapweedbridge_daemon.metrics import Metrics
 from knapweedbridge_daemon.peers import Peers
 from knapweedbridge_daemon.store import EtcdStore, KeyValueStore
+from knapweedbridge_daemon.watching import ConfigurationReader
 from knapweedbridge_daemon.web import make_config, serve_until
 
 
@@ -37,6 +38,7 @@
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
+        self._incarnation = time.time_ns()
         self._stop = anyio.Event()
 
     def stop(self) -> None:
@@ -67,7 +69,11 @@
 
     def _make_driver(self, store: KeyValueStore, connections: Connections) -> Driver:
         settings = self._settings
-        bridge = Bridge(settings.host, settings.data_centre, time.time_ns())
+        timing = Timing(
+            settings.get("peers", "silence_s"),
+            settings.get("peers", "pool") == "deployment",
+        )
+        bridge = Bridge(settings.host, settings.data_centre, self._incarnation, timing)
         timeline = Timeline(settings.host, settings.get("logs", "timeline_events"))
         metrics = Metrics(settings.get("logs", "statsd"))
         return Driver(bridge, store, connections.fresh, timeline, metrics)
@@ -94,7 +100,7 @@
             background.start_soon(driver.run, background, heartbeat_s)
             background.start_soon(self._serve_peers, peers)
             background.start_soon(self._read_hosts, driver, hosts, background)
-            background.start_soon(self._read_configuration, driver, store)
+            background.start_soon(self._make_reader(driver, store).run)
             background.start_soon(self._await_signal, driver)
             log_message("daemon.started", host=settings.host)
             async with anyio.create_task_group() as tasks:
@@ -108,7 +114,8 @@
         path = self._settings.get("peers", "secret_file")
         secret = Path(path).read_bytes().strip() if path else secrets.token_bytes(32)
         silence_s = self._settings.get("peers", "silence_s")
-        return Peers(self._settings.host, secret, silence_s, driver.submit)
+        host, incarnation = self._settings.host, self._incarnation
+        return Peers(host, secret, silence_s, driver.submit, incarnation)
 
     async def _serve_peers(self, peers: Peers) -> None:
         ip, _, port = self._settings.get("listen", "peers").rpartition(":")
@@ -126,24 +133,17 @@
             except DaemonError:
                 driver.count("platform.host_list_failed")
             else:
-                await driver.submit(events.HostsListed(listed))
                 addresses = {
                     host.name: host.address for host in listed if host.kind == "daemon"
                 }
                 assert driver.peers is not None
-                driver.peers.want(tasks, addresses)
+                driver.peers.know(tasks, addresses)
+                await driver.submit(events.HostsListed(listed))
             await anyio.sleep(self._settings.get("platform", "poll_s"))
 
-    async def _read_configuration(self, driver: Driver, store: KeyValueStore) -> None:
-        while True:
-            try:
-                root = await read_root(store)
-                if root.generation > driver.bridge.configuration.generation:
-                    read = await read_configuration(store, root)
-                    await driver.submit(events.ConfigurationRead(read))
-            except DaemonError:
-                driver.count("platform.key_value_failed")
-            await anyio.sleep(self._settings.get("platform", "poll_s"))
+    def _make_reader(self, driver: Driver, store: KeyValueStore) -> ConfigurationReader:
+        platform = self._settings.values["platform"]
+        return ConfigurationReader(driver, store, platform["watch"], platform["poll_s"])
 
     async def _await_signal(self, driver: Driver) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
--- a/packages/daemon/src/knapweedbridge_daemon/errors.py
+++ b/packages/daemon/src/knapweedbridge_daemon/errors.py
@@ -25,3 +25,7 @@
 
 class PeerError(DaemonError):
     """A peer stream could not be set up."""
+
+
+class MissingPartError(StoreError):
+    """A part of an old root was deleted while it was being read."""
--- a/packages/daemon/src/knapweedbridge_daemon/peers.py
+++ b/packages/daemon/src/knapweedbridge_daemon/peers.py
@@ -1,10 +1,12 @@
-"""Streams of msgpack messages between daemons."""
+"""Streams of msgpack messages between daemons.
+
+A stream carries messages one way and their acknowledgements the other. It is
+opened by the first message to a peer and closed when it was idle for long.
+"""
 
 import contextlib
-import hashlib
-import hmac
-import secrets
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
 from typing import Any
 
 import anyio
@@ -16,11 +18,15 @@
 from knapweedbridge_core.events import PeerHeard, PeerLinked, PeerUnlinked
 from knapweedbridge_core.messages import decode, encode, unpacker
 from knapweedbridge_daemon.errors import PeerError
+from knapweedbridge_daemon.handshake import Handshake
 
 CHUNK_BYTES = 65536
+BATCH_BYTES = 262_144
 OUTBOX_MESSAGES = 10_000
 HANDSHAKE_TIMEOUT_S = 2.0
 RECONNECT_S = 0.3
+IDLE_S = 10.0
+ACKNOWLEDGEMENT = msgpack.packb(None)
 
 STREAM_ERRORS = (
     OSError,
@@ -28,31 +34,43 @@
     TimeoutError,
     anyio.EndOfStream,
     anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
 )
 
 Submit = Callable[[Any], Awaitable[None]]
 
 
-def _proof(secret: bytes, *parts: bytes) -> bytes:
-    return hmac.new(secret, b"\0".join(parts), hashlib.sha256).digest()
+@dataclass(slots=True)
+class PeerBytes:
+    """Bytes of messages between daemons, without what TCP adds."""
 
+    sent_bytes: int = 0
+    heard_bytes: int = 0
+    dropped_messages: int = 0
 
-class _Reader:
-    """Decodes values from one stream."""
 
-    def __init__(self, stream: SocketStream) -> None:
-        self._stream = stream
-        self._unpacker = unpacker()
+@dataclass(slots=True)
+class _Link:
+    """One stream out, while it is wanted."""
 
-    async def next(self) -> Any:
-        while True:
-            for value in self._unpacker:
-                return value
-            self._unpacker.feed(await self._stream.receive(CHUNK_BYTES))
+    host: str
+    outbox: MemoryObjectSendStream[Any]
+    queued: MemoryObjectReceiveStream[Any]
+    scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
+    stands: bool = False
+    unanswered_since_s: float | None = None
+
+
+@dataclass(slots=True)
+class _Heard:
+    """The streams in from one host, all of one incarnation."""
+
+    incarnation: int
+    scopes: list[anyio.CancelScope] = field(default_factory=list)
 
 
 class Peers:
-    """Owns all streams to peers: one out to each, used to send; those in to hear.
+    """Owns all streams to peers: those out, used to send; those in, to hear.
 
     Parameters
     ----------
@@ -61,128 +79,202 @@
     secret : bytes
         Secret that all daemons share; each side proves that it knows it.
     silence_s : float
-        Silence after which a stream is closed.
+        Silence after which a stream is closed: of a peer that does not
+        acknowledge, or of one that neither sends nor closes.
     submit : callable
         Takes events for the core.
+    incarnation : int
+        Number of this host's start.
     """
 
     def __init__(
-        self, host: str, secret: bytes, silence_s: float, submit: Submit
+        self,
+        host: str,
+        secret: bytes,
+        silence_s: float,
+        submit: Submit,
+        incarnation: int = 0,
     ) -> None:
         self._host = host
-        self._secret = secret
+        self._handshake = Handshake(host, incarnation, secret)
         self._silence_s = silence_s
         self._submit = submit
-        self._outboxes: dict[str, MemoryObjectSendStream[Any]] = {}
-        self._scopes: dict[str, anyio.CancelScope] = {}
-        self.dropped_messages = 0
+        self._tasks: TaskGroup | None = None
+        self._addresses: dict[str, str] = {}
+        self._links: dict[str, _Link] = {}
+        self._failed_s: dict[str, float] = {}
+        self._heard: dict[str, _Heard] = {}
+        self.bytes = PeerBytes()
+
+    def know(self, tasks: TaskGroup, addresses: dict[str, str]) -> None:
+        """Take the addresses of the peers; streams to others are closed."""
+        self._tasks = tasks
+        self._addresses = addresses
+        for host in [host for host in self._links if host not in addresses]:
+            self._links.pop(host).scope.cancel()
+        for host in [host for host in self._heard if host not in addresses]:
+            if not self._heard[host].scopes:
+                del self._heard[host]
+        self._failed_s = {
+            host: at_s for host, at_s in self._failed_s.items() if host in addresses
+        }
 
     def send(self, host: str, message: Any) -> None:
-        """Queue a message; it is dropped when the peer has no stream."""
-        outbox = self._outboxes.get(host)
-        if outbox is None:
-            self.dropped_messages += 1
+        """Queue a message; it is dropped when the peer cannot be reached."""
+        link = self._links.get(host) or self._open(host)
+        if link is None:
+            self.bytes.dropped_messages += 1
             return
         try:
-            outbox.send_nowait(message)
+            link.outbox.send_nowait(message)
         except anyio.WouldBlock:
-            self.dropped_messages += 1
-
-    def want(self, tasks: TaskGroup, addresses: dict[str, str]) -> None:
-        """Keep a stream to each of these peers, and to no other."""
-        for host in list(self._scopes):
-            if host not in addresses:
-                self._scopes.pop(host).cancel()
-        for host, address in addresses.items():
-            if host not in self._scopes and host != self._host:
-                scope = anyio.CancelScope()
-                self._scopes[host] = scope
-                tasks.start_soon(self._keep, host, address, scope)
-
-    async def _keep(self, host: str, address: str, scope: anyio.CancelScope) -> None:
-        with scope:
-            while True:
-                with contextlib.suppress(*STREAM_ERRORS):
-                    await self._connect(host, address)
+            self.bytes.dropped_messages += 1
+
+    def _open(self, host: str) -> _Link | None:
+        if self._tasks is None or host not in self._addresses:
+            return None
+        failed_s = self._failed_s.get(host)
+        if failed_s is not None and anyio.current_time() - failed_s < RECONNECT_S:
+            return None
+        outbox, queued = anyio.create_memory_object_stream[Any](OUTBOX_MESSAGES)
+        link = _Link(host, outbox, queued)
+        self._links[host] = link
+        self._tasks.start_soon(self._keep, link)
+        return link
+
+    async def _keep(self, link: _Link) -> None:
+        with link.scope, link.outbox, link.queued:
+            while await self._try(link):
+                # A stream that broke or went silent says nothing yet of the
+                # peer: something between the two may have lost track of it. A
+                # new one that stands clears the peer.
                 await anyio.sleep(RECONNECT_S)
 
-    async def _connect(self, host: str, address: str) -> None:
-        ip, _, port = address.rpartition(":")
+    async def _try(self, link: _Link) -> bool:
+        """Use one stream to its end, and return whether to try another."""
+        link.stands = False
+        try:
+            await self._connect(link)
+        except STREAM_ERRORS:
+            if link.stands:
+                return True
+            self._forget(link)
+            self._failed_s[link.host] = anyio.current_time()
+            await self._submit(PeerUnlinked(link.host))
+        return False
+
+    def _forget(self, link: _Link) -> None:
+        if self._links.get(link.host) is link:
+            del self._links[link.host]
+
+    async def _connect(self, link: _Link) -> None:
+        ip, _, port = self._addresses.get(link.host, "").rpartition(":")
         with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
-            stream = await anyio.connect_tcp(ip, int(port))
+            stream = await anyio.connect_tcp(ip, int(port or 0))
         async with stream:
             with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
-                await self._greet(stream)
-            send, receive = anyio.create_memory_object_stream[Any](OUTBOX_MESSAGES)
-            self._outboxes[host] = send
-            await self._submit(PeerLinked(host))
-            try:
-                await self._write(stream, receive)
-            finally:
-                del self._outboxes[host]
-                with anyio.CancelScope(shield=True):
-                    await self._submit(PeerUnlinked(host))
-
-    async def _write(
-        self, stream: SocketStream, outbox: MemoryObjectReceiveStream[Any]
-    ) -> None:
+                await self._handshake.greet(stream, link.host)
+            link.stands = True
+            link.unanswered_since_s = None
+            await self._submit(PeerLinked(link.host))
+            await self._use(link, stream)
+
+    async def _use(self, link: _Link, stream: SocketStream) -> None:
+        failures: list[Exception] = []
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._cancel_when_closed, stream, tasks.cancel_scope)
-            try:
-                await self._write_batches(stream, outbox)
-            except anyio.BrokenResourceError:
-                tasks.cancel_scope.cancel()
+            for work in (self._write, self._read_answers, self._watch_answers):
+                tasks.start_soon(self._run_one, work, link, stream, tasks, failures)
+        if failures:
+            raise failures[0]
 
     @staticmethod
-    async def _write_batches(
-        stream: SocketStream, outbox: MemoryObjectReceiveStream[Any]
+    async def _run_one(
+        work: Callable[[_Link, SocketStream], Awaitable[None]],
+        link: _Link,
+        stream: SocketStream,
+        tasks: TaskGroup,
+        failures: list[Exception],
     ) -> None:
+        try:
+            await work(link, stream)
+        except STREAM_ERRORS as error:
+            failures.append(error)
+        tasks.cancel_scope.cancel()
+
+    async def _write(self, link: _Link, stream: SocketStream) -> None:
         while True:
-            packed = [encode(await outbox.receive())]
-            while outbox.statistics().current_buffer_used:
-                packed.append(encode(outbox.receive_nowait()))
-            await stream.send(b"".join(packed))
+            message = None
+            with anyio.move_on_after(IDLE_S):
+                message = await link.queued.receive()
+            if message is None:
+                self._forget(link)
+                return
+            packed = encode(message)
+            while link.queued.statistics().current_buffer_used:
+                if len(packed) >= BATCH_BYTES:
+                    break
+                packed += encode(link.queued.receive_nowait())
+            if link.unanswered_since_s is None:
+                link.unanswered_since_s = anyio.current_time()
+            self.bytes.sent_bytes += len(packed)
+            await stream.send(packed)
 
     @staticmethod
-    async def _cancel_when_closed(
-        stream: SocketStream, scope: anyio.CancelScope
-    ) -> None:
-        with contextlib.suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+    async def _read_answers(link: _Link, stream: SocketStream) -> None:
+        while True:
             await stream.receive(CHUNK_BYTES)
-        scope.cancel()
-
-    async def _greet(self, stream: SocketStream) -> None:
-        reader = _Reader(stream)
-        theirs = await reader.next()
-        mine = secrets.token_bytes(16)
-        proof = _proof(self._secret, theirs, mine, self._host.encode())
-        await stream.send(msgpack.packb([self._host, mine, proof]))
-        answer = await reader.next()
-        if not hmac.compare_digest(answer, _proof(self._secret, mine, theirs)):
-            raise PeerError("the peer does not know the secret")
+            link.unanswered_since_s = None
+
+    async def _watch_answers(self, link: _Link, stream: SocketStream) -> None:
+        # A half-open stream takes what is written into the kernel's buffer and
+        # shows no error for minutes; that nothing is acknowledged shows it.
+        while True:
+            await anyio.sleep(self._silence_s / 4)
+            since_s = link.unanswered_since_s
+            if since_s is not None:
+                silent_s = anyio.current_time() - since_s
+                if silent_s > self._silence_s:
+                    raise PeerError(f"{link.host} acknowledges nothing")
 
     async def serve(self, stream: SocketStream) -> None:
         """Hear one peer until its stream ends."""
         async with stream:
-            try:
+            with contextlib.suppress(*STREAM_ERRORS):
                 with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
-                    host, reader = await self._welcome(stream)
-                while True:
-                    with anyio.fail_after(self._silence_s):
-                        value = await reader.next()
-                    await self._submit(PeerHeard(host, decode(value)))
-            except (anyio.EndOfStream, anyio.BrokenResourceError, TimeoutError):
-                return
-            except (PeerError, MessageError, msgpack.UnpackException, ValueError):
-                return
+                    greeting = await self._handshake.welcome(stream)
+                with anyio.CancelScope() as scope:
+                    heard = self._admit(greeting.host, greeting.incarnation)
+                    heard.scopes.append(scope)
+                    try:
+                        await self._hear(greeting.host, stream)
+                    finally:
+                        heard.scopes.remove(scope)
+
+    def _admit(self, host: str, incarnation: int) -> _Heard:
+        """Let a host's newest start speak, and no older one.
+
+        After a restart a stream of the old process may still hold messages;
+        taken after those of the new one, they would undo what it said.
+        """
+        heard = self._heard.get(host)
+        if heard is None or incarnation > heard.incarnation:
+            for scope in heard.scopes if heard else []:
+                scope.cancel()
+            heard = self._heard[host] = _Heard(incarnation)
+        if incarnation < heard.incarnation:
+            raise PeerError(f"{host} was started anew since")
+        return heard
 
-    async def _welcome(self, stream: SocketStream) -> tuple[str, _Reader]:
-        reader = _Reader(stream)
-        mine = secrets.token_bytes(16)
-        await stream.send(msgpack.packb(mine))
-        host, theirs, proof = await reader.next()
-        expected = _proof(self._secret, mine, theirs, host.encode())
-        if not hmac.compare_digest(proof, expected):
-            raise PeerError(f"{host} does not know the secret")
-        await stream.send(msgpack.packb(_proof(self._secret, theirs, mine)))
-        return host, reader
+    async def _hear(self, host: str, stream: SocketStream) -> None:
+        reader = unpacker()
+        while True:
+            with anyio.fail_after(IDLE_S + self._silence_s):
+                chunk = await stream.receive(CHUNK_BYTES)
+            self.bytes.heard_bytes += len(chunk)
+            try:
+                reader.feed(chunk)
+                for value in reader:
+                    await self._submit(PeerHeard(host, decode(value)))
+            except (MessageError, msgpack.UnpackException, ValueError) as error:
+                raise PeerError(f"{host} sent no message of ours") from error
+            await stream.send(ACKNOWLEDGEMENT)
--- a/packages/daemon/src/knapweedbridge_daemon/store.py
+++ b/packages/daemon/src/knapweedbridge_daemon/store.py
@@ -3,7 +3,7 @@
 import base64
 import json
 from abc import ABC, abstractmethod
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -58,7 +58,7 @@
         """Renew a lease; return its remaining seconds, 0 if it lapsed."""
 
     @abstractmethod
-    def watch(self, prefix: str, revision: int) -> AsyncIterator[str]:
+    def watch(self, prefix: str, revision: int) -> AsyncGenerator[str, None]:
         """Yield keys under a prefix as they change after a revision."""
 
     @abstractmethod
@@ -161,7 +161,7 @@
         answer = await self._call("/v3/lease/keepalive", {"ID": lease})
         return float(answer["result"].get("TTL", 0))
 
-    async def watch(self, prefix: str, revision: int) -> AsyncIterator[str]:
+    async def watch(self, prefix: str, revision: int) -> AsyncGenerator[str, None]:
         """See `KeyValueStore.watch`."""
         body = {
             "create_request": {
