--- /dev/null
+++ b/features/operators/environment.py
@@ -0,0 +1,16 @@
+"""One embedded platform for all features of the area."""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent))
+
+from embedded_platform import EmbeddedPlatform  # noqa: E402
+
+
+def before_all(context):
+    context.platform = EmbeddedPlatform()
+
+
+def after_all(context):
+    context.platform.close()
--- a/packages/cli/src/knapweedbridge_cli/administration.py
+++ b/packages/cli/src/knapweedbridge_cli/administration.py
@@ -1,24 +1,40 @@
 """Speaks to the administration API of a daemon."""
 
-from pathlib import Path
+from collections.abc import Callable
 from typing import Any
 
 import httpx
 
-from knapweedbridge_cli.errors import (
-    CONFLICT,
-    FAULTS_FOUND,
-    REFUSED,
-    UNREACHABLE,
-    CommandError,
-)
+from knapweedbridge_cli.differences import read_changes, show_changes
+from knapweedbridge_cli.errors import CommandError, ExitCode
+from knapweedbridge_core.faults import Fault
 
 TIMEOUT_S = 30.0
+CONNECT_TIMEOUT_S = 3.0
 
 
-def read_folder(folder: Path) -> dict[str, str]:
-    """Read the INI files of a folder by name."""
-    return {path.name: path.read_text() for path in sorted(folder.glob("*.ini"))}
+def make_client(url: str, key: str, ca_file: str) -> httpx.Client:
+    """Open the connections of one command."""
+    verify = ssl_context(ca_file)
+    return httpx.Client(
+        base_url=url,
+        headers={"authorization": f"Bearer {key}"},
+        timeout=httpx.Timeout(TIMEOUT_S, connect=CONNECT_TIMEOUT_S),
+        verify=verify,
+        trust_env=False,
+    )
+
+
+def ssl_context(ca_file: str) -> Any:
+    """Return what certificates are checked against; empty: the system's."""
+    if not ca_file:
+        return True
+    import ssl
+
+    try:
+        return ssl.create_default_context(cafile=ca_file)
+    except (OSError, ssl.SSLError) as error:
+        raise CommandError(f"{ca_file}: {error}", ExitCode.USAGE) from None
 
 
 class AdministrationClient:
@@ -30,17 +46,29 @@
         Base URL of the operators' face.
     key : str
         The operator's key.
+    ca_file : str
+        PEM file of the authorities that certificates are checked against;
+        empty: the system's.
     """
 
-    def __init__(self, url: str, key: str) -> None:
-        self._client = httpx.Client(
-            base_url=url,
-            headers={"authorization": f"Bearer {key}"},
-            timeout=TIMEOUT_S,
-            trust_env=False,
-        )
+    def __init__(self, url: str, key: str, ca_file: str = "") -> None:
+        self.url = url
+        self.key = key
+        self.ca_file = ca_file
+        try:
+            self._client = make_client(url, key, ca_file)
+        except (httpx.InvalidURL, UnicodeError) as error:
+            raise CommandError(f"{url}: {error}", ExitCode.USAGE) from None
+
+    def __enter__(self) -> "AdministrationClient":
+        """Keep the connections open."""
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        """Close the connections."""
+        self._client.close()
 
-    def call(self, method: str, path: str, body: Any = None, **query: str) -> Any:
+    def call(self, method: str, path: str, body: Any = None, **query: Any) -> Any:
         """Call the API and return the JSON it answers.
 
         Raises
@@ -48,18 +76,69 @@
         CommandError
             With the exit code that fits the answer.
         """
+        wanted = {name: value for name, value in query.items() if value != ""}
         try:
-            response = self._client.request(method, path, json=body, params=query)
-        except httpx.HTTPError as error:
-            raise CommandError(f"no answer: {error!r}", UNREACHABLE) from None
-        if response.status_code == 422:
-            raise CommandError("\n".join(response.json()["faults"]), FAULTS_FOUND)
-        if response.status_code == 409:
-            generation = response.json()["generation"]
-            text = f"generation {generation} came in between; see diff, apply again"
-            raise CommandError(text, CONFLICT)
-        if response.status_code in (401, 403):
-            raise CommandError("this key may not do that", REFUSED)
-        if response.status_code != 200:
-            raise CommandError(response.text, UNREACHABLE)
-        return response.json()
+            response = self._client.request(method, path, json=body, params=wanted)
+        except (httpx.HTTPError, httpx.InvalidURL) as error:
+            what = str(error) or type(error).__name__
+            raise CommandError(f"{self.url}: {what}", ExitCode.UNREACHABLE) from None
+        return _read(self.url, response)
+
+
+def _read(url: str, response: httpx.Response) -> Any:
+    try:
+        found = response.json()
+    except ValueError:
+        message = f"{url}: {response.status_code}: no administration API answers there"
+        raise CommandError(message, ExitCode.UNREACHABLE) from None
+    if response.status_code == httpx.codes.OK:
+        return found
+    error = found.get("error", {}) if isinstance(found, dict) else {}
+    make = _ERRORS.get(error.get("code"), _rejected)
+    raise make(error.get("message", response.text), found)
+
+
+def _faults(message: str, body: Any) -> CommandError:
+    faults = [Fault(**fault) for fault in body["faults"]]
+    text = "\n".join(str(fault) for fault in faults)
+    return CommandError(text, ExitCode.FAULTS, {"faults": body["faults"]})
+
+
+def _conflict(message: str, body: Any) -> CommandError:
+    base = f"generation {body['based_on']}"
+    mine = show_changes(read_changes(body["mine"]))
+    theirs = show_changes(read_changes(body["theirs"]))
+    lines = [f"conflict: {message}; nothing was changed"]
+    if body["base_kept"]:
+        lines += [f"theirs, against {base}:", theirs]
+        lines += [f"yours, against {base}:", mine]
+    else:
+        lines += [f"{base} is no longer kept; yours, against what is in force:", mine]
+    lines.append(f"to go on: apply --based-on {body['generation']}")
+    return CommandError("\n".join(lines), ExitCode.CONFLICT, body)
+
+
+def _rejected(message: str, body: Any) -> CommandError:
+    return CommandError(message, ExitCode.REJECTED)
+
+
+def _refused(message: str, body: Any) -> CommandError:
+    return CommandError(message, ExitCode.REFUSED)
+
+
+def _not_found(message: str, body: Any) -> CommandError:
+    return CommandError(message, ExitCode.NOT_FOUND)
+
+
+def _unreachable(message: str, body: Any) -> CommandError:
+    return CommandError(message, ExitCode.UNREACHABLE)
+
+
+_ERRORS: dict[Any, Callable[[str, Any], CommandError]] = {
+    "faults": _faults,
+    "conflict": _conflict,
+    "unauthenticated": _refused,
+    "forbidden": _refused,
+    "not_found": _not_found,
+    "store_down": _unreachable,
+}
--- /dev/null
+++ b/packages/cli/src/knapweedbridge_cli/hosts.py
@@ -0,0 +1,96 @@
+"""Finds every daemon and asks each one itself.
+
+A daemon knows its peers only. The command walks from the daemon it was given
+to the peers that its status names, and on, so that no daemon collects the
+state of others for it.
+"""
+
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import urlsplit
+
+from knapweedbridge_cli.administration import AdministrationClient
+from knapweedbridge_cli.errors import CommandError
+
+ASKED_AT_ONCE = 32
+
+
+@dataclass(slots=True, frozen=True)
+class HostStatus:
+    """What one host said of itself.
+
+    Parameters
+    ----------
+    name : str
+        The host.
+    administration : str
+        Address of its administration API, or empty where no peer knows it.
+    status : dict or None
+        Its status; None where it did not answer.
+    error : str
+        Why it did not answer.
+    """
+
+    name: str
+    administration: str
+    status: dict[str, Any] | None
+    error: str = ""
+
+    @property
+    def generation(self) -> int:
+        """Generation in force there, or -1."""
+        return self.status["generation"] if self.status else -1
+
+    def to_json(self) -> dict[str, Any]:
+        """Return it for ``--json``."""
+        return {"name": self.name, "error": self.error, "status": self.status}
+
+
+def client_of(origin: AdministrationClient, address: str) -> AdministrationClient:
+    """Open a client of another daemon, with the same scheme and key."""
+    scheme = urlsplit(origin.url).scheme
+    return AdministrationClient(f"{scheme}://{address}", origin.key, origin.ca_file)
+
+
+def ask_hosts(origin: AdministrationClient) -> list[HostStatus]:
+    """Ask every host that can be found; the first must answer.
+
+    Raises
+    ------
+    CommandError
+        If the daemon that the command was given does not answer.
+    """
+    first = origin.call("GET", "/v1/status")
+    found = {first["host"]: HostStatus(first["host"], first["administration"], first)}
+    frontier = _named_by(first, found)
+    with ThreadPoolExecutor(ASKED_AT_ONCE) as pool:
+        while frontier:
+            asked = pool.map(lambda item: _ask(origin, *item), frontier.items())
+            answers = {answer.name: answer for answer in asked}
+            found.update(answers)
+            frontier = {}
+            for answer in answers.values():
+                if answer.status is not None:
+                    frontier.update(_named_by(answer.status, found))
+    return [found[name] for name in sorted(found)]
+
+
+def _named_by(status: dict[str, Any], found: dict[str, HostStatus]) -> dict[str, str]:
+    named: dict[str, str] = {}
+    for name, peer in status["peers"].items():
+        held = found.get(name)
+        newly_known = bool(held and not held.administration and peer["administration"])
+        if held is None or newly_known:
+            named[name] = peer["administration"]
+    return named
+
+
+def _ask(origin: AdministrationClient, name: str, address: str) -> HostStatus:
+    if not address:
+        return HostStatus(name, "", None, "no peer of it was linked yet")
+    try:
+        with client_of(origin, address) as client:
+            return HostStatus(name, address, client.call("GET", "/v1/status"))
+    except CommandError as error:
+        return HostStatus(name, address, None, str(error))
--- /dev/null
+++ b/packages/cli/src/knapweedbridge_cli/options.py
@@ -0,0 +1,45 @@
+"""Options that several commands share."""
+
+from dataclasses import dataclass, field
+from typing import Annotated
+
+import cappa
+
+from knapweedbridge_cli.administration import AdministrationClient
+
+Json = Annotated[bool, cappa.Arg(long="--json", help="Print JSON.")]
+
+
+@dataclass
+class Daemon:
+    """Which daemon is asked, and by whom."""
+
+    url: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            default=cappa.Env("KNAPWEEDBRIDGE_URL"),
+            help="URL of any daemon's administration API.",
+        ),
+    ]
+    key: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            default=cappa.Env("KNAPWEEDBRIDGE_KEY"),
+            help="The operator's key; better by the environment than here.",
+            show_default=False,
+        ),
+    ]
+    ca_file: Annotated[
+        str,
+        cappa.Arg(
+            long=True,
+            default=cappa.Env("KNAPWEEDBRIDGE_CA_FILE", default=""),
+            help="PEM file that certificates are checked against.",
+        ),
+    ] = field(default="")
+
+    def open(self) -> AdministrationClient:
+        """Open a client of the daemon."""
+        return AdministrationClient(self.url, self.key, self.ca_file)
--- a/packages/core/src/knapweedbridge_core/bridge.py
+++ b/packages/core/src/knapweedbridge_core/bridge.py
@@ -10,6 +10,7 @@
 from knapweedbridge_core.load_side import LoadSide
 from knapweedbridge_core.member_side import MemberSide
 from knapweedbridge_core.members import Members
+from knapweedbridge_core.operator_side import OperatorSide
 from knapweedbridge_core.owner_side import OwnerSide
 from knapweedbridge_core.request_side import RequestSide
 from knapweedbridge_core.view import View
@@ -26,6 +27,8 @@
         Number that rises with each start of the host.
     timing : Timing, optional
         Bounds that the settings give.
+    administration : str
+        Address of its administration API, which peers are told.
     """
 
     def __init__(
@@ -34,6 +37,7 @@
         data_centre: str,
         incarnation: int = 1,
         timing: Timing | None = None,
+        administration: str = "",
     ) -> None:
         self._context = Context(host, data_centre, incarnation, timing or Timing())
         self.requests = RequestSide(self._context)
@@ -41,7 +45,15 @@
         self.loads = LoadSide(self._context)
         member = MemberSide(self._context)
         self.distribution = ConfigurationSide(self._context)
-        sides = (member, self.distribution, self.owner, self.loads, self.requests)
+        self.operators = OperatorSide(self._context, administration)
+        sides = (
+            member,
+            self.distribution,
+            self.owner,
+            self.loads,
+            self.requests,
+            self.operators,
+        )
         for side in sides:
             self._context.take(side)
 
@@ -62,6 +74,11 @@
         """Name of this host."""
         return self._context.host
 
+    @property
+    def data_centre(self) -> str:
+        """Data centre of this host."""
+        return self._context.data_centre
+
     @property
     def configuration(self) -> Configuration:
         """The configuration in force."""
--- a/packages/core/src/knapweedbridge_core/changes.py
+++ b/packages/core/src/knapweedbridge_core/changes.py
@@ -64,7 +64,9 @@
 def _remove_named(
     newer: Configuration, kind: str, name: str, older: Configuration
 ) -> None:
-    getattr(newer, _LOOK_UPS[kind]).pop(name, None)
+    # A newer daemon's folder may hold kinds that this one does not know.
+    if kind in _LOOK_UPS:
+        getattr(newer, _LOOK_UPS[kind]).pop(name, None)
 
 
 def _remove_version(
--- a/packages/core/src/knapweedbridge_core/configuration.py
+++ b/packages/core/src/knapweedbridge_core/configuration.py
@@ -4,12 +4,15 @@
 from sys import intern
 from typing import Any
 
+from knapweedbridge_core.duplicates import find_duplicates
+from knapweedbridge_core.errors import NameFormatError
 from knapweedbridge_core.faults import Fault
 from knapweedbridge_core.names import AdapterVersion, is_name, parse_adapter_version
 from knapweedbridge_core.parts import Parts, Sections
 from knapweedbridge_core.schema import (
     Address,
     Choice,
+    Digest,
     Flag,
     Key,
     Name,
@@ -20,6 +23,8 @@
 
 __all__ = ["Configuration", "Sections", "build"]
 
+_PATH_ALLOWED = "a path that begins with /, does not end with / and is not under /v1"
+
 SECTION_KINDS: dict[str, Section] = {
     "team": Section(
         "A team that owns adapters and routes.",
@@ -32,8 +37,12 @@
         "A key that callers or operators show.",
         {
             "team": Key(Name(), None, "Team the key belongs to."),
-            "role": Key(Choice("caller", "operator", "administrator"), "caller", ""),
-            "hash": Key(Text(), None, "SHA-256 of the key, in hexadecimal."),
+            "role": Key(
+                Choice("caller", "operator", "administrator"),
+                "caller",
+                "What it opens: the callers' face; also its team's configuration; all.",
+            ),
+            "hash": Key(Digest(), None, "SHA-256 of the key, in hexadecimal."),
         },
     ),
     "adapter": Section(
@@ -181,9 +190,15 @@
 
 
 def build(generation: int, sections: Sections) -> tuple[Configuration, list[Fault]]:
-    """Build a configuration from merged sections, with the faults found."""
+    """Build a configuration from merged sections, with every fault found.
+
+    A faulty section is left out; that others refer to it is no fault of theirs.
+    """
     configuration = Configuration(generation, "", Parts.of(sections))
-    return configuration, add_sections(configuration, sections)
+    faults = add_sections(configuration, sections)
+    ordered = sorted(sections, key=build_order)
+    faults += find_duplicates((title, sections[title]) for title in ordered)
+    return configuration, faults
 
 
 def build_parts(
@@ -199,11 +214,21 @@
     faults: list[Fault] = []
     for title in sorted(sections, key=build_order):
         kind, _, name = title.partition(" ")
+        if kind not in SECTION_KINDS:
+            allowed = ", ".join(SECTION_KINDS)
+            faults.append(Fault("", title, "", f"unknown kind; allowed: {allowed}"))
+            continue
         values, found = SECTION_KINDS[kind].read("", title, sections[title])
         faults += found
         if not found:
-            faults += _add(into, kind, title, intern(name.strip()), values)
-    return faults
+            faults += _add(into, kind, title, intern(name), values)
+    # A section with a fault of its own was left out: it is there, all the same.
+    present = {_missing(title) for title in sections} if faults else set()
+    return [fault for fault in faults if fault.message not in present]
+
+
+def _missing(title: str) -> str:
+    return f"no section [{title}]"
 
 
 _ORDER = {kind: place for place, kind in enumerate(SECTION_KINDS)}
@@ -222,16 +247,18 @@
     into: Configuration, kind: str, title: str, name: str, values: dict[str, Any]
 ) -> list[Fault]:
     if kind == "weight_store":
+        if title != kind:
+            return [Fault("", title, "", "allowed: [weight_store], without a name")]
         into.loads_per_s = values["loads_per_s"]
         return []
     if kind != "version" and not is_name(name):
-        return [Fault("", title, "", f"{name!r} is no name")]
+        return [Fault("", title, "", f"{name!r}: allowed: {Name.allowed}")]
     for key in _SHARED_NAMES:
         if key in values:
             values[key] = intern(values[key])
     team = values.get("team")
     if team is not None and team not in into.teams:
-        return [Fault("", title, "team", f"no section [team {team}]")]
+        return [Fault("", title, "team", _missing(f"team {team}"))]
     return _ADDERS[kind](into, title, name, values)
 
 
@@ -261,10 +288,10 @@
 ) -> list[Fault]:
     try:
         model = parse_adapter_version(name)
-    except Exception as error:
+    except NameFormatError as error:
         return [Fault("", title, "", str(error))]
     if model.adapter not in into.adapters:
-        return [Fault("", title, "", f"no section [adapter {model.adapter}]")]
+        return [Fault("", title, "", _missing(f"adapter {model.adapter}"))]
     into.versions[model] = values["weights"] or name
     return []
 
@@ -274,10 +301,10 @@
 ) -> list[Fault]:
     try:
         values["model"] = parse_adapter_version(values["model"])
-    except Exception as error:
+    except NameFormatError as error:
         return [Fault("", title, "model", str(error))]
     if values["model"] not in into.versions:
-        return [Fault("", title, "model", f"no section [version {values['model']}]")]
+        return [Fault("", title, "model", _missing(f"version {values['model']}"))]
     into.applications[name] = Application(name, **values)
     return []
 
@@ -285,8 +312,9 @@
 def _add_service(
     into: Configuration, title: str, name: str, values: dict[str, Any]
 ) -> list[Fault]:
-    if not values["path"].startswith("/"):
-        return [Fault("", title, "path", "allowed: a path that begins with /")]
+    path = values["path"]
+    if not path.startswith("/") or path.endswith("/") or f"{path}/".startswith("/v1/"):
+        return [Fault("", title, "path", f"{path!r}: allowed: {_PATH_ALLOWED}")]
     into.services[name] = Service(name, **values)
     return []
 
@@ -298,7 +326,7 @@
     if not values[needed]:
         return [Fault("", title, needed, "missing for this kind of endpoint")]
     if needed == "service" and values["service"] not in into.services:
-        return [Fault("", title, needed, f"no section [service {values['service']}]")]
+        return [Fault("", title, needed, _missing(f"service {values['service']}"))]
     into.endpoints[name] = EndpointEntry(name, **values)
     return []
 
--- a/packages/core/src/knapweedbridge_core/faults.py
+++ b/packages/core/src/knapweedbridge_core/faults.py
@@ -1,9 +1,18 @@
 """Faults found in INI text, each with its place."""
 
+import re
 from configparser import ConfigParser, DuplicateOptionError, DuplicateSectionError
 from configparser import Error as IniError
+from contextlib import suppress
 from dataclasses import dataclass
 
+_HEADER = re.compile(r"\[(.+)\]")
+_OPTION = re.compile(r"([^\s#;=:\[][^=:]*?)\s*[=:]")
+
+# A header needs at least one character, so no file can name this section, and
+# [DEFAULT] is a section like any other instead of keys for all sections.
+_NO_DEFAULT_SECTION = ""
+
 
 @dataclass(slots=True, frozen=True)
 class Fault:
@@ -25,15 +34,45 @@
 
 def read_ini(file: str, text: str) -> tuple[ConfigParser, list[Fault]]:
     """Parse one INI text; a syntax fault is reported, never raised."""
-    parser = ConfigParser(interpolation=None, strict=True)
+    faults: list[Fault] = []
+    parser = _make_parser(strict=True)
     try:
         parser.read_string(text, source=file)
-    except DuplicateOptionError as error:
-        return parser, [
-            Fault(file, error.section, error.option, "stands twice in this section")
-        ]
-    except DuplicateSectionError as error:
-        return parser, [Fault(file, error.section, "", "stands twice in this file")]
+        return parser, faults
+    except (DuplicateOptionError, DuplicateSectionError) as error:
+        key = getattr(error, "option", "")
+        message = f"stands twice in this {'section' if key else 'file'}"
+        first = Fault(file, error.section, key, message)
+        faults += _find_duplicates(file, text) or [first]
     except IniError as error:
-        return parser, [Fault(file, "", "", " ".join(str(error).split()))]
-    return parser, []
+        faults.append(Fault(file, "", "", " ".join(str(error).split())))
+    # What can be read is checked all the same, so that all faults show at once.
+    parser = _make_parser(strict=False)
+    with suppress(IniError):
+        parser.read_string(text, source=file)
+    return parser, faults
+
+
+def _make_parser(strict: bool) -> ConfigParser:
+    return ConfigParser(
+        interpolation=None, strict=strict, default_section=_NO_DEFAULT_SECTION
+    )
+
+
+def _find_duplicates(file: str, text: str) -> list[Fault]:
+    # The parser would stop at the first duplicate and hide those behind it.
+    faults: list[Fault] = []
+    seen: set[tuple[str, str]] = set()
+    section = ""
+    for line in text.splitlines():
+        header, option = _HEADER.match(line), _OPTION.match(line)
+        if header is not None:
+            section, key, where = header[1], "", "file"
+        elif option is not None:
+            key, where = option[1].lower(), "section"
+        else:
+            continue
+        if (section, key) in seen:
+            faults.append(Fault(file, section, key, f"stands twice in this {where}"))
+        seen.add((section, key))
+    return faults
--- a/packages/core/src/knapweedbridge_core/folder.py
+++ b/packages/core/src/knapweedbridge_core/folder.py
@@ -1,20 +1,82 @@
 """The operators' folder: INI files merged in the order of their names."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
 
-from knapweedbridge_core.configuration import SECTION_KINDS, Sections, build
+from knapweedbridge_core.configuration import Sections, build
 from knapweedbridge_core.errors import CheckError
 from knapweedbridge_core.faults import Fault, read_ini
 
+Origin = dict[tuple[str, str], str]
 
-def merge_folder(files: Iterable[tuple[str, str]]) -> Sections:
-    """Merge and check the files of a folder.
+
+@dataclass(slots=True)
+class Folder:
+    """The merged files of a folder.
+
+    Parameters
+    ----------
+    sections : dict of str to dict of str to str
+        The merged sections.
+    origin : dict of (section, key) to str
+        The file each section (key ``""``) and key came from last.
+    faults : list of Fault
+        Faults of syntax.
+    """
+
+    sections: Sections = field(default_factory=dict)
+    origin: Origin = field(default_factory=dict)
+    faults: list[Fault] = field(default_factory=list)
+
+    def locate(self, fault: Fault) -> Fault:
+        """Return the fault with the file its section or key came from."""
+        file = self.origin.get((fault.section, fault.key))
+        file = file or self.origin.get((fault.section, "")) or fault.file
+        return Fault(file, fault.section, fault.key, fault.message)
+
+    def check(self, others: Mapping[str, dict[str, str]] | None = None) -> None:
+        """Check the sections, beside `others` that stand in no file.
+
+        Raises
+        ------
+        CheckError
+            With every fault of every file.
+        """
+        whole = {**(others or {}), **self.sections}
+        found = [self.locate(fault) for fault in build(0, whole)[1]]
+        if self.faults or found:
+            raise CheckError(self.faults + found)
+
+
+def read_folder(files: Iterable[tuple[str, str]]) -> Folder:
+    """Merge the files of a folder by name, without checking the sections.
 
     Parameters
     ----------
     files : iterable of (name, text)
         In any order; they are merged by name, a later one refining an
         earlier one key by key.
+    """
+    folder = Folder()
+    for file, text in sorted(files):
+        parser, found = read_ini(file, text)
+        folder.faults += found
+        for title in parser.sections():
+            section = folder.sections.setdefault(title, {})
+            folder.origin.setdefault((title, ""), file)
+            for key, value in parser[title].items():
+                section[key] = value
+                folder.origin[title, key] = file
+    return folder
+
+
+def merge_folder(files: Iterable[tuple[str, str]]) -> Sections:
+    """Merge and check the files of a folder.
+
+    Parameters
+    ----------
+    files : iterable of (name, text)
+        As for `read_folder`.
 
     Returns
     -------
@@ -26,40 +88,6 @@
     CheckError
         With every fault of every file.
     """
-    merged: Sections = {}
-    origin: dict[tuple[str, str], str] = {}
-    faults: list[Fault] = []
-    for file, text in sorted(files):
-        parser, found = read_ini(file, text)
-        faults += found
-        for title in parser.sections():
-            section = merged.setdefault(title, {})
-            origin.setdefault((title, ""), file)
-            for key, value in parser[title].items():
-                section[key] = value
-                origin[title, key] = file
-    faults += _check(merged, origin)
-    if faults:
-        raise CheckError(faults)
-    return merged
-
-
-def _check(merged: Sections, origin: dict[tuple[str, str], str]) -> list[Fault]:
-    faults: list[Fault] = []
-    for title, items in merged.items():
-        kind = title.partition(" ")[0]
-        file = origin[title, ""]
-        if kind not in SECTION_KINDS:
-            allowed = ", ".join(SECTION_KINDS)
-            faults.append(Fault(file, title, "", f"unknown kind; allowed: {allowed}"))
-            continue
-        _, found = SECTION_KINDS[kind].read(file, title, items)
-        faults += found
-    if not faults:
-        faults = build(0, merged)[1]
-    return [_located(fault, origin) for fault in faults]
-
-
-def _located(fault: Fault, origin: dict[tuple[str, str], str]) -> Fault:
-    file = origin.get((fault.section, fault.key)) or origin.get((fault.section, ""))
-    return Fault(file or fault.file, fault.section, fault.key, fault.message)
+    folder = read_folder(files)
+    folder.check()
+    return folder.sections
--- a/packages/core/src/knapweedbridge_core/messages.py
+++ b/packages/core/src/knapweedbridge_core/messages.py
@@ -123,6 +123,13 @@
     running: int
 
 
+@message
+class Introduction:
+    """Once a link: where the sender's administration API listens."""
+
+    administration: str
+
+
 def _pack_default(value: Any) -> Any:
     if isinstance(value, AdapterVersion):
         packed = msgpack.packb([value.adapter, value.version])
--- a/packages/core/src/knapweedbridge_core/owner_side.py
+++ b/packages/core/src/knapweedbridge_core/owner_side.py
@@ -72,14 +72,25 @@
         ledger = self.ledgers.get(message.endpoint)
         sender = self._context.sender
         if ledger and ledger.grant(message.model, message.attempt_id, sender):
+            self._record_grant("grant.given", message)
             given = messages.GrantGiven(message.attempt_id, message.endpoint)
             self._context.send(sender, given)
             return
+        self._record_grant("grant.refused", message)
         refused = messages.GrantRefused(
             message.attempt_id, message.endpoint, Reason.NOT_LOADED
         )
         self._context.send(sender, refused)
 
+    def _record_grant(self, kind: str, asked: messages.GrantAsk) -> None:
+        self._context.record(
+            kind,
+            attempt=asked.attempt_id,
+            endpoint=asked.endpoint,
+            model=str(asked.model),
+            to=self._context.sender,
+        )
+
     def _grant_returned(self, message: messages.GrantReturned) -> None:
         ledger = self.ledgers.get(message.endpoint)
         if ledger is not None:
--- a/packages/core/src/knapweedbridge_core/request_side.py
+++ b/packages/core/src/knapweedbridge_core/request_side.py
@@ -116,6 +116,9 @@
         owner = self._context.view.endpoints[name].owner
         attempt_id = live.next_attempt(name, owner)
         live.asked_s = self._context.now_s
+        self._context.record(
+            "grant.asked", attempt=attempt_id, endpoint=name, model=str(model), to=owner
+        )
         self._context.send(owner, messages.GrantAsk(attempt_id, name, model))
 
     def _want(self, model: AdapterVersion) -> None:
--- a/packages/core/src/knapweedbridge_core/schema.py
+++ b/packages/core/src/knapweedbridge_core/schema.py
@@ -1,13 +1,19 @@
 """Typed keys of INI sections: what each may hold, its unit and its default."""
 
+import re
 from abc import ABC, abstractmethod
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from ipaddress import ip_address
 from typing import Any
+from urllib.parse import urlsplit
 
 from knapweedbridge_core.faults import Fault
 from knapweedbridge_core.names import is_name
 
+MAX_PORT = 65535
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+
 
 class Kind(ABC):
     """What a key may hold."""
@@ -97,18 +103,59 @@
 
 
 class Address(Kind):
-    """An IP number and a port."""
+    """An IP number and a port; version 6 stands in brackets."""
 
-    allowed = "an address of the form IP:port"
+    allowed = "an address of the form IP:port, the IP as a number"
 
     def read(self, text: str) -> str:
         """Return the address."""
-        host, colon, port = text.rpartition(":")
-        if not colon or not host or not 0 <= int(port) <= 65535:
+        host, _, port = text.rpartition(":")
+        if host.startswith("[") and host.endswith("]"):
+            host = host[1:-1]
+        elif ":" in host:
+            raise ValueError(text)
+        ip_address(host)
+        if not port.isdecimal() or int(port) > MAX_PORT:
+            raise ValueError(text)
+        return text
+
+
+class Url(Kind):
+    """An HTTP URL whose host is an IP number."""
+
+    allowed = "a URL of the form http://IP:port or https://IP:port, IP as a number"
+
+    def read(self, text: str) -> str:
+        """Return the URL."""
+        parts = urlsplit(text)
+        if parts.scheme not in ("http", "https") or parts.port == 0:
+            raise ValueError(text)
+        ip_address(parts.hostname or "")
+        return text
+
+
+class Digest(Kind):
+    """A SHA-256 in lower-case hexadecimal, as `hashlib` writes it."""
+
+    allowed = "64 digits of lower-case hexadecimal, the SHA-256 of the key"
+
+    def read(self, text: str) -> str:
+        """Return the digest."""
+        if _DIGEST.fullmatch(text) is None:
             raise ValueError(text)
         return text
 
 
+class FilePath(Kind):
+    """A file that must be readable when the daemon starts."""
+
+    allowed = "the path of a readable file"
+
+    def read(self, text: str) -> str:
+        """Return the path; the daemon checks that it can be read."""
+        return text
+
+
 @dataclass(slots=True, frozen=True)
 class Key:
     """One key of a section.
--- a/packages/core/src/knapweedbridge_core/settings.py
+++ b/packages/core/src/knapweedbridge_core/settings.py
@@ -1,5 +1,6 @@
 """Settings of one daemon: one INI file, checked whole at the start."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any
 
@@ -8,14 +9,19 @@
 from knapweedbridge_core.schema import (
     Address,
     Choice,
+    Digest,
+    FilePath,
     Flag,
     Key,
     Name,
     Number,
     Section,
     Text,
+    Url,
 )
 
+HEARTBEATS_BEFORE_SILENCE = 2
+
 SECTIONS: dict[str, Section] = {
     "host": Section(
         "Who this daemon is.",
@@ -31,17 +37,17 @@
             "administration": Key(Address(), None, "Address of the operators' face."),
             "peers": Key(Address(), None, "Address for streams from other daemons."),
             "first_key_hash": Key(
-                Text(), "", "SHA-256 of the operators' key until one is configured."
+                Digest(), "", "SHA-256 of the operators' key until one is configured."
             ),
-            "certificate_file": Key(Text(), "", "PEM certificate; empty: no TLS."),
-            "key_file": Key(Text(), "", "PEM private key of the certificate."),
+            "certificate_file": Key(FilePath(), "", "PEM certificate; empty: no TLS."),
+            "key_file": Key(FilePath(), "", "PEM private key of the certificate."),
         },
     ),
     "platform": Section(
         "The platform's parts.",
         {
-            "key_value": Key(Text(), None, "URL of the key-value service."),
-            "host_list": Key(Text(), None, "URL of the list of hosts."),
+            "key_value": Key(Url(), None, "URL of the key-value service."),
+            "host_list": Key(Url(), None, "URL of the list of hosts."),
             "timeout_s": Key(Number(0.01, 60), "2", "Bound on one call, seconds."),
             "poll_s": Key(Number(0.05, 600), "2", "Pause between reads, seconds."),
             "watch": Key(Flag(), "yes", "Whether this daemon may watch the service."),
@@ -50,7 +56,9 @@
     "peers": Section(
         "Streams between daemons.",
         {
-            "secret_file": Key(Text(), "", "File of the shared secret of the peers."),
+            "secret_file": Key(
+                FilePath(), "", "File of the shared secret of the peers."
+            ),
             "heartbeat_s": Key(Number(0.05, 60), "0.5", "Heartbeat period, seconds."),
             "silence_s": Key(Number(0.1, 600), "2", "Silence that closes, seconds."),
             "pool": Key(
@@ -92,8 +100,15 @@
     "logs": Section(
         "Logs and metrics.",
         {
-            "level": Key(Choice("info", "debug"), "info", "What is written."),
-            "statsd": Key(Text(), "", "host:port of statsd over UDP; empty: none."),
+            "level": Key(
+                Choice("error", "info", "debug"),
+                "info",
+                "error: failures; info: also changes of state; debug: every event.",
+            ),
+            "destination": Key(
+                Text(), "stderr", "stderr, stdout or the path of a file."
+            ),
+            "statsd": Key(Address(), "", "Address of statsd over UDP; empty: none."),
             "timeline_events": Key(
                 Number(100, 1_000_000, whole=True), "10000", "Events kept in memory."
             ),
@@ -131,6 +146,14 @@
     CheckError
         With every fault, each naming file, section and key.
     """
+    settings, faults = inspect_settings(file, text)
+    if faults:
+        raise CheckError(faults)
+    return settings
+
+
+def inspect_settings(file: str, text: str) -> tuple[Settings, list[Fault]]:
+    """Read what can be read of a settings file, and find every fault in it."""
     parser, faults = read_ini(file, text)
     for title in parser.sections():
         if title not in SECTIONS:
@@ -141,6 +164,31 @@
         items = dict(parser[title]) if parser.has_section(title) else {}
         values[title], found = section.read(file, title, items)
         faults += found
-    if faults:
-        raise CheckError(faults)
-    return Settings(values)
+    faults += [Fault(file, *fault) for fault in _inconsistent(values)]
+    return Settings(values), faults
+
+
+def _inconsistent(values: dict[str, dict[str, Any]]) -> Iterator[tuple[str, str, str]]:
+    """Yield section, key and message where values do not fit each other."""
+    listen, peers = values["listen"], values["peers"]
+    first: dict[str, str] = {}
+    for key in ("callers", "administration", "peers"):
+        if key not in listen or listen[key].endswith(":0"):
+            continue
+        earlier = first.setdefault(listen[key], key)
+        if earlier != key:
+            yield "listen", key, f"{listen[key]!r} is the address of {earlier} already"
+    if bool(listen.get("certificate_file")) != bool(listen.get("key_file")):
+        yield (
+            "listen",
+            "key_file",
+            "allowed: both certificate_file and key_file, or none",
+        )
+    if {"heartbeat_s", "silence_s"} <= peers.keys():
+        shortest_s = HEARTBEATS_BEFORE_SILENCE * peers["heartbeat_s"]
+        if peers["silence_s"] < shortest_s:
+            yield (
+                "peers",
+                "silence_s",
+                f"allowed: from twice heartbeat_s, {shortest_s:g}",
+            )
--- a/packages/core/src/knapweedbridge_core/timeline.py
+++ b/packages/core/src/knapweedbridge_core/timeline.py
@@ -52,23 +52,66 @@
     fields: dict[str, Any]
 
 
+@dataclass(slots=True, frozen=True)
+class EventFilter:
+    """Which events are wanted; an empty text stands for all.
+
+    Parameters
+    ----------
+    request : str
+        Request id; an event of one of its attempts fits too.
+    adapter : str
+        ``adapter`` for all its versions, or ``adapter@version``.
+    endpoint : str
+        Name of an endpoint.
+    since_us, until_us : int
+        Bounds of the wall clock in microseconds, both included.
+    limit : int
+        Most events given.
+    """
+
+    request: str = ""
+    adapter: str = ""
+    endpoint: str = ""
+    since_us: int = 0
+    until_us: int = 1 << 62
+    limit: int = 1000
+
+    def fits(self, event: TimelineEvent) -> bool:
+        """Tell whether an event is wanted."""
+        fields = event.fields
+        return (
+            self.since_us <= event.stamp.wall_us <= self.until_us
+            and self.endpoint in ("", fields.get("endpoint"))
+            and self._fits_request(fields)
+            and self._fits_adapter(str(fields.get("model", "")))
+        )
+
+    def _fits_request(self, fields: dict[str, Any]) -> bool:
+        if self.request in ("", fields.get("request")):
+            return True
+        return str(fields.get("attempt", "")).rpartition(".")[0] == self.request
+
+    def _fits_adapter(self, model: str) -> bool:
+        return self.adapter in ("", model, model.partition("@")[0])
+
+
 class Timeline:
     """The last events of one host."""
 
     def __init__(self, host: str, events: int) -> None:
-        self._host = host
+        self.host = host
         self._events: deque[TimelineEvent] = deque(maxlen=events)
         self.clock = HybridClock()
 
     def add(self, kind: str, fields: dict[str, Any], wall_us: int) -> None:
         """Add an event; the oldest falls out when the ring is full."""
         stamp = self.clock.next(wall_us)
-        self._events.append(TimelineEvent(stamp, self._host, kind, fields))
-
-    def select(self, **wanted: str) -> list[TimelineEvent]:
-        """Return events whose fields have the wanted values."""
-        return [
-            event
-            for event in self._events
-            if all(str(event.fields.get(key)) == value for key, value in wanted.items())
-        ]
+        self._events.append(TimelineEvent(stamp, self.host, kind, fields))
+
+    def __len__(self) -> int:
+        return len(self._events)
+
+    def select(self, wanted: EventFilter) -> list[TimelineEvent]:
+        """Return the events that are wanted, the oldest first."""
+        return [event for event in self._events if wanted.fits(event)]
--- a/packages/daemon/src/knapweedbridge_daemon/administration.py
+++ b/packages/daemon/src/knapweedbridge_daemon/administration.py
@@ -1,22 +1,47 @@
-"""The administration API."""
+"""The administration API: routes, and what each answers.
 
-import json
+Every answer is JSON. An error is ``{"error": {"code", "message"}}`` with a
+stable code, see `api_errors.ErrorCode`.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import asdict
 from typing import Any
 
 from starlette.applications import Starlette
-from starlette.requests import Request
+from starlette.exceptions import HTTPException
+from starlette.requests import ClientDisconnect, Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
 from knapweedbridge_core import events
 from knapweedbridge_core.errors import CheckError
-from knapweedbridge_core.folder import merge_folder
-from knapweedbridge_daemon.configurations import Accepted, write_configuration
+from knapweedbridge_daemon import inventory
+from knapweedbridge_daemon.access import Caller, identify, require_administrator
+from knapweedbridge_daemon.api_bodies import (
+    check_query,
+    read_folder_body,
+    read_host_body,
+    read_number,
+    read_rollback_body,
+)
+from knapweedbridge_daemon.api_errors import ApiError, ErrorCode, faults_error
 from knapweedbridge_daemon.driver import Driver
-from knapweedbridge_daemon.errors import StoreError
-from knapweedbridge_daemon.keys import bearer_key, hash_key
+from knapweedbridge_daemon.errors import GenerationGoneError, StoreError
+from knapweedbridge_daemon.history import list_generations
+from knapweedbridge_daemon.proposals import Collision, Proposals, Written, visible
 from knapweedbridge_daemon.store import KeyValueStore
 
+MAX_GENERATION = 1 << 62
+MAX_PAGE = 1000
+DEFAULT_PAGE = 100
+MAX_EVENTS = 100_000
+DEFAULT_EVENTS = 1000
+MAX_WALL_US = 1 << 62
+
+Drain = Callable[[], Awaitable[None]]
+Answer = Callable[[Request, Caller], Awaitable[Any]]
+
 
 class Administration:
     """Handlers of the administration API.
@@ -29,115 +54,189 @@
         Where configurations are written.
     first_key_hash : str
         Hash of a key that works while no configuration is in force.
+    drain : callable
+        Starts the graceful end of this daemon.
     """
 
     def __init__(
-        self, driver: Driver, store: KeyValueStore, first_key_hash: str
+        self,
+        driver: Driver,
+        store: KeyValueStore,
+        first_key_hash: str,
+        drain: Drain | None = None,
     ) -> None:
         self._driver = driver
         self._store = store
+        self._proposals = Proposals(store, driver.bridge)
         self._first_key_hash = first_key_hash
+        self._drain = drain
 
     def app(self) -> Starlette:
         """Return the ASGI application."""
         routes = [
-            Route("/v1/configuration", self._configuration, methods=["GET"]),
-            Route("/v1/configuration", self._apply, methods=["POST"]),
-            Route("/v1/status", self._status),
-            Route("/v1/endpoints", self._endpoints),
-            Route("/v1/timeline", self._timeline),
+            self._route("/v1/configuration", self._show_configuration),
+            self._route("/v1/configuration", self._apply, "POST"),
+            self._route("/v1/check", self._check, "POST"),
+            self._route("/v1/diff", self._diff, "POST"),
+            self._route("/v1/rollback", self._rollback, "POST"),
+            self._route("/v1/generations", self._generations),
+            self._route("/v1/status", self._status),
+            self._route("/v1/adapters", self._adapters),
+            self._route("/v1/endpoints", self._endpoints),
+            self._route("/v1/timeline", self._timeline),
+            self._route("/v1/drain", self._start_drain, "POST"),
         ]
-        return Starlette(routes=routes)
-
-    def _allowed(self, request: Request) -> bool:
-        configuration = self._driver.bridge.configuration
-        key = bearer_key(request.headers, configuration)
-        if key is not None:
-            return key.role in ("operator", "administrator")
-        shown = request.headers.get("authorization", "").removeprefix("Bearer ")
-        first = bool(self._first_key_hash) and configuration.generation == 0
-        return first and hash_key(shown) == self._first_key_hash
-
-    async def _configuration(self, request: Request) -> Response:
-        if not self._allowed(request):
-            return _refused()
-        configuration = self._driver.bridge.configuration
-        return JSONResponse(
-            {"generation": configuration.generation, "sections": configuration.sections}
+        handlers: Any = {HTTPException: _http_error}
+        return Starlette(routes=routes, exception_handlers=handlers)
+
+    def _route(self, path: str, answer: Answer, method: str = "GET") -> Route:
+        async def serve(request: Request) -> Response:
+            try:
+                configuration = self._driver.bridge.configuration
+                caller = identify(request.headers, configuration, self._first_key_hash)
+                return JSONResponse(await answer(request, caller))
+            except ApiError as error:
+                return error.response()
+            except CheckError as error:
+                return faults_error(error.faults).response()
+            except GenerationGoneError as error:
+                return ApiError(ErrorCode.NOT_FOUND, str(error)).response()
+            except StoreError as error:
+                return ApiError(ErrorCode.STORE_DOWN, str(error)).response()
+            except ClientDisconnect:
+                return Response(status_code=499)
+
+        return Route(path, serve, methods=[method])
+
+    async def _show_configuration(self, request: Request, caller: Caller) -> Any:
+        check_query(request.query_params, ("generation",))
+        in_force = self._driver.bridge.configuration
+        generation = read_number(
+            request.query_params, "generation", in_force.generation, MAX_GENERATION
         )
-
-    async def _apply(self, request: Request) -> Response:
-        if not self._allowed(request):
-            return _refused()
-        body = json.loads(await request.body())
-        try:
-            sections = merge_folder(body["files"].items())
-            ended = await write_configuration(
-                self._store,
-                body["based_on"],
-                sections,
-                self._driver.bridge.distribution.highest_known,
-            )
-        except CheckError as error:
-            faults = [str(fault) for fault in error.faults]
-            return JSONResponse({"faults": faults}, status_code=422)
-        except StoreError as error:
-            return JSONResponse({"message": str(error)}, status_code=503)
-        status = 200 if isinstance(ended, Accepted) else 409
-        return JSONResponse({"generation": ended.generation}, status_code=status)
-
-    async def _status(self, request: Request) -> Response:
-        if not self._allowed(request):
-            return _refused()
-        await self._driver.submit(events.GenerationsAsked())
-        bridge = self._driver.bridge
-        peers = {
-            member.name: {"linked": member.linked, "generation": member.generation}
-            for member in bridge.members.known()
-        }
-        return JSONResponse(
-            {
-                "host": bridge.host,
-                "generation": bridge.configuration.generation,
-                "configuration": bridge.distribution.status(),
-                "isolated": bridge.members.unsure,
-                "owned": sorted(bridge.ledgers),
-                "requests": self._driver.following,
-                "peers": peers,
-            }
+        sections = await self._proposals.sections_at(generation)
+        return {"generation": generation, "sections": visible(caller, sections)}
+
+    async def _check(self, request: Request, caller: Caller) -> Any:
+        body = await read_folder_body(request)
+        checked = await self._proposals.check(caller, body.files)
+        return {"sections": len(visible(caller, checked.wanted))}
+
+    async def _diff(self, request: Request, caller: Caller) -> Any:
+        body = await read_folder_body(request)
+        checked = await self._proposals.check(caller, body.files)
+        changes = [asdict(change) for change in checked.changes()]
+        return {"generation": checked.generation, "changes": changes}
+
+    async def _apply(self, request: Request, caller: Caller) -> Any:
+        body = await read_folder_body(request)
+        based_on = self._base(body.based_on)
+        ended = await self._proposals.apply(caller, based_on, body.files)
+        return self._end_write(caller, based_on, ended)
+
+    async def _rollback(self, request: Request, caller: Caller) -> Any:
+        body = await read_rollback_body(request)
+        based_on = self._base(body.based_on)
+        ended = await self._proposals.rollback(caller, based_on, body.generation)
+        return self._end_write(caller, based_on, ended)
+
+    def _base(self, named: int | None) -> int:
+        return self._driver.bridge.configuration.generation if named is None else named
+
+    def _end_write(
+        self, caller: Caller, based_on: int, ended: Written | Collision
+    ) -> Any:
+        if isinstance(ended, Collision):
+            raise _conflict(based_on, ended)
+        self._driver.record(
+            "configuration.accepted",
+            key=caller.name,
+            team=caller.team,
+            generation=ended.generation,
+            changes=len(ended.changes),
         )
+        self._driver.count("configuration.accepted")
+        changes = [asdict(change) for change in ended.changes]
+        return {"generation": ended.generation, "changes": changes}
 
-    async def _endpoints(self, request: Request) -> Response:
-        if not self._allowed(request):
-            return _refused()
-        view = self._driver.bridge.view
-        found = {
-            name: {
-                "owner": state.owner,
-                "number": state.number,
-                "loaded": sorted(map(str, state.loaded)),
-                "running": state.running,
-            }
-            for name, state in view.endpoints.items()
-        }
-        return JSONResponse(found)
-
-    async def _timeline(self, request: Request) -> Response:
-        if not self._allowed(request):
-            return _refused()
-        wanted = dict(request.query_params)
-        found: list[dict[str, Any]] = [
+    async def _generations(self, request: Request, caller: Caller) -> Any:
+        kept = await list_generations(self._store)
+        found = [
             {
-                "wall_us": event.stamp.wall_us,
-                "count": event.stamp.count,
-                "host": event.host,
-                "kind": event.kind,
-                "fields": event.fields,
+                "generation": generation.number,
+                "key": generation.key,
+                "team": generation.team,
+                "accepted_us": generation.accepted_us,
             }
-            for event in self._driver.select_timeline(wanted)
+            for generation in kept
         ]
-        return JSONResponse(found)
-
+        return {"generations": found}
 
-def _refused() -> Response:
-    return JSONResponse({"message": "this key may not do that"}, status_code=403)
+    async def _status(self, request: Request, caller: Caller) -> Any:
+        await self._driver.submit(events.GenerationsAsked())
+        return inventory.status(self._driver)
+
+    async def _adapters(self, request: Request, caller: Caller) -> Any:
+        query = request.query_params
+        check_query(query, ("prefix", "after", "limit", "loaded", "team"))
+        loaded = query.get("loaded", "")
+        if loaded not in ("", "yes", "no"):
+            message = f"loaded: {loaded!r}: one of yes, no"
+            raise ApiError(ErrorCode.BAD_REQUEST, message)
+        wanted = inventory.AdapterFilter(
+            prefix=query.get("prefix", ""),
+            after=query.get("after", ""),
+            team=query.get("team", "") if caller.administrator else caller.team,
+            loaded=loaded,
+            limit=read_number(query, "limit", DEFAULT_PAGE, MAX_PAGE),
+        )
+        return inventory.adapters(self._driver.bridge, wanted)
+
+    async def _endpoints(self, request: Request, caller: Caller) -> Any:
+        check_query(request.query_params, ())
+        return inventory.endpoints(self._driver.bridge, caller)
+
+    async def _timeline(self, request: Request, caller: Caller) -> Any:
+        query = request.query_params
+        allowed = ("request", "adapter", "endpoint", "since_us", "until_us", "limit")
+        check_query(query, allowed)
+        require_administrator(caller)
+        wanted = inventory.EventFilter(
+            request=query.get("request", ""),
+            adapter=query.get("adapter", ""),
+            endpoint=query.get("endpoint", ""),
+            since_us=read_number(query, "since_us", 0, MAX_WALL_US),
+            until_us=read_number(query, "until_us", MAX_WALL_US, MAX_WALL_US),
+            limit=read_number(query, "limit", DEFAULT_EVENTS, MAX_EVENTS),
+        )
+        return inventory.timeline(self._driver, wanted)
+
+    async def _start_drain(self, request: Request, caller: Caller) -> Any:
+        require_administrator(caller)
+        named, host = await read_host_body(request), self._driver.bridge.host
+        if named != host:
+            message = f"this is {host}, not {named}: ask that host's own daemon"
+            raise ApiError(ErrorCode.NOT_FOUND, message)
+        if self._drain is not None:
+            self._driver.record("drain.asked", key=caller.name)
+            await self._drain()
+        return {"host": host, "draining": True}
+
+
+def _conflict(based_on: int, collision: Collision) -> ApiError:
+    message = f"generation {collision.generation} came after {based_on}"
+    return ApiError(
+        ErrorCode.CONFLICT,
+        message,
+        generation=collision.generation,
+        based_on=based_on,
+        base_kept=collision.base_kept,
+        mine=[asdict(change) for change in collision.mine],
+        theirs=[asdict(change) for change in collision.theirs],
+    )
+
+
+async def _http_error(request: Request, error: HTTPException) -> Response:
+    code = {404: ErrorCode.NOT_FOUND}.get(error.status_code, ErrorCode.BAD_REQUEST)
+    body = {"error": {"code": str(code), "message": str(error.detail)}}
+    return JSONResponse(body, status_code=error.status_code)
--- a/packages/daemon/src/knapweedbridge_daemon/daemon.py
+++ b/packages/daemon/src/knapweedbridge_daemon/daemon.py
@@ -8,7 +8,6 @@
 
 import anyio
 from anyio.abc import TaskGroup
-from eliot import log_message
 
 from knapweedbridge_core import Bridge, events
 from knapweedbridge_core.context import Timing
@@ -21,6 +20,7 @@
 from knapweedbridge_daemon.errors import DaemonError
 from knapweedbridge_daemon.hosts import HostList, HttpHostList
 from knapweedbridge_daemon.metrics import Metrics
+from knapweedbridge_daemon.observer import Observer
 from knapweedbridge_daemon.peers import Peers
 from knapweedbridge_daemon.store import EtcdStore, KeyValueStore
 from knapweedbridge_daemon.watching import ConfigurationReader
@@ -73,10 +73,17 @@
             settings.get("peers", "silence_s"),
             settings.get("peers", "pool") == "deployment",
         )
-        bridge = Bridge(settings.host, settings.data_centre, self._incarnation, timing)
+        bridge = Bridge(
+            settings.host,
+            settings.data_centre,
+            self._incarnation,
+            timing,
+            settings.get("listen", "administration"),
+        )
         timeline = Timeline(settings.host, settings.get("logs", "timeline_events"))
         metrics = Metrics(settings.get("logs", "statsd"))
-        return Driver(bridge, store, connections.fresh, timeline, metrics)
+        observer = Observer(timeline, metrics, settings.get("logs", "level"))
+        return Driver(bridge, store, connections.fresh, observer)
 
     async def _serve(
         self,
@@ -87,7 +94,9 @@
     ) -> None:
         settings = self._settings
         first_key_hash = settings.get("listen", "first_key_hash")
-        administration = Administration(driver, store, first_key_hash).app()
+        administration = Administration(
+            driver, store, first_key_hash, lambda: self._drain(driver)
+        ).app()
         callers = CallersApp(
             driver, connections, settings.get("requests", "deadline_s")
         )
@@ -102,12 +111,12 @@
             background.start_soon(self._read_hosts, driver, hosts, background)
             background.start_soon(self._make_reader(driver, store).run)
             background.start_soon(self._await_signal, driver)
-            log_message("daemon.started", host=settings.host)
+            driver.record("daemon.started")
             async with anyio.create_task_group() as tasks:
                 for name, app in faces.items():
                     config = make_config(settings.get("listen", name), drain_s)
                     tasks.start_soon(serve_until, app, config, self._stop)
-            log_message("daemon.stopped", host=settings.host)
+            driver.record("daemon.stopped")
             background.cancel_scope.cancel()
 
     def _make_peers(self, driver: Driver) -> Peers:
@@ -132,7 +141,9 @@
                 listed = await hosts.read()
             except DaemonError:
                 driver.count("platform.host_list_failed")
+                driver.note_platform("host_list", False)
             else:
+                driver.note_platform("host_list", True)
                 addresses = {
                     host.name: host.address for host in listed if host.kind == "daemon"
                 }
@@ -148,6 +159,8 @@
     async def _await_signal(self, driver: Driver) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
-                log_message("daemon.draining", host=self._settings.host)
-                await driver.submit(events.DrainBegan())
-                self._stop.set()
+                await self._drain(driver)
+
+    async def _drain(self, driver: Driver) -> None:
+        await driver.submit(events.DrainBegan())
+        self._stop.set()
--- a/packages/daemon/src/knapweedbridge_daemon/driver.py
+++ b/packages/daemon/src/knapweedbridge_daemon/driver.py
@@ -23,10 +23,10 @@
     StoreRead,
     StoreWrite,
 )
-from knapweedbridge_core.timeline import Timeline, TimelineEvent
+from knapweedbridge_core.timeline import EventFilter, TimelineEvent
 from knapweedbridge_daemon.endpoints import HttpEndpoint
 from knapweedbridge_daemon.errors import EndpointError, StoreError
-from knapweedbridge_daemon.metrics import Metrics
+from knapweedbridge_daemon.observer import Observer
 from knapweedbridge_daemon.peers import Peers
 from knapweedbridge_daemon.store import KeyValueStore, Transaction
 
@@ -46,10 +46,8 @@
         The platform's service.
     client : httpx.AsyncClient
         Connections to endpoints.
-    timeline : Timeline
-        Ring that takes the core's records.
-    metrics : Metrics
-        Counters.
+    observer : Observer
+        Takes records and counts.
     """
 
     def __init__(
@@ -57,15 +55,13 @@
         bridge: Bridge,
         store: KeyValueStore,
         client: httpx.AsyncClient,
-        timeline: Timeline,
-        metrics: Metrics,
+        observer: Observer,
     ) -> None:
         self.bridge = bridge
         self.peers: Peers | None = None
         self._store = store
         self._client = client
-        self._timeline = timeline
-        self._metrics = metrics
+        self._observer = observer
         send, receive = anyio.create_memory_object_stream[Any](INBOX_EVENTS)
         self._inbox = send
         self._events = receive
@@ -100,6 +96,7 @@
     async def _tick(self, tick_s: float) -> None:
         while True:
             await self._inbox.send(events.Tick())
+            self._observer.gauge(self.bridge, self.following)
             await anyio.sleep(tick_s)
 
     def follow(self, request_id: str) -> MemoryObjectReceiveStream[Step]:
@@ -119,11 +116,19 @@
 
     def count(self, name: str, value: int = 1) -> None:
         """Add to a counter."""
-        self._metrics.count(name, value)
+        self._observer.metrics.count(name, value)
 
-    def select_timeline(self, wanted: dict[str, str]) -> list[TimelineEvent]:
-        """Return this daemon's events whose fields have the wanted values."""
-        return self._timeline.select(**wanted)
+    def record(self, kind: str, **fields: Any) -> None:
+        """Add an event of the shell to the time line."""
+        self._observer.take(kind, fields)
+
+    def note_platform(self, part: str, answers: bool) -> None:
+        """Record when a part of the platform is lost or answers again."""
+        self._observer.note_platform(part, answers)
+
+    def select_timeline(self, wanted: EventFilter) -> list[TimelineEvent]:
+        """Return this daemon's events that are wanted."""
+        return self._observer.timeline.select(wanted)
 
     def _start(self, work: Callable[..., Any], action: Any) -> None:
         assert self._tasks is not None
@@ -139,7 +144,7 @@
             stream.send_nowait(action)
 
     def _record(self, action: Record) -> None:
-        self._timeline.add(action.kind, action.fields, time.time_ns() // 1000)
+        self._observer.take(action.kind, action.fields)
 
     def _count(self, action: Count) -> None:
         self.count(action.name, action.value)
--- a/packages/daemon/src/knapweedbridge_daemon/errors.py
+++ b/packages/daemon/src/knapweedbridge_daemon/errors.py
@@ -29,3 +29,11 @@
 
 class MissingPartError(StoreError):
     """A part of an old root was deleted while it was being read."""
+
+
+class GenerationGoneError(DaemonError):
+    """A generation that is not kept was asked for."""
+
+
+class LocalFileError(DaemonError):
+    """A file that the settings name cannot be read."""
--- a/packages/daemon/src/knapweedbridge_daemon/main.py
+++ b/packages/daemon/src/knapweedbridge_daemon/main.py
@@ -3,15 +3,17 @@
 import sys
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, NoReturn
 
 import anyio
 import cappa
-from eliot import to_file
 
 from knapweedbridge_core.errors import CheckError
-from knapweedbridge_core.settings import Settings, read_settings
+from knapweedbridge_core.settings import Settings
 from knapweedbridge_daemon.daemon import Daemon
+from knapweedbridge_daemon.errors import LocalFileError
+from knapweedbridge_daemon.local_files import load_settings
+from knapweedbridge_daemon.logs import logging_to
 
 EXIT_BAD_SETTINGS = 2
 
@@ -33,8 +35,16 @@
         """Check the settings, then serve until a signal."""
         settings = self._read()
         if self.check:
+            print(f"{self.settings}: no fault")
             return
-        to_file(sys.stderr)
+        try:
+            with logging_to(settings.get("logs", "destination")):
+                self._serve(settings)
+        except LocalFileError as error:
+            _refuse(error)
+
+    @staticmethod
+    def _serve(settings: Settings) -> None:
         anyio.run(
             Daemon(settings).run,
             backend="asyncio",
@@ -43,10 +53,14 @@
 
     def _read(self) -> Settings:
         try:
-            return read_settings(str(self.settings), self.settings.read_text())
-        except (CheckError, OSError) as error:
-            print(error, file=sys.stderr)
-            sys.exit(EXIT_BAD_SETTINGS)
+            return load_settings(self.settings)
+        except (CheckError, LocalFileError) as error:
+            _refuse(error)
+
+
+def _refuse(error: Exception) -> NoReturn:
+    print(error, file=sys.stderr)
+    sys.exit(EXIT_BAD_SETTINGS)
 
 
 def main() -> None:
--- a/packages/daemon/src/knapweedbridge_daemon/watching.py
+++ b/packages/daemon/src/knapweedbridge_daemon/watching.py
@@ -51,8 +51,10 @@
         while True:
             try:
                 await self._turn()
+                self._driver.note_platform("key_value", True)
             except DaemonError:
                 self._driver.count("platform.key_value_failed")
+                self._driver.note_platform("key_value", False)
                 await anyio.sleep(self._poll_s)
 
     async def _turn(self) -> None:
--- a/packages/standins/src/knapweedbridge_standins/history/world.py
+++ b/packages/standins/src/knapweedbridge_standins/history/world.py
@@ -134,9 +134,9 @@
             adapter = {"team": "optics", "base_model": "namib-7b"}
             sections[f"adapter {model.adapter}"] = adapter
             sections[f"version {model}"] = {}
-        for name in self.engines:
+        for port, name in enumerate(self.engines, 1):
             sections[f"endpoint {name}"] = {
-                "address": "127.0.0.1:1",
+                "address": f"127.0.0.1:{port}",
                 "data_centre": DATA_CENTRE,
                 "base_model": "namib-7b",
                 "slots": str(slots),
