--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -80,10 +80,14 @@
     def daemon(self, place: int) -> None:
         """Start a daemon."""
         settings = self._folder / f"host-{place}.ini"
-        settings.write_text(self.example.settings(place, str(self._folder / "secret")))
+        settings.write_text(self.settings(place))
         binary = Path(sys.executable).parent / "knapweedbridged"
         self._start(f"host-{place}", [str(binary), "--settings", str(settings)])
 
+    def settings(self, place: int) -> str:
+        """Return the settings of a daemon as INI text."""
+        return self.example.settings(place, str(self._folder / "secret"))
+
     def _start(self, name: str, command: list[str]) -> None:
         with open(self._folder / f"{name}.log", "ab") as log:
             self.processes[name] = subprocess.Popen(command, stdout=log, stderr=log)
--- a/packages/core/src/knapweedbridge_core/settings.py
+++ b/packages/core/src/knapweedbridge_core/settings.py
@@ -92,6 +92,16 @@
             "keepalive_s": Key(
                 Number(1, 600), "5", "Silence before the kernel probes, seconds."
             ),
+            "join_wait_s": Key(
+                Number(0, 0.05),
+                "0",
+                "Longest wait to join tokens into one write, seconds; 0: none.",
+            ),
+            "max_body_bytes": Key(
+                Number(1024, 1 << 30, whole=True),
+                "4194304",
+                "Largest body of a request, bytes.",
+            ),
             "drain_timeout_s": Key(
                 Number(0, 86400), "600", "Longest wait for streams at exit, seconds."
             ),
