--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 PACKAGES := core daemon cli standins
 
-.PHONY: install demo test lint processes
+.PHONY: bench-relay install demo test lint processes
 
 $(VENV)/.installed: requirements.txt packages/*/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -28,3 +28,6 @@
 
 processes: install
 	$(BIN)/python bench/processes.py
+
+bench-relay: install
+	$(BIN)/python bench/relay.py --keep
--- a/bench/relay_bare.py
+++ b/bench/relay_bare.py
@@ -21,6 +21,7 @@
         self._engine = engine
 
     async def __call__(self, scope, receive, send) -> None:
+        """Relay one request."""
         if scope["type"] == "lifespan":
             await self._lifespan(receive, send)
             return
--- a/bench/relay_engine.py
+++ b/bench/relay_engine.py
@@ -45,14 +45,17 @@
         self._next = 0
 
     def add(self, transport: asyncio.Transport) -> None:
+        """Begin a stream in the next batch."""
         self._next = (self._next + 1) % GROUPS
         self._groups[self._next][transport] = 0
 
     def remove(self, transport: asyncio.Transport) -> None:
+        """End a stream."""
         for group in self._groups:
             group.pop(transport, None)
 
     async def run(self) -> None:
+        """Step for ever, one batch after the other."""
         loop = asyncio.get_running_loop()
         at_s, place = loop.time(), 0
         while True:
@@ -78,12 +81,15 @@
         self._buffer = b""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """See `asyncio.Protocol`."""
         self._transport = transport
 
     def connection_lost(self, error: Exception | None) -> None:
+        """See `asyncio.Protocol`."""
         self._batches.remove(self._transport)
 
     def data_received(self, data: bytes) -> None:
+        """See `asyncio.Protocol`."""
         self._buffer += data
         head, found, body = self._buffer.partition(b"\r\n\r\n")
         if not found:
--- a/bench/relay_load.py
+++ b/bench/relay_load.py
@@ -47,11 +47,13 @@
         self._tail = b""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """See `asyncio.Protocol`."""
         self._sent_s = self._last_s = time.perf_counter()
         self._seen.requests += self._seen.measuring
         transport.write(REQUEST % (CALLER_KEY.encode(), len(BODY), BODY))
 
     def data_received(self, data: bytes) -> None:
+        """See `asyncio.Protocol`."""
         kept = self._tail + data
         count = kept.count(EVENT)
         self._tail = kept[-(len(EVENT) - 1) :]
@@ -68,6 +70,7 @@
         self._last_s = now_s
 
     def connection_lost(self, error: Exception | None) -> None:
+        """See `asyncio.Protocol`."""
         if self._seen.measuring:
             whole = self._got == self._tokens
             self._seen.whole += whole
