--- a/features/attempts/outcomes.feature
+++ b/features/attempts/outcomes.feature
@@ -74,12 +74,13 @@
 
   Scenario: A grant goes back to the owner that gave it
     The endpoint changes its owner while the answer streams. Returned to the
-    new owner, the grant of the old one would never be returned.
+    new owner alone, the grant of the old one would never be returned; and the
+    new one, which collects the grants of the old, would keep it until it asks.
 
     Given a streamed request was dispatched
     When "host-2" takes over the engines
     And its attempt ends as "Complete whole"
-    Then the grant of "r1.1" went back to "host-1"
+    Then the grant of "r1.1" went back to "host-2" and "host-1"
 
   Scenario: A deadline ends a dispatched request too, at once
     The endpoint streams on and on. The caller waits past its deadline though
--- a/features/attempts/steps/core_steps.py
+++ b/features/attempts/steps/core_steps.py
@@ -56,7 +56,11 @@
             self.tell(events.PeerLinked(peer.name))
         self.owned_by("host-1", 1)
 
+    def given(self, ask):
+        return messages.GrantGiven(ask.attempt_id, ask.endpoint, self.number)
+
     def owned_by(self, owner, number):
+        self.number = number
         for name in ENGINES:
             self.hear(owner, messages.SlotsChanged(name, owner, number, [MODEL], 0))
 
@@ -102,7 +106,7 @@
 
     def grant(self):
         owner, ask = self.sent(messages.GrantAsk)[-1]
-        self.hear(owner, messages.GrantGiven(ask.attempt_id, ask.endpoint))
+        self.hear(owner, self.given(ask))
 
     def end(self, outcome, attempt_id=""):
         attempt_id = attempt_id or self.taken(Dispatch)[-1].attempt_id
@@ -161,7 +165,7 @@
 def late_grant(context):
     owner, ask = context.core.sent(messages.GrantAsk)[0]
     context.core.actions.clear()
-    context.core.hear(owner, messages.GrantGiven(ask.attempt_id, ask.endpoint))
+    context.core.hear(owner, context.core.given(ask))
 
 
 @when('"{owner}" takes over the engines')
@@ -210,13 +214,14 @@
     assert not context.core.taken(Finish)
 
 
-@then('the grant of "{attempt_id}" went back to "{owner}"')
-def grant_back(context, attempt_id, owner):
+@then('the grant of "{attempt_id}" went back to {owners}')
+def grant_back(context, attempt_id, owners):
+    wanted = [owner.strip('"') for owner in owners.split(" and ")]
     back = [
         (host, message.attempt_id)
         for host, message in context.core.sent(messages.GrantReturned)
     ]
-    assert back == [(owner, attempt_id)], back
+    assert back == [(owner, attempt_id) for owner in wanted], back
 
 
 @then("no grant went back")
--- a/packages/core/src/knapweedbridge_core/bridge.py
+++ b/packages/core/src/knapweedbridge_core/bridge.py
@@ -6,11 +6,15 @@
 from knapweedbridge_core.configuration import Configuration
 from knapweedbridge_core.configuration_side import ConfigurationSide
 from knapweedbridge_core.context import Context, Timing
+from knapweedbridge_core.estate import Estate
+from knapweedbridge_core.grant_side import GrantSide
+from knapweedbridge_core.holder_side import HolderSide
 from knapweedbridge_core.ledger import Ledger
 from knapweedbridge_core.load_side import LoadSide
 from knapweedbridge_core.member_side import MemberSide
 from knapweedbridge_core.members import Members
 from knapweedbridge_core.operator_side import OperatorSide
+from knapweedbridge_core.order_side import OrderSide
 from knapweedbridge_core.owner_side import OwnerSide
 from knapweedbridge_core.request_side import RequestSide
 from knapweedbridge_core.view import View
@@ -41,19 +45,18 @@
     ) -> None:
         self._context = Context(host, data_centre, incarnation, timing or Timing())
         self.requests = RequestSide(self._context)
-        self.owner = OwnerSide(self._context)
+        estate = Estate(self._context)
+        self.holder = HolderSide(self._context)
+        self.owner = OwnerSide(self._context, estate)
+        self.grants = GrantSide(self._context, estate)
+        self.orders = OrderSide(self._context, estate)
         self.loads = LoadSide(self._context)
         member = MemberSide(self._context)
         self.distribution = ConfigurationSide(self._context)
         self.operators = OperatorSide(self._context, administration)
-        sides = (
-            member,
-            self.distribution,
-            self.owner,
-            self.loads,
-            self.requests,
-            self.operators,
-        )
+        owning = (self.holder, self.owner, self.grants, self.orders)
+        roles = (self.distribution, *owning, self.loads, self.requests)
+        sides = (member, *roles, self.operators)
         for side in sides:
             self._context.take(side)
 
@@ -97,4 +100,4 @@
     @property
     def ledgers(self) -> dict[str, Ledger]:
         """The ledgers of the endpoints this daemon owns."""
-        return self.owner.ledgers
+        return {name: held.ledger for name, held in self.owner.tenures.items()}
--- a/packages/core/src/knapweedbridge_core/context.py
+++ b/packages/core/src/knapweedbridge_core/context.py
@@ -7,10 +7,12 @@
 
 from knapweedbridge_core.actions import Action, Record, SendPeer
 from knapweedbridge_core.configuration import Configuration, EndpointEntry
+from knapweedbridge_core.fencing import Fences
 from knapweedbridge_core.members import Members
 from knapweedbridge_core.view import View
 
 Handler = Callable[[Any], None]
+Watcher = Callable[[str, Any], None]
 
 
 @dataclass(slots=True, frozen=True)
@@ -53,11 +55,13 @@
         self.silence_s = timing.silence_s
         self.isolated = False
         self.view = View()
+        self.fences = Fences()
         self.leaving: set[str] = set()
         self.now_s = 0.0
         self.sender = host
         self._actions: list[Action] = []
         self._handlers: dict[type, list[Handler]] = {}
+        self._watchers: dict[type, list[Watcher]] = {}
 
     def take(self, side: "Side") -> None:
         """Let a side handle its events and messages."""
@@ -86,8 +90,14 @@
         """Ask the shell for an action."""
         self._actions.append(action)
 
+    def watch(self, kind: type, watcher: Watcher) -> None:
+        """Let a side see the messages of a kind that this daemon sends."""
+        self._watchers.setdefault(kind, []).append(watcher)
+
     def send(self, host: str, message: Any) -> None:
         """Send a message to a daemon, which may be this one."""
+        for watcher in self._watchers.get(type(message), []):
+            watcher(host, message)
         if host == self.host:
             self.receive(self.host, message)
         else:
--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/estate.py
@@ -0,0 +1,88 @@
+"""The endpoints that this daemon owns, shared by the owner's sides."""
+
+from knapweedbridge_core.context import Context
+from knapweedbridge_core.leases import DaemonLease
+from knapweedbridge_core.messages import SlotsChanged
+from knapweedbridge_core.names import AdapterVersion
+from knapweedbridge_core.owners import Owners
+from knapweedbridge_core.tenure import Tenure
+
+
+class Estate:
+    """Lease, claims and tenures, and what they allow now.
+
+    Parameters
+    ----------
+    context : Context
+        What it shares with the other sides.
+    """
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self.lease = DaemonLease(context.host, context.incarnation)
+        self.owners = Owners(
+            context.host, context.incarnation, context.members, self.lease
+        )
+        self.tenures: dict[str, Tenure] = {}
+        self.heirs: dict[str, str] = {}
+
+    def has_contact(self) -> bool:
+        """Tell whether most daemons, this one counted, answer it.
+
+        A successor evicts only after it asked most daemons too, so one that both
+        hear tells an owner without a lease that it was succeeded.
+        """
+        members = self._context.members
+        return 2 * (len(members.peers()) + 1) > len(members.known()) + 1
+
+    def may_grant(self, tenure: Tenure, model: AdapterVersion) -> bool:
+        """Tell whether a grant given now is known to every later owner."""
+        now_s = self._context.now_s
+        if not tenure.ready or self.owners.is_handing(tenure.endpoint):
+            return False
+        if tenure.takeover.is_condemned(model, now_s):
+            return False
+        informed = tenure.takeover.may_grant(model, now_s)
+        if not informed and not tenure.checks_fencing:
+            return False
+        return self.owners.holds(tenure.endpoint, now_s) or self.has_contact()
+
+    def may_order_eviction(self, tenure: Tenure) -> bool:
+        """Tell whether an eviction ordered now cannot hit a later owner's grants."""
+        now_s = self._context.now_s
+        if not tenure.ready or not tenure.takeover.may_evict(now_s):
+            return False
+        if self.owners.is_handing(tenure.endpoint) or not self.has_contact():
+            return False
+        return tenure.checks_fencing or self.owners.holds(tenure.endpoint, now_s)
+
+    def may_load(self, tenure: Tenure, model: AdapterVersion) -> bool:
+        """Tell whether a free slot may be used."""
+        if not tenure.ready or tenure.closing:
+            return False
+        return not tenure.takeover.is_condemned(model, self._context.now_s)
+
+    def grantable(self, tenure: Tenure) -> list[AdapterVersion]:
+        """Return the adapter versions that may be granted."""
+        now_s = self._context.now_s
+        return [
+            model
+            for model in tenure.ledger.loaded
+            if not tenure.takeover.is_condemned(model, now_s)
+        ]
+
+    def publish(self, tenure: Tenure) -> None:
+        """Tell the peers what an endpoint holds."""
+        takeover = tenure.takeover
+        informed = takeover.is_collected or self._context.now_s >= takeover.settled_s
+        if not tenure.ready or not (informed or tenure.checks_fencing):
+            return
+        loaded, running = self.grantable(tenure), tenure.ledger.running
+        tenure.published, tenure.published_running = loaded, running
+        tenure.published_s = self._context.now_s
+        message = SlotsChanged(
+            tenure.endpoint, self._context.host, tenure.number, loaded, running
+        )
+        for peer in self._context.members.peers():
+            self._context.send(peer.name, message)
+        self._context.receive(self._context.host, message)
--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/grant_side.py
@@ -0,0 +1,173 @@
+"""The owner's grants: given, returned, collected, settled when a holder dies."""
+
+from dataclasses import dataclass
+from math import inf
+
+from knapweedbridge_core import events, messages
+from knapweedbridge_core.actions import StoreRead
+from knapweedbridge_core.context import Context, Handler, Side
+from knapweedbridge_core.estate import Estate
+from knapweedbridge_core.leases import LIFE_KEY
+from knapweedbridge_core.outcomes import Reason
+from knapweedbridge_core.tenure import Tenure
+from knapweedbridge_core.times import RECONCILE_S, RETRY_S, SILENT_S
+
+LIFE_TOKEN = "holder-life"
+
+
+@dataclass(slots=True, frozen=True)
+class _Key:
+    endpoint: str
+    number: int
+    host: str
+
+
+@dataclass(slots=True)
+class _Ask:
+    """Since when a holder owes an answer, and when it was asked last."""
+
+    since_s: float
+    sent_s: float = -inf
+    answered: bool = False
+
+
+class GrantSide(Side):
+    """Keeps the grants of the owned endpoints.
+
+    Parameters
+    ----------
+    context : Context
+        What it shares with the other sides.
+    estate : Estate
+        What it shares with the owner's other sides.
+    """
+
+    def __init__(self, context: Context, estate: Estate) -> None:
+        super().__init__(context)
+        self._estate = estate
+        self._asks: dict[_Key, _Ask] = {}
+        self._polled_s: dict[str, float] = {}
+
+    def handlers(self) -> dict[type, Handler]:
+        """See `Side.handlers`."""
+        return {
+            events.Tick: self._tick,
+            events.StoreReplied: self._store_replied,
+            messages.GrantAsk: self._grant_ask,
+            messages.GrantReturned: self._grant_returned,
+            messages.GrantsHeld: self._grants_held,
+        }
+
+    def _grant_ask(self, message: messages.GrantAsk) -> None:
+        tenure = self._estate.tenures.get(message.endpoint)
+        sender, now_s = self._context.sender, self._context.now_s
+        if (
+            tenure is not None
+            and self._estate.may_grant(tenure, message.model)
+            and tenure.ledger.grant(message.model, message.attempt_id, sender, now_s)
+        ):
+            self._record_grant("grant.given", message)
+            given = messages.GrantGiven(
+                message.attempt_id, message.endpoint, tenure.number
+            )
+            self._context.send(sender, given)
+            return
+        self._record_grant("grant.refused", message)
+        refused = messages.GrantRefused(
+            message.attempt_id, message.endpoint, Reason.NOT_LOADED
+        )
+        self._context.send(sender, refused)
+
+    def _record_grant(self, kind: str, asked: messages.GrantAsk) -> None:
+        self._context.record(
+            kind,
+            attempt=asked.attempt_id,
+            endpoint=asked.endpoint,
+            model=str(asked.model),
+            to=self._context.sender,
+        )
+
+    def _grant_returned(self, message: messages.GrantReturned) -> None:
+        tenure = self._estate.tenures.get(message.endpoint)
+        heir = self._estate.heirs.get(message.endpoint)
+        if tenure is not None:
+            tenure.ledger.release(message.model, message.attempt_id)
+        elif heir is not None:
+            self._context.send(heir, message)
+
+    def _grants_held(self, message: messages.GrantsHeld) -> None:
+        tenure = self._estate.tenures.get(message.endpoint)
+        host, now_s = self._context.sender, self._context.now_s
+        if tenure is None or tenure.number != message.number:
+            return
+        key = _Key(tenure.endpoint, tenure.number, host)
+        ask = self._asks.setdefault(key, _Ask(tenure.takeover.began_s, now_s))
+        ask.answered = True
+        if host in tenure.takeover.unheard:
+            held = zip(message.models, message.attempts, strict=True)
+            for model, attempt_id in held:
+                tenure.ledger.held(model, attempt_id, host, now_s)
+            if not tenure.checks_fencing:
+                tenure.takeover.condemn(message.condemned, now_s)
+            tenure.takeover.unheard.discard(host)
+        else:
+            tenure.ledger.keep_only(host, set(message.attempts), ask.since_s)
+
+    def _tick(self, event: events.Tick) -> None:
+        linked = {peer.name for peer in self._context.members.peers()}
+        linked.add(self._context.host)
+        silent: set[str] = set()
+        for tenure in self._estate.tenures.values():
+            silent |= self._ask_due(tenure, linked)
+        self._asks = {key: ask for key, ask in self._asks.items() if self._is_kept(key)}
+        for host in sorted(silent):
+            self._poll_life(host)
+
+    def _is_kept(self, key: _Key) -> bool:
+        tenure = self._estate.tenures.get(key.endpoint)
+        if tenure is None or tenure.number != key.number:
+            return False
+        unheard = key.host in tenure.takeover.unheard
+        return unheard or key.host in tenure.ledger.holders(self._context.now_s)
+
+    def _ask_due(self, tenure: Tenure, linked: set[str]) -> set[str]:
+        """Ask the holders that are due; return those that do not answer."""
+        now_s = self._context.now_s
+        old = tenure.ledger.holders(now_s - RECONCILE_S)
+        silent: set[str] = set()
+        for host in sorted(old | tenure.takeover.unheard):
+            key = _Key(tenure.endpoint, tenure.number, host)
+            ask = self._asks.setdefault(key, _Ask(now_s))
+            if ask.answered and now_s - ask.sent_s >= RECONCILE_S:
+                ask = self._asks[key] = _Ask(now_s)
+            if ask.answered:
+                continue
+            if now_s - ask.since_s >= SILENT_S:
+                silent.add(host)
+            if host in linked and now_s - ask.sent_s >= RETRY_S:
+                ask.sent_s = now_s
+                question = messages.GrantsAsk(tenure.endpoint, tenure.number)
+                self._context.send(host, question)
+        return silent
+
+    def _poll_life(self, host: str) -> None:
+        now_s = self._context.now_s
+        if host == self._context.host:
+            return
+        if now_s - self._polled_s.get(host, -SILENT_S) < SILENT_S:
+            return
+        self._polled_s[host] = now_s
+        key = (LIFE_KEY + host,)
+        self._context.do(StoreRead(f"{LIFE_TOKEN}:{host}", key))
+
+    def _store_replied(self, event: events.StoreReplied) -> None:
+        kind, _, host = event.token.partition(":")
+        if kind != LIFE_TOKEN or not event.known:
+            return
+        if LIFE_KEY + host in event.values:
+            return
+        self._polled_s.pop(host, None)
+        self._context.record("holder.dead", holder=host)
+        for tenure in self._estate.tenures.values():
+            tenure.takeover.unheard.discard(host)
+            tenure.ledger.orphan(host, self._context.now_s)
--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/holder_side.py
@@ -0,0 +1,121 @@
+"""The holder of grants: tells owners what it holds, and witnesses evictions."""
+
+from dataclasses import dataclass
+
+from knapweedbridge_core import events, messages
+from knapweedbridge_core.context import Context, Handler, Side
+from knapweedbridge_core.names import AdapterVersion
+from knapweedbridge_core.times import QUARANTINE_S
+
+
+@dataclass(slots=True, frozen=True)
+class _Held:
+    endpoint: str
+    model: AdapterVersion
+
+
+@dataclass(slots=True, frozen=True)
+class _Intent:
+    number: int
+    since_s: float
+
+
+class HolderSide(Side):
+    """Keeps which grants this daemon has or asked for.
+
+    Parameters
+    ----------
+    context : Context
+        What it shares with the other sides.
+    """
+
+    def __init__(self, context: Context) -> None:
+        super().__init__(context)
+        self._held: dict[str, _Held] = {}
+        self._intents: dict[tuple[str, AdapterVersion], _Intent] = {}
+        self._owners: dict[str, str] = {}
+        context.watch(messages.GrantAsk, self._ask_sent)
+        context.watch(messages.GrantReturned, self._return_sent)
+
+    def handlers(self) -> dict[type, Handler]:
+        """See `Side.handlers`."""
+        return {
+            events.Tick: self._tick,
+            messages.GrantRefused: self._grant_refused,
+            messages.GrantsAsk: self._grants_ask,
+            messages.SlotsChanged: self._slots_changed,
+            messages.EvictionIntent: self._eviction_intent,
+            messages.EvictionOver: self._eviction_over,
+        }
+
+    def _ask_sent(self, host: str, message: messages.GrantAsk) -> None:
+        self._held[message.attempt_id] = _Held(message.endpoint, message.model)
+
+    def _return_sent(self, host: str, message: messages.GrantReturned) -> None:
+        self._held.pop(message.attempt_id, None)
+        owner = self._owners.get(message.endpoint, host)
+        if owner != host and self._context.sender == self._context.host:
+            self._context.send(owner, message)
+
+    def _grant_refused(self, message: messages.GrantRefused) -> None:
+        self._held.pop(message.attempt_id, None)
+
+    def _slots_changed(self, message: messages.SlotsChanged) -> None:
+        self._note_owner(message.endpoint, message.owner, message.number)
+
+    def _note_owner(self, endpoint: str, owner: str, number: int) -> None:
+        if self._context.fences.admits(endpoint, number):
+            self._context.fences.raise_to(endpoint, number)
+            self._owners[endpoint] = owner
+
+    def _grants_ask(self, message: messages.GrantsAsk) -> None:
+        endpoint, number = message.endpoint, message.number
+        sender = self._context.sender
+        if not self._context.fences.admits(endpoint, number):
+            highest = self._context.fences.number(endpoint)
+            self._context.send(sender, messages.OwnerRose(endpoint, highest))
+            return
+        before = self._owners.get(endpoint)
+        self._note_owner(endpoint, sender, number)
+        if before not in (None, sender, self._context.host):
+            self._context.send(before, messages.OwnerRose(endpoint, number))
+        self._context.send(sender, self._held_on(endpoint, number))
+
+    def _held_on(self, endpoint: str, number: int) -> messages.GrantsHeld:
+        held = {
+            attempt_id: grant.model
+            for attempt_id, grant in self._held.items()
+            if grant.endpoint == endpoint
+        }
+        condemned = [
+            model
+            for (place, model), intent in self._intents.items()
+            if place == endpoint and intent.number < number
+        ]
+        return messages.GrantsHeld(
+            endpoint, number, list(held), list(held.values()), condemned
+        )
+
+    def _eviction_intent(self, message: messages.EvictionIntent) -> None:
+        endpoint, model, number = message.endpoint, message.model, message.number
+        sender = self._context.sender
+        if not self._context.fences.admits(endpoint, number):
+            highest = self._context.fences.number(endpoint)
+            self._context.send(sender, messages.OwnerRose(endpoint, highest))
+            return
+        self._intents[endpoint, model] = _Intent(number, self._context.now_s)
+        noted = messages.EvictionNoted(endpoint, model, number)
+        self._context.send(sender, noted)
+
+    def _eviction_over(self, message: messages.EvictionOver) -> None:
+        key = (message.endpoint, message.model)
+        intent = self._intents.get(key)
+        if intent is not None and intent.number <= message.number:
+            del self._intents[key]
+
+    def _tick(self, event: events.Tick) -> None:
+        self._intents = {
+            key: intent
+            for key, intent in self._intents.items()
+            if self._context.now_s - intent.since_s < QUARANTINE_S
+        }
--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/leases.py
@@ -0,0 +1,83 @@
+"""The one lease by which a daemon proves that it lives."""
+
+from math import inf
+
+import msgpack
+
+from knapweedbridge_core.actions import Action, StoreWrite
+from knapweedbridge_core.events import StoreReplied
+from knapweedbridge_core.times import (
+    CALL_LIMIT_S,
+    CLOCK_MARGIN_S,
+    LEASE_S,
+    RENEW_S,
+    RETRY_S,
+)
+
+LIFE_KEY = "knapweedbridge/life/"
+
+
+def incarnation_in(value: bytes) -> int:
+    """Read the incarnation from the value of a daemon's life key."""
+    return int(msgpack.unpackb(value)["incarnation"])
+
+
+class DaemonLease:
+    """Renews the lease; counts its life from the sending of the renewal.
+
+    Parameters
+    ----------
+    host : str
+        Whose life it proves.
+    incarnation : int
+        Number that rises with each start of the host.
+    """
+
+    def __init__(self, host: str, incarnation: int) -> None:
+        self.key = LIFE_KEY + host
+        self.epoch = 0
+        self._value = msgpack.packb({"incarnation": incarnation})
+        self._valid_until_s = -inf
+        self._sent_s = -inf
+        self._due_s = -inf
+        self._calls = 0
+        self._in_flight = False
+
+    @property
+    def valid_until_s(self) -> float:
+        """When it lapses, on the daemon's monotonic clock, less the margin."""
+        return self._valid_until_s
+
+    def is_valid(self, now_s: float) -> bool:
+        """Tell whether nobody can have taken over from this daemon yet."""
+        return now_s < self._valid_until_s
+
+    def tick(self, now_s: float) -> list[Action]:
+        """Renew the lease when that is due."""
+        if self._in_flight and now_s - self._sent_s < CALL_LIMIT_S:
+            return []
+        return [self._write(now_s)] if now_s >= self._due_s else []
+
+    def replied(self, reply: StoreReplied, now_s: float) -> list[Action]:
+        """Take the reply to a renewal."""
+        if reply.token != f"lease:{self._calls}":
+            return []
+        self._in_flight = False
+        if not reply.known:
+            self._due_s = now_s + RETRY_S
+            return []
+        if not reply.applied:
+            self._valid_until_s = -inf
+            return [self._write(now_s)]
+        if not self.is_valid(now_s):
+            self.epoch += 1
+        self._valid_until_s = self._sent_s + LEASE_S - CLOCK_MARGIN_S
+        self._due_s = self._sent_s + RENEW_S
+        return []
+
+    def _write(self, now_s: float) -> Action:
+        self._calls += 1
+        self._sent_s = now_s
+        self._in_flight = True
+        token = f"lease:{self._calls}"
+        return StoreWrite(token, {}, {self.key: self._value}, LEASE_S)
--- a/packages/core/src/knapweedbridge_core/messages.py
+++ b/packages/core/src/knapweedbridge_core/messages.py
@@ -60,10 +60,11 @@
 
 @message
 class GrantGiven:
-    """The owner pinned the slot for this attempt."""
+    """The owner, under its fencing number, pinned the slot for this attempt."""
 
     attempt_id: str
     endpoint: str
+    number: int = 0
 
 
 @message
@@ -130,6 +131,73 @@
     administration: str
 
 
+@message
+class GrantsAsk:
+    """An owner asks a holder which grants on an endpoint it keeps or waits for."""
+
+    endpoint: str
+    number: int
+
+
+@message
+class GrantsHeld:
+    """A holder tells its grants, and evictions that it witnessed the beginning of."""
+
+    endpoint: str
+    number: int
+    attempts: list[str]
+    models: list[AdapterVersion]
+    condemned: list[AdapterVersion]
+
+
+@message
+class OwnerRose:
+    """An endpoint has an owner with a higher number than the hearer's."""
+
+    endpoint: str
+    number: int
+
+
+@message
+class EvictionIntent:
+    """An owner is about to order an eviction."""
+
+    endpoint: str
+    model: AdapterVersion
+    number: int
+
+
+@message
+class EvictionNoted:
+    """A witness will tell a later owner of the intent."""
+
+    endpoint: str
+    model: AdapterVersion
+    number: int
+
+
+@message
+class EvictionOver:
+    """The eviction ended, or was never ordered."""
+
+    endpoint: str
+    model: AdapterVersion
+    number: int
+
+
+@message
+class HandOver:
+    """An owner gives an endpoint to its successor, whom the record names."""
+
+    endpoint: str
+    number: int
+    loaded: list[AdapterVersion]
+    grant_models: list[AdapterVersion]
+    grant_attempts: list[str]
+    grant_holders: list[str]
+    condemned: list[AdapterVersion]
+
+
 def _pack_default(value: Any) -> Any:
     if isinstance(value, AdapterVersion):
         packed = msgpack.packb([value.adapter, value.version])
--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/order_side.py
@@ -0,0 +1,210 @@
+"""The owner's orders: loads into free slots, evictions that witnesses know of."""
+
+from math import inf
+
+from knapweedbridge_core import events, messages, rendezvous
+from knapweedbridge_core.actions import OrderEndpoint
+from knapweedbridge_core.context import Context, Handler, Side
+from knapweedbridge_core.estate import Estate
+from knapweedbridge_core.names import AdapterVersion
+from knapweedbridge_core.tenure import Tenure
+from knapweedbridge_core.times import WITNESS_S
+
+WITNESSES = 2
+
+
+class OrderSide(Side):
+    """Carries out placed loads on the owned endpoints.
+
+    Parameters
+    ----------
+    context : Context
+        What it shares with the other sides.
+    estate : Estate
+        What it shares with the owner's other sides.
+    """
+
+    def __init__(self, context: Context, estate: Estate) -> None:
+        super().__init__(context)
+        self._estate = estate
+        self._placed: dict[tuple[str, AdapterVersion], messages.LoadPlaced] = {}
+
+    def handlers(self) -> dict[type, Handler]:
+        """See `Side.handlers`."""
+        return {
+            events.Tick: self._tick,
+            events.OrderEnded: self._order_ended,
+            messages.LoadPlaced: self._load_placed,
+            messages.EvictionNoted: self._eviction_noted,
+        }
+
+    def _tick(self, event: events.Tick) -> None:
+        for endpoint, model in list(self._placed):
+            if endpoint not in self._estate.tenures:
+                self._load_over(endpoint, model, False)
+        for tenure in list(self._estate.tenures.values()):
+            self._cancel_unwitnessed(tenure)
+            self._evict_condemned(tenure)
+
+    def _load_placed(self, message: messages.LoadPlaced) -> None:
+        endpoint, model = message.endpoint, message.model
+        self._placed[endpoint, model] = message
+        tenure = self._estate.tenures.get(endpoint)
+        if tenure is None or not self._estate.may_load(tenure, model):
+            self._load_over(endpoint, model, False)
+        elif model in tenure.ledger.loaded:
+            self._load_over(endpoint, model, True)
+        elif message.victim is not None and not tenure.ledger.has_free_slot():
+            if not self._evict(tenure, message.victim):
+                self._load_over(endpoint, model, False)
+        else:
+            self._begin_load(tenure, model)
+
+    def _evict(self, tenure: Tenure, victim: AdapterVersion) -> bool:
+        if not tenure.ledger.may_evict(victim):
+            return False
+        if not self._estate.may_order_eviction(tenure):
+            return False
+        tenure.ledger.begin_eviction(victim)
+        self._estate.publish(tenure)
+        witnesses = [] if tenure.checks_fencing else self._witnesses(tenure.endpoint)
+        if not witnesses:
+            self._order(tenure, "evict", victim)
+            return True
+        tenure.announced[victim] = self._context.now_s
+        intent = messages.EvictionIntent(tenure.endpoint, victim, tenure.number)
+        for host in (self._context.host, *witnesses):
+            self._context.send(host, intent)
+        return True
+
+    def _witnesses(self, endpoint: str) -> list[str]:
+        peers = [peer.name for peer in self._context.members.peers()]
+        ranked = sorted(peers, key=lambda name: rendezvous.score(endpoint, name))
+        return ranked[-WITNESSES:]
+
+    def _eviction_noted(self, message: messages.EvictionNoted) -> None:
+        tenure = self._estate.tenures.get(message.endpoint)
+        own = self._context.sender == self._context.host
+        if tenure is None or own or tenure.number != message.number:
+            return
+        if tenure.announced.pop(message.model, None) is None:
+            return
+        if self._estate.may_order_eviction(tenure):
+            self._order(tenure, "evict", message.model)
+        else:
+            self._cancel(tenure, message.model)
+
+    def _cancel_unwitnessed(self, tenure: Tenure) -> None:
+        for model, since_s in list(tenure.announced.items()):
+            if self._context.now_s - since_s >= WITNESS_S:
+                del tenure.announced[model]
+                self._cancel(tenure, model)
+
+    def _cancel(self, tenure: Tenure, victim: AdapterVersion) -> None:
+        tenure.ledger.end_eviction(victim, False, self._context.now_s)
+        self._eviction_over(tenure, victim)
+        for placed in self._placed_for(tenure.endpoint, victim):
+            self._load_over(tenure.endpoint, placed.model, False)
+
+    def _eviction_over(self, tenure: Tenure, victim: AdapterVersion) -> None:
+        if tenure.checks_fencing:
+            return
+        over = messages.EvictionOver(tenure.endpoint, victim, tenure.number)
+        for host in (self._context.host, *self._witnesses(tenure.endpoint)):
+            self._context.send(host, over)
+
+    def _evict_condemned(self, tenure: Tenure) -> None:
+        now_s = self._context.now_s
+        condemned = tenure.takeover.condemned
+        for model, until_s in list(condemned.items()):
+            if now_s >= until_s:
+                del condemned[model]
+            else:
+                self._evict(tenure, model)
+
+    def _begin_load(self, tenure: Tenure, model: AdapterVersion) -> None:
+        if tenure.ledger.begin_load(model):
+            self._order(tenure, "load", model)
+        else:
+            self._load_over(tenure.endpoint, model, False)
+
+    def _order(self, tenure: Tenure, kind: str, model: AdapterVersion) -> None:
+        entry = self._context.configuration.endpoints.get(tenure.endpoint)
+        if entry is None:
+            return
+        weights = self._context.configuration.versions.get(model, str(model))
+        timed = kind == "evict" and not tenure.checks_fencing
+        not_after_s = self._estate.lease.valid_until_s if timed else inf
+        self._context.do(
+            OrderEndpoint(
+                entry.name,
+                entry.address,
+                kind,
+                model,
+                weights,
+                tenure.number,
+                not_after_s,
+            )
+        )
+        self._context.record(f"{kind}.ordered", endpoint=entry.name, model=str(model))
+
+    def _order_ended(self, event: events.OrderEnded) -> None:
+        self._context.record(
+            f"{event.kind}.ended",
+            endpoint=event.endpoint,
+            model=str(event.model),
+            succeeded=event.succeeded,
+        )
+        tenure = self._estate.tenures.get(event.endpoint)
+        if tenure is None:
+            self._load_over(event.endpoint, event.model, False)
+        elif not event.known:
+            self._doubt(tenure, event)
+        elif event.kind == "load":
+            self._load_ended(tenure, event)
+        else:
+            self._eviction_ended(tenure, event)
+
+    def _doubt(self, tenure: Tenure, event: events.OrderEnded) -> None:
+        # The order may land later: the name stays away from new requests until a
+        # report taken after the longest transit tells what became of it.
+        now_s = self._context.now_s
+        tenure.ledger.doubt(event.model, event.kind, now_s)
+        if event.kind == "evict":
+            tenure.takeover.condemn([event.model], now_s)
+            for placed in self._placed_for(event.endpoint, event.model):
+                self._load_over(event.endpoint, placed.model, False)
+        else:
+            self._load_over(event.endpoint, event.model, False)
+
+    def _load_ended(self, tenure: Tenure, event: events.OrderEnded) -> None:
+        now_s = self._context.now_s
+        tenure.ledger.end_load(event.model, event.succeeded, now_s)
+        self._load_over(event.endpoint, event.model, event.succeeded)
+        self._estate.publish(tenure)
+
+    def _eviction_ended(self, tenure: Tenure, event: events.OrderEnded) -> None:
+        now_s = self._context.now_s
+        tenure.ledger.end_eviction(event.model, event.succeeded, now_s)
+        self._eviction_over(tenure, event.model)
+        for placed in self._placed_for(event.endpoint, event.model):
+            if tenure.closing:
+                self._load_over(event.endpoint, placed.model, False)
+            else:
+                self._begin_load(tenure, placed.model)
+        self._estate.publish(tenure)
+
+    def _placed_for(
+        self, endpoint: str, victim: AdapterVersion
+    ) -> list[messages.LoadPlaced]:
+        return [
+            placed
+            for placed in self._placed.values()
+            if placed.endpoint == endpoint and placed.victim == victim
+        ]
+
+    def _load_over(self, endpoint: str, model: AdapterVersion, loaded: bool) -> None:
+        placed = self._placed.pop((endpoint, model), None)
+        if placed is not None:
+            ended = messages.LoadEnded(model, endpoint, loaded)
+            self._context.send(placed.orderer, ended)
--- a/packages/core/src/knapweedbridge_core/owner_side.py
+++ b/packages/core/src/knapweedbridge_core/owner_side.py
@@ -1,165 +1,257 @@
-"""The owner: claims endpoints, gives grants, orders loads and evictions."""
+"""The owner: lives by its lease, takes endpoints over, hands them over."""
+
+from collections.abc import Callable
+from math import inf
+from typing import Any
 
 from knapweedbridge_core import events, messages
-from knapweedbridge_core.actions import AskReport, OrderEndpoint, SendPeer
+from knapweedbridge_core.actions import AskReport
+from knapweedbridge_core.configuration import EndpointEntry
 from knapweedbridge_core.context import Context, Handler, Side
+from knapweedbridge_core.estate import Estate
 from knapweedbridge_core.ledger import Ledger
-from knapweedbridge_core.names import AdapterVersion
-from knapweedbridge_core.outcomes import Reason
-from knapweedbridge_core.owners import Owners
+from knapweedbridge_core.owners import Change, Claimed, HandedOver, Lost, Owners
+from knapweedbridge_core.takeover import Takeover, wait_s
+from knapweedbridge_core.tenure import Tenure
+from knapweedbridge_core.times import REFRESH_S, REPORT_S, RETRY_S
+
+RUNNING_STEP = 0.25
 
 
 class OwnerSide(Side):
-    """Owns the ledgers of the endpoints that this daemon owns."""
+    """Owns the tenures: their beginning, their reports and their end.
+
+    Parameters
+    ----------
+    context : Context
+        What it shares with the other sides.
+    estate : Estate
+        What it shares with the owner's other sides.
+    """
 
-    def __init__(self, context: Context) -> None:
+    def __init__(self, context: Context, estate: Estate) -> None:
         super().__init__(context)
-        self.owners = Owners(context.host, context.members)
-        self.ledgers: dict[str, Ledger] = {}
-        self._placed: dict[tuple[str, AdapterVersion], messages.LoadPlaced] = {}
+        self._estate = estate
+        self._takers: dict[type, Callable[[Any], None]] = {
+            Claimed: self._claimed,
+            Lost: self._lost,
+            HandedOver: self._handed_over,
+        }
+
+    @property
+    def owners(self) -> Owners:
+        """The claims."""
+        return self._estate.owners
+
+    @property
+    def tenures(self) -> dict[str, Tenure]:
+        """The endpoints this daemon owns."""
+        return self._estate.tenures
 
     def handlers(self) -> dict[type, Handler]:
         """See `Side.handlers`."""
         return {
             events.Tick: self._tick,
+            events.DrainBegan: self._drain_began,
+            events.PeerLinked: self._peer_linked,
             events.StoreReplied: self._store_replied,
             events.EndpointReported: self._endpoint_reported,
-            events.OrderEnded: self._order_ended,
-            messages.GrantAsk: self._grant_ask,
-            messages.GrantReturned: self._grant_returned,
-            messages.LoadPlaced: self._load_placed,
+            messages.SlotsChanged: self._slots_changed,
+            messages.OwnerRose: self._owner_rose,
+            messages.GrantsAsk: self._grants_ask,
+            messages.HandOver: self._hand_over_heard,
         }
 
     def _tick(self, event: events.Tick) -> None:
-        for action in self.owners.tick(self._context.engines(), self._context.now_s):
+        for action in self._estate.lease.tick(self._context.now_s):
+            self._context.do(action)
+        self._claim()
+        for entry in self._context.engines():
+            self._look_after(entry)
+        for tenure in list(self.tenures.values()):
+            if tenure.endpoint not in self._context.configuration.endpoints:
+                del self.tenures[tenure.endpoint]
+                continue
+            self._ask_report(tenure)
+            self._publish_if_due(tenure)
+
+    def _claim(self) -> None:
+        now_s = self._context.now_s
+        for action in self.owners.tick(self._context.engines(), now_s):
+            self._context.do(action)
+
+    def _look_after(self, entry: EndpointEntry) -> None:
+        number = self.owners.number(entry.name)
+        if number is None:
+            return
+        if entry.name not in self.tenures:
+            self._begin(entry, number, clean=False)
+        self.tenures[entry.name].ledger.resize(entry.slots)
+        self._hand_over_if_due(entry, self.tenures[entry.name])
+
+    def _hand_over_if_due(self, entry: EndpointEntry, tenure: Tenure) -> None:
+        successor = self.owners.computed(entry)
+        elsewhere = successor not in (None, self._context.host)
+        tenure.closing = elsewhere and self._estate.lease.is_valid(self._context.now_s)
+        settled = tenure.takeover.may_evict(self._context.now_s) and tenure.ready
+        quiet = tenure.ledger.is_quiet and not tenure.announced
+        if not tenure.closing or not settled or not quiet or successor is None:
+            return
+        now_s = self._context.now_s
+        for action in self.owners.hand_over(entry.name, successor, now_s):
             self._context.do(action)
-        for name in list(self.ledgers):
-            if self.owners.number(name) is None:
-                del self.ledgers[name]
-                self._context.record("owner.released", endpoint=name)
-        for name in self.ledgers:
-            self._publish(name)
+
+    def _drain_began(self, event: events.DrainBegan) -> None:
+        for entry in self._context.engines():
+            self._look_after(entry)
 
     def _store_replied(self, event: events.StoreReplied) -> None:
-        actions, endpoint = self.owners.replied(event)
+        now_s = self._context.now_s
+        if event.token.startswith("lease:"):
+            before = self._estate.lease.epoch
+            for action in self._estate.lease.replied(event, now_s):
+                self._context.do(action)
+            if self._estate.lease.epoch != before:
+                self._context.record("lease.begun", epoch=before + 1)
+                self._claim()
+            return
+        actions, changes = self.owners.replied(event, now_s)
         for action in actions:
             self._context.do(action)
-        if endpoint is not None and endpoint in self._context.configuration.endpoints:
-            entry = self._context.configuration.endpoints[endpoint]
-            self._context.do(AskReport(endpoint, entry.address))
+        self._take_changes(changes)
 
-    def _endpoint_reported(self, event: events.EndpointReported) -> None:
-        entry = self._context.configuration.endpoints.get(event.endpoint)
-        if entry is None or self.owners.number(event.endpoint) is None:
-            return
-        ledger = self.ledgers.setdefault(event.endpoint, Ledger(entry.slots))
-        ledger.reported(event.loaded)
-        self._publish(event.endpoint)
-
-    def _publish(self, endpoint: str) -> None:
-        number = self.owners.number(endpoint)
-        ledger = self.ledgers.get(endpoint)
-        if number is None or ledger is None:
+    def _take_changes(self, changes: list[Change]) -> None:
+        for change in changes:
+            self._takers[type(change)](change)
+
+    def _claimed(self, change: Claimed) -> None:
+        entry = self._context.configuration.endpoints.get(change.endpoint)
+        if entry is not None:
+            self._begin(entry, change.number, change.clean)
+
+    def _begin(self, entry: EndpointEntry, number: int, clean: bool) -> None:
+        now_s = self._context.now_s
+        settled_s = now_s + wait_s(clean, entry.checks_fencing)
+        takeover = Takeover(now_s, settled_s, self._possible_holders())
+        ledger = Ledger(entry.slots, settled_s)
+        tenure = Tenure(entry.name, number, entry.checks_fencing, ledger, takeover)
+        self.tenures[entry.name] = tenure
+        self._estate.heirs.pop(entry.name, None)
+        self._ask_holders(tenure)
+        self._ask_report(tenure)
+
+    def _possible_holders(self) -> set[str]:
+        members = self._context.members
+        return {member.name for member in members.known()} | {self._context.host}
+
+    def _ask_holders(self, tenure: Tenure) -> None:
+        linked = {peer.name for peer in self._context.members.peers()}
+        ask = messages.GrantsAsk(tenure.endpoint, tenure.number)
+        for host in sorted(tenure.takeover.unheard):
+            if host in linked or host == self._context.host:
+                self._context.send(host, ask)
+
+    def _lost(self, change: Lost) -> None:
+        if self.tenures.pop(change.endpoint, None) is not None:
+            self._context.record("owner.lost", endpoint=change.endpoint)
+
+    def _handed_over(self, change: HandedOver) -> None:
+        tenure = self.tenures.pop(change.endpoint, None)
+        if tenure is None:
             return
-        message = messages.SlotsChanged(
-            endpoint, self._context.host, number, ledger.loaded, ledger.running
+        grants = tenure.ledger.grants()
+        self._estate.heirs[change.endpoint] = change.successor
+        self._context.send(
+            change.successor,
+            messages.HandOver(
+                change.endpoint,
+                change.number,
+                tenure.ledger.loaded,
+                [grant.model for grant in grants],
+                [grant.attempt_id for grant in grants],
+                [grant.holder for grant in grants],
+                list(tenure.takeover.condemned),
+            ),
         )
-        for peer in self._context.members.peers():
-            self._context.do(SendPeer(peer.name, message))
-        self._context.receive(self._context.host, message)
-
-    def _grant_ask(self, message: messages.GrantAsk) -> None:
-        ledger = self.ledgers.get(message.endpoint)
-        sender = self._context.sender
-        if ledger and ledger.grant(message.model, message.attempt_id, sender):
-            self._record_grant("grant.given", message)
-            given = messages.GrantGiven(message.attempt_id, message.endpoint)
-            self._context.send(sender, given)
+
+    def _hand_over_heard(self, message: messages.HandOver) -> None:
+        entry = self._context.configuration.endpoints.get(message.endpoint)
+        if entry is None or not self.owners.accept(message.endpoint, message.number):
             return
-        self._record_grant("grant.refused", message)
-        refused = messages.GrantRefused(
-            message.attempt_id, message.endpoint, Reason.NOT_LOADED
+        now_s = self._context.now_s
+        ledger = Ledger(entry.slots)
+        ledger.begin_with(message.loaded, now_s)
+        for model, attempt_id, holder in zip(
+            message.grant_models,
+            message.grant_attempts,
+            message.grant_holders,
+            strict=True,
+        ):
+            ledger.held(model, attempt_id, holder, now_s)
+        takeover = Takeover(now_s, now_s)
+        takeover.condemn(message.condemned, now_s)
+        tenure = Tenure(
+            entry.name, message.number, entry.checks_fencing, ledger, takeover, True
         )
-        self._context.send(sender, refused)
-
-    def _record_grant(self, kind: str, asked: messages.GrantAsk) -> None:
+        self.tenures[entry.name] = tenure
+        self._estate.heirs.pop(entry.name, None)
         self._context.record(
-            kind,
-            attempt=asked.attempt_id,
-            endpoint=asked.endpoint,
-            model=str(asked.model),
-            to=self._context.sender,
+            "owner.claimed", endpoint=entry.name, number=message.number
         )
+        self._claim()
+        self._ask_report(tenure)
+        self._estate.publish(tenure)
 
-    def _grant_returned(self, message: messages.GrantReturned) -> None:
-        ledger = self.ledgers.get(message.endpoint)
-        if ledger is not None:
-            ledger.release(message.model, message.attempt_id)
-
-    def _load_placed(self, message: messages.LoadPlaced) -> None:
-        self._placed[message.endpoint, message.model] = message
-        ledger = self.ledgers.get(message.endpoint)
-        if ledger is None:
-            self._load_over(message.endpoint, message.model, False)
-        elif message.victim is not None and not ledger.has_free_slot():
-            self._evict(message, message.victim, ledger)
-        else:
-            self._begin_load(message.endpoint, message.model, ledger)
-
-    def _evict(
-        self, message: messages.LoadPlaced, victim: AdapterVersion, ledger: Ledger
-    ) -> None:
-        if not ledger.may_evict(victim):
-            self._load_over(message.endpoint, message.model, False)
+    def _endpoint_reported(self, event: events.EndpointReported) -> None:
+        tenure = self.tenures.get(event.endpoint)
+        if tenure is None or event.taken_s < tenure.takeover.began_s:
             return
-        ledger.begin_eviction(victim)
-        self._publish(message.endpoint)
-        self._order(message.endpoint, "evict", victim)
-
-    def _begin_load(self, endpoint: str, model: AdapterVersion, ledger: Ledger) -> None:
-        if ledger.begin_load(model):
-            self._order(endpoint, "load", model)
-        else:
-            self._load_over(endpoint, model, False)
-
-    def _order(self, endpoint: str, kind: str, model: AdapterVersion) -> None:
-        number = self.owners.number(endpoint)
-        entry = self._context.configuration.endpoints.get(endpoint)
-        if number is None or entry is None:
+        now_s = self._context.now_s
+        tenure.reported_s = max(tenure.reported_s, event.taken_s)
+        tenure.ledger.reported(event.loaded, event.running, event.taken_s, now_s)
+        first, tenure.ready = not tenure.ready, True
+        if first or tenure.published != self._estate.grantable(tenure):
+            self._estate.publish(tenure)
+
+    def _ask_report(self, tenure: Tenure) -> None:
+        now_s = self._context.now_s
+        wanted_s = tenure.ledger.wanted_report_s
+        in_doubt = tenure.reported_s <= wanted_s < now_s
+        old = now_s - tenure.reported_s >= REPORT_S
+        asked = now_s - tenure.report_asked_s < RETRY_S
+        if asked or not (in_doubt or old or not tenure.ready):
             return
-        weights = self._context.configuration.versions.get(model, str(model))
-        self._context.do(
-            OrderEndpoint(endpoint, entry.address, kind, model, weights, number)
-        )
-        self._context.record(f"{kind}.ordered", endpoint=endpoint, model=str(model))
+        entry = self._context.configuration.endpoints[tenure.endpoint]
+        tenure.report_asked_s = now_s
+        self._context.do(AskReport(entry.name, entry.address, tenure.number))
 
-    def _order_ended(self, event: events.OrderEnded) -> None:
-        self._context.record(
-            f"{event.kind}.ended",
-            endpoint=event.endpoint,
-            model=str(event.model),
-            succeeded=event.succeeded,
-        )
-        ledger = self.ledgers.get(event.endpoint)
-        if ledger is None:
+    def _publish_if_due(self, tenure: Tenure) -> None:
+        running = tenure.ledger.running
+        step = max(2.0, RUNNING_STEP * tenure.published_running)
+        moved = abs(running - tenure.published_running) >= step
+        stale = self._context.now_s - tenure.published_s >= REFRESH_S
+        if moved or stale or tenure.published != self._estate.grantable(tenure):
+            self._estate.publish(tenure)
+
+    def _peer_linked(self, event: events.PeerLinked) -> None:
+        for tenure in self.tenures.values():
+            tenure.published_s = -inf
+
+    def _slots_changed(self, message: messages.SlotsChanged) -> None:
+        self._raise(message.endpoint, message.number)
+
+    def _owner_rose(self, message: messages.OwnerRose) -> None:
+        self._raise(message.endpoint, message.number)
+
+    def _grants_ask(self, message: messages.GrantsAsk) -> None:
+        self._raise(message.endpoint, message.number)
+
+    def _raise(self, endpoint: str, number: int) -> None:
+        if self._context.sender == self._context.host:
+            return
+        tenure = self.tenures.get(endpoint)
+        if tenure is not None and number < tenure.number:
+            rose = messages.OwnerRose(endpoint, tenure.number)
+            self._context.send(self._context.sender, rose)
             return
-        if event.kind == "load":
-            ledger.end_load(event.model, event.succeeded)
-            self._load_over(event.endpoint, event.model, event.succeeded)
-        else:
-            ledger.end_eviction(event.model, event.succeeded)
-            self._load_after_eviction(event.endpoint, event.model, ledger)
-        self._publish(event.endpoint)
-
-    def _load_after_eviction(
-        self, endpoint: str, victim: AdapterVersion, ledger: Ledger
-    ) -> None:
-        for placed in list(self._placed.values()):
-            if placed.endpoint == endpoint and placed.victim == victim:
-                self._begin_load(endpoint, placed.model, ledger)
-
-    def _load_over(self, endpoint: str, model: AdapterVersion, loaded: bool) -> None:
-        placed = self._placed.pop((endpoint, model), None)
-        if placed is not None:
-            ended = messages.LoadEnded(model, endpoint, loaded)
-            self._context.send(placed.orderer, ended)
+        self._take_changes(self.owners.superseded(endpoint, number))
--- a/packages/core/src/knapweedbridge_core/request_side.py
+++ b/packages/core/src/knapweedbridge_core/request_side.py
@@ -22,9 +22,10 @@
 )
 from knapweedbridge_core.requests import LiveRequest
 from knapweedbridge_core.retries import RETRY_AFTER_S, Again, GoOn, RetryBudget, decide
+from knapweedbridge_core.times import GRANT_USE_S
 
 WANT_AGAIN_S = 1.0
-GRANT_TIMEOUT_S = 1.0
+GRANT_TIMEOUT_S = GRANT_USE_S
 LATE_GRANT_S = 30.0
 
 
@@ -180,11 +181,19 @@
     def _grant_given(self, message: messages.GrantGiven) -> None:
         live = self._of_attempt(message.attempt_id)
         late = self._unanswered.pop(message.attempt_id, None)
-        if live is not None:
+        if live is not None and not self._is_usable(live, message):
+            self._forget_grant(live)
+        elif live is not None:
             self._dispatch(live)
         elif late is not None:
             self._context.send(late.owner, late.returned)
 
+    def _is_usable(self, live: LiveRequest, message: messages.GrantGiven) -> bool:
+        # A daemon that slept, or whose owner was succeeded, holds a grant that the
+        # new owner may not know of: the request would start on a slot about to go.
+        fresh = self._context.now_s - live.asked_s <= GRANT_TIMEOUT_S
+        return fresh and self._context.fences.admits(message.endpoint, message.number)
+
     def _grant_refused(self, message: messages.GrantRefused) -> None:
         live = self._of_attempt(message.attempt_id)
         if live is not None:
--- a/packages/daemon/src/knapweedbridge_daemon/driver.py
+++ b/packages/daemon/src/knapweedbridge_daemon/driver.py
@@ -26,6 +26,7 @@
 from knapweedbridge_core.timeline import EventFilter, TimelineEvent
 from knapweedbridge_daemon.endpoints import HttpEndpoint
 from knapweedbridge_daemon.errors import EndpointError, StoreError
+from knapweedbridge_daemon.leases import Leases
 from knapweedbridge_daemon.observer import Observer
 from knapweedbridge_daemon.peers import Peers
 from knapweedbridge_daemon.store import KeyValueStore, Transaction
@@ -60,6 +61,7 @@
         self.bridge = bridge
         self.peers: Peers | None = None
         self._store = store
+        self._leases = Leases(store)
         self._client = client
         self._observer = observer
         send, receive = anyio.create_memory_object_stream[Any](INBOX_EVENTS)
@@ -159,26 +161,26 @@
         await self.submit(events.AttemptCancelled(action.attempt_id, confirmed))
 
     async def _order(self, action: OrderEndpoint) -> None:
-        succeeded, detail = True, ""
+        succeeded, known, detail = True, True, ""
         try:
             await HttpEndpoint(self._client, action.address).order(action)
         except EndpointError as error:
-            succeeded, detail = False, str(error)
+            succeeded, known, detail = False, not error.may_have_applied, str(error)
         ended = events.OrderEnded(
-            action.endpoint, action.kind, action.model, succeeded, detail
+            action.endpoint, action.kind, action.model, succeeded, detail, known
         )
         await self.submit(ended)
 
     async def _report(self, action: AskReport) -> None:
         asked_s = time.monotonic()
         try:
-            report = await HttpEndpoint(self._client, action.address).report()
+            endpoint = HttpEndpoint(self._client, action.address)
+            report = await endpoint.report(action.number)
         except EndpointError:
-            await anyio.sleep(1.0)
-            self._start(self._report, action)
+            self.count("endpoint.report_failed")
             return
         reported = events.EndpointReported(
-            action.endpoint, report.loaded, report.running, asked_s
+            action.endpoint, report.loaded, report.running, asked_s - report.age_s
         )
         await self.submit(reported)
 
@@ -195,6 +197,9 @@
         await self.submit(events.StoreReplied(action.token, known, known, values))
 
     async def _write(self, action: StoreWrite) -> None:
+        if action.lease_s:
+            await self.submit(await self._leases.write(action))
+            return
         known, applied = True, False
         try:
             transaction = Transaction(action.compares, action.puts)
--- a/packages/daemon/src/knapweedbridge_daemon/endpoints.py
+++ b/packages/daemon/src/knapweedbridge_daemon/endpoints.py
@@ -1,6 +1,7 @@
 """Endpoints: model engines and plain services, as the daemon speaks to them."""
 
 import json
+import time
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -16,6 +17,7 @@
 from knapweedbridge_daemon.errors import EndpointError
 from knapweedbridge_daemon.relay import SilenceError
 
+FENCING_HEADER = "x-fencing-number"
 ORDER_TIMEOUT_S = 30.0
 CANCEL_TIMEOUT_S = 1.0
 REPORT_TIMEOUT_S = 5.0
@@ -41,6 +43,7 @@
 
     loaded: tuple[Any, ...]
     running: dict[Any, int]
+    age_s: float = 0.0
 
 
 class Endpoint(ABC):
@@ -82,8 +85,8 @@
         """Carry out a load or an eviction; may raise EndpointError."""
 
     @abstractmethod
-    async def report(self) -> Report:
-        """Fetch a report; may raise EndpointError."""
+    async def report(self, number: int = 0) -> Report:
+        """Fetch a report under an owner's number; may raise EndpointError."""
 
 
 @dataclass(slots=True)
@@ -208,24 +211,30 @@
         """See `Endpoint.order`."""
         verb = {"load": "load", "evict": "unload"}[order.kind]
         body = {"lora_name": str(order.model), "lora_path": order.weights}
-        headers = {"x-fencing-number": str(order.number)}
+        headers = {FENCING_HEADER: str(order.number)}
+        writing = _Writing()
+        if time.monotonic() >= order.not_after_s:
+            raise EndpointError(f"{order.kind}: the owner's lease is about to lapse")
         try:
             response = await self._client.post(
                 f"{self._base}/v1/{verb}_lora_adapter",
                 json=body,
                 headers=headers,
                 timeout=ORDER_TIMEOUT_S,
+                extensions={"trace": writing},
             )
         except httpx.HTTPError as error:
-            raise EndpointError(f"{order.kind}: {error!r}") from error
+            raise EndpointError(f"{order.kind}: {error!r}", writing.began) from error
         if response.status_code != 200:
             raise EndpointError(f"{order.kind}: {response.status_code}")
 
-    async def report(self) -> Report:
+    async def report(self, number: int = 0) -> Report:
         """See `Endpoint.report`."""
         try:
             response = await self._client.get(
-                f"{self._base}/report", timeout=REPORT_TIMEOUT_S
+                f"{self._base}/report",
+                headers={FENCING_HEADER: str(number)},
+                timeout=REPORT_TIMEOUT_S,
             )
             response.raise_for_status()
             found = response.json()
@@ -234,7 +243,7 @@
                 for name, count in found["running"].items()
             }
             loaded = tuple(parse_adapter_version(name) for name in found["loaded"])
-            return Report(loaded, running)
+            return Report(loaded, running, float(found.get("age_s", 0.0)))
         except (httpx.HTTPError, ValueError, KeyError) as error:
             raise EndpointError(f"report: {error!r}") from error
 
--- a/packages/daemon/src/knapweedbridge_daemon/errors.py
+++ b/packages/daemon/src/knapweedbridge_daemon/errors.py
@@ -20,7 +20,17 @@
 
 
 class EndpointError(DaemonError):
-    """An endpoint refused an order or did not answer."""
+    """An endpoint refused an order or did not answer.
+
+    Parameters
+    ----------
+    may_have_applied : bool
+        True where the order may have taken effect, or may yet.
+    """
+
+    def __init__(self, message: str, may_have_applied: bool = False) -> None:
+        super().__init__(message)
+        self.may_have_applied = may_have_applied
 
 
 class PeerError(DaemonError):
--- a/packages/standins/src/knapweedbridge_standins/engine.py
+++ b/packages/standins/src/knapweedbridge_standins/engine.py
@@ -335,6 +335,8 @@
 
     async def _report(self, request: Request) -> Response:
         now_s = time.monotonic()
+        # A report asked for under a fencing number shuts older owners out.
+        self.held.shut_out(int(request.headers.get("x-fencing-number", "0")))
         shown = self._take_report() if self.report_lag_s <= 0 else None
         for report in self._reports:
             if report["taken_s"] <= now_s - self.report_lag_s:
--- a/packages/standins/src/knapweedbridge_standins/engine_slots.py
+++ b/packages/standins/src/knapweedbridge_standins/engine_slots.py
@@ -54,6 +54,10 @@
         self.highest_number = max(self.highest_number, number)
         return True
 
+    def shut_out(self, number: int) -> None:
+        """Refuse orders older than this number from now on, if any are refused."""
+        self.highest_number = max(self.highest_number, number)
+
     def is_full(self) -> bool:
         """Return whether no slot is free; a load under way takes one."""
         return len(self.loaded) + len(self.loading) >= self.size
--- a/packages/standins/src/knapweedbridge_standins/history/store.py
+++ b/packages/standins/src/knapweedbridge_standins/history/store.py
@@ -31,6 +31,7 @@
     lose_replies: int = 0
     delay_s: float = 0.002
     unreachable: set[str] = field(default_factory=set)
+    leased: set[str] = field(default_factory=set)
     calls: int = 0
 
     def expire(self, now_s: float) -> None:
@@ -54,19 +55,27 @@
         return StoreReplied(action.token, True, applied, {})
 
     def _write(self, action: StoreWrite, now_s: float) -> bool:
-        lease_s = action.lease_s
         for key, revision in action.compares.items():
             if self.values.get(key, (b"", 0))[1] != revision:
                 return False
-        renews = lease_s and all(
-            self.values.get(key, (b"", 0))[0] == value
-            for key, value in action.puts.items()
-        )
+        if action.lease_s:
+            return self._renew(action, now_s)
         for key, value in action.puts.items():
-            if lease_s:
-                self.ends_s[key] = now_s + lease_s
-            if not renews:
-                self.revision += 1
-                self.values[key] = (value, self.revision)
-                self.wrote(key, value)
+            self._put(key, value)
         return True
+
+    def _renew(self, action: StoreWrite, now_s: float) -> bool:
+        for key, value in action.puts.items():
+            if key in self.leased and key not in self.values:
+                self.leased.discard(key)
+                return False
+            self.leased.add(key)
+            self.ends_s[key] = now_s + action.lease_s
+            if self.values.get(key, (b"", 0))[0] != value:
+                self._put(key, value)
+        return True
+
+    def _put(self, key: str, value: bytes) -> None:
+        self.revision += 1
+        self.values[key] = (value, self.revision)
+        self.wrote(key, value)
--- a/packages/standins/src/knapweedbridge_standins/history/world.py
+++ b/packages/standins/src/knapweedbridge_standins/history/world.py
@@ -10,13 +10,23 @@
 
 import msgpack
 
-from knapweedbridge_core import Bridge, Complete, NotRun, Reason, Unknown, events
+from knapweedbridge_core import (
+    Bridge,
+    Complete,
+    NotRun,
+    Outcome,
+    Reason,
+    Unknown,
+    events,
+)
 from knapweedbridge_core.actions import (
     AskReport,
+    CancelAttempt,
     Dispatch,
     Finish,
     OrderEndpoint,
     Record,
+    Resume,
     SendPeer,
     StoreRead,
     StoreWrite,
@@ -106,6 +116,7 @@
         self.cuts: set[tuple[str, str]] = set()
         self.waiting: dict[str, float] = {}
         self.longest_wait_s = 0.0
+        self._asked: dict[str, AdapterVersion] = {}
         self._links: set[tuple[str, str]] = set()
         self._heard_s: dict[tuple[str, str], float] = {}
         self._arrival_s: dict[tuple[str, str], float] = {}
@@ -118,14 +129,16 @@
             Finish: self._finish,
             OrderEndpoint: self._order,
             AskReport: self._report,
+            CancelAttempt: self._cancel,
+            Resume: self._resume,
             StoreRead: self._call_store,
             StoreWrite: self._call_store,
             Record: self._record,
         }
         for place in range(daemons):
             self.start(f"host-{place}")
-        self._every(LINK_S, self._keep_links)
         self._every(LIST_S, self._list_hosts)
+        self._every(LINK_S, self._keep_links)
 
     def _build(self, slots: int, checks_fencing: bool) -> Configuration:
         sections: dict[str, dict[str, str]] = {"team optics": {}}
@@ -181,7 +194,7 @@
         node = Node(bridge, incarnation, self.rng.uniform(100, 1000))
         self.nodes[host] = node
         self.tell(host, events.ConfigurationRead(self.configuration))
-        self.tell(host, events.HostsListed(self._hosts()))
+        self._list_hosts()
         self._tick(host, node)
 
     def kill(self, host: str) -> None:
@@ -412,6 +425,7 @@
             fingerprint=request_id,
         )
         self.waiting[request_id] = self.now_s
+        self._asked[request_id] = model
         self.tell(host, events.RequestArrived(request))
         return request_id
 
@@ -431,16 +445,10 @@
 
     def _dispatch(self, host: str, action: Dispatch) -> None:
         node = self.nodes[host]
-        asked = self._model_of(node, action.request_id)
+        asked = self._asked[action.request_id]
         self._note_wait(action.request_id)
         self.after(self._delay_s(), lambda: self._stream(host, node, action, asked))
 
-    @staticmethod
-    def _model_of(node: Node, request_id: str) -> AdapterVersion:
-        model = node.bridge.requests.live[request_id].request.model
-        assert model is not None
-        return model
-
     def _note_wait(self, request_id: str) -> None:
         since_s = self.waiting.pop(request_id, None)
         if since_s is not None:
@@ -468,8 +476,25 @@
 
         self.after(self.rng.uniform(0.2, 2 * self.stream_s), end)
 
+    def _cancel(self, host: str, action: CancelAttempt) -> None:
+        node = self.nodes[host]
+        key = f"{host}/{node.incarnation}/{action.attempt_id}"
+        cancelled = events.AttemptCancelled(action.attempt_id, True)
+
+        def arrive() -> None:
+            for engine in self.engines.values():
+                engine.streams.pop(key, None)
+            self._tell_later(self._delay_s(), host, node, cancelled)
+
+        self.after(self._delay_s(), arrive)
+
+    def _resume(self, host: str, action: Resume) -> None:
+        failed = Unknown(Reason.RESUME_FAILED, 1)
+        ended = events.AttemptEnded(action.request_id, action.attempt_id, failed)
+        self._tell_later(self._delay_s(), host, self.nodes[host], ended)
+
     def _end_attempt(
-        self, host: str, node: Node, action: Dispatch, outcome: Any
+        self, host: str, node: Node, action: Dispatch, outcome: Outcome
     ) -> None:
         ended = events.AttemptEnded(action.request_id, action.attempt_id, outcome)
         self._tell_later(self._delay_s(), host, node, ended)
