Give each run of the operators' features its own ports

Two runs at once on one machine spoke to each other's daemons: 1 to 24 of the 43 scenarios failed by turns, with conflicts of generations that the other run wrote.

--- a/features/operators/embedded_platform.py
+++ b/features/operators/embedded_platform.py
@@ -5,6 +5,7 @@
 import io
 import json
 import os
+import socket
 import tempfile
 from functools import partial
 from pathlib import Path
@@ -22,11 +23,29 @@
 from knapweedbridge_standins.plain import PlainStandIn
 from knapweedbridge_standins.platform import HostListStandIn, WeightStoreStandIn
 
-BASE_PORT = 22500
+BASE_PORTS = range(28000, 32000, 100)
+GUARD_PORT = 99
 START_S = 20.0
 STOP_S = 10.0
 
 
+def claim_ports():
+    """Find ports that no other run on this machine uses, and keep them claimed.
+
+    Two runs on the same ports spoke to each other's daemons: the second saw
+    generations and conflicts that were the first one's.
+    """
+    for base_port in BASE_PORTS:
+        guard = socket.socket()
+        try:
+            guard.bind(("127.0.0.1", base_port + GUARD_PORT))
+        except OSError:
+            guard.close()
+            continue
+        return base_port, guard
+    raise RuntimeError("every block of ports is in use")
+
+
 class EmbeddedPlatform:
     """Three daemons, two engines and the platform; started when first used.
 
@@ -35,7 +54,8 @@
     """
 
     def __init__(self):
-        self.example = Example(BASE_PORT)
+        base_port, self._guard = claim_ports()
+        self.example = Example(base_port)
         self._runner = None
         self._tasks = []
         self._daemons = {}
