Decide placement by small parts, and hear of every use

Cause: the load order counted only requests that missed, so it evicted hot adapters that were loaded; it looked through every waiter for each load.

Now forecast, eviction, order of loads, choice of slot, copies, choice of holder, rate, retries and admission are parts behind abstract base classes, chosen by the operators' section [placement]. Callers' sides tell uses once a second, bounded; a load that cannot come before its deadline is refused at once; a version that always fails rests and its waiters are refused.

Failures found by the new tests, each failed first: two sides of one daemon called each other without end when the view was older than the ledger (history of three daemons: RecursionError); an adapter whose owner died with the order was asked for in vain (its waiters were dropped while it was under way); the last requests of old favourites outlived a detected change of popularity.

--- a/packages/core/src/knapweedbridge_core/bridge.py
+++ b/packages/core/src/knapweedbridge_core/bridge.py
@@ -6,6 +6,7 @@
 from knapweedbridge_core.configuration import Configuration
 from knapweedbridge_core.configuration_side import ConfigurationSide
 from knapweedbridge_core.context import Context, Timing
+from knapweedbridge_core.demand_side import DemandSide
 from knapweedbridge_core.estate import Estate
 from knapweedbridge_core.grant_side import GrantSide
 from knapweedbridge_core.holder_side import HolderSide
@@ -51,11 +52,13 @@
         self.grants = GrantSide(self._context, estate)
         self.orders = OrderSide(self._context, estate)
         self.loads = LoadSide(self._context)
+        demand = DemandSide(self._context, self.requests)
         member = MemberSide(self._context)
         self.distribution = ConfigurationSide(self._context)
         self.operators = OperatorSide(self._context, administration)
         owning = (self.holder, self.owner, self.grants, self.orders)
-        roles = (self.distribution, *owning, self.loads, self.requests)
+        # The load side says which load failed before the owner says it is over.
+        roles = (self.distribution, self.loads, *owning, self.requests, demand)
         sides = (member, *roles, self.operators)
         for side in sides:
             self._context.take(side)
--- a/packages/core/src/knapweedbridge_core/changes.py
+++ b/packages/core/src/knapweedbridge_core/changes.py
@@ -11,6 +11,7 @@
 from knapweedbridge_core.configuration import Configuration, add_sections, build_order
 from knapweedbridge_core.names import parse_adapter_version
 from knapweedbridge_core.parts import Changes, Parts
+from knapweedbridge_core.policy import PlacementPolicy
 
 DEFAULT_LOADS_PER_S = Configuration().loads_per_s
 
@@ -89,8 +90,15 @@
     newer.loads_per_s = DEFAULT_LOADS_PER_S
 
 
+def _remove_placement(
+    newer: Configuration, kind: str, name: str, older: Configuration
+) -> None:
+    newer.placement = PlacementPolicy()
+
+
 _REMOVERS: dict[str, Callable[[Configuration, str, str, Configuration], None]] = {
     "version": _remove_version,
     "key": _remove_key,
     "weight_store": _remove_limit,
+    "placement": _remove_placement,
 }
--- a/packages/core/src/knapweedbridge_core/configuration.py
+++ b/packages/core/src/knapweedbridge_core/configuration.py
@@ -9,6 +9,7 @@
 from knapweedbridge_core.faults import Fault
 from knapweedbridge_core.names import AdapterVersion, is_name, parse_adapter_version
 from knapweedbridge_core.parts import Parts, Sections
+from knapweedbridge_core.policy import PLACEMENT_SECTION, PlacementPolicy
 from knapweedbridge_core.schema import (
     Address,
     Choice,
@@ -92,6 +93,7 @@
         "The limits of the weight store.",
         {"loads_per_s": Key(Number(0.001, 1e4), "3", "Loads allowed a second.")},
     ),
+    "placement": PLACEMENT_SECTION,
 }
 
 
@@ -178,6 +180,7 @@
     services: dict[str, Service] = field(default_factory=dict)
     endpoints: dict[str, EndpointEntry] = field(default_factory=dict)
     loads_per_s: float = 3.0
+    placement: PlacementPolicy = field(default_factory=PlacementPolicy)
 
     @property
     def sections(self) -> Sections:
@@ -251,6 +254,11 @@
             return [Fault("", title, "", "allowed: [weight_store], without a name")]
         into.loads_per_s = values["loads_per_s"]
         return []
+    if kind == "placement":
+        if title != kind:
+            return [Fault("", title, "", "allowed: [placement], without a name")]
+        into.placement = PlacementPolicy(**values)
+        return []
     if kind != "version" and not is_name(name):
         return [Fault("", title, "", f"{name!r}: allowed: {Name.allowed}")]
     for key in _SHARED_NAMES:
--- a/packages/core/src/knapweedbridge_core/events.py
+++ b/packages/core/src/knapweedbridge_core/events.py
@@ -141,6 +141,13 @@
     request: Request
 
 
+@dataclass(slots=True, frozen=True)
+class AdapterMissed:
+    """A request of this daemon wants an adapter that no endpoint holds."""
+
+    request: Request
+
+
 @dataclass(slots=True, frozen=True)
 class AttemptEnded:
     """An attempt the core dispatched ended."""
--- a/packages/core/src/knapweedbridge_core/load_side.py
+++ b/packages/core/src/knapweedbridge_core/load_side.py
@@ -1,50 +1,161 @@
 """The load order: which adapter is loaded next, and where."""
 
-from knapweedbridge_core import events, messages
+from knapweedbridge_core import events, messages, rendezvous
 from knapweedbridge_core.context import Context, Handler, Side
-from knapweedbridge_core.loads import LoadOrder
+from knapweedbridge_core.forecast import ChangeAware
+from knapweedbridge_core.loads import LoadOrder, Pool, Refusal
+from knapweedbridge_core.names import AdapterVersion
+from knapweedbridge_core.outcomes import Reason
+from knapweedbridge_core.queueing import Asker
+from knapweedbridge_core.rate import share_of_rate
+
+LOAD_ORDER_ROLE = "load-order"
+
+
+def load_orderer(context: Context) -> str | None:
+    """Name the daemon that keeps the pool's order of loads."""
+    return rendezvous.choose(LOAD_ORDER_ROLE, context.members.available())
 
 
 class LoadSide(Side):
-    """Takes what callers' sides want, and places loads with owners."""
+    """Takes what callers' sides want, and places loads with owners.
+
+    The queue is rebuilt from the callers' sides, which repeat what they want;
+    so its daemon may die at any moment.
+    """
 
     def __init__(self, context: Context) -> None:
         super().__init__(context)
-        self.load_order = LoadOrder(context.host)
+        self._policy = context.configuration.placement
+        self.load_order = LoadOrder(context.host, self._policy)
+        self._starting = False
 
     def handlers(self) -> dict[type, Handler]:
         """See `Side.handlers`."""
         return {
             events.Tick: self._tick,
+            events.OrderEnded: self._order_ended,
             messages.LoadWanted: self._load_wanted,
             messages.LoadEnded: self._load_ended,
+            messages.LoadFailed: self._load_failed,
+            messages.UsesTold: self._uses_told,
+            messages.CountsTold: self._counts_told,
         }
 
     def _tick(self, event: events.Tick) -> None:
+        self._take_policy()
+        if load_orderer(self._context) != self._context.host:
+            return
+        self.load_order.note_fill(self._pool(), self._context.now_s)
+        self._refuse_given_up()
         self._start_loads()
 
+    def _take_policy(self) -> None:
+        policy = self._context.configuration.placement
+        if policy == self._policy:
+            return
+        same = policy.forecast == self._policy.forecast
+        forecast = self.load_order.forecast if same else None
+        self._policy = policy
+        self.load_order = LoadOrder(self._context.host, policy, forecast)
+
+    def _pool(self) -> Pool:
+        members = self._context.members
+        reachable = 1 + len(members.peers())
+        known = 1 + len(members.known())
+        allowed_per_s = self._context.configuration.loads_per_s
+        return Pool(
+            self._context.engines(),
+            self._context.view,
+            self._base_model_of,
+            share_of_rate(allowed_per_s, reachable, known),
+        )
+
+    def _base_model_of(self, model: AdapterVersion) -> str | None:
+        adapter = self._context.configuration.adapters.get(model.adapter)
+        return adapter.base_model if adapter is not None else None
+
     def _load_wanted(self, message: messages.LoadWanted) -> None:
-        self.load_order.wanted(message.model, message.waiters, self._context.now_s)
+        if message.model not in self._context.configuration.versions:
+            return
+        now_s = self._context.now_s
+        asker = Asker(
+            message.waiters,
+            now_s - message.oldest_wait_s,
+            now_s + message.shortest_left_s,
+            now_s + message.longest_left_s,
+            now_s,
+        )
+        sender = self._context.sender
+        refusal = self.load_order.wanted(message.model, sender, asker, self._pool())
+        if refusal is not None:
+            self._refuse(sender, refusal)
         self._start_loads()
 
     def _load_ended(self, message: messages.LoadEnded) -> None:
-        self.load_order.ended(message.model, message.loaded)
+        if message.loaded:
+            self.load_order.loaded(message.model, self._context.now_s)
+        else:
+            # A load that the endpoint failed was told by LoadFailed before:
+            # this one was not started.
+            loads_per_s = self._context.configuration.loads_per_s
+            self.load_order.declined(message.model, loads_per_s, self._context.now_s)
         self._start_loads()
 
+    def _order_ended(self, event: events.OrderEnded) -> None:
+        # This daemon is the owner here; its word goes ahead of LoadEnded.
+        orderer = load_orderer(self._context)
+        if event.kind == "load" and not event.succeeded and orderer is not None:
+            failed = messages.LoadFailed(event.model, event.endpoint)
+            self._context.send(orderer, failed)
+
+    def _load_failed(self, message: messages.LoadFailed) -> None:
+        self.load_order.failed(message.model, message.endpoint, self._context.now_s)
+        self._refuse_given_up()
+
+    def _uses_told(self, message: messages.UsesTold) -> None:
+        for model, count in message.uses:
+            self.load_order.used(model, count, self._context.now_s)
+
+    def _counts_told(self, message: messages.CountsTold) -> None:
+        forecast = self.load_order.forecast
+        if isinstance(forecast, ChangeAware):
+            counts = [(model, count) for model, count in message.counts]
+            forecast.learn(counts, message.age_s, self._context.now_s)
+
+    def _refuse_given_up(self) -> None:
+        for host, refusal in self.load_order.given_up(self._context.now_s):
+            self._refuse(host, refusal)
+
+    def _refuse(self, host: str, refusal: Refusal) -> None:
+        reason = Reason.NOT_LOADED if refusal.fails else Reason.OVERLOAD
+        self._context.record(
+            "load.refused", model=str(refusal.model), reason=str(reason), to=host
+        )
+        refused = messages.LoadRefused(
+            refusal.model, str(reason), refusal.ready_in_s, refusal.retry_after_s
+        )
+        self._context.send(host, refused)
+
     def _start_loads(self) -> None:
-        models = {
-            model: self._context.configuration.base_model_of(model)
-            for model in self.load_order.waiting()
-            if model in self._context.configuration.versions
-        }
-        if not models:
+        # Another daemon that keeps the order as well would use the rate twice.
+        if load_orderer(self._context) != self._context.host or self._starting:
             return
-        placed = self.load_order.next_loads(
-            self._context.engines(),
-            models,
-            self._context.view,
-            self._context.configuration.loads_per_s,
-            self._context.now_s,
+        self._starting = True
+        pool = self._pool()
+        try:
+            while placed := self.load_order.next_load(pool, self._context.now_s):
+                self._send_placed(placed)
+        finally:
+            self._starting = False
+
+    def _send_placed(self, placed: messages.LoadPlaced) -> None:
+        self._context.record(
+            "load.placed",
+            model=str(placed.model),
+            endpoint=placed.endpoint,
+            victim=str(placed.victim or ""),
         )
-        for load in placed:
-            self._context.send(self._context.view.endpoints[load.endpoint].owner, load)
+        # An owner that is this daemon answers within this call.
+        owner = self._context.view.endpoints[placed.endpoint].owner
+        self._context.send(owner, placed)
--- a/packages/core/src/knapweedbridge_core/loads.py
+++ b/packages/core/src/knapweedbridge_core/loads.py
@@ -1,134 +1,377 @@
 """The order of loads over the deployment, under the weight store's rate."""
 
+import math
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from knapweedbridge_core.configuration import EndpointEntry
+from knapweedbridge_core.copies import SATURATES_AT, BeforeSaturation, Copies, OneCopy
+from knapweedbridge_core.eviction import Eviction, LeastExpected
+from knapweedbridge_core.forecast import (
+    ChangeAware,
+    DecayedCount,
+    Forecast,
+    LastUse,
+)
 from knapweedbridge_core.messages import LoadPlaced
 from knapweedbridge_core.names import AdapterVersion
+from knapweedbridge_core.policy import PlacementPolicy
+from knapweedbridge_core.queueing import (
+    Asker,
+    LoadPriority,
+    LoadQueue,
+    LongestWait,
+    MostAwaited,
+)
+from knapweedbridge_core.rate import LoadRate
+from knapweedbridge_core.retrying import FailedLoads
+from knapweedbridge_core.slots import SlotChoice, SlotOption, make_slot_choice
 from knapweedbridge_core.view import View
 
 LOAD_TIMEOUT_S = 5.0
-HALF_LIFE_S = 60.0
+SLOW_LOADS = 4.0
+PIN_GUESS_S = 0.5
+FRESH_S = 0.5
+MOST_SLOTS_WEIGHED = 512
+MOST_TRIED = 32
+EXPECTED_EVERY_S = 2.0
+MOST_EXPECTED = 256
+PREFETCH_RATE_PER_S = 0.002
+HOUSEKEEPING_S = 1.0
+
+FORECASTS: dict[str, Callable[[], Forecast]] = {
+    "change_aware": ChangeAware,
+    "decayed_count": DecayedCount,
+    "last_use": LastUse,
+}
+ORDERS: dict[str, Callable[[], LoadPriority]] = {
+    "most_awaited": MostAwaited,
+    "longest_wait": LongestWait,
+}
 
 
 @dataclass(slots=True)
-class _Wanted:
-    waiters: int
-    since_s: float
+class Pool:
+    """What a decision reads of the pool.
 
+    Parameters
+    ----------
+    engines : list of EndpointEntry
+        Model engines that are not leaving.
+    view : View
+        What they hold, as their owners tell.
+    base_model_of : callable
+        Names the base model of an adapter version, or None if it is gone.
+    loads_per_s : float
+        Loads a second that this order may start.
+    """
 
-@dataclass(slots=True)
-class _Use:
-    count: float
-    at_s: float
+    engines: list[EndpointEntry]
+    view: View
+    base_model_of: Callable[[AdapterVersion], str | None]
+    loads_per_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class Refusal:
+    """Waiters that are told at once that their load comes too late.
+
+    Parameters
+    ----------
+    model : AdapterVersion
+        What they wait for.
+    ready_in_s : float
+        Requests whose deadline is nearer than this are refused.
+    retry_after_s : float
+        When they should come back.
+    """
 
-    def value(self, now_s: float) -> float:
-        return self.count * 0.5 ** ((now_s - self.at_s) / HALF_LIFE_S)
+    model: AdapterVersion
+    ready_in_s: float
+    retry_after_s: float
+
+    @property
+    def fails(self) -> bool:
+        """Whether the load fails again and again."""
+        return self.ready_in_s == math.inf
+
+
+@dataclass(slots=True)
+class _UnderWay:
+    endpoint: str
+    victim: AdapterVersion | None
+    since_s: float
 
 
 class LoadOrder:
-    """Decides which adapter is loaded next, where, and in whose place."""
+    """Decides which adapter is loaded next, where, and in whose place.
+
+    Parameters
+    ----------
+    host : str
+        The daemon that keeps this order.
+    policy : PlacementPolicy
+        The decisions in force.
+    """
 
-    def __init__(self, host: str) -> None:
+    def __init__(
+        self,
+        host: str,
+        policy: PlacementPolicy | None = None,
+        forecast: Forecast | None = None,
+        eviction: Eviction | None = None,
+        slot_choice: SlotChoice | None = None,
+    ) -> None:
+        policy = policy or PlacementPolicy()
         self._host = host
-        self._wanted: dict[AdapterVersion, _Wanted] = {}
-        self._under_way: dict[AdapterVersion, tuple[str, float]] = {}
-        self._uses: dict[AdapterVersion, _Use] = {}
-        self._next_start_s = 0.0
-
-    def wanted(self, model: AdapterVersion, waiters: int, now_s: float) -> None:
-        """Note requests that wait for an adapter."""
-        wanted = self._wanted.setdefault(model, _Wanted(0, now_s))
-        wanted.waiters += waiters
-        self.used(model, waiters, now_s)
-
-    def used(self, model: AdapterVersion, requests: int, now_s: float) -> None:
+        self._policy = policy
+        self.forecast = forecast or FORECASTS[policy.forecast]()
+        self._eviction = eviction or LeastExpected(self.forecast)
+        self._slot_choice = slot_choice or make_slot_choice(policy.weigh)
+        self._copies: Copies = BeforeSaturation() if policy.copies else OneCopy()
+        self._queue = LoadQueue(ORDERS[policy.order]())
+        self._rate = LoadRate()
+        self._failed = FailedLoads()
+        self._under_way: dict[AdapterVersion, _UnderWay] = {}
+        self._pinned_until_s: dict[tuple[str, AdapterVersion | None], float] = {}
+        self._fresh_until_s: dict[AdapterVersion, float] = {}
+        self._expected: list[AdapterVersion] = []
+        self._expected_s = -math.inf
+        self._kept_house_s = -math.inf
+        self._window = 0
+
+    def __len__(self) -> int:
+        return len(self._queue)
+
+    def used(self, model: AdapterVersion, requests: float, now_s: float) -> None:
         """Note requests for an adapter, loaded or not."""
-        use = self._uses.setdefault(model, _Use(0.0, now_s))
-        self._uses[model] = _Use(use.value(now_s) + requests, now_s)
+        self.forecast.used(model, requests, now_s)
 
-    def ended(self, model: AdapterVersion, loaded: bool) -> None:
-        """Note the end of a load."""
+    def wanted(
+        self, model: AdapterVersion, host: str, asker: Asker, pool: Pool
+    ) -> Refusal | None:
+        """Note requests that wait for an adapter; refuse what comes too late.
+
+        Parameters
+        ----------
+        model : AdapterVersion
+            What they wait for.
+        host : str
+            The daemon they wait at; what it said before is replaced.
+        asker : Asker
+            How many wait there, and until when.
+        pool : Pool
+            The pool now.
+        """
+        now_s = asker.heard_s
+        if self._failed.rests(model, now_s):
+            pause_s = self._failed.wait_s(model, now_s)
+            return Refusal(model, math.inf, pause_s)
+        # It stays in the queue while it is under way: should the owner's answer
+        # be lost, the waiters are still known.
+        wanted = self._queue.ask(model, host, asker)
+        if model in self._under_way or not self._policy.refuse_late:
+            return None
+        ahead = max(self._queue.ahead_of(wanted), len(self._under_way))
+        ready_in_s = (ahead + 1) / pool.loads_per_s
+        ready_in_s += self._failed.wait_s(model, now_s)
+        if now_s + ready_in_s <= asker.shortest_s:
+            return None
+        if now_s + ready_in_s > asker.longest_s:
+            self._queue.leave(model, host)
+        late_s = now_s + ready_in_s - asker.shortest_s
+        return Refusal(model, ready_in_s, max(late_s, 1 / pool.loads_per_s))
+
+    def loaded(self, model: AdapterVersion, now_s: float) -> None:
+        """Note that an endpoint holds what was loaded."""
         self._under_way.pop(model, None)
-        if loaded:
-            self._wanted.pop(model, None)
+        self._failed.succeeded(model)
+        self._queue.remove(model)
+        self._fresh_until_s[model] = now_s + FRESH_S
 
-    def waiting(self) -> list[AdapterVersion]:
-        """Return the adapter versions that wait for a load."""
-        return [model for model in self._wanted if model not in self._under_way]
+    def declined(self, model: AdapterVersion, loads_per_s: float, now_s: float) -> None:
+        """Note that an owner did not start a load, as by a pinned victim."""
+        load = self._under_way.pop(model, None)
+        if load is None:
+            return
+        self._rate.returned(loads_per_s)
+        # The view learns only at the owner's next word why it declined: till
+        # then the next choice must not be the same slot again.
+        self._pinned_until_s[load.endpoint, load.victim] = now_s + PIN_GUESS_S
 
-    def next_loads(
-        self,
-        endpoints: list[EndpointEntry],
-        base_model_of: dict[AdapterVersion, str],
-        view: View,
-        loads_per_s: float,
-        now_s: float,
-    ) -> list[LoadPlaced]:
-        """Return the loads to start now."""
-        self._forget_lost(view, now_s)
-        placed: list[LoadPlaced] = []
-        waiting = sorted(
-            (model for model in self._wanted if model not in self._under_way),
-            key=lambda model: self._wanted[model].since_s,
-        )
-        for model in waiting:
-            if now_s < self._next_start_s:
-                break
-            place = self._place(model, endpoints, base_model_of.get(model), view, now_s)
-            if place is None:
+    def failed(self, model: AdapterVersion, endpoint: str, now_s: float) -> None:
+        """Note that a load was started and failed."""
+        self._under_way.pop(model, None)
+        self._failed.failed(model, endpoint, now_s)
+
+    def given_up(self, now_s: float) -> list[tuple[str, Refusal]]:
+        """Return the daemons to tell that a version fails again and again."""
+        told = []
+        for model in self._failed.resting(now_s):
+            wanted = self._queue.remove(model)
+            if wanted is None:
                 continue
-            self._under_way[model] = (place.endpoint, now_s)
-            self._next_start_s = max(self._next_start_s, now_s) + 1 / loads_per_s
-            placed.append(place)
+            pause_s = self._failed.wait_s(model, now_s)
+            refusal = Refusal(model, math.inf, pause_s)
+            told += [(host, refusal) for host in wanted.askers]
+        return told
+
+    def next_load(self, pool: Pool, now_s: float) -> LoadPlaced | None:
+        """Return the load to start now, if any."""
+        self._keep_house(pool.view, now_s)
+        if not self._may_start(pool, now_s):
+            return None
+        placed = None
+        for model in self._next_models(pool, now_s):
+            placed = self._place(model, pool, now_s)
+            if placed is not None:
+                break
+        if placed is None:
+            return None
+        load = _UnderWay(placed.endpoint, placed.victim, now_s)
+        self._under_way[placed.model] = load
+        self._rate.started(pool.loads_per_s, now_s)
         return placed
 
-    def _forget_lost(self, view: View, now_s: float) -> None:
-        for model in list(self._wanted):
-            if view.holders(model):
-                del self._wanted[model]
-        for model, (_, since_s) in list(self._under_way.items()):
-            if now_s - since_s > LOAD_TIMEOUT_S:
+    def _may_start(self, pool: Pool, now_s: float) -> bool:
+        slow_s = SLOW_LOADS / pool.loads_per_s
+        moving = [
+            load for load in self._under_way.values() if now_s - load.since_s < slow_s
+        ]
+        return not moving and self._rate.allows(pool.loads_per_s, now_s)
+
+    def _next_models(self, pool: Pool, now_s: float) -> Iterator[AdapterVersion]:
+        for wanted in self._queue.first(MOST_TRIED):
+            model = wanted.model
+            if pool.view.copies(model) or self._queue.expired(wanted, now_s):
+                self._queue.remove(model)
+                continue
+            if model in self._under_way or self._failed.wait_s(model, now_s) > 0:
+                continue
+            yield model
+        yield from self._copies_wanted(pool)
+        if self._policy.prefetch and not len(self._queue):
+            yield from self._prefetches(pool, now_s)
+
+    def _copies_wanted(self, pool: Pool) -> Iterator[AdapterVersion]:
+        if not isinstance(self._copies, BeforeSaturation):
+            return
+        for model in self._copies.hot:
+            held = pool.view.copies(model)
+            if 0 < held < self._copies.needed(model) and model not in self._under_way:
+                yield model
+
+    def _prefetches(self, pool: Pool, now_s: float) -> Iterator[AdapterVersion]:
+        free = any(
+            len(pool.view.endpoints[entry.name].loaded) < entry.slots
+            for entry in pool.engines
+            if entry.name in pool.view.endpoints
+        )
+        if not free:
+            return
+        if now_s - self._expected_s >= EXPECTED_EVERY_S:
+            self._expected = self.forecast.expected(now_s, MOST_EXPECTED)
+            self._expected_s = now_s
+        for model in self._expected:
+            if self.forecast.rate_per_s(model, now_s) < PREFETCH_RATE_PER_S:
+                return
+            waits = self._failed.wait_s(model, now_s) > 0 or model in self._under_way
+            if not waits and not pool.view.copies(model):
+                yield model
+
+    def note_fill(self, pool: Pool, now_s: float) -> None:
+        """See which adapter versions need another copy, or one fewer."""
+        fills = {
+            entry.name: pool.view.endpoints[entry.name].running / entry.batch
+            for entry in pool.engines
+            if entry.name in pool.view.endpoints
+        }
+        noted = set()
+        if isinstance(self._copies, BeforeSaturation):
+            noted.update(self._copies.hot)
+        for name, fill in fills.items():
+            loaded = pool.view.endpoints[name].loaded
+            if loaded and fill >= SATURATES_AT:
+                noted.add(
+                    max(
+                        loaded,
+                        key=lambda held: (self.forecast.rate_per_s(held, now_s), held),
+                    )
+                )
+        for model in noted:
+            holders = [name for name in pool.view.holders(model) if name in fills]
+            self._copies.note(model, [fills[name] for name in holders])
+
+    def _keep_house(self, view: View, now_s: float) -> None:
+        if now_s - self._kept_house_s < HOUSEKEEPING_S:
+            return
+        self._kept_house_s = now_s
+        self._queue.forget_silent(now_s)
+        self._failed.forget_old(now_s)
+        for model, load in list(self._under_way.items()):
+            if now_s - load.since_s > LOAD_TIMEOUT_S:
+                # Its owner died with the order: the waiters still ask, and
+                # another endpoint takes the load.
                 del self._under_way[model]
+        self._pinned_until_s = _still(self._pinned_until_s, now_s)
+        self._fresh_until_s = _still(self._fresh_until_s, now_s)
 
     def _place(
-        self,
-        model: AdapterVersion,
-        endpoints: list[EndpointEntry],
-        base_model: str | None,
-        view: View,
-        now_s: float,
+        self, model: AdapterVersion, pool: Pool, now_s: float
     ) -> LoadPlaced | None:
-        best: tuple[float, int, str, AdapterVersion | None] | None = None
-        for entry in endpoints:
-            state = view.endpoints.get(entry.name)
-            if state is None or entry.base_model != base_model:
+        options = list(self._options(model, pool, now_s))
+        avoid = self._failed.avoid(model)
+        elsewhere = [option for option in options if option.endpoint not in avoid]
+        chosen = self._slot_choice.choose(model, elsewhere or options)
+        if chosen is None:
+            return None
+        return LoadPlaced(model, chosen.endpoint, chosen.victim, self._host)
+
+    def _options(
+        self, model: AdapterVersion, pool: Pool, now_s: float
+    ) -> Iterator[SlotOption]:
+        base_model = pool.base_model_of(model)
+        busy = {load.endpoint for load in self._under_way.values()}
+        for entry in self._weighed(pool):
+            state = pool.view.endpoints.get(entry.name)
+            if state is None or entry.base_model != base_model or entry.name in busy:
                 continue
-            arriving = {
-                held
-                for held, (where, _) in self._under_way.items()
-                if where == entry.name
-            }
-            if arriving:
+            if model in state.loaded:
                 continue
-            victim = self._victim(entry, state.loaded, now_s)
-            value = self._value(victim, now_s)
-            candidate = (value, state.running, entry.name, victim)
-            if best is None or candidate[:3] < best[:3]:
-                best = candidate
-        if best is None:
-            return None
-        return LoadPlaced(model, best[2], best[3], self._host)
+            if len(state.loaded) < entry.slots:
+                if not self._is_pinned(entry.name, None, now_s):
+                    yield SlotOption(entry.name, None, -1.0, state.running, entry.batch)
+                continue
+            for held in state.loaded:
+                if self._is_pinned(entry.name, held, now_s):
+                    continue
+                worth = self._worth(held, pool.view, now_s)
+                yield SlotOption(entry.name, held, worth, state.running, entry.batch)
+
+    def _weighed(self, pool: Pool) -> Iterator[EndpointEntry]:
+        # At the size of one pool this sees every slot; in a larger one the
+        # window moves on, so that a decision costs the same.
+        slots = 0
+        count = len(pool.engines)
+        for step in range(count):
+            entry = pool.engines[(self._window + step) % count]
+            slots += entry.slots
+            yield entry
+            if slots >= MOST_SLOTS_WEIGHED:
+                self._window = (self._window + step + 1) % count
+                return
+
+    def _is_pinned(
+        self, endpoint: str, held: AdapterVersion | None, now_s: float
+    ) -> bool:
+        if self._pinned_until_s.get((endpoint, held), now_s) > now_s:
+            return True
+        return held is not None and self._fresh_until_s.get(held, now_s) > now_s
+
+    def _worth(self, held: AdapterVersion, view: View, now_s: float) -> float:
+        spare = max(0, view.copies(held) - self._copies.needed(held))
+        return self._eviction.worth(held, 1 + spare, now_s)
 
-    def _victim(
-        self, entry: EndpointEntry, loaded: set[AdapterVersion], now_s: float
-    ) -> AdapterVersion | None:
-        if len(loaded) < entry.slots:
-            return None
-        return min(loaded, key=lambda held: (self._value(held, now_s), held))
 
-    def _value(self, model: AdapterVersion | None, now_s: float) -> float:
-        if model is None:
-            return -1.0
-        use = self._uses.get(model)
-        return use.value(now_s) if use else 0.0
+def _still(until_s: dict, now_s: float) -> dict:
+    return {key: at_s for key, at_s in until_s.items() if at_s > now_s}
--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/policy.py
@@ -0,0 +1,72 @@
+"""Which decisions of placement are in force, by the operators' settings."""
+
+from dataclasses import dataclass
+
+from knapweedbridge_core.schema import Choice, Flag, Key, Kind, Number, Section
+
+STALLS = 0.0
+BATCHES = 1.0
+
+
+class Weigh(Kind):
+    """``stalls``, ``batches``, or a number between them."""
+
+    allowed = "stalls, batches or a number from 0 (stalls) to 1 (batches)"
+
+    def read(self, text: str) -> float:
+        """Return the number."""
+        named = {"stalls": STALLS, "batches": BATCHES}
+        if text in named:
+            return named[text]
+        return Number(STALLS, BATCHES).read(text)
+
+
+PLACEMENT_SECTION = Section(
+    "How adapters are placed.",
+    {
+        "weigh": Key(Weigh(), "stalls", "What weighs more; also a number, 0 to 1."),
+        "forecast": Key(
+            Choice("change_aware", "decayed_count", "last_use"),
+            "change_aware",
+            "What decides the eviction.",
+        ),
+        "order": Key(
+            Choice("most_awaited", "longest_wait"),
+            "most_awaited",
+            "Which load goes first.",
+        ),
+        "prefetch": Key(Flag(), "yes", "Whether unused loads fill free slots."),
+        "copies": Key(Flag(), "yes", "Whether a hot adapter gets a second copy."),
+        "refuse_late": Key(
+            Flag(), "yes", "Whether what cannot be loaded in time is refused at once."
+        ),
+    },
+)
+
+
+@dataclass(slots=True, frozen=True)
+class PlacementPolicy:
+    """The settings of placement.
+
+    Parameters
+    ----------
+    weigh : float
+        From 0 (load stalls weigh more) to 1 (full batches weigh more).
+    forecast : str
+        ``change_aware``, ``decayed_count`` or ``last_use``.
+    order : str
+        ``most_awaited`` or ``longest_wait``.
+    prefetch : bool
+        Whether unused loads fill free slots.
+    copies : bool
+        Whether a hot adapter gets a second copy.
+    refuse_late : bool
+        Whether a request that cannot be loaded in time is refused at once.
+    """
+
+    weigh: float = STALLS
+    forecast: str = "change_aware"
+    order: str = "most_awaited"
+    prefetch: bool = True
+    copies: bool = True
+    refuse_late: bool = True
--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/queueing.py
@@ -0,0 +1,165 @@
+"""The queue of adapter versions that wait for a load."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, field
+
+from sortedcontainers import SortedKeyList
+
+from knapweedbridge_core.names import AdapterVersion
+
+EXTRA_WAITER_S = 1.0
+ASKER_SILENCE_S = 5.0
+
+
+@dataclass(slots=True)
+class Asker:
+    """What one daemon's callers wait for.
+
+    Parameters
+    ----------
+    waiters : int
+        Requests that wait there.
+    since_s : float
+        When the oldest began to wait, on this daemon's clock.
+    shortest_s, longest_s : float
+        First and last deadline among them, on this daemon's clock.
+    heard_s : float
+        When it last said so.
+    """
+
+    waiters: int
+    since_s: float
+    shortest_s: float
+    longest_s: float
+    heard_s: float
+
+
+@dataclass(slots=True)
+class Wanted:
+    """One adapter version that requests wait for."""
+
+    model: AdapterVersion
+    askers: dict[str, Asker] = field(default_factory=dict)
+    place: float = 0.0
+
+    @property
+    def waiters(self) -> int:
+        """Requests that wait, over all daemons."""
+        return sum(asker.waiters for asker in self.askers.values())
+
+    @property
+    def since_s(self) -> float:
+        """When the oldest request began to wait."""
+        return min(asker.since_s for asker in self.askers.values())
+
+
+class LoadPriority(ABC):
+    """Decides which of the waiting adapter versions is loaded first."""
+
+    @abstractmethod
+    def place(self, wanted: Wanted) -> float:
+        """Return a number; the smallest goes first.
+
+        It must not depend on the time now, so that the queue stays sorted.
+        """
+
+
+class LongestWait(LoadPriority):
+    """First come, first loaded."""
+
+    def place(self, wanted: Wanted) -> float:
+        """See `LoadPriority.place`."""
+        return wanted.since_s
+
+
+class MostAwaited(LoadPriority):
+    """Each further waiter counts as if the first had waited longer.
+
+    Parameters
+    ----------
+    extra_waiter_s : float
+        What a further waiter adds, in seconds; finite, so nobody starves.
+    """
+
+    def __init__(self, extra_waiter_s: float = EXTRA_WAITER_S) -> None:
+        self._extra_waiter_s = extra_waiter_s
+
+    def place(self, wanted: Wanted) -> float:
+        """See `LoadPriority.place`."""
+        return wanted.since_s - self._extra_waiter_s * (wanted.waiters - 1)
+
+
+class LoadQueue:
+    """Adapter versions in the order of their loads.
+
+    A change or a rank costs the logarithm of the queue's length.
+
+    Parameters
+    ----------
+    priority : LoadPriority
+        What goes first.
+    """
+
+    def __init__(self, priority: LoadPriority) -> None:
+        self._priority = priority
+        self._wanted: dict[AdapterVersion, Wanted] = {}
+        self._sorted = SortedKeyList(key=lambda item: (item.place, item.model))
+
+    def __len__(self) -> int:
+        return len(self._wanted)
+
+    def __contains__(self, model: AdapterVersion) -> bool:
+        return model in self._wanted
+
+    def first(self, most: int) -> list[Wanted]:
+        """Return the head of the queue."""
+        return list(self._sorted[:most])
+
+    def get(self, model: AdapterVersion) -> Wanted | None:
+        """Return what waits for an adapter version."""
+        return self._wanted.get(model)
+
+    def ask(self, model: AdapterVersion, host: str, asker: Asker) -> Wanted:
+        """Note what a daemon's callers wait for; a repeat replaces."""
+        wanted = self._wanted.setdefault(model, Wanted(model))
+        if wanted.askers:
+            self._sorted.discard(wanted)
+        wanted.askers[host] = asker
+        wanted.place = self._priority.place(wanted)
+        self._sorted.add(wanted)
+        return wanted
+
+    def remove(self, model: AdapterVersion) -> Wanted | None:
+        """Take an adapter version out of the queue."""
+        wanted = self._wanted.pop(model, None)
+        if wanted is not None:
+            self._sorted.discard(wanted)
+        return wanted
+
+    def leave(self, model: AdapterVersion, host: str) -> None:
+        """Take back what one daemon asked for."""
+        wanted = self._wanted.get(model)
+        if wanted is None or host not in wanted.askers:
+            return
+        self._sorted.discard(wanted)
+        del wanted.askers[host]
+        if wanted.askers:
+            wanted.place = self._priority.place(wanted)
+            self._sorted.add(wanted)
+        else:
+            del self._wanted[model]
+
+    def expired(self, wanted: Wanted, now_s: float) -> bool:
+        """Tell whether all that wait are past their deadlines."""
+        return all(asker.longest_s <= now_s for asker in wanted.askers.values())
+
+    def ahead_of(self, wanted: Wanted) -> int:
+        """Count the adapter versions that are loaded before this one."""
+        return self._sorted.bisect_left(wanted)
+
+    def forget_silent(self, now_s: float) -> None:
+        """Drop what nobody repeated: its waiters are gone, or their daemon."""
+        for model, wanted in list(self._wanted.items()):
+            for host, asker in list(wanted.askers.items()):
+                if now_s - asker.heard_s > ASKER_SILENCE_S:
+                    self.leave(model, host)
--- a/packages/core/src/knapweedbridge_core/request_side.py
+++ b/packages/core/src/knapweedbridge_core/request_side.py
@@ -11,7 +11,6 @@
     Resume,
 )
 from knapweedbridge_core.context import Context, Handler, Side
-from knapweedbridge_core.names import AdapterVersion
 from knapweedbridge_core.outcomes import (
     FinalOutcome,
     NotRun,
@@ -20,11 +19,11 @@
     Recorded,
     Unknown,
 )
+from knapweedbridge_core.placement import Holder, make_placement
 from knapweedbridge_core.requests import LiveRequest
 from knapweedbridge_core.retries import RETRY_AFTER_S, Again, GoOn, RetryBudget, decide
 from knapweedbridge_core.times import GRANT_USE_S
 
-WANT_AGAIN_S = 1.0
 GRANT_TIMEOUT_S = GRANT_USE_S
 LATE_GRANT_S = 30.0
 
@@ -43,7 +42,6 @@
         super().__init__(context)
         self.live: dict[str, LiveRequest] = {}
         self.budget = RetryBudget()
-        self._wanted_at_s: dict[AdapterVersion, float] = {}
         self._cancelling: dict[str, _HeldGrant] = {}
         self._unanswered: dict[str, _HeldGrant] = {}
 
@@ -109,11 +107,9 @@
         fresh = [name for name in holders if name not in live.tried] or holders
         if not fresh:
             live.endpoint = ""
-            self._want(model)
+            self._context.dispatch(events.AdapterMissed(live.request))
             return
-        name = min(
-            fresh, key=lambda held: (self._context.view.endpoints[held].running, held)
-        )
+        name = self._choose(fresh)
         owner = self._context.view.endpoints[name].owner
         attempt_id = live.next_attempt(name, owner)
         live.asked_s = self._context.now_s
@@ -122,22 +118,27 @@
         )
         self._context.send(owner, messages.GrantAsk(attempt_id, name, model))
 
-    def _want(self, model: AdapterVersion) -> None:
-        last_s = self._wanted_at_s.get(model, -WANT_AGAIN_S)
-        if self._context.now_s - last_s < WANT_AGAIN_S:
-            return
-        self._wanted_at_s[model] = self._context.now_s
-        self._context.record("load.wanted", model=str(model))
-        orderer = rendezvous.choose("load-order", self._context.members.available())
-        if orderer is not None:
-            self._context.send(orderer, messages.LoadWanted(model, 1, 0.0))
+    def _choose(self, holders: list[str]) -> str:
+        endpoints = self._context.configuration.endpoints
+        view = self._context.view.endpoints
+        placement = make_placement(self._context.configuration.placement.weigh)
+        chosen = placement.choose(
+            [
+                Holder(name, view[name].running, endpoints[name].batch)
+                for name in holders
+            ]
+        )
+        # The owner's next word replaces this correction.
+        view[chosen.endpoint].running += 1
+        return chosen.endpoint
+
+    def give_up(self, request_id: str, outcome: NotRun) -> None:
+        """Finish a request that waits for its adapter."""
+        live = self.live.get(request_id)
+        if live is not None and not live.endpoint:
+            self._finish(request_id, outcome)
 
     def _retry_waiting(self) -> None:
-        self._wanted_at_s = {
-            model: at_s
-            for model, at_s in self._wanted_at_s.items()
-            if self._context.now_s - at_s < WANT_AGAIN_S
-        }
         self._unanswered = {
             attempt_id: held
             for attempt_id, held in self._unanswered.items()
--- a/packages/core/src/knapweedbridge_core/view.py
+++ b/packages/core/src/knapweedbridge_core/view.py
@@ -21,16 +21,33 @@
     """All endpoints of the pool."""
 
     endpoints: dict[str, EndpointView] = field(default_factory=dict)
+    _holders: dict[AdapterVersion, dict[str, None]] = field(default_factory=dict)
 
     def changed(self, message: SlotsChanged) -> None:
         """Take an owner's word; one of an older owner is dropped."""
         held = self.endpoints.get(message.endpoint)
         if held is not None and held.number > message.number:
             return
+        loaded = set(message.loaded)
+        before = held.loaded if held is not None else set()
+        for model in before - loaded:
+            self._drop(model, message.endpoint)
+        for model in loaded - before:
+            self._holders.setdefault(model, {})[message.endpoint] = None
         self.endpoints[message.endpoint] = EndpointView(
-            message.owner, message.number, set(message.loaded), message.running
+            message.owner, message.number, loaded, message.running
         )
 
     def holders(self, model: AdapterVersion) -> list[str]:
         """Name the endpoints that hold an adapter version."""
-        return [name for name, view in self.endpoints.items() if model in view.loaded]
+        return list(self._holders.get(model, ()))
+
+    def copies(self, model: AdapterVersion) -> int:
+        """Count the endpoints that hold an adapter version."""
+        return len(self._holders.get(model, ()))
+
+    def _drop(self, model: AdapterVersion, endpoint: str) -> None:
+        names = self._holders.get(model, {})
+        names.pop(endpoint, None)
+        if not names:
+            self._holders.pop(model, None)
