--- a/packages/core/src/knapweedbridge_core/outcomes.py
+++ b/packages/core/src/knapweedbridge_core/outcomes.py
@@ -30,6 +30,11 @@
     SILENT = "silent"
     RESUME_FAILED = "resume_failed"
     CANCELLED = "cancelled"
+    UNKNOWN_PATH = "unknown_path"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    BODY_TOO_LARGE = "body_too_large"
+    BODY_TIMEOUT = "body_timeout"
+    INTERNAL = "internal"
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/daemon/src/knapweedbridge_daemon/answers.py
+++ b/packages/daemon/src/knapweedbridge_daemon/answers.py
@@ -1,6 +1,7 @@
 """Turns outcomes into HTTP answers."""
 
 import json
+import math
 from typing import Any
 
 from starlette.types import Send
@@ -22,16 +23,47 @@
     Reason.ENDPOINT_FAILED: 502,
     Reason.RESUME_FAILED: 502,
     Reason.SILENT: 504,
+    Reason.UNKNOWN_PATH: 404,
+    Reason.METHOD_NOT_ALLOWED: 405,
+    Reason.BODY_TOO_LARGE: 413,
+    Reason.BODY_TIMEOUT: 408,
+    Reason.INTERNAL: 500,
+    Reason.NO_ENDPOINT: 503,
+    Reason.NOT_LOADED: 503,
+    Reason.DEADLINE: 503,
+    Reason.OVERLOAD: 503,
+    Reason.DRAINING: 503,
+    Reason.STORE_DOWN: 503,
+    Reason.CONNECT_FAILED: 503,
+    Reason.ENDPOINT_REFUSED: 503,
+    Reason.CANCELLED: 503,
 }
 DEFAULT_STATUS = 503
+RETRY_LATER_STATUS = frozenset({429, 503})
+RETRY_AFTER_S = 1.0
+
+Headers = list[tuple[bytes, bytes]]
 
 
 class RefusedError(Exception):
-    """A request was refused before the core saw it."""
+    """A request was refused before the core saw it.
+
+    Parameters
+    ----------
+    reason : Reason
+        The stable code.
+    message : str
+        What a person reads.
+    headers : list of (bytes, bytes), optional
+        Further headers of the answer.
+    """
 
-    def __init__(self, reason: Reason, message: str) -> None:
+    def __init__(
+        self, reason: Reason, message: str, headers: Headers | None = None
+    ) -> None:
         super().__init__(message)
         self.reason = reason
+        self.headers = headers
 
 
 def error_body(outcome: NotRun | Unknown, message: str = "") -> dict[str, Any]:
@@ -44,23 +76,41 @@
 
 
 async def send_json(
-    send: Send, status: int, body: Any, headers: list[tuple[bytes, bytes]] | None = None
+    send: Send, status: int, body: Any, headers: Headers | None = None
 ) -> None:
     """Send a JSON body as the whole answer."""
+    encoded = json.dumps(body).encode()
+    length = str(len(encoded)).encode()
     start = {
         "type": "http.response.start",
         "status": status,
-        "headers": [(b"content-type", b"application/json"), *(headers or [])],
+        "headers": [
+            (b"content-type", b"application/json"),
+            (b"content-length", length),
+            *(headers or []),
+        ],
     }
     await send(start)
-    await send({"type": "http.response.body", "body": json.dumps(body).encode()})
+    await send({"type": "http.response.body", "body": encoded})
 
 
-async def send_error(send: Send, outcome: NotRun | Unknown, message: str = "") -> None:
+async def send_error(
+    send: Send,
+    outcome: NotRun | Unknown,
+    message: str = "",
+    headers: Headers | None = None,
+) -> None:
     """Send an outcome without an answer, with `Retry-After` where it applies."""
-    headers = []
-    if outcome.retry_after_s is not None:
-        seconds = max(1, round(outcome.retry_after_s))
-        headers = [(b"retry-after", str(seconds).encode())]
     status = STATUS.get(outcome.reason, DEFAULT_STATUS)
-    await send_json(send, status, error_body(outcome, message), headers)
+    retry_after_s = outcome.retry_after_s
+    if retry_after_s is None and status in RETRY_LATER_STATUS:
+        retry_after_s = RETRY_AFTER_S
+    sent = list(headers or [])
+    if retry_after_s is not None:
+        sent.append((b"retry-after", whole_seconds(retry_after_s)))
+    await send_json(send, status, error_body(outcome, message), sent)
+
+
+def whole_seconds(seconds: float) -> bytes:
+    """Return a `Retry-After` value: rounded up, so that nobody comes too early."""
+    return str(max(1, math.ceil(seconds))).encode()
--- a/packages/daemon/src/knapweedbridge_daemon/callers.py
+++ b/packages/daemon/src/knapweedbridge_daemon/callers.py
@@ -1,182 +1,242 @@
 """The callers' face: the interface that callers of model servers know."""
 
 import hashlib
-import json
 import time
 import uuid
-from typing import Any
+from dataclasses import asdict, dataclass
 
+from eliot import write_traceback
 from starlette.requests import ClientDisconnect, Request
-from starlette.types import Receive, Scope, Send
+from starlette.types import Message, Receive, Scope, Send
 
 from knapweedbridge_core import events
-from knapweedbridge_core.configuration import Configuration, KeyEntry, Service
-from knapweedbridge_core.errors import NameFormatError
-from knapweedbridge_core.names import AdapterVersion, parse_adapter_version
-from knapweedbridge_core.outcomes import NotRun, Reason
+from knapweedbridge_core.configuration import KeyEntry
+from knapweedbridge_core.names import AdapterVersion
+from knapweedbridge_core.outcomes import NotRun, Reason, Unknown
 from knapweedbridge_daemon.answers import RefusedError, send_error, send_json
+from knapweedbridge_daemon.caller_bodies import read_body, read_model_body
+from knapweedbridge_daemon.caller_headers import (
+    Asked,
+    read_headers,
+    request_id_of,
+)
 from knapweedbridge_daemon.calls import Call
+from knapweedbridge_daemon.catalogue import Catalogue
 from knapweedbridge_daemon.connections import Connections
 from knapweedbridge_daemon.driver import Driver
 from knapweedbridge_daemon.keys import bearer_key
+from knapweedbridge_daemon.passing import raw_target
 
 MODEL_PATHS = ("/v1/chat/completions", "/v1/completions")
-MAX_BODY_BYTES = 4 << 20
+MODELS_PATH = "/v1/models"
+READING_METHODS = ("GET", "HEAD")
+REQUEST_ID_HEADER = b"x-request-id"
+OWN_ID_HEADER = b"x-knapweedbridge-id"
+
+
+@dataclass(slots=True, frozen=True)
+class FaceBounds:
+    """Bounds of the callers' face; each is a setting of ``[requests]``.
+
+    Parameters
+    ----------
+    deadline_s : float
+        Deadline of a request that names none, in seconds.
+    max_body_bytes : int
+        Largest body of a request.
+    """
+
+    deadline_s: float = 60.0
+    max_body_bytes: int = 4 << 20
 
 
 class CallersApp:
-    """ASGI application of the callers' face."""
+    """ASGI application of the callers' face.
+
+    Parameters
+    ----------
+    driver : Driver
+        The task that owns the core.
+    connections : Connections
+        Connections to endpoints.
+    bounds : FaceBounds
+        Bounds on requests.
+    """
 
     def __init__(
-        self, driver: Driver, connections: Connections, deadline_s: float
+        self, driver: Driver, connections: Connections, bounds: FaceBounds
     ) -> None:
         self._driver = driver
         self._connections = connections
-        self._deadline_s = deadline_s
+        self._bounds = bounds
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one connection event of the web server."""
         if scope["type"] == "lifespan":
             await _lifespan(receive, send)
-            return
-        if scope["type"] != "http":
-            return
-        request = Request(scope, receive)
+        elif scope["type"] == "websocket":
+            await send({"type": "websocket.close", "code": 1008})
+        else:
+            await self._serve_http(Request(scope, receive), send)
+
+    async def _serve_http(self, request: Request, send: Send) -> None:
+        answer = _Answer(request, send)
         try:
-            await self._serve(request, send)
+            await self._serve(request, answer)
         except RefusedError as error:
-            await send_error(send, NotRun(error.reason), str(error))
+            outcome = NotRun(error.reason)
+            await send_error(answer, outcome, str(error), error.headers)
         except ClientDisconnect:
             return
-
-    async def _serve(self, request: Request, send: Send) -> None:
+        except Exception:
+            # A fault of ours: the caller still gets the form of an error that
+            # it knows, unless its answer has begun; then the broken connection
+            # tells it.
+            self._driver.count("request.internal")
+            write_traceback()
+            if answer.started:
+                raise
+            await send_error(answer, Unknown(Reason.INTERNAL))
+
+    async def _serve(self, request: Request, answer: "_Answer") -> None:
         configuration = self._driver.bridge.configuration
         key = bearer_key(request.headers, configuration)
         if key is None:
             raise RefusedError(Reason.UNAUTHENTICATED, "no such key")
-        if request.url.path == "/v1/models":
-            await send_json(send, 200, _models(configuration, key))
+        catalogue = Catalogue(configuration, key)
+        path = request.scope["path"]
+        if path == MODELS_PATH or path.startswith(MODELS_PATH + "/"):
+            await self._serve_models(request, answer, catalogue)
             return
-        body = await _read_body(request)
-        wanted = self._describe(request, body, configuration, key)
-        call = Call(self._driver, self._connections, request, send, body, wanted)
+        if path in MODEL_PATHS and await _refuse_method(request, answer, ("POST",)):
+            return
+        asked = read_headers(request.headers, self._bounds.deadline_s)
+        wanted, body = await self._describe(request, asked, catalogue, key)
+        answer.own_id = wanted.request_id
+        call = Call(self._driver, self._connections, request, answer, body, wanted)
         await call.run()
 
-    def _describe(
-        self, request: Request, body: bytes, configuration: Configuration, key: KeyEntry
-    ) -> events.Request:
-        path = request.url.path
+    async def _serve_models(
+        self, request: Request, answer: "_Answer", catalogue: Catalogue
+    ) -> None:
+        if await _refuse_method(request, answer, READING_METHODS):
+            return
+        name = request.scope["path"].removeprefix(MODELS_PATH).lstrip("/")
+        if name:
+            await send_json(answer, 200, asdict(catalogue.model(name)))
+            return
+        data = [asdict(entry) for entry in catalogue.models()]
+        await send_json(answer, 200, {"object": "list", "data": data})
+
+    async def _describe(
+        self, request: Request, asked: Asked, catalogue: Catalogue, key: KeyEntry
+    ) -> tuple[events.Request, bytes]:
+        path = request.scope["path"]
         if path in MODEL_PATHS:
-            return self._describe_model(request, body, configuration, key)
-        for service in configuration.services.values():
-            if path == service.path or path.startswith(service.path + "/"):
-                return self._describe_service(request, body, service, key)
-        raise RefusedError(Reason.UNKNOWN_MODEL, f"nothing is served at {path}")
-
-    def _describe_model(
-        self, request: Request, body: bytes, configuration: Configuration, key: KeyEntry
-    ) -> events.Request:
-        try:
-            fields = json.loads(body)
-            name = fields["model"]
-        except (ValueError, KeyError, TypeError):
-            raise RefusedError(Reason.BAD_REQUEST, "the body names no model") from None
-        application = configuration.applications.get(name)
-        model = application.model if application else _model(name, configuration)
-        team = application.team if application else _team(model, configuration)
-        if team != key.team and key.role != "administrator":
-            raise RefusedError(Reason.FORBIDDEN, f"{name} belongs to another team")
-        return self._request(
-            request,
+            body = await read_body(request, self._bounds.max_body_bytes)
+            return _describe_model(body, asked, catalogue, key), body
+        service = catalogue.service(path)
+        body = await read_body(request, self._bounds.max_body_bytes)
+        reading = request.method in READING_METHODS
+        non_idempotent = service.non_idempotent and not reading
+        called = f"{request.method} {raw_target(request.scope)}"
+        wanted = _request(
             body,
+            asked,
             key,
-            model=model,
-            priority=application.priority if application else "normal",
-            non_idempotent=bool(application and application.non_idempotent),
-            streamed=bool(fields.get("stream")),
-        )
-
-    def _describe_service(
-        self, request: Request, body: bytes, service: Service, key: KeyEntry
-    ) -> events.Request:
-        if service.team != key.team and key.role != "administrator":
-            raise RefusedError(Reason.FORBIDDEN, "it belongs to another team")
-        unsafe = service.non_idempotent and request.method not in ("GET", "HEAD")
-        return self._request(
-            request, body, key, service=service.name, non_idempotent=unsafe
-        )
-
-    def _request(
-        self,
-        request: Request,
-        body: bytes,
-        key: KeyEntry,
-        *,
-        model: AdapterVersion | None = None,
-        service: str = "",
-        priority: str = "normal",
-        non_idempotent: bool = False,
-        streamed: bool = False,
-    ) -> events.Request:
-        try:
-            within_s = float(request.headers.get("x-deadline-s", self._deadline_s))
-        except ValueError:
-            raise RefusedError(Reason.BAD_REQUEST, "X-Deadline-S: a number") from None
-        seen = f"{key.name}\0{model}\0{service}\0".encode() + body
-        return events.Request(
-            request_id=uuid.uuid4().hex,
-            caller=key.name,
-            team=key.team,
-            model=model,
-            service=service,
-            priority=priority,
+            service=service.name,
+            called=called,
             non_idempotent=non_idempotent,
-            idempotency_key=request.headers.get("idempotency-key", ""),
-            deadline_s=time.monotonic() + within_s,
-            fingerprint=hashlib.blake2b(seen, digest_size=16).hexdigest(),
-            streamed=streamed,
         )
-
-
-def _model(name: Any, configuration: Configuration) -> AdapterVersion:
-    try:
-        model = parse_adapter_version(str(name))
-    except NameFormatError as error:
-        raise RefusedError(Reason.UNKNOWN_MODEL, str(error)) from None
-    if model not in configuration.versions:
-        raise RefusedError(Reason.UNKNOWN_MODEL, f"no model {model}")
-    return model
-
-
-def _team(model: AdapterVersion, configuration: Configuration) -> str:
-    return configuration.adapters[model.adapter].team
-
-
-def _models(configuration: Configuration, key: KeyEntry) -> dict[str, Any]:
-    names = [
-        str(model)
-        for model in configuration.versions
-        if _team(model, configuration) == key.team or key.role == "administrator"
-    ]
-    names += [
-        application.name
-        for application in configuration.applications.values()
-        if application.team == key.team or key.role == "administrator"
-    ]
-    data = [
-        {"id": name, "object": "model", "created": 0, "owned_by": key.team}
-        for name in sorted(names)
-    ]
-    return {"object": "list", "data": data}
-
-
-async def _read_body(request: Request) -> bytes:
-    body = b""
-    async for chunk in request.stream():
-        body += chunk
-        if len(body) > MAX_BODY_BYTES:
-            raise RefusedError(Reason.BAD_REQUEST, "the body is over 4 MiB")
-    return body
+        return wanted, body
+
+
+class _Answer:
+    """Sends one answer, with the names of its request in its head."""
+
+    def __init__(self, request: Request, send: Send) -> None:
+        self._send = send
+        self._callers_id = request_id_of(request.headers)
+        self.own_id = uuid.uuid4().hex
+        self.started = False
+
+    async def __call__(self, message: Message) -> None:
+        if not self.started and message["type"] == "http.response.start":
+            self.started = True
+            message = {**message, "headers": self._headers(message)}
+        await self._send(message)
+
+    def _headers(self, message: Message) -> list[tuple[bytes, bytes]]:
+        named = {REQUEST_ID_HEADER, OWN_ID_HEADER}
+        kept = [pair for pair in message["headers"] if pair[0].lower() not in named]
+        callers_id = self._callers_id or self.own_id
+        return [
+            *kept,
+            (REQUEST_ID_HEADER, callers_id.encode("latin-1")),
+            (OWN_ID_HEADER, self.own_id.encode()),
+        ]
+
+
+def _describe_model(
+    body: bytes, asked: Asked, catalogue: Catalogue, key: KeyEntry
+) -> events.Request:
+    fields = read_model_body(body)
+    target = catalogue.target(fields.model)
+    application = target.application
+    return _request(
+        body,
+        asked,
+        key,
+        model=target.model,
+        priority=application.priority if application else "normal",
+        non_idempotent=bool(application and application.non_idempotent),
+        streamed=fields.streamed,
+    )
+
+
+def _request(
+    body: bytes,
+    asked: Asked,
+    key: KeyEntry,
+    *,
+    model: AdapterVersion | None = None,
+    service: str = "",
+    called: str = "",
+    priority: str = "normal",
+    non_idempotent: bool = False,
+    streamed: bool = False,
+) -> events.Request:
+    seen = f"{key.name}\0{model}\0{service}\0{called}\0".encode() + body
+    return events.Request(
+        request_id=uuid.uuid4().hex,
+        caller=key.name,
+        team=key.team,
+        model=model,
+        service=service,
+        priority=asked.priority or priority,
+        non_idempotent=non_idempotent or asked.non_idempotent,
+        idempotency_key=asked.idempotency_key,
+        deadline_s=time.monotonic() + asked.within_s,
+        fingerprint=hashlib.blake2b(seen, digest_size=16).hexdigest(),
+        streamed=streamed,
+    )
+
+
+async def _refuse_method(
+    request: Request, answer: _Answer, allowed: tuple[str, ...]
+) -> bool:
+    """Answer OPTIONS, and refuse what is not allowed; tell whether it did."""
+    if request.method in allowed:
+        return False
+    header = (b"allow", ", ".join((*allowed, "OPTIONS")).encode())
+    if request.method == "OPTIONS":
+        await answer(
+            {"type": "http.response.start", "status": 204, "headers": [header]}
+        )
+        await answer({"type": "http.response.body", "body": b""})
+        return True
+    text = f"{request.method} is not allowed here"
+    raise RefusedError(Reason.METHOD_NOT_ALLOWED, text, [header])
 
 
 async def _lifespan(receive: Receive, send: Send) -> None:
--- a/packages/daemon/src/knapweedbridge_daemon/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/calls.py
@@ -28,25 +28,8 @@
     EndpointResponse,
     HttpEndpoint,
 )
-from knapweedbridge_daemon.relay import Relay, WrongModelError, bounded, check_model
-
-# Headers that belong to one connection, or that this daemon sets itself.
-NOT_PASSED_ON = frozenset(
-    {
-        "authorization",
-        "connection",
-        "content-length",
-        "expect",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
+from knapweedbridge_daemon.passing import passed_on, raw_target
+from knapweedbridge_daemon.relay import Relay, WrongModelError, check_model
 
 
 class Call:
@@ -87,7 +70,8 @@
             fields = json.loads(body)
             fields["model"] = str(wanted.model)
             self._body = json.dumps(fields).encode()
-        self._relay = Relay(str(wanted.model or ""), self._send_chunk)
+        join_wait_s = connections.bounds.join_wait_s
+        self._relay = Relay(str(wanted.model or ""), self._send_chunk, join_wait_s)
         self._started = False
         self._finished = False
         self._sent_whole = 0
@@ -174,9 +158,7 @@
         head_s = left_s
         if self._wanted.streamed:
             head_s = min(left_s, self._connections.bounds.first_token_timeout_s)
-        path = self._http.url.path
-        if self._http.url.query:
-            path += "?" + self._http.url.query
+        path = raw_target(self._http.scope)
         async with AsyncExitStack() as stack:
             pooled = self._connections.pooled()
             client = await stack.enter_async_context(pooled)
@@ -189,17 +171,17 @@
                 return await self._relay_model(response)
             return await self._pass_on(response)
 
-    def _headers(self, step: Dispatch) -> dict[str, str]:
-        headers = {"content-type": "application/json"}
+    def _headers(self, step: Dispatch) -> list[tuple[str, str]]:
+        headers = [("content-type", "application/json")]
         if self._wanted.model is None:
-            headers = {
-                name: value
-                for name, value in self._http.headers.items()
-                if name not in NOT_PASSED_ON
-            }
-        headers["x-request-id"] = self._wanted.request_id
-        headers["x-attempt-id"] = step.attempt_id
-        return headers
+            headers = passed_on(self._http.headers.items())
+        # These two are the daemon's own; a caller's of the same names are not.
+        own = {
+            "x-request-id": self._wanted.request_id,
+            "x-attempt-id": step.attempt_id,
+        }
+        kept = [pair for pair in headers if pair[0] not in own]
+        return [*kept, *own.items()]
 
     async def _relay_model(self, response: EndpointResponse) -> Outcome:
         claimed = response.headers.get("x-model", str(self._wanted.model))
@@ -216,9 +198,7 @@
         first_s = bounds.first_token_timeout_s
         if self._relay.events:
             first_s = bounds.token_gap_timeout_s
-        await self._relay.pump(
-            bounded(response.chunks, first_s, bounds.token_gap_timeout_s)
-        )
+        await self._relay.pump(response.chunks, first_s, bounds.token_gap_timeout_s)
         if not self._relay.whole:
             return Unknown(Reason.STREAM_BROKEN, self._tokens)
         return Complete(self._tokens)
@@ -243,11 +223,7 @@
         return Complete(1)
 
     async def _start_from(self, response: EndpointResponse) -> None:
-        headers = [
-            (name, value)
-            for name, value in response.headers.multi_items()
-            if name.lower() not in NOT_PASSED_ON
-        ]
+        headers = passed_on(response.headers.multi_items())
         if self._wanted.model is not None:
             kind = response.headers.get("content-type", "application/json")
             headers = [("content-type", kind)]
--- a/packages/daemon/src/knapweedbridge_daemon/connections.py
+++ b/packages/daemon/src/knapweedbridge_daemon/connections.py
@@ -10,13 +10,15 @@
 
 import httpx
 
+from knapweedbridge_daemon.passing import NEUTRAL_HEADERS, keep_no_cookies
+
 MAX_CONNECTIONS = 2000
 KEEPALIVE_PROBES = 3
 
 
 @dataclass(slots=True, frozen=True)
 class Bounds:
-    """Bounds on silence, in seconds; each is a setting of ``[requests]``."""
+    """Bounds on silence and waits, in seconds; each is a setting of ``[requests]``."""
 
     connect_timeout_s: float = 1.0
     first_token_timeout_s: float = 20.0
@@ -24,6 +26,7 @@
     connection_idle_s: float = 2.0
     connection_age_s: float = 60.0
     keepalive_s: float = 5.0
+    join_wait_s: float = 0.0
 
     @classmethod
     def of(cls, values: dict[str, Any]) -> "Bounds":
@@ -113,7 +116,13 @@
         timeout = httpx.Timeout(
             bounds.first_token_timeout_s, read=None, connect=bounds.connect_timeout_s
         )
-        return httpx.AsyncClient(transport=transport, timeout=timeout, trust_env=False)
+        return httpx.AsyncClient(
+            transport=transport,
+            timeout=timeout,
+            trust_env=False,
+            headers=NEUTRAL_HEADERS,
+            cookies=keep_no_cookies(),
+        )
 
 
 def _keepalive(idle_s: float) -> list[tuple[int, int, int]]:
--- a/packages/daemon/src/knapweedbridge_daemon/daemon.py
+++ b/packages/daemon/src/knapweedbridge_daemon/daemon.py
@@ -14,7 +14,7 @@
 from knapweedbridge_core.settings import Settings
 from knapweedbridge_core.timeline import Timeline
 from knapweedbridge_daemon.administration import Administration
-from knapweedbridge_daemon.callers import CallersApp
+from knapweedbridge_daemon.callers import CallersApp, FaceBounds
 from knapweedbridge_daemon.connections import Bounds, Connections
 from knapweedbridge_daemon.driver import Driver
 from knapweedbridge_daemon.errors import DaemonError
@@ -97,9 +97,9 @@
         administration = Administration(
             driver, store, first_key_hash, lambda: self._drain(driver)
         ).app()
-        callers = CallersApp(
-            driver, connections, settings.get("requests", "deadline_s")
-        )
+        requests = settings.values["requests"]
+        face_bounds = FaceBounds(requests["deadline_s"], requests["max_body_bytes"])
+        callers = CallersApp(driver, connections, face_bounds)
         drain_s = settings.get("requests", "drain_timeout_s")
         faces = {"callers": callers, "administration": administration}
         async with anyio.create_task_group() as background:
--- a/packages/daemon/src/knapweedbridge_daemon/endpoints.py
+++ b/packages/daemon/src/knapweedbridge_daemon/endpoints.py
@@ -16,6 +16,7 @@
 from knapweedbridge_core.outcomes import NotRun, Outcome, Reason, Unknown
 from knapweedbridge_daemon.errors import EndpointError
 from knapweedbridge_daemon.relay import SilenceError
+from knapweedbridge_daemon.sse import BrokenEventsError
 
 FENCING_HEADER = "x-fencing-number"
 ORDER_TIMEOUT_S = 30.0
@@ -55,7 +56,7 @@
         method: str,
         path: str,
         body: bytes,
-        headers: dict[str, str],
+        headers: list[tuple[str, str]],
         head_timeout_s: float,
     ) -> Any:
         """Open an attempt; a context manager of a response with chunks.
@@ -140,7 +141,7 @@
         method: str,
         path: str,
         body: bytes,
-        headers: dict[str, str],
+        headers: list[tuple[str, str]],
         head_timeout_s: float,
     ) -> AsyncIterator[EndpointResponse]:
         """See `Endpoint.stream`."""
@@ -260,7 +261,7 @@
 async def _closing(response: httpx.Response) -> AsyncIterator[None]:
     try:
         yield
-    except httpx.HTTPError as error:
+    except (httpx.HTTPError, BrokenEventsError) as error:
         raise AttemptFailedError(Unknown(Reason.STREAM_BROKEN)) from error
     except SilenceError as error:
         raise AttemptFailedError(Unknown(Reason.SILENT)) from error
--- a/packages/daemon/src/knapweedbridge_daemon/relay.py
+++ b/packages/daemon/src/knapweedbridge_daemon/relay.py
@@ -1,11 +1,14 @@
 """Moves the events of a stream from an endpoint to a caller."""
 
 import json
-from collections.abc import AsyncIterator, Awaitable, Callable
+import math
+from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
+from contextlib import AsyncExitStack
 
 import anyio
 
-DONE = b"data: [DONE]"
+from knapweedbridge_daemon.sse import Block, EventReader
+
 EVENT_END = b"\n\n"
 EVENT_START = b"data: "
 
@@ -18,35 +21,6 @@
     """The stream names another model than the one that was asked."""
 
 
-async def bounded(
-    chunks: AsyncIterator[bytes], first_s: float, gap_s: float
-) -> AsyncIterator[bytes]:
-    """Yield chunks, with a bound before the first and one between two.
-
-    Parameters
-    ----------
-    first_s, gap_s : float
-        Longest silence before the first chunk, and after it, in seconds.
-
-    Raises
-    ------
-    SilenceError
-        When a bound is passed.
-    """
-    bound_s = first_s
-    iterator = aiter(chunks)
-    while True:
-        try:
-            with anyio.fail_after(bound_s):
-                chunk = await anext(iterator)
-        except StopAsyncIteration:
-            return
-        except TimeoutError as error:
-            raise SilenceError(f"silent for {bound_s} s") from error
-        yield chunk
-        bound_s = gap_s
-
-
 class Relay:
     """Passes on whole events only, and counts them as they are delivered.
 
@@ -59,40 +33,93 @@
         What the stream must say it runs on; empty: not checked.
     send_chunk : callable
         Takes bytes for the caller.
+    join_wait_s : float
+        Longest wait after a write, in seconds, so that tokens which come faster
+        than that share the next one. The first token never waits.
     """
 
     def __init__(
-        self, model: str, send_chunk: Callable[[bytes], Awaitable[None]]
+        self,
+        model: str,
+        send_chunk: Callable[[bytes], Awaitable[None]],
+        join_wait_s: float = 0.0,
     ) -> None:
         self._model = model
         self._send_chunk = send_chunk
+        self._join_wait_s = join_wait_s
+        self._written_s = -math.inf
         self.events = 0
         self.whole = False
 
-    async def pump(self, chunks: AsyncIterator[bytes]) -> None:
+    async def pump(
+        self,
+        chunks: AsyncIterator[bytes],
+        first_s: float = math.inf,
+        gap_s: float = math.inf,
+    ) -> None:
         """Pass on the events of one connection, until it or the answer ends.
 
+        Parameters
+        ----------
+        chunks : async iterator of bytes
+            What the endpoint sends; it is closed at the end.
+        first_s, gap_s : float
+            Longest silence before the first chunk, and after it, in seconds.
+
         Raises
         ------
+        SilenceError
+            When a bound on silence is passed.
         WrongModelError
             Before the first event of an answer by another model is passed on.
+        BrokenEventsError
+            If what comes is no stream of events.
         """
-        rest = b""
+        with anyio.CancelScope(deadline=anyio.current_time() + first_s) as silence:
+            async with AsyncExitStack() as stack:
+                if isinstance(chunks, AsyncGenerator):
+                    stack.push_async_callback(chunks.aclose)
+                await self._pump(chunks, gap_s, silence)
+        if silence.cancel_called:
+            raise SilenceError(f"silent for {first_s:g} s or {gap_s:g} s")
+
+    async def _pump(
+        self, chunks: AsyncIterator[bytes], gap_s: float, silence: anyio.CancelScope
+    ) -> None:
+        reader = EventReader()
         async for chunk in chunks:
-            whole, end, rest = (rest + chunk).rpartition(EVENT_END)
-            if end:
-                await self._pass_on(whole + end)
+            # Passing on under a cancelled scope could stop between a write and
+            # its count; what is not passed on is asked for again on a resume.
+            if silence.cancel_called:
+                return
+            # A caller that reads slowly is no silence of the endpoint.
+            silence.deadline = math.inf
+            block = reader.feed(chunk)
+            if block.data:
+                await self._pass_on(block)
             if self.whole:
                 return
-
-    async def _pass_on(self, block: bytes) -> None:
+            now_s = anyio.current_time()
+            if self._join_wait_s:
+                now_s = await self._join(now_s)
+            silence.deadline = now_s + gap_s
+
+    async def _join(self, now_s: float) -> float:
+        # Where tokens come slower than the wait there is nothing to join, and
+        # the timer would be spent for nothing.
+        fast = now_s - self._written_s < self._join_wait_s
+        if fast:
+            await anyio.sleep(self._join_wait_s)
+            now_s += self._join_wait_s
+        self._written_s = now_s
+        return now_s
+
+    async def _pass_on(self, block: Block) -> None:
         if self.events == 0:
-            self._check_model(block)
-        # JSON holds no raw line end, so these are the events' own.
-        framed = EVENT_END + block
-        self.whole = EVENT_END + DONE in framed
-        await self._send_chunk(block)
-        self.events += framed.count(EVENT_END + EVENT_START) - self.whole
+            self._check_model(block.data)
+        self.whole = block.done
+        await self._send_chunk(block.data)
+        self.events += block.events
 
     def _check_model(self, block: bytes) -> None:
         first = block.partition(EVENT_END)[0]
