--- a/packages/core/src/knapweedbridge_core/bridge.py
+++ b/packages/core/src/knapweedbridge_core/bridge.py
@@ -85,6 +85,11 @@
         """Data centre of this host."""
         return self._context.data_centre
 
+    @property
+    def incarnation(self) -> int:
+        """Number of this host's start."""
+        return self._context.incarnation
+
     @property
     def configuration(self) -> Configuration:
         """The configuration in force."""
--- a/packages/core/src/knapweedbridge_core/configuration_side.py
+++ b/packages/core/src/knapweedbridge_core/configuration_side.py
@@ -50,6 +50,9 @@
         self._behind_since_s: float | None = None
         self._read_s: float | None = None
         self.source = ""
+        self._highest_heard = 0
+        self._watch_key: tuple[int, bool, bool] | None = None
+        self._is_watcher = False
         self.service_root = Root()
         self.service_seen = False
 
@@ -93,12 +96,16 @@
 
     def should_watch(self) -> bool:
         """Tell whether this daemon is one of those that watch the service."""
-        members = self._context.members
         if self._waits_for_peers():
             return False
-        names = members.available(self._context.data_centre)
-        ordered = sorted(names, key=lambda name: rendezvous.score("watch", name))
-        return not names or self._context.host in ordered[:WATCHERS]
+        members = self._context.members
+        key = (members.version, members.unsure, members.draining)
+        if key != self._watch_key:
+            self._watch_key = key
+            names = members.available(self._context.data_centre)
+            ordered = sorted(names, key=lambda name: rendezvous.score("watch", name))
+            self._is_watcher = not names or self._context.host in ordered[:WATCHERS]
+        return self._is_watcher
 
     def should_read(self) -> bool:
         """Tell whether to read the service although others watch it.
@@ -124,9 +131,12 @@
 
     def _tick(self, event: events.Tick) -> None:
         held = self.held.generation
+        if self._highest_heard <= held:
+            self._behind_since_s = None
+            return
         ahead = [p for p in self._context.members.peers() if p.generation > held]
         if not ahead:
-            self._behind_since_s = None
+            self._highest_heard = held
             return
         if self._behind_since_s is None:
             self._behind_since_s = self._context.now_s
@@ -148,6 +158,7 @@
     def _heartbeat(self, message: messages.Heartbeat) -> None:
         if message.generation <= self.held.generation:
             return
+        self._highest_heard = max(self._highest_heard, message.generation)
         if self._fetch is None or self._is_overdue(self._fetch):
             self._begin(message.host)
 
--- a/packages/core/src/knapweedbridge_core/member_side.py
+++ b/packages/core/src/knapweedbridge_core/member_side.py
@@ -50,6 +50,7 @@
     def _tick(self, event: events.Tick) -> None:
         self._notice_pause()
         self._beat(self._context.members.neighbours())
+        self._deltas.forget_sent(self._context.members.neighbours())
         self._suspicions.tick(self._context.members.neighbours())
         self._settle()
         self._revisit_dead()
@@ -86,7 +87,7 @@
         members = self._context.members
         digest = members.digest(self._own)
         for host in hosts:
-            states = [*extra, *self._deltas.next(len(members.known()))]
+            states = [*extra, *self._deltas.next(host)]
             heartbeat = messages.Heartbeat(
                 self._context.host,
                 self._own.incarnation,
--- a/packages/core/src/knapweedbridge_core/members.py
+++ b/packages/core/src/knapweedbridge_core/members.py
@@ -85,6 +85,11 @@
         Who this daemon is and where it stands.
     whole_deployment : bool
         Whether the pool is all data centres of the list, or only its own.
+
+    Attributes
+    ----------
+    version : int
+        Changes with every change of a member, for what is computed from them.
     """
 
     def __init__(
@@ -96,6 +101,8 @@
         self._members: dict[str, Member] = {}
         self._rings = Rings(host)
         self._neighbours: list[str] | None = None
+        self._digest = 0
+        self.version = 0
         self.draining = False
         self.unsure = False
 
@@ -122,6 +129,7 @@
                 new.append(self._members[name])
             self._members[name].address = host.address
         self._neighbours = None
+        self.version += 1
         return new
 
     def get(self, host: str) -> Member | None:
@@ -134,7 +142,10 @@
         if member is None or state.rank <= member.state.rank:
             return False
         was_linked = member.linked
+        self._digest ^= _checksum(member.state) if was_linked else 0
         member.state = MemberState(*state)
+        self._digest ^= _checksum(member.state) if member.linked else 0
+        self.version += 1
         if was_linked != member.linked:
             self._neighbours = None
         if not member.linked and not member.listed:
@@ -159,11 +170,7 @@
 
     def digest(self, own: MemberState) -> int:
         """Return a checksum that members who agree on who lives have in common."""
-        total = _checksum(own)
-        for member in self._members.values():
-            if member.linked:
-                total ^= _checksum(member.state)
-        return total
+        return self._digest ^ _checksum(own)
 
     def peers(self) -> list[Member]:
         """Return the other members that live."""
--- a/packages/daemon/src/knapweedbridge_daemon/peers.py
+++ b/packages/daemon/src/knapweedbridge_daemon/peers.py
@@ -106,6 +106,11 @@
         self._heard: dict[str, _Heard] = {}
         self.bytes = PeerBytes()
 
+    @property
+    def open_streams(self) -> int:
+        """Streams out that stand or are being opened."""
+        return len(self._links)
+
     def know(self, tasks: TaskGroup, addresses: dict[str, str]) -> None:
         """Take the addresses of the peers; streams to others are closed."""
         self._tasks = tasks
