--- a/features/members/steps/stream_steps.py
+++ b/features/members/steps/stream_steps.py
@@ -66,10 +66,13 @@
     async def _pass(self, stream):
         number = self.connections = self.connections + 1
         ip, _, port = self.target.rpartition(":")
-        async with stream, await anyio.connect_tcp(ip, int(port)) as onward:
-            async with anyio.create_task_group() as tasks:
-                tasks.start_soon(self._copy, stream, onward, number)
-                tasks.start_soon(self._copy, onward, stream, number)
+        async with (
+            stream,
+            await anyio.connect_tcp(ip, int(port)) as onward,
+            anyio.create_task_group() as tasks,
+        ):
+            tasks.start_soon(self._copy, stream, onward, number)
+            tasks.start_soon(self._copy, onward, stream, number)
 
     async def _copy(self, source, target, number):
         with contextlib.suppress(
