Claim idempotency keys before dispatch, many in a write

Cause: a repeat through another host, or the same, ran a non-idempotent request a second time; nothing tied the two together.

--- a/packages/core/src/knapweedbridge_core/actions.py
+++ b/packages/core/src/knapweedbridge_core/actions.py
@@ -123,6 +123,22 @@
     lease_s: float = 0.0
 
 
+@dataclass(slots=True, frozen=True)
+class ClaimWrite:
+    """Write claims as `StoreWrite` does; each lapses with the claims' lease."""
+
+    token: str
+    compares: dict[str, int]
+    puts: dict[str, bytes]
+
+
+@dataclass(slots=True, frozen=True)
+class ClaimTimer:
+    """Tell `ClaimsDue` after a while."""
+
+    delay_s: float
+
+
 @dataclass(slots=True, frozen=True)
 class Record:
     """Add an event to the time line."""
@@ -149,6 +165,8 @@
     | AskReport
     | StoreRead
     | StoreWrite
+    | ClaimWrite
+    | ClaimTimer
     | Record
     | Count
 )
--- a/packages/core/src/knapweedbridge_core/bridge.py
+++ b/packages/core/src/knapweedbridge_core/bridge.py
@@ -3,6 +3,8 @@
 from typing import Any
 
 from knapweedbridge_core.actions import Action
+from knapweedbridge_core.claim_keeper import ClaimKeeper
+from knapweedbridge_core.claimant_side import ClaimantSide
 from knapweedbridge_core.configuration import Configuration
 from knapweedbridge_core.configuration_side import ConfigurationSide
 from knapweedbridge_core.context import Context, Timing
@@ -45,7 +47,8 @@
         administration: str = "",
     ) -> None:
         self._context = Context(host, data_centre, incarnation, timing or Timing())
-        self.requests = RequestSide(self._context)
+        claimant = ClaimantSide(self._context)
+        self.requests = RequestSide(self._context, claimant)
         estate = Estate(self._context)
         self.holder = HolderSide(self._context)
         self.owner = OwnerSide(self._context, estate)
@@ -59,7 +62,8 @@
         owning = (self.holder, self.owner, self.grants, self.orders)
         # The load side says which load failed before the owner says it is over.
         roles = (self.distribution, self.loads, *owning, self.requests, demand)
-        sides = (member, *roles, self.operators)
+        claims = (claimant, ClaimKeeper(self._context))
+        sides = (member, *roles, self.operators, *claims)
         for side in sides:
             self._context.take(side)
 
--- a/packages/core/src/knapweedbridge_core/events.py
+++ b/packages/core/src/knapweedbridge_core/events.py
@@ -165,6 +165,11 @@
     confirmed: bool
 
 
+@dataclass(slots=True, frozen=True)
+class ClaimsDue:
+    """The claims that wait may be written."""
+
+
 @dataclass(slots=True, frozen=True)
 class CallerLeft:
     """The caller went away before its answer was whole."""
--- a/packages/core/src/knapweedbridge_core/outcomes.py
+++ b/packages/core/src/knapweedbridge_core/outcomes.py
@@ -26,6 +26,7 @@
     REPEATED = "repeated"
     ALREADY_RUN = "already_run"
     KEY_REUSED = "key_reused"
+    FIRST_UNKNOWN = "first_unknown"
     ENDPOINT_FAILED = "endpoint_failed"
     SILENT = "silent"
     RESUME_FAILED = "resume_failed"
@@ -37,13 +38,6 @@
     INTERNAL = "internal"
 
 
-@dataclass(slots=True, frozen=True)
-class Complete:
-    """The whole answer was delivered."""
-
-    tokens: int = 0
-
-
 @dataclass(slots=True, frozen=True)
 class NotRun:
     """It is proved that the request did not run.
@@ -98,5 +92,21 @@
     body: bytes
 
 
+@dataclass(slots=True, frozen=True)
+class Complete:
+    """The whole answer was delivered.
+
+    Parameters
+    ----------
+    tokens : int
+        Tokens of the answer.
+    answer : Recorded or None
+        The answer itself, where a repeat may ask for it and it is small.
+    """
+
+    tokens: int = 0
+    answer: Recorded | None = None
+
+
 Outcome = Complete | NotRun | Unknown
 FinalOutcome = Outcome | Recorded
--- a/packages/core/src/knapweedbridge_core/request_side.py
+++ b/packages/core/src/knapweedbridge_core/request_side.py
@@ -10,6 +10,8 @@
     Finish,
     Resume,
 )
+from knapweedbridge_core.claimant_side import ClaimantSide
+from knapweedbridge_core.claims import needs_claim
 from knapweedbridge_core.context import Context, Handler, Side
 from knapweedbridge_core.outcomes import (
     FinalOutcome,
@@ -26,20 +28,26 @@
 
 GRANT_TIMEOUT_S = GRANT_USE_S
 LATE_GRANT_S = 30.0
+CANCEL_AGAIN_S = 1.0
+CANCEL_GIVE_UP_S = 10.0
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class _HeldGrant:
     owner: str
     returned: messages.GrantReturned
     since_s: float
+    asked_s: float
 
 
 class RequestSide(Side):
     """Owns the requests that callers sent to this daemon."""
 
-    def __init__(self, context: Context) -> None:
+    def __init__(self, context: Context, claimant: ClaimantSide) -> None:
         super().__init__(context)
+        self._claimant = claimant
+        claimant.on_claimed = self._claimed
+        claimant.on_refused = self._finish
         self.live: dict[str, LiveRequest] = {}
         self.budget = RetryBudget()
         self._cancelling: dict[str, _HeldGrant] = {}
@@ -60,6 +68,7 @@
 
     def _tick(self, event: events.Tick) -> None:
         self._expire_requests()
+        self._cancel_again()
         self._retry_waiting()
 
     def _request_arrived(self, event: events.RequestArrived) -> None:
@@ -71,7 +80,20 @@
             outcome = NotRun(Reason.DRAINING, RETRY_AFTER_S)
             self._finish(request.request_id, outcome)
             return
-        self._route(self.live[request.request_id])
+        self._admit(self.live[request.request_id])
+
+    def _admit(self, live: LiveRequest) -> None:
+        if needs_claim(live.request):
+            live.claiming = True
+            self._claimant.begin(live.request)
+        else:
+            self._route(live)
+
+    def _claimed(self, request_id: str) -> None:
+        live = self.live.get(request_id)
+        if live is not None and live.claiming:
+            live.claiming = False
+            self._route(live)
 
     def _route(self, live: LiveRequest) -> None:
         if live.request.service:
@@ -146,7 +168,7 @@
         }
         for live in list(self.live.values()):
             self._forget_lost_grant(live)
-            if not live.endpoint and self._context.now_s >= live.retry_at_s:
+            if self._is_due(live):
                 self._route(live)
 
     def _forget_lost_grant(self, live: LiveRequest) -> None:
@@ -267,7 +289,7 @@
         returned = messages.GrantReturned(
             live.attempt_id, live.endpoint, live.request.model
         )
-        held = _HeldGrant(live.owner, returned, self._context.now_s)
+        held = _HeldGrant(live.owner, returned, *[self._context.now_s] * 2)
         entry = self._context.configuration.endpoints.get(live.endpoint)
         if maybe_running and live.dispatched and entry is not None:
             self._cancelling[live.attempt_id] = held
@@ -280,12 +302,28 @@
         self._context.send(live.owner, returned)
 
     def _attempt_cancelled(self, event: events.AttemptCancelled) -> None:
-        held = self._cancelling.pop(event.attempt_id, None)
-        if held is not None:
+        held = self._cancelling.get(event.attempt_id)
+        if held is None:
+            return
+        if event.confirmed:
+            del self._cancelling[event.attempt_id]
             self._context.send(held.owner, held.returned)
-        if not event.confirmed:
+        else:
             self._context.do(Count("attempt.cancel_failed"))
 
+    def _cancel_again(self) -> None:
+        # An endpoint that is gone confirms nothing: the grant goes back in the
+        # end, and only a report newer than that lets the owner evict.
+        now_s = self._context.now_s
+        for attempt_id, held in list(self._cancelling.items()):
+            entry = self._context.configuration.endpoints.get(held.returned.endpoint)
+            if entry is None or now_s - held.since_s >= CANCEL_GIVE_UP_S:
+                del self._cancelling[attempt_id]
+                self._context.send(held.owner, held.returned)
+            elif now_s - held.asked_s >= CANCEL_AGAIN_S:
+                held.asked_s = now_s
+                self._context.do(CancelAttempt(attempt_id, entry.address))
+
     def _caller_left(self, event: events.CallerLeft) -> None:
         live = self.live.get(event.request_id)
         if live is not None:
@@ -307,6 +345,7 @@
         live = self.live.pop(request_id)
         if not isinstance(outcome, Recorded):
             outcome = live.honest(outcome)
+        self._claimant.end(request_id, outcome)
         self._context.do(Finish(request_id, outcome))
         word = "complete"
         if isinstance(outcome, (NotRun, Unknown)):
@@ -323,6 +362,9 @@
         self._context.view.changed(message)
         loaded = set(message.loaded)
         for live in list(self.live.values()):
-            due = self._context.now_s >= live.retry_at_s
-            if not live.endpoint and due and live.request.model in loaded:
+            if self._is_due(live) and live.request.model in loaded:
                 self._route(live)
+
+    def _is_due(self, live: LiveRequest) -> bool:
+        waited = self._context.now_s >= live.retry_at_s
+        return not live.endpoint and not live.claiming and waited
--- a/packages/core/src/knapweedbridge_core/requests.py
+++ b/packages/core/src/knapweedbridge_core/requests.py
@@ -16,6 +16,8 @@
         Who was asked for the grant of the present attempt, and gets it back.
     retry_at_s : float
         Before this time it is not routed again, on the daemon's clock.
+    claiming : bool
+        Whether its claim is still asked for; until then it is not routed.
     resumes : int
         Times the present attempt was resumed.
     delivered : int
@@ -33,6 +35,7 @@
     owner: str = ""
     dispatched: bool = False
     retry_at_s: float = 0.0
+    claiming: bool = False
     resumes: int = 0
     delivered: int = 0
     maybe_ran: Reason | None = None
--- a/packages/daemon/src/knapweedbridge_daemon/answers.py
+++ b/packages/daemon/src/knapweedbridge_daemon/answers.py
@@ -16,6 +16,7 @@
     Reason.REPEATED: 409,
     Reason.ALREADY_RUN: 409,
     Reason.KEY_REUSED: 422,
+    Reason.FIRST_UNKNOWN: 409,
     Reason.LIMIT: 429,
     Reason.BLAMED: 422,
     Reason.STREAM_BROKEN: 502,
@@ -69,6 +70,8 @@
 def error_body(outcome: NotRun | Unknown, message: str = "") -> dict[str, Any]:
     """Make the JSON body of an error."""
     run = "not_run" if isinstance(outcome, NotRun) else "unknown"
+    if outcome.reason == Reason.ALREADY_RUN:
+        run = "complete"
     text = message or str(outcome.reason).replace("_", " ")
     return {
         "error": {"message": text, "type": run, "code": str(outcome.reason), "run": run}
--- a/packages/daemon/src/knapweedbridge_daemon/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/calls.py
@@ -12,6 +12,7 @@
 
 from knapweedbridge_core import events
 from knapweedbridge_core.actions import Dispatch, Finish, Resume
+from knapweedbridge_core.claims import MAX_ANSWER_BYTES, needs_claim
 from knapweedbridge_core.outcomes import (
     Complete,
     FinalOutcome,
@@ -95,9 +96,14 @@
     async def _watch_caller(self, scope: anyio.CancelScope) -> None:
         while True:
             message = await self._http.receive()
-            if message["type"] == "http.disconnect":
+            if message["type"] != "http.disconnect":
+                continue
+            if needs_claim(self._wanted):
+                # The repeat asks how it ended: it is carried to its end.
+                self._send = _discard
+            else:
                 scope.cancel()
-                return
+            return
 
     async def _follow(self, follow: Any) -> None:
         async with anyio.create_task_group() as attempts:
@@ -220,7 +226,13 @@
         await self._start_from(response)
         self._sent_whole = 1
         await self._send_chunk(body)
-        return Complete(1)
+        return Complete(1, self._to_record(response, body))
+
+    def _to_record(self, response: EndpointResponse, body: bytes) -> Recorded | None:
+        if not needs_claim(self._wanted) or len(body) > MAX_ANSWER_BYTES:
+            return None
+        kind = response.headers.get("content-type", "")
+        return Recorded(response.status, kind, body)
 
     async def _start_from(self, response: EndpointResponse) -> None:
         headers = passed_on(response.headers.multi_items())
@@ -249,5 +261,9 @@
         await self._send({"type": "http.response.body", "body": last})
 
 
+async def _discard(message: Any) -> None:
+    """Take what is sent to a caller that left."""
+
+
 async def _join(chunks: AsyncIterator[bytes]) -> bytes:
     return b"".join([chunk async for chunk in chunks])
--- a/packages/daemon/src/knapweedbridge_daemon/driver.py
+++ b/packages/daemon/src/knapweedbridge_daemon/driver.py
@@ -13,6 +13,8 @@
 from knapweedbridge_core.actions import (
     AskReport,
     CancelAttempt,
+    ClaimTimer,
+    ClaimWrite,
     Count,
     Dispatch,
     Finish,
@@ -24,6 +26,7 @@
     StoreWrite,
 )
 from knapweedbridge_core.timeline import EventFilter, TimelineEvent
+from knapweedbridge_daemon.claims import ClaimStore
 from knapweedbridge_daemon.endpoints import HttpEndpoint
 from knapweedbridge_daemon.errors import EndpointError, StoreError
 from knapweedbridge_daemon.leases import Leases
@@ -62,6 +65,7 @@
         self.peers: Peers | None = None
         self._store = store
         self._leases = Leases(store)
+        self._claims = ClaimStore(store)
         self._client = client
         self._observer = observer
         send, receive = anyio.create_memory_object_stream[Any](INBOX_EVENTS)
@@ -74,6 +78,8 @@
             Dispatch: self._tell_request,
             Resume: self._tell_request,
             Finish: self._tell_request,
+            ClaimWrite: lambda action: self._start(self._write_claims, action),
+            ClaimTimer: lambda action: self._start(self._time_claims, action),
             CancelAttempt: lambda action: self._start(self._cancel, action),
             OrderEndpoint: lambda action: self._start(self._order, action),
             AskReport: lambda action: self._start(self._report, action),
@@ -151,6 +157,13 @@
     def _count(self, action: Count) -> None:
         self.count(action.name, action.value)
 
+    async def _write_claims(self, action: ClaimWrite) -> None:
+        await self.submit(await self._claims.write(action))
+
+    async def _time_claims(self, action: ClaimTimer) -> None:
+        await anyio.sleep(action.delay_s)
+        await self.submit(events.ClaimsDue())
+
     async def _cancel(self, action: CancelAttempt) -> None:
         confirmed = True
         try:
