Speak TLS on both faces, and change certificates without cutting a stream

The listener's context stays; each handshake is handed to the context loaded last. Ruled out: loading into the listener's context in place, which a certificate beside a foreign key leaves with no usable key, and restarting the listener, which cuts streams or leaves a moment without one. A broken pair is counted, recorded and left aside.

--- a/packages/core/src/knapweedbridge_core/settings.py
+++ b/packages/core/src/knapweedbridge_core/settings.py
@@ -41,6 +41,9 @@
             ),
             "certificate_file": Key(FilePath(), "", "PEM certificate; empty: no TLS."),
             "key_file": Key(FilePath(), "", "PEM private key of the certificate."),
+            "certificate_poll_s": Key(
+                Number(0.01, 86400), "10", "Pause between looks at them, seconds."
+            ),
         },
     ),
     "platform": Section(
--- a/packages/daemon/src/knapweedbridge_daemon/daemon.py
+++ b/packages/daemon/src/knapweedbridge_daemon/daemon.py
@@ -23,6 +23,7 @@
 from knapweedbridge_daemon.observer import Observer
 from knapweedbridge_daemon.peers import Peers
 from knapweedbridge_daemon.store import EtcdStore, KeyValueStore
+from knapweedbridge_daemon.tls import CertificateKeeper, open_certificates
 from knapweedbridge_daemon.watching import ConfigurationReader
 from knapweedbridge_daemon.web import make_config, serve_until
 
@@ -101,6 +102,9 @@
         face_bounds = FaceBounds(requests["deadline_s"], requests["max_body_bytes"])
         callers = CallersApp(driver, connections, face_bounds)
         drain_s = settings.get("requests", "drain_timeout_s")
+        certificates = open_certificates(settings.values["listen"])
+        poll_s = settings.get("listen", "certificate_poll_s")
+        keeper = CertificateKeeper(certificates, poll_s, driver.record, driver.count)
         faces = {"callers": callers, "administration": administration}
         async with anyio.create_task_group() as background:
             peers = self._make_peers(driver)
@@ -111,10 +115,12 @@
             background.start_soon(self._read_hosts, driver, hosts, background)
             background.start_soon(self._make_reader(driver, store).run)
             background.start_soon(self._await_signal, driver)
+            background.start_soon(keeper.run)
             driver.record("daemon.started")
             async with anyio.create_task_group() as tasks:
                 for name, app in faces.items():
-                    config = make_config(settings.get("listen", name), drain_s)
+                    address = settings.get("listen", name)
+                    config = make_config(address, drain_s, certificates)
                     tasks.start_soon(serve_until, app, config, self._stop)
             driver.record("daemon.stopped")
             background.cancel_scope.cancel()
--- a/packages/daemon/src/knapweedbridge_daemon/errors.py
+++ b/packages/daemon/src/knapweedbridge_daemon/errors.py
@@ -47,3 +47,7 @@
 
 class LocalFileError(DaemonError):
     """A file that the settings name cannot be read."""
+
+
+class CertificateError(DaemonError):
+    """A certificate or its key cannot be used."""
--- a/packages/daemon/src/knapweedbridge_daemon/local_files.py
+++ b/packages/daemon/src/knapweedbridge_daemon/local_files.py
@@ -7,7 +7,8 @@
 from knapweedbridge_core.faults import Fault
 from knapweedbridge_core.schema import FilePath
 from knapweedbridge_core.settings import SECTIONS, Settings, inspect_settings
-from knapweedbridge_daemon.errors import LocalFileError
+from knapweedbridge_daemon.errors import CertificateError, LocalFileError
+from knapweedbridge_daemon.tls import open_certificates
 
 
 def load_settings(path: Path) -> Settings:
@@ -22,6 +23,8 @@
     """
     settings, faults = inspect_settings(str(path), read_text(path))
     faults += _unreadable(str(path), settings)
+    if not faults:
+        faults += _unusable(str(path), settings)
     if faults:
         raise CheckError(faults)
     return settings
@@ -38,6 +41,14 @@
         raise LocalFileError(f"{path}: {error.strerror}") from error
 
 
+def _unusable(file: str, settings: Settings) -> Iterator[Fault]:
+    try:
+        open_certificates(settings.values["listen"])
+    except CertificateError as error:
+        message = f"{error}: allowed: a PEM certificate and its PEM key, unencrypted"
+        yield Fault(file, "listen", "certificate_file", message)
+
+
 def _unreadable(file: str, settings: Settings) -> Iterator[Fault]:
     for title, section in SECTIONS.items():
         for name, key in section.keys.items():
--- a/packages/standins/src/knapweedbridge_standins/embedded.py
+++ b/packages/standins/src/knapweedbridge_standins/embedded.py
@@ -1,5 +1,6 @@
 """A real daemon on a platform of stand-ins, all in one event loop, for tests."""
 
+import ssl
 import tempfile
 from collections.abc import Awaitable, Callable, Mapping
 from contextlib import AsyncExitStack
@@ -40,6 +41,8 @@
         INI text appended to the daemon's settings.
     plain : ASGI application, optional
         Stands in for the plain service.
+    certificate_file : str
+        Certificate that both faces show by ``extra_settings``; empty: no TLS.
     wrap_engine : callable, optional
         Wraps the ASGI application of each engine.
     """
@@ -50,6 +53,7 @@
         extra_files: Mapping[str, str] | None = None,
         extra_settings: str = "",
         plain: Any = None,
+        certificate_file: str = "",
         wrap_engine: Callable[[Any], Any] = lambda app: app,
     ) -> None:
         self.example = example
@@ -65,6 +69,7 @@
         ]
         self._files = {**example.folder(), **(extra_files or {})}
         self._extra_settings = extra_settings
+        self._certificate_file = certificate_file
         self._wrap_engine = wrap_engine
         self._stop = anyio.Event()
         self._stack = AsyncExitStack()
@@ -118,11 +123,20 @@
             tasks.start_soon(serve_until, app, make_config(address, 0.1), self._stop)
 
     async def _apply(self) -> None:
-        url = f"http://{self.example.administration(0)}"
+        verify: ssl.SSLContext | bool = False
+        scheme = "http"
+        if self._certificate_file:
+            verify = ssl.create_default_context(cafile=self._certificate_file)
+            scheme = "https"
+        url = f"{scheme}://{self.example.administration(0)}"
         headers = {"authorization": f"Bearer {ADMINISTRATOR_KEY}"}
         body = {"based_on": 0, "files": self._files}
         async with httpx.AsyncClient(
-            base_url=url, headers=headers, timeout=START_S, trust_env=False
+            base_url=url,
+            headers=headers,
+            timeout=START_S,
+            trust_env=False,
+            verify=verify,
         ) as client:
             with anyio.fail_after(START_S):
                 await _until(lambda: _answers(client))
