Blame requests that crash endpoints, and see leaving endpoints early

Cause: a caller that got an error for a request which crashes its engine sent it again by the next host, and each host gave it to another engine. A leaving endpoint was known by the platform's list alone, tens of seconds late.

A fingerprint is suspected when a stream breaks; a probe on a new connection proves or withdraws the loss. One loss: it runs on an endpoint beside no other suspect, which the owner of the endpoint enforces. Two: it is refused everywhere. A whole answer clears it. Ruled out: refusing after two losses without quarantine, since the innocent requests of the first loss are retried together and are lost together again.

Leaving: an endpoint's own refusal, its report or an operator's order marks it, the mark travels to the peers, and owners refuse grants on it.

--- /dev/null
+++ b/bench/overload_scenarios.py
@@ -0,0 +1,229 @@
+"""Runs of the core in virtual time that the tests and the measurements share."""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from knapweedbridge_core import Bridge, events
+from knapweedbridge_core.blame import Blame, Verdict
+from knapweedbridge_core.configuration import Configuration, build
+from knapweedbridge_core.names import AdapterVersion, parse_adapter_version
+from knapweedbridge_core.outcomes import Complete, NotRun, Outcome, Reason
+from knapweedbridge_standins.virtual_pool import FakeEngine, VirtualClock, VirtualPool
+
+MODEL = "refill@1"
+SEED = 11
+
+
+class NoBlame(Blame):
+    """Baseline: nothing is held against anyone."""
+
+    def judge(self, fingerprint: str, now_s: float) -> Verdict:
+        """See `Blame.judge`."""
+        return Verdict.FREE
+
+
+class NaiveBlame(Blame):
+    """Baseline: two losses refuse, and suspects run beside each other."""
+
+    def judge(self, fingerprint: str, now_s: float) -> Verdict:
+        """See `Blame.judge`."""
+        verdict = super().judge(fingerprint, now_s)
+        return Verdict.FREE if verdict is Verdict.ALONE else verdict
+
+
+BLAMES: dict[str, Callable[[], Blame]] = {
+    "no blame": NoBlame,
+    "two losses, no quarantine": NaiveBlame,
+    "two losses, quarantine": Blame,
+}
+
+
+def bridge_maker(blame: Callable[[], Blame]) -> Callable[[str, str], Bridge]:
+    """Return a maker of cores that keep blame in one way."""
+
+    def make(host: str, data_centre: str) -> Bridge:
+        bridge = Bridge(host, data_centre)
+        bridge._context.blame = blame()
+        return bridge
+
+    return make
+
+
+def configuration_of(
+    engines: int,
+    batch: int,
+    models: tuple[str, ...] = (MODEL,),
+    extra: dict[str, dict[str, str]] | None = None,
+) -> Configuration:
+    """Return a configuration with one team, adapters and engines."""
+    sections: dict[str, dict[str, str]] = {"team optics": {}, **(extra or {})}
+    for model in models:
+        adapter = model.partition("@")[0]
+        sections[f"adapter {adapter}"] = {"team": "optics", "base_model": "namib-7b"}
+        sections[f"version {model}"] = {}
+    for place in range(engines):
+        sections[f"endpoint draft-{place}"] = {
+            "address": f"127.0.0.1:{place + 1}",
+            "data_centre": "dc1",
+            "base_model": "namib-7b",
+            "batch": str(batch),
+        }
+    configuration, faults = build(1, sections)
+    assert not faults, faults
+    return configuration
+
+
+def make_pool(
+    daemons: int,
+    engines: int,
+    *,
+    batch: int = 16,
+    service_s: Callable[[events.Request], float] = lambda request: 1.0,
+    crashing: frozenset[str] = frozenset(),
+    blame: Callable[[], Blame] = Blame,
+    models: tuple[str, ...] = (MODEL,),
+    extra: dict[str, dict[str, str]] | None = None,
+    make_bridge: Callable[[str, str], Bridge] | None = None,
+) -> VirtualPool:
+    """Return a pool whose engines all hold the adapters named."""
+    clock = VirtualClock()
+    held = {parse_adapter_version(model) for model in models}
+    fakes = {
+        name: FakeEngine(
+            name, clock, batch, service_s, crashing=crashing, loaded=set(held)
+        )
+        for name in (f"draft-{place}" for place in range(engines))
+    }
+    configuration = configuration_of(engines, batch, models, extra)
+    maker = make_bridge or bridge_maker(blame)
+    return VirtualPool(daemons, configuration, clock, fakes, maker)
+
+
+def request_of(
+    pool: VirtualPool,
+    name: str,
+    *,
+    fingerprint: str,
+    model: str = MODEL,
+    caller: str = "counter",
+    team: str = "optics",
+    priority: str = "normal",
+    within_s: float = 60.0,
+) -> events.Request:
+    """Return a request that arrives now."""
+    return events.Request(
+        request_id=name,
+        caller=caller,
+        team=team,
+        model=AdapterVersion(*model.split("@")),
+        service="",
+        priority=priority,
+        non_idempotent=False,
+        idempotency_key="",
+        deadline_s=pool.clock.now_s + within_s,
+        fingerprint=fingerprint,
+    )
+
+
+@dataclass
+class Askers:
+    """Callers that send again through the next host until they get an answer.
+
+    Parameters
+    ----------
+    sends : int
+        Times a caller sends at most.
+    """
+
+    pool: VirtualPool
+    sends: int = 20
+    pause_s: float = 0.3
+    ended: dict[str, Outcome] = field(default_factory=dict)
+    sent: Counter = field(default_factory=Counter)
+
+    def __post_init__(self) -> None:
+        self.pool.on_finish = self._finished
+
+    def ask(self, fingerprint: str, host: int) -> None:
+        """Send a request, again by the next host after each failure."""
+        self.sent[fingerprint] += 1
+        name = f"{fingerprint}-{self.sent[fingerprint]}-{host}"
+        request = request_of(self.pool, name, fingerprint=fingerprint)
+        self.pool.ask(self.pool.hosts[host], request)
+
+    def _finished(self, name: str, outcome: Outcome) -> None:
+        fingerprint, _, host = name.rsplit("-", 2)
+        self.ended[fingerprint] = outcome
+        if isinstance(outcome, Complete) or self.sent[fingerprint] >= self.sends:
+            return
+        if isinstance(outcome, NotRun) and outcome.reason is Reason.BLAMED:
+            return
+        following = (int(host) + 1) % len(self.pool.hosts)
+        self.pool.clock.after(self.pause_s, lambda: self.ask(fingerprint, following))
+
+
+@dataclass
+class BlameFound:
+    """What a run with a crashing request found."""
+
+    endpoints_lost: int
+    crashing_refused: bool
+    innocents: int
+    innocents_complete: int
+    innocents_refused: int
+    longest_s: float
+
+
+def run_crashing(
+    blame: Callable[[], Blame],
+    *,
+    innocents: int = 40,
+    crashing: bool = True,
+    engines: int = 6,
+    restarts: int = 0,
+    seed: int = SEED,
+) -> BlameFound:
+    """Send a crashing request among innocent ones, all on one engine at first.
+
+    The innocent requests begin on the engine that the crashing one meets first;
+    `restarts` restarts that engine by itself instead, with all of them running.
+    """
+    rng = random.Random(seed)
+    bad = frozenset({"crash"} if crashing else ())
+    pool = make_pool(4, engines, batch=64, crashing=bad, blame=blame)
+    askers = Askers(pool)
+    begun_s = pool.clock.now_s
+    for engine in list(pool.engines.values())[1:]:
+        engine.leaving = True
+    pool.clock.run(3.0)
+    for place in range(innocents):
+        askers.ask(f"innocent{place}", rng.randrange(4))
+    if crashing:
+        askers.ask("crash", 0)
+    pool.clock.run(0.03)
+    for engine in pool.engines.values():
+        engine.leaving = False
+    for place in range(restarts):
+        pool.clock.after(place * 5.0, list(pool.engines.values())[0].restart)
+    pool.clock.run(150.0)
+    outcomes = [askers.ended.get(f"innocent{place}") for place in range(innocents)]
+    refused = [
+        outcome
+        for outcome in outcomes
+        if isinstance(outcome, NotRun) and outcome.reason is Reason.BLAMED
+    ]
+    lost = sum(engine.losses for engine in pool.engines.values()) - restarts
+    final = askers.ended.get("crash")
+    ends_s = [
+        at_s for name, (_, at_s) in pool.finished.items() if name.startswith("innocent")
+    ]
+    return BlameFound(
+        lost,
+        isinstance(final, NotRun) and final.reason is Reason.BLAMED,
+        innocents,
+        sum(isinstance(outcome, Complete) for outcome in outcomes),
+        len(refused),
+        max(ends_s, default=begun_s) - begun_s,
+    )
--- a/packages/core/src/knapweedbridge_core/actions.py
+++ b/packages/core/src/knapweedbridge_core/actions.py
@@ -97,6 +97,15 @@
     number: int = 0
 
 
+@dataclass(slots=True, frozen=True)
+class ProbeEndpoint:
+    """Ask an endpoint once, on a new connection, whether it lives and stays."""
+
+    endpoint: str
+    address: str
+    kind: str
+
+
 @dataclass(slots=True, frozen=True)
 class StoreRead:
     """Read keys of the key-value service."""
@@ -163,6 +172,7 @@
     | Finish
     | OrderEndpoint
     | AskReport
+    | ProbeEndpoint
     | StoreRead
     | StoreWrite
     | ClaimWrite
--- a/packages/core/src/knapweedbridge_core/bridge.py
+++ b/packages/core/src/knapweedbridge_core/bridge.py
@@ -3,6 +3,8 @@
 from typing import Any
 
 from knapweedbridge_core.actions import Action
+from knapweedbridge_core.blame import Blame
+from knapweedbridge_core.blame_side import BlameSide
 from knapweedbridge_core.claim_keeper import ClaimKeeper
 from knapweedbridge_core.claimant_side import ClaimantSide
 from knapweedbridge_core.configuration import Configuration
@@ -12,6 +14,7 @@
 from knapweedbridge_core.estate import Estate
 from knapweedbridge_core.grant_side import GrantSide
 from knapweedbridge_core.holder_side import HolderSide
+from knapweedbridge_core.leaving_side import LeavingSide
 from knapweedbridge_core.ledger import Ledger
 from knapweedbridge_core.load_side import LoadSide
 from knapweedbridge_core.member_side import MemberSide
@@ -60,8 +63,10 @@
         self.distribution = ConfigurationSide(self._context)
         self.operators = OperatorSide(self._context, administration)
         owning = (self.holder, self.owner, self.grants, self.orders)
+        guards = (BlameSide(self._context), LeavingSide(self._context))
         # The load side says which load failed before the owner says it is over.
-        roles = (self.distribution, self.loads, *owning, self.requests, demand)
+        answering = (*owning, *guards, self.requests, demand)
+        roles = (self.distribution, self.loads, *answering)
         claims = (claimant, ClaimKeeper(self._context))
         sides = (member, *roles, self.operators, *claims)
         for side in sides:
@@ -99,6 +104,11 @@
         """The configuration in force."""
         return self._context.configuration
 
+    @property
+    def blame(self) -> Blame:
+        """What this daemon holds against requests that crash endpoints."""
+        return self._context.blame
+
     @property
     def members(self) -> Members:
         """The daemons as this one sees them."""
--- a/packages/core/src/knapweedbridge_core/context.py
+++ b/packages/core/src/knapweedbridge_core/context.py
@@ -6,8 +6,10 @@
 from typing import Any
 
 from knapweedbridge_core.actions import Action, Record, SendPeer
+from knapweedbridge_core.blame import Blame
 from knapweedbridge_core.configuration import Configuration, EndpointEntry
 from knapweedbridge_core.fencing import Fences
+from knapweedbridge_core.leaving import Leaving
 from knapweedbridge_core.members import Members
 from knapweedbridge_core.view import View
 
@@ -56,7 +58,8 @@
         self.isolated = False
         self.view = View()
         self.fences = Fences()
-        self.leaving: set[str] = set()
+        self.leaving = Leaving()
+        self.blame = Blame()
         self.now_s = 0.0
         self.sender = host
         self._actions: list[Action] = []
@@ -103,6 +106,11 @@
         else:
             self.do(SendPeer(host, message))
 
+    def tell_peers(self, message: Any) -> None:
+        """Send a message to every peer with a stream."""
+        for peer in self.members.peers():
+            self.do(SendPeer(peer.name, message))
+
     def record(self, kind: str, **fields: Any) -> None:
         """Add an event to the time line."""
         self.do(Record(kind, fields))
--- a/packages/core/src/knapweedbridge_core/events.py
+++ b/packages/core/src/knapweedbridge_core/events.py
@@ -231,3 +231,57 @@
     known: bool
     applied: bool
     values: dict[str, tuple[bytes, int]]
+
+
+@dataclass(slots=True, frozen=True)
+class DrainClosed:
+    """The grace of a drain is over: requests that still arrive are refused."""
+
+
+@dataclass(slots=True, frozen=True)
+class EndpointProbed:
+    """A probe of an endpoint ended.
+
+    Parameters
+    ----------
+    reached : bool
+        Whether the endpoint answered.
+    leaving : bool
+        Whether it said that it takes no new work.
+    loaded : tuple of AdapterVersion
+        What an engine holds; empty for a plain service.
+    incarnation : str
+        Which start of the endpoint answered; empty where it does not tell.
+    """
+
+    endpoint: str
+    reached: bool
+    leaving: bool
+    loaded: tuple[AdapterVersion, ...]
+    incarnation: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class EndpointDrained:
+    """An operator asked that an endpoint gets no new work, or that it may again."""
+
+    endpoint: str
+    drained: bool
+
+
+@dataclass(slots=True, frozen=True)
+class AttemptJudged:
+    """The callers' side tells the other sides how an attempt ended."""
+
+    request: Request
+    attempt_id: str
+    endpoint: str
+    outcome: Outcome
+
+
+@dataclass(slots=True, frozen=True)
+class RequestFinished:
+    """The callers' side tells the other sides that a request is over."""
+
+    request: Request
+    outcome: Outcome
--- a/packages/core/src/knapweedbridge_core/grant_side.py
+++ b/packages/core/src/knapweedbridge_core/grant_side.py
@@ -7,6 +7,7 @@
 from knapweedbridge_core.actions import StoreRead
 from knapweedbridge_core.context import Context, Handler, Side
 from knapweedbridge_core.estate import Estate
+from knapweedbridge_core.grant_gate import GrantGate
 from knapweedbridge_core.leases import LIFE_KEY
 from knapweedbridge_core.outcomes import Reason
 from knapweedbridge_core.tenure import Tenure
@@ -45,6 +46,7 @@
     def __init__(self, context: Context, estate: Estate) -> None:
         super().__init__(context)
         self._estate = estate
+        self._gate = GrantGate(context)
         self._asks: dict[_Key, _Ask] = {}
         self._polled_s: dict[str, float] = {}
 
@@ -61,6 +63,10 @@
     def _grant_ask(self, message: messages.GrantAsk) -> None:
         tenure = self._estate.tenures.get(message.endpoint)
         sender, now_s = self._context.sender, self._context.now_s
+        stopped = self._gate.refusal(message, now_s)
+        if stopped is not None:
+            self._refuse(message, stopped)
+            return
         if (
             tenure is not None
             and self._estate.may_grant(tenure, message.model)
@@ -72,11 +78,13 @@
             )
             self._context.send(sender, given)
             return
-        self._record_grant("grant.refused", message)
-        refused = messages.GrantRefused(
-            message.attempt_id, message.endpoint, Reason.NOT_LOADED
-        )
-        self._context.send(sender, refused)
+        self._gate.leave(message)
+        self._refuse(message, Reason.NOT_LOADED)
+
+    def _refuse(self, asked: messages.GrantAsk, reason: Reason) -> None:
+        self._record_grant("grant.refused", asked)
+        refused = messages.GrantRefused(asked.attempt_id, asked.endpoint, reason)
+        self._context.send(self._context.sender, refused)
 
     def _record_grant(self, kind: str, asked: messages.GrantAsk) -> None:
         self._context.record(
@@ -90,6 +98,7 @@
     def _grant_returned(self, message: messages.GrantReturned) -> None:
         tenure = self._estate.tenures.get(message.endpoint)
         heir = self._estate.heirs.get(message.endpoint)
+        self._gate.leave(message)
         if tenure is not None:
             tenure.ledger.release(message.model, message.attempt_id)
         elif heir is not None:
--- a/packages/core/src/knapweedbridge_core/member_side.py
+++ b/packages/core/src/knapweedbridge_core/member_side.py
@@ -33,6 +33,7 @@
         return {
             events.Tick: self._tick,
             events.DrainBegan: self._drain_began,
+            events.DrainClosed: self._drain_closed,
             events.GenerationTaken: self._generation_taken,
             events.GenerationsAsked: self._generations_asked,
             events.HostsListed: self._hosts_listed,
@@ -106,6 +107,9 @@
         self._context.record("daemon.draining")
         self._beat(self._context.members.neighbours())
 
+    def _drain_closed(self, event: events.DrainClosed) -> None:
+        self._context.members.refusing = True
+
     def _generation_taken(self, event: events.GenerationTaken) -> None:
         self._beat(self._context.members.neighbours())
 
@@ -126,7 +130,7 @@
         new = self._context.members.listed(event.hosts)
         if first and new:
             self._become_unsure()
-        self._context.leaving = {
+        self._context.leaving.listed = {
             host.name
             for host in event.hosts
             if host.kind == "endpoint" and host.leaving
--- a/packages/core/src/knapweedbridge_core/members.py
+++ b/packages/core/src/knapweedbridge_core/members.py
@@ -105,6 +105,7 @@
         self.version = 0
         self.draining = False
         self.unsure = False
+        self.refusing = False
 
     def listed(self, hosts: tuple[ListedHost, ...]) -> list[Member]:
         """Take the platform's list, and return who is new on it."""
--- a/packages/core/src/knapweedbridge_core/messages.py
+++ b/packages/core/src/knapweedbridge_core/messages.py
@@ -56,6 +56,8 @@
     attempt_id: str
     endpoint: str
     model: AdapterVersion
+    priority: str = "normal"
+    suspect: bool = False
 
 
 @message
@@ -243,6 +245,33 @@
     token: str
 
 
+@message
+class BlameTold:
+    """A daemon tells what it holds against a fingerprint."""
+
+    fingerprint: str
+    loss_id: str
+    endpoint: str
+    state: str
+    age_s: float
+
+
+@message
+class BlameCleared:
+    """A suspected request got its whole answer."""
+
+    fingerprint: str
+
+
+@message
+class LeavingTold:
+    """A daemon saw the sign that an endpoint leaves, or that it stays after all."""
+
+    endpoint: str
+    leaving: bool
+    ordered: bool
+
+
 def _pack_default(value: Any) -> Any:
     if isinstance(value, AdapterVersion):
         packed = msgpack.packb([value.adapter, value.version])
--- a/packages/core/src/knapweedbridge_core/outcomes.py
+++ b/packages/core/src/knapweedbridge_core/outcomes.py
@@ -20,6 +20,8 @@
     DRAINING = "draining"
     STORE_DOWN = "store_down"
     CONNECT_FAILED = "connect_failed"
+    ENDPOINT_LEAVING = "endpoint_leaving"
+    QUARANTINE = "quarantine"
     ENDPOINT_REFUSED = "endpoint_refused"
     STREAM_BROKEN = "stream_broken"
     WRONG_ADAPTER = "wrong_adapter"
--- a/packages/core/src/knapweedbridge_core/request_side.py
+++ b/packages/core/src/knapweedbridge_core/request_side.py
@@ -10,6 +10,7 @@
     Finish,
     Resume,
 )
+from knapweedbridge_core.blame import Verdict
 from knapweedbridge_core.claimant_side import ClaimantSide
 from knapweedbridge_core.claims import needs_claim
 from knapweedbridge_core.context import Context, Handler, Side
@@ -61,6 +62,7 @@
             events.AttemptEnded: self._attempt_ended,
             events.AttemptCancelled: self._attempt_cancelled,
             events.CallerLeft: self._caller_left,
+            events.EndpointProbed: self._endpoint_probed,
             messages.GrantGiven: self._grant_given,
             messages.GrantRefused: self._grant_refused,
             messages.SlotsChanged: self._slots_changed,
@@ -71,12 +73,15 @@
         self._cancel_again()
         self._retry_waiting()
 
+    def _endpoint_probed(self, event: events.EndpointProbed) -> None:
+        self._retry_waiting()
+
     def _request_arrived(self, event: events.RequestArrived) -> None:
         request = event.request
         self.live[request.request_id] = LiveRequest(request)
         self.budget.earn(self._context.now_s)
         self._context.record("request.arrived", request=request.request_id)
-        if self._context.members.draining:
+        if self._context.members.refusing:
             outcome = NotRun(Reason.DRAINING, RETRY_AFTER_S)
             self._finish(request.request_id, outcome)
             return
@@ -96,11 +101,28 @@
             self._route(live)
 
     def _route(self, live: LiveRequest) -> None:
+        verdict = self._context.blame.judge(
+            live.request.fingerprint, self._context.now_s
+        )
+        if verdict is Verdict.REFUSE:
+            self._refuse_blamed(live)
+            return
+        if verdict is Verdict.HOLD:
+            live.endpoint = ""
+            return
+        live.suspect = verdict is Verdict.ALONE
         if live.request.service:
             self._route_service(live)
         else:
             self._route_model(live)
 
+    def _refuse_blamed(self, live: LiveRequest) -> None:
+        wait_s = self._context.blame.refused_for_s(
+            live.request.fingerprint, self._context.now_s
+        )
+        outcome = NotRun(Reason.BLAMED, wait_s)
+        self._finish(live.request.request_id, outcome)
+
     def _route_service(self, live: LiveRequest) -> None:
         names = [
             entry.name
@@ -109,6 +131,7 @@
             and entry.name not in self._context.leaving
         ]
         fresh = [name for name in names if name not in live.tried] or names
+        fresh = self._context.leaving.certain(fresh)
         name = rendezvous.choose(live.request.request_id, fresh)
         if name is None:
             outcome = NotRun(Reason.NO_ENDPOINT, RETRY_AFTER_S)
@@ -127,18 +150,29 @@
             and name in self._context.configuration.endpoints
         ]
         fresh = [name for name in holders if name not in live.tried] or holders
+        fresh = self._context.leaving.certain(fresh)
         if not fresh:
             live.endpoint = ""
             self._context.dispatch(events.AdapterMissed(live.request))
             return
-        name = self._choose(fresh)
+        name = self._spread(live, fresh) if live.suspect else self._choose(fresh)
         owner = self._context.view.endpoints[name].owner
         attempt_id = live.next_attempt(name, owner)
         live.asked_s = self._context.now_s
         self._context.record(
             "grant.asked", attempt=attempt_id, endpoint=name, model=str(model), to=owner
         )
-        self._context.send(owner, messages.GrantAsk(attempt_id, name, model))
+        ask = messages.GrantAsk(
+            attempt_id, name, model, live.request.priority, live.suspect
+        )
+        self._context.send(owner, ask)
+
+    @staticmethod
+    def _spread(live: LiveRequest, fresh: list[str]) -> str:
+        # Suspects wait for each other's places: spread over all endpoints they
+        # are through soonest.
+        key = f"{live.request.request_id}.{live.attempts}"
+        return rendezvous.choose(key, fresh) or fresh[0]
 
     def _choose(self, holders: list[str]) -> str:
         endpoints = self._context.configuration.endpoints
@@ -242,6 +276,10 @@
             attempt=event.attempt_id,
             outcome=type(event.outcome).__name__,
         )
+        judged = events.AttemptJudged(
+            live.request, event.attempt_id, live.endpoint, event.outcome
+        )
+        self._context.dispatch(judged)
         decision = decide(live, event.outcome, self.budget, self._context.now_s)
         if isinstance(decision, GoOn):
             self._resume(live)
--- a/packages/core/src/knapweedbridge_core/requests.py
+++ b/packages/core/src/knapweedbridge_core/requests.py
@@ -39,6 +39,7 @@
     resumes: int = 0
     delivered: int = 0
     maybe_ran: Reason | None = None
+    suspect: bool = False
     tried: set[str] = field(default_factory=set)
 
     @property
--- a/packages/core/src/knapweedbridge_core/settings.py
+++ b/packages/core/src/knapweedbridge_core/settings.py
@@ -110,6 +110,17 @@
             ),
         },
     ),
+    "blame": Section(
+        "Requests that crash endpoints.",
+        {
+            "lapse_s": Key(
+                Number(1, 86400), "600", "Time after which blame lapses, seconds."
+            ),
+            "suspects": Key(
+                Number(10, 100_000, whole=True), "1000", "Requests suspected at once."
+            ),
+        },
+    ),
     "logs": Section(
         "Logs and metrics.",
         {
--- a/packages/daemon/src/knapweedbridge_daemon/daemon.py
+++ b/packages/daemon/src/knapweedbridge_daemon/daemon.py
@@ -22,6 +22,7 @@
 from knapweedbridge_daemon.metrics import Metrics
 from knapweedbridge_daemon.observer import Observer
 from knapweedbridge_daemon.peers import Peers
+from knapweedbridge_daemon.probes import Prober
 from knapweedbridge_daemon.store import EtcdStore, KeyValueStore
 from knapweedbridge_daemon.tls import CertificateKeeper, open_certificates
 from knapweedbridge_daemon.watching import ConfigurationReader
@@ -54,6 +55,8 @@
             bounds = Bounds.of(self._settings.values["requests"])
             connections = await stack.enter_async_context(Connections(bounds))
             driver = self._make_driver(store, connections)
+            driver.prober = Prober()
+            stack.push_async_callback(driver.prober.close)
             await self._serve(driver, store, hosts, connections)
 
     def _open_store(self, stack: AsyncExitStack) -> KeyValueStore:
@@ -81,6 +84,8 @@
             timing,
             settings.get("listen", "administration"),
         )
+        bridge.blame.lapse_s = settings.get("blame", "lapse_s")
+        bridge.blame.suspects = settings.get("blame", "suspects")
         timeline = Timeline(settings.host, settings.get("logs", "timeline_events"))
         metrics = Metrics(settings.get("logs", "statsd"))
         observer = Observer(timeline, metrics, settings.get("logs", "level"))
--- a/packages/daemon/src/knapweedbridge_daemon/driver.py
+++ b/packages/daemon/src/knapweedbridge_daemon/driver.py
@@ -19,6 +19,7 @@
     Dispatch,
     Finish,
     OrderEndpoint,
+    ProbeEndpoint,
     Record,
     Resume,
     SendPeer,
@@ -32,6 +33,7 @@
 from knapweedbridge_daemon.leases import Leases
 from knapweedbridge_daemon.observer import Observer
 from knapweedbridge_daemon.peers import Peers
+from knapweedbridge_daemon.probes import Prober
 from knapweedbridge_daemon.store import KeyValueStore, Transaction
 
 INBOX_EVENTS = 10_000
@@ -63,6 +65,7 @@
     ) -> None:
         self.bridge = bridge
         self.peers: Peers | None = None
+        self.prober: Prober | None = None
         self._store = store
         self._leases = Leases(store)
         self._claims = ClaimStore(store)
@@ -83,6 +86,7 @@
             CancelAttempt: lambda action: self._start(self._cancel, action),
             OrderEndpoint: lambda action: self._start(self._order, action),
             AskReport: lambda action: self._start(self._report, action),
+            ProbeEndpoint: lambda action: self._start(self._probe, action),
             StoreRead: lambda action: self._start(self._read, action),
             StoreWrite: lambda action: self._start(self._write, action),
             Record: self._record,
@@ -197,6 +201,10 @@
         )
         await self.submit(reported)
 
+    async def _probe(self, action: ProbeEndpoint) -> None:
+        if self.prober is not None:
+            await self.submit(await self.prober.probe(action))
+
     async def _read(self, action: StoreRead) -> None:
         values: dict[str, tuple[bytes, int]] = {}
         known = True
--- a/packages/daemon/src/knapweedbridge_daemon/endpoints.py
+++ b/packages/daemon/src/knapweedbridge_daemon/endpoints.py
@@ -15,6 +15,7 @@
 from knapweedbridge_core.names import parse_adapter_version
 from knapweedbridge_core.outcomes import NotRun, Outcome, Reason, Unknown
 from knapweedbridge_daemon.errors import EndpointError
+from knapweedbridge_daemon.probes import says_leaving
 from knapweedbridge_daemon.relay import SilenceError
 from knapweedbridge_daemon.sse import BrokenEventsError
 
@@ -28,6 +29,7 @@
 # docs/design/outcomes-and-retries.md gives the table.
 ENGINE_REFUSING_STATUS = frozenset({404, 429})
 ENGINE_REFUSING_CODES = frozenset({"not_loaded", "overloaded", "starting", "draining"})
+LEAVING_STATUS = 503
 GATEWAY_STATUS = frozenset({502, 503, 504})
 
 
@@ -161,6 +163,8 @@
         async with _closing(response):
             if self._engine:
                 await self._raise_for_engine(response)
+            elif response.status_code == LEAVING_STATUS and says_leaving(response):
+                raise AttemptFailedError(NotRun(Reason.ENDPOINT_LEAVING))
             elif response.status_code in GATEWAY_STATUS:
                 raise AttemptFailedError(Unknown(Reason.ENDPOINT_FAILED))
             yield EndpointResponse(
@@ -175,6 +179,8 @@
             raise AttemptFailedError(NotRun(reason))
         if status < 500:
             return
+        if status == LEAVING_STATUS and says_leaving(response):
+            raise AttemptFailedError(NotRun(Reason.ENDPOINT_LEAVING))
         if await _error_code(response) in ENGINE_REFUSING_CODES:
             raise AttemptFailedError(NotRun(Reason.ENDPOINT_REFUSED))
         raise AttemptFailedError(Unknown(Reason.ENDPOINT_FAILED))
