--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,7 @@
 
 bench-relay: install
 	$(BIN)/python bench/relay.py --keep
+
+.PHONY: bench-placement
+bench-placement: install
+	$(BIN)/python bench/placement.py
--- /dev/null
+++ b/bench/placement.py
@@ -0,0 +1,363 @@
+"""Load stalls and batch fill of both deployments beside simple policies.
+
+Virtual time; every policy sees the same seeded arrivals and the same admission.
+"""
+
+import argparse
+import json
+import subprocess
+import sys
+import time
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import asdict, dataclass, replace
+from pathlib import Path
+
+from placement_model import (
+    CHAOPHRAYA,
+    DEADLINE_S,
+    OKAVANGO,
+    Faults,
+    Result,
+    Run,
+    Site,
+    arrivals,
+)
+from placement_plot import plot
+from placement_policies import BOUND, DECAYED, OURS, POLICIES, TRUE_RATES
+
+RESULTS = Path(__file__).parent / "results" / "placement.json"
+PLOT = Path(__file__).parent / "results" / "placement.svg"
+RUN_S = 1200.0
+WARM_S = 500.0
+FAULT_S = 700.0
+RECOVER_S = 60.0
+POINTS = (0.6, 0.8, 0.95, 1.5)
+TUNING_SEED = 11
+SEEDS = (101, 202)
+WORKERS = 3
+CASES = {
+    "steady": Faults(),
+    "shift": Faults(shift_s=FAULT_S),
+    "cold": Faults(restart_s=FAULT_S, restarts=2),
+    "failing": Faults(failing=0.1, poisoned=1),
+}
+
+
+@dataclass(slots=True)
+class Row:
+    """What one policy did in one case at one operating point, over the seeds.
+
+    ``mean_all_s`` counts a refused request as a stall of its whole deadline.
+    """
+
+    site: str
+    case: str
+    point: float
+    policy: str
+    per_s: float
+    stalled: float
+    mean_s: float
+    mean_all_s: float
+    p50_s: float
+    p95_s: float
+    p99_s: float
+    answered: float
+    loaded_p95_s: float
+    fill: float
+    loads_per_s: float
+    evictions_per_s: float
+    after_s: list[float]
+
+
+@dataclass(slots=True, frozen=True)
+class Job:
+    """One run."""
+
+    site: Site
+    case: str
+    point: float
+    policy: int
+    per_s: float
+    seed: int
+
+
+def run_once(job: Job) -> Result:
+    """Run one policy over one stream."""
+    faults = CASES[job.case]
+    policy = POLICIES[job.policy]
+    stream = arrivals(job.site, job.per_s, RUN_S, job.seed, faults)
+    order = policy.order(job.site, stream, job.seed)
+    join = policy.join(job.site)
+    return Run(job.site, stream, order, join, faults, WARM_S, job.seed).run()
+
+
+def request_rate(site: Site, share: float) -> float:
+    """Find the requests a second at which decayed counts use a share of the loads.
+
+    Loads take no time here, so that the queue does not hide what is used.
+    """
+    place = [policy.name for policy in POLICIES].index(DECAYED)
+    per_s = 2.0 * share * site.loads_per_s
+    for _ in range(4):
+        stream = arrivals(site, per_s, RUN_S, TUNING_SEED, Faults())
+        order = POLICIES[place].order(site, stream, TUNING_SEED)
+        join = POLICIES[place].join(site)
+        run = Run(site, stream, order, join, Faults(), WARM_S, TUNING_SEED, True)
+        used = run.run().loads / (RUN_S - WARM_S)
+        per_s *= share * site.loads_per_s / used
+    return round(per_s, 2)
+
+
+def quantile(ordered: list[float], share: float) -> float:
+    """Return a quantile of sorted values."""
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def row(job: Job, results: list[Result]) -> Row:
+    """Join the seeds of one policy, case and point."""
+    stalls = sorted(stall for r in results for _, stall in r.stalls)
+    refused = sum(len(r.refused) for r in results)
+    span_s = (RUN_S - WARM_S) * len(results)
+    loaded = sorted(wait for r in results for wait in r.loaded_waits)
+    return Row(
+        job.site.name,
+        job.case,
+        job.point,
+        POLICIES[job.policy].name,
+        job.per_s,
+        sum(stall > 0 for stall in stalls) / len(stalls),
+        sum(stalls) / len(stalls),
+        (sum(stalls) + refused * DEADLINE_S) / (len(stalls) + refused),
+        quantile(stalls, 0.5),
+        quantile(stalls, 0.95),
+        quantile(stalls, 0.99),
+        len(stalls) / (len(stalls) + refused),
+        quantile(loaded, 0.95),
+        sum(r.fill for r in results) / len(results),
+        sum(r.loads for r in results) / span_s,
+        sum(r.evictions for r in results) / span_s,
+        after_fault(results),
+    )
+
+
+def after_fault(results: list[Result]) -> list[float]:
+    """Return the mean stall in spans of 30 s from the fault on, refused ones too."""
+    means = []
+    for span in range(8):
+        from_s = FAULT_S + 30.0 * span
+        there = [
+            stall
+            for r in results
+            for at_s, stall in r.stalls
+            if from_s <= at_s < from_s + 30.0
+        ]
+        there += [
+            DEADLINE_S for r in results for at_s in r.refused
+            if from_s <= at_s < from_s + 30.0
+        ]  # fmt: skip
+        means.append(sum(there) / max(1, len(there)))
+    return means
+
+
+def jobs(sites: list[Site], seeds: tuple[int, ...]) -> list[Job]:
+    """List all runs, those of one row beside each other."""
+    listed = []
+    for site in sites:
+        rates = {point: request_rate(site, point) for point in POINTS}
+        rows = [("steady", point) for point in POINTS]
+        rows += [(case, 0.8) for case in CASES if case != "steady"]
+        rows += [("shift", 0.6)]
+        for case, point in rows:
+            for place in range(len(POLICIES)):
+                for seed in seeds:
+                    listed.append(Job(site, case, point, place, rates[point], seed))
+    return listed
+
+
+def measure(listed: list[Job], seeds: int) -> list[Row]:
+    """Run all and print a line a row."""
+    rows: list[Row] = []
+    with ProcessPoolExecutor(WORKERS) as pool:
+        results: list[Result] = []
+        for job, result in zip(listed, pool.map(run_once, listed), strict=True):
+            results.append(result)
+            if len(results) == seeds:
+                rows.append(row(job, results))
+                results = []
+                show(rows[-1])
+    return rows
+
+
+def show(shown: Row) -> None:
+    """Print one row."""
+    after = " ".join(f"{mean:.2f}" for mean in shown.after_s[:4])
+    after = f"  after fault: {after}" if shown.case in ("shift", "cold") else ""
+    print(
+        f"{shown.site:10} {shown.case:7} {shown.point:4.0%} {shown.policy:18}"
+        f" stalled {shown.stalled:5.1%} mean {shown.mean_s:6.3f}"
+        f" (all {shown.mean_all_s:6.3f}) p50 {shown.p50_s:5.2f}"
+        f" p95 {shown.p95_s:5.2f} p99 {shown.p99_s:5.2f}"
+        f" answered {shown.answered:6.1%} loaded p95 {shown.loaded_p95_s:5.3f}"
+        f" fill {shown.fill:5.2f} loads/s {shown.loads_per_s:4.2f}"
+        f" evictions/s {shown.evictions_per_s:4.2f}{after}",
+        flush=True,
+    )
+
+
+def goals(rows: list[Row]) -> list[str]:
+    """Tell each goal met or not, with its figures."""
+    by = {(r.site, r.case, r.point, r.policy): r for r in rows}
+    told = []
+    for point in (0.6, 0.8, 0.95):
+        own = by["okavango", "steady", point, OURS].mean_all_s
+        bound = by["okavango", "steady", point, BOUND].mean_all_s
+        true = by["okavango", "steady", point, TRUE_RATES].mean_all_s
+        told.append(
+            verdict(
+                f"okavango {point:.0%}: mean stall / bound {own / bound:.2f}, goal 1.5"
+                f" (with the true rates known {true / bound:.2f})",
+                own <= 1.5 * bound,
+            )
+        )
+    own, bound = (by["okavango", "steady", 1.5, name] for name in (OURS, BOUND))
+    share = own.answered / bound.answered
+    told.append(
+        verdict(f"okavango 150%: answers / bound {share:.3f}, goal 0.9", share >= 0.9)
+    )
+    calm = by["okavango", "steady", 0.6, OURS]
+    told.append(
+        verdict(
+            f"okavango loaded p95 at 150% {own.loaded_p95_s:.3f} s,"
+            f" at 60% {calm.loaded_p95_s:.3f} s, goal 1.1 times",
+            own.loaded_p95_s <= 1.1 * calm.loaded_p95_s,
+        )
+    )
+    for point in (0.6, 0.8):
+        steady = by["okavango", "steady", point, OURS].mean_all_s
+        later = by["okavango", "shift", point, OURS].after_s[int(RECOVER_S / 30)]
+        told.append(
+            verdict(
+                f"okavango shift at {point:.0%}: mean stall 60 to 90 s after"
+                f" {later:.3f}, steady {steady:.3f}, goal 1.1 times",
+                later <= 1.1 * steady,
+            )
+        )
+    baselines = [p.name for p in POLICIES if p.name not in (OURS, BOUND, TRUE_RATES)]
+    for point in POINTS:
+        own = by["chaophraya", "steady", point, OURS]
+        others = [by["chaophraya", "steady", point, name] for name in baselines]
+        fill = max(other.fill for other in others)
+        p95_s = min(other.p95_s for other in others)
+        told.append(
+            verdict(
+                f"chaophraya {point:.0%}: fill {own.fill:.2f}, best baseline"
+                f" {fill:.2f}; p95 {own.p95_s:.2f} s, best baseline {p95_s:.2f} s",
+                own.fill > fill and own.p95_s <= p95_s,
+            )
+        )
+    return told
+
+
+def verdict(text: str, met: bool) -> str:
+    """Say whether a goal is met."""
+    return f"{'met    ' if met else 'NOT MET'} {text}"
+
+
+def weights(rate: float, seeds: tuple[int, ...]) -> list[Row]:
+    """Move the one setting from stalls to batches on the same arrivals."""
+    place = [policy.name for policy in POLICIES].index(OURS)
+    rows = []
+    with ProcessPoolExecutor(WORKERS) as pool:
+        for weigh in (0.0, 0.1, 0.3, 1.0):
+            site = replace(CHAOPHRAYA, weigh=weigh, name=f"weigh={weigh:g}")
+            listed = [Job(site, "steady", 0.8, place, rate, seed) for seed in seeds]
+            rows.append(row(listed[0], list(pool.map(run_once, listed))))
+            show(rows[-1])
+    return rows
+
+
+def decision_cost_us(adapters: int, waiting: int) -> float:
+    """Measure one decision in microseconds with many adapters and waiters."""
+    from knapweedbridge_core.names import AdapterVersion
+    from knapweedbridge_core.queueing import Asker
+
+    stream = arrivals(replace(OKAVANGO, adapters=adapters), 50.0, 1000.0, 1, Faults())
+    order = POLICIES[4].order(OKAVANGO, stream, 1)
+    run = Run(OKAVANGO, stream, order, POLICIES[4].join(OKAVANGO), Faults(), 0.0, 1)
+    for place, engine in enumerate(run.engines.values()):
+        first = place * engine.entry.slots
+        for rank in range(first, first + engine.entry.slots):
+            engine.loaded.add(AdapterVersion(f"a{rank:05}", "1"))
+        run.publish(engine)
+    for arrival in stream:
+        order.used(arrival.model, 1, arrival.at_s)
+    now_s = 1000.0
+    for number in range(waiting):
+        asker = Asker(1, now_s, now_s + 1e6, now_s + 1e6, now_s)
+        order.wanted(AdapterVersion(f"w{number}", "1"), "host-0", asker, run.pool)
+    spent_s = 0.0
+    for turn in range(200):
+        now_s += 0.4
+        started_s = time.perf_counter()
+        asker = Asker(1, now_s, now_s + 1e6, now_s + 1e6, now_s)
+        order.wanted(AdapterVersion(f"x{turn}", "1"), "host-0", asker, run.pool)
+        order.used(AdapterVersion(f"x{turn}", "1"), 1, now_s)
+        placed = order.next_load(run.pool, now_s)
+        spent_s += time.perf_counter() - started_s
+        if placed is not None:
+            order.declined(placed.model, 3.0, now_s)
+    return spent_s / 200 * 1e6
+
+
+def costs() -> dict[str, float]:
+    """Measure decisions at both sizes of catalogue and of queue."""
+    found = {}
+    for adapters in (3000, 28000):
+        for waiting in (10, 1000):
+            key = f"{adapters} adapters, {waiting} waiting"
+            found[key] = min(decision_cost_us(adapters, waiting) for _ in range(3))
+            print(f"one decision, {key}: {found[key]:.0f} us")
+    return found
+
+
+def commit() -> str:
+    """Name the commit measured."""
+    command = ["git", "rev-parse", "--short", "HEAD"]
+    return subprocess.run(command, capture_output=True, text=True).stdout.strip()
+
+
+def main() -> int:
+    """Measure, print, and write the results."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--seeds", default=",".join(map(str, SEEDS)))
+    arguments = parser.parse_args()
+    seeds = tuple(int(seed) for seed in arguments.seeds.split(","))
+    started_s = time.monotonic()
+    costs_us = costs()
+    listed = jobs([OKAVANGO, CHAOPHRAYA], seeds)
+    rows = measure(listed, len(seeds))
+    rate = next(
+        job.per_s
+        for job in listed
+        if job.site.name == "chaophraya" and job.point == 0.8
+    )
+    weighed = weights(rate, seeds)
+    told = goals(rows)
+    print("\n".join(told))
+    RESULTS.parent.mkdir(exist_ok=True)
+    found = {
+        "command": "python bench/placement.py --seeds " + arguments.seeds,
+        "commit": commit(),
+        "took_s": round(time.monotonic() - started_s),
+        "goals": told,
+        "decision_us": costs_us,
+        "rows": [asdict(r) for r in rows],
+        "weigh": [asdict(r) for r in weighed],
+    }
+    RESULTS.write_text(json.dumps(found, indent=1) + "\n")
+    PLOT.write_text(plot([asdict(r) for r in rows]))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/bench/placement_model.py
+++ b/bench/placement_model.py
@@ -17,6 +17,7 @@
 from knapweedbridge_core.loads import LoadOrder, Pool
 from knapweedbridge_core.messages import SlotsChanged
 from knapweedbridge_core.names import AdapterVersion
+from knapweedbridge_core.placement import Holder, Placement
 from knapweedbridge_core.queueing import Asker
 from knapweedbridge_core.view import View
 
@@ -128,7 +129,7 @@
     """What callers saw after the warm-up, and what it cost."""
 
     stalls: list[tuple[float, float]] = field(default_factory=list)
-    hot_waits: list[float] = field(default_factory=list)
+    loaded_waits: list[float] = field(default_factory=list)
     refused: list[float] = field(default_factory=list)
     loads: int = 0
     failed_loads: int = 0
@@ -136,9 +137,6 @@
     fill: float = 0.0
 
 
-Choose = Callable[[list[Engine], AdapterVersion], Engine]
-
-
 class Run:
     """One run of one policy over one stream of arrivals."""
 
@@ -147,7 +145,7 @@
         site: Site,
         stream: list[Arrival],
         order: LoadOrder,
-        join: Choose,
+        join: Placement,
         faults: Faults,
         warm_s: float,
         seed: int,
@@ -164,13 +162,14 @@
             )
             for place in range(site.engines)
         ]  # fmt: skip
-        self._engines = {entry.name: Engine(entry) for entry in entries}
+        self.engines = {entry.name: Engine(entry) for entry in entries}
         rate = 1e9 if instant else site.loads_per_s
-        self._pool = Pool(entries, View(), lambda model: "base", rate)
+        self.pool = Pool(entries, View(), lambda model: "base", rate)
         self._poisoned = {
             AdapterVersion(f"a{rank:05}", "1") for rank in range(faults.poisoned)
         }
         self._waiting: dict[AdapterVersion, list[Arrival]] = {}
+        self._missed: set[Arrival] = set()
         self._uses: dict[AdapterVersion, int] = {}
         self._events: list[tuple] = []
         self._ids = itertools.count()
@@ -184,17 +183,17 @@
         self._at(0.0, self._tell_uses)
         if self._faults.restart_s is not None:
             self._at(self._faults.restart_s, self._restart)
-        for engine in self._engines.values():
-            self._publish(engine)
+        for engine in self.engines.values():
+            self.publish(engine)
         while self._events:
             now_s, _, act, arguments = heapq.heappop(self._events)
             if now_s > end_s:
                 break
             act(now_s, *arguments)
-        for engine in self._engines.values():
+        for engine in self.engines.values():
             engine.account(end_s, self._warm_s)
-        busy_s = sum(engine.busy_s for engine in self._engines.values())
-        shared_s = sum(engine.shared_s for engine in self._engines.values())
+        busy_s = sum(engine.busy_s for engine in self.engines.values())
+        shared_s = sum(engine.shared_s for engine in self.engines.values())
         self.result.fill = shared_s / busy_s
         return self.result
 
@@ -205,22 +204,36 @@
         for model, count in self._uses.items():
             self._order.used(model, count, now_s)
         self._uses.clear()
-        self._order.note_fill(self._pool, now_s)
+        self._order.note_fill(self.pool, now_s)
         self._at(now_s + TELL_USES_S, self._tell_uses)
         self._start(now_s)
 
     def _arrive(self, now_s: float, arrival: Arrival) -> None:
         model = arrival.model
         self._uses[model] = self._uses.get(model, 0) + 1
-        holders = [self._engines[name] for name in self._pool.view.holders(model)]
+        holders = [self.engines[name] for name in self.pool.view.holders(model)]
         if holders:
-            self._serve(now_s, self._join(holders, model), arrival)
+            self._serve(now_s, self._choose(holders), arrival)
             return
+        self._missed.add(arrival)
         self._waiting.setdefault(model, []).append(arrival)
         self._at(now_s + DEADLINE_S, self._expire, arrival)
         self._ask(now_s, model)
         self._start(now_s)
 
+    def _choose(self, holders: list[Engine]) -> Engine:
+        if len(holders) == 1:
+            return holders[0]
+        options = [
+            Holder(
+                engine.entry.name,
+                engine.running + len(engine.behind),
+                engine.entry.batch,
+            )
+            for engine in holders
+        ]
+        return self.engines[self._join.choose(options).endpoint]
+
     def _ask(self, now_s: float, model: AdapterVersion) -> None:
         waiting = self._waiting[model]
         asker = Asker(
@@ -230,7 +243,7 @@
             waiting[-1].at_s + DEADLINE_S,
             now_s,
         )
-        refusal = self._order.wanted(model, "host-0", asker, self._pool)
+        refusal = self._order.wanted(model, "host-0", asker, self.pool)
         if refusal is not None:
             self._refuse(now_s, refusal)
 
@@ -259,28 +272,28 @@
 
     def _start(self, now_s: float) -> None:
         while True:
-            placed = self._order.next_load(self._pool, now_s)
+            placed = self._order.next_load(self.pool, now_s)
             if placed is None:
                 return
-            engine = self._engines[placed.endpoint]
+            engine = self.engines[placed.endpoint]
             if placed.victim is not None:
                 if engine.pins.get(placed.victim):
-                    self._order.declined(placed.model, self._pool.loads_per_s, now_s)
+                    self._order.declined(placed.model, self.pool.loads_per_s, now_s)
                     continue
                 engine.loaded.discard(placed.victim)
-                self._publish(engine)
+                self.publish(engine)
                 self.result.evictions += now_s > self._warm_s
             self.result.loads += now_s > self._warm_s
             load_s = 0.0 if self._instant else 1 / self._site.loads_per_s
             self._at(now_s + load_s, self._loaded, placed, engine.life)
 
     def _loaded(self, now_s: float, placed: object, life: int) -> None:
-        engine = self._engines[placed.endpoint]
+        engine = self.engines[placed.endpoint]
         failed = placed.model in self._poisoned or engine.life != life
         failed = failed or self._rng.random() < self._faults.failing
         if not failed:
             engine.loaded.add(placed.model)
-            self._publish(engine)
+            self.publish(engine)
         else:
             self.result.failed_loads += now_s > self._warm_s
             self._order.failed(placed.model, placed.endpoint, now_s)
@@ -293,14 +306,14 @@
         self._start(now_s)
 
     def _restart(self, now_s: float) -> None:
-        for engine in list(self._engines.values())[: self._faults.restarts]:
+        for engine in list(self.engines.values())[: self._faults.restarts]:
             engine.account(now_s, self._warm_s)
             engine.life += 1
             engine.running = 0
             engine.loaded.clear()
             engine.pins.clear()
             engine.behind.clear()
-            self._publish(engine)
+            self.publish(engine)
 
     def _serve(self, now_s: float, engine: Engine, arrival: Arrival) -> None:
         engine.pins[arrival.model] = engine.pins.get(arrival.model, 0) + 1
@@ -309,13 +322,16 @@
             return
         engine.account(now_s, self._warm_s)
         engine.running += 1
-        self._note(now_s, arrival)
+        self._note(now_s, arrival, arrival in self._missed)
         self._publish_running(engine)
         self._at(now_s + arrival.service_s, self._served, engine, engine.life, arrival)
 
-    def _note(self, now_s: float, arrival: Arrival) -> None:
+    def _note(self, now_s: float, arrival: Arrival, missed: bool) -> None:
         if arrival.at_s > self._warm_s:
-            self.result.stalls.append((arrival.at_s, now_s - arrival.at_s))
+            wait_s = now_s - arrival.at_s
+            self.result.stalls.append((arrival.at_s, wait_s))
+            if not missed:
+                self.result.loaded_waits.append(wait_s)
 
     def _served(
         self, now_s: float, engine: Engine, life: int, arrival: Arrival
@@ -333,13 +349,14 @@
         if self._waiting:
             self._start(now_s)
 
-    def _publish(self, engine: Engine) -> None:
+    def publish(self, engine: Engine) -> None:
+        """Let the core see what an engine holds and runs."""
         name = engine.entry.name
         loaded = list(engine.loaded)
-        self._pool.view.changed(SlotsChanged(name, "h", 1, loaded, engine.running))
+        self.pool.view.changed(SlotsChanged(name, "h", 1, loaded, engine.running))
 
     def _publish_running(self, engine: Engine) -> None:
-        self._pool.view.endpoints[engine.entry.name].running = engine.running
+        self.pool.view.endpoints[engine.entry.name].running = engine.running
 
 
 class NextUse(Forecast):
--- a/packages/core/src/knapweedbridge_core/loads.py
+++ b/packages/core/src/knapweedbridge_core/loads.py
@@ -13,6 +13,7 @@
     Forecast,
     LastUse,
 )
+from knapweedbridge_core.gathering import FullEngine, HeldAdapter, find_move
 from knapweedbridge_core.messages import LoadPlaced
 from knapweedbridge_core.names import AdapterVersion
 from knapweedbridge_core.policy import PlacementPolicy
@@ -25,18 +26,24 @@
 )
 from knapweedbridge_core.rate import LoadRate
 from knapweedbridge_core.retrying import FailedLoads
-from knapweedbridge_core.slots import SlotChoice, SlotOption, make_slot_choice
+from knapweedbridge_core.slots import (
+    SLACK_PER_S,
+    SlotChoice,
+    SlotOption,
+    make_slot_choice,
+)
 from knapweedbridge_core.view import View
 
 LOAD_TIMEOUT_S = 5.0
 SLOW_LOADS = 4.0
 PIN_GUESS_S = 0.5
 FRESH_S = 0.5
-MOST_SLOTS_WEIGHED = 512
+MOST_SLOTS_WEIGHED = 256
 MOST_TRIED = 32
 EXPECTED_EVERY_S = 2.0
 MOST_EXPECTED = 256
 PREFETCH_RATE_PER_S = 0.002
+GATHER_EVERY_S = 0.25
 HOUSEKEEPING_S = 1.0
 
 FORECASTS: dict[str, Callable[[], Forecast]] = {
@@ -138,13 +145,17 @@
         self._expected: list[AdapterVersion] = []
         self._expected_s = -math.inf
         self._kept_house_s = -math.inf
+        self._gathered_s = -math.inf
         self._window = 0
+        self._worths: dict[tuple[AdapterVersion, int], float] = {}
+        self._worths_s = -math.inf
 
     def __len__(self) -> int:
         return len(self._queue)
 
     def used(self, model: AdapterVersion, requests: float, now_s: float) -> None:
         """Note requests for an adapter, loaded or not."""
+        self._worths_s = -math.inf
         self.forecast.used(model, requests, now_s)
 
     def wanted(
@@ -221,11 +232,7 @@
         self._keep_house(pool.view, now_s)
         if not self._may_start(pool, now_s):
             return None
-        placed = None
-        for model in self._next_models(pool, now_s):
-            placed = self._place(model, pool, now_s)
-            if placed is not None:
-                break
+        placed = self._next_placed(pool, now_s)
         if placed is None:
             return None
         load = _UnderWay(placed.endpoint, placed.victim, now_s)
@@ -233,6 +240,41 @@
         self._rate.started(pool.loads_per_s, now_s)
         return placed
 
+    def _next_placed(self, pool: Pool, now_s: float) -> LoadPlaced | None:
+        for model in self._next_models(pool, now_s):
+            placed = self._place(model, pool, now_s)
+            if placed is not None:
+                return placed
+        return None if len(self._queue) else self._gather(pool, now_s)
+
+    def _gather(self, pool: Pool, now_s: float) -> LoadPlaced | None:
+        if not self._policy.weigh or now_s - self._gathered_s < GATHER_EVERY_S:
+            return None
+        self._gathered_s = now_s
+        by_base_model: dict[str, list[FullEngine]] = {}
+        for entry in self._weighed(pool):
+            state = pool.view.endpoints.get(entry.name)
+            if state is not None and len(state.loaded) >= entry.slots:
+                held = [self._held(entry.name, m, pool, now_s) for m in state.loaded]
+                engine = FullEngine(entry.name, state.running, entry.batch, held)
+                by_base_model.setdefault(entry.base_model, []).append(engine)
+        for engines in by_base_model.values():
+            move = find_move(engines, SLACK_PER_S * self._policy.weigh)
+            if move is not None:
+                return LoadPlaced(move.model, move.endpoint, move.victim, self._host)
+        return None
+
+    def _held(
+        self, endpoint: str, model: AdapterVersion, pool: Pool, now_s: float
+    ) -> HeldAdapter:
+        return HeldAdapter(
+            model,
+            self.forecast.rate_per_s(model, now_s),
+            self._worth(model, pool.view, now_s),
+            pool.view.copies(model),
+            self._is_pinned(endpoint, model, now_s),
+        )
+
     def _may_start(self, pool: Pool, now_s: float) -> bool:
         slow_s = SLOW_LOADS / pool.loads_per_s
         moving = [
@@ -369,8 +411,17 @@
         return held is not None and self._fresh_until_s.get(held, now_s) > now_s
 
     def _worth(self, held: AdapterVersion, view: View, now_s: float) -> float:
+        # A pinned victim is declined within a round trip and the next one chosen:
+        # the worths of one moment are kept.
+        if now_s != self._worths_s:
+            self._worths.clear()
+            self._worths_s = now_s
         spare = max(0, view.copies(held) - self._copies.needed(held))
-        return self._eviction.worth(held, 1 + spare, now_s)
+        worth = self._worths.get((held, spare))
+        if worth is None:
+            worth = self._eviction.worth(held, 1 + spare, now_s)
+            self._worths[held, spare] = worth
+        return worth
 
 
 def _still(until_s: dict, now_s: float) -> dict:
