--- a/features/placement/loads.feature
+++ b/features/placement/loads.feature
@@ -116,6 +116,17 @@
       | 4.9  | refused  |
       | 5.1  | accepted |
 
+  Scenario: Loads slower than the rate count as long as they take
+    The weight store is slow today. A forecast by its allowed rate accepts
+    requests whose load comes long after their deadline.
+
+    Given a pool of 1 engine with 60 slots and 4 loads a second
+    When 9 adapters are wanted and each load ends after 1 seconds
+    And 9 adapters are wanted by callers with 60 seconds left
+    And 0.01 seconds pass
+    And "late" is wanted by 1 requests with 5 seconds left
+    Then it is refused
+
   Scenario: A load order that lost its owner's answer goes on
     The owner dies with the order of a load. Nothing more comes, and without a
     limit the adapter would never be loaded again while its callers wait.
--- a/packages/core/src/knapweedbridge_core/loads.py
+++ b/packages/core/src/knapweedbridge_core/loads.py
@@ -35,6 +35,7 @@
 from knapweedbridge_core.view import View
 
 LOAD_TIMEOUT_S = 5.0
+LOAD_PACE = 0.1
 SLOW_LOADS = 4.0
 PIN_GUESS_S = 0.5
 FRESH_S = 0.5
@@ -146,6 +147,7 @@
         self._expected_s = -math.inf
         self._kept_house_s = -math.inf
         self._gathered_s = -math.inf
+        self._load_s = 0.0
         self._window = 0
         self._worths: dict[tuple[AdapterVersion, int], float] = {}
         self._worths_s = -math.inf
@@ -184,7 +186,7 @@
         if model in self._under_way or not self._policy.refuse_late:
             return None
         ahead = max(self._queue.ahead_of(wanted), len(self._under_way))
-        ready_in_s = (ahead + 1) / pool.loads_per_s
+        ready_in_s = (ahead + 1) * max(1 / pool.loads_per_s, self._load_s)
         ready_in_s += self._failed.wait_s(model, now_s)
         if now_s + ready_in_s <= asker.shortest_s:
             return None
@@ -195,7 +197,11 @@
 
     def loaded(self, model: AdapterVersion, now_s: float) -> None:
         """Note that an endpoint holds what was loaded."""
-        self._under_way.pop(model, None)
+        load = self._under_way.pop(model, None)
+        if load is not None:
+            took_s = now_s - load.since_s
+            pace = LOAD_PACE if self._load_s else 1.0
+            self._load_s += pace * (took_s - self._load_s)
         self._failed.succeeded(model)
         self._queue.remove(model)
         self._fresh_until_s[model] = now_s + FRESH_S
