--- a/features/placement/decisions.feature
+++ b/features/placement/decisions.feature
@@ -73,3 +73,16 @@
     Given a forecast after 600 seconds of requests for "old"
     When a new forecast learns its summary
     Then both expect the same 10 first
+
+  Scenario Outline: Hot adapters gather on the fullest engine that has room
+    Given an engine "x" of rate 0.9 that runs <running> of 16 and holds a victim worth <worth>
+    And an engine "y" that holds a hot adapter of rate <rate> in <copies> copies
+    Then the move is "<move>"
+
+    Examples:
+      | running | worth | rate | copies | move             |
+      | 3       | 0.001 | 0.4  | 1      | hot to x         |
+      | 3       | 0.02  | 0.4  | 1      | none             |
+      | 3       | 0.001 | 0.01 | 1      | none             |
+      | 3       | 0.001 | 0.4  | 2      | none             |
+      | 12      | 0.001 | 0.4  | 1      | none             |
--- a/features/placement/steps/decision_steps.py
+++ b/features/placement/steps/decision_steps.py
@@ -7,6 +7,7 @@
 from knapweedbridge_core.configuration import build
 from knapweedbridge_core.copies import BeforeSaturation
 from knapweedbridge_core.forecast import ChangeAware
+from knapweedbridge_core.gathering import FullEngine, HeldAdapter, find_move
 from knapweedbridge_core.names import AdapterVersion
 from knapweedbridge_core.placement import Holder, make_placement
 from knapweedbridge_core.slots import SlotOption, make_slot_choice
@@ -152,3 +153,30 @@
 def same_first(context, most):
     old = context.stream.forecast.expected(context.stream.now_s, most)
     assert set(context.learnt.expected(5.0, most)) == set(old)
+
+
+def held(name, rate, worth, copies=1):
+    return HeldAdapter(AdapterVersion(name, "1"), rate, worth, copies, False)
+
+
+@given(
+    'an engine "{name}" of rate {rate:g} that runs {running:d} of 16'
+    " and holds a victim worth {worth:g}"
+)
+def full_engine(context, name, rate, running, worth):
+    adapters = [held("warm", rate, rate), held("victim", worth, worth)]
+    context.engines = [FullEngine(name, running, 16, adapters)]
+
+
+@given(
+    'an engine "{name}" that holds a hot adapter of rate {rate:g} in {copies:d} copies'
+)
+def colder_engine(context, name, rate, copies):
+    context.engines.append(FullEngine(name, 1, 16, [held("hot", rate, rate, copies)]))
+
+
+@then('the move is "{move}"')
+def the_move(context, move):
+    found = find_move(context.engines, 0.01)
+    told = f"{found.model.adapter} to {found.endpoint}" if found else "none"
+    assert told == move, told
