Merge the time lines of all hosts, and draw one request's way

Merged by the wall clock alone, a grant could stand before the question when the owner's clock was behind. Now each batch of peer messages but heartbeats carries the sender's hybrid logical clock, 11 bytes; a stamp more than ten minutes ahead is dropped, so that one wrong clock takes no other along.

The command asks every host itself, found from host to host by the addresses that peers tell each other once a link. To the events of a request come the loads of its adapter while it waited. Endpoints receive eliot's task id, and the request id is the task's id in every process's log.

--- a/features/operators/commands.feature
+++ b/features/operators/commands.feature
@@ -199,6 +199,11 @@
       lagging:
         host-2: http://{administration of host-2}: [Errno 111] Connection refused
       """
+    When the administrator runs "timeline --limit 5"
+    Then it ends with 0 and prints
+      """
+      host-2 did not answer: http://{administration of host-2}: [Errno 111] Connection refused
+      """
     Given the daemon of "host-2" starts again
     When the administrator runs "status"
     Then it ends with 0 and prints
--- a/features/operators/steps/command_steps.py
+++ b/features/operators/steps/command_steps.py
@@ -25,6 +25,8 @@
 def _fill(context, text):
     values = {
         "{folder}": str(getattr(context, "folder", "")),
+        "{scratch}": str(getattr(context, "scratch", "")),
+        "{request}": str(getattr(context, "request_id", "")),
         "{before}": str(context.before),
         "{next}": str(context.before + 1),
         "{after next}": str(context.before + 2),
@@ -75,6 +77,10 @@
 def _run(context, command, **options):
     if "{folder}" in command and not hasattr(context, "folder"):
         _write(context, context.platform.example.folder())
+    if "{scratch}" in command:
+        scratch = tempfile.TemporaryDirectory()
+        context.add_cleanup(scratch.cleanup)
+        context.scratch = scratch.name
     arguments = _fill(context, command).split()
     ended = context.platform.command(arguments, **options)
     context.code, context.out, context.err = ended
--- a/packages/core/src/knapweedbridge_core/demand_side.py
+++ b/packages/core/src/knapweedbridge_core/demand_side.py
@@ -112,7 +112,7 @@
         orderer = load_orderer(self._context)
         if orderer is None:
             return
-        self._context.record("load.wanted", model=str(wanted.model))
+        self._context.record("load.wanted", model=str(wanted.model), to=orderer)
         self._context.send(orderer, wanted)
 
     def _follow_orderer(self) -> None:
--- a/packages/core/src/knapweedbridge_core/load_side.py
+++ b/packages/core/src/knapweedbridge_core/load_side.py
@@ -150,12 +150,13 @@
             self._starting = False
 
     def _send_placed(self, placed: messages.LoadPlaced) -> None:
+        owner = self._context.view.endpoints[placed.endpoint].owner
         self._context.record(
             "load.placed",
             model=str(placed.model),
             endpoint=placed.endpoint,
             victim=str(placed.victim or ""),
+            to=owner,
         )
         # An owner that is this daemon answers within this call.
-        owner = self._context.view.endpoints[placed.endpoint].owner
         self._context.send(owner, placed)
--- a/packages/core/src/knapweedbridge_core/request_side.py
+++ b/packages/core/src/knapweedbridge_core/request_side.py
@@ -80,7 +80,13 @@
         request = event.request
         self.live[request.request_id] = LiveRequest(request)
         self.budget.earn(self._context.now_s)
-        self._context.record("request.arrived", request=request.request_id)
+        self._context.record(
+            "request.arrived",
+            request=request.request_id,
+            caller=request.caller,
+            model=str(request.model or ""),
+            service=request.service,
+        )
         if self._context.members.refusing:
             outcome = NotRun(Reason.DRAINING, RETRY_AFTER_S)
             self._finish(request.request_id, outcome)
@@ -274,6 +280,7 @@
             "attempt.ended",
             request=event.request_id,
             attempt=event.attempt_id,
+            endpoint=live.endpoint,
             outcome=type(event.outcome).__name__,
         )
         judged = events.AttemptJudged(
--- a/packages/daemon/src/knapweedbridge_daemon/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/calls.py
@@ -29,6 +29,7 @@
     EndpointResponse,
     HttpEndpoint,
 )
+from knapweedbridge_daemon.logs import task_id
 from knapweedbridge_daemon.passing import passed_on, raw_target
 from knapweedbridge_daemon.relay import Relay, WrongModelError, check_model
 
@@ -76,6 +77,8 @@
         self._started = False
         self._finished = False
         self._sent_whole = 0
+        self._answered = False
+        self._attempt_id = self._endpoint = ""
 
     async def run(self) -> None:
         """Answer the request, or tell the core that the caller left."""
@@ -137,6 +140,7 @@
         # server closes the connection when the application returns unfinished.
 
     async def _attempt(self, step: Dispatch | Resume) -> Outcome:
+        self._attempt_id, self._endpoint = step.attempt_id, step.endpoint
         try:
             if isinstance(step, Resume):
                 return await self._resume(step)
@@ -181,10 +185,11 @@
         headers = [("content-type", "application/json")]
         if self._wanted.model is None:
             headers = passed_on(self._http.headers.items())
-        # These two are the daemon's own; a caller's of the same names are not.
+        # These are the daemon's own; a caller's of the same names are not.
         own = {
             "x-request-id": self._wanted.request_id,
             "x-attempt-id": step.attempt_id,
+            "eliot-task-id": task_id(step.attempt_id),
         }
         kept = [pair for pair in headers if pair[0] not in own]
         return [*kept, *own.items()]
@@ -253,6 +258,14 @@
         )
 
     async def _send_chunk(self, chunk: bytes) -> None:
+        if not self._answered:
+            self._answered = True
+            self._driver.record(
+                "attempt.first_token",
+                request=self._wanted.request_id,
+                attempt=self._attempt_id,
+                endpoint=self._endpoint,
+            )
         await self._send(
             {"type": "http.response.body", "body": chunk, "more_body": True}
         )
--- a/packages/daemon/src/knapweedbridge_daemon/daemon.py
+++ b/packages/daemon/src/knapweedbridge_daemon/daemon.py
@@ -135,7 +135,7 @@
         secret = Path(path).read_bytes().strip() if path else secrets.token_bytes(32)
         silence_s = self._settings.get("peers", "silence_s")
         host, incarnation = self._settings.host, self._incarnation
-        return Peers(host, secret, silence_s, driver.submit, incarnation)
+        return Peers(host, secret, silence_s, driver.submit, incarnation, driver.clock)
 
     async def _serve_peers(self, peers: Peers) -> None:
         ip, _, port = self._settings.get("listen", "peers").rpartition(":")
--- a/packages/daemon/src/knapweedbridge_daemon/driver.py
+++ b/packages/daemon/src/knapweedbridge_daemon/driver.py
@@ -26,7 +26,7 @@
     StoreRead,
     StoreWrite,
 )
-from knapweedbridge_core.timeline import EventFilter, TimelineEvent
+from knapweedbridge_core.timeline import EventFilter, HybridClock, TimelineEvent
 from knapweedbridge_daemon.claims import ClaimStore
 from knapweedbridge_daemon.endpoints import HttpEndpoint
 from knapweedbridge_daemon.errors import EndpointError, StoreError
@@ -130,6 +130,11 @@
         """Add to a counter."""
         self._observer.metrics.count(name, value)
 
+    @property
+    def clock(self) -> HybridClock:
+        """The clock that stamps this daemon's events."""
+        return self._observer.timeline.clock
+
     def record(self, kind: str, **fields: Any) -> None:
         """Add an event of the shell to the time line."""
         self._observer.take(kind, fields)
--- a/packages/daemon/src/knapweedbridge_daemon/peers.py
+++ b/packages/daemon/src/knapweedbridge_daemon/peers.py
@@ -17,8 +17,10 @@
 from knapweedbridge_core.errors import MessageError
 from knapweedbridge_core.events import PeerHeard, PeerLinked, PeerUnlinked
 from knapweedbridge_core.messages import decode, encode, unpacker
+from knapweedbridge_core.timeline import HybridClock
 from knapweedbridge_daemon.errors import PeerError
 from knapweedbridge_daemon.handshake import Handshake
+from knapweedbridge_daemon.stamps import PeerClock
 
 CHUNK_BYTES = 65536
 BATCH_BYTES = 262_144
@@ -85,6 +87,8 @@
         Takes events for the core.
     incarnation : int
         Number of this host's start.
+    clock : HybridClock, optional
+        Stamps the time line's events; it travels with the messages.
     """
 
     def __init__(
@@ -94,11 +98,13 @@
         silence_s: float,
         submit: Submit,
         incarnation: int = 0,
+        clock: HybridClock | None = None,
     ) -> None:
         self._host = host
         self._handshake = Handshake(host, incarnation, secret)
         self._silence_s = silence_s
         self._submit = submit
+        self._clock = PeerClock(clock or HybridClock())
         self._tasks: TaskGroup | None = None
         self._addresses: dict[str, str] = {}
         self._links: dict[str, _Link] = {}
@@ -215,10 +221,15 @@
                 self._forget(link)
                 return
             packed = encode(message)
+            stamped = self._clock.is_wanted(message)
             while link.queued.statistics().current_buffer_used:
                 if len(packed) >= BATCH_BYTES:
                     break
-                packed += encode(link.queued.receive_nowait())
+                message = link.queued.receive_nowait()
+                stamped = stamped or self._clock.is_wanted(message)
+                packed += encode(message)
+            if stamped:
+                packed = self._clock.pack() + packed
             if link.unanswered_since_s is None:
                 link.unanswered_since_s = anyio.current_time()
             self.bytes.sent_bytes += len(packed)
@@ -279,6 +290,8 @@
             try:
                 reader.feed(chunk)
                 for value in reader:
+                    if self._clock.take(value):
+                        continue
                     await self._submit(PeerHeard(host, decode(value)))
             except (MessageError, msgpack.UnpackException, ValueError) as error:
                 raise PeerError(f"{host} sent no message of ours") from error
--- a/packages/daemon/src/knapweedbridge_daemon/watching.py
+++ b/packages/daemon/src/knapweedbridge_daemon/watching.py
@@ -51,7 +51,6 @@
         while True:
             try:
                 await self._turn()
-                self._driver.note_platform("key_value", True)
             except DaemonError:
                 self._driver.count("platform.key_value_failed")
                 self._driver.note_platform("key_value", False)
@@ -73,6 +72,7 @@
 
     async def _read(self) -> StoredRoot:
         stored = await read_root(self._store)
+        self._driver.note_platform("key_value", True)
         await self._driver.submit(events.RootSeen(stored.root))
         held = self._driver.bridge.configuration
         if stored.generation > held.generation:
