--- a/features/attempts/claims.feature
+++ b/features/attempts/claims.feature
@@ -33,7 +33,7 @@
 
   Scenario: At most once holds in any order of repeats, kills and store faults
     Given three daemons and a store that is "up"
-    When 250 histories of repeats, kills and faults of the store are played
+    When 120 histories of repeats, kills and faults of the store are played
     Then no key ran twice, and nothing told to be not run had run
 
   Scenario: Many claims share a write
--- a/features/attempts/steps/claim_steps.py
+++ b/features/attempts/steps/claim_steps.py
@@ -34,7 +34,9 @@
 PEER_S = 0.001
 STORE_S = 0.004
 WORK_S = 1.0
+TICK_S = 0.25
 MEET_S = 3.0
+NOTICE_S = 6.0
 LATE_S = 2.5
 
 
@@ -78,7 +80,7 @@
     def tick(self, host):
         if host in self.cores:
             self.tell(host, events.Tick())
-            self.after(0.1, lambda: self.tick(host))
+            self.after(TICK_S, lambda: self.tick(host))
 
     def tell(self, host, event):
         if host in self.cores:
@@ -201,11 +203,11 @@
         world.run_until(world.now_s + STORE_S + PEER_S / 2)
         world.kill("host-0")
         assert not world.runs and world.values
-        world.run_until(world.now_s + 3)
+        world.run_until(world.now_s + NOTICE_S)
     elif when == "after host-0 died after it dispatched":
         world.run_until(world.now_s + 0.5)
         world.kill("host-0")
-        world.run_until(world.now_s + 3)
+        world.run_until(world.now_s + NOTICE_S)
     elif when == "with another body after the answer":
         body = "c"
         world.run_until(world.now_s + 6)
@@ -230,14 +232,23 @@
 
 STEPS = st.lists(
     st.tuples(
-        st.floats(0, 2.5),
+        st.floats(0, 1.5),
         st.sampled_from(
-            ["ask", "ask", "ask", "ask", "up", "down", "slow", "losing", "late", "kill"]
+            [
+                *["ask"] * 4,
+                "ask and die",
+                "kill",
+                "up",
+                "down",
+                "slow",
+                "losing",
+                "late",
+            ]
         ),
         st.sampled_from(HOSTS),
         st.sampled_from(["k", "l"]),
     ),
-    max_size=25,
+    max_size=20,
 )
 STATES = {"losing": "losing replies", "late": "writing late"}
 
@@ -250,11 +261,15 @@
             world.ask(f"r{place}", host, key)
         elif what == "kill" and len(world.cores) > 1 and host in world.cores:
             world.kill(host)
-        elif what not in ("ask", "kill"):
+        elif what == "ask and die" and len(world.cores) > 1 and host in world.cores:
+            world.ask(f"r{place}", host, key)
+            world.run_until(world.now_s + wait_s / 2)
+            world.kill(host)
+        elif what not in ("ask", "kill", "ask and die"):
             world.store = STATES.get(what, what)
     world.run_until(world.now_s + 5)
     world.store = "up"
-    world.run_until(world.now_s + 30)
+    world.run_until(world.now_s + 12)
     return world
 
 
--- a/packages/core/src/knapweedbridge_core/request_side.py
+++ b/packages/core/src/knapweedbridge_core/request_side.py
@@ -304,7 +304,7 @@
             outcome = Unknown(Reason.RESUME_FAILED, live.delivered)
             self._finish(live.request.request_id, outcome)
             return
-        live.resumes += 1
+        live.count_resume()
         request_id = live.request.request_id
         self._context.do(Count("attempt.resumed"))
         self._context.record(
--- a/packages/core/src/knapweedbridge_core/requests.py
+++ b/packages/core/src/knapweedbridge_core/requests.py
@@ -19,7 +19,9 @@
     claiming : bool
         Whether its claim is still asked for; until then it is not routed.
     resumes : int
-        Times the present attempt was resumed.
+        Times the present attempt was resumed in a row without a token.
+    resumed_at : int
+        Tokens that the caller had at the last resume.
     delivered : int
         Tokens that the caller has, of all attempts.
     maybe_ran : Reason or None
@@ -37,6 +39,7 @@
     retry_at_s: float = 0.0
     claiming: bool = False
     resumes: int = 0
+    resumed_at: int = 0
     delivered: int = 0
     maybe_ran: Reason | None = None
     suspect: bool = False
@@ -58,6 +61,13 @@
         self.tried.add(endpoint)
         return self.attempt_id
 
+    def count_resume(self) -> None:
+        """Count a resume; those before the last delivered token are forgotten."""
+        if self.delivered > self.resumed_at:
+            self.resumes = 0
+        self.resumes += 1
+        self.resumed_at = self.delivered
+
     def note(self, outcome: Outcome) -> None:
         """Keep of an attempt's outcome what binds the request's own."""
         if isinstance(outcome, Unknown):
--- a/packages/core/src/knapweedbridge_core/retries.py
+++ b/packages/core/src/knapweedbridge_core/retries.py
@@ -122,7 +122,8 @@
     if not isinstance(outcome, Unknown) or outcome.reason not in RESUMABLE:
         return False
     streamed = live.request.streamed and live.request.model is not None
-    return streamed and live.resumes < MAX_RESUMES
+    got_on = live.delivered > live.resumed_at
+    return streamed and (got_on or live.resumes < MAX_RESUMES)
 
 
 def _may_repeat(live: LiveRequest, outcome: Outcome) -> bool:
--- a/packages/daemon/src/knapweedbridge_daemon/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/calls.py
@@ -74,6 +74,7 @@
             self._body = json.dumps(fields).encode()
         join_wait_s = connections.bounds.join_wait_s
         self._relay = Relay(str(wanted.model or ""), self._send_chunk, join_wait_s)
+        self._head: EndpointResponse | None = None
         self._started = False
         self._finished = False
         self._sent_whole = 0
@@ -198,13 +199,14 @@
         claimed = response.headers.get("x-model", str(self._wanted.model))
         if claimed != str(self._wanted.model):
             return Unknown(Reason.WRONG_ADAPTER, self._tokens)
-        if not self._wanted.streamed:
-            return await self._pass_on(response)
-        return await self._relay_events(response)
+        if self._wanted.streamed:
+            return await self._relay_events(response)
+        return await self._pass_on(response)
 
     async def _relay_events(self, response: EndpointResponse) -> Outcome:
-        if not self._started:
-            await self._start_from(response)
+        # The head goes out with the first event: an attempt that breaks before
+        # it leaves the status of the answer open.
+        self._head = response
         bounds = self._connections.bounds
         first_s = bounds.first_token_timeout_s
         if self._relay.events:
@@ -221,7 +223,7 @@
         head_s = self._connections.bounds.connect_timeout_s
         attempt = endpoint.resume(step.attempt_id, step.offset, head_s)
         async with attempt as response:
-            return await self._relay_events(response)
+            return await self._relay_model(response)
 
     async def _pass_on(self, response: EndpointResponse) -> Outcome:
         """Pass on an answer that is not a stream of events, once it is whole."""
@@ -258,6 +260,8 @@
         )
 
     async def _send_chunk(self, chunk: bytes) -> None:
+        if not self._started and self._head is not None:
+            await self._start_from(self._head)
         if not self._answered:
             self._answered = True
             self._driver.record(
--- a/packages/daemon/src/knapweedbridge_daemon/endpoints.py
+++ b/packages/daemon/src/knapweedbridge_daemon/endpoints.py
@@ -28,7 +28,9 @@
 
 # docs/design/outcomes-and-retries.md gives the table.
 ENGINE_REFUSING_STATUS = frozenset({404, 429})
-ENGINE_REFUSING_CODES = frozenset({"not_loaded", "overloaded", "starting", "draining"})
+ENGINE_REFUSING_CODES = frozenset(
+    {"not_loaded", "overloaded", "starting", "draining", "wrong_role"}
+)
 LEAVING_STATUS = 503
 GATEWAY_STATUS = frozenset({502, 503, 504})
 
@@ -161,6 +163,9 @@
         except (httpx.HTTPError, TimeoutError) as error:
             raise AttemptFailedError(_failed(writing, error)) from error
         async with _closing(response):
+            if self._engine and response.status_code == 409:
+                yield await self._conflict(response)
+                return
             if self._engine:
                 await self._raise_for_engine(response)
             elif response.status_code == LEAVING_STATUS and says_leaving(response):
@@ -171,6 +176,13 @@
                 response.status_code, response.headers, response.aiter_raw()
             )
 
+    @staticmethod
+    async def _conflict(response: httpx.Response) -> EndpointResponse:
+        body = await _read(response)
+        if _error_code(body) in ENGINE_REFUSING_CODES:
+            raise AttemptFailedError(NotRun(Reason.ENDPOINT_REFUSED))
+        return EndpointResponse(409, response.headers, _once(body))
+
     @staticmethod
     async def _raise_for_engine(response: httpx.Response) -> None:
         status = response.status_code
@@ -181,7 +193,7 @@
             return
         if status == LEAVING_STATUS and says_leaving(response):
             raise AttemptFailedError(NotRun(Reason.ENDPOINT_LEAVING))
-        if await _error_code(response) in ENGINE_REFUSING_CODES:
+        if _error_code(await _read(response)) in ENGINE_REFUSING_CODES:
             raise AttemptFailedError(NotRun(Reason.ENDPOINT_REFUSED))
         raise AttemptFailedError(Unknown(Reason.ENDPOINT_FAILED))
 
@@ -276,12 +288,20 @@
             await response.aclose()
 
 
-async def _error_code(response: httpx.Response) -> str:
+async def _read(response: httpx.Response) -> bytes:
     body = b""
     async for chunk in response.aiter_raw():
         body += chunk
         if len(body) > HEAD_BYTES:
             break
+    return body
+
+
+async def _once(body: bytes) -> AsyncIterator[bytes]:
+    yield body
+
+
+def _error_code(body: bytes) -> str:
     try:
         return str(json.loads(body)["error"]["code"])
     except (ValueError, KeyError, TypeError):
--- a/packages/daemon/src/knapweedbridge_daemon/relay.py
+++ b/packages/daemon/src/knapweedbridge_daemon/relay.py
@@ -7,10 +7,12 @@
 
 import anyio
 
-from knapweedbridge_daemon.sse import Block, EventReader
+from knapweedbridge_daemon.sse import Block, BrokenEventsError, EventReader
 
 EVENT_END = b"\n\n"
 EVENT_START = b"data: "
+# JSON escapes the quotes within a text, so no text holds this.
+ERROR_START = b'data: {"error"'
 
 
 class SilenceError(Exception):
@@ -115,6 +117,17 @@
         return now_s
 
     async def _pass_on(self, block: Block) -> None:
+        failed = block.data.find(ERROR_START)
+        if failed >= 0:
+            block = EventReader().feed(block.data[:failed])
+        if block.data:
+            await self._send_block(block)
+        if failed >= 0:
+            # The endpoint's own word that it failed is not the caller's last:
+            # the stream may be resumed, or the attempt repeated.
+            raise BrokenEventsError("the endpoint reported an error")
+
+    async def _send_block(self, block: Block) -> None:
         if self.events == 0:
             self._check_model(block.data)
         self.whole = block.done
