--- a/packages/core/src/knapweedbridge_core/estate.py
+++ b/packages/core/src/knapweedbridge_core/estate.py
@@ -24,7 +24,6 @@
             context.host, context.incarnation, context.members, self.lease
         )
         self.tenures: dict[str, Tenure] = {}
-        self.heirs: dict[str, str] = {}
 
     def has_contact(self) -> bool:
         """Tell whether most daemons, this one counted, answer it.
--- a/packages/core/src/knapweedbridge_core/grant_side.py
+++ b/packages/core/src/knapweedbridge_core/grant_side.py
@@ -97,12 +97,9 @@
 
     def _grant_returned(self, message: messages.GrantReturned) -> None:
         tenure = self._estate.tenures.get(message.endpoint)
-        heir = self._estate.heirs.get(message.endpoint)
         self._gate.leave(message)
         if tenure is not None:
             tenure.ledger.release(message.model, message.attempt_id)
-        elif heir is not None:
-            self._context.send(heir, message)
 
     def _grants_held(self, message: messages.GrantsHeld) -> None:
         tenure = self._estate.tenures.get(message.endpoint)
--- a/packages/core/src/knapweedbridge_core/holder_side.py
+++ b/packages/core/src/knapweedbridge_core/holder_side.py
@@ -52,9 +52,9 @@
         self._held[message.attempt_id] = _Held(message.endpoint, message.model)
 
     def _return_sent(self, host: str, message: messages.GrantReturned) -> None:
-        self._held.pop(message.attempt_id, None)
+        held = self._held.pop(message.attempt_id, None)
         owner = self._owners.get(message.endpoint, host)
-        if owner != host and self._context.sender == self._context.host:
+        if held is not None and owner != host:
             self._context.send(owner, message)
 
     def _grant_refused(self, message: messages.GrantRefused) -> None:
--- a/packages/core/src/knapweedbridge_core/owner_side.py
+++ b/packages/core/src/knapweedbridge_core/owner_side.py
@@ -136,7 +136,6 @@
         ledger = Ledger(entry.slots, settled_s)
         tenure = Tenure(entry.name, number, entry.checks_fencing, ledger, takeover)
         self.tenures[entry.name] = tenure
-        self._estate.heirs.pop(entry.name, None)
         self._ask_holders(tenure)
         self._ask_report(tenure)
 
@@ -160,7 +159,6 @@
         if tenure is None:
             return
         grants = tenure.ledger.grants()
-        self._estate.heirs[change.endpoint] = change.successor
         self._context.send(
             change.successor,
             messages.HandOver(
@@ -194,7 +192,6 @@
             entry.name, message.number, entry.checks_fencing, ledger, takeover, True
         )
         self.tenures[entry.name] = tenure
-        self._estate.heirs.pop(entry.name, None)
         self._context.record(
             "owner.claimed", endpoint=entry.name, number=message.number
         )
