--- a/packages/core/src/knapweedbridge_core/estate.py
+++ b/packages/core/src/knapweedbridge_core/estate.py
@@ -6,6 +6,7 @@
 from knapweedbridge_core.names import AdapterVersion
 from knapweedbridge_core.owners import Owners
 from knapweedbridge_core.tenure import Tenure
+from knapweedbridge_core.times import SILENT_S
 
 
 class Estate:
@@ -24,34 +25,54 @@
             context.host, context.incarnation, context.members, self.lease
         )
         self.tenures: dict[str, Tenure] = {}
+        self._ticked_s = context.now_s
 
     def has_contact(self) -> bool:
-        """Tell whether most daemons, this one counted, answer it.
+        """Tell whether most daemons, this one counted, answer it without a gap.
 
         A successor evicts only after it asked most daemons too, so one that both
-        hear tells an owner without a lease that it was succeeded.
+        hear tells an owner without a lease that it was succeeded. After a gap it
+        may have been told in vain: an owner that was cut off or slept, and hears
+        its peers again, gives no grants until it has read its record.
         """
         members = self._context.members
-        return 2 * (len(members.peers()) + 1) > len(members.known()) + 1
+        awake = self._context.now_s - self._ticked_s < SILENT_S
+        return awake and 2 * (len(members.peers()) + 1) > len(members.known()) + 1
+
+    def tick(self) -> None:
+        """Note the owned endpoints whose owner lost lease and contact."""
+        for tenure in self.tenures.values():
+            self._note_gap(tenure)
+        self._ticked_s = self._context.now_s
+
+    def _note_gap(self, tenure: Tenure) -> None:
+        if self.owners.holds(tenure.endpoint, self._context.now_s):
+            tenure.gap = False
+        elif not self.has_contact():
+            tenure.gap = True
 
     def may_grant(self, tenure: Tenure, model: AdapterVersion) -> bool:
         """Tell whether a grant given now is known to every later owner."""
         now_s = self._context.now_s
         if not tenure.ready or self.owners.is_handing(tenure.endpoint):
             return False
-        if tenure.takeover.is_condemned(model, now_s):
+        fenced = tenure.checks_fencing
+        if not fenced and not tenure.takeover.may_grant(model, now_s):
             return False
-        informed = tenure.takeover.may_grant(model, now_s)
-        if not informed and not tenure.checks_fencing:
+        if tenure.takeover.is_condemned(model, now_s):
             return False
-        return self.owners.holds(tenure.endpoint, now_s) or self.has_contact()
+        self._note_gap(tenure)
+        return not tenure.gap
 
     def may_order_eviction(self, tenure: Tenure) -> bool:
         """Tell whether an eviction ordered now cannot hit a later owner's grants."""
         now_s = self._context.now_s
         if not tenure.ready or not tenure.takeover.may_evict(now_s):
             return False
-        if self.owners.is_handing(tenure.endpoint) or not self.has_contact():
+        self._note_gap(tenure)
+        if self.owners.is_handing(tenure.endpoint) or tenure.gap:
+            return False
+        if not self.has_contact():
             return False
         return tenure.checks_fencing or self.owners.holds(tenure.endpoint, now_s)
 
@@ -72,9 +93,8 @@
 
     def publish(self, tenure: Tenure) -> None:
         """Tell the peers what an endpoint holds."""
-        takeover = tenure.takeover
-        informed = takeover.is_collected or self._context.now_s >= takeover.settled_s
-        if not tenure.ready or not (informed or tenure.checks_fencing):
+        settled = self._context.now_s >= tenure.takeover.settled_s
+        if not tenure.ready or not (settled or tenure.checks_fencing):
             return
         loaded, running = self.grantable(tenure), tenure.ledger.running
         tenure.published, tenure.published_running = loaded, running
--- a/packages/core/src/knapweedbridge_core/owner_side.py
+++ b/packages/core/src/knapweedbridge_core/owner_side.py
@@ -63,6 +63,7 @@
         }
 
     def _tick(self, event: events.Tick) -> None:
+        self._estate.tick()
         for action in self._estate.lease.tick(self._context.now_s):
             self._context.do(action)
         self._claim()
@@ -186,6 +187,9 @@
             strict=True,
         ):
             ledger.held(model, attempt_id, holder, now_s)
+        before = self.tenures.get(entry.name)
+        for grant in before.ledger.grants() if before is not None else []:
+            ledger.held(grant.model, grant.attempt_id, grant.holder, now_s)
         takeover = Takeover(now_s, now_s)
         takeover.condemn(message.condemned, now_s)
         tenure = Tenure(
--- a/packages/core/src/knapweedbridge_core/takeover.py
+++ b/packages/core/src/knapweedbridge_core/takeover.py
@@ -73,6 +73,9 @@
         return self.is_collected and now_s >= self.settled_s
 
     def may_grant(self, model: AdapterVersion, now_s: float) -> bool:
-        """Tell whether no late eviction can hit what is granted."""
-        informed = self.is_collected or now_s >= self.settled_s
-        return informed and not self.is_condemned(model, now_s)
+        """Tell whether no late eviction can hit what is granted.
+
+        Witnesses tell of evictions that were begun, but those who were asked may
+        have died since: what is in transit is waited out all the same.
+        """
+        return now_s >= self.settled_s and not self.is_condemned(model, now_s)
