--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,8 @@
 .PHONY: bench-placement
 bench-placement: install
 	$(BIN)/python bench/placement.py
+
+.PHONY: docs
+docs: install
+	$(BIN)/python docs/make_settings.py
+	$(BIN)/python docs/make_index.py
--- a/packages/cli/src/knapweedbridge_cli/administration.py
+++ b/packages/cli/src/knapweedbridge_cli/administration.py
@@ -42,7 +42,8 @@
     Parameters
     ----------
     url : str
-        Base URL of the operators' face.
+        Base URL of the operators' face; of several, separated by commas, the
+        first that can be reached is asked.
     key : str
         The operator's key.
     ca_file : str
@@ -51,13 +52,15 @@
     """
 
     def __init__(self, url: str, key: str, ca_file: str = "") -> None:
-        self.url = url
+        self.urls = [part.strip() for part in url.split(",") if part.strip()]
         self.key = key
         self.ca_file = ca_file
         try:
-            self._client = make_client(url, key, ca_file)
+            self._clients = [make_client(url, key, ca_file) for url in self.urls]
         except (httpx.InvalidURL, UnicodeError) as error:
             raise CommandError(f"{url}: {error}", ExitCode.USAGE) from None
+        if not self._clients:
+            raise CommandError("--url: names no URL", ExitCode.USAGE)
 
     def __enter__(self) -> "AdministrationClient":
         """Keep the connections open."""
@@ -65,7 +68,8 @@
 
     def __exit__(self, *error: object) -> None:
         """Close the connections."""
-        self._client.close()
+        for client in self._clients:
+            client.close()
 
     def call(self, method: str, path: str, body: Any = None, **query: Any) -> Any:
         """Call the API and return the JSON it answers.
@@ -76,12 +80,19 @@
             With the exit code that fits the answer.
         """
         wanted = {name: value for name, value in query.items() if value != ""}
-        try:
-            response = self._client.request(method, path, json=body, params=wanted)
-        except (httpx.HTTPError, httpx.InvalidURL) as error:
-            what = str(error) or type(error).__name__
-            raise CommandError(f"{self.url}: {what}", ExitCode.UNREACHABLE) from None
-        return _read(self.url, response)
+        unreached: list[str] = []
+        for url, client in zip(self.urls, self._clients, strict=True):
+            try:
+                response = client.request(method, path, json=body, params=wanted)
+            except (httpx.ConnectError, httpx.ConnectTimeout) as error:
+                # Nothing was sent, so the next one may be asked the same.
+                unreached.append(f"{url}: {error or type(error).__name__}")
+                continue
+            except (httpx.HTTPError, httpx.InvalidURL) as error:
+                what = str(error) or type(error).__name__
+                raise CommandError(f"{url}: {what}", ExitCode.UNREACHABLE) from None
+            return _read(url, response)
+        raise CommandError("\n".join(unreached), ExitCode.UNREACHABLE)
 
 
 def _read(url: str, response: httpx.Response) -> Any:
--- a/packages/cli/src/knapweedbridge_cli/hosts.py
+++ b/packages/cli/src/knapweedbridge_cli/hosts.py
@@ -49,21 +49,23 @@
 
 def client_of(origin: AdministrationClient, address: str) -> AdministrationClient:
     """Open a client of another daemon, with the same scheme and key."""
-    scheme = urlsplit(origin.url).scheme
+    scheme = urlsplit(origin.urls[0]).scheme
     return AdministrationClient(f"{scheme}://{address}", origin.key, origin.ca_file)
 
 
 def ask_hosts(origin: AdministrationClient) -> list[HostStatus]:
-    """Ask every host that can be found; the first must answer.
+    """Ask every host that can be found from the URLs that were given.
 
     Raises
     ------
     CommandError
-        If the daemon that the command was given does not answer.
+        If no daemon of those answers.
     """
-    first = origin.call("GET", "/v1/status")
-    found = {first["host"]: HostStatus(first["host"], first["administration"], first)}
-    frontier = _named_by(first, found)
+    found = _ask_first(origin)
+    frontier: dict[str, str] = {}
+    for host in found.values():
+        if host.status is not None:
+            frontier.update(_named_by(host.status, found))
     with ThreadPoolExecutor(ASKED_AT_ONCE) as pool:
         while frontier:
             asked = pool.map(lambda item: _ask(origin, *item), frontier.items())
@@ -76,6 +78,24 @@
     return [found[name] for name in sorted(found)]
 
 
+def _ask_first(origin: AdministrationClient) -> dict[str, HostStatus]:
+    # Daemons of a pool know each other; for several pools give a URL of each.
+    found: dict[str, HostStatus] = {}
+    errors: list[CommandError] = []
+    for url in origin.urls:
+        try:
+            with AdministrationClient(url, origin.key, origin.ca_file) as client:
+                first = client.call("GET", "/v1/status")
+        except CommandError as error:
+            errors.append(error)
+            continue
+        name, address = first["host"], first["administration"]
+        found[name] = HostStatus(name, address, first)
+    if not found:
+        raise errors[0]
+    return found
+
+
 def _named_by(status: dict[str, Any], found: dict[str, HostStatus]) -> dict[str, str]:
     named: dict[str, str] = {}
     for name, peer in status["peers"].items():
--- a/packages/cli/src/knapweedbridge_cli/options.py
+++ b/packages/cli/src/knapweedbridge_cli/options.py
@@ -19,7 +19,7 @@
         cappa.Arg(
             long=True,
             default=cappa.Env("KNAPWEEDBRIDGE_URL"),
-            help="URL of any daemon's administration API.",
+            help="URL of a daemon's administration API, or several with commas.",
         ),
     ]
     key: Annotated[
--- a/packages/daemon/src/knapweedbridge_daemon/daemon.py
+++ b/packages/daemon/src/knapweedbridge_daemon/daemon.py
@@ -10,6 +10,7 @@
 from anyio.abc import TaskGroup
 
 from knapweedbridge_core import Bridge, events
+from knapweedbridge_core.addresses import split_address
 from knapweedbridge_core.context import Timing
 from knapweedbridge_core.settings import Settings
 from knapweedbridge_core.timeline import Timeline
@@ -138,9 +139,9 @@
         return Peers(host, secret, silence_s, driver.submit, incarnation, driver.clock)
 
     async def _serve_peers(self, peers: Peers) -> None:
-        ip, _, port = self._settings.get("listen", "peers").rpartition(":")
+        ip, port = split_address(self._settings.get("listen", "peers"))
         listener = await anyio.create_tcp_listener(
-            local_host=ip, local_port=int(port), reuse_port=False
+            local_host=ip, local_port=port, reuse_port=False
         )
         await listener.serve(peers.serve)
 
--- a/packages/daemon/src/knapweedbridge_daemon/driver.py
+++ b/packages/daemon/src/knapweedbridge_daemon/driver.py
@@ -63,7 +63,7 @@
         client: httpx.AsyncClient,
         observer: Observer,
     ) -> None:
-        self.bridge = bridge
+        self.bridge: Bridge = bridge
         self.peers: Peers | None = None
         self.prober: Prober | None = None
         self._store = store
@@ -108,7 +108,7 @@
     async def _tick(self, tick_s: float) -> None:
         while True:
             await self._inbox.send(events.Tick())
-            self._observer.gauge(self.bridge, self.following)
+            self._observer.gauge(self)
             await anyio.sleep(tick_s)
 
     def follow(self, request_id: str) -> MemoryObjectReceiveStream[Step]:
@@ -130,6 +130,11 @@
         """Add to a counter."""
         self._observer.metrics.count(name, value)
 
+    @property
+    def timeline_events(self) -> int:
+        """Events that the time line holds."""
+        return len(self._observer.timeline)
+
     @property
     def clock(self) -> HybridClock:
         """The clock that stamps this daemon's events."""
--- a/packages/daemon/src/knapweedbridge_daemon/logs.py
+++ b/packages/daemon/src/knapweedbridge_daemon/logs.py
@@ -31,21 +31,41 @@
     ERROR = 2
 
 
+REQUEST_FAMILIES = ("attempt", "blame", "evict", "grant", "load", "request")
+"""First words of the events of single requests and loads: `Level.DEBUG`."""
+
 LEVELS: dict[str, Level] = {
     "configuration.accepted": Level.INFO,
+    "configuration.changes_differ": Level.ERROR,
     "configuration.in_force": Level.INFO,
+    "configuration.part_damaged": Level.ERROR,
+    "configuration.service_differs": Level.ERROR,
+    "configuration.service_is_older": Level.ERROR,
+    "configuration.service_not_reached": Level.ERROR,
     "daemon.draining": Level.INFO,
+    "daemon.isolated": Level.ERROR,
+    "daemon.paused": Level.ERROR,
+    "daemon.refuted_death": Level.INFO,
+    "daemon.rejoined": Level.INFO,
     "daemon.started": Level.INFO,
     "daemon.stopped": Level.INFO,
     "drain.asked": Level.INFO,
-    "endpoint.lost": Level.ERROR,
-    "endpoint.regained": Level.INFO,
+    "endpoint.leaves": Level.INFO,
+    "endpoint.stays": Level.INFO,
+    "holder.dead": Level.ERROR,
+    "lease.begun": Level.INFO,
+    "member.alive": Level.INFO,
+    "member.dead": Level.ERROR,
     "owner.claimed": Level.INFO,
-    "owner.released": Level.INFO,
+    "owner.handed_over": Level.INFO,
+    "owner.lost": Level.ERROR,
+    "peer.link_bad": Level.ERROR,
     "peer.linked": Level.INFO,
     "peer.unlinked": Level.INFO,
     "platform.lost": Level.ERROR,
     "platform.regained": Level.INFO,
+    "tls.reload_failed": Level.ERROR,
+    "tls.reloaded": Level.INFO,
 }
 """Levels of the changes of state; an event that is not named is `DEBUG`."""
 
--- a/packages/daemon/src/knapweedbridge_daemon/metrics.py
+++ b/packages/daemon/src/knapweedbridge_daemon/metrics.py
@@ -4,6 +4,8 @@
 
 import statsd
 
+from knapweedbridge_core.addresses import split_address
+
 PREFIX = "knapweedbridge"
 
 
@@ -13,15 +15,15 @@
     Parameters
     ----------
     address : str
-        ``host:port`` of statsd over UDP, or empty.
+        ``IP:port`` of statsd over UDP, or empty.
     """
 
     def __init__(self, address: str) -> None:
         self.counters: Counter[str] = Counter()
         self._client: statsd.StatsClient | None = None
         if address:
-            host, _, port = address.rpartition(":")
-            self._client = statsd.StatsClient(host, int(port), prefix=PREFIX)
+            ip, port = split_address(address)
+            self._client = statsd.StatsClient(ip, port, prefix=PREFIX)
 
     def count(self, name: str, value: int = 1) -> None:
         """Add to a counter."""
--- a/packages/daemon/src/knapweedbridge_daemon/observer.py
+++ b/packages/daemon/src/knapweedbridge_daemon/observer.py
@@ -1,14 +1,15 @@
 """Turns the core's records into the time line, log lines, timers and gauges."""
 
 import time
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from knapweedbridge_core import Bridge
 from knapweedbridge_core.timeline import Timeline
+from knapweedbridge_daemon.gauges import GAUGE_PERIOD_S, GAUGES
 from knapweedbridge_daemon.logs import Log, request_of
 from knapweedbridge_daemon.metrics import Metrics
 
-GAUGE_PERIOD_S = 10.0
+if TYPE_CHECKING:
+    from knapweedbridge_daemon.driver import Driver
 
 
 class Observer:
@@ -45,21 +46,14 @@
             self.take(kind, {"part": part})
         self._answers[part] = answers
 
-    def gauge(self, bridge: Bridge, requests: int) -> None:
+    def gauge(self, driver: "Driver") -> None:
         """Send the gauges if their period is over."""
         now_s = time.monotonic()
         if now_s - self._gauged_s < GAUGE_PERIOD_S:
             return
         self._gauged_s = now_s
-        levels = {
-            "configuration.generation": bridge.configuration.generation,
-            "endpoints.owned": len(bridge.ledgers),
-            "peers.linked": len(bridge.members.peers()),
-            "requests.live": requests,
-            "timeline.events": len(self.timeline),
-        }
-        for name, value in levels.items():
-            self.metrics.gauge(name, value)
+        for name, read in GAUGES.items():
+            self.metrics.gauge(name, read(driver))
 
 
 class Timers:
@@ -113,7 +107,6 @@
     "request.duration": ("request.arrived", "request.finished"),
     "request.first_token": ("request.arrived", "attempt.first_token"),
     "request.dispatch_wait": ("request.arrived", "attempt.dispatched"),
-    "request.load_stall": ("load.wanted", "attempt.dispatched"),
 }
 """Timers of a request, each from one event to another."""
 
--- a/packages/daemon/src/knapweedbridge_daemon/peers.py
+++ b/packages/daemon/src/knapweedbridge_daemon/peers.py
@@ -14,6 +14,7 @@
 from anyio.abc import SocketStream, TaskGroup
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
+from knapweedbridge_core.addresses import split_address
 from knapweedbridge_core.errors import MessageError
 from knapweedbridge_core.events import PeerHeard, PeerLinked, PeerUnlinked
 from knapweedbridge_core.messages import decode, encode, unpacker
@@ -179,9 +180,9 @@
             del self._links[link.host]
 
     async def _connect(self, link: _Link) -> None:
-        ip, _, port = self._addresses.get(link.host, "").rpartition(":")
+        ip, port = split_address(self._addresses.get(link.host, ""))
         with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
-            stream = await anyio.connect_tcp(ip, int(port or 0))
+            stream = await anyio.connect_tcp(ip, port)
         async with stream:
             with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
                 await self._handshake.greet(stream, link.host)
