--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,10 @@
 docs: install
 	$(BIN)/python docs/make_settings.py
 	$(BIN)/python docs/make_index.py
+
+.PHONY: fuzz mutants
+fuzz: install
+	$(BIN)/python bench/fuzz.py
+
+mutants: install
+	$(BIN)/python bench/mutants.py
--- a/features/owners/histories.feature
+++ b/features/owners/histories.feature
@@ -23,6 +23,10 @@
       | holder_paused         | checking  |
       | restarted_alone       | ignoring  |
       | restarted_alone       | checking  |
+      | order_in_transit      | ignoring  |
+      | order_in_transit      | checking  |
+      | reports_lag           | ignoring  |
+      | reports_lag           | checking  |
       | minority_cut          | ignoring  |
       | minority_cut          | checking  |
       | owner_paused_in_order | ignoring  |
--- /dev/null
+++ b/features/owners/steps/fuzz_steps.py
@@ -0,0 +1,68 @@
+from behave import then, when
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from knapweedbridge_standins.history import World
+from knapweedbridge_standins.history.faults import FAULTS
+
+
+class Owners(RuleBasedStateMachine):
+    """Faults and requests as hypothesis chooses; the checker is the oracle."""
+
+    @initialize(seed=st.integers(0, 1000), checks=st.booleans())
+    def begin(self, seed, checks):
+        self.world = World(
+            seed, daemons=3, adapters=10, checks_fencing=checks, stream_s=1.0
+        )
+        self.world.load(5.0, 10_000.0)
+        self.world.run(12.0)
+
+    @rule(name=st.sampled_from(sorted(FAULTS)))
+    def break_something(self, name):
+        FAULTS[name](self.world, self.world.rng)
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, 5.0, 20.0]))
+    def pass_time(self, seconds):
+        self.world.run(self.world.now_s + seconds)
+
+    @rule(model=st.integers(0, 9), daemon=st.integers(0, 2))
+    def ask_many(self, model, daemon):
+        hosts = self.world.live()
+        if hosts:
+            host = hosts[daemon % len(hosts)]
+            for _ in range(5):
+                self.world.ask(host, self.world.models[model])
+
+    @invariant()
+    def promises_hold(self):
+        if hasattr(self, "world"):
+            assert not self.world.checker.violations, self.world.checker.violations
+
+
+@when("hypothesis breaks {examples:d} deployments in up to {steps:d} steps each")
+def fuzz(context, examples, steps):
+    context.found = ""
+    limits = settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    try:
+        run_state_machine_as_test(Owners, settings=limits)
+    except AssertionError as error:
+        context.found = str(error)
+
+
+@then("the oracle found nothing")
+def nothing(context):
+    assert not context.found, context.found
--- a/packages/standins/src/knapweedbridge_standins/history/world.py
+++ b/packages/standins/src/knapweedbridge_standins/history/world.py
@@ -118,6 +118,8 @@
         self.longest_wait_s = 0.0
         self.closed_seen_s = CLOSED_SEEN_S
         self.order_delay_s = 0.0
+        self.report_lag_s = 0.0
+        self.order_sent: Callable[[str, OrderEndpoint], None] | None = None
         self.late_orders: list[OrderEndpoint] = []
         self._asked: dict[str, AdapterVersion] = {}
         self._links: set[tuple[str, str]] = set()
@@ -357,6 +359,8 @@
             self.late_orders.append(action)
             self.pause(host, pause_s)
         arrive = self._evict if action.kind == "evict" else self._load
+        if self.order_sent is not None:
+            self.order_sent(host, action)
         delay_s = pause_s + self.order_delay_s + self._delay_s()
         self.after(delay_s, lambda: arrive(host, node, action))
 
@@ -408,7 +412,8 @@
             reported = events.EndpointReported(
                 engine.name, tuple(sorted(engine.loaded)), engine.running(), asked_s
             )
-            self._tell_later(self._delay_s(), host, node, reported)
+            delay_s = self.report_lag_s + self._delay_s()
+            self._tell_later(delay_s, host, node, reported)
 
         self.after(self._delay_s(), arrive)
 
