Run the whole shape under faults from a seed, and check the history

Ruled out on the way: 13 requests broken in the first second were the callers' own: 32 clients each made a TLS context, so that they connected and sent nothing for up to a second; the daemons closed the idle connections at their stop. The same still shows within 0.1 s of a stop: hypercorn closes a connection whose request is in the socket but not read yet.

--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,18 @@
 processes: install
 	$(BIN)/python bench/processes.py
 
+# SOAK_S, SOAK_SEED, SOAK_FAULTS and SOAK_KEEP: see bench/soak.py.
+soak: install
+	$(BIN)/python bench/soak.py
+
+slopes: install
+	$(BIN)/python bench/slopes.py
+
+capacity: install
+	$(BIN)/python bench/capacity.py
+
+.PHONY: soak slopes capacity
+
 bench-relay: install
 	$(BIN)/python bench/relay.py --keep
 
--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -15,14 +15,24 @@
 
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 30.0
+LOG_CHARS = 4000
 
 
 class Deployment:
-    """Starts and ends the processes of an example."""
+    """Starts and ends the processes of an example.
 
-    def __init__(self, example: Example) -> None:
+    Parameters
+    ----------
+    example : Example
+        Addresses and sizes.
+    engine_options : tuple of str
+        Further arguments of each engine.
+    """
+
+    def __init__(self, example: Example, engine_options: tuple[str, ...] = ()) -> None:
         self.example = example
         self.processes: dict[str, subprocess.Popen] = {}
+        self._engine_options = engine_options
         self._stack = ExitStack()
 
     def __enter__(self) -> "Deployment":
@@ -46,7 +56,8 @@
         self.stand_in("key-value", "key-value", "--listen", example.key_value)
         self.stand_in("host-list", "host-list", "--listen", example.host_list)
         self.stand_in("weight-store", "weight-store", "--listen", example.weight_store)
-        self.stand_in("counter-0", "plain", "--listen", example.plain)
+        for place in range(example.plains):
+            self.plain(place)
         for place in range(example.engines):
             self.engine(place)
         self.await_answer(f"http://{example.host_list}/hosts")
@@ -64,19 +75,31 @@
         command = [sys.executable, "-m", "knapweedbridge_standins", *arguments]
         self._start(name, command)
 
+    def plain(self, place: int) -> None:
+        """Start an instance of the plain service."""
+        name = f"counter-{place}"
+        address = self.example.plain_instance(place)
+        self.stand_in(name, "plain", "--listen", address, *self._journal(name))
+
     def engine(self, place: int) -> None:
         """Start an engine, cold."""
+        name = f"draft-{place}"
+        options = ["--listen", self.example.engine(place)]
+        options += ["--weight-store", f"http://{self.example.weight_store}"]
+        options += ["--slots", str(self.example.slots)]
+        if place < self.example.checking:
+            options.append("--checks-fencing")
         self.stand_in(
-            f"draft-{place}",
-            "engine",
-            "--listen",
-            self.example.engine(place),
-            "--weight-store",
-            f"http://{self.example.weight_store}",
-            "--slots",
-            str(self.example.slots),
+            name, "engine", *options, *self._engine_options, *self._journal(name)
         )
 
+    def _journal(self, name: str) -> list[str]:
+        return ["--name", name, "--journal", str(self._folder / f"{name}.jsonl")]
+
+    def journals(self) -> list[Path]:
+        """Return the files in which endpoints wrote what they ran."""
+        return sorted(self._folder.glob("*.jsonl"))
+
     def daemon(self, place: int) -> None:
         """Start a daemon."""
         settings = self._folder / f"host-{place}.ini"
@@ -96,6 +119,16 @@
         """Return what a process wrote."""
         return (self._folder / f"{name}.log").read_text()
 
+    def tracebacks(self) -> dict[str, str]:
+        """Return what processes wrote that is no line of a log."""
+        found = {}
+        for path in sorted(self._folder.glob("*.log")):
+            lines = path.read_text().splitlines()
+            text = "\n".join(line for line in lines if not line.startswith("{"))
+            if text:
+                found[path.stem] = text[-LOG_CHARS:]
+        return found
+
     def stop(self, name: str) -> int:
         """Stop a process gracefully and return its exit code."""
         process = self.processes.pop(name)
@@ -108,6 +141,10 @@
         process.kill()
         process.wait()
 
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a process."""
+        self.processes[name].send_signal(number)
+
     def _end_all(self) -> None:
         for process in self.processes.values():
             process.kill()
@@ -116,18 +153,28 @@
 
     def apply(self) -> None:
         """Apply the example's folder by the operators' command."""
-        folder = self._folder / "folder"
-        folder.mkdir(exist_ok=True)
-        for name, text in self.example.folder().items():
-            (folder / name).write_text(text)
-        self.command("apply", str(folder), "--wait")
+        self.command("apply", str(self.folder("folder")), "--wait")
 
-    def command(self, *arguments: str) -> str:
-        """Run the operators' command and return what it printed."""
+    def folder(self, name: str, **further: str) -> Path:
+        """Write the example's folder under a name, with further files."""
+        folder = self._folder / name
+        folder.mkdir(exist_ok=True)
+        for file, text in {**self.example.folder(), **further}.items():
+            (folder / file).write_text(text)
+        return folder
+
+    def command(self, *arguments: str, host: int = 0) -> str:
+        """Run the operators' command and return what it printed.
+
+        Raises
+        ------
+        RuntimeError
+            If the command ends with another code than 0.
+        """
         binary = Path(sys.executable).parent / "knapweedbridge"
         environment = {
             **os.environ,
-            "KNAPWEEDBRIDGE_URL": f"http://{self.example.administration(0)}",
+            "KNAPWEEDBRIDGE_URL": f"http://{self.example.administration(host)}",
             "KNAPWEEDBRIDGE_KEY": ADMINISTRATOR_KEY,
         }
         ended = subprocess.run(
--- a/packages/standins/src/knapweedbridge_standins/example.py
+++ b/packages/standins/src/knapweedbridge_standins/example.py
@@ -1,11 +1,14 @@
 """The small deployment that the quick start and the whole runs use."""
 
 import hashlib
-from dataclasses import dataclass, field
+import socket
+from dataclasses import dataclass
 
 ADMINISTRATOR_KEY = "administrator-key-of-the-example"
 CALLER_KEY = "caller-key-of-the-example"
 PEER_SECRET = "peer-secret-of-the-example"
+PORT_STEP = 200
+PORT_BLOCKS = 20
 
 
 @dataclass(slots=True)
@@ -16,6 +19,13 @@
     ----------
     base_port : int
         Ports are taken upwards from here.
+    plains : int
+        Instances of the plain service, at most 6.
+    forward : int
+        Added to the ports by which endpoints and peers are reached, so that a
+        forwarder may stand before each; 0: they are reached as they are.
+    checking : int
+        The first so many engines refuse an old fencing number.
     """
 
     base_port: int
@@ -24,7 +34,9 @@
     adapters: int = 12
     slots: int = 4
     ip: str = "127.0.0.1"
-    names: list[str] = field(default_factory=list)
+    plains: int = 1
+    forward: int = 0
+    checking: int = 0
 
     def address(self, place: int) -> str:
         """Return the address of a place; one process takes up to three."""
@@ -47,8 +59,27 @@
 
     @property
     def plain(self) -> str:
-        """Address of the plain service."""
-        return self.address(3)
+        """Address of the first instance of the plain service."""
+        return self.plain_instance(0)
+
+    def plain_instance(self, place: int) -> str:
+        """Return the address of an instance of the plain service."""
+        return self.address(3 + place)
+
+    def reached(self, address: str) -> str:
+        """Return the address by which an endpoint or a peer is reached."""
+        ip, _, port = address.rpartition(":")
+        return f"{ip}:{int(port) + self.forward}"
+
+    def listened(self) -> list[str]:
+        """Return all addresses that the processes listen on."""
+        places = [self.key_value, self.host_list, self.weight_store]
+        places += [self.plain_instance(place) for place in range(self.plains)]
+        places += [self.engine(place) for place in range(self.engines)]
+        for place in range(self.daemons):
+            places += [self.callers(place), self.administration(place)]
+            places.append(self.peers(place))
+        return places
 
     def engine(self, place: int) -> str:
         """Return the address of an engine."""
@@ -101,7 +132,7 @@
                 "name": f"host-{place}",
                 "kind": "daemon",
                 "data_centre": self.data_centre(place),
-                "address": self.peers(place),
+                "address": self.reached(self.peers(place)),
                 "leaving": False,
             }
             for place in range(self.daemons)
@@ -148,6 +179,11 @@
 team = optics
 model = {self.model(0)}
 
+[application receipts]
+team = optics
+model = {self.model(1)}
+non_idempotent = yes
+
 [service orders]
 team = optics
 path = /orders
@@ -161,22 +197,54 @@
         engines = "".join(
             f"""
 [endpoint draft-{place}]
-address = {self.engine(place)}
+address = {self.reached(self.engine(place))}
 data_centre = {self.data_centre(place)}
 base_model = namib-7b
 slots = {self.slots}
+checks_fencing = {"yes" if place < self.checking else "no"}
 """
             for place in range(self.engines)
         )
-        return f"""{engines}
-[endpoint counter-0]
+        plains = "".join(
+            f"""
+[endpoint counter-{place}]
 kind = service
 service = orders
-address = {self.plain}
-data_centre = dc1
+address = {self.reached(self.plain_instance(place))}
+data_centre = {self.data_centre(place)}
 """
+            for place in range(self.plains)
+        )
+        return engines + plains
 
 
 def hash_text(text: str) -> str:
     """Return the SHA-256 of a key, as a folder holds it."""
     return hashlib.sha256(text.encode()).hexdigest()
+
+
+def find_free_example(base_port: int, daemons: int) -> Example:
+    """Return an example on the first block of ports of which none is taken.
+
+    Raises
+    ------
+    OSError
+        If every block has a port that another process listens on.
+    """
+    last = base_port + PORT_STEP * PORT_BLOCKS
+    for first in range(base_port, last, PORT_STEP):
+        example = Example(first, daemons=daemons)
+        if all(_is_free(address) for address in example.listened()):
+            return example
+    raise OSError(f"no free block of ports on loopback from {base_port} to {last}")
+
+
+def _is_free(address: str) -> bool:
+    ip, _, port = address.rpartition(":")
+    with socket.socket() as tried:
+        tried.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            tried.bind((ip, int(port)))
+        except OSError:
+            return False
+    return True
