End the quick start by draining its daemon, on ports that are free

The example takes the first free block of ports, or says that there is none; the daemon's drain is awaited in place of half a second's sleep.

--- a/packages/standins/src/knapweedbridge_standins/demo.py
+++ b/packages/standins/src/knapweedbridge_standins/demo.py
@@ -4,16 +4,22 @@
 import tempfile
 import time
 from pathlib import Path
-from typing import Any
 
 import anyio
 import httpx
+from anyio.abc import TaskGroup
 
 from knapweedbridge_core.settings import read_settings
 from knapweedbridge_daemon import Daemon
 from knapweedbridge_daemon.web import make_config, serve_until
 from knapweedbridge_standins.engine import EngineStandIn
-from knapweedbridge_standins.example import ADMINISTRATOR_KEY, CALLER_KEY, Example
+from knapweedbridge_standins.example import (
+    ADMINISTRATOR_KEY,
+    CALLER_KEY,
+    PEER_SECRET,
+    Example,
+    find_free_example,
+)
 from knapweedbridge_standins.key_value import KeyValueStandIn
 from knapweedbridge_standins.oracle import answer
 from knapweedbridge_standins.plain import PlainStandIn
@@ -33,22 +39,30 @@
 
     async def run(self) -> bool:
         """Print what happens, and return whether every answer was right."""
-        async with anyio.create_task_group() as tasks:
-            self._start_platform(tasks)
-            with tempfile.TemporaryDirectory() as folder:
-                secret = Path(folder) / "secret"
-                secret.write_text("peer-secret-of-the-example")
-                text = self._example.settings(0, str(secret))
-                daemon = Daemon(read_settings("demo.ini", text))
-                tasks.start_soon(daemon.run)
+        async with anyio.create_task_group() as platform:
+            steps = self._start_platform(platform)
+            right = await self._serve()
+            self._stop.set()
+            for step in steps:
+                step.cancel()
+        return right
+
+    async def _serve(self) -> bool:
+        with tempfile.TemporaryDirectory() as folder:
+            secret = Path(folder) / "secret"
+            secret.write_text(PEER_SECRET)
+            text = self._example.settings(0, str(secret))
+            daemon = Daemon(read_settings("demo.ini", text))
+            async with anyio.create_task_group() as served:
+                served.start_soon(daemon.run)
                 right = await self._ask_all()
                 daemon.stop()
-            self._stop.set()
-            await anyio.sleep(0.5)
-            tasks.cancel_scope.cancel()
+        print("the daemon drained and ended")
         return right
 
-    def _start_platform(self, tasks: Any) -> None:
+    def _start_platform(self, tasks: TaskGroup) -> list[anyio.CancelScope]:
+        """Start the platform; return what stops the steps of the engines."""
+        steps = []
         example = self._example
         hosts = HostListStandIn()
         hosts.hosts = {str(line["name"]): line for line in example.listed_hosts()}
@@ -62,10 +76,12 @@
             engine = EngineStandIn(
                 slots=example.slots, weight_store=f"http://{example.weight_store}"
             )
-            tasks.start_soon(engine.run)
+            steps.append(anyio.CancelScope())
+            tasks.start_soon(_run_within, steps[-1], engine)
             served[example.engine(place)] = engine.app()
         for address, app in served.items():
             tasks.start_soon(serve_until, app, make_config(address, 0.1), self._stop)
+        return steps
 
     async def _ask_all(self) -> bool:
         async with httpx.AsyncClient(timeout=30, trust_env=False) as client:
@@ -87,7 +103,7 @@
             applied = await client.post(
                 f"{url}/v1/configuration", json=body, headers=headers
             )
-            print("applied the folder:", applied.json())
+            print("applied the folder: generation", applied.json()["generation"])
             while True:
                 status = await client.get(f"{url}/v1/status", headers=headers)
                 if status.status_code == 200 and status.json()["generation"] == 1:
@@ -124,6 +140,11 @@
         return response.status_code == 200
 
 
+async def _run_within(scope: anyio.CancelScope, engine: EngineStandIn) -> None:
+    with scope:
+        await engine.run()
+
+
 async def _answered(client: httpx.AsyncClient, url: str) -> None:
     while True:
         try:
@@ -145,7 +166,12 @@
 
 def main() -> None:
     """Run the quick start."""
-    right = anyio.run(Demo(Example(BASE_PORT, daemons=1)).run)
+    try:
+        example = find_free_example(BASE_PORT, daemons=1)
+    except OSError as error:
+        print(error)
+        raise SystemExit(2) from None
+    right = anyio.run(Demo(example).run)
     print("every answer right" if right else "NOT every answer right")
     raise SystemExit(0 if right else 1)
 
