Keep administrators' keys out of operators' reach, and streams going beside a check

An operator's folder replaces what its team owns, and an administrator's key counted as its team's: a folder without it shut the administrator out on every host. The scenario and a fuzz over random folders failed first. Such keys are administrators' now. A section that no file of the folder holds is named as in force.

A check of the planned folder ran in a thread and still stopped the event loop: the cyclic collector passed over all its objects and held the interpreter.

--- a/Makefile
+++ b/Makefile
@@ -59,3 +59,7 @@
 
 mutants: install
 	$(BIN)/python bench/mutants.py
+
+.PHONY: administration
+administration: install
+	$(BIN)/python bench/administration.py
--- a/features/operators/steps/command_steps.py
+++ b/features/operators/steps/command_steps.py
@@ -19,7 +19,13 @@
 role = operator
 hash = {hash of dues}
 """
-RED = "\x1b"
+DUES_ADMINISTRATOR = """
+[team dues]
+[key dues-administrator]
+team = dues
+role = administrator
+hash = cccccccccccccccccccccccccccccccccccccccccccccccccccccccccccccccc
+"""
 
 
 def _fill(context, text):
@@ -53,7 +59,7 @@
     context.before = 0
     context.platform.start()
     files = context.platform.example.folder()
-    files["50-dues.ini"] = _fill(context, "[team dues]\n" + DUES)
+    files["50-dues.ini"] = _fill(context, DUES_ADMINISTRATOR + DUES)
     context.files = files
     context.platform.put_in_force(files)
     context.before = context.platform.generation()
@@ -169,6 +175,11 @@
     assert seen == [row["section"] for row in context.table], seen
 
 
+@then('the operator of "dues" does not see section "{title}"')
+def does_not_see(context, title):
+    assert title not in _sections(context, key=DUES_KEY)
+
+
 @when('a caller asks for "{model}" through host {host:d}')
 def caller_asks(context, model, host):
     answer = context.platform.call(
--- a/features/operators/teams.feature
+++ b/features/operators/teams.feature
@@ -94,6 +94,48 @@
       this needs an administrator's
       """
 
+  Scenario: An operator cannot shut an administrator out
+    A team's operator leaves the administrator's key out of its folder, because
+    it never saw it, and the key is gone on every host.
+    The cause was that an administrator's key counted as its team's.
+
+    When the operator of "dues" applies
+      """
+      [key dues-operator]
+      team = dues
+      role = operator
+      hash = {hash of dues}
+      """
+    Then section "key dues-administrator" is still there
+    And the operator of "dues" does not see section "key dues-administrator"
+
+  Scenario: A section that another team still needs is named
+    Given another operator applies "50-theirs.ini"
+      """
+      [application borrowed]
+      team = optics
+      model = tariffs@1
+      """
+    When the operator of "dues" applies
+      """
+      [key dues-operator]
+      team = dues
+      role = operator
+      hash = {hash of dues}
+      """
+    Then it ends with 2 and complains
+      """
+      (in force): [application borrowed] model: no section [version tariffs@1]
+      """
+
+  Scenario: No folder of an operator changes what another team owns
+    When operators of 2 teams apply random folders to a random configuration
+    Then what is accepted differs in the team's own sections only
+
+  Scenario: The differences of two configurations lead from one to the other
+    When random configurations are compared
+    Then the changes turn the one into the other
+
   Scenario: An operator's rollback leaves the other teams alone
     Given another operator applies "50-theirs.ini"
       """
--- a/packages/core/src/knapweedbridge_core/folder.py
+++ b/packages/core/src/knapweedbridge_core/folder.py
@@ -7,6 +7,9 @@
 from knapweedbridge_core.errors import CheckError
 from knapweedbridge_core.faults import Fault, read_ini
 
+IN_FORCE = "(in force)"
+"""Stands for the file of a section that no file holds: another team's."""
+
 Origin = dict[tuple[str, str], str]
 
 
@@ -31,7 +34,7 @@
     def locate(self, fault: Fault) -> Fault:
         """Return the fault with the file its section or key came from."""
         file = self.origin.get((fault.section, fault.key))
-        file = file or self.origin.get((fault.section, "")) or fault.file
+        file = file or self.origin.get((fault.section, "")) or fault.file or IN_FORCE
         return Fault(file, fault.section, fault.key, fault.message)
 
     def check(self, others: Mapping[str, dict[str, str]] | None = None) -> None:
--- a/packages/core/src/knapweedbridge_core/teams.py
+++ b/packages/core/src/knapweedbridge_core/teams.py
@@ -1,7 +1,7 @@
 """Which sections a team's operator sees and may change.
 
 A team owns its adapters with their versions, its applications, its services
-and its keys. Teams, endpoints and the weight store belong to administrators.
+and its keys. All else, among it every administrator's key, is administrators'.
 """
 
 from knapweedbridge_core.configuration import Sections
@@ -17,9 +17,16 @@
     kind, _, name = title.partition(" ")
     if kind == "version":
         title, kind = f"adapter {name.partition('@')[0]}", "adapter"
-    if kind not in TEAM_KINDS:
+    items = sections.get(title, {})
+    if kind not in TEAM_KINDS or _is_administrators(kind, items):
         return ""
-    return sections.get(title, {}).get("team", "")
+    return items.get("team", "")
+
+
+def _is_administrators(kind: str, items: dict[str, str]) -> bool:
+    # An operator's folder replaces what its team owns. Were an administrator's
+    # key the team's, a folder without it would shut the administrator out.
+    return kind == "key" and items.get("role", "caller") not in OPERATOR_ROLES
 
 
 def sections_of(team: str, sections: Sections) -> Sections:
@@ -65,9 +72,10 @@
     allowed = ", ".join(sorted(OPERATOR_ROLES))
     return [
         Fault("", title, "role", f"allowed to an operator: {allowed}")
-        for title, items in sections_of(team, wanted).items()
+        for title, items in wanted.items()
         if title.startswith("key ")
-        and items.get("role", "caller") not in OPERATOR_ROLES
+        and items.get("team") == team
+        and _is_administrators("key", items)
         and in_force.get(title) != items
     ]
 
--- a/packages/daemon/src/knapweedbridge_daemon/administration.py
+++ b/packages/daemon/src/knapweedbridge_daemon/administration.py
@@ -29,6 +29,7 @@
 from knapweedbridge_daemon.driver import Driver
 from knapweedbridge_daemon.errors import GenerationGoneError, StoreError
 from knapweedbridge_daemon.history import list_generations
+from knapweedbridge_daemon.off_loop import run_off_loop
 from knapweedbridge_daemon.proposals import Collision, Proposals, Written, visible
 from knapweedbridge_daemon.store import KeyValueStore
 
@@ -125,7 +126,8 @@
     async def _diff(self, request: Request, caller: Caller) -> Any:
         body = await read_folder_body(request)
         checked = await self._proposals.check(caller, body.files)
-        changes = [asdict(change) for change in checked.changes()]
+        found = await run_off_loop(checked.changes)
+        changes = [asdict(change) for change in found]
         return {"generation": checked.generation, "changes": changes}
 
     async def _apply(self, request: Request, caller: Caller) -> Any:
--- a/packages/daemon/src/knapweedbridge_daemon/configurations.py
+++ b/packages/daemon/src/knapweedbridge_daemon/configurations.py
@@ -16,6 +16,7 @@
 from knapweedbridge_core.errors import ContentError
 from knapweedbridge_core.parts import EMPTY, PARTS, Parts, Root, Sections, verify
 from knapweedbridge_daemon.errors import MissingPartError, StoreError
+from knapweedbridge_daemon.off_loop import run_off_loop
 from knapweedbridge_daemon.store import KeyValueStore, Transaction
 
 ROOT_KEY = "knapweedbridge/configuration/root"
@@ -160,7 +161,7 @@
     highest = max(stored.generation, highest_known)
     if highest != based_on:
         return Conflict(highest)
-    parts = Parts.of(sections)
+    parts = await run_off_loop(Parts.of, sections)
     token = secrets.token_hex(TOKEN_BYTES)
     root = Root(highest + 1, token, parts.digests)
     transaction = await _prepare(store, stored, root, parts, dict(note or {}))
--- a/packages/daemon/src/knapweedbridge_daemon/proposals.py
+++ b/packages/daemon/src/knapweedbridge_daemon/proposals.py
@@ -6,8 +6,6 @@
 
 from dataclasses import dataclass
 
-from anyio import to_thread
-
 from knapweedbridge_core import Bridge
 from knapweedbridge_core.configuration import Sections
 from knapweedbridge_core.differences import Change, compare
@@ -28,6 +26,7 @@
 )
 from knapweedbridge_daemon.errors import GenerationGoneError
 from knapweedbridge_daemon.history import make_note, read_sections
+from knapweedbridge_daemon.off_loop import run_off_loop
 from knapweedbridge_daemon.store import KeyValueStore
 
 REBASES = 3
@@ -146,7 +145,7 @@
         """
         in_force = self._bridge.configuration
         if generation == in_force.generation:
-            return await to_thread.run_sync(in_force.parts.sections)
+            return await run_off_loop(in_force.parts.sections)
         if generation == 0:
             return {}
         return await read_sections(self._store, generation)
@@ -156,7 +155,7 @@
         generation = self._bridge.configuration.generation
         base = await self.sections_at(generation)
         # A folder of 28,000 adapters takes a second: off the loop that streams.
-        wanted = await to_thread.run_sync(propose, caller, base, files)
+        wanted = await run_off_loop(propose, caller, base, files)
         return Checked(generation, base, wanted)
 
     async def apply(
@@ -173,7 +172,7 @@
             base = await self.sections_at(based_on)
         except GenerationGoneError:
             return await self._collide_without_base(caller, files)
-        wanted = await to_thread.run_sync(propose, caller, base, files)
+        wanted = await run_off_loop(propose, caller, base, files)
         return await self._write(caller, Checked(based_on, base, wanted))
 
     async def rollback(
@@ -185,7 +184,7 @@
         """
         base = await self.sections_at(based_on)
         earlier = await self.sections_at(generation)
-        wanted = await to_thread.run_sync(_roll_back, caller, base, earlier)
+        wanted = await run_off_loop(_roll_back, caller, base, earlier)
         return await self._write(caller, Checked(based_on, base, wanted))
 
     async def _write(self, caller: Caller, checked: Checked) -> Written | Collision:
@@ -196,29 +195,32 @@
                 self._store, checked.generation, checked.wanted, highest, note
             )
             if isinstance(ended, Accepted):
-                return Written(ended.generation, checked.changes())
+                return Written(ended.generation, await run_off_loop(checked.changes))
             theirs = await self._newest(ended.generation)
             apart = _is_apart(caller.team, checked.base, theirs)
             if caller.administrator or not apart:
                 break
-            checked = _rebase(caller.team, checked, theirs, ended.generation)
-        mine = checked.changes(caller)
-        others = Checked(ended.generation, checked.base, theirs).changes(caller)
+            checked = await run_off_loop(
+                _rebase, caller.team, checked, theirs, ended.generation
+            )
+        mine = await run_off_loop(checked.changes, caller)
+        other = Checked(ended.generation, checked.base, theirs)
+        others = await run_off_loop(other.changes, caller)
         return Collision(ended.generation, mine, others, base_kept=True)
 
     async def _newest(self, generation: int) -> Sections:
         stored = await read_root(self._store)
         in_force = self._bridge.configuration
         if in_force.generation >= stored.generation:
-            return in_force.sections
+            return await run_off_loop(in_force.parts.sections)
         parts = await read_parts(self._store, stored.root, in_force.parts)
-        return parts.sections()
+        return await run_off_loop(parts.sections)
 
     async def _collide_without_base(
         self, caller: Caller, files: dict[str, str]
     ) -> Collision:
         checked = await self.check(caller, files)
-        mine = checked.changes(caller)
+        mine = await run_off_loop(checked.changes, caller)
         return Collision(checked.generation, mine, [], base_kept=False)
 
 
