Count who was heard against the pool, not against who is left in it

A daemon that was cut off had taken all its neighbours for dead, so it heard most of those left, none, and went on giving grants: its successor evicted a11@1 while it ran 2.

--- a/packages/core/src/knapweedbridge_core/estate.py
+++ b/packages/core/src/knapweedbridge_core/estate.py
@@ -8,6 +8,9 @@
 from knapweedbridge_core.tenure import Tenure
 from knapweedbridge_core.times import CONTACT_S, SILENT_S
 
+NEIGHBOURS = 6
+"""Others of whom most must be heard; a greater pool has as many neighbours."""
+
 
 class Estate:
     """Lease, claims and tenures, and what they allow now.
@@ -29,7 +32,7 @@
         self._heard_s: dict[str, float] = {}
 
     def has_contact(self) -> bool:
-        """Tell whether this daemon heard most of its neighbours just now.
+        """Tell whether this daemon heard enough others just now.
 
         A successor evicts only after it asked all daemons too, so one that both
         hear tells an owner without a lease that it was succeeded. After a gap it
@@ -40,13 +43,9 @@
         now_s = self._context.now_s
         if now_s - self._ticked_s >= SILENT_S:
             return False
-        neighbours = self._context.members.neighbours()
-        heard = [
-            host
-            for host in neighbours
-            if now_s - self._heard_s.get(host, -CONTACT_S) < SILENT_S
-        ]
-        return 2 * (len(heard) + 1) > len(neighbours) + 1
+        heard = [at_s for at_s in self._heard_s.values() if now_s - at_s < SILENT_S]
+        others = min(len(self._context.members.known()), NEIGHBOURS)
+        return 2 * (len(heard) + 1) > others + 1
 
     def heard(self, host: str) -> None:
         """Note that a daemon was heard."""
