--- a/bench/pool.py
+++ b/bench/pool.py
@@ -69,17 +69,22 @@
         self._queue: deque[tuple[str, Any]] = deque()
         self._values: dict[str, tuple[bytes, int]] = {}
         self._revision = 0
-        listed = tuple(
+        self._listed = tuple(
             events.ListedHost(name, "daemon", "dc1", "127.0.0.1:1", False)
             for name in names
         )
+        self.list_hosts()
         for name in names:
-            self.tell(name, events.HostsListed(listed))
             for other in names:
                 if other != name:
                     self.tell(name, events.PeerLinked(other))
             self.tell(name, events.ConfigurationRead(configuration))
 
+    def list_hosts(self) -> None:
+        """Let every core read the platform's list."""
+        for name in self.cores:
+            self.tell(name, events.HostsListed(self._listed))
+
     def tell(self, host: str, event: Any) -> None:
         """Give a core an event, and carry out all that follows."""
         self._queue.append((host, event))
--- a/packages/core/src/knapweedbridge_core/members.py
+++ b/packages/core/src/knapweedbridge_core/members.py
@@ -116,6 +116,7 @@
             and host.name != self._host
             and (self._whole_deployment or host.data_centre == self._data_centre)
         }
+        before = set(self._members)
         for name, member in list(self._members.items()):
             member.listed = name in daemons
             if not member.listed and not member.linked:
@@ -130,7 +131,8 @@
                 new.append(self._members[name])
             self._members[name].address = host.address
         self._neighbours = None
-        self.version += 1
+        if before != set(self._members):
+            self.version += 1
         return new
 
     def get(self, host: str) -> Member | None:
--- a/packages/core/src/knapweedbridge_core/owners.py
+++ b/packages/core/src/knapweedbridge_core/owners.py
@@ -10,8 +10,8 @@
 
 import msgpack
 
-from knapweedbridge_core import rendezvous
 from knapweedbridge_core.actions import Action, Record, StoreRead, StoreWrite
+from knapweedbridge_core.computed_owners import ComputedOwners
 from knapweedbridge_core.configuration import EndpointEntry
 from knapweedbridge_core.events import StoreReplied
 from knapweedbridge_core.leases import LIFE_KEY, DaemonLease, incarnation_in
@@ -128,7 +128,7 @@
     ) -> None:
         self._host = host
         self._incarnation = incarnation
-        self._members = members
+        self._computed = ComputedOwners(members)
         self._lease = lease
         self._claims: dict[str, _Claim] = {}
         self._takers = {
@@ -163,9 +163,7 @@
 
     def computed(self, entry: EndpointEntry) -> str | None:
         """Name the daemon that should own an endpoint."""
-        candidates = self._members.available(entry.data_centre)
-        candidates = candidates or self._members.available()
-        return rendezvous.choose(entry.name, candidates)
+        return self._computed.owner(entry)
 
     def tick(self, endpoints: list[EndpointEntry], now_s: float) -> list[Action]:
         """Start the claims and checks that are due."""
