Test the configuration by histories: lost, late and racing writes, restores, slow readers

The token tells two operators with equal folders apart. A daemon without contact to the others takes no folder: it cannot know which numbers are used. A change is not put on top of an older generation under the newest one's number, as could happen after a restore.

--- a/Makefile
+++ b/Makefile
@@ -63,3 +63,7 @@
 .PHONY: administration
 administration: install
 	$(BIN)/python bench/administration.py
+
+.PHONY: bench-control
+bench-control: install
+	$(BIN)/python bench/control.py --keep
--- /dev/null
+++ b/features/members/steps/configuration_steps.py
@@ -0,0 +1,397 @@
+from itertools import count
+
+from behave import given, then, when
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+from knapweedbridge_core import Bridge, events
+from knapweedbridge_core.actions import Record
+from knapweedbridge_core.changes import change
+from knapweedbridge_core.configuration import build, build_parts
+from knapweedbridge_core.names import AdapterVersion
+from knapweedbridge_core.parts import EMPTY, Parts
+from knapweedbridge_daemon.configurations import (
+    GENERATION_KEY,
+    PART_KEY,
+    Accepted,
+    Conflict,
+    read_parts,
+    read_records,
+    read_root,
+    write_parts,
+)
+from knapweedbridge_daemon.errors import StoreError
+from knapweedbridge_daemon.history import read_sections
+from knapweedbridge_standins.configuration_history import (
+    ConfigurationHistory,
+)
+from knapweedbridge_standins.configuration_history import (
+    run_at_once as run,
+)
+from knapweedbridge_standins.memory_store import MemoryStore, WriteFault
+
+WRITES = count(1)
+
+
+def folder(mark="m", adapters=3):
+    sections = {"team optics": {}}
+    for place in range(adapters):
+        model = mark if place == 0 else "namib-7b"
+        sections[f"adapter a{place}"] = {"team": "optics", "base_model": model}
+        sections[f"version a{place}@1"] = {}
+    return sections
+
+
+def apply(store, based_on, sections, highest=0):
+    token = f"write {next(WRITES)}"
+    return run(write_parts(store, based_on, Parts.of(sections), token, highest))
+
+
+def held_by(store):
+    stored = run(read_root(store))
+    return stored, run(read_parts(store, stored.root, Parts())).sections()
+
+
+@given("generation 1 is accepted")
+def first_accepted(context):
+    context.store = MemoryStore()
+    assert apply(context.store, 0, folder()) == Accepted(1)
+
+
+@when("the next write is {fate} and an operator applies another folder")
+def apply_with_fate(context, fate):
+    context.store.next_writes = [WriteFault(fate)]
+    context.wanted = folder("other")
+    context.ended = apply(context.store, 1, context.wanted)
+
+
+@then("the operator is told that generation {number:d} was accepted")
+def told_accepted(context, number):
+    assert context.ended == Accepted(number), context.ended
+
+
+@then("the service holds that folder as generation {number:d}")
+def holds_folder(context, number):
+    stored, sections = held_by(context.store)
+    run(read_root(context.store))
+    assert stored.generation == number
+    assert sections == context.wanted
+    assert len(run(read_records(context.store))) == number
+
+
+@when("two operators apply {kind} folders at once and the loser's answers are lost")
+def two_race(context, kind):
+    first = folder("first")
+    second = folder("first" if kind == "equal" else "second")
+    context.store.next_writes = [WriteFault.NONE, WriteFault.LOST, WriteFault.LOST]
+    ended = []
+    context.store.before_write = lambda: ended.append(apply(context.store, 1, second))
+    ended.append(apply(context.store, 1, first))
+    context.ended = ended
+
+
+@then("one is told that generation 2 was accepted and the other of a conflict")
+def one_each(context):
+    assert context.ended == [Accepted(2), Conflict(2)], context.ended
+
+
+@when("a part in the service holds other content")
+def damage(context):
+    key = next(key for key in context.store.values if key.startswith(PART_KEY))
+    context.damaged = key.removeprefix(PART_KEY)
+    context.store.values[key] = (b"\x81\xa1a\x80", 1)
+
+
+@then("reading the configuration fails and names the part")
+def reading_fails(context):
+    try:
+        held_by(context.store)
+    except StoreError as error:
+        assert context.damaged[:12] in str(error), error
+    else:
+        raise AssertionError("read without complaint")
+
+
+@when("{number:d} further generations change one adapter each")
+def many_generations(context, number):
+    context.applied = {1: folder()}
+    for _ in range(number):
+        generation = run(read_root(context.store)).generation
+        wanted = folder(f"model-{generation}")
+        context.applied[generation + 1] = wanted
+        assert apply(context.store, generation, wanted) == Accepted(generation + 1)
+
+
+@when("the first folder is applied again {times:d} times in turn with another")
+def back_and_forth(context, times):
+    for wanted in [folder(), folder("another")] * times:
+        generation = run(read_root(context.store)).generation
+        context.applied[generation + 1] = wanted
+        assert apply(context.store, generation, wanted) == Accepted(generation + 1)
+
+
+@then("every kept generation can still be read whole")
+def kept_readable(context):
+    kept = [record.generation for record in run(read_records(context.store))]
+    assert len(kept) == 64, len(kept)
+    for generation in kept:
+        sections = run(read_sections(context.store, generation))
+        assert sections == context.applied[generation], generation
+
+
+@then("the service holds no part that no kept generation names")
+def no_orphans(context):
+    kept = {record.generation for record in run(read_records(context.store))}
+    named = {
+        digest
+        for generation in kept | {min(kept) - 1}
+        for digest in Parts.of(context.applied[generation]).digests
+    }
+    parts = {
+        key.removeprefix(PART_KEY)
+        for key in context.store.values
+        if key.startswith(PART_KEY)
+    }
+    assert parts <= named - {EMPTY}, len(parts - named)
+    records = [key for key in context.store.values if key.startswith(GENERATION_KEY)]
+    assert len(records) == len(kept)
+
+
+class Reader:
+    """A core that reads the service as a daemon does."""
+
+    def __init__(self, host="host-0"):
+        self.bridge = Bridge(host, "dc1")
+        self.records = []
+
+    def tell(self, event):
+        for action in self.bridge.handle(event, 1.0):
+            if isinstance(action, Record):
+                self.records.append(action)
+
+    def read(self, store):
+        stored = run(read_root(store))
+        self.tell(events.RootSeen(stored.root))
+        held = self.bridge.configuration
+        if stored.generation > held.generation:
+            parts = run(read_parts(store, stored.root, held.parts))
+            self.tell(events.PartsRead(stored.root, parts))
+
+
+@given("generations 1 to 9 are accepted, and a daemon holds the newest")
+def nine_accepted(context):
+    first_accepted(context)
+    for generation in range(1, 9):
+        apply(context.store, generation, folder(f"model-{generation}"))
+        if generation == 4:
+            context.snapshot = context.store.snapshot()
+    context.reader = Reader()
+    context.reader.read(context.store)
+    assert context.reader.bridge.configuration.generation == 9
+
+
+@when("the service comes back with generation 5")
+def comes_back(context):
+    context.store.restore(context.snapshot)
+
+
+@when("the daemon reads the service")
+def daemon_reads(context):
+    context.reader.read(context.store)
+
+
+@then("the daemon still holds generation 9 and its contents")
+def still_holds(context):
+    held = context.reader.bridge.configuration
+    assert held.generation == 9
+    assert held.sections == folder("model-8")
+
+
+@then("the time line says that the service is older")
+def says_older(context):
+    kinds = [record.kind for record in context.reader.records]
+    assert "configuration.service_is_older" in kinds
+
+
+@when("an operator applies a folder through the daemon")
+def applies_through(context):
+    held = context.reader.bridge
+    highest = held.distribution.highest_known
+    generation = held.configuration.generation
+    context.ended = apply(context.store, generation, folder("new"), highest)
+
+
+@given("generation 1 of {adapters:d} adapters is in force")
+def in_force(context, adapters):
+    pool = context.pool
+    assert pool.apply(folder("m", adapters)) == 1
+    assert pool.run_until(lambda: pool.in_force(1), 5) is not None
+    pool.run(2)
+    pool.reset_traffic()
+
+
+@when("one adapter changes")
+def one_changes(context):
+    pool = context.pool
+    pool.service.root_reads = 0
+    mark = f"model-{pool.service.root.generation}"
+    changed = {"adapter a1": {"team": "optics", "base_model": mark}}
+    pool.apply_changes(changed)
+
+
+@then("within {limit:g} s it is in force everywhere")
+def reaches_all(context, limit):
+    pool = context.pool
+    newest = pool.service.root.generation
+    assert pool.run_until(lambda: pool.in_force(newest), limit) is not None
+    for host in pool.live():
+        held = pool.nodes[host].bridge.configuration
+        assert held.token == pool.service.root.token
+        assert held.parts.digests == pool.service.root.digests
+
+
+@then("at most {reads:d} daemons read the service")
+def few_reads(context, reads):
+    assert 1 <= context.pool.service.root_reads <= reads
+
+
+@when('the service is down and "{host}" is replaced')
+def replaced_in_outage(context, host):
+    context.pool.service.down = True
+    context.pool.kill(host)
+    context.pool.run(1)
+    context.pool.start(host)
+
+
+@then('"{host}" says that it has it from a peer and never reached the service')
+def says_from_peer(context, host):
+    node = context.pool.nodes[host]
+    assert node.recorded("configuration.service_not_reached")
+    status = node.bridge.distribution.status()
+    assert str(status["source"]).startswith("host-")
+    assert status["service_reached"] is False
+
+
+@when("all daemons that watch lose their power")
+def watchers_lost(context):
+    for host in context.pool.live():
+        if context.pool.nodes[host].bridge.distribution.should_watch():
+            context.pool.kill(host, refuses=False)
+
+
+@when(
+    "{side:d} daemons are cut from the others and from the service "
+    "for {seconds:g} s, and {changes:d} changes come"
+)
+def side_cut(context, side, seconds, changes):
+    pool = context.pool
+    hosts = {f"host-{place}" for place in range(side)}
+    pool.partition(hosts)
+    pool.cut_from_service = set(hosts)
+    for _ in range(changes):
+        pool.run(seconds / changes)
+        one_changes(context)
+    pool.heal()
+
+
+@then("no daemon ever held a lower generation after a higher one")
+def never_lower(context):
+    for node in context.pool.nodes.values():
+        taken = [
+            record.fields["generation"]
+            for record in node.recorded("configuration.in_force")
+        ]
+        assert taken == sorted(set(taken)), taken
+
+
+@when('"{host}" is paused for {seconds:g} s and {changes:d} changes come')
+def paused_behind(context, host, seconds, changes):
+    context.pool.pause(host, seconds)
+    for _ in range(changes):
+        one_changes(context)
+        context.pool.run(seconds / changes)
+
+
+@then("peers sent under {limit:d} bytes for it to each daemon")
+def few_bytes(context, limit):
+    pool = context.pool
+    pool.run(3)
+    pool.reset_traffic()
+    one_changes(context)
+    pool.run(1)
+    kinds = ("ConfigurationAsk", "ConfigurationChanged", "ConfigurationRoot")
+    total = sum(
+        node.traffic.kinds[kind] for node in pool.nodes.values() for kind in kinds
+    )
+    assert 0 < total < limit * len(pool.nodes), total
+    assert not any(node.traffic.kinds["PartTold"] for node in pool.nodes.values())
+
+
+KINDS = {
+    "a team": ("team counter", {"share": "2"}, {"share": "3"}),
+    "a key": (
+        "key counter",
+        {"team": "optics", "hash": "a" * 64},
+        {"team": "optics", "hash": "b" * 64},
+    ),
+    "an adapter": (
+        "adapter b",
+        {"team": "optics", "base_model": "m"},
+        {"team": "optics", "base_model": "n"},
+    ),
+    "a version": ("version a1@2", {}, {"weights": "w"}),
+    "an endpoint": (
+        "endpoint e",
+        {"address": "127.0.0.1:1", "data_centre": "dc1", "base_model": "m"},
+        {"address": "127.0.0.1:2", "data_centre": "dc1", "base_model": "m"},
+    ),
+    "the limit": ("weight_store", {"loads_per_s": "4"}, {"loads_per_s": "5"}),
+    "a route": (
+        "application r",
+        {"team": "optics", "model": "a1@1"},
+        {"team": "optics", "model": "a2@1"},
+    ),
+}
+
+
+@when("{kind} changes, is added or removed in a built configuration")
+def changed_built(context, kind):
+    title, first, second = KINDS[kind]
+    context.pairs = []
+    for before, after in ((None, first), (first, second), (first, None)):
+        sections = folder()
+        if before is not None:
+            sections[title] = before
+        older = build(1, sections)[0]
+        as_it_was = build(1, sections)[0]
+        parts = older.parts.changed({title: after})
+        newer = change(older, 2, "t", parts, {title: after})
+        anew, faults = build_parts(2, "t", parts)
+        assert not faults, faults
+        context.pairs.append((newer, anew, older, as_it_was))
+
+
+@then("all look-ups are as if it were built anew, and the older one is as it was")
+def same_look_ups(context):
+    for newer, anew, older, as_it_was in context.pairs:
+        assert newer == anew
+        assert older == as_it_was
+        assert AdapterVersion("a1", "1") in newer.versions
+
+
+@when("sixty histories of the configuration are tried")
+def histories(context):
+    bounds = settings(
+        derandomize=True,
+        database=None,
+        deadline=None,
+        max_examples=60,
+        stateful_step_count=40,
+        suppress_health_check=list(HealthCheck),
+    )
+    run_state_machine_as_test(ConfigurationHistory, settings=bounds)
+
+
+@then("no daemon ever held a lower generation, or contents not accepted under it")
+def checked_in_each(context):
+    """The histories check it at each step, and would have failed."""
--- a/packages/core/src/knapweedbridge_core/member_side.py
+++ b/packages/core/src/knapweedbridge_core/member_side.py
@@ -183,6 +183,7 @@
 
     def _members_ask(self, message: messages.MembersAsk) -> None:
         states = [self._own, *self._context.members.states()]
+        self._beat([self._context.sender])
         self._context.send(self._context.sender, messages.MembersTold(states))
 
     def _members_told(self, message: messages.MembersTold) -> None:
--- a/packages/daemon/src/knapweedbridge_daemon/configurations.py
+++ b/packages/daemon/src/knapweedbridge_daemon/configurations.py
@@ -86,11 +86,18 @@
     found = await store.read(ROOT_KEY)
     if found is None:
         return StoredRoot(Root(), 0)
+    return StoredRoot(decode_root(found[0]), found[1])
+
+
+def decode_root(value: bytes) -> Root:
+    """Decode a root as the service holds it; may raise StoreError."""
     try:
-        generation, token, digests = msgpack.unpackb(found[0])
+        generation, token, digests = msgpack.unpackb(value)
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         raise StoreError(f"the root is damaged: {error!r}") from error
-    return StoredRoot(Root(generation, token, tuple(digests)), found[1])
+    if len(digests) != PARTS:
+        raise StoreError(f"the root names {len(digests)} parts in place of {PARTS}")
+    return Root(generation, token, tuple(digests))
 
 
 async def read_records(store: KeyValueStore) -> list[GenerationRecord]:
@@ -139,6 +146,20 @@
     sections: Sections,
     highest_known: int = 0,
     note: Mapping[str, str] | None = None,
+) -> Accepted | Conflict:
+    """Write a new generation from its sections; see `write_parts`."""
+    parts = await run_off_loop(Parts.of, sections)
+    token = secrets.token_hex(TOKEN_BYTES)
+    return await write_parts(store, based_on, parts, token, highest_known, note)
+
+
+async def write_parts(
+    store: KeyValueStore,
+    based_on: int,
+    parts: Parts,
+    token: str,
+    highest_known: int = 0,
+    note: Mapping[str, str] | None = None,
 ) -> Accepted | Conflict:
     """Write a new generation based on the one the operator saw.
 
@@ -148,8 +169,10 @@
         The platform's service.
     based_on : int
         Generation the operator saw.
-    sections : dict
+    parts : Parts
         The whole new configuration, checked.
+    token : str
+        Unique to this write.
     highest_known : int
         Highest generation that any daemon is known to hold. Where the service
         came back with older contents, the new generation is above this one, so
@@ -161,8 +184,6 @@
     highest = max(stored.generation, highest_known)
     if highest != based_on:
         return Conflict(highest)
-    parts = await run_off_loop(Parts.of, sections)
-    token = secrets.token_hex(TOKEN_BYTES)
     root = Root(highest + 1, token, parts.digests)
     transaction = await _prepare(store, stored, root, parts, dict(note or {}))
     if await _write_once(store, transaction, root):
--- a/packages/daemon/src/knapweedbridge_daemon/proposals.py
+++ b/packages/daemon/src/knapweedbridge_daemon/proposals.py
@@ -24,7 +24,7 @@
     read_root,
     write_configuration,
 )
-from knapweedbridge_daemon.errors import GenerationGoneError
+from knapweedbridge_daemon.errors import GenerationGoneError, StoreError
 from knapweedbridge_daemon.history import make_note, read_sections
 from knapweedbridge_daemon.off_loop import run_off_loop
 from knapweedbridge_daemon.store import KeyValueStore
@@ -188,6 +188,10 @@
         return await self._write(caller, Checked(based_on, base, wanted))
 
     async def _write(self, caller: Caller, checked: Checked) -> Written | Collision:
+        if self._bridge.members.unsure:
+            # Cut off from its peers it cannot know which numbers are used, and
+            # a service that came back with older contents does not say.
+            raise StoreError("no contact with the other daemons; try again")
         note = make_note(caller.name, caller.team)
         for _ in range(REBASES):
             highest = self._bridge.distribution.highest_known
@@ -211,6 +215,10 @@
     async def _newest(self, generation: int) -> Sections:
         stored = await read_root(self._store)
         in_force = self._bridge.configuration
+        if max(in_force.generation, stored.generation) < generation:
+            # After a restore of the service only peers hold the newest. A change
+            # put on top of an older one under its number would undo it.
+            raise StoreError(f"generation {generation} is on its way here; try again")
         if in_force.generation >= stored.generation:
             return await run_off_loop(in_force.parts.sections)
         parts = await read_parts(self._store, stored.root, in_force.parts)
