Look up roles among members once a change, and measure control

The daemon that a role falls to was hashed anew over all members at each tick and message: a core in a pool of 256 took 0.44% of a core at rest, 0.06% in one of 8.

--- a/bench/control.py
+++ b/bench/control.py
@@ -35,9 +35,20 @@
 ADAPTERS = 28_000
 CHANGES = 5
 PLANNED_DAEMONS = 2_100
+PLANNED_DATA_CENTRES = 31
+EXAMPLE_DATA_CENTRES = 2
 HEADERS = {"authorization": f"Bearer {ADMINISTRATOR_KEY}"}
 
 
+class RestingExample(Example):
+    """The example with the settings' own periods, not those of quick tests."""
+
+    def settings(self, place: int, secret_file: str) -> str:
+        """Return the settings of a daemon as INI text."""
+        text = super().settings(place, secret_file)
+        return text.replace("poll_s = 0.5\n", "").replace("heartbeat_s = 0.2\n", "")
+
+
 @dataclass(slots=True)
 class PoolRow:
     """One pool of cores at rest, and a change that crosses it."""
@@ -98,6 +109,8 @@
     pool.run(REST_S)
     core_s = (time.process_time() - began_s) / daemons / REST_S
     traffic = [node.traffic for node in pool.nodes.values()]
+    sent = [each.sent_bytes / REST_S for each in traffic]
+    messages_s = sum(each.messages for each in traffic) / daemons / REST_S
     sections = {"team optics": {}}
     for place in range(200):
         sections[f"adapter a{place}"] = {"team": "optics", "base_model": "m"}
@@ -112,9 +125,9 @@
     assert took_s is not None and death_s is not None
     return PoolRow(
         daemons,
-        round(sum(each.sent_bytes for each in traffic) / daemons / REST_S, 1),
-        round(max(each.sent_bytes for each in traffic) / REST_S, 1),
-        round(sum(each.messages for each in traffic) / daemons / REST_S, 2),
+        round(sum(sent) / daemons, 1),
+        round(max(sent), 1),
+        round(messages_s, 2),
         round(100 * core_s, 3),
         round(took_s, 2),
         reads,
@@ -136,7 +149,7 @@
 
 def measure_processes(daemons: int) -> ProcessRow:
     """Measure real daemons at rest, then apply a few changes."""
-    example = Example(base_port=BASE_PORT, daemons=daemons)
+    example = RestingExample(base_port=BASE_PORT, daemons=daemons)
     with Deployment(example) as deployment:
         time.sleep(8)
         pids = [
@@ -245,6 +258,20 @@
     }
 
 
+def plan(row: ProcessRow, slopes: dict[str, float]) -> dict[str, float]:
+    """Work out the calls at the planned size.
+
+    Watchers are a fixed number a data centre: what the example's data centres
+    cause is multiplied by the planned ones, what rises a daemon by the daemons.
+    """
+    planned = {}
+    for name in ("reads_s", "writes_s", "watches_s"):
+        fixed = max(0.0, getattr(row, name) - slopes[name] * row.daemons)
+        centres = fixed / EXAMPLE_DATA_CENTRES * PLANNED_DATA_CENTRES
+        planned[name] = round(centres + slopes[name] * PLANNED_DAEMONS, 1)
+    return planned
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--keep", action="store_true", help="write the results")
@@ -258,11 +285,8 @@
     names = ("process_percent", "resident_mb", "reads_s", "writes_s", "watches_s")
     process_slopes = slopes_of(processes, names)
     print("slopes a daemon:", process_slopes)
-    planned = {
-        name: round(process_slopes[name] * PLANNED_DAEMONS, 1)
-        for name in ("reads_s", "writes_s", "watches_s")
-    }
-    print(f"times {PLANNED_DAEMONS} daemons, at rest:", planned)
+    planned = plan(processes[-1], process_slopes)
+    print(f"worked out for {PLANNED_DAEMONS} daemons, at rest:", planned)
     configuration = measure_configuration()
     print_rows("3. A configuration of 28,000 adapters", [configuration])
     if keep:
--- a/packages/core/src/knapweedbridge_core/load_side.py
+++ b/packages/core/src/knapweedbridge_core/load_side.py
@@ -1,6 +1,6 @@
 """The load order: which adapter is loaded next, and where."""
 
-from knapweedbridge_core import events, messages, rendezvous
+from knapweedbridge_core import events, messages
 from knapweedbridge_core.context import Context, Handler, Side
 from knapweedbridge_core.forecast import ChangeAware
 from knapweedbridge_core.loads import LoadOrder, Pool, Refusal
@@ -14,7 +14,7 @@
 
 def load_orderer(context: Context) -> str | None:
     """Name the daemon that keeps the pool's order of loads."""
-    return rendezvous.choose(LOAD_ORDER_ROLE, context.members.available())
+    return context.members.choose(LOAD_ORDER_ROLE)
 
 
 class LoadSide(Side):
--- a/packages/core/src/knapweedbridge_core/members.py
+++ b/packages/core/src/knapweedbridge_core/members.py
@@ -5,6 +5,7 @@
 from enum import IntEnum
 from typing import NamedTuple
 
+from knapweedbridge_core import rendezvous
 from knapweedbridge_core.events import ListedHost
 from knapweedbridge_core.rings import Rings
 
@@ -102,6 +103,9 @@
         self._rings = Rings(host)
         self._neighbours: list[str] | None = None
         self._digest = 0
+        self._choices: dict[tuple[str, str | None], str | None] = {}
+        self._choices_key = (0, False, False)
+        self._available: dict[str | None, list[str]] = {}
         self.version = 0
         self.draining = False
         self.unsure = False
@@ -183,12 +187,38 @@
         """Return all other members, whether they live or not."""
         return list(self._members.values())
 
+    def choose(self, role: str, data_centre: str | None = None) -> str | None:
+        """Name the daemon that rendezvous hashing gives a role, or None.
+
+        Computed when the members change, not at each call: roles are looked up
+        at every tick and message, and the pool is the unit that may grow.
+        """
+        self._forget_old_choices()
+        key = (role, data_centre)
+        if key not in self._choices:
+            names = self.available(data_centre)
+            self._choices[key] = rendezvous.choose(role, names)
+        return self._choices[key]
+
     def available(self, data_centre: str | None = None) -> list[str]:
         """Name the daemons that may take a role, this one among them.
 
         A daemon that is unsure of what it knows, as after a pause, does not
         name itself.
         """
+        self._forget_old_choices()
+        if data_centre not in self._available:
+            self._available[data_centre] = self._name_available(data_centre)
+        return list(self._available[data_centre])
+
+    def _forget_old_choices(self) -> None:
+        key = (self.version, self.unsure, self.draining)
+        if key != self._choices_key:
+            self._choices_key = key
+            self._choices.clear()
+            self._available.clear()
+
+    def _name_available(self, data_centre: str | None) -> list[str]:
         names = [
             member.name
             for member in self._members.values()
