Let streams come by a parser in C, and spend fewer layers a chunk

Streams (POST) go over aiohttp under the same httpx client: one read returns all that is buffered, cut out of its framing in C. Ruled out: the ready-made transport of the registry, which turns a lost connection into a connect timeout, so that a request that may have run would have counted as not run; and aiohttp for other methods, which it repeats by itself.

--- a/packages/core/src/knapweedbridge_core/settings.py
+++ b/packages/core/src/knapweedbridge_core/settings.py
@@ -100,6 +100,9 @@
                 "0",
                 "Longest wait to join tokens into one write, seconds; 0: none.",
             ),
+            "stream_client": Key(
+                Choice("aiohttp", "httpx"), "aiohttp", "Library that streams come by."
+            ),
             "max_body_bytes": Key(
                 Number(1024, 1 << 30, whole=True),
                 "4194304",
--- a/packages/daemon/src/knapweedbridge_daemon/connections.py
+++ b/packages/daemon/src/knapweedbridge_daemon/connections.py
@@ -11,6 +11,11 @@
 import httpx
 
 from knapweedbridge_daemon.passing import NEUTRAL_HEADERS, keep_no_cookies
+from knapweedbridge_daemon.transports import (
+    PoolOptions,
+    SocketOption,
+    make_transport,
+)
 
 MAX_CONNECTIONS = 2000
 KEEPALIVE_PROBES = 3
@@ -27,6 +32,7 @@
     connection_age_s: float = 60.0
     keepalive_s: float = 5.0
     join_wait_s: float = 0.0
+    stream_client: str = "aiohttp"
 
     @classmethod
     def of(cls, values: dict[str, Any]) -> "Bounds":
@@ -103,21 +109,18 @@
 
     def _open(self, kept: int) -> httpx.AsyncClient:
         bounds = self.bounds
-        transport = httpx.AsyncHTTPTransport(
-            verify=self._tls,
-            trust_env=False,
-            limits=httpx.Limits(
-                max_connections=MAX_CONNECTIONS,
-                max_keepalive_connections=kept,
-                keepalive_expiry=bounds.connection_idle_s,
-            ),
+        options = PoolOptions(
+            max_connections=MAX_CONNECTIONS,
+            kept=kept,
+            idle_s=bounds.connection_idle_s,
+            tls=self._tls,
             socket_options=_keepalive(bounds.keepalive_s),
         )
         timeout = httpx.Timeout(
             bounds.first_token_timeout_s, read=None, connect=bounds.connect_timeout_s
         )
         return httpx.AsyncClient(
-            transport=transport,
+            transport=make_transport(options, bounds.stream_client),
             timeout=timeout,
             trust_env=False,
             headers=NEUTRAL_HEADERS,
@@ -125,16 +128,16 @@
         )
 
 
-def _keepalive(idle_s: float) -> list[tuple[int, int, int]]:
+def _keepalive(idle_s: float) -> tuple[SocketOption, ...]:
     # An answer that does not come in a stream has no token gap to bound: the
     # kernel's probes tell a lost connection from a slow endpoint.
     whole_s = max(1, round(idle_s))
     tcp = socket.IPPROTO_TCP
-    return [
+    return (
         (tcp, socket.TCP_NODELAY, 1),
         (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
         (tcp, socket.TCP_KEEPIDLE, whole_s),
         (tcp, socket.TCP_KEEPINTVL, max(1, whole_s // KEEPALIVE_PROBES)),
         (tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
         (tcp, socket.TCP_USER_TIMEOUT, 2000 * whole_s),
-    ]
+    )
--- a/packages/daemon/src/knapweedbridge_daemon/endpoints.py
+++ b/packages/daemon/src/knapweedbridge_daemon/endpoints.py
@@ -173,7 +173,7 @@
             elif response.status_code in GATEWAY_STATUS:
                 raise AttemptFailedError(Unknown(Reason.ENDPOINT_FAILED))
             yield EndpointResponse(
-                response.status_code, response.headers, response.aiter_raw()
+                response.status_code, response.headers, _raw_chunks(response)
             )
 
     @staticmethod
@@ -212,7 +212,7 @@
         async with _closing(response):
             if response.status_code != 200:
                 raise AttemptFailedError(Unknown(Reason.RESUME_FAILED))
-            yield EndpointResponse(200, response.headers, response.aiter_raw())
+            yield EndpointResponse(200, response.headers, _raw_chunks(response))
 
     async def cancel(self, attempt_id: str) -> None:
         """See `Endpoint.cancel`."""
@@ -275,6 +275,12 @@
     return Unknown(Reason.STREAM_BROKEN)
 
 
+def _raw_chunks(response: httpx.Response) -> AsyncIterator[bytes]:
+    # The stream itself: `aiter_raw` puts a layer more on each chunk.
+    assert isinstance(response.stream, httpx.AsyncByteStream)
+    return aiter(response.stream)
+
+
 @asynccontextmanager
 async def _closing(response: httpx.Response) -> AsyncIterator[None]:
     try:
--- a/packages/daemon/src/knapweedbridge_daemon/sse.py
+++ b/packages/daemon/src/knapweedbridge_daemon/sse.py
@@ -6,6 +6,8 @@
 MAX_EVENT_BYTES = 1 << 20
 
 _END = re.compile(rb"\r?\n\r?\n")
+_PLAIN_END = b"\n\n"
+_RETURN = b"\r"
 _DATA = b"data:"
 _DATA_LINE = b"\ndata:"
 _DONE = frozenset({b"data: [DONE]", b"data:[DONE]"})
@@ -34,6 +36,16 @@
     done: bool
 
 
+def _is_one_event(chunk: bytes) -> bool:
+    """Tell at little cost whether a chunk is one event, as most are."""
+    return (
+        chunk.find(_PLAIN_END) == len(chunk) - len(_PLAIN_END)
+        and chunk.startswith(_DATA)
+        and _RETURN not in chunk
+        and chunk[: -len(_PLAIN_END)] not in _DONE
+    )
+
+
 class EventReader:
     """Cuts one connection's chunks into whole events.
 
@@ -52,6 +64,8 @@
             If an event is longer than `MAX_EVENT_BYTES`: an endpoint that sends
             a line without an end would fill the daemon's memory.
         """
+        if not self._held and _is_one_event(chunk):
+            return Block(chunk, 1, False)
         buffer = self._held + chunk if self._held else chunk
         start = events = 0
         for end in _END.finditer(buffer):
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/transports.py
@@ -0,0 +1,59 @@
+"""The transports under the client that speaks to endpoints."""
+
+import ssl
+from dataclasses import dataclass
+
+import httpx
+
+SocketOption = tuple[int, int, int]
+
+
+@dataclass(slots=True, frozen=True)
+class PoolOptions:
+    """How connections are made and kept.
+
+    Parameters
+    ----------
+    max_connections : int
+        Connections open at once.
+    kept : int
+        Idle connections kept for reuse; 0: each request gets a new one.
+    idle_s : float
+        Idle life of a kept connection, in seconds.
+    tls : ssl.SSLContext
+        Used towards endpoints that speak TLS.
+    socket_options : tuple of (level, option, value)
+        Set on each socket.
+    """
+
+    max_connections: int
+    kept: int
+    idle_s: float
+    tls: ssl.SSLContext
+    socket_options: tuple[SocketOption, ...] = ()
+
+
+def make_plain_transport(options: PoolOptions) -> httpx.AsyncHTTPTransport:
+    """Return the HTTP library's own transport."""
+    return httpx.AsyncHTTPTransport(
+        verify=options.tls,
+        trust_env=False,
+        limits=httpx.Limits(
+            max_connections=options.max_connections,
+            max_keepalive_connections=options.kept,
+            keepalive_expiry=options.idle_s,
+        ),
+        socket_options=options.socket_options,
+    )
+
+
+def make_transport(
+    options: PoolOptions, stream_client: str
+) -> httpx.AsyncBaseTransport:
+    """Return the transport that a setting names, ``aiohttp`` or ``httpx``."""
+    if stream_client == "httpx":
+        return make_plain_transport(options)
+    # Imported here: it costs memory that the other way does not need.
+    from knapweedbridge_daemon.stream_transport import StreamTransport
+
+    return StreamTransport(options)
