Stop a daemon without cutting a request, and replace every one under load

Cancelled web servers filled the log with tracebacks.

Now: health turns 503 while requests are served for a grace; open calls are finished, bounded; a second signal cuts, says what, and ends with code 3. The web server runs in its own task and is only ever told to stop.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,10 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/mypy packages/*/src
 
+.PHONY: rolling
+rolling: install
+	$(BIN)/python bench/rolling.py
+
 processes: install
 	$(BIN)/python bench/processes.py
 
--- a/bench/overload_scenarios.py
+++ b/bench/overload_scenarios.py
@@ -227,3 +227,61 @@
         len(refused),
         max(ends_s, default=begun_s) - begun_s,
     )
+
+
+LIST_LAG_S = 30.0
+SIGNS = ("report", "refusal", "operator")
+
+
+def deaf(host: str, data_centre: str) -> Bridge:
+    """Return a core that believes the platform's list alone."""
+    bridge = Bridge(host, data_centre)
+    bridge._context.leaving.note = lambda endpoint, sign, now_s: False  # type: ignore
+    return bridge
+
+
+@dataclass
+class LeavingFound:
+    """What became of a leaving engine.
+
+    Parameters
+    ----------
+    last_asked_s : float
+        When it was given a request for the last time, after the first sign.
+    """
+
+    last_asked_s: float
+    asked: int
+    complete: int
+    requests: int
+
+
+def run_leaving(
+    sign: str, *, signs: bool = True, per_s: float = 20.0, after_s: float = 4.3
+) -> LeavingFound:
+    """Let one of three engines leave under load, the list lagging."""
+    pool = make_pool(4, 3, make_bridge=Bridge if signs else deaf)
+    rng = random.Random(SEED)
+    engine = pool.engines["draft-1"]
+    asked = int(per_s * (LIST_LAG_S + 15.0))
+    for place in range(asked):
+        at_s = place / per_s
+        host = rng.choice(pool.hosts)
+        pool.clock.after(at_s, _asking(pool, host, f"r{place}"))
+    pool.clock.run(after_s)
+    began_s = pool.clock.now_s
+    if sign == "operator":
+        pool.tell("host-2", events.EndpointDrained("draft-1", True))
+    else:
+        engine.leaving = True
+        engine.refuses = sign == "refusal"
+    pool.clock.run(LIST_LAG_S)
+    pool.list_leaving("draft-1")
+    pool.clock.run(30.0)
+    later_s = [at_s - began_s for at_s in engine.asked_s if at_s > began_s]
+    complete = sum(isinstance(out, Complete) for out, _ in pool.finished.values())
+    return LeavingFound(max(later_s, default=0.0), len(later_s), complete, asked)
+
+
+def _asking(pool: VirtualPool, host: str, name: str) -> Callable[[], None]:
+    return lambda: pool.ask(host, request_of(pool, name, fingerprint=name))
--- a/packages/core/src/knapweedbridge_core/settings.py
+++ b/packages/core/src/knapweedbridge_core/settings.py
@@ -108,6 +108,11 @@
                 "4194304",
                 "Largest body of a request, bytes.",
             ),
+            "drain_grace_s": Key(
+                Number(0, 600),
+                "5",
+                "How long a stopping daemon still serves what arrives, seconds.",
+            ),
             "drain_timeout_s": Key(
                 Number(0, 86400), "600", "Longest wait for streams at exit, seconds."
             ),
--- a/packages/daemon/src/knapweedbridge_daemon/daemon.py
+++ b/packages/daemon/src/knapweedbridge_daemon/daemon.py
@@ -4,6 +4,7 @@
 import signal
 import time
 from contextlib import AsyncExitStack
+from functools import partial
 from pathlib import Path
 
 import anyio
@@ -17,6 +18,7 @@
 from knapweedbridge_daemon.administration import Administration
 from knapweedbridge_daemon.callers import CallersApp, FaceBounds
 from knapweedbridge_daemon.connections import Bounds, Connections
+from knapweedbridge_daemon.draining import Drain, DrainBounds
 from knapweedbridge_daemon.driver import Driver
 from knapweedbridge_daemon.errors import DaemonError
 from knapweedbridge_daemon.hosts import HostList, HttpHostList
@@ -27,7 +29,7 @@
 from knapweedbridge_daemon.store import EtcdStore, KeyValueStore
 from knapweedbridge_daemon.tls import CertificateKeeper, open_certificates
 from knapweedbridge_daemon.watching import ConfigurationReader
-from knapweedbridge_daemon.web import make_config, serve_until
+from knapweedbridge_daemon.web import CLOSING_S, make_config, serve_until
 
 
 class Daemon:
@@ -43,6 +45,7 @@
         self._settings = settings
         self._incarnation = time.time_ns()
         self._stop = anyio.Event()
+        self.cut_requests = 0
 
     def stop(self) -> None:
         """Ask the daemon to finish what is in flight and end."""
@@ -101,13 +104,16 @@
     ) -> None:
         settings = self._settings
         first_key_hash = settings.get("listen", "first_key_hash")
+        requests = settings.values["requests"]
+        bounds = DrainBounds(requests["drain_grace_s"], requests["drain_timeout_s"])
+        drain = Drain(driver, bounds)
         administration = Administration(
-            driver, store, first_key_hash, lambda: self._drain(driver)
+            driver, store, first_key_hash, partial(_begin_drain, drain)
         ).app()
-        requests = settings.values["requests"]
         face_bounds = FaceBounds(requests["deadline_s"], requests["max_body_bytes"])
-        callers = CallersApp(driver, connections, face_bounds)
-        drain_s = settings.get("requests", "drain_timeout_s")
+        callers = drain.face(CallersApp(driver, connections, face_bounds))
+        # The drain ends the callers' calls by its own bounds, before the servers.
+        last_s = bounds.timeout_s + CLOSING_S
         certificates = open_certificates(settings.values["listen"])
         poll_s = settings.get("listen", "certificate_poll_s")
         keeper = CertificateKeeper(certificates, poll_s, driver.record, driver.count)
@@ -120,14 +126,18 @@
             background.start_soon(self._serve_peers, peers)
             background.start_soon(self._read_hosts, driver, hosts, background)
             background.start_soon(self._make_reader(driver, store).run)
-            background.start_soon(self._await_signal, driver)
+            background.start_soon(self._await_signal, drain)
+            background.start_soon(self._await_stop, drain)
+            background.start_soon(drain.run)
             background.start_soon(keeper.run)
             driver.record("daemon.started")
             async with anyio.create_task_group() as tasks:
                 for name, app in faces.items():
                     address = settings.get("listen", name)
-                    config = make_config(address, drain_s, certificates)
-                    tasks.start_soon(serve_until, app, config, self._stop)
+                    config = make_config(address, last_s, certificates)
+                    tasks.start_soon(serve_until, app, config, drain.closed)
+            await drain.hand_over()
+            self.cut_requests = drain.cut_requests
             driver.record("daemon.stopped")
             background.cancel_scope.cancel()
 
@@ -168,11 +178,17 @@
         platform = self._settings.values["platform"]
         return ConfigurationReader(driver, store, platform["watch"], platform["poll_s"])
 
-    async def _await_signal(self, driver: Driver) -> None:
+    @staticmethod
+    async def _await_signal(drain: Drain) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for _ in signals:
-                await self._drain(driver)
+                drain.signal()
 
-    async def _drain(self, driver: Driver) -> None:
-        await driver.submit(events.DrainBegan())
-        self._stop.set()
+    async def _await_stop(self, drain: Drain) -> None:
+        await self._stop.wait()
+        drain.end()
+
+
+async def _begin_drain(drain: Drain) -> None:
+    if not drain.draining:
+        drain.signal()
--- a/packages/daemon/src/knapweedbridge_daemon/driver.py
+++ b/packages/daemon/src/knapweedbridge_daemon/driver.py
@@ -121,6 +121,10 @@
         """Forget a request that `follow` named."""
         self._waiting.pop(request_id, None)
 
+    def following_names(self, names: int) -> list[str]:
+        """Name some of the requests that have no final outcome yet."""
+        return sorted(self._waiting)[:names]
+
     @property
     def following(self) -> int:
         """Requests that have no final outcome yet."""
--- a/packages/daemon/src/knapweedbridge_daemon/logs.py
+++ b/packages/daemon/src/knapweedbridge_daemon/logs.py
@@ -42,6 +42,7 @@
     "configuration.service_differs": Level.ERROR,
     "configuration.service_is_older": Level.ERROR,
     "configuration.service_not_reached": Level.ERROR,
+    "daemon.cut": Level.ERROR,
     "daemon.draining": Level.INFO,
     "daemon.isolated": Level.ERROR,
     "daemon.paused": Level.ERROR,
--- a/packages/daemon/src/knapweedbridge_daemon/main.py
+++ b/packages/daemon/src/knapweedbridge_daemon/main.py
@@ -16,6 +16,7 @@
 from knapweedbridge_daemon.logs import logging_to
 
 EXIT_BAD_SETTINGS = 2
+EXIT_CUT = 3
 
 
 @cappa.command(name="knapweedbridged")
@@ -45,11 +46,15 @@
 
     @staticmethod
     def _serve(settings: Settings) -> None:
+        daemon = Daemon(settings)
         anyio.run(
-            Daemon(settings).run,
+            daemon.run,
             backend="asyncio",
             backend_options={"use_uvloop": True},
         )
+        if daemon.cut_requests:
+            print(f"cut {daemon.cut_requests} requests", file=sys.stderr)
+            sys.exit(EXIT_CUT)
 
     def _read(self) -> Settings:
         try:
--- a/packages/daemon/src/knapweedbridge_daemon/probes.py
+++ b/packages/daemon/src/knapweedbridge_daemon/probes.py
@@ -8,6 +8,10 @@
 from knapweedbridge_core.names import parse_adapter_version
 
 PROBE_TIMEOUT_S = 1.0
+
+# The far side may close a connection in the moment it is made: uvloop then has no
+# socket left to show, and the library's question for it ends in AttributeError.
+CALL_ERRORS = (httpx.HTTPError, AttributeError)
 LEAVING_HEADER = "x-leaving"
 
 
@@ -37,7 +41,7 @@
         try:
             url = f"http://{action.address}{path}"
             response = await self._client.request(method, url)
-        except httpx.HTTPError:
+        except CALL_ERRORS:
             return EndpointProbed(action.endpoint, False, False, ())
         if not engine:
             leaving = says_leaving(response)
--- a/packages/daemon/src/knapweedbridge_daemon/web.py
+++ b/packages/daemon/src/knapweedbridge_daemon/web.py
@@ -6,10 +6,12 @@
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
+from knapweedbridge_daemon.open_calls import OpenCalls
 from knapweedbridge_daemon.tls import Certificates, TlsConfig
 
 KEEP_ALIVE_S = 30.0
 BACKLOG = 1024
+CLOSING_S = 2.0
 
 
 def make_config(
@@ -30,5 +32,40 @@
 
 
 async def serve_until(app: Any, config: Config, stop: anyio.Event) -> None:
-    """Serve until `stop` is set, then finish what is in flight."""
-    await serve(app, config, shutdown_trigger=stop.wait)
+    """Serve until `stop` is set, then finish what is in flight.
+
+    Calls that are still open after the graceful timeout of `config` are cut, and
+    so are all calls when this is cancelled.
+    """
+    calls = OpenCalls(app)
+    closing, ended = anyio.Event(), anyio.Event()
+    graceful_s = config.graceful_timeout
+    # hypercorn does not end cleanly when it is cancelled, nor when its own
+    # timeout cancels its connections: the event loop prints a traceback for each
+    # of them. So it is only ever told to stop, and the calls are cut before its
+    # timeout, after which its connections end by themselves.
+    config.graceful_timeout = graceful_s + CLOSING_S
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(_serve, calls, config, closing, ended)
+        try:
+            await stop.wait()
+            closing.set()
+            with anyio.move_on_after(graceful_s):
+                await ended.wait()
+        finally:
+            closing.set()
+            calls.cut()
+
+
+async def _serve(
+    calls: OpenCalls, config: Config, closing: anyio.Event, ended: anyio.Event
+) -> None:
+    # A task of its own: hypercorn leaves the count of cancellations of its task
+    # wrong, and a task group in the same task then takes its own cancellation
+    # for a foreign one.
+    with anyio.CancelScope(shield=True):
+        await serve(calls, config, shutdown_trigger=closing.wait)
+        # A connection that was accepted as the listener closed is not among
+        # those that hypercorn waits for.
+        await calls.wait_empty()
+    ended.set()
--- a/packages/standins/src/knapweedbridge_standins/virtual_pool.py
+++ b/packages/standins/src/knapweedbridge_standins/virtual_pool.py
@@ -67,7 +67,15 @@
 
 @dataclass(slots=True)
 class FakeEngine:
-    """An engine that serves `batch` requests at a time, the others wait in it."""
+    """An engine that serves `batch` requests at a time, the others wait in it.
+
+    Parameters
+    ----------
+    leaving : bool
+        Whether its reports say that it leaves.
+    refuses : bool
+        Whether it then refuses new work as well.
+    """
 
     name: str
     clock: VirtualClock
@@ -80,21 +88,22 @@
     up: bool = True
     leaving: bool = False
     losses: int = 0
-    begun_s: list[float] = field(default_factory=list)
+    refuses: bool = True
+    asked_s: list[float] = field(default_factory=list)
     peak: int = 0
 
     def begin(
         self, attempt_id: str, request: events.Request, end: Callable[[Outcome], None]
     ) -> None:
         """Take a request."""
+        self.asked_s.append(self.clock.now_s)
         if not self.up:
             end(NotRun(Reason.CONNECT_FAILED))
-        elif self.leaving:
+        elif self.leaving and self.refuses:
             end(NotRun(Reason.ENDPOINT_LEAVING))
         elif request.model not in self.loaded:
             end(NotRun(Reason.ENDPOINT_REFUSED))
         else:
-            self.begun_s.append(self.clock.now_s)
             self.running[attempt_id] = _Running(request, end)
             self.peak = max(self.peak, len(self.running))
             if request.fingerprint in self.crashing:
@@ -180,6 +189,10 @@
         self.finished: dict[str, tuple[FinalOutcome, float]] = {}
         self.requests: dict[str, events.Request] = {}
         self.dispatches = 0
+        self.listed = tuple(
+            events.ListedHost(host, "daemon", "dc1", "127.0.0.1:1", False)
+            for host in self.hosts
+        )
         self.on_finish: Callable[[str, FinalOutcome], None] = lambda name, outcome: None
         self._by_address = {
             entry.address: engines[entry.name]
@@ -200,13 +213,9 @@
         self._begin(configuration)
 
     def _begin(self, configuration: Configuration) -> None:
-        listed = tuple(
-            events.ListedHost(host, "daemon", "dc1", "127.0.0.1:1", False)
-            for host in self.hosts
-        )
         for host in self.hosts:
             self.tell(host, events.ConfigurationRead(configuration))
-            self.tell(host, events.HostsListed(listed))
+            self.tell(host, events.HostsListed(self.listed))
             for peer in self.hosts:
                 if peer != host:
                     self.tell(host, events.PeerLinked(peer))
@@ -232,6 +241,12 @@
         self.requests[request.request_id] = request
         self.tell(host, events.RequestArrived(request))
 
+    def list_leaving(self, engine: str) -> None:
+        """Let the platform's list show that an engine leaves."""
+        line = events.ListedHost(engine, "endpoint", "dc1", "127.0.0.1:1", True)
+        for host in self.hosts:
+            self.tell(host, events.HostsListed((*self.listed, line)))
+
     def load(self, engine: str, model: AdapterVersion) -> None:
         """Put an adapter on an engine before the owners read its report."""
         self.engines[engine].loaded.add(model)
