Empty a slot for the next load while one runs

Cause: on separate processes each load first waited for an eviction's round trips, while the weight store stood idle.

Now the load order asks the owner for one free slot ahead, and the owner declines if it is pinned. Failed first: A slot is emptied while another load runs.

--- a/features/placement/loads.feature
+++ b/features/placement/loads.feature
@@ -145,12 +145,28 @@
     Then no load starts
 
   Scenario: Unused loads fill free slots only
-    Given a pool of 1 engine with 2 slots and 3 loads a second
+    One slot stays free for the next load, which then needs no eviction.
+
+    Given a pool of 1 engine with 3 slots and 3 loads a second
     And the engine holds "a"
     When "b" is used 5 times
     And "c" is used 3 times
     Then the next loads are "b"
 
+  Scenario: A slot is emptied while another load runs
+    On separate processes each load waited for an eviction's round trips while
+    the weight store stood idle: 2.5 loads a second of 3, and stalls without end.
+
+    Given a pool of 2 engines with 2 slots and 3 loads a second
+    And the engine holds "a b"
+    And "draft-1" holds "c d"
+    When "a b d" are used
+    And "e" is wanted by 1 requests at "host-1"
+    And the next load starts
+    Then the slot of "a" is wanted on the other engine
+    When the owner keeps it
+    Then the slot of "b" is wanted on the other engine
+
   Scenario Outline: The cost of a decision does not grow with adapters or waiters
     Given a pool of 6 engines with 12 slots and 3 loads a second
     And full engines
--- a/features/placement/steps/load_steps.py
+++ b/features/placement/steps/load_steps.py
@@ -244,3 +244,30 @@
     )
     assert bench.start() is not None
     assert len(weighed) == slots, len(weighed)
+
+
+@given('"{endpoint}" holds "{names}"')
+def engine_holds(context, endpoint, names):
+    context.bench.holds(endpoint, [model(name) for name in names.split()])
+
+
+@when('"{names}" are used')
+def are_used(context, names):
+    for times, name in enumerate(names.split(), 1):
+        context.bench.order.used(model(name), times, context.bench.now_s)
+
+
+@then('the slot of "{name}" is wanted on the other engine')
+def slot_wanted(context, name):
+    bench = context.bench
+    context.wanted = bench.order.next_slot(bench.pool, bench.now_s)
+    assert context.wanted.victim == model(name), context.wanted
+    assert context.wanted.endpoint != bench.placed.endpoint
+
+
+@when("the owner keeps it")
+def keeps(context):
+    wanted = context.wanted
+    context.bench.order.slot_declined(
+        wanted.endpoint, wanted.victim, context.bench.now_s
+    )
--- a/packages/core/src/knapweedbridge_core/load_side.py
+++ b/packages/core/src/knapweedbridge_core/load_side.py
@@ -38,6 +38,7 @@
             messages.LoadWanted: self._load_wanted,
             messages.LoadEnded: self._load_ended,
             messages.LoadFailed: self._load_failed,
+            messages.SlotDeclined: self._slot_declined,
             messages.UsesTold: self._uses_told,
             messages.CountsTold: self._counts_told,
         }
@@ -146,9 +147,22 @@
         try:
             while placed := self.load_order.next_load(pool, self._context.now_s):
                 self._send_placed(placed)
+            self._want_slot(pool)
         finally:
             self._starting = False
 
+    def _want_slot(self, pool: Pool) -> None:
+        wanted = self.load_order.next_slot(pool, self._context.now_s)
+        if wanted is not None:
+            owner = self._context.view.endpoints[wanted.endpoint].owner
+            self._context.send(owner, wanted)
+
+    def _slot_declined(self, message: messages.SlotDeclined) -> None:
+        self.load_order.slot_declined(
+            message.endpoint, message.victim, self._context.now_s
+        )
+        self._start_loads()
+
     def _send_placed(self, placed: messages.LoadPlaced) -> None:
         owner = self._context.view.endpoints[placed.endpoint].owner
         self._context.record(
--- a/packages/core/src/knapweedbridge_core/loads.py
+++ b/packages/core/src/knapweedbridge_core/loads.py
@@ -14,7 +14,7 @@
     LastUse,
 )
 from knapweedbridge_core.gathering import FullEngine, HeldAdapter, find_move
-from knapweedbridge_core.messages import LoadPlaced
+from knapweedbridge_core.messages import LoadPlaced, SlotWanted
 from knapweedbridge_core.names import AdapterVersion
 from knapweedbridge_core.policy import PlacementPolicy
 from knapweedbridge_core.queueing import (
@@ -44,6 +44,7 @@
 EXPECTED_EVERY_S = 2.0
 MOST_EXPECTED = 256
 PREFETCH_RATE_PER_S = 0.002
+SLOTS_KEPT_FREE = 1
 GATHER_EVERY_S = 0.25
 HOUSEKEEPING_S = 1.0
 
@@ -162,6 +163,7 @@
         self._kept_house_s = -math.inf
         self._gathered_s = -math.inf
         self._load_s = 0.0
+        self._slot_asked_s = -math.inf
         self._window = 0
         self._worths: dict[tuple[AdapterVersion, int], float] = {}
         self._worths_s = -math.inf
@@ -220,6 +222,31 @@
         self._queue.remove(model)
         self._fresh_until_s[model] = now_s + FRESH_S
 
+    def next_slot(self, pool: Pool, now_s: float) -> SlotWanted | None:
+        """Return the slot to empty while a load runs, for the load after it.
+
+        An eviction takes several round trips, in which the weight store would
+        stand idle; while another load runs they cost nothing.
+        """
+        load = next(iter(self._under_way.items()), None)
+        if load is None or now_s < self._slot_asked_s + 1 / pool.loads_per_s:
+            return None
+        options = list(self._options(load[0], pool, now_s))
+        if any(option.victim is None for option in options):
+            return None
+        chosen = self._slot_choice.choose(load[0], options)
+        if chosen is None or chosen.victim is None:
+            return None
+        self._slot_asked_s = now_s
+        return SlotWanted(chosen.endpoint, chosen.victim)
+
+    def slot_declined(
+        self, endpoint: str, victim: AdapterVersion, now_s: float
+    ) -> None:
+        """Note that a slot is pinned, so that another one is asked for."""
+        self._pinned_until_s[endpoint, victim] = now_s + PIN_GUESS_S
+        self._slot_asked_s = -math.inf
+
     def declined(self, model: AdapterVersion, loads_per_s: float, now_s: float) -> None:
         """Note that an owner did not start a load, as by a pinned victim."""
         load = self._under_way.pop(model, None)
@@ -324,12 +351,12 @@
                 yield model
 
     def _prefetches(self, pool: Pool, now_s: float) -> Iterator[AdapterVersion]:
-        free = any(
-            len(pool.view.endpoints[entry.name].loaded) < entry.slots
+        free = sum(
+            max(0, entry.slots - len(pool.view.endpoints[entry.name].loaded))
             for entry in pool.engines
             if entry.name in pool.view.endpoints
         )
-        if not free:
+        if free <= SLOTS_KEPT_FREE:
             return
         if now_s - self._expected_s >= EXPECTED_EVERY_S:
             self._expected = self.forecast.expected(now_s, MOST_EXPECTED)
--- a/packages/core/src/knapweedbridge_core/messages.py
+++ b/packages/core/src/knapweedbridge_core/messages.py
@@ -460,3 +460,19 @@
 
     counts: list[Any]
     age_s: float
+
+
+@message
+class SlotWanted:
+    """The load order wants a slot emptied ahead of its next load."""
+
+    endpoint: str
+    victim: AdapterVersion
+
+
+@message
+class SlotDeclined:
+    """The owner keeps the slot, as something pins it."""
+
+    endpoint: str
+    victim: AdapterVersion
--- a/packages/core/src/knapweedbridge_core/order_side.py
+++ b/packages/core/src/knapweedbridge_core/order_side.py
@@ -35,6 +35,7 @@
             events.Tick: self._tick,
             events.OrderEnded: self._order_ended,
             messages.LoadPlaced: self._load_placed,
+            messages.SlotWanted: self._slot_wanted,
             messages.EvictionNoted: self._eviction_noted,
         }
 
@@ -60,6 +61,12 @@
         else:
             self._begin_load(tenure, model)
 
+    def _slot_wanted(self, message: messages.SlotWanted) -> None:
+        tenure = self._estate.tenures.get(message.endpoint)
+        if tenure is None or not self._evict(tenure, message.victim):
+            declined = messages.SlotDeclined(message.endpoint, message.victim)
+            self._context.send(self._context.sender, declined)
+
     def _evict(self, tenure: Tenure, victim: AdapterVersion) -> bool:
         if not tenure.ledger.may_evict(victim):
             return False
