Measure retries, claims and silent connections, and check while waiting for a place

Cause: a stream that waited for its place in the batch was found silent only after 20 s, when the engine had dropped its answer: 1 of 20 streams lost.

--- a/Makefile
+++ b/Makefile
@@ -71,3 +71,7 @@
 .PHONY: bench-control
 bench-control: install
 	$(BIN)/python bench/control.py --keep
+
+.PHONY: bench-requests
+bench-requests: install
+	$(BIN)/python bench/requests.py
--- a/packages/core/src/knapweedbridge_core/claim_keeper.py
+++ b/packages/core/src/knapweedbridge_core/claim_keeper.py
@@ -8,7 +8,7 @@
 from knapweedbridge_core.context import Context, Handler, Side
 
 WRITE_EVERY_S = 0.2
-BATCH_CLAIMS = 64
+BATCH_CLAIMS = 128
 MAX_WAITING = 10_000
 REPLY_TIMEOUT_S = 10.0
 
--- a/packages/daemon/src/knapweedbridge_daemon/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/calls.py
@@ -21,6 +21,7 @@
     Recorded,
     Unknown,
 )
+from knapweedbridge_core.retries import MAX_RESUMES
 from knapweedbridge_daemon.answers import error_body, send_error
 from knapweedbridge_daemon.connections import Connections
 from knapweedbridge_daemon.driver import Driver
@@ -163,12 +164,19 @@
     def _tokens(self) -> int:
         return max(self._relay.events, self._sent_whole)
 
+    @property
+    def _first_s(self) -> float:
+        # An answer that waits for its place in the batch is silent too. The bound
+        # is spent in parts, each ended by a check over a new connection: noticed
+        # only at its end, the engine might keep the answer no more.
+        return self._connections.bounds.first_token_timeout_s / (MAX_RESUMES + 1)
+
     async def _dispatch(self, step: Dispatch) -> Outcome:
         model = self._wanted.model
         left_s = max(0.0, self._wanted.deadline_s - time.monotonic())
         head_s = left_s
         if self._wanted.streamed:
-            head_s = min(left_s, self._connections.bounds.first_token_timeout_s)
+            head_s = min(left_s, self._first_s)
         path = raw_target(self._http.scope)
         async with AsyncExitStack() as stack:
             pooled = self._connections.pooled()
@@ -207,11 +215,9 @@
         # The head goes out with the first event: an attempt that breaks before
         # it leaves the status of the answer open.
         self._head = response
-        bounds = self._connections.bounds
-        first_s = bounds.first_token_timeout_s
-        if self._relay.events:
-            first_s = bounds.token_gap_timeout_s
-        await self._relay.pump(response.chunks, first_s, bounds.token_gap_timeout_s)
+        gap_s = self._connections.bounds.token_gap_timeout_s
+        first_s = gap_s if self._relay.events else self._first_s
+        await self._relay.pump(response.chunks, first_s, gap_s)
         if not self._relay.whole:
             return Unknown(Reason.STREAM_BROKEN, self._tokens)
         return Complete(self._tokens)
@@ -220,8 +226,7 @@
         # A new connection: if the endpoint answers on it, only the old
         # connection was lost, and the stream goes on here.
         endpoint = HttpEndpoint(self._connections.fresh, step.address)
-        head_s = self._connections.bounds.connect_timeout_s
-        attempt = endpoint.resume(step.attempt_id, step.offset, head_s)
+        attempt = endpoint.resume(step.attempt_id, step.offset, self._first_s)
         async with attempt as response:
             return await self._relay_model(response)
 
