Take no answer to a resume for one more break, not for the engine's refusal

Cause: on a busy machine (load average 29) the resume's own bound passed, and the answer ended in an error event though the engine had it: the scenario of the cut stream failed once in a full run. A refusal still ends it.

--- a/features/attempts/environment.py
+++ b/features/attempts/environment.py
@@ -11,9 +11,9 @@
 FOLDER = f"[endpoint draft-0]\naddress = {PROXY}\n"
 SETTINGS = """
 [requests]
-connect_timeout_s = 0.3
-first_token_timeout_s = 0.4
-token_gap_timeout_s = 0.3
+connect_timeout_s = 1
+first_token_timeout_s = 2
+token_gap_timeout_s = 0.5
 connection_idle_s = 30
 """
 
--- a/packages/daemon/src/knapweedbridge_daemon/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/calls.py
@@ -226,7 +226,8 @@
         # A new connection: if the endpoint answers on it, only the old
         # connection was lost, and the stream goes on here.
         endpoint = HttpEndpoint(self._connections.fresh, step.address)
-        attempt = endpoint.resume(step.attempt_id, step.offset, self._first_s)
+        head_s = max(self._first_s, self._connections.bounds.connect_timeout_s)
+        attempt = endpoint.resume(step.attempt_id, step.offset, head_s)
         async with attempt as response:
             return await self._relay_model(response)
 
--- a/packages/daemon/src/knapweedbridge_daemon/endpoints.py
+++ b/packages/daemon/src/knapweedbridge_daemon/endpoints.py
@@ -208,7 +208,8 @@
             with anyio.fail_after(head_timeout_s):
                 response = await self._client.send(request, stream=True)
         except (httpx.HTTPError, TimeoutError) as error:
-            raise AttemptFailedError(Unknown(Reason.RESUME_FAILED)) from error
+            # No answer, unlike a refusal, may be another on the next connection.
+            raise AttemptFailedError(Unknown(Reason.STREAM_BROKEN)) from error
         async with _closing(response):
             if response.status_code != 200:
                 raise AttemptFailedError(Unknown(Reason.RESUME_FAILED))
