--- a/features/runs/checker.feature
+++ b/features/runs/checker.feature
@@ -31,6 +31,7 @@
       | a host behind for 7 s             | an accepted configuration is in force everywhere within 6 s |
       | a generation told to two operators | one operator wins a generation |
       | an old order carried out          | an old order is not carried out where it is checked |
+      | a crashing request on a third engine | a request that crashes endpoints costs two at most |
 
   Scenario Outline: A fault of the run excuses what it took the means for
     Given a history that keeps all promises
--- a/features/runs/steps/checker_steps.py
+++ b/features/runs/steps/checker_steps.py
@@ -53,6 +53,9 @@
         run("n5", "draft-1", 103.0),
         request("n5"),
         runs.Stopped("host-2", 101.0, 104.0, 0),
+        request("poison-1", outcome=Outcome.UNKNOWN, answer=Answer.NONE),
+        run("poison-1"),
+        run("poison-1", "draft-2", 104.0),
         request("n6", host="host-2"),
         run("n6"),
     ]
@@ -113,6 +116,12 @@
         runs.GenerationSeen("host-0", 1, 80.0, 108.0, 2),
     ],
     "a generation told to two operators": [runs.Accepted("operator-0", 95.1, 2)],
+    "a crashing request on a third engine": [
+        request("poison-2", outcome=Outcome.UNKNOWN, answer=Answer.NONE),
+        run("poison-2"),
+        run("poison-2", "draft-3", 103.5),
+        run("poison-2", "draft-2", 104.0),
+    ],
     "an old order carried out": [
         runs.OrderSeen("draft-0", 99.7, "evict", MODEL, 3, True, True)
     ],
--- a/packages/standins/src/knapweedbridge_standins/runs/rules.py
+++ b/packages/standins/src/knapweedbridge_standins/runs/rules.py
@@ -27,6 +27,8 @@
 LEAVING_S = 5.0
 IN_FORCE_S = 6.0
 AFTER_FAULT_S = 5.0
+POISON_PREFIX = "poison-"
+MOST_POISONED = 2
 
 HOST_GONE = ("kill", "freeze")
 STORE_FAULTS = ("store_down", "store_slow", "store_restored")
@@ -285,6 +287,20 @@
                 yield self.broken(order.at_s, detail)
 
 
+class PoisonStopped(Rule):
+    """A request that crashes each engine that runs it is refused after two."""
+
+    promise = "a request that crashes endpoints costs two at most"
+
+    def check(self, history: History) -> Iterator[Violation]:
+        """See `Rule.check`; no fault excuses it."""
+        for nonce, runs in history.runs_by_nonce().items():
+            if nonce.startswith(POISON_PREFIX) and len(runs) > MOST_POISONED:
+                places = ", ".join(f"{run.by} at {run.at_s:.2f}" for run in runs)
+                detail = f"{nonce} ran {len(runs)} times: {places}"
+                yield self.broken(runs[MOST_POISONED].at_s, detail)
+
+
 RULES: tuple[Rule, ...] = (
     RightAdapter(),
     NeverEvicted(),
@@ -298,6 +314,7 @@
     InForce(),
     AcceptedOnce(),
     OldOrders(),
+    PoisonStopped(),
 )
 
 
