--- a/bench/overload_scenarios.py
+++ b/bench/overload_scenarios.py
@@ -285,3 +285,112 @@
 
 def _asking(pool: VirtualPool, host: str, name: str) -> Callable[[], None]:
     return lambda: pool.ask(host, request_of(pool, name, fingerprint=name))
+
+
+class FirstComeFirstServed(Bridge):
+    """Baseline: every request goes to an engine at once and waits there."""
+
+    def __init__(self, host: str, data_centre: str) -> None:
+        super().__init__(host, data_centre)
+        gate = self.requests._gate
+        gate.arrived = lambda request, running: gate.admission.queue.add(request)  # type: ignore
+        gate.places = lambda: 1_000_000  # type: ignore
+        gate.given_up = lambda: []  # type: ignore
+
+
+WITHIN_S = {"interactive": 2.0, "normal": 5.0, "batch": 20.0}
+SERVICE_S = 0.5
+MIX = (("interactive", 0.3), ("normal", 0.3), ("batch", 0.4))
+
+
+@dataclass
+class OverloadFound:
+    """What a run under load gave.
+
+    Parameters
+    ----------
+    goodput : float
+        Answers within their deadline, as a part of the engines' capacity.
+    interactive_p95_s : float
+        95th percentile of the time to an answer of interactive requests.
+    answered : dict of str to float
+        Part of the requests of each priority answered in time.
+    """
+
+    goodput: float
+    interactive_p95_s: float
+    answered: dict[str, float]
+    refused_p95_s: float
+
+
+def run_overload(
+    *, admission: bool, times: float = 2.0, for_s: float = 60.0, seed: int = SEED
+) -> OverloadFound:
+    """Offer a multiple of what three engines can serve, by three daemons."""
+    rng = random.Random(seed)
+    batch, engines = 8, 3
+    maker = Bridge if admission else FirstComeFirstServed
+    pool = make_pool(
+        3, engines, batch=batch, service_s=lambda request: SERVICE_S, make_bridge=maker
+    )
+    capacity_per_s = engines * batch / SERVICE_S
+    begun_s = pool.clock.now_s
+    priorities, weights = zip(*MIX, strict=True)
+    at_s, place = 0.0, 0
+    while at_s < for_s:
+        at_s += rng.expovariate(times * capacity_per_s)
+        place += 1
+        priority = rng.choices(priorities, weights)[0]
+        host = rng.choice(pool.hosts)
+        name = f"{priority}-{place}"
+        pool.clock.after(at_s, _asking_with(pool, host, name, priority))
+    pool.clock.run(for_s + 30.0)
+    return _judge_overload(pool, begun_s, for_s, capacity_per_s)
+
+
+def _asking_with(
+    pool: VirtualPool, host: str, name: str, priority: str
+) -> Callable[[], None]:
+    def ask() -> None:
+        request = request_of(
+            pool,
+            name,
+            fingerprint=name,
+            priority=priority,
+            within_s=WITHIN_S[priority],
+        )
+        pool.ask(host, request)
+
+    return ask
+
+
+def _judge_overload(
+    pool: VirtualPool, begun_s: float, for_s: float, capacity_per_s: float
+) -> OverloadFound:
+    asked: Counter = Counter()
+    in_time: Counter = Counter()
+    good, interactive_s, refused_s = 0, [], []
+    for name, (outcome, at_s) in pool.finished.items():
+        request = pool.requests[name]
+        arrived_s = request.deadline_s - WITHIN_S[request.priority]
+        asked[request.priority] += 1
+        took_s = at_s - arrived_s
+        if isinstance(outcome, NotRun):
+            refused_s.append(took_s)
+        if not isinstance(outcome, Complete) or at_s > request.deadline_s:
+            continue
+        in_time[request.priority] += 1
+        good += at_s <= begun_s + for_s
+        if request.priority == "interactive":
+            interactive_s.append(took_s)
+    return OverloadFound(
+        good / (capacity_per_s * for_s),
+        _p95(interactive_s),
+        {name: in_time[name] / max(asked[name], 1) for name in WITHIN_S},
+        _p95(refused_s),
+    )
+
+
+def _p95(values: list[float]) -> float:
+    ordered = sorted(values)
+    return ordered[int(0.95 * (len(ordered) - 1))] if ordered else float("nan")
--- a/features/overload/steps/blame_steps.py
+++ b/features/overload/steps/blame_steps.py
@@ -1,14 +1,8 @@
-import sys
-from pathlib import Path
-
 from behave import given, then, when
 from hypothesis import Phase, settings
 from hypothesis import given as drawn
 from hypothesis import strategies as st
-
-sys.path.insert(0, str(Path(__file__).parents[3] / "bench"))
-
-from overload_scenarios import (  # noqa: E402
+from overload_scenarios import (
     BLAMES,
     Askers,
     make_pool,
@@ -16,8 +10,8 @@
     run_crashing,
 )
 
-from knapweedbridge_core import events  # noqa: E402
-from knapweedbridge_core.blame import Blame, Verdict  # noqa: E402
+from knapweedbridge_core import events
+from knapweedbridge_core.blame import Blame, Verdict
 
 
 @when('a request that crashes engines runs beside {count:d} others with "{blame}"')
--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/admission.py
@@ -0,0 +1,105 @@
+"""Which requests are taken, which wait, and which are refused at once."""
+
+from knapweedbridge_core.configuration import Configuration
+from knapweedbridge_core.events import Request
+from knapweedbridge_core.fair_queue import PRIORITIES, FairQueue
+from knapweedbridge_core.limits import Limits
+from knapweedbridge_core.outcomes import NotRun, Reason
+
+SMOOTHING = 0.1
+MIX_SMOOTHING = 0.02
+LEAST_LEFT = 0.01
+SHORTEST_RETRY_AFTER_S = 1.0
+QUEUE_REQUESTS = 1000
+CALLER_REQUESTS = 200
+
+
+class Admission:
+    """The queue before the engines of one daemon.
+
+    A request waits while as many run as this daemon may run. One that cannot be
+    answered within its deadline is refused at once, with when to come back, so
+    that no place is spent on an answer that nobody waits for.
+
+    Parameters
+    ----------
+    queue_requests, caller_requests : int
+        Bounds of the queue, in all and for a caller and priority.
+    """
+
+    def __init__(
+        self,
+        queue_requests: int = QUEUE_REQUESTS,
+        caller_requests: int = CALLER_REQUESTS,
+    ) -> None:
+        self.queue = FairQueue()
+        self.limits = Limits()
+        self._queue_requests = queue_requests
+        self._caller_requests = caller_requests
+        self._service_s: dict[str, float] = {}
+        self._taken: dict[str, float] = {}
+
+    def service_s(self, request: Request) -> float:
+        """Return how long a request like this runs, as measured."""
+        return self._service_s.get(request.priority, 0.0)
+
+    def served(self, request: Request, took_s: float) -> None:
+        """Take the time that an answered request ran."""
+        old = self._service_s.get(request.priority, took_s)
+        self._service_s[request.priority] = old + SMOOTHING * (took_s - old)
+
+    def wait_s(self, request: Request, shares: dict[str, float], running: int) -> float:
+        """Predict how long a request would wait now."""
+        known = [
+            self._service_s[name] for name in PRIORITIES if name in self._service_s
+        ]
+        mean_s = sum(known) / len(known) if known else 0.0
+        # Requests of a higher priority that arrive meanwhile go first as well: the
+        # part of the places that they took of late is not left for this one.
+        higher = PRIORITIES[: PRIORITIES.index(request.priority)]
+        left = max(LEAST_LEFT, 1.0 - sum(self._taken.get(name, 0.0) for name in higher))
+        ahead = self.queue.ahead(request, shares)
+        return ahead * mean_s / (max(running, 1) * left)
+
+    def taken(self, request: Request) -> None:
+        """Note that a request took a place."""
+        for name in PRIORITIES:
+            old = self._taken.get(name, 0.0)
+            part = float(name == request.priority)
+            self._taken[name] = old + MIX_SMOOTHING * (part - old)
+
+    def refusal(
+        self,
+        request: Request,
+        configuration: Configuration,
+        daemons: int,
+        running: int,
+        now_s: float,
+    ) -> NotRun | None:
+        """Return why a request is refused on arrival, or None."""
+        wait_s = self.limits.wait_s(request, configuration, daemons, now_s)
+        if wait_s > 0:
+            return _come_back(Reason.LIMIT, wait_s)
+        shares = {name: team.share for name, team in configuration.teams.items()}
+        wait_s = self.wait_s(request, shares, running)
+        late = now_s + wait_s + self.service_s(request) > request.deadline_s
+        full = self.queue.of_caller(request) >= self._caller_requests
+        if late or full:
+            return _come_back(Reason.OVERLOAD, wait_s)
+        return None
+
+    def overflow(self) -> Request | None:
+        """Return the request that must leave a queue that grew too long."""
+        return self.queue.last() if len(self.queue) > self._queue_requests else None
+
+    def hopeless(self, now_s: float) -> list[Request]:
+        """Return the waiting requests that can no longer be answered in time."""
+        return [
+            request
+            for request in self.queue
+            if now_s + self.service_s(request) > request.deadline_s
+        ]
+
+
+def _come_back(reason: Reason, wait_s: float) -> NotRun:
+    return NotRun(reason, max(SHORTEST_RETRY_AFTER_S, wait_s))
--- a/packages/core/src/knapweedbridge_core/configuration.py
+++ b/packages/core/src/knapweedbridge_core/configuration.py
@@ -43,6 +43,10 @@
                 "caller",
                 "What it opens: the callers' face; also its team's configuration; all.",
             ),
+            "requests_per_s": Key(Number(0, 1e6), "0", "Limit of the key; 0: none."),
+            "concurrent": Key(
+                Number(0, 1e6, True), "0", "Requests of the key at a time; 0: any."
+            ),
             "hash": Key(Digest(), None, "SHA-256 of the key, in hexadecimal."),
         },
     ),
@@ -150,6 +154,8 @@
     team: str
     role: str
     hash: str
+    requests_per_s: float = 0.0
+    concurrent: int = 0
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/core/src/knapweedbridge_core/request_side.py
+++ b/packages/core/src/knapweedbridge_core/request_side.py
@@ -10,6 +10,7 @@
     Finish,
     Resume,
 )
+from knapweedbridge_core.admission_gate import AdmissionGate
 from knapweedbridge_core.blame import Verdict
 from knapweedbridge_core.claimant_side import ClaimantSide
 from knapweedbridge_core.claims import needs_claim
@@ -53,6 +54,7 @@
         self.budget = RetryBudget()
         self._cancelling: dict[str, _HeldGrant] = {}
         self._unanswered: dict[str, _HeldGrant] = {}
+        self._gate = AdmissionGate(context)
 
     def handlers(self) -> dict[type, Handler]:
         """See `Side.handlers`."""
@@ -72,6 +74,7 @@
         self._expire_requests()
         self._cancel_again()
         self._retry_waiting()
+        self._let_in()
 
     def _endpoint_probed(self, event: events.EndpointProbed) -> None:
         self._retry_waiting()
@@ -91,7 +94,32 @@
             outcome = NotRun(Reason.DRAINING, RETRY_AFTER_S)
             self._finish(request.request_id, outcome)
             return
-        self._admit(self.live[request.request_id])
+        refusal = self._gate.arrived(request, self._running())
+        if refusal is not None:
+            self._finish(request.request_id, refusal)
+            return
+        if request.model is None:
+            self._admit(self.live[request.request_id])
+            return
+        self.live[request.request_id].queued = True
+        self._let_in()
+
+    def _running(self) -> int:
+        return sum(bool(live.endpoint) for live in self.live.values())
+
+    def _let_in(self) -> None:
+        for request, outcome in self._gate.given_up():
+            if request.request_id in self.live:
+                self._finish(request.request_id, outcome)
+        while True:
+            chosen = self._gate.next(self._running())
+            if chosen is None:
+                return
+            live = self.live.get(chosen.request_id)
+            if live is not None:
+                live.queued = False
+                live.begun_s = self._context.now_s
+                self._admit(live)
 
     def _admit(self, live: LiveRequest) -> None:
         if needs_claim(live.request):
@@ -292,6 +320,7 @@
             self._again(live, decision.at_s)
         else:
             self._finish(event.request_id, decision.outcome)
+        self._let_in()
 
     def _resume(self, live: LiveRequest) -> None:
         entry = self._context.configuration.endpoints.get(live.endpoint)
@@ -385,6 +414,7 @@
 
     def _finish(self, request_id: str, outcome: FinalOutcome) -> None:
         live = self.live.pop(request_id)
+        self._gate.ended(live.request, outcome, live.begun_s)
         if not isinstance(outcome, Recorded):
             outcome = live.honest(outcome)
         self._claimant.end(request_id, outcome)
@@ -409,4 +439,5 @@
 
     def _is_due(self, live: LiveRequest) -> bool:
         waited = self._context.now_s >= live.retry_at_s
-        return not live.endpoint and not live.claiming and waited
+        held = live.claiming or live.queued
+        return not live.endpoint and not held and waited
--- a/packages/core/src/knapweedbridge_core/requests.py
+++ b/packages/core/src/knapweedbridge_core/requests.py
@@ -43,6 +43,8 @@
     delivered: int = 0
     maybe_ran: Reason | None = None
     suspect: bool = False
+    queued: bool = False
+    begun_s: float = 0.0
     tried: set[str] = field(default_factory=set)
 
     @property
