Read an earlier generation from one state of the service

A generation accepted between the look at the records and the look at the root was not undone, so a rollback could bring back contents that never were accepted. The scenario failed first: the newest change of another adapter stood in generation 2. The token of the last record now has to be the root's.

--- a/features/members/configuration.feature
+++ b/features/members/configuration.feature
@@ -44,6 +44,15 @@
     Then every kept generation can still be read whole
     And the service holds no part that no kept generation names
 
+  Scenario: An earlier generation read while another is accepted is not mixed
+    # An operator rolls back. Between the look at the records and the look at the
+    # root another operator's change is accepted; undone from that root by those
+    # records, the earlier contents would keep the newest change.
+    Given generation 1 is accepted
+    When 3 further generations change one adapter each
+    And generation 2 is read while generation 5 is accepted
+    Then the contents are those of generation 2
+
   Scenario: A part that comes back into use is not collected
     # A folder goes back to an old state just as its old parts fall due.
     Given generation 1 is accepted
--- a/features/members/steps/configuration_steps.py
+++ b/features/members/steps/configuration_steps.py
@@ -122,6 +122,20 @@
         assert apply(context.store, generation, wanted) == Accepted(generation + 1)
 
 
+@when("generation {number:d} is read while generation {newest:d} is accepted")
+def read_while_accepted(context, number, newest):
+    extra = {"team other": {}, **folder(f"model-{newest}")}
+    extra["adapter a2"] = {"team": "other", "base_model": "other"}
+    context.store.after_list = lambda: apply(context.store, newest - 1, extra)
+    context.read = run(read_sections(context.store, number))
+    assert run(read_root(context.store)).generation == newest
+
+
+@then("the contents are those of generation {number:d}")
+def contents_of(context, number):
+    assert context.read == context.applied[number], context.read
+
+
 @when("the first folder is applied again {times:d} times in turn with another")
 def back_and_forth(context, times):
     for wanted in [folder(), folder("another")] * times:
--- a/packages/daemon/src/knapweedbridge_daemon/history.py
+++ b/packages/daemon/src/knapweedbridge_daemon/history.py
@@ -15,9 +15,15 @@
     read_records,
     read_root,
 )
-from knapweedbridge_daemon.errors import GenerationGoneError, MissingPartError
+from knapweedbridge_daemon.errors import (
+    GenerationGoneError,
+    MissingPartError,
+    StoreError,
+)
 from knapweedbridge_daemon.store import KeyValueStore
 
+READ_TRIES = 5
+
 
 @dataclass(slots=True, frozen=True)
 class Generation:
@@ -68,8 +74,7 @@
     StoreError
         If the service does not answer.
     """
-    records = await read_records(store)
-    newest = (await read_root(store)).root
+    records, newest = await _read_consistent(store)
     if number not in (record.generation for record in records):
         message = f"generation {number} is not kept; only the last {KEPT_GENERATIONS}"
         raise GenerationGoneError(message)
@@ -82,6 +87,23 @@
     return parts.sections()
 
 
+async def _read_consistent(
+    store: KeyValueStore,
+) -> tuple[list[GenerationRecord], Root]:
+    """Read the records and the root they lead to.
+
+    Another generation accepted between the two reads would not be undone: its
+    changes would stand in the earlier contents. The token of the last record
+    shows it.
+    """
+    for _ in range(READ_TRIES):
+        records = await read_records(store)
+        newest = (await read_root(store)).root
+        if not records or records[-1].token == newest.token:
+            return records, newest
+    raise StoreError("generations follow too fast; try again")
+
+
 def undo(newest: Root, later: list[GenerationRecord]) -> tuple[str, ...]:
     """Return the names of the parts before the later records were written."""
     digests = list(newest.digests)
--- a/packages/standins/src/knapweedbridge_standins/memory_store.py
+++ b/packages/standins/src/knapweedbridge_standins/memory_store.py
@@ -36,6 +36,8 @@
         What becomes of the next writes; then they are answered.
     before_write : callable or None
         Called once before the next write is carried out.
+    after_list : callable or None
+        Called once after the next read of several keys.
     calls : int
         Calls that arrived.
     """
@@ -45,6 +47,7 @@
     down: bool = False
     next_writes: list[WriteFault] = field(default_factory=list)
     before_write: Callable[[], None] | None = None
+    after_list: Callable[[], None] | None = None
     calls: int = 0
     _late: list[Transaction] = field(default_factory=list)
 
@@ -74,6 +77,9 @@
         self._begin()
         found = {key: self.values[key] for key in self.values if key.startswith(prefix)}
         self._carry_out_late()
+        if self.after_list is not None:
+            act, self.after_list = self.after_list, None
+            act()
         return found
 
     def _carry_out_late(self) -> None:
