Let a folder wait for the peers that a daemon asks at its start

A folder applied right after the start was refused: the daemon did not yet know which generations its peers hold.

--- a/features/members/configuration.feature
+++ b/features/members/configuration.feature
@@ -60,6 +60,18 @@
     And the first folder is applied again 3 times in turn with another
     Then every kept generation can still be read whole
 
+  Scenario Outline: A folder applied right after a daemon's start waits for its peers
+    # Daemons are started and a folder is applied at once. For its first two
+    # seconds a daemon does not know what its peers hold, and refused the folder.
+    Given a daemon that is unsure, and whose peers <answer>
+    When it waits for contact
+    Then the folder is <taken>
+
+    Examples:
+      | answer           | taken   |
+      | answer presently | taken   |
+      | never answer     | refused |
+
   Scenario: A service that came back older is reported and outbid
     # The service is restored from an old copy. Its root has a lower number; a
     # write on top of it would reuse a number that daemons know otherwise.
--- a/features/members/steps/configuration_steps.py
+++ b/features/members/steps/configuration_steps.py
@@ -1,5 +1,6 @@
 from itertools import count
 
+import anyio
 from behave import given, then, when
 from hypothesis import HealthCheck, settings
 from hypothesis.stateful import run_state_machine_as_test
@@ -8,8 +9,10 @@
 from knapweedbridge_core.actions import Record
 from knapweedbridge_core.changes import change
 from knapweedbridge_core.configuration import build, build_parts
+from knapweedbridge_core.members import Members
 from knapweedbridge_core.names import AdapterVersion
 from knapweedbridge_core.parts import EMPTY, Parts
+from knapweedbridge_daemon import proposals
 from knapweedbridge_daemon.configurations import (
     GENERATION_KEY,
     PART_KEY,
@@ -409,3 +412,36 @@
 @then("no daemon ever held a lower generation, or contents not accepted under it")
 def checked_in_each(context):
     """The histories check it at each step, and would have failed."""
+
+
+@given("a daemon that is unsure, and whose peers {answer}")
+def unsure_daemon(context, answer):
+    context.members = Members("host-0", "dc1")
+    context.members.unsure = True
+    context.answers = answer == "answer presently"
+    context.add_cleanup(setattr, proposals, "CONTACT_S", proposals.CONTACT_S)
+    proposals.CONTACT_S = 4.0 if context.answers else 0.2
+
+
+async def wait_for_contact(context):
+    async def answer():
+        await anyio.sleep(0.1)
+        context.members.unsure = not context.answers
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(answer)
+        try:
+            await proposals.await_contact(context.members)
+            context.taken = "taken"
+        except StoreError:
+            context.taken = "refused"
+
+
+@when("it waits for contact")
+def waits_for_contact(context):
+    anyio.run(wait_for_contact, context)
+
+
+@then("the folder is {taken}")
+def folder_is(context, taken):
+    assert context.taken == taken
--- a/packages/daemon/src/knapweedbridge_daemon/proposals.py
+++ b/packages/daemon/src/knapweedbridge_daemon/proposals.py
@@ -6,11 +6,14 @@
 
 from dataclasses import dataclass
 
+from anyio import move_on_after, sleep
+
 from knapweedbridge_core import Bridge
 from knapweedbridge_core.configuration import Sections
 from knapweedbridge_core.differences import Change, compare
 from knapweedbridge_core.errors import CheckError
 from knapweedbridge_core.folder import Folder, read_folder
+from knapweedbridge_core.members import Members
 from knapweedbridge_core.teams import (
     foreign_faults,
     merge_team,
@@ -30,6 +33,8 @@
 from knapweedbridge_daemon.store import KeyValueStore
 
 REBASES = 3
+CONTACT_S = 4.0
+CONTACT_LOOK_S = 0.05
 
 
 @dataclass(slots=True, frozen=True)
@@ -188,10 +193,7 @@
         return await self._write(caller, Checked(based_on, base, wanted))
 
     async def _write(self, caller: Caller, checked: Checked) -> Written | Collision:
-        if self._bridge.members.unsure:
-            # Cut off from its peers it cannot know which numbers are used, and
-            # a service that came back with older contents does not say.
-            raise StoreError("no contact with the other daemons; try again")
+        await await_contact(self._bridge.members)
         note = make_note(caller.name, caller.team)
         for _ in range(REBASES):
             highest = self._bridge.distribution.highest_known
@@ -232,6 +234,24 @@
         return Collision(checked.generation, mine, [], base_kept=False)
 
 
+async def await_contact(members: Members) -> None:
+    """Wait for the peers that a daemon asks at its start and after a pause.
+
+    Cut off from them it cannot know which numbers are used, and a service that
+    came back with older contents does not say.
+
+    Raises
+    ------
+    StoreError
+        If they do not answer.
+    """
+    with move_on_after(CONTACT_S):
+        while members.unsure:
+            await sleep(CONTACT_LOOK_S)
+    if members.unsure:
+        raise StoreError("no contact with the other daemons; try again")
+
+
 def _is_apart(team: str, base: Sections, theirs: Sections) -> bool:
     return sections_of(team, base) == sections_of(team, theirs)
 
