--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -36,7 +36,17 @@
         self._stack = ExitStack()
 
     def __enter__(self) -> "Deployment":
-        """Start all processes and apply the folder."""
+        """Start all processes and apply the folder.
+
+        Raises
+        ------
+        RuntimeError
+            If another process listens on an address of the example.
+        """
+        taken = self.example.taken()
+        if taken:
+            # Daemons of a run that was killed would answer in place of these.
+            raise RuntimeError(f"another process listens on {', '.join(taken)}")
         self._folder = Path(self._stack.enter_context(tempfile.TemporaryDirectory()))
         self._stack.callback(self._end_all)
         try:
--- a/features/runs/pages.feature
+++ b/features/runs/pages.feature
@@ -28,3 +28,11 @@
 
     Given a port of the first block is taken
     Then the example is found on the second block
+
+  Scenario: A whole run does not start beside the daemons of another
+    A run was killed and its daemons lived on; the next run's daemons could not
+    listen, and the old ones answered its callers, so that its figures were of
+    neither.
+
+    Given a port of the first block is taken
+    Then a deployment on the first block names the port and starts nothing
--- a/features/runs/steps/page_steps.py
+++ b/features/runs/steps/page_steps.py
@@ -50,3 +50,18 @@
 @then("the example is found on the second block")
 def second_block(context):
     assert find_free_example(BASE_PORT, 1).base_port == BASE_PORT + PORT_STEP
+
+
+@then("a deployment on the first block names the port and starts nothing")
+def starts_nothing(context):
+    from deployment import Deployment
+
+    deployment = Deployment(Example(BASE_PORT))
+    try:
+        deployment.__enter__()
+    except RuntimeError as error:
+        assert Example(BASE_PORT).key_value in str(error), error
+        assert not deployment.processes
+    else:
+        deployment.__exit__()
+        raise AssertionError("it started beside another process")
--- a/packages/standins/src/knapweedbridge_standins/example.py
+++ b/packages/standins/src/knapweedbridge_standins/example.py
@@ -102,6 +102,10 @@
         """Return the data centre of a daemon or an engine."""
         return f"dc{1 + place % 2}"
 
+    def taken(self) -> list[str]:
+        """Return the addresses that other processes listen on."""
+        return [address for address in self.listened() if not _is_free(address)]
+
     def settings(self, place: int, secret_file: str) -> str:
         """Return the settings of a daemon as INI text."""
         return f"""
@@ -234,7 +238,7 @@
     last = base_port + PORT_STEP * PORT_BLOCKS
     for first in range(base_port, last, PORT_STEP):
         example = Example(first, daemons=daemons)
-        if all(_is_free(address) for address in example.listened()):
+        if not example.taken():
             return example
     raise OSError(f"no free block of ports on loopback from {base_port} to {last}")
 
