--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -163,7 +163,17 @@
 
     def apply(self) -> None:
         """Apply the example's folder by the operators' command."""
-        self.command("apply", str(self.folder("folder")), "--wait")
+        folder = str(self.folder("folder"))
+        ends_s = time.monotonic() + START_TIMEOUT_S
+        while True:
+            try:
+                self.command("apply", folder, "--wait")
+                return
+            except RuntimeError:
+                # Daemons that have just started have no contact yet, and say so.
+                if time.monotonic() > ends_s:
+                    raise
+                time.sleep(0.5)
 
     def folder(self, name: str, **further: str) -> Path:
         """Write the example's folder under a name, with further files."""
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -15,7 +15,7 @@
 from soak_faults import Replace
 from world import Life, World
 
-from knapweedbridge_standins.example import Example
+from knapweedbridge_standins.example import find_free_example
 from knapweedbridge_standins.runs import (
     History,
     Outcome,
@@ -73,7 +73,7 @@
 
 def main() -> int:
     """Run the shape and print what the callers saw."""
-    example = Example(BASE_PORT, daemons=3, engines=2, plains=2)
+    example = find_free_example(BASE_PORT, daemons=3, engines=2, plains=2)
     with Deployment(example) as deployment:
         print("processes:", ", ".join(deployment.processes))
         history = anyio.run(run, deployment)
--- a/features/runs/steps/page_steps.py
+++ b/features/runs/steps/page_steps.py
@@ -49,7 +49,7 @@
 
 @then("the example is found on the second block")
 def second_block(context):
-    assert find_free_example(BASE_PORT, 1).base_port == BASE_PORT + PORT_STEP
+    assert find_free_example(BASE_PORT, daemons=1).base_port == BASE_PORT + PORT_STEP
 
 
 @then("a deployment on the first block names the port and starts nothing")
--- a/packages/standins/src/knapweedbridge_standins/example.py
+++ b/packages/standins/src/knapweedbridge_standins/example.py
@@ -3,6 +3,7 @@
 import hashlib
 import socket
 from dataclasses import dataclass
+from typing import Any
 
 ADMINISTRATOR_KEY = "administrator-key-of-the-example"
 CALLER_KEY = "caller-key-of-the-example"
@@ -227,8 +228,8 @@
     return hashlib.sha256(text.encode()).hexdigest()
 
 
-def find_free_example(base_port: int, daemons: int) -> Example:
-    """Return an example on the first block of ports of which none is taken.
+def find_free_example(base_port: int, **sizes: Any) -> Example:
+    """Return an example of these sizes on the first block of free ports.
 
     Raises
     ------
@@ -237,7 +238,7 @@
     """
     last = base_port + PORT_STEP * PORT_BLOCKS
     for first in range(base_port, last, PORT_STEP):
-        example = Example(first, daemons=daemons)
+        example = Example(first, **sizes)
         if not example.taken():
             return example
     raise OSError(f"no free block of ports on loopback from {base_port} to {last}")
