--- a/packages/core/src/knapweedbridge_core/settings.py
+++ b/packages/core/src/knapweedbridge_core/settings.py
@@ -97,7 +97,7 @@
             ),
             "join_wait_s": Key(
                 Number(0, 0.05),
-                "0",
+                "0.02",
                 "Longest wait to join tokens into one write, seconds; 0: none.",
             ),
             "stream_client": Key(
