--- a/bench/rolling.py
+++ b/bench/rolling.py
@@ -20,7 +20,6 @@
 import anyio
 import httpx
 from deployment import Deployment
-from processes import ask
 
 from knapweedbridge_standins.example import CALLER_KEY, Example
 from knapweedbridge_standins.oracle import answer
@@ -30,6 +29,8 @@
 TOKENS = 24
 POLL_S = 0.2
 GRACE_S = 1
+APPLY_TIMES = 20
+APPLY_AGAIN_S = 0.5
 SETTLE_S = 2.0
 SEED = 5
 SECOND_SIGNAL_S = 10.0
@@ -43,6 +44,18 @@
         """Return the daemon's settings with the grace."""
         return super().settings(place) + f"\n[requests]\ndrain_grace_s = {GRACE_S}\n"
 
+    def apply(self) -> None:
+        """Apply the folder, again while the daemons have not met yet."""
+        for _ in range(APPLY_TIMES):
+            try:
+                super().apply()
+                return
+            except RuntimeError as error:
+                if "try again" not in str(error):
+                    raise
+            time.sleep(APPLY_AGAIN_S)
+        raise RuntimeError("the daemons did not meet")
+
 
 class Balancer:
     """Knows which hosts answer that they serve."""
@@ -104,6 +117,26 @@
                 found.faults.append(f"host-{host} {asking.__name__}: {error!r}")
 
 
+async def ask(client: httpx.AsyncClient, url: str, model: str, prompt: str) -> str:
+    """Stream one completion and return its text, or raise."""
+    body = {"model": model, "prompt": prompt, "max_tokens": TOKENS, "stream": True}
+    text, done = "", False
+    async with client.stream("POST", url + "/v1/completions", json=body) as response:
+        if response.status_code != 200:
+            raise RuntimeError((await response.aread()).decode())
+        async for line in response.aiter_lines():
+            if line == "data: [DONE]":
+                done = True
+            elif line.startswith("data: "):
+                event = json.loads(line[6:])
+                if "error" in event:
+                    raise RuntimeError(line)
+                text += event["choices"][0]["text"]
+    if not done:
+        raise RuntimeError("cut: a clean end without [DONE]")
+    return text
+
+
 async def complete(
     client: httpx.AsyncClient,
     url: str,
