--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -328,7 +328,23 @@
     path = RESULTS / "relay.json"
     if not path.exists():
         return "bench/results/relay.json is missing: not run."
-    return "See bench/results/relay.json, written by `make relay`."
+    measured = read("relay")
+    heads = ["way", "load", "µs a token", "core", "tokens/s", "first p95, ms"]
+    heads += ["gap p95, ms", f"against {measured['target_us_a_token']:.0f} µs"]
+    rows = [
+        [
+            held["way"],
+            held["load"],
+            f"{held['us_a_token']:.0f}",
+            f"{held['core']:.2f}",
+            f"{held['tokens_per_s']:.0f}",
+            f"{held['first_p95_ms']:.0f}",
+            f"{held['gap_p95_ms']:.0f}",
+            verdict(held["us_a_token"], measured["target_us_a_token"]),
+        ]
+        for held in measured["figures"]
+    ]
+    return table(heads, rows)
 
 
 def runs() -> str:
