--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -340,7 +340,10 @@
             f"{held['tokens_per_s']:.0f}",
             f"{held['first_p95_ms']:.0f}",
             f"{held['gap_p95_ms']:.0f}",
-            verdict(held["us_a_token"], measured["target_us_a_token"]),
+            # Requests of one token each: their cost is a request's, not a token's.
+            "a request, no target"
+            if held["load"] == "requests"
+            else verdict(held["us_a_token"], measured["target_us_a_token"]),
         ]
         for held in measured["figures"]
     ]
