End no daemon by a connection that closes as it is made; load in due time

Cause: under uvloop the HTTP library fails with AttributeError when the far side closes a connection in the moment it is made; only the probe caught it, so any other call could end the daemon's task group. One transport now turns it into the library's own error, told as unknown, as nothing proves that no byte was written.

The stand-in engine made a TLS context for each load (49 ms) and its weight store counted each sleep as if it had been exact, so a load of 0.3 s took 0.356 s and only 2.7 of 3 loads a second were possible. Ruled out: the load order, whose next load started within 5 ms of the last one's end.

--- a/packages/daemon/src/knapweedbridge_daemon/hosts.py
+++ b/packages/daemon/src/knapweedbridge_daemon/hosts.py
@@ -6,6 +6,7 @@
 
 from knapweedbridge_core.events import ListedHost
 from knapweedbridge_daemon.errors import DaemonError
+from knapweedbridge_daemon.transports import GuardedTransport
 
 
 class HostList(ABC):
@@ -25,7 +26,9 @@
 
     def __init__(self, url: str, timeout_s: float) -> None:
         self._url = url
-        self._client = httpx.AsyncClient(timeout=timeout_s)
+        self._client = httpx.AsyncClient(
+            transport=GuardedTransport(), timeout=timeout_s
+        )
 
     async def read(self) -> tuple[ListedHost, ...]:
         """See `HostList.read`."""
--- a/packages/daemon/src/knapweedbridge_daemon/probes.py
+++ b/packages/daemon/src/knapweedbridge_daemon/probes.py
@@ -6,12 +6,10 @@
 from knapweedbridge_core.errors import NameFormatError
 from knapweedbridge_core.events import EndpointProbed
 from knapweedbridge_core.names import parse_adapter_version
+from knapweedbridge_daemon.transports import GuardedTransport
 
 PROBE_TIMEOUT_S = 1.0
 
-# The far side may close a connection in the moment it is made: uvloop then has no
-# socket left to show, and the library's question for it ends in AttributeError.
-CALL_ERRORS = (httpx.HTTPError, AttributeError)
 LEAVING_HEADER = "x-leaving"
 
 
@@ -30,7 +28,7 @@
     def __init__(self) -> None:
         limits = httpx.Limits(max_keepalive_connections=0)
         self._client = httpx.AsyncClient(
-            timeout=PROBE_TIMEOUT_S, limits=limits, trust_env=False
+            transport=GuardedTransport(limits=limits), timeout=PROBE_TIMEOUT_S
         )
 
     async def probe(self, action: ProbeEndpoint) -> EndpointProbed:
@@ -41,7 +39,7 @@
         try:
             url = f"http://{action.address}{path}"
             response = await self._client.request(method, url)
-        except CALL_ERRORS:
+        except httpx.HTTPError:
             return EndpointProbed(action.endpoint, False, False, ())
         if not engine:
             leaving = says_leaving(response)
--- a/packages/daemon/src/knapweedbridge_daemon/store.py
+++ b/packages/daemon/src/knapweedbridge_daemon/store.py
@@ -10,6 +10,7 @@
 import httpx
 
 from knapweedbridge_daemon.errors import StoreError
+from knapweedbridge_daemon.transports import GuardedTransport
 
 
 @dataclass(slots=True)
@@ -91,7 +92,9 @@
     """
 
     def __init__(self, url: str, timeout_s: float) -> None:
-        self._client = httpx.AsyncClient(base_url=url, timeout=timeout_s)
+        self._client = httpx.AsyncClient(
+            base_url=url, transport=GuardedTransport(), timeout=timeout_s
+        )
 
     async def _call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
         try:
--- a/packages/daemon/src/knapweedbridge_daemon/transports.py
+++ b/packages/daemon/src/knapweedbridge_daemon/transports.py
@@ -33,9 +33,26 @@
     socket_options: tuple[SocketOption, ...] = ()
 
 
+class GuardedTransport(httpx.AsyncHTTPTransport):
+    """The HTTP library's own transport, whose every failure is an HTTPError.
+
+    The far side may close a connection in the moment it is made: uvloop then has
+    no socket left to show, and the library's question for it ends in
+    AttributeError, which would end the task and with it the daemon. Whether
+    anything was written is not known here, so it is told as a read that failed.
+    """
+
+    async def handle_async_request(self, request: httpx.Request) -> httpx.Response:
+        """Send one request."""
+        try:
+            return await super().handle_async_request(request)
+        except AttributeError as error:
+            raise httpx.ReadError(str(error), request=request) from error
+
+
 def make_plain_transport(options: PoolOptions) -> httpx.AsyncHTTPTransport:
-    """Return the HTTP library's own transport."""
-    return httpx.AsyncHTTPTransport(
+    """Return the transport of a client that keeps connections."""
+    return GuardedTransport(
         verify=options.tls,
         trust_env=False,
         limits=httpx.Limits(
--- a/packages/standins/src/knapweedbridge_standins/engine_slots.py
+++ b/packages/standins/src/knapweedbridge_standins/engine_slots.py
@@ -81,7 +81,7 @@
             return True
         try:
             async with httpx.AsyncClient(
-                timeout=FETCH_TIMEOUT_S, trust_env=False
+                timeout=FETCH_TIMEOUT_S, trust_env=False, verify=False
             ) as client:
                 found = await client.get(f"{self.weight_store}/weights/{weights}")
         except httpx.HTTPError:
--- a/packages/standins/src/knapweedbridge_standins/platform.py
+++ b/packages/standins/src/knapweedbridge_standins/platform.py
@@ -160,9 +160,11 @@
 
     async def _pass(self, left_s: float) -> None:
         while left_s > 0:
-            slice_s = min(SLICE_S, left_s * self.under_way)
-            await anyio.sleep(slice_s)
-            left_s -= slice_s / self.under_way
+            began_s = time.monotonic()
+            share = 1 / self.under_way
+            await anyio.sleep(min(SLICE_S, left_s / share))
+            # A sleep oversleeps: what passed counts, or each load takes longer.
+            left_s -= (time.monotonic() - began_s) * share
 
     async def _set_faults(self, request: Request) -> Response:
         return await set_faults(self.faults, request)
