Compare the first key's hash in constant time

The hash of the key that was shown was compared with ==, whose time tells how many leading digits agree. hmac.compare_digest takes the same time for all; both sides are lower-case hexadecimal, as the settings check.

--- a/packages/daemon/src/knapweedbridge_daemon/access.py
+++ b/packages/daemon/src/knapweedbridge_daemon/access.py
@@ -1,5 +1,6 @@
 """Who calls the administration API, and what the key may do."""
 
+import hmac
 from collections.abc import Mapping
 from dataclasses import dataclass
 
@@ -51,7 +52,7 @@
         return Caller(key.name, key.team, key.role == "administrator")
     shown = headers.get("authorization", "").partition(" ")[2].strip()
     first = bool(first_key_hash) and configuration.generation == 0
-    if first and hash_key(shown) == first_key_hash:
+    if first and hmac.compare_digest(hash_key(shown), first_key_hash):
         return Caller(FIRST_KEY_NAME, "", administrator=True)
     raise ApiError(ErrorCode.UNAUTHENTICATED, "no such key")
 
