Group the messages by role, and the codec alone

messages.py had 478 lines, with the codec between two halves of the messages. Seven flat modules now hold them by role, codec.py the encoding; messages.py imports them all, so every class is known to the decoder, and re-exports them with __all__. No message, field or tag changed.

--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/fault_messages.py
@@ -0,0 +1,30 @@
+"""Messages that warn of requests and endpoints that fail."""
+
+from knapweedbridge_core.codec import message
+
+
+@message
+class BlameTold:
+    """A daemon tells what it holds against a fingerprint."""
+
+    fingerprint: str
+    loss_id: str
+    endpoint: str
+    state: str
+    age_s: float
+
+
+@message
+class BlameCleared:
+    """A suspected request got its whole answer."""
+
+    fingerprint: str
+
+
+@message
+class LeavingTold:
+    """A daemon saw the sign that an endpoint leaves, or that it stays after all."""
+
+    endpoint: str
+    leaving: bool
+    ordered: bool
