Give grants back in a module of their own

RequestSide both moved requests and gave grants back with their cancels. The second is GrantReturns now, with the three bounds that only it uses; RequestSide calls it at the same places of the tick. The second name of GRANT_USE_S is gone.

--- a/packages/core/src/knapweedbridge_core/request_side.py
+++ b/packages/core/src/knapweedbridge_core/request_side.py
@@ -1,20 +1,13 @@
 """The callers' side: routes requests, asks for grants, retries."""
 
-from dataclasses import dataclass
-
 from knapweedbridge_core import events, messages, rendezvous
-from knapweedbridge_core.actions import (
-    CancelAttempt,
-    Count,
-    Dispatch,
-    Finish,
-    Resume,
-)
+from knapweedbridge_core.actions import Count, Dispatch, Finish, Resume
 from knapweedbridge_core.admission_gate import AdmissionGate
 from knapweedbridge_core.blame import Verdict
 from knapweedbridge_core.claimant_side import ClaimantSide
 from knapweedbridge_core.claims import needs_claim
 from knapweedbridge_core.context import Context, Handler, Side
+from knapweedbridge_core.grant_returns import GrantReturns
 from knapweedbridge_core.outcomes import (
     FinalOutcome,
     NotRun,
@@ -28,19 +21,6 @@
 from knapweedbridge_core.retries import RETRY_AFTER_S, Again, GoOn, RetryBudget, decide
 from knapweedbridge_core.times import GRANT_USE_S
 
-GRANT_TIMEOUT_S = GRANT_USE_S
-LATE_GRANT_S = 30.0
-CANCEL_AGAIN_S = 1.0
-CANCEL_GIVE_UP_S = 10.0
-
-
-@dataclass(slots=True)
-class _HeldGrant:
-    owner: str
-    returned: messages.GrantReturned
-    since_s: float
-    asked_s: float
-
 
 class RequestSide(Side):
     """Owns the requests that callers sent to this daemon."""
@@ -52,8 +32,7 @@
         claimant.on_refused = self._finish
         self.live: dict[str, LiveRequest] = {}
         self.budget = RetryBudget()
-        self._cancelling: dict[str, _HeldGrant] = {}
-        self._unanswered: dict[str, _HeldGrant] = {}
+        self._returns = GrantReturns(context)
         self._gate = AdmissionGate(context)
 
     def handlers(self) -> dict[type, Handler]:
@@ -62,7 +41,7 @@
             events.Tick: self._tick,
             events.RequestArrived: self._request_arrived,
             events.AttemptEnded: self._attempt_ended,
-            events.AttemptCancelled: self._attempt_cancelled,
+            events.AttemptCancelled: self._returns.cancelled,
             events.CallerLeft: self._caller_left,
             events.EndpointProbed: self._endpoint_probed,
             messages.GrantGiven: self._grant_given,
@@ -72,7 +51,7 @@
 
     def _tick(self, event: events.Tick) -> None:
         self._expire_requests()
-        self._cancel_again()
+        self._returns.cancel_again()
         self._retry_waiting()
         self._let_in()
 
@@ -224,11 +203,7 @@
             self._finish(request_id, outcome)
 
     def _retry_waiting(self) -> None:
-        self._unanswered = {
-            attempt_id: held
-            for attempt_id, held in self._unanswered.items()
-            if self._context.now_s - held.since_s < LATE_GRANT_S
-        }
+        self._returns.forget_unanswered()
         for live in list(self.live.values()):
             self._forget_lost_grant(live)
             if self._is_due(live):
@@ -237,12 +212,12 @@
     def _forget_lost_grant(self, live: LiveRequest) -> None:
         # The owner may have died with the question: ask again, under a new
         # attempt id, so that a late grant of the old one cannot be used.
-        overdue = self._context.now_s - live.asked_s > GRANT_TIMEOUT_S
+        overdue = self._context.now_s - live.asked_s > GRANT_USE_S
         if live.endpoint and not live.dispatched and overdue:
             self._forget_grant(live)
 
     def _forget_grant(self, live: LiveRequest) -> None:
-        self._let_go(live, False)
+        self._returns.let_go(live, False)
         live.endpoint = ""
         live.attempts_unused += 1
 
@@ -266,18 +241,18 @@
 
     def _grant_given(self, message: messages.GrantGiven) -> None:
         live = self._of_attempt(message.attempt_id)
-        late = self._unanswered.pop(message.attempt_id, None)
+        late = self._returns.pop_unanswered(message.attempt_id)
         if live is not None and not self._is_usable(live, message):
             self._forget_grant(live)
         elif live is not None:
             self._dispatch(live)
         elif late is not None:
-            self._context.send(late.owner, late.returned)
+            late.give_back(self._context)
 
     def _is_usable(self, live: LiveRequest, message: messages.GrantGiven) -> bool:
         # A daemon that slept, or whose owner was succeeded, holds a grant that the
         # new owner may not know of: the request would start on a slot about to go.
-        fresh = self._context.now_s - live.asked_s <= GRANT_TIMEOUT_S
+        fresh = self._context.now_s - live.asked_s <= GRANT_USE_S
         return fresh and self._context.fences.admits(message.endpoint, message.number)
 
     def _grant_refused(self, message: messages.GrantRefused) -> None:
@@ -315,7 +290,7 @@
         if isinstance(decision, GoOn):
             self._resume(live)
             return
-        self._let_go(live, isinstance(event.outcome, Unknown))
+        self._returns.let_go(live, isinstance(event.outcome, Unknown))
         if isinstance(decision, Again):
             self._again(live, decision.at_s)
         else:
@@ -325,7 +300,7 @@
     def _resume(self, live: LiveRequest) -> None:
         entry = self._context.configuration.endpoints.get(live.endpoint)
         if entry is None:
-            self._let_go(live, True)
+            self._returns.let_go(live, True)
             outcome = Unknown(Reason.RESUME_FAILED, live.delivered)
             self._finish(live.request.request_id, outcome)
             return
@@ -351,61 +326,17 @@
         if at_s <= self._context.now_s:
             self._route(live)
 
-    def _let_go(self, live: LiveRequest, maybe_running: bool) -> None:
-        # While the endpoint may still run the attempt, the grant pins its
-        # adapter: it is given back only after the endpoint was told to stop.
-        if not live.attempt_id or not live.endpoint or live.request.model is None:
-            return
-        self._context.view.ended(live.endpoint)
-        returned = messages.GrantReturned(
-            live.attempt_id, live.endpoint, live.request.model
-        )
-        held = _HeldGrant(live.owner, returned, *[self._context.now_s] * 2)
-        entry = self._context.configuration.endpoints.get(live.endpoint)
-        if maybe_running and live.dispatched and entry is not None:
-            self._cancelling[live.attempt_id] = held
-            self._context.do(CancelAttempt(live.attempt_id, entry.address))
-            return
-        if not live.dispatched:
-            # The stream to the owner may drop this return and yet the owner
-            # may have heard the question: a late grant is returned again.
-            self._unanswered[live.attempt_id] = held
-        self._context.send(live.owner, returned)
-
-    def _attempt_cancelled(self, event: events.AttemptCancelled) -> None:
-        held = self._cancelling.get(event.attempt_id)
-        if held is None:
-            return
-        if event.confirmed:
-            del self._cancelling[event.attempt_id]
-            self._context.send(held.owner, held.returned)
-        else:
-            self._context.do(Count("attempt.cancel_failed"))
-
-    def _cancel_again(self) -> None:
-        # An endpoint that is gone confirms nothing: the grant goes back in the
-        # end, and only a report newer than that lets the owner evict.
-        now_s = self._context.now_s
-        for attempt_id, held in list(self._cancelling.items()):
-            entry = self._context.configuration.endpoints.get(held.returned.endpoint)
-            if entry is None or now_s - held.since_s >= CANCEL_GIVE_UP_S:
-                del self._cancelling[attempt_id]
-                self._context.send(held.owner, held.returned)
-            elif now_s - held.asked_s >= CANCEL_AGAIN_S:
-                held.asked_s = now_s
-                self._context.do(CancelAttempt(attempt_id, entry.address))
-
     def _caller_left(self, event: events.CallerLeft) -> None:
         live = self.live.get(event.request_id)
         if live is not None:
-            self._let_go(live, True)
+            self._returns.let_go(live, True)
             self._finish(event.request_id, Unknown(Reason.CANCELLED, live.delivered))
 
     def _expire_requests(self) -> None:
         for request_id, live in list(self.live.items()):
             if self._context.now_s < live.request.deadline_s:
                 continue
-            self._let_go(live, True)
+            self._returns.let_go(live, True)
             if live.dispatched and live.endpoint:
                 outcome: Outcome = Unknown(Reason.DEADLINE, live.delivered)
             else:
