--- a/packages/core/src/knapweedbridge_core/events.py
+++ b/packages/core/src/knapweedbridge_core/events.py
@@ -277,11 +277,3 @@
     attempt_id: str
     endpoint: str
     outcome: Outcome
-
-
-@dataclass(slots=True, frozen=True)
-class RequestFinished:
-    """The callers' side tells the other sides that a request is over."""
-
-    request: Request
-    outcome: Outcome
--- a/packages/standins/src/knapweedbridge_standins/pool.py
+++ b/packages/standins/src/knapweedbridge_standins/pool.py
@@ -181,12 +181,6 @@
             for name in self._names
         )
 
-    def tell_list(self, names: list[str]) -> None:
-        """Let the platform's list change, and every daemon read it."""
-        self._names = names
-        for host in self.live():
-            self._take(host, self.nodes[host], events.HostsListed(self.listed()))
-
     def agree(self, dead: set[str] | None = None) -> bool:
         """Tell whether every daemon that runs sees just these as dead."""
         living = set(self._names) - (dead or set())
--- a/packages/standins/src/knapweedbridge_standins/runs/rules.py
+++ b/packages/standins/src/knapweedbridge_standins/runs/rules.py
@@ -14,7 +14,6 @@
     Accepted,
     Answer,
     EvictedWhileRunning,
-    Fault,
     GenerationSeen,
     Leaving,
     OrderSeen,
@@ -321,8 +320,3 @@
 def check(history: History) -> list[Violation]:
     """Return all violations of all rules."""
     return [violation for rule in RULES for violation in rule.check(history)]
-
-
-def count_faults(history: History) -> Counter[str]:
-    """Count the faults that a run brought about, by name."""
-    return Counter(fault.name for fault in history.of(Fault))
