Split what the configuration and the owners keep from how they change it

configuration.py held the schema, the entries and the building; owners.py the stored record, the stages, the changes and the state machine. The schema, the entries, the records and the claims have modules of their own; the names stay importable from where they were.

--- a/packages/core/src/knapweedbridge_core/configuration.py
+++ b/packages/core/src/knapweedbridge_core/configuration.py
@@ -4,168 +4,41 @@
 from sys import intern
 from typing import Any
 
+from knapweedbridge_core.configuration_entries import (
+    Adapter,
+    Application,
+    EndpointEntry,
+    KeyEntry,
+    Service,
+    Team,
+)
+from knapweedbridge_core.configuration_schema import SECTION_KINDS
 from knapweedbridge_core.duplicates import find_duplicates
 from knapweedbridge_core.errors import NameFormatError
 from knapweedbridge_core.faults import Fault
 from knapweedbridge_core.names import AdapterVersion, is_name, parse_adapter_version
 from knapweedbridge_core.parts import Parts, Sections
-from knapweedbridge_core.policy import PLACEMENT_SECTION, PlacementPolicy
-from knapweedbridge_core.schema import (
-    Address,
-    Choice,
-    Digest,
-    Flag,
-    Key,
-    Name,
-    Number,
-    Section,
-    Text,
-)
-
-__all__ = ["Configuration", "Sections", "build"]
+from knapweedbridge_core.policy import PlacementPolicy
+from knapweedbridge_core.schema import Name
+
+__all__ = [
+    "Adapter",
+    "Application",
+    "Configuration",
+    "EndpointEntry",
+    "KeyEntry",
+    "SECTION_KINDS",
+    "Sections",
+    "Service",
+    "Team",
+    "add_sections",
+    "build",
+    "build_order",
+    "build_parts",
+]
 
 _PATH_ALLOWED = "a path that begins with /, does not end with / and is not under /v1"
 
-SECTION_KINDS: dict[str, Section] = {
-    "team": Section(
-        "A team that owns adapters and routes.",
-        {
-            "share": Key(Number(0, 1000), "1", "Weight of the team under overload."),
-            "requests_per_s": Key(Number(0, 1e6), "0", "Limit; 0: none."),
-        },
-    ),
-    "key": Section(
-        "A key that callers or operators show.",
-        {
-            "team": Key(Name(), None, "Team the key belongs to."),
-            "role": Key(
-                Choice("caller", "operator", "administrator"),
-                "caller",
-                "What it opens: the callers' face; also its team's configuration; all.",
-            ),
-            "requests_per_s": Key(Number(0, 1e6), "0", "Limit of the key; 0: none."),
-            "concurrent": Key(
-                Number(0, 1e6, True), "0", "Requests of the key at a time; 0: any."
-            ),
-            "hash": Key(Digest(), None, "SHA-256 of the key, in hexadecimal."),
-        },
-    ),
-    "adapter": Section(
-        "An adapter of a base model.",
-        {
-            "team": Key(Name(), None, "Team that owns the adapter."),
-            "base_model": Key(Name(), None, "Base model it refines."),
-        },
-    ),
-    "version": Section(
-        "A version of an adapter, titled adapter@version.",
-        {"weights": Key(Text(), "", "Name in the weight store; empty: the title.")},
-    ),
-    "application": Section(
-        "A route from an application to an adapter version.",
-        {
-            "team": Key(Name(), None, "Team that owns the route."),
-            "model": Key(Text(), None, "adapter@version the application runs on."),
-            "priority": Key(
-                Choice("interactive", "normal", "batch"), "normal", "Order of service."
-            ),
-            "non_idempotent": Key(Flag(), "no", "Whether a request may run only once."),
-        },
-    ),
-    "service": Section(
-        "A plain service, reached by its path.",
-        {
-            "path": Key(Text(), None, "Path prefix that callers use."),
-            "non_idempotent": Key(Flag(), "no", "Whether a call may run only once."),
-            "team": Key(Name(), None, "Team that owns the service."),
-        },
-    ),
-    "endpoint": Section(
-        "A model engine or an instance of a plain service.",
-        {
-            "kind": Key(Choice("engine", "service"), "engine", "What stands there."),
-            "address": Key(Address(), None, "Where it listens."),
-            "data_centre": Key(Name(), None, "Data centre it stands in."),
-            "base_model": Key(Text(), "", "Base model of an engine."),
-            "service": Key(Text(), "", "Service that a plain endpoint serves."),
-            "slots": Key(Number(1, 4096, True), "8", "Adapter slots of an engine."),
-            "batch": Key(Number(1, 4096, True), "16", "Requests of one engine step."),
-            "checks_fencing": Key(Flag(), "no", "Whether it refuses old orders."),
-        },
-    ),
-    "weight_store": Section(
-        "The limits of the weight store.",
-        {"loads_per_s": Key(Number(0.001, 1e4), "3", "Loads allowed a second.")},
-    ),
-    "placement": PLACEMENT_SECTION,
-}
-
-
-@dataclass(slots=True, frozen=True)
-class Adapter:
-    """An adapter and the team that owns it."""
-
-    name: str
-    team: str
-    base_model: str
-
-
-@dataclass(slots=True, frozen=True)
-class Application:
-    """A route from an application to an adapter version."""
-
-    name: str
-    team: str
-    model: AdapterVersion
-    priority: str
-    non_idempotent: bool
-
-
-@dataclass(slots=True, frozen=True)
-class Service:
-    """A plain service reached by path."""
-
-    name: str
-    team: str
-    path: str
-    non_idempotent: bool
-
-
-@dataclass(slots=True, frozen=True)
-class EndpointEntry:
-    """What the configuration says of an endpoint."""
-
-    name: str
-    kind: str
-    address: str
-    data_centre: str
-    base_model: str
-    service: str
-    slots: int
-    batch: int
-    checks_fencing: bool
-
-
-@dataclass(slots=True, frozen=True)
-class KeyEntry:
-    """What a key may do."""
-
-    name: str
-    team: str
-    role: str
-    hash: str
-    requests_per_s: float = 0.0
-    concurrent: int = 0
-
-
-@dataclass(slots=True, frozen=True)
-class Team:
-    """A team's share and limit."""
-
-    name: str
-    share: float
-    requests_per_s: float
-
 
 @dataclass(slots=True)
 class Configuration:
@@ -242,7 +115,6 @@
 
 _ORDER = {kind: place for place, kind in enumerate(SECTION_KINDS)}
 
-
 # Thousands of adapters name the same few teams and models: one string each.
 _SHARED_NAMES = ("team", "base_model", "data_centre", "service", "kind")
 
--- a/packages/core/src/knapweedbridge_core/owners.py
+++ b/packages/core/src/knapweedbridge_core/owners.py
@@ -5,107 +5,25 @@
 lease stands cannot lose an endpoint unless it hands it over.
 """
 
-from dataclasses import dataclass
-from enum import Enum
-
-import msgpack
-
 from knapweedbridge_core.actions import Action, Record, StoreRead, StoreWrite
 from knapweedbridge_core.computed_owners import ComputedOwners
 from knapweedbridge_core.configuration import EndpointEntry
 from knapweedbridge_core.events import StoreReplied
 from knapweedbridge_core.leases import LIFE_KEY, DaemonLease, incarnation_in
 from knapweedbridge_core.members import Members
+from knapweedbridge_core.owner_claims import (
+    HELD_STAGES,
+    Change,
+    Claimed,
+    HandedOver,
+    Lost,
+    OwnerClaim,
+    Stage,
+)
+from knapweedbridge_core.owner_records import ANY_INCARNATION, OWNER_KEY, OwnerRecord
 from knapweedbridge_core.times import CALL_LIMIT_S, RETRY_S
 
-OWNER_KEY = "knapweedbridge/owner/"
-ANY_INCARNATION = 0
-
-
-class Stage(Enum):
-    """How far a claim or a hand-over is."""
-
-    IDLE = "idle"
-    READING = "reading"
-    READING_LIFE = "reading life"
-    CLAIMING = "claiming"
-    READING_BACK = "reading back"
-    OWNING = "owning"
-    HANDING = "handing over"
-    HANDING_BACK = "reading back a hand-over"
-
-
-HELD_STAGES = frozenset({Stage.OWNING, Stage.HANDING, Stage.HANDING_BACK})
-
-
-@dataclass(slots=True, frozen=True)
-class OwnerRecord:
-    """What the service keeps of an endpoint's owner."""
-
-    owner: str
-    incarnation: int
-    number: int
-
-    def pack(self) -> bytes:
-        """Encode it."""
-        fields = {"owner": self.owner, "incarnation": self.incarnation}
-        return msgpack.packb({**fields, "number": self.number})
-
-    @staticmethod
-    def unpack(value: bytes) -> "OwnerRecord":
-        """Decode one."""
-        fields = msgpack.unpackb(value)
-        incarnation = fields.get("incarnation", ANY_INCARNATION)
-        return OwnerRecord(fields["owner"], incarnation, fields["number"])
-
-
-@dataclass(slots=True, frozen=True)
-class Claimed:
-    """A claim of this daemon took effect.
-
-    Parameters
-    ----------
-    clean : bool
-        Whether no order of an earlier owner can be under way.
-    """
-
-    endpoint: str
-    number: int
-    clean: bool
-
-
-@dataclass(slots=True, frozen=True)
-class Lost:
-    """An endpoint that this daemon owned has another owner."""
-
-    endpoint: str
-
-
-@dataclass(slots=True, frozen=True)
-class HandedOver:
-    """The record names the successor."""
-
-    endpoint: str
-    successor: str
-    number: int
-
-
-Change = Claimed | Lost | HandedOver
-
-
-@dataclass(slots=True)
-class _Claim:
-    stage: Stage = Stage.IDLE
-    number: int = 0
-    since_s: float = -RETRY_S
-    epoch: int = 0
-    asked_epoch: int = 0
-    revision: int = 0
-    clean: bool = False
-    found: OwnerRecord | None = None
-    life_revision: int = 0
-    successor: str = ""
-    written: StoreWrite | None = None
+__all__ = ["Change", "Claimed", "HandedOver", "Lost", "Owners", "Stage"]
 
 
 class Owners:
@@ -130,7 +48,7 @@
         self._incarnation = incarnation
         self._computed = ComputedOwners(members)
         self._lease = lease
-        self._claims: dict[str, _Claim] = {}
+        self._claims: dict[str, OwnerClaim] = {}
         self._takers = {
             "owner-read": self._read,
             "owner-life": self._read_life,
@@ -171,7 +89,7 @@
             return []
         actions: list[Action] = []
         for entry in endpoints:
-            claim = self._claims.setdefault(entry.name, _Claim())
+            claim = self._claims.setdefault(entry.name, OwnerClaim())
             if claim.stage in HELD_STAGES:
                 actions += self._check(entry.name, claim, now_s)
             elif claim.stage is Stage.READING_BACK and self._is_due(claim, now_s):
@@ -184,12 +102,12 @@
         return actions
 
     @staticmethod
-    def _is_due(claim: _Claim, now_s: float) -> bool:
+    def _is_due(claim: OwnerClaim, now_s: float) -> bool:
         settled = claim.stage in (Stage.IDLE, Stage.READING_BACK)
         pause_s = RETRY_S if settled else CALL_LIMIT_S
         return now_s - claim.since_s >= pause_s
 
-    def _check(self, endpoint: str, claim: _Claim, now_s: float) -> list[Action]:
+    def _check(self, endpoint: str, claim: OwnerClaim, now_s: float) -> list[Action]:
         # After a lapse another daemon may have claimed; the record, read after this
         # daemon's life key stands again, says whether one has, and then none can.
         if now_s - claim.since_s < RETRY_S:
@@ -212,10 +130,10 @@
 
     def accept(self, endpoint: str, number: int) -> bool:
         """Take an endpoint from its owner's hands; False where it is outdated."""
-        claim = self._claims.setdefault(endpoint, _Claim())
+        claim = self._claims.setdefault(endpoint, OwnerClaim())
         if claim.number >= number:
             return False
-        self._claims[endpoint] = _Claim(Stage.OWNING, number, epoch=-1)
+        self._claims[endpoint] = OwnerClaim(Stage.OWNING, number, epoch=-1)
         return True
 
     def superseded(self, endpoint: str, number: int) -> list[Change]:
@@ -224,7 +142,7 @@
         if claim is None or claim.number >= number:
             return []
         held = claim.stage in HELD_STAGES
-        self._claims[endpoint] = _Claim(number=number)
+        self._claims[endpoint] = OwnerClaim(number=number)
         return [Lost(endpoint)] if held else []
 
     def replied(
@@ -245,7 +163,7 @@
         return found, revision
 
     def _read(
-        self, endpoint: str, claim: _Claim, reply: StoreReplied, now_s: float
+        self, endpoint: str, claim: OwnerClaim, reply: StoreReplied, now_s: float
     ) -> tuple[list[Action], list[Change]]:
         if claim.stage is not Stage.READING:
             return [], []
@@ -264,7 +182,7 @@
         return [StoreRead(f"owner-life:{endpoint}", (key,))], []
 
     def _read_life(
-        self, endpoint: str, claim: _Claim, reply: StoreReplied, now_s: float
+        self, endpoint: str, claim: OwnerClaim, reply: StoreReplied, now_s: float
     ) -> tuple[list[Action], list[Change]]:
         if claim.stage is not Stage.READING_LIFE or claim.found is None:
             return [], []
@@ -282,7 +200,7 @@
         return found.incarnation in (ANY_INCARNATION, incarnation_in(life))
 
     def _write_claim(
-        self, endpoint: str, claim: _Claim, lives: dict[str, int], now_s: float
+        self, endpoint: str, claim: OwnerClaim, lives: dict[str, int], now_s: float
     ) -> Action:
         assert claim.found is not None
         claim.stage, claim.since_s = Stage.CLAIMING, now_s
@@ -297,30 +215,27 @@
         return claim.written
 
     def _claimed(
-        self, endpoint: str, claim: _Claim, reply: StoreReplied, now_s: float
+        self, endpoint: str, claim: OwnerClaim, reply: StoreReplied, now_s: float
     ) -> tuple[list[Action], list[Change]]:
         if claim.stage is not Stage.CLAIMING:
             return [], []
-        if not reply.known:
-            claim.stage, claim.since_s = Stage.READING_BACK, now_s
-            return [self._ask_back(endpoint)], []
-        if not reply.applied:
+        if not reply.known or not reply.applied:
             claim.stage, claim.since_s = Stage.READING_BACK, now_s
             return [self._ask_back(endpoint)], []
         return self._won(endpoint, claim)
 
-    def _won(self, endpoint: str, claim: _Claim) -> tuple[list[Action], list[Change]]:
+    def _won(
+        self, endpoint: str, claim: OwnerClaim
+    ) -> tuple[list[Action], list[Change]]:
         claim.stage, claim.epoch = Stage.OWNING, claim.asked_epoch
         fields = {"endpoint": endpoint, "number": claim.number}
         change = Claimed(endpoint, claim.number, claim.clean)
         return [Record("owner.claimed", fields)], [change]
 
     def _read_back(
-        self, endpoint: str, claim: _Claim, reply: StoreReplied, now_s: float
+        self, endpoint: str, claim: OwnerClaim, reply: StoreReplied, now_s: float
     ) -> tuple[list[Action], list[Change]]:
-        if claim.stage is not Stage.READING_BACK:
-            return [], []
-        if not reply.known:
+        if claim.stage is not Stage.READING_BACK or not reply.known:
             return [], []
         found, revision = self._record_in(reply, endpoint)
         if found == OwnerRecord(self._host, self._incarnation, claim.number):
@@ -338,7 +253,7 @@
         return StoreRead(f"owner-back:{endpoint}", (OWNER_KEY + endpoint,))
 
     def _verified(
-        self, endpoint: str, claim: _Claim, reply: StoreReplied, now_s: float
+        self, endpoint: str, claim: OwnerClaim, reply: StoreReplied, now_s: float
     ) -> tuple[list[Action], list[Change]]:
         if claim.stage not in HELD_STAGES or not reply.known:
             return [], []
@@ -351,7 +266,7 @@
         return [], self.superseded(endpoint, max(found.number, claim.number + 1))
 
     def _hand_read(
-        self, endpoint: str, claim: _Claim, reply: StoreReplied, now_s: float
+        self, endpoint: str, claim: OwnerClaim, reply: StoreReplied, now_s: float
     ) -> tuple[list[Action], list[Change]]:
         if claim.stage is not Stage.HANDING:
             return [], []
@@ -365,14 +280,14 @@
         return [self._write_successor(endpoint, claim, revision)], []
 
     @staticmethod
-    def _write_successor(endpoint: str, claim: _Claim, revision: int) -> Action:
+    def _write_successor(endpoint: str, claim: OwnerClaim, revision: int) -> Action:
         key = OWNER_KEY + endpoint
         record = OwnerRecord(claim.successor, ANY_INCARNATION, claim.number + 1)
         puts = {key: record.pack()}
         return StoreWrite(f"owner-hand:{endpoint}", {key: revision}, puts)
 
     def _handed(
-        self, endpoint: str, claim: _Claim, reply: StoreReplied, now_s: float
+        self, endpoint: str, claim: OwnerClaim, reply: StoreReplied, now_s: float
     ) -> tuple[list[Action], list[Change]]:
         if claim.stage is not Stage.HANDING:
             return [], []
@@ -386,11 +301,9 @@
         return StoreRead(f"owner-hand-back:{endpoint}", (OWNER_KEY + endpoint,))
 
     def _handed_back(
-        self, endpoint: str, claim: _Claim, reply: StoreReplied, now_s: float
+        self, endpoint: str, claim: OwnerClaim, reply: StoreReplied, now_s: float
     ) -> tuple[list[Action], list[Change]]:
-        if claim.stage is not Stage.HANDING_BACK:
-            return [], []
-        if not reply.known:
+        if claim.stage is not Stage.HANDING_BACK or not reply.known:
             return [], []
         found, revision = self._record_in(reply, endpoint)
         if (found.owner, found.number) == (claim.successor, claim.number + 1):
@@ -401,10 +314,12 @@
             return [self._write_successor(endpoint, claim, revision)], []
         return [], self.superseded(endpoint, max(found.number, claim.number + 1))
 
-    def _gave(self, endpoint: str, claim: _Claim) -> tuple[list[Action], list[Change]]:
+    def _gave(
+        self, endpoint: str, claim: OwnerClaim
+    ) -> tuple[list[Action], list[Change]]:
         number = claim.number + 1
         successor = claim.successor
-        self._claims[endpoint] = _Claim(number=number)
+        self._claims[endpoint] = OwnerClaim(number=number)
         fields = {"endpoint": endpoint, "successor": successor, "number": number}
         change = HandedOver(endpoint, successor, number)
         return [Record("owner.handed_over", fields)], [change]
