Survey the slots of a pool apart from the order of loads

LoadOrder kept both the queue of loads and which slots may be taken. SlotSurvey now keeps the pins, the fresh loads, the moving window and the worths of one moment; Pool has a module of its own. The optional parameters of LoadOrder are explained. Behaviour unchanged: lint and the features of owners, attempts, placement and path pass (178).

--- a/packages/core/src/knapweedbridge_core/loads.py
+++ b/packages/core/src/knapweedbridge_core/loads.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from knapweedbridge_core.configuration import EndpointEntry
 from knapweedbridge_core.copies import SATURATES_AT, BeforeSaturation, Copies, OneCopy
 from knapweedbridge_core.eviction import Eviction, LeastExpected
 from knapweedbridge_core.forecast import (
@@ -17,6 +16,7 @@
 from knapweedbridge_core.messages import LoadPlaced, SlotWanted
 from knapweedbridge_core.names import AdapterVersion
 from knapweedbridge_core.policy import PlacementPolicy
+from knapweedbridge_core.pool import Pool
 from knapweedbridge_core.queueing import (
     Asker,
     LoadPriority,
@@ -26,6 +26,7 @@
 )
 from knapweedbridge_core.rate import LoadRate
 from knapweedbridge_core.retrying import FailedLoads
+from knapweedbridge_core.slot_survey import SlotSurvey
 from knapweedbridge_core.slots import (
     SLACK_PER_S,
     SlotChoice,
@@ -34,12 +35,11 @@
 )
 from knapweedbridge_core.view import View
 
+__all__ = ["LoadOrder", "Pool", "Refusal"]
+
 LOAD_TIMEOUT_S = 5.0
 LOAD_PACE = 0.1
 SLOW_LOADS = 4.0
-PIN_GUESS_S = 0.5
-FRESH_S = 0.5
-MOST_SLOTS_WEIGHED = 256
 MOST_TRIED = 32
 EXPECTED_EVERY_S = 2.0
 MOST_EXPECTED = 256
@@ -59,42 +59,6 @@
 }
 
 
-@dataclass(slots=True)
-class Pool:
-    """What a decision reads of the pool.
-
-    Parameters
-    ----------
-    engines : list of EndpointEntry
-        Model engines that are not leaving.
-    view : View
-        What they hold, as their owners tell.
-    base_model_of : callable
-        Names the base model of an adapter version, or None if it is gone.
-    loads_per_s : float
-        Loads a second that this order may start.
-    """
-
-    engines: list[EndpointEntry]
-    view: View
-    base_model_of: Callable[[AdapterVersion], str | None]
-    loads_per_s: float
-
-    def holders(self, model: AdapterVersion) -> list[str]:
-        """Name the engines of the pool that hold an adapter version.
-
-        The view may still show what an engine holds that is leaving.
-        """
-        names = self.view.holders(model)
-        if not names:
-            return names
-        return [entry.name for entry in self.engines if entry.name in names]
-
-    def copies(self, model: AdapterVersion) -> int:
-        """Count the engines of the pool that hold an adapter version."""
-        return len(self.holders(model))
-
-
 @dataclass(slots=True, frozen=True)
 class Refusal:
     """Waiters that are told at once that their load comes too late.
@@ -133,8 +97,10 @@
     ----------
     host : str
         The daemon that keeps this order.
-    policy : PlacementPolicy
+    policy : PlacementPolicy, optional
         The decisions in force.
+    forecast, eviction, slot_choice : optional
+        Decisions to take in place of the policy's, as one that was kept before.
     """
 
     def __init__(
@@ -149,31 +115,26 @@
         self._host = host
         self._policy = policy
         self.forecast = forecast or FORECASTS[policy.forecast]()
-        self._eviction = eviction or LeastExpected(self.forecast)
         self._slot_choice = slot_choice or make_slot_choice(policy.weigh)
         self._copies: Copies = BeforeSaturation() if policy.copies else OneCopy()
+        self._slots = SlotSurvey(eviction or LeastExpected(self.forecast), self._copies)
         self._queue = LoadQueue(ORDERS[policy.order]())
         self._rate = LoadRate()
         self._failed = FailedLoads()
         self._under_way: dict[AdapterVersion, _UnderWay] = {}
-        self._pinned_until_s: dict[tuple[str, AdapterVersion | None], float] = {}
-        self._fresh_until_s: dict[AdapterVersion, float] = {}
         self._expected: list[AdapterVersion] = []
         self._expected_s = -math.inf
         self._kept_house_s = -math.inf
         self._gathered_s = -math.inf
         self._load_s = 0.0
         self._slot_asked_s = -math.inf
-        self._window = 0
-        self._worths: dict[tuple[AdapterVersion, int], float] = {}
-        self._worths_s = -math.inf
 
     def __len__(self) -> int:
         return len(self._queue)
 
     def used(self, model: AdapterVersion, requests: float, now_s: float) -> None:
         """Note requests for an adapter, loaded or not."""
-        self._worths_s = -math.inf
+        self._slots.demand_changed()
         self.forecast.used(model, requests, now_s)
 
     def wanted(
@@ -220,7 +181,7 @@
             self._load_s += pace * (took_s - self._load_s)
         self._failed.succeeded(model)
         self._queue.remove(model)
-        self._fresh_until_s[model] = now_s + FRESH_S
+        self._slots.loaded(model, now_s)
 
     def next_slot(self, pool: Pool, now_s: float) -> SlotWanted | None:
         """Return the slot to empty while a load runs, for the load after it.
@@ -231,7 +192,7 @@
         load = next(iter(self._under_way.items()), None)
         if load is None or now_s < self._slot_asked_s + 1 / pool.loads_per_s:
             return None
-        options = list(self._options(load[0], pool, now_s))
+        options = self._options(load[0], pool, now_s)
         if any(option.victim is None for option in options):
             return None
         chosen = self._slot_choice.choose(load[0], options)
@@ -244,7 +205,7 @@
         self, endpoint: str, victim: AdapterVersion, now_s: float
     ) -> None:
         """Note that a slot is pinned, so that another one is asked for."""
-        self._pinned_until_s[endpoint, victim] = now_s + PIN_GUESS_S
+        self._slots.pinned(endpoint, victim, now_s)
         self._slot_asked_s = -math.inf
 
     def declined(self, model: AdapterVersion, loads_per_s: float, now_s: float) -> None:
@@ -255,7 +216,7 @@
         self._rate.returned(loads_per_s)
         # The view learns only at the owner's next word why it declined: till
         # then the next choice must not be the same slot again.
-        self._pinned_until_s[load.endpoint, load.victim] = now_s + PIN_GUESS_S
+        self._slots.pinned(load.endpoint, load.victim, now_s)
 
     def failed(self, model: AdapterVersion, endpoint: str, now_s: float) -> None:
         """Note that a load was started and failed."""
@@ -299,7 +260,7 @@
             return None
         self._gathered_s = now_s
         by_base_model: dict[str, list[FullEngine]] = {}
-        for entry in self._weighed(pool):
+        for entry in self._slots.engines(pool):
             state = pool.view.endpoints.get(entry.name)
             if state is not None and len(state.loaded) >= entry.slots:
                 held = [self._held(entry.name, m, pool, now_s) for m in state.loaded]
@@ -317,9 +278,9 @@
         return HeldAdapter(
             model,
             self.forecast.rate_per_s(model, now_s),
-            self._worth(model, pool.view, now_s),
+            self._slots.worth(model, pool.view, now_s),
             pool.view.copies(model),
-            self._is_pinned(endpoint, model, now_s),
+            self._slots.is_pinned(endpoint, model, now_s),
         )
 
     def _may_start(self, pool: Pool, now_s: float) -> bool:
@@ -402,13 +363,12 @@
                 # Its owner died with the order: the waiters still ask, and
                 # another endpoint takes the load.
                 del self._under_way[model]
-        self._pinned_until_s = _still(self._pinned_until_s, now_s)
-        self._fresh_until_s = _still(self._fresh_until_s, now_s)
+        self._slots.forget_old(now_s)
 
     def _place(
         self, model: AdapterVersion, pool: Pool, now_s: float
     ) -> LoadPlaced | None:
-        options = list(self._options(model, pool, now_s))
+        options = self._options(model, pool, now_s)
         avoid = self._failed.avoid(model)
         elsewhere = [option for option in options if option.endpoint not in avoid]
         chosen = self._slot_choice.choose(model, elsewhere or options)
@@ -418,58 +378,6 @@
 
     def _options(
         self, model: AdapterVersion, pool: Pool, now_s: float
-    ) -> Iterator[SlotOption]:
-        base_model = pool.base_model_of(model)
+    ) -> list[SlotOption]:
         busy = {load.endpoint for load in self._under_way.values()}
-        for entry in self._weighed(pool):
-            state = pool.view.endpoints.get(entry.name)
-            if state is None or entry.base_model != base_model or entry.name in busy:
-                continue
-            if model in state.loaded:
-                continue
-            if len(state.loaded) < entry.slots:
-                if not self._is_pinned(entry.name, None, now_s):
-                    yield SlotOption(entry.name, None, -1.0, state.running, entry.batch)
-                continue
-            for held in state.loaded:
-                if self._is_pinned(entry.name, held, now_s):
-                    continue
-                worth = self._worth(held, pool.view, now_s)
-                yield SlotOption(entry.name, held, worth, state.running, entry.batch)
-
-    def _weighed(self, pool: Pool) -> Iterator[EndpointEntry]:
-        # At the size of one pool this sees every slot; in a larger one the
-        # window moves on, so that a decision costs the same.
-        slots = 0
-        count = len(pool.engines)
-        for step in range(count):
-            entry = pool.engines[(self._window + step) % count]
-            slots += entry.slots
-            yield entry
-            if slots >= MOST_SLOTS_WEIGHED:
-                self._window = (self._window + step + 1) % count
-                return
-
-    def _is_pinned(
-        self, endpoint: str, held: AdapterVersion | None, now_s: float
-    ) -> bool:
-        if self._pinned_until_s.get((endpoint, held), now_s) > now_s:
-            return True
-        return held is not None and self._fresh_until_s.get(held, now_s) > now_s
-
-    def _worth(self, held: AdapterVersion, view: View, now_s: float) -> float:
-        # A pinned victim is declined within a round trip and the next one chosen:
-        # the worths of one moment are kept.
-        if now_s != self._worths_s:
-            self._worths.clear()
-            self._worths_s = now_s
-        spare = max(0, view.copies(held) - self._copies.needed(held))
-        worth = self._worths.get((held, spare))
-        if worth is None:
-            worth = self._eviction.worth(held, 1 + spare, now_s)
-            self._worths[held, spare] = worth
-        return worth
-
-
-def _still(until_s: dict, now_s: float) -> dict:
-    return {key: at_s for key, at_s in until_s.items() if at_s > now_s}
+        return list(self._slots.options(model, pool, busy, now_s))
