Let operators rule which requests may never be repeated

A request marked non-idempotent that shows no idempotency key ran without a claim, also with the key-value service down, and only a whole service or application could be marked. [rule NAME] now tells by team, service, application, methods and path which requests may run only once, and without_key says what becomes of one without a key. run, the default, keeps what was.

Ruled out: a flag that says whether the service was up a moment ago (old just when it matters; a claim of the request's own name asks the service itself); joining matching rules key by key (one rule decides, the most specific).

Two rows of checks.feature and folder.feature name the kinds that are allowed: they now hold rule also, and are as strict as before.

--- a/examples/generate.py
+++ b/examples/generate.py
@@ -29,6 +29,7 @@
     team: str
     path: str
     non_idempotent: bool
+    without_key: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -65,7 +66,7 @@
         Application("counter", "stores", "interactive"),
     ),
     (
-        Service("orders", "stores", "/orders", True),
+        Service("orders", "stores", "/orders", True, "refuse_when_store_down"),
         Service("stock", "stores", "/stock", False),
     ),
 )
@@ -85,7 +86,7 @@
         Application("pilotage", "billing", "batch"),
     ),
     (
-        Service("receipts", "billing", "/receipts", True),
+        Service("receipts", "billing", "/receipts", True, "refuse"),
         Service("invoices", "billing", "/invoices", False),
     ),
 )
@@ -135,6 +136,11 @@
             f"[service {service.name}]\nteam = {service.team}\n"
             f"path = {service.path}\nnon_idempotent = {flag}\n"
         )
+        if service.without_key:
+            yield (
+                f"[rule {service.name}]\nteam = {service.team}\n"
+                f"service = {service.name}\nwithout_key = {service.without_key}\n"
+            )
 
 
 def endpoints(shape: Shape) -> Iterator[str]:
--- a/features/attempts/steps/claim_steps.py
+++ b/features/attempts/steps/claim_steps.py
@@ -147,7 +147,7 @@
         for peer in list(self.cores):
             self.tell(peer, events.PeerUnlinked(host))
 
-    def ask(self, request_id, host, key="k", body="b"):
+    def ask(self, request_id, host, key="k", body="b", **fields):
         self.keys[request_id] = key
         request = events.Request(
             request_id=request_id,
@@ -160,6 +160,7 @@
             idempotency_key=key,
             deadline_s=self.now_s + 30,
             fingerprint=body,
+            **fields,
         )
         self.tell(host, events.RequestArrived(request))
 
--- a/features/faces/callers.feature
+++ b/features/faces/callers.feature
@@ -28,6 +28,14 @@
       | POST   | /orders/17           | none    | too large                     | 413    | body_too_large     |
       | POST   | /v1/completions      | none    | too large, in chunks          | 413    | body_too_large     |
 
+    Examples: rules that require a key
+      | method | path                 | headers                  | body                   | status | code         |
+      | POST   | /orders/signed/17    | none                     | nothing                | 400    | key_required |
+      | POST   | /orders/x/../signed  | none                     | nothing                | 400    | key_required |
+      | POST   | /orders//signed/17   | none                     | nothing                | 400    | key_required |
+      | POST   | /orders/%73igned/17  | none                     | nothing                | 400    | key_required |
+      | POST   | /v1/completions      | none                     | {"model": "receipts"}  | 400    | key_required |
+
     Examples: paths and methods
       | method | path                 | headers | body    | status | code               |
       | GET    | /nowhere             | none    | nothing | 404    | unknown_path       |
--- a/features/faces/environment.py
+++ b/features/faces/environment.py
@@ -37,6 +37,16 @@
 address = {IP}:{BASE_PORT + 90}
 data_centre = dc1
 
+[rule signed]
+team = optics
+service = orders
+path = /signed
+without_key = refuse
+
+[rule told]
+application = receipts
+without_key = refuse
+
 [service returns]
 team = optics
 path = /orders/returns
--- a/features/operators/checks.feature
+++ b/features/operators/checks.feature
@@ -55,7 +55,7 @@
 
     Examples:
       | lines                                                                                    | fault |
-      | [DEFAULT];role = administrator                                                           | 20.ini: [DEFAULT]: unknown kind; allowed: team, key, adapter, version, application, service, endpoint, weight_store, placement |
+      | [DEFAULT];role = administrator                                                           | 20.ini: [DEFAULT]: unknown kind; allowed: team, key, adapter, version, application, service, rule, endpoint, weight_store, placement |
       | [endpoint draft-1];address = 127.0.0.1:1;data_centre = dc1;base_model = namib-7b         | 20.ini: [endpoint draft-1] address: '127.0.0.1:1' stands in [endpoint draft-0] already |
       | [service orders-2];team = optics;path = /orders                                          | 20.ini: [service orders-2] path: '/orders' stands in [service orders] already |
       | [service models];team = optics;path = /v1/models                                         | 20.ini: [service models] path: '/v1/models': allowed: a path that begins with /, does not end with / and is not under /v1 |
--- a/features/operators/teams.feature
+++ b/features/operators/teams.feature
@@ -73,6 +73,9 @@
       | [adapter mine];base_model = namib-7b;team = optics             | folder.ini: [adapter mine]: an operator of dues may change only what dues owns |
       | [key root];team = dues;role = administrator;hash = bbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbbb | folder.ini: [key root] role: allowed to an operator: caller, operator |
       | [application theirs];team = dues;model = refill-0@1            | folder.ini: [application theirs] model: this adapter does not belong to dues |
+      | [rule all];without_key = refuse                                | folder.ini: [rule all] without_key: an operator of dues may change only what dues owns |
+      | [rule theirs];team = optics;service = orders                   | folder.ini: [rule theirs]: an operator of dues may change only what dues owns |
+      | [rule theirs];team = dues;service = orders;non_idempotent = no | folder.ini: [rule theirs] service: this service does not belong to dues |
 
   Scenario: An operator sees its own team's sections only
     When the operator of "dues" runs "adapters --json"
--- a/features/path/folder.feature
+++ b/features/path/folder.feature
@@ -29,5 +29,5 @@
       | section     | line           | fault                                                               |
       | team billing | share = many  | 20.ini: [team billing] share: 'many': allowed: a number from 0 to 1000 |
       | team billing | shares = 1    | 20.ini: [team billing] shares: unknown key; allowed: share, requests_per_s |
-      | tame billing | share = 1     | 20.ini: [tame billing]: unknown kind; allowed: team, key, adapter, version, application, service, endpoint, weight_store, placement |
+      | tame billing | share = 1     | 20.ini: [tame billing]: unknown kind; allowed: team, key, adapter, version, application, service, rule, endpoint, weight_store, placement |
       | service dues | path = dues   | 20.ini: [service dues] team: missing; allowed: a name of letters, digits, '.', '_' and '-' |
--- a/packages/core/src/knapweedbridge_core/changes.py
+++ b/packages/core/src/knapweedbridge_core/changes.py
@@ -22,6 +22,7 @@
     "version": "versions",
     "application": "applications",
     "service": "services",
+    "rule": "rules",
     "endpoint": "endpoints",
 }
 
--- a/packages/core/src/knapweedbridge_core/claims.py
+++ b/packages/core/src/knapweedbridge_core/claims.py
@@ -15,6 +15,7 @@
     Recorded,
     Unknown,
 )
+from knapweedbridge_core.rules import WithoutKey
 
 CLAIM_KEY = "knapweedbridge/claim/"
 REPEAT_AFTER_S = 1.0
@@ -75,15 +76,32 @@
     )
 
 
+def may_be_repeated(request: Request) -> bool:
+    """Tell whether a repeat of a request that runs only once can be known."""
+    return request.non_idempotent and bool(request.idempotency_key)
+
+
 def needs_claim(request: Request) -> bool:
     """Tell whether a request may be dispatched only under a claim."""
-    return request.non_idempotent and bool(request.idempotency_key)
+    if not request.non_idempotent:
+        return False
+    checks_store = request.without_key == WithoutKey.REFUSE_WHEN_STORE_DOWN
+    return may_be_repeated(request) or checks_store
+
+
+def lacks_key(request: Request) -> bool:
+    """Tell whether a request is refused because it shows no key."""
+    refused = request.without_key == WithoutKey.REFUSE
+    return request.non_idempotent and refused and not request.idempotency_key
 
 
 def claim_key(request: Request) -> str:
     """Return the stored key of (team, caller, idempotency key)."""
-    named = "\0".join((request.team, request.caller, request.idempotency_key))
-    return CLAIM_KEY + hashlib.sha256(named.encode()).hexdigest()
+    parts = [request.team, request.caller, request.idempotency_key]
+    if not request.idempotency_key:
+        # Nothing can repeat it: its claim only shows that the store takes claims.
+        parts.append(request.request_id)
+    return CLAIM_KEY + hashlib.sha256("\0".join(parts).encode()).hexdigest()
 
 
 def ended_state(outcome: FinalOutcome) -> ClaimState:
--- a/packages/core/src/knapweedbridge_core/configuration.py
+++ b/packages/core/src/knapweedbridge_core/configuration.py
@@ -1,5 +1,6 @@
 """The configuration in force: adapters, versions, routes, rules, endpoints, keys."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from sys import intern
 from typing import Any
@@ -19,6 +20,7 @@
 from knapweedbridge_core.names import AdapterVersion, is_name, parse_adapter_version
 from knapweedbridge_core.parts import Parts, Sections
 from knapweedbridge_core.policy import PlacementPolicy
+from knapweedbridge_core.rules import Rule, WithoutKey, equal_fault, rule_faults
 from knapweedbridge_core.schema import Name
 
 __all__ = [
@@ -57,6 +59,7 @@
     versions: dict[AdapterVersion, str] = field(default_factory=dict)
     applications: dict[str, Application] = field(default_factory=dict)
     services: dict[str, Service] = field(default_factory=dict)
+    rules: dict[str, Rule] = field(default_factory=dict)
     endpoints: dict[str, EndpointEntry] = field(default_factory=dict)
     loads_per_s: float = 3.0
     placement: PlacementPolicy = field(default_factory=PlacementPolicy)
@@ -143,7 +146,7 @@
         if key in values:
             values[key] = intern(values[key])
     team = values.get("team")
-    if team is not None and team not in into.teams:
+    if (team or kind != "rule") and team is not None and team not in into.teams:
         return [Fault("", title, "team", _missing(f"team {team}"))]
     return _ADDERS[kind](into, title, name, values)
 
@@ -205,6 +208,41 @@
     return []
 
 
+def _add_rule(
+    into: Configuration, title: str, name: str, values: dict[str, Any]
+) -> list[Fault]:
+    faults = rule_faults(title, values)
+    faults += _target_faults(title, "service", values, into.services)
+    faults += _target_faults(title, "application", values, into.applications)
+    if faults:
+        return faults
+    values["without_key"] = WithoutKey(values["without_key"])
+    if values["non_idempotent"] == "":
+        values["non_idempotent"] = None
+    rule = Rule(name, **values)
+    faults = equal_fault(title, rule, into.rules.values())
+    if not faults:
+        into.rules[name] = rule
+    return faults
+
+
+def _target_faults(
+    title: str,
+    key: str,
+    values: dict[str, Any],
+    targets: Mapping[str, Service | Application],
+) -> list[Fault]:
+    name, team = values[key], values["team"]
+    if not name:
+        return []
+    if name not in targets:
+        return [Fault("", title, key, _missing(f"{key} {name}"))]
+    if team and targets[name].team != team:
+        # A team could else loosen what another team's requests may do.
+        return [Fault("", title, key, f"this {key} does not belong to {team}")]
+    return []
+
+
 def _add_endpoint(
     into: Configuration, title: str, name: str, values: dict[str, Any]
 ) -> list[Fault]:
@@ -224,5 +262,6 @@
     "version": _add_version,
     "application": _add_application,
     "service": _add_service,
+    "rule": _add_rule,
     "endpoint": _add_endpoint,
 }
--- a/packages/core/src/knapweedbridge_core/configuration_schema.py
+++ b/packages/core/src/knapweedbridge_core/configuration_schema.py
@@ -1,12 +1,14 @@
 """The sections that a configuration may have, with their keys."""
 
 from knapweedbridge_core.policy import PLACEMENT_SECTION
+from knapweedbridge_core.rules import WithoutKey
 from knapweedbridge_core.schema import (
     Address,
     Choice,
     Digest,
     Flag,
     Key,
+    Methods,
     Name,
     Number,
     Section,
@@ -67,6 +69,28 @@
             "team": Key(Name(), None, "Team that owns the service."),
         },
     ),
+    "rule": Section(
+        "A rule about requests that may never be repeated. The most specific wins: "
+        "one that names a service or application, then the longer path, then one "
+        "that names methods, then one that names a team.",
+        {
+            "team": Key(
+                Text(), "", "Team that owns the rule; empty: all, administrators' only."
+            ),
+            "service": Key(Text(), "", "Service it is about; empty: all."),
+            "application": Key(Text(), "", "Application it is about; empty: all."),
+            "methods": Key(Methods(), "", "Methods; empty: all but GET and HEAD."),
+            "path": Key(Text(), "", "Path prefix within the service; empty: all."),
+            "non_idempotent": Key(
+                Flag(), "", "Whether a request may run only once; empty: as elsewhere."
+            ),
+            "without_key": Key(
+                Choice(*WithoutKey),
+                WithoutKey.RUN,
+                "Of a non-idempotent request without an idempotency key.",
+            ),
+        },
+    ),
     "endpoint": Section(
         "A model engine or an instance of a plain service.",
         {
--- a/packages/core/src/knapweedbridge_core/events.py
+++ b/packages/core/src/knapweedbridge_core/events.py
@@ -7,6 +7,7 @@
 from knapweedbridge_core.names import AdapterVersion
 from knapweedbridge_core.outcomes import Outcome
 from knapweedbridge_core.parts import Parts, Root
+from knapweedbridge_core.rules import WithoutKey
 
 
 @dataclass(slots=True, frozen=True)
@@ -46,6 +47,8 @@
         Hash of caller, model and body.
     streamed : bool
         Whether the caller asked for a stream of events.
+    without_key : WithoutKey
+        What the rules say of it should it be non-idempotent and without a key.
     """
 
     request_id: str
@@ -59,6 +62,7 @@
     deadline_s: float
     fingerprint: str
     streamed: bool = False
+    without_key: WithoutKey = WithoutKey.RUN
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/core/src/knapweedbridge_core/outcomes.py
+++ b/packages/core/src/knapweedbridge_core/outcomes.py
@@ -28,6 +28,7 @@
     REPEATED = "repeated"
     ALREADY_RUN = "already_run"
     KEY_REUSED = "key_reused"
+    KEY_REQUIRED = "key_required"
     FIRST_UNKNOWN = "first_unknown"
     ENDPOINT_FAILED = "endpoint_failed"
     SILENT = "silent"
--- a/packages/core/src/knapweedbridge_core/request_side.py
+++ b/packages/core/src/knapweedbridge_core/request_side.py
@@ -5,7 +5,7 @@
 from knapweedbridge_core.admission_gate import AdmissionGate
 from knapweedbridge_core.blame import Verdict
 from knapweedbridge_core.claimant_side import ClaimantSide
-from knapweedbridge_core.claims import needs_claim
+from knapweedbridge_core.claims import lacks_key, needs_claim
 from knapweedbridge_core.context import Context, Handler, Side
 from knapweedbridge_core.grant_returns import GrantReturns
 from knapweedbridge_core.outcomes import (
@@ -73,6 +73,9 @@
             outcome = NotRun(Reason.DRAINING, RETRY_AFTER_S)
             self._finish(request.request_id, outcome)
             return
+        if lacks_key(request):
+            self._finish(request.request_id, NotRun(Reason.KEY_REQUIRED))
+            return
         refusal = self._gate.arrived(request, self._running())
         if refusal is not None:
             self._finish(request.request_id, refusal)
--- a/packages/core/src/knapweedbridge_core/schema.py
+++ b/packages/core/src/knapweedbridge_core/schema.py
@@ -60,6 +60,20 @@
         return names
 
 
+class Methods(Names):
+    """A comma-separated list of HTTP methods."""
+
+    words = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+    allowed = "separated by commas, of " + ", ".join(words)
+
+    def read(self, text: str) -> tuple[str, ...]:
+        """Return the methods in their order."""
+        methods = super().read(text)
+        if not set(methods) <= set(self.words):
+            raise ValueError(text)
+        return methods
+
+
 class Flag(Kind):
     """Yes or no."""
 
--- a/packages/core/src/knapweedbridge_core/teams.py
+++ b/packages/core/src/knapweedbridge_core/teams.py
@@ -1,14 +1,15 @@
 """Which sections a team's operator sees and may change.
 
-A team owns its adapters with their versions, its applications, its services
-and its keys. All else, among it every administrator's key, is administrators'.
+A team owns its adapters with their versions, its applications, its services,
+its rules and its keys. All else, among it every administrator's key, is
+administrators'.
 """
 
 from knapweedbridge_core.configuration import Sections
 from knapweedbridge_core.differences import compare
 from knapweedbridge_core.faults import Fault
 
-TEAM_KINDS = frozenset({"adapter", "application", "service", "key"})
+TEAM_KINDS = frozenset({"adapter", "application", "service", "rule", "key"})
 OPERATOR_ROLES = frozenset({"caller", "operator"})
 
 
--- a/packages/daemon/src/knapweedbridge_daemon/answers.py
+++ b/packages/daemon/src/knapweedbridge_daemon/answers.py
@@ -16,6 +16,7 @@
     Reason.REPEATED: 409,
     Reason.ALREADY_RUN: 409,
     Reason.KEY_REUSED: 422,
+    Reason.KEY_REQUIRED: 400,
     Reason.FIRST_UNKNOWN: 409,
     Reason.LIMIT: 429,
     Reason.BLAMED: 422,
--- a/packages/daemon/src/knapweedbridge_daemon/callers.py
+++ b/packages/daemon/src/knapweedbridge_daemon/callers.py
@@ -13,6 +13,7 @@
 from knapweedbridge_core.configuration import KeyEntry
 from knapweedbridge_core.names import AdapterVersion
 from knapweedbridge_core.outcomes import NotRun, Reason, Unknown
+from knapweedbridge_core.rules import Ruling
 from knapweedbridge_daemon.answers import RefusedError, send_error, send_json
 from knapweedbridge_daemon.caller_bodies import read_body, read_model_body
 from knapweedbridge_daemon.caller_headers import (
@@ -137,8 +138,7 @@
             return _describe_model(body, asked, catalogue, key), body
         service = catalogue.service(path)
         body = await read_body(request, self._bounds.max_body_bytes)
-        reading = request.method in READING_METHODS
-        non_idempotent = service.non_idempotent and not reading
+        ruling = catalogue.judge_call(service, request.method, path)
         called = f"{request.method} {raw_target(request.scope)}"
         wanted = _request(
             body,
@@ -146,7 +146,7 @@
             key,
             service=service.name,
             called=called,
-            non_idempotent=non_idempotent,
+            ruling=ruling,
         )
         return wanted, body
 
@@ -189,7 +189,7 @@
         key,
         model=target.model,
         priority=application.priority if application else "normal",
-        non_idempotent=bool(application and application.non_idempotent),
+        ruling=catalogue.judge_model(target),
         streamed=fields.streamed,
     )
 
@@ -199,11 +199,11 @@
     asked: Asked,
     key: KeyEntry,
     *,
+    ruling: Ruling,
     model: AdapterVersion | None = None,
     service: str = "",
     called: str = "",
     priority: str = "normal",
-    non_idempotent: bool = False,
     streamed: bool = False,
 ) -> events.Request:
     seen = f"{key.name}\0{model}\0{service}\0{called}\0".encode() + body
@@ -214,11 +214,12 @@
         model=model,
         service=service,
         priority=asked.priority or priority,
-        non_idempotent=non_idempotent or asked.non_idempotent,
+        non_idempotent=ruling.non_idempotent or asked.non_idempotent,
         idempotency_key=asked.idempotency_key,
         deadline_s=time.monotonic() + asked.within_s,
         fingerprint=hashlib.blake2b(seen, digest_size=16).hexdigest(),
         streamed=streamed,
+        without_key=ruling.without_key,
     )
 
 
--- a/packages/daemon/src/knapweedbridge_daemon/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/calls.py
@@ -12,7 +12,7 @@
 
 from knapweedbridge_core import events
 from knapweedbridge_core.actions import Dispatch, Finish, Resume
-from knapweedbridge_core.claims import MAX_ANSWER_BYTES, needs_claim
+from knapweedbridge_core.claims import MAX_ANSWER_BYTES, may_be_repeated
 from knapweedbridge_core.outcomes import (
     Complete,
     FinalOutcome,
@@ -103,7 +103,7 @@
             message = await self._http.receive()
             if message["type"] != "http.disconnect":
                 continue
-            if needs_claim(self._wanted):
+            if may_be_repeated(self._wanted):
                 # The repeat asks how it ended: it is carried to its end.
                 self._send = _discard
             else:
@@ -242,7 +242,7 @@
         return Complete(1, self._to_record(response, body))
 
     def _to_record(self, response: EndpointResponse, body: bytes) -> Recorded | None:
-        if not needs_claim(self._wanted) or len(body) > MAX_ANSWER_BYTES:
+        if not may_be_repeated(self._wanted) or len(body) > MAX_ANSWER_BYTES:
             return None
         kind = response.headers.get("content-type", "")
         return Recorded(response.status, kind, body)
--- a/packages/daemon/src/knapweedbridge_daemon/catalogue.py
+++ b/packages/daemon/src/knapweedbridge_daemon/catalogue.py
@@ -11,6 +11,7 @@
 from knapweedbridge_core.errors import NameFormatError
 from knapweedbridge_core.names import AdapterVersion, parse_adapter_version
 from knapweedbridge_core.outcomes import Reason
+from knapweedbridge_core.rules import Ruling, Subject, judge
 from knapweedbridge_daemon.answers import RefusedError
 
 
@@ -50,6 +51,28 @@
         self._configuration = configuration
         self._key = key
 
+    def judge_model(self, target: Target) -> Ruling:
+        """Return what the operators' rules say of a request of a model."""
+        application = target.application
+        subject = Subject(
+            application.team if application else self._team(target.model),
+            "POST",
+            application=application.name if application else "",
+            non_idempotent=bool(application and application.non_idempotent),
+        )
+        return judge(self._configuration.rules.values(), subject)
+
+    def judge_call(self, service: Service, method: str, path: str) -> Ruling:
+        """Return what the operators' rules say of a call of a plain service."""
+        subject = Subject(
+            service.team,
+            method,
+            service=service.name,
+            path=path.removeprefix(service.path),
+            non_idempotent=service.non_idempotent,
+        )
+        return judge(self._configuration.rules.values(), subject)
+
     def _sees(self, team: str) -> bool:
         return team == self._key.team or self._key.role == "administrator"
 
