Tell peers of the configuration in a module of its own

ConfigurationSide both fetched a newer configuration and gave its own to peers that are behind. ConfigurationGiver does the second and keeps the changes for it. Finding.ANSWERED, which nothing set or read, is gone. Behaviour unchanged: lint and the features of owners, attempts, placement, path and members pass (237).

--- a/packages/core/src/knapweedbridge_core/configuration_side.py
+++ b/packages/core/src/knapweedbridge_core/configuration_side.py
@@ -5,31 +5,27 @@
 changes, or for the parts where the changes kept do not reach back far enough.
 """
 
-from collections import deque
 from dataclasses import dataclass, field
 
 from knapweedbridge_core import events, messages, rendezvous
 from knapweedbridge_core.changes import change
 from knapweedbridge_core.configuration import Configuration, build_parts
+from knapweedbridge_core.configuration_giver import (
+    PARTS_A_MESSAGE,
+    SECTIONS_A_STEP,
+    ConfigurationGiver,
+    root_of,
+)
 from knapweedbridge_core.context import Context, Handler, Side
 from knapweedbridge_core.errors import ContentError
-from knapweedbridge_core.parts import PARTS, Changes, Parts, Root, part_of, verify
+from knapweedbridge_core.parts import PARTS, Changes, Parts, Root, verify
 
 WATCHERS = 2
-KEPT_STEPS = 32
-SECTIONS_A_STEP = 500
-PARTS_A_MESSAGE = 4
 FETCH_TIMEOUT_S = 1.0
 SERVICE_AFTER_S = 3.0
 SAFETY_READ_S = 60.0
 
 
-@dataclass(slots=True, frozen=True)
-class _Step:
-    base_token: str
-    changes: Changes
-
-
 @dataclass(slots=True)
 class _Fetch:
     peer: str
@@ -45,7 +41,7 @@
 
     def __init__(self, context: Context) -> None:
         super().__init__(context)
-        self._steps: deque[_Step] = deque(maxlen=KEPT_STEPS)
+        self._giver = ConfigurationGiver(context)
         self._fetch: _Fetch | None = None
         self._behind_since_s: float | None = None
         self._read_s: float | None = None
@@ -64,18 +60,17 @@
             events.PartsRead: self._parts_read,
             events.RootSeen: self._root_seen,
             messages.Heartbeat: self._heartbeat,
-            messages.ConfigurationAsk: self._ask,
+            messages.ConfigurationAsk: self._giver.give_changes,
             messages.ConfigurationChanged: self._changed,
             messages.ConfigurationRoot: self._root,
-            messages.PartsAsk: self._parts_ask,
+            messages.PartsAsk: self._giver.give_parts,
             messages.PartTold: self._part_told,
         }
 
     @property
     def held(self) -> Root:
         """Root of the configuration in force."""
-        held = self._context.configuration
-        return Root(held.generation, held.token, held.parts.digests)
+        return root_of(self._context.configuration)
 
     @property
     def highest_known(self) -> int:
@@ -186,37 +181,6 @@
         elif root.generation == held.generation and root.token != held.token:
             self._context.record("configuration.service_differs", **fields)
 
-    def _ask(self, message: messages.ConfigurationAsk) -> None:
-        held = self.held
-        if held.generation <= message.generation:
-            return
-        changes = self._changes_since(message.token)
-        if changes is None:
-            self._tell_root()
-            return
-        digests = {place: held.digests[place] for place in map(part_of, changes)}
-        told = messages.ConfigurationChanged(
-            message.token, held.generation, held.token, digests, changes
-        )
-        self._context.send(self._context.sender, told)
-
-    def _changes_since(self, token: str) -> Changes | None:
-        steps = list(self._steps)
-        tokens = [step.base_token for step in steps]
-        if not token or token not in tokens:
-            return None
-        changes: Changes = {}
-        for step in steps[tokens.index(token) :]:
-            changes.update(step.changes)
-        return changes if len(changes) <= SECTIONS_A_STEP else None
-
-    def _tell_root(self) -> None:
-        held = self.held
-        told = messages.ConfigurationRoot(
-            held.generation, held.token, list(held.digests)
-        )
-        self._context.send(self._context.sender, told)
-
     def _changed(self, message: messages.ConfigurationChanged) -> None:
         held = self._context.configuration
         newer = message.generation > held.generation
@@ -234,7 +198,7 @@
         configuration = change(
             held, message.generation, message.token, parts, message.sections
         )
-        self._keep_step(held, message.sections)
+        self._giver.keep_step(held.token, message.sections)
         self._put_in_force(configuration, self._context.sender)
 
     def _root(self, message: messages.ConfigurationRoot) -> None:
@@ -269,15 +233,6 @@
         parts = self._context.configuration.parts.replaced(fetch.contents)
         self._take_parts(fetch.root, parts, fetch.peer)
 
-    def _parts_ask(self, message: messages.PartsAsk) -> None:
-        held = self._context.configuration
-        if message.token != held.token:
-            self._tell_root()
-            return
-        for place in message.places[:PARTS_A_MESSAGE]:
-            told = messages.PartTold(held.token, place, held.parts.content(place))
-            self._context.send(self._context.sender, told)
-
     def _part_told(self, message: messages.PartTold) -> None:
         fetch = self._fetch
         if fetch is None or message.token != fetch.root.token:
@@ -303,10 +258,10 @@
         changes = self._small_changes(held, parts)
         if changes is None:
             configuration, _ = build_parts(root.generation, root.token, parts)
-            self._steps.clear()
+            self._giver.forget_steps()
         else:
             configuration = change(held, root.generation, root.token, parts, changes)
-            self._keep_step(held, changes)
+            self._giver.keep_step(held.token, changes)
         self._put_in_force(configuration, source)
 
     @staticmethod
@@ -316,9 +271,6 @@
         changes = parts.changes_from(held.parts)
         return changes if len(changes) <= SECTIONS_A_STEP else None
 
-    def _keep_step(self, held: Configuration, changes: Changes) -> None:
-        self._steps.append(_Step(held.token, changes))
-
     def _put_in_force(self, configuration: Configuration, source: str) -> None:
         generation = configuration.generation
         self._context.configuration = configuration
--- a/packages/core/src/knapweedbridge_core/heartbeats.py
+++ b/packages/core/src/knapweedbridge_core/heartbeats.py
@@ -19,7 +19,6 @@
     """What became of a suspicion."""
 
     OPEN = "open"
-    ANSWERED = "answered"
     DEAD = "dead"
     ISOLATED = "isolated"
 
