Name a private authority by --ca, and say why a certificate is not trusted

The command already took --ca-file and KNAPWEEDBRIDGE_CA_FILE; --ca and KNAPWEEDBRIDGE_CA are now the documented names, the old ones still work. A certificate that does not verify ended in the library's bare text, which told neither what it was checked against nor what to do: the reason is now taken from the wrapped error. The exit code stays 5, as no daemon was asked.

--- a/packages/cli/src/knapweedbridge_cli/administration.py
+++ b/packages/cli/src/knapweedbridge_cli/administration.py
@@ -86,7 +86,7 @@
                 response = client.request(method, path, json=body, params=wanted)
             except (httpx.ConnectError, httpx.ConnectTimeout) as error:
                 # Nothing was sent, so the next one may be asked the same.
-                unreached.append(f"{url}: {error or type(error).__name__}")
+                unreached.append(f"{url}: {self._why(error)}")
                 continue
             except (httpx.HTTPError, httpx.InvalidURL) as error:
                 what = str(error) or type(error).__name__
@@ -94,6 +94,26 @@
             return _read(url, response)
         raise CommandError("\n".join(unreached), ExitCode.UNREACHABLE)
 
+    def _why(self, error: BaseException) -> str:
+        mistrust = _mistrust(error)
+        if mistrust is None:
+            return str(error) or type(error).__name__
+        against = self.ca_file or "the system's authorities"
+        hint = "" if self.ca_file else "; name the authority's file with --ca"
+        return (
+            f"its certificate does not verify against {against}: "
+            f"{mistrust.verify_message}{hint}"
+        )
+
+
+def _mistrust(error: BaseException | None) -> ssl.SSLCertVerificationError | None:
+    # The HTTP client wraps it twice.
+    while error is not None:
+        if isinstance(error, ssl.SSLCertVerificationError):
+            return error
+        error = error.__cause__ or error.__context__
+    return None
+
 
 def _read(url: str, response: httpx.Response) -> Any:
     try:
--- a/packages/cli/src/knapweedbridge_cli/options.py
+++ b/packages/cli/src/knapweedbridge_cli/options.py
@@ -34,9 +34,11 @@
     ca_file: Annotated[
         str,
         cappa.Arg(
-            long=True,
-            default=cappa.Env("KNAPWEEDBRIDGE_CA_FILE", default=""),
-            help="PEM file that certificates are checked against.",
+            long=["--ca", "--ca-file"],
+            default=cappa.Env(
+                "KNAPWEEDBRIDGE_CA", "KNAPWEEDBRIDGE_CA_FILE", default=""
+            ),
+            help="PEM file of the authorities that certificates are checked against.",
         ),
     ] = field(default="")
 
