Let an administrator order an endpoint to leave

The core knew the order and told it to the peers, but nothing sent it: an operator had to wait for the platform's list. Endpoints are no team's, so only an administrator may.

On three daemons, with the order given on host-0, four requests through host-1 all ran on the other engine, for each of the two engines in turn.

--- a/features/operators/api.feature
+++ b/features/operators/api.feature
@@ -26,6 +26,9 @@
       | POST   | /v1/rollback                     | {"generation": 900000}                  | 404    | not_found       | 900000 is not kept         |
       | POST   | /v1/drain                        | {}                                      | 400    | bad_request     | host: the name             |
       | POST   | /v1/drain                        | {"host": "host-9"}                      | 404    | not_found       | this is host-0             |
+      | POST   | /v1/endpoints/draft-9/drain      | none                                    | 404    | not_found       | no endpoint draft-9        |
+      | DELETE | /v1/endpoints/draft-9/drain      | none                                    | 404    | not_found       | no endpoint draft-9        |
+      | POST   | /v1/endpoints/draft-0/drain?a=1  | none                                    | 400    | bad_request     | unknown parameter          |
       | GET    | /v1/adapters?limit=-1            | none                                    | 400    | bad_request     | limit: '-1'                |
       | GET    | /v1/adapters?limit=5000          | none                                    | 400    | bad_request     | from 0 to 1000             |
       | GET    | /v1/adapters?loaded=maybe        | none                                    | 400    | bad_request     | one of yes, no             |
--- a/features/operators/commands.feature
+++ b/features/operators/commands.feature
@@ -158,6 +158,10 @@
     Examples:
       | who               | command                                      | code | message                      |
       | the administrator | drain host-9                                 | 7    | no host host-9; there are: host-0, host-1, host-2 |
+      | the administrator | drain --endpoint draft-9                     | 7    | no endpoint draft-9 |
+      | the administrator | drain                                        | 64   | name either a host or --endpoint NAME |
+      | the administrator | drain host-1 --endpoint draft-0              | 64   | name either a host or --endpoint NAME |
+      | the administrator | drain host-1 --undo                          | 64   | --undo: of an endpoint only |
       | the caller        | status                                       | 4    | key counter is a caller's, not an operator's |
       | the administrator | status --url http://127.0.0.1:1              | 5    | http://127.0.0.1:1: [Errno 111] Connection refused |
       | the administrator | status --url http://{key-value service}          | 5    | no administration API answers there |
@@ -186,6 +190,32 @@
       | timeline    |
       | version     |
 
+  Scenario: An endpoint ordered to leave on one host gets nothing through another
+    When the administrator runs "drain --endpoint draft-0"
+    Then it ends with 0 and prints
+      """
+      draft-0 is ordered to leave
+      """
+    And host 1 soon shows "draft-0" as leaving
+    And 4 requests through host 1 all run on "draft-1"
+    And the time line of host 0 holds "endpoint.ordered" with
+      | field    | value      |
+      | key      | operations |
+      | team     | optics     |
+      | endpoint | draft-0    |
+      | leaving  | True       |
+    When the administrator runs "drain --endpoint draft-0 --undo --json"
+    Then it ends with 0 and prints
+      """
+      "ordered_to_leave": false
+      """
+    And host 1 soon shows "draft-0" as serving
+    When the administrator runs "drain --endpoint draft-1"
+    Then host 1 soon shows "draft-1" as leaving
+    And 4 requests through host 1 all run on "draft-0"
+    When the administrator runs "drain --endpoint draft-1 --undo"
+    Then host 1 soon shows "draft-1" as serving
+
   Scenario: A host is drained from afar
     When the administrator runs "drain host-2"
     Then it ends with 0 and prints
--- a/features/operators/teams.feature
+++ b/features/operators/teams.feature
@@ -96,6 +96,11 @@
       """
       this needs an administrator's
       """
+    When the operator of "dues" runs "drain --endpoint draft-0"
+    Then it ends with 4 and complains
+      """
+      this needs an administrator's
+      """
 
   Scenario: An operator cannot shut an administrator out
     A team's operator leaves the administrator's key out of its folder, because
--- a/packages/cli/src/knapweedbridge_cli/fleet_commands.py
+++ b/packages/cli/src/knapweedbridge_cli/fleet_commands.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from importlib.metadata import version
 from typing import Annotated, Any
+from urllib.parse import quote
 
 import cappa
 
@@ -139,13 +140,14 @@
 
     @staticmethod
     def _lines(found: dict[str, Any]) -> list[str]:
-        names = "endpoint,kind,serves,data centre,owner,fence,running,loaded"
+        names = "endpoint,kind,serves,data centre,state,owner,fence,running,loaded"
         rows = [
             (
                 name,
                 endpoint["kind"],
                 endpoint["serves"],
                 endpoint["data_centre"],
+                "leaving" if endpoint["leaving"] else "serving",
                 endpoint["owner"] or "-",
                 endpoint["number"] or "-",
                 endpoint["running"],
@@ -165,17 +167,46 @@
 @cappa.command(name="drain")
 @dataclass
 class Drain:
-    """End a host's daemon gracefully: it takes nothing new and cuts nothing.
+    """Take a host or an endpoint out of work: nothing new is taken, nothing is cut.
+
+    The daemon of a drained host ends. An endpoint gets no new work until --undo.
 
     Example: knapweedbridge drain host-3
+
+    Example: knapweedbridge drain --endpoint draft-0
     """
 
-    host: str
     daemon: Annotated[Daemon, cappa.Arg(destructure=True)]
-    as_json: Json = field(default=False)
+    host: Annotated[str, cappa.Arg(help="Host whose daemon is to end.")] = ""
+    endpoint: Annotated[
+        str, cappa.Arg(long=True, help="Endpoint that is to get no new work.")
+    ] = ""
+    undo: Annotated[
+        bool, cappa.Arg(long=True, help="Take back the order for the endpoint.")
+    ] = False
+    as_json: Json = False
 
     def run(self) -> None:
-        """Find the host and ask its own daemon to drain."""
+        """Drain the host or the endpoint."""
+        if bool(self.host) == bool(self.endpoint):
+            message = "name either a host or --endpoint NAME"
+            raise CommandError(message, ExitCode.USAGE)
+        if self.undo and self.host:
+            message = "--undo: of an endpoint only; start the host's daemon again"
+            raise CommandError(message, ExitCode.USAGE)
+        if self.endpoint:
+            self._order_endpoint()
+        else:
+            self._drain_host()
+
+    def _order_endpoint(self) -> None:
+        path = f"/v1/endpoints/{quote(self.endpoint, safe='')}/drain"
+        with self.daemon.open() as client:
+            found = client.call("DELETE" if self.undo else "POST", path)
+        order = "is no longer ordered" if self.undo else "is ordered"
+        show(found, [f"{self.endpoint} {order} to leave"], self.as_json)
+
+    def _drain_host(self) -> None:
         with self.daemon.open() as client:
             hosts = {host.name: host for host in ask_hosts(client)}
             wanted = hosts.get(self.host)
--- a/packages/core/src/knapweedbridge_core/bridge.py
+++ b/packages/core/src/knapweedbridge_core/bridge.py
@@ -14,6 +14,7 @@
 from knapweedbridge_core.estate import Estate
 from knapweedbridge_core.grant_side import GrantSide
 from knapweedbridge_core.holder_side import HolderSide
+from knapweedbridge_core.leaving import Leaving
 from knapweedbridge_core.leaving_side import LeavingSide
 from knapweedbridge_core.ledger import Ledger
 from knapweedbridge_core.load_side import LoadSide
@@ -114,6 +115,11 @@
         """The daemons as this one sees them."""
         return self._context.members
 
+    @property
+    def leaving(self) -> Leaving:
+        """The endpoints that take no new work."""
+        return self._context.leaving
+
     @property
     def view(self) -> View:
         """The endpoints as their owners tell of them."""
--- a/packages/daemon/src/knapweedbridge_daemon/administration.py
+++ b/packages/daemon/src/knapweedbridge_daemon/administration.py
@@ -40,6 +40,8 @@
 DEFAULT_EVENTS = 1000
 MAX_WALL_US = 1 << 62
 
+ENDPOINT_DRAIN = "/v1/endpoints/{name}/drain"
+
 Drain = Callable[[], Awaitable[None]]
 Answer = Callable[[Request, Caller], Awaitable[Any]]
 
@@ -84,6 +86,8 @@
             self._route("/v1/status", self._status),
             self._route("/v1/adapters", self._adapters),
             self._route("/v1/endpoints", self._endpoints),
+            self._route(ENDPOINT_DRAIN, self._drain_endpoint, "POST"),
+            self._route(ENDPOINT_DRAIN, self._undrain_endpoint, "DELETE"),
             self._route("/v1/timeline", self._timeline),
             self._route("/v1/drain", self._start_drain, "POST"),
         ]
@@ -198,6 +202,31 @@
         check_query(request.query_params, ())
         return inventory.endpoints(self._driver.bridge, caller)
 
+    async def _drain_endpoint(self, request: Request, caller: Caller) -> Any:
+        return await self._order_endpoint(request, caller, leaving=True)
+
+    async def _undrain_endpoint(self, request: Request, caller: Caller) -> Any:
+        return await self._order_endpoint(request, caller, leaving=False)
+
+    async def _order_endpoint(
+        self, request: Request, caller: Caller, leaving: bool
+    ) -> Any:
+        check_query(request.query_params, ())
+        require_administrator(caller)
+        name = request.path_params["name"]
+        if name not in self._driver.bridge.configuration.endpoints:
+            message = f"no endpoint {name} in the configuration in force"
+            raise ApiError(ErrorCode.NOT_FOUND, message)
+        self._driver.record(
+            "endpoint.ordered",
+            key=caller.name,
+            team=caller.team,
+            endpoint=name,
+            leaving=leaving,
+        )
+        await self._driver.submit(events.EndpointDrained(name, leaving))
+        return {"endpoint": name, "ordered_to_leave": leaving}
+
     async def _timeline(self, request: Request, caller: Caller) -> Any:
         query = request.query_params
         allowed = ("request", "adapter", "endpoint", "since_us", "until_us", "limit")
--- a/packages/daemon/src/knapweedbridge_daemon/inventory.py
+++ b/packages/daemon/src/knapweedbridge_daemon/inventory.py
@@ -134,6 +134,7 @@
             "address": entry.address,
             "data_centre": entry.data_centre,
             "serves": entry.base_model or entry.service,
+            "leaving": name in bridge.leaving,
             **_slots(bridge, entry, caller),
         }
         for name, entry in sorted(bridge.configuration.endpoints.items())
--- a/packages/daemon/src/knapweedbridge_daemon/logs.py
+++ b/packages/daemon/src/knapweedbridge_daemon/logs.py
@@ -52,6 +52,7 @@
     "daemon.stopped": Level.INFO,
     "drain.asked": Level.INFO,
     "endpoint.leaves": Level.INFO,
+    "endpoint.ordered": Level.INFO,
     "endpoint.stays": Level.INFO,
     "holder.dead": Level.ERROR,
     "lease.begun": Level.INFO,
