Return a late grant of a request that waits for its adapter

Cause: a request that gave up its question keeps the attempt's id until it asks again. While no endpoint holds its adapter it asks nobody, so a late grant was taken for that attempt's, found too old, and forgotten without a return; the owner kept the slot pinned. Ruled out: the first return, which may be dropped with its stream. The new scenario failed before (no return sent) and passes.

--- a/features/attempts/outcomes.feature
+++ b/features/attempts/outcomes.feature
@@ -72,6 +72,19 @@
     And the grant of the first attempt comes late
     Then the grant of "r1.1" went back to "host-1"
 
+  Scenario: A grant that comes late goes back though the adapter is held nowhere
+    A slot stays pinned for ever, and its adapter is never evicted. The owner's
+    answer came after the question was given up, the first return was dropped
+    with its stream, and the request waited for its adapter under the old
+    attempt's id: the late grant was taken for that attempt's and not returned.
+
+    Given a daemon core whose peer owns two engines
+    When a streamed request asks for a grant
+    And its adapter is held nowhere any more
+    And 1.5 seconds pass for the core
+    And the grant of the first attempt comes late
+    Then the grant of "r1.1" went back to "host-1"
+
   Scenario: A grant goes back to the owner that gave it
     The endpoint changes its owner while the answer streams. Returned to the
     new owner alone, the grant of the old one would never be returned; and the
--- a/features/attempts/steps/core_steps.py
+++ b/features/attempts/steps/core_steps.py
@@ -168,6 +168,13 @@
     context.core.hear(owner, context.core.given(ask))
 
 
+@when("its adapter is held nowhere any more")
+def held_nowhere(context):
+    for name in ENGINES:
+        emptied = messages.SlotsChanged(name, "host-1", 1, [], 0)
+        context.core.hear("host-1", emptied)
+
+
 @when('"{owner}" takes over the engines')
 def take_over(context, owner):
     context.core.owned_by(owner, 2)
--- a/packages/core/src/knapweedbridge_core/request_side.py
+++ b/packages/core/src/knapweedbridge_core/request_side.py
@@ -269,7 +269,9 @@
         live = self.live.get(attempt_id.rpartition(".")[0])
         if live is None or live.attempt_id != attempt_id or live.dispatched:
             return None
-        return live
+        # Without an endpoint the attempt was given up, and keeps its id until the
+        # next begins: an answer to it is a late one.
+        return live if live.endpoint else None
 
     def _attempt_ended(self, event: events.AttemptEnded) -> None:
         live = self.live.get(event.request_id)
