--- a/bench/mutants_configuration.py
+++ b/bench/mutants_configuration.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from knapweedbridge_core import configuration_side
+from knapweedbridge_core.configuration_giver import ConfigurationGiver
 from knapweedbridge_core.configuration_side import ConfigurationSide
 from knapweedbridge_daemon import configurations
 from knapweedbridge_standins import configuration_history
@@ -49,6 +50,7 @@
     (configurations, "verify", _unverified),
 ]
 NO_BASE = (" or message.base_token != held.token", "")
+GIVER = ConfigurationGiver
 LAST_DELTA = ("steps[tokens.index(token) :]", "steps[-1:]")
 NO_RESULT = ("if any(parts.digests", "if False and any(parts.digests")
 
@@ -79,12 +81,12 @@
         rewritten(SIDE, "_changed", NO_BASE, NO_RESULT)
     ],
     "only the last delta sent, and the result not compared": [
-        rewritten(SIDE, "_changes_since", LAST_DELTA),
+        rewritten(GIVER, "_changes_since", LAST_DELTA),
         rewritten(SIDE, "_changed", NO_RESULT),
     ],
     "only the last delta sent": [
         rewritten(
-            SIDE, "_changes_since", ("steps[tokens.index(token) :]", "steps[-1:]")
+            GIVER, "_changes_since", ("steps[tokens.index(token) :]", "steps[-1:]")
         )
     ],
 }
