Refresh what endpoints hold by a digest, and let a peer that differs ask

A change is told whole as before. The refresh, and a running count that moved, is now one SlotsKept a peer for all endpoints of the owner: name, number, digest of 32 bits, running. A peer whose view differs sends SlotsAsk and is told the whole. A link that opens brings the refresh forward.

features/owners/refresh.feature loses a change on purpose. With the ask taken out its four rows fail (the view still differs after the refresh). An earlier eviction row passed without the ask: the adapter was loaded again within 1 s and that change repaired the view, so the load is now slow.

Ruled out: a revision in place of the digest, which would change SlotsChanged. A digest that collides (1 in 2^32 a lost change) is repaired at the next change.

--- a/packages/core/src/knapweedbridge_core/messages.py
+++ b/packages/core/src/knapweedbridge_core/messages.py
@@ -59,7 +59,9 @@
     GrantsHeld,
     HandOver,
     OwnerRose,
+    SlotsAsk,
     SlotsChanged,
+    SlotsKept,
 )
 
 __all__ = [
@@ -103,7 +105,9 @@
     "SilenceTold",
     "SlotDeclined",
     "SlotWanted",
+    "SlotsAsk",
     "SlotsChanged",
+    "SlotsKept",
     "UsesTold",
     "decode",
     "encode",
