--- a/packages/core/src/knapweedbridge_core/estate.py
+++ b/packages/core/src/knapweedbridge_core/estate.py
@@ -1,13 +1,10 @@
 """The endpoints that this daemon owns, shared by the owner's sides."""
 
-from math import inf
-
 from knapweedbridge_core.context import Context
 from knapweedbridge_core.leases import DaemonLease
-from knapweedbridge_core.messages import SlotsChanged, SlotsKept
+from knapweedbridge_core.messages import SlotsChanged
 from knapweedbridge_core.names import AdapterVersion
 from knapweedbridge_core.owners import Owners
-from knapweedbridge_core.slots_digest import slots_digest
 from knapweedbridge_core.tenure import Tenure
 from knapweedbridge_core.times import CONTACT_S, SILENT_S
 
@@ -113,52 +110,15 @@
 
     def publish(self, tenure: Tenure) -> None:
         """Tell the peers what an endpoint holds."""
-        if not self._may_tell(tenure):
+        settled = self._context.now_s >= tenure.takeover.settled_s
+        if not tenure.ready or not (settled or tenure.checks_fencing):
             return
         loaded, running = self.grantable(tenure), tenure.ledger.running
-        if loaded != tenure.published:
-            tenure.digest = slots_digest(loaded)
         tenure.published, tenure.published_running = loaded, running
         tenure.published_s = self._context.now_s
-        message = self._slots(tenure)
-        for peer in self._context.members.peers():
-            self._context.send(peer.name, message)
-        self._context.receive(self._context.host, message)
-
-    def refresh(self, tenures: list[Tenure]) -> None:
-        """Tell the peers shortly what endpoints hold, so that they ask if unlike.
-
-        A peer that lost a change sees another digest and asks for the whole.
-        """
-        tenures = [tenure for tenure in tenures if self._may_tell(tenure)]
-        if not tenures:
-            return
-        for tenure in tenures:
-            tenure.published_running = tenure.ledger.running
-        message = SlotsKept(
-            [tenure.endpoint for tenure in tenures],
-            [tenure.number for tenure in tenures],
-            [tenure.digest for tenure in tenures],
-            [tenure.published_running for tenure in tenures],
+        message = SlotsChanged(
+            tenure.endpoint, self._context.host, tenure.number, loaded, running
         )
         for peer in self._context.members.peers():
             self._context.send(peer.name, message)
         self._context.receive(self._context.host, message)
-
-    def tell_slots(self, tenure: Tenure, host: str) -> None:
-        """Tell one peer the whole of what was published last."""
-        if self._may_tell(tenure) and tenure.published_s > -inf:
-            self._context.send(host, self._slots(tenure))
-
-    def _may_tell(self, tenure: Tenure) -> bool:
-        settled = self._context.now_s >= tenure.takeover.settled_s
-        return tenure.ready and (settled or tenure.checks_fencing)
-
-    def _slots(self, tenure: Tenure) -> SlotsChanged:
-        return SlotsChanged(
-            tenure.endpoint,
-            self._context.host,
-            tenure.number,
-            tenure.published,
-            tenure.published_running,
-        )
--- a/packages/core/src/knapweedbridge_core/holder_side.py
+++ b/packages/core/src/knapweedbridge_core/holder_side.py
@@ -44,7 +44,6 @@
             messages.GrantRefused: self._grant_refused,
             messages.GrantsAsk: self._grants_ask,
             messages.SlotsChanged: self._slots_changed,
-            messages.SlotsKept: self._slots_kept,
             messages.EvictionIntent: self._eviction_intent,
             messages.EvictionOver: self._eviction_over,
         }
@@ -64,10 +63,6 @@
     def _slots_changed(self, message: messages.SlotsChanged) -> None:
         self._note_owner(message.endpoint, message.owner, message.number)
 
-    def _slots_kept(self, message: messages.SlotsKept) -> None:
-        for endpoint, number in zip(message.endpoints, message.numbers, strict=True):
-            self._note_owner(endpoint, self._context.sender, number)
-
     def _note_owner(self, endpoint: str, owner: str, number: int) -> None:
         if self._context.fences.admits(endpoint, number):
             self._context.fences.raise_to(endpoint, number)
--- a/packages/core/src/knapweedbridge_core/messages.py
+++ b/packages/core/src/knapweedbridge_core/messages.py
@@ -59,9 +59,7 @@
     GrantsHeld,
     HandOver,
     OwnerRose,
-    SlotsAsk,
     SlotsChanged,
-    SlotsKept,
 )
 
 __all__ = [
@@ -105,9 +103,7 @@
     "SilenceTold",
     "SlotDeclined",
     "SlotWanted",
-    "SlotsAsk",
     "SlotsChanged",
-    "SlotsKept",
     "UsesTold",
     "decode",
     "encode",
--- a/packages/core/src/knapweedbridge_core/owner_messages.py
+++ b/packages/core/src/knapweedbridge_core/owner_messages.py
@@ -15,26 +15,6 @@
     running: int
 
 
-@message
-class SlotsKept:
-    """An owner tells, shortly, what endpoints of its own hold and run.
-
-    All fields have one entry an endpoint; a digest is `slots_digest` of its names.
-    """
-
-    endpoints: list[str]
-    numbers: list[int]
-    digests: list[int]
-    running: list[int]
-
-
-@message
-class SlotsAsk:
-    """A peer asks an owner for the whole of endpoints that it sees otherwise."""
-
-    endpoints: list[str]
-
-
 @message
 class GrantsAsk:
     """An owner asks a holder which grants on an endpoint it keeps or waits for."""
--- a/packages/core/src/knapweedbridge_core/owner_side.py
+++ b/packages/core/src/knapweedbridge_core/owner_side.py
@@ -32,7 +32,6 @@
     def __init__(self, context: Context, estate: Estate) -> None:
         super().__init__(context)
         self._estate = estate
-        self._refreshed_s = -inf
         self._takers: dict[type, Callable[[Any], None]] = {
             Claimed: self._claimed,
             Lost: self._lost,
@@ -59,8 +58,6 @@
             events.StoreReplied: self._store_replied,
             events.EndpointReported: self._endpoint_reported,
             messages.SlotsChanged: self._slots_changed,
-            messages.SlotsKept: self._slots_kept,
-            messages.SlotsAsk: self._slots_ask,
             messages.OwnerRose: self._owner_rose,
             messages.GrantsAsk: self._grants_ask,
             messages.HandOver: self._hand_over_heard,
@@ -78,8 +75,7 @@
                 del self.tenures[tenure.endpoint]
                 continue
             self._ask_report(tenure)
-            self._publish_if_changed(tenure)
-        self._refresh_if_due()
+            self._publish_if_due(tenure)
 
     def _claim(self) -> None:
         now_s = self._context.now_s
@@ -231,44 +227,24 @@
         tenure.report_asked_s = now_s
         self._context.do(AskReport(entry.name, entry.address, tenure.number))
 
-    def _publish_if_changed(self, tenure: Tenure) -> None:
-        never = tenure.published_s == -inf
-        if never or tenure.published != self._estate.grantable(tenure):
-            self._estate.publish(tenure)
-
-    def _refresh_if_due(self) -> None:
-        published = [
-            tenure for tenure in self.tenures.values() if tenure.published_s > -inf
-        ]
-        if self._context.now_s - self._refreshed_s >= REFRESH_S:
-            self._refreshed_s = self._context.now_s
-            self._estate.refresh(published)
-            return
-        self._estate.refresh([each for each in published if self._has_moved(each)])
-
-    def _has_moved(self, tenure: Tenure) -> bool:
+    def _publish_if_due(self, tenure: Tenure) -> None:
+        running = tenure.ledger.running
         step = max(2.0, RUNNING_STEP * tenure.published_running)
-        return abs(tenure.ledger.running - tenure.published_running) >= step
+        moved = abs(running - tenure.published_running) >= step
+        stale = self._context.now_s - tenure.published_s >= REFRESH_S
+        if moved or stale or tenure.published != self._estate.grantable(tenure):
+            self._estate.publish(tenure)
 
     def _peer_heard(self, event: events.PeerHeard) -> None:
         self._estate.heard(event.host)
 
     def _peer_linked(self, event: events.PeerLinked) -> None:
-        self._refreshed_s = -inf
+        for tenure in self.tenures.values():
+            tenure.published_s = -inf
 
     def _slots_changed(self, message: messages.SlotsChanged) -> None:
         self._raise(message.endpoint, message.number)
 
-    def _slots_kept(self, message: messages.SlotsKept) -> None:
-        for endpoint, number in zip(message.endpoints, message.numbers, strict=True):
-            self._raise(endpoint, number)
-
-    def _slots_ask(self, message: messages.SlotsAsk) -> None:
-        for endpoint in message.endpoints:
-            tenure = self.tenures.get(endpoint)
-            if tenure is not None:
-                self._estate.tell_slots(tenure, self._context.sender)
-
     def _owner_rose(self, message: messages.OwnerRose) -> None:
         self._raise(message.endpoint, message.number)
 
--- a/packages/core/src/knapweedbridge_core/request_side.py
+++ b/packages/core/src/knapweedbridge_core/request_side.py
@@ -47,7 +47,6 @@
             messages.GrantGiven: self._grant_given,
             messages.GrantRefused: self._grant_refused,
             messages.SlotsChanged: self._slots_changed,
-            messages.SlotsKept: self._slots_kept,
         }
 
     def _tick(self, event: events.Tick) -> None:
@@ -374,19 +373,6 @@
             if self._is_due(live) and live.request.model in loaded:
                 self._route(live)
 
-    def _slots_kept(self, message: messages.SlotsKept) -> None:
-        told = zip(
-            message.endpoints,
-            message.numbers,
-            message.digests,
-            message.running,
-            strict=True,
-        )
-        view = self._context.view
-        unlike = [each[0] for each in told if not view.kept(*each)]
-        if unlike:
-            self._context.send(self._context.sender, messages.SlotsAsk(unlike))
-
     def _is_due(self, live: LiveRequest) -> bool:
         waited = self._context.now_s >= live.retry_at_s
         held = live.claiming or live.queued
--- a/packages/core/src/knapweedbridge_core/tenure.py
+++ b/packages/core/src/knapweedbridge_core/tenure.py
@@ -5,7 +5,6 @@
 
 from knapweedbridge_core.ledger import Ledger
 from knapweedbridge_core.names import AdapterVersion
-from knapweedbridge_core.slots_digest import slots_digest
 from knapweedbridge_core.takeover import Takeover
 
 
@@ -21,8 +20,6 @@
         When the newest report was taken, and the last one asked for.
     published : list of AdapterVersion
         What the peers were told last.
-    digest : int
-        `slots_digest` of what they were told.
     closing : bool
         Whether no new order is begun, so that the endpoint can be handed over.
     gap : bool
@@ -43,7 +40,6 @@
     reported_s: float = -inf
     report_asked_s: float = -inf
     published: list[AdapterVersion] = field(default_factory=list)
-    digest: int = field(default_factory=lambda: slots_digest(()))
     published_running: int = 0
     published_s: float = -inf
     announced: dict[AdapterVersion, float] = field(default_factory=dict)
--- a/packages/core/src/knapweedbridge_core/view.py
+++ b/packages/core/src/knapweedbridge_core/view.py
@@ -4,7 +4,6 @@
 
 from knapweedbridge_core.messages import SlotsChanged
 from knapweedbridge_core.names import AdapterVersion
-from knapweedbridge_core.slots_digest import slots_digest
 
 
 @dataclass(slots=True)
@@ -15,7 +14,6 @@
     number: int
     loaded: set[AdapterVersion]
     running: int
-    digest: int
 
 
 @dataclass(slots=True)
@@ -37,23 +35,9 @@
         for model in loaded - before:
             self._holders.setdefault(model, {})[message.endpoint] = None
         self.endpoints[message.endpoint] = EndpointView(
-            message.owner,
-            message.number,
-            loaded,
-            message.running,
-            held.digest if before == loaded and held else slots_digest(loaded),
+            message.owner, message.number, loaded, message.running
         )
 
-    def kept(self, endpoint: str, number: int, digest: int, running: int) -> bool:
-        """Take an owner's short word; false if the whole has to be asked for."""
-        held = self.endpoints.get(endpoint)
-        if held is not None and held.number > number:
-            return True
-        if held is None or held.number < number or held.digest != digest:
-            return False
-        held.running = running
-        return True
-
     def sent(self, endpoint: str) -> None:
         """Count a request sent since the owner's last word."""
         self.endpoints[endpoint].running += 1
--- a/packages/standins/src/knapweedbridge_standins/history/world.py
+++ b/packages/standins/src/knapweedbridge_standins/history/world.py
@@ -120,7 +120,6 @@
         self.order_delay_s = 0.0
         self.report_lag_s = 0.0
         self.order_sent: Callable[[str, OrderEndpoint], None] | None = None
-        self.loses: Callable[[str, SendPeer], bool] | None = None
         self.late_orders: list[OrderEndpoint] = []
         self._asked: dict[str, AdapterVersion] = {}
         self._links: set[tuple[str, str]] = set()
@@ -318,8 +317,6 @@
         pair = (host, action.host)
         if pair not in self._links or pair in self.cuts:
             return
-        if self.loses is not None and self.loses(host, action):
-            return
         arrival_s = max(self.now_s + self._delay_s(), self._arrival_s.get(pair, 0.0))
         self._arrival_s[pair] = arrival_s
         node = self.nodes[action.host]
