Refuse a waiting request in the event that makes it hopeless

Ruled out: a late refusal of those refused on arrival, and the tick, as all of it was age in the queue. The prediction on arrival also took too many while the mix of priorities swung.

Now what waits is judged by the same prediction whenever a request arrives, is refused or ends, and again when places were filled, as that moves the prediction. On arrival the part of the higher priorities counts 1.3 times. The pace is that of all places, not of those running: after a lost engine few run for a moment, and all that waits would be refused.

--- a/bench/overload_scenarios.py
+++ b/bench/overload_scenarios.py
@@ -4,8 +4,10 @@
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 from knapweedbridge_core import Bridge, events
+from knapweedbridge_core.actions import Action
 from knapweedbridge_core.blame import Blame, Verdict
 from knapweedbridge_core.configuration import Configuration, build
 from knapweedbridge_core.names import AdapterVersion, parse_adapter_version
@@ -293,13 +295,55 @@
     def __init__(self, host: str, data_centre: str) -> None:
         super().__init__(host, data_centre)
         gate = self.requests._gate
-        gate.arrived = lambda request, running: gate.admission.queue.add(request)  # type: ignore
+        gate.arrived = lambda request: gate.admission.queue.add(request)  # type: ignore
         gate.places = lambda: 1_000_000  # type: ignore
         gate.given_up = lambda: []  # type: ignore
 
 
+class Watched(Bridge):
+    """Notes when a waiting request is first hopeless by what its daemon knows.
+
+    Looks after each event, so that whatever an event leaves waiting is seen.
+    """
+
+    def __init__(self, host: str, data_centre: str) -> None:
+        super().__init__(host, data_centre)
+        self.hopeless_s: dict[str, float] = {}
+
+    def handle(self, event: Any, now_s: float) -> list[Action]:
+        """See `Bridge.handle`."""
+        actions = super().handle(event, now_s)
+        gate = self.requests._gate
+        for request, _ in gate.admission.hopeless(
+            self.configuration, gate.places(), now_s
+        ):
+            self.hopeless_s.setdefault(request.request_id, now_s)
+        return actions
+
+
+class RefusedAtTheEnd(Watched):
+    """Baseline: a waiting request is refused when no time is left to run it."""
+
+    def __init__(self, host: str, data_centre: str) -> None:
+        super().__init__(host, data_centre)
+        gate = self.requests._gate
+        admission, late = gate.admission, NotRun(Reason.OVERLOAD, 1.0)
+        gate.given_up = lambda: [  # type: ignore
+            (request, late)
+            for request in admission.queue
+            if admission._is_late(request, 0.0, self._context.now_s)
+        ]
+
+
+ADMISSIONS: dict[str, Callable[[str, str], Bridge]] = {
+    "first come first served": FirstComeFirstServed,
+    "admission, refused at the end": RefusedAtTheEnd,
+    "admission": Watched,
+}
 WITHIN_S = {"interactive": 2.0, "normal": 5.0, "batch": 20.0}
 SERVICE_S = 0.5
+# Events of the same virtual time differ by the rounding of their sums.
+AT_ONCE_S = 1e-6
 MIX = (("interactive", 0.3), ("normal", 0.3), ("batch", 0.4))
 
 
@@ -315,21 +359,37 @@
         95th percentile of the time to an answer of interactive requests.
     answered : dict of str to float
         Part of the requests of each priority answered in time.
+    refused, refused_on_arrival : int
+        Requests refused, and those of them refused in the event of their arrival.
+    refused_p95_s : float
+        95th percentile of the age at the refusal, in seconds.
+    held_back : int
+        Refused requests that an event left waiting though they were hopeless.
+    held_back_longest_s : float
+        The longest time from being hopeless to the refusal, in seconds.
     """
 
     goodput: float
     interactive_p95_s: float
     answered: dict[str, float]
+    refused: int
+    refused_on_arrival: int
     refused_p95_s: float
+    held_back: int
+    held_back_longest_s: float
 
 
 def run_overload(
-    *, admission: bool, times: float = 2.0, for_s: float = 60.0, seed: int = SEED
+    *,
+    admission: str = "admission",
+    times: float = 2.0,
+    for_s: float = 60.0,
+    seed: int = SEED,
 ) -> OverloadFound:
     """Offer a multiple of what three engines can serve, by three daemons."""
     rng = random.Random(seed)
     batch, engines = 8, 3
-    maker = Bridge if admission else FirstComeFirstServed
+    maker = ADMISSIONS[admission]
     pool = make_pool(
         3, engines, batch=batch, service_s=lambda request: SERVICE_S, make_bridge=maker
     )
@@ -370,6 +430,8 @@
     asked: Counter = Counter()
     in_time: Counter = Counter()
     good, interactive_s, refused_s = 0, [], []
+    held_s = []
+    hopeless_s = _hopeless_s(pool)
     for name, (outcome, at_s) in pool.finished.items():
         request = pool.requests[name]
         arrived_s = request.deadline_s - WITHIN_S[request.priority]
@@ -377,6 +439,7 @@
         took_s = at_s - arrived_s
         if isinstance(outcome, NotRun):
             refused_s.append(took_s)
+            held_s.append(at_s - hopeless_s.get(name, at_s))
         if not isinstance(outcome, Complete) or at_s > request.deadline_s:
             continue
         in_time[request.priority] += 1
@@ -387,10 +450,21 @@
         good / (capacity_per_s * for_s),
         _p95(interactive_s),
         {name: in_time[name] / max(asked[name], 1) for name in WITHIN_S},
+        len(refused_s),
+        sum(took_s < AT_ONCE_S for took_s in refused_s),
         _p95(refused_s),
+        sum(waited_s >= AT_ONCE_S for waited_s in held_s),
+        max(held_s, default=0.0),
     )
 
 
+def _hopeless_s(pool: VirtualPool) -> dict[str, float]:
+    found: dict[str, float] = {}
+    for bridge in pool.bridges.values():
+        found |= getattr(bridge, "hopeless_s", {})
+    return found
+
+
 def _p95(values: list[float]) -> float:
     ordered = sorted(values)
     return ordered[int(0.95 * (len(ordered) - 1))] if ordered else float("nan")
--- a/bench/requests_overload.py
+++ b/bench/requests_overload.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from overload_scenarios import (
+    ADMISSIONS,
     BLAMES,
     SIGNS,
     run_crashing,
@@ -49,11 +50,10 @@
 
 def overload() -> dict[str, Any]:
     """Goodput and the interactive callers' p95 at twice the capacity."""
-    found = {
-        "first come first served": run_overload(admission=False, for_s=OVERLOAD_S),
-        "admission": run_overload(admission=True, for_s=OVERLOAD_S),
+    return {
+        name: asdict(run_overload(admission=name, for_s=OVERLOAD_S))
+        for name in ADMISSIONS
     }
-    return {name: asdict(figures) for name, figures in found.items()}
 
 
 def rows(found: dict[str, Any], name: str = "") -> list[str]:
--- a/features/overload/steps/admission_steps.py
+++ b/features/overload/steps/admission_steps.py
@@ -3,13 +3,15 @@
 
 from knapweedbridge_core.fair_queue import FairQueue
 from knapweedbridge_core.limits import Limits
+from knapweedbridge_core.outcomes import Complete, NotRun, Reason
+from knapweedbridge_standins.virtual_pool import TICK_S
 
 STEP_S = 0.02
 
 
 @when('twice the capacity is offered with "{admission}"')
 def offered(context, admission):
-    context.found = run_overload(admission=admission == "admission")
+    context.found = run_overload(admission=admission)
 
 
 @then("goodput is {bound} {percent:d}% of the capacity")
@@ -22,6 +24,11 @@
     _compare(context.found.answered["interactive"], bound, percent)
 
 
+@then("no refused request was hopeless for longer than a tick")
+def held_back(context):
+    assert context.found.held_back_longest_s <= TICK_S, context.found
+
+
 def _compare(part, bound, percent):
     if bound in ("under", "less than"):
         assert part < percent / 100, part
@@ -88,3 +95,54 @@
 def taken(context, taken):
     found = sum(wait_s == 0 for wait_s in context.waits)
     assert found == taken, found
+
+
+def _ask(context, name, **wanted):
+    request = request_of(context.pool, name, fingerprint=name, **wanted)
+    context.pool.ask("host-0", request)
+
+
+def _look_ups(context, count):
+    for place in range(count):
+        _ask(context, f"look-up-{place}", priority="interactive")
+    context.burst_s = context.pool.clock.now_s
+
+
+@given("a daemon on which requests of 1 s fill all places")
+def filled(context):
+    context.pool = make_pool(1, 1, batch=2)
+    context.pool.clock.run(5.0)
+    for round_ in range(2):
+        for place in range(3):
+            _ask(context, f"filling-{round_}-{place}")
+        context.pool.clock.run(2.5 if round_ == 0 else 0.1)
+
+
+@when('a "{priority}" request within {within:d} s waits, then {n:d} look-ups')
+def pushed_out(context, priority, within, n):
+    _ask(context, "waiting", priority=priority, within_s=float(within))
+    context.pool.clock.run(0.3)
+    _look_ups(context, n)
+    context.pool.clock.run(60.0)
+
+
+@when('{n:d} look-ups wait, and a "{priority}" request within {within:d} s arrives')
+def too_late(context, n, priority, within):
+    _look_ups(context, n)
+    _ask(context, "waiting", priority=priority, within_s=float(within))
+    context.pool.clock.run(60.0)
+
+
+@then("the waiting request is answered")
+def waiting_answered(context):
+    outcome, _ = context.pool.finished["waiting"]
+    assert isinstance(outcome, Complete), outcome
+
+
+@then("the waiting request is refused in the event of the burst")
+@then("that request is refused in the event of its arrival")
+def refused_in_event(context):
+    outcome, at_s = context.pool.finished["waiting"]
+    assert isinstance(outcome, NotRun), outcome
+    assert outcome.reason is Reason.OVERLOAD, outcome
+    assert at_s == context.burst_s, at_s - context.burst_s
--- a/packages/core/src/knapweedbridge_core/admission.py
+++ b/packages/core/src/knapweedbridge_core/admission.py
@@ -9,6 +9,9 @@
 SMOOTHING = 0.1
 MIX_SMOOTHING = 0.02
 LEAST_LEFT = 0.01
+# The part that higher priorities took swings about its mean. Who is taken on arrival
+# must make it in a worse mix as well, or is refused later, as soon as it swings.
+CAUTION = 1.3
 SHORTEST_RETRY_AFTER_S = 1.0
 QUEUE_REQUESTS = 1000
 CALLER_REQUESTS = 200
@@ -48,18 +51,18 @@
         old = self._service_s.get(request.priority, took_s)
         self._service_s[request.priority] = old + SMOOTHING * (took_s - old)
 
-    def wait_s(self, request: Request, shares: dict[str, float], running: int) -> float:
-        """Predict how long a request would wait now."""
+    def pace_s(self, priority: str, places: int, caution: float = 1.0) -> float:
+        """Predict how long a request waits for each one before it."""
         known = [
             self._service_s[name] for name in PRIORITIES if name in self._service_s
         ]
         mean_s = sum(known) / len(known) if known else 0.0
         # Requests of a higher priority that arrive meanwhile go first as well: the
         # part of the places that they took of late is not left for this one.
-        higher = PRIORITIES[: PRIORITIES.index(request.priority)]
-        left = max(LEAST_LEFT, 1.0 - sum(self._taken.get(name, 0.0) for name in higher))
-        ahead = self.queue.ahead(request, shares)
-        return ahead * mean_s / (max(running, 1) * left)
+        higher = PRIORITIES[: PRIORITIES.index(priority)]
+        taken = sum(self._taken.get(name, 0.0) for name in higher)
+        left = max(LEAST_LEFT, 1.0 - caution * taken)
+        return mean_s / (places * left)
 
     def taken(self, request: Request) -> None:
         """Note that a request took a place."""
@@ -73,16 +76,16 @@
         request: Request,
         configuration: Configuration,
         daemons: int,
-        running: int,
+        places: int,
         now_s: float,
     ) -> NotRun | None:
         """Return why a request is refused on arrival, or None."""
         wait_s = self.limits.wait_s(request, configuration, daemons, now_s)
         if wait_s > 0:
             return _come_back(Reason.LIMIT, wait_s)
-        shares = {name: team.share for name, team in configuration.teams.items()}
-        wait_s = self.wait_s(request, shares, running)
-        late = now_s + wait_s + self.service_s(request) > request.deadline_s
+        ahead = self.queue.ahead(request, _shares(configuration))
+        wait_s = ahead * self.pace_s(request.priority, places, CAUTION)
+        late = self._is_late(request, wait_s, now_s)
         full = self.queue.of_caller(request) >= self._caller_requests
         if late or full:
             return _come_back(Reason.OVERLOAD, wait_s)
@@ -92,13 +95,32 @@
         """Return the request that must leave a queue that grew too long."""
         return self.queue.last() if len(self.queue) > self._queue_requests else None
 
-    def hopeless(self, now_s: float) -> list[Request]:
-        """Return the waiting requests that can no longer be answered in time."""
-        return [
-            request
-            for request in self.queue
-            if now_s + self.service_s(request) > request.deadline_s
-        ]
+    def hopeless(
+        self, configuration: Configuration, places: int, now_s: float
+    ) -> list[tuple[Request, NotRun]]:
+        """Return the waiting requests that can no longer be answered in time.
+
+        By the same prediction as on arrival, with what waits before each now: one
+        that later and more urgent requests pushed back is refused as they arrive,
+        and not once its time is over.
+        """
+        refused = []
+        ahead = 0
+        paces_s = {name: self.pace_s(name, places) for name in PRIORITIES}
+        for request in self.queue.in_order(_shares(configuration)):
+            wait_s = ahead * paces_s[request.priority]
+            if self._is_late(request, wait_s, now_s):
+                refused.append((request, _come_back(Reason.OVERLOAD, wait_s)))
+            else:
+                ahead += 1
+        return refused
+
+    def _is_late(self, request: Request, wait_s: float, now_s: float) -> bool:
+        return now_s + wait_s + self.service_s(request) > request.deadline_s
+
+
+def _shares(configuration: Configuration) -> dict[str, float]:
+    return {name: team.share for name, team in configuration.teams.items()}
 
 
 def _come_back(reason: Reason, wait_s: float) -> NotRun:
--- a/packages/core/src/knapweedbridge_core/admission_gate.py
+++ b/packages/core/src/knapweedbridge_core/admission_gate.py
@@ -37,13 +37,13 @@
     def _daemons(self) -> int:
         return max(1, len(self._context.members.available()))
 
-    def arrived(self, request: Request, running: int) -> NotRun | None:
+    def arrived(self, request: Request) -> NotRun | None:
         """Take a request, or return why it is refused."""
         refusal = self.admission.refusal(
             request,
             self._context.configuration,
             self._daemons(),
-            running,
+            self.places(),
             self._context.now_s,
         )
         self.admission.limits.begun(request)
@@ -63,13 +63,12 @@
 
     def given_up(self) -> list[tuple[Request, NotRun]]:
         """Return the waiting requests that are refused now."""
-        late = NotRun(Reason.OVERLOAD, RETRY_AFTER_S)
-        refused = [
-            (request, late) for request in self.admission.hopeless(self._context.now_s)
-        ]
+        refused = self.admission.hopeless(
+            self._context.configuration, self.places(), self._context.now_s
+        )
         last = self.admission.overflow()
         if last is not None:
-            refused.append((last, late))
+            refused.append((last, NotRun(Reason.OVERLOAD, RETRY_AFTER_S)))
         self.admission.limits.forget_idle(self._context.now_s)
         return refused
 
--- a/packages/core/src/knapweedbridge_core/fair_queue.py
+++ b/packages/core/src/knapweedbridge_core/fair_queue.py
@@ -3,6 +3,7 @@
 from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from heapq import merge
 
 from knapweedbridge_core.events import Request
 
@@ -19,6 +20,23 @@
     def __len__(self) -> int:
         return sum(len(waiting) for waiting in self.callers.values())
 
+    def in_order(self) -> Iterator[Request]:
+        """Yield what waits in the order of `pop`, without taking it."""
+        turns = [iter(waiting) for waiting in self.callers.values()]
+        while turns:
+            left = []
+            for turn in turns:
+                request = next(turn, None)
+                if request is not None:
+                    left.append(turn)
+                    yield request
+            turns = left
+
+    def tagged(self, name: str, weight: float) -> Iterator[tuple[float, str, Request]]:
+        """Yield what waits with the tag at which each is taken."""
+        for place, request in enumerate(self.in_order()):
+            yield self.tag + place / weight, name, request
+
     def pop(self) -> Request:
         """Take the oldest of the caller whose turn it is."""
         caller, waiting = next(iter(self.callers.items()))
@@ -59,6 +77,16 @@
                 for waiting in team.callers.values():
                     yield from waiting
 
+    def in_order(self, shares: dict[str, float]) -> Iterator[Request]:
+        """Yield the waiting requests in the order of `pop`, without taking them."""
+        for held in self._classes.values():
+            tagged = [
+                team.tagged(name, max(shares.get(name, 1.0), 1e-3))
+                for name, team in held.teams.items()
+            ]
+            for _, _, request in merge(*tagged, key=lambda entry: entry[:2]):
+                yield request
+
     def add(self, request: Request) -> None:
         """Let a request wait."""
         held = self._classes[request.priority]
--- a/packages/core/src/knapweedbridge_core/request_side.py
+++ b/packages/core/src/knapweedbridge_core/request_side.py
@@ -76,9 +76,12 @@
         if lacks_key(request):
             self._finish(request.request_id, NotRun(Reason.KEY_REQUIRED))
             return
-        refusal = self._gate.arrived(request, self._running())
+        refusal = self._gate.arrived(request)
         if refusal is not None:
             self._finish(request.request_id, refusal)
+            # Those that wait are looked at as well: under overload most arrivals are
+            # refused, and a hopeless one would wait for one that is taken.
+            self._let_in()
             return
         if request.model is None:
             self._admit(self.live[request.request_id])
@@ -90,13 +93,24 @@
         return sum(bool(live.endpoint) for live in self.live.values())
 
     def _let_in(self) -> None:
+        self._give_up_waiting()
+        if self._fill_places():
+            # Who took a place changes what is predicted for the others: without a
+            # second look a request that is hopeless by it waits for the next event.
+            self._give_up_waiting()
+
+    def _give_up_waiting(self) -> None:
         for request, outcome in self._gate.given_up():
             if request.request_id in self.live:
                 self._finish(request.request_id, outcome)
+
+    def _fill_places(self) -> bool:
+        filled = False
         while True:
             chosen = self._gate.next(self._running())
             if chosen is None:
-                return
+                return filled
+            filled = True
             live = self.live.get(chosen.request_id)
             if live is not None:
                 live.queued = False
