--- a/packages/core/src/knapweedbridge_core/estate.py
+++ b/packages/core/src/knapweedbridge_core/estate.py
@@ -1,6 +1,6 @@
 """The endpoints that this daemon owns, shared by the owner's sides."""
 
-from knapweedbridge_core.context import Context
+from knapweedbridge_core.context import Context, Side
 from knapweedbridge_core.leases import DaemonLease
 from knapweedbridge_core.messages import SlotsChanged
 from knapweedbridge_core.names import AdapterVersion
@@ -122,3 +122,19 @@
         for peer in self._context.members.peers():
             self._context.send(peer.name, message)
         self._context.receive(self._context.host, message)
+
+
+class EstateSide(Side):
+    """One of the owner's sides.
+
+    Parameters
+    ----------
+    context : Context
+        What it shares with the other sides.
+    estate : Estate
+        What it shares with the owner's other sides.
+    """
+
+    def __init__(self, context: Context, estate: Estate) -> None:
+        super().__init__(context)
+        self._estate = estate
--- a/packages/core/src/knapweedbridge_core/grant_side.py
+++ b/packages/core/src/knapweedbridge_core/grant_side.py
@@ -5,8 +5,8 @@
 
 from knapweedbridge_core import events, messages
 from knapweedbridge_core.actions import StoreRead
-from knapweedbridge_core.context import Context, Handler, Side
-from knapweedbridge_core.estate import Estate
+from knapweedbridge_core.context import Context, Handler
+from knapweedbridge_core.estate import Estate, EstateSide
 from knapweedbridge_core.grant_gate import GrantGate
 from knapweedbridge_core.leases import LIFE_KEY
 from knapweedbridge_core.outcomes import Reason
@@ -32,20 +32,11 @@
     answered: bool = False
 
 
-class GrantSide(Side):
-    """Keeps the grants of the owned endpoints.
-
-    Parameters
-    ----------
-    context : Context
-        What it shares with the other sides.
-    estate : Estate
-        What it shares with the owner's other sides.
-    """
+class GrantSide(EstateSide):
+    """Keeps the grants of the owned endpoints."""
 
     def __init__(self, context: Context, estate: Estate) -> None:
-        super().__init__(context)
-        self._estate = estate
+        super().__init__(context, estate)
         self._gate = GrantGate(context)
         self._asks: dict[_Key, _Ask] = {}
         self._polled_s: dict[str, float] = {}
--- a/packages/core/src/knapweedbridge_core/order_side.py
+++ b/packages/core/src/knapweedbridge_core/order_side.py
@@ -4,8 +4,8 @@
 
 from knapweedbridge_core import events, messages, rendezvous
 from knapweedbridge_core.actions import OrderEndpoint
-from knapweedbridge_core.context import Context, Handler, Side
-from knapweedbridge_core.estate import Estate
+from knapweedbridge_core.context import Context, Handler
+from knapweedbridge_core.estate import Estate, EstateSide
 from knapweedbridge_core.names import AdapterVersion
 from knapweedbridge_core.tenure import Tenure
 from knapweedbridge_core.times import WITNESS_S
@@ -13,20 +13,11 @@
 WITNESSES = 2
 
 
-class OrderSide(Side):
-    """Carries out placed loads on the owned endpoints.
-
-    Parameters
-    ----------
-    context : Context
-        What it shares with the other sides.
-    estate : Estate
-        What it shares with the owner's other sides.
-    """
+class OrderSide(EstateSide):
+    """Carries out placed loads on the owned endpoints."""
 
     def __init__(self, context: Context, estate: Estate) -> None:
-        super().__init__(context)
-        self._estate = estate
+        super().__init__(context, estate)
         self._placed: dict[tuple[str, AdapterVersion], messages.LoadPlaced] = {}
 
     def handlers(self) -> dict[type, Handler]:
--- a/packages/core/src/knapweedbridge_core/owner_side.py
+++ b/packages/core/src/knapweedbridge_core/owner_side.py
@@ -7,8 +7,8 @@
 from knapweedbridge_core import events, messages
 from knapweedbridge_core.actions import AskReport
 from knapweedbridge_core.configuration import EndpointEntry
-from knapweedbridge_core.context import Context, Handler, Side
-from knapweedbridge_core.estate import Estate
+from knapweedbridge_core.context import Context, Handler
+from knapweedbridge_core.estate import Estate, EstateSide
 from knapweedbridge_core.ledger import Ledger
 from knapweedbridge_core.owners import Change, Claimed, HandedOver, Lost, Owners
 from knapweedbridge_core.takeover import Takeover, wait_s
@@ -18,20 +18,11 @@
 RUNNING_STEP = 0.25
 
 
-class OwnerSide(Side):
-    """Owns the tenures: their beginning, their reports and their end.
-
-    Parameters
-    ----------
-    context : Context
-        What it shares with the other sides.
-    estate : Estate
-        What it shares with the owner's other sides.
-    """
+class OwnerSide(EstateSide):
+    """Owns the tenures: their beginning, their reports and their end."""
 
     def __init__(self, context: Context, estate: Estate) -> None:
-        super().__init__(context)
-        self._estate = estate
+        super().__init__(context, estate)
         self._takers: dict[type, Callable[[Any], None]] = {
             Claimed: self._claimed,
             Lost: self._lost,
