--- a/packages/standins/src/knapweedbridge_standins/example.py
+++ b/packages/standins/src/knapweedbridge_standins/example.py
@@ -186,7 +186,7 @@
 
 [application receipts]
 team = optics
-model = {self.model(1)}
+model = {self.model(self.adapters - 1)}
 non_idempotent = yes
 
 [service orders]
