Give the relay's engine a batch that bounds nothing

Cause: admission queues what an endpoint's batch cannot hold, and the example declared the default of 16; at the peak about 240 streams are open.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -81,11 +81,18 @@
 ]
 
 
+ENGINE_BATCH = 4096
+
+
 class RelayDeployment(Deployment):
     """One daemon before the benchmark's engine."""
 
     def __init__(self, load: Load, option: str) -> None:
-        super().__init__(Example(BASE_PORT, daemons=1, engines=1, adapters=1))
+        # The engine bounds nothing: admission would queue what its batch cannot hold.
+        example = Example(
+            BASE_PORT, daemons=1, engines=1, adapters=1, batch=ENGINE_BATCH
+        )
+        super().__init__(example)
         self._load = load
         self._option = option
 
--- a/packages/standins/src/knapweedbridge_standins/example.py
+++ b/packages/standins/src/knapweedbridge_standins/example.py
@@ -34,6 +34,7 @@
     engines: int = 2
     adapters: int = 12
     slots: int = 4
+    batch: int = 16
     ip: str = "127.0.0.1"
     plains: int = 1
     forward: int = 0
@@ -206,6 +207,7 @@
 data_centre = {self.data_centre(place)}
 base_model = namib-7b
 slots = {self.slots}
+batch = {self.batch}
 checks_fencing = {"yes" if place < self.checking else "no"}
 """
             for place in range(self.engines)
