--- a/bench/load.py
+++ b/bench/load.py
@@ -47,7 +47,7 @@
         if kind < 0.2:
             return Work(nonce, non_idempotent=True)
         if kind < 0.25:
-            model = example.model(1)
+            model = example.receipts_model
             return Work(nonce, "receipts", model, non_idempotent=True, key=nonce)
         if kind < 0.3:
             return Work(nonce, "reminders", example.model(0))
--- a/packages/standins/src/knapweedbridge_standins/example.py
+++ b/packages/standins/src/knapweedbridge_standins/example.py
@@ -148,6 +148,11 @@
         """Return an adapter version."""
         return f"refill-{place}@1"
 
+    @property
+    def receipts_model(self) -> str:
+        """Return what the application of receipts runs on."""
+        return self.model(min(1, self.adapters - 1))
+
     def folder(self) -> dict[str, str]:
         """Return the operators' folder."""
         return {
@@ -187,7 +192,7 @@
 
 [application receipts]
 team = optics
-model = {self.model(self.adapters - 1)}
+model = {self.receipts_model}
 non_idempotent = yes
 
 [service orders]
