--- a/bench/soak_faults.py
+++ b/bench/soak_faults.py
@@ -8,6 +8,7 @@
 
 import anyio
 from asking import Asker, Work
+from forwarder import Forwarder
 from world import BACK_S, World
 
 from knapweedbridge_standins.runs import (
@@ -130,30 +131,40 @@
         self.note(world, name, began_s)
 
 
-class Cut(SoakFault):
-    """The standing connections of one address end."""
+class ConnectionFault(SoakFault):
+    """The standing connections of one address fail; new ones work."""
 
-    name = "cut"
     weight = 2
 
     async def run(self, world: World, rng: random.Random) -> None:
         """See `SoakFault.run`."""
         forwarder, began_s = rng.choice(world.forwarders), time.time()
-        forwarder.cut()
+        self.strike(forwarder)
         self.note(world, forwarder.target, began_s)
 
+    @abstractmethod
+    def strike(self, forwarder: Forwarder) -> None:
+        """Make the connections fail."""
+
+
+class Cut(ConnectionFault):
+    """The standing connections of one address end."""
+
+    name = "cut"
 
-class Silence(SoakFault):
+    def strike(self, forwarder: Forwarder) -> None:
+        """See `ConnectionFault.strike`."""
+        forwarder.cut()
+
+
+class Silence(ConnectionFault):
     """The standing connections of one address go silent for good."""
 
     name = "silence"
-    weight = 2
 
-    async def run(self, world: World, rng: random.Random) -> None:
-        """See `SoakFault.run`."""
-        forwarder, began_s = rng.choice(world.forwarders), time.time()
+    def strike(self, forwarder: Forwarder) -> None:
+        """See `ConnectionFault.strike`."""
         forwarder.silence()
-        self.note(world, forwarder.target, began_s)
 
 
 class StoreFault(SoakFault):
