--- a/features/path/steps/calls_steps.py
+++ b/features/path/steps/calls_steps.py
@@ -8,9 +8,9 @@
 from knapweedbridge_core.names import AdapterVersion
 from knapweedbridge_daemon.endpoints import HttpEndpoint
 from knapweedbridge_daemon.errors import DaemonError
+from knapweedbridge_daemon.etcd_store import EtcdStore
 from knapweedbridge_daemon.hosts import HttpHostList
 from knapweedbridge_daemon.probes import Prober
-from knapweedbridge_daemon.store import EtcdStore
 from knapweedbridge_daemon.transports import GuardedTransport
 
 ADDRESS = "127.0.0.1:9"
--- a/packages/core/src/knapweedbridge_core/__init__.py
+++ b/packages/core/src/knapweedbridge_core/__init__.py
@@ -1,10 +1,14 @@
 """The decisions of knapweedbridge, as state machines without input or output."""
 
-from knapweedbridge_core.bridge import Bridge
-from knapweedbridge_core.configuration import Configuration
-from knapweedbridge_core.errors import CheckError, CoreError
-from knapweedbridge_core.names import AdapterVersion, parse_adapter_version
-from knapweedbridge_core.outcomes import Complete, NotRun, Outcome, Reason, Unknown
+from importlib import import_module
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from knapweedbridge_core.bridge import Bridge
+    from knapweedbridge_core.configuration import Configuration
+    from knapweedbridge_core.errors import CheckError, CoreError
+    from knapweedbridge_core.names import AdapterVersion, parse_adapter_version
+    from knapweedbridge_core.outcomes import Complete, NotRun, Outcome, Reason, Unknown
 
 __all__ = [
     "AdapterVersion",
@@ -19,3 +23,25 @@
     "Unknown",
     "parse_adapter_version",
 ]
+
+_PLACES = {
+    "Bridge": "bridge",
+    "Configuration": "configuration",
+    "CheckError": "errors",
+    "CoreError": "errors",
+    "AdapterVersion": "names",
+    "parse_adapter_version": "names",
+    "Complete": "outcomes",
+    "NotRun": "outcomes",
+    "Outcome": "outcomes",
+    "Reason": "outcomes",
+    "Unknown": "outcomes",
+}
+
+
+def __getattr__(name: str) -> Any:
+    # Imported when asked for: serving by a platform's dialect uses few of them.
+    if name in _PLACES:
+        module = import_module(f"knapweedbridge_core.{_PLACES[name]}")
+        return getattr(module, name)
+    raise AttributeError(name)
--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -0,0 +1,97 @@
+"""Serving without grants: routes, placement, owners' orders and repeats of calls.
+
+A daemon that serves this way sends a call straight to an endpoint that holds its
+model; the endpoint's own checks of instance and version make a mistake harmless.
+"""
+
+from knapweedbridge_core.serving.attempts import (
+    AttemptEnd,
+    CallProgress,
+    may_send_again,
+    resumes,
+)
+from knapweedbridge_core.serving.beliefs import Belief, Beliefs
+from knapweedbridge_core.serving.deployment import (
+    BaseModel,
+    CallKind,
+    Deployment,
+    EngineLimits,
+    FaceLimits,
+    Route,
+    Service,
+    WeightedService,
+)
+from knapweedbridge_core.serving.engine_keeper import (
+    EngineKeeper,
+    EngineReport,
+    Order,
+    OrderAnswer,
+    OrderKind,
+)
+from knapweedbridge_core.serving.fleet import (
+    Endpoint,
+    EndpointRecord,
+    Fleet,
+    ModelRef,
+    parse_model,
+)
+from knapweedbridge_core.serving.ownership import (
+    DaemonRecord,
+    LeaseClock,
+    OwnerRecord,
+    claim_due_s,
+    claimants,
+)
+from knapweedbridge_core.serving.placement import (
+    EnginePlacement,
+    HomePlacement,
+    LoadOn,
+    NoEngine,
+    PlacementAsk,
+    SendTo,
+    WaitFor,
+)
+from knapweedbridge_core.serving.plain_choice import PlainAsk, choose_plain
+from knapweedbridge_core.serving.retry_budget import RetryBudget
+
+__all__ = [
+    "AttemptEnd",
+    "BaseModel",
+    "Belief",
+    "Beliefs",
+    "CallKind",
+    "CallProgress",
+    "DaemonRecord",
+    "Deployment",
+    "Endpoint",
+    "EndpointRecord",
+    "EngineKeeper",
+    "EngineLimits",
+    "EnginePlacement",
+    "EngineReport",
+    "FaceLimits",
+    "Fleet",
+    "HomePlacement",
+    "LeaseClock",
+    "LoadOn",
+    "ModelRef",
+    "NoEngine",
+    "Order",
+    "OrderAnswer",
+    "OrderKind",
+    "OwnerRecord",
+    "PlacementAsk",
+    "PlainAsk",
+    "RetryBudget",
+    "Route",
+    "SendTo",
+    "Service",
+    "WaitFor",
+    "WeightedService",
+    "choose_plain",
+    "claim_due_s",
+    "claimants",
+    "may_send_again",
+    "parse_model",
+    "resumes",
+]
--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/serving/attempts.py
@@ -0,0 +1,64 @@
+"""What becomes of a call after an attempt: answered, sent again, or given up."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from knapweedbridge_core.serving.deployment import CallKind, Route
+
+SENDS_MOST = 6
+"""Most sends of one call, those that an endpoint refused to run among them."""
+
+
+class AttemptEnd(Enum):
+    """How an attempt ended, by what is proved of it.
+
+    ``NOT_RUN``: the endpoint says so, or no byte of the call was written.
+    ``FAILED``: the endpoint ran it and answered with a failure of its own.
+    ``BROKEN``: it may have run; no whole answer came.
+    """
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    FAILED = "failed"
+    BROKEN = "broken"
+
+
+@dataclass(slots=True)
+class CallProgress:
+    """What one call has behind it.
+
+    Parameters
+    ----------
+    runs : set of str
+        Endpoints on which it ran or may have run.
+    sends : int
+        Attempts sent to any endpoint.
+    events : int
+        Events of a stream that were passed on.
+    """
+
+    runs: set[str] = field(default_factory=set)
+    refusals: set[str] = field(default_factory=set)
+    sends: int = 0
+    begun: bool = False
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any endpoint may have run it."""
+        return bool(self.runs)
+
+
+def may_send_again(route: Route, progress: CallProgress, end: AttemptEnd) -> bool:
+    """Tell whether a call may be sent once more, the retry budget aside."""
+    if progress.sends >= SENDS_MOST:
+        return False
+    if end is AttemptEnd.NOT_RUN and not progress.may_have_run:
+        return True
+    if not route.repeatable:
+        return False
+    return len(progress.runs) < route.max_attempts
+
+
+def resumes(route: Route, progress: CallProgress) -> bool:
+    """Tell whether another endpoint must go on where the last one stopped."""
+    return route.kind is CallKind.STREAM and progress.begun
--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/serving/beliefs.py
@@ -0,0 +1,195 @@
+"""What a daemon learns from the platform's store, kept whole and never set back."""
+
+from dataclasses import dataclass, field
+
+from knapweedbridge_core.serving.deployment import Deployment
+from knapweedbridge_core.serving.fleet import EndpointRecord, Fleet, ModelRef
+from knapweedbridge_core.serving.ownership import DaemonRecord, OwnerRecord
+
+OLDER_VERSION_S = 3.0
+"""How long after a new version was heard of an older one may serve, where the new one
+is loaded nowhere: the operators allow 5 s from their acknowledgement."""
+
+
+@dataclass(slots=True, frozen=True)
+class DeploymentNamed:
+    """The store holds this configuration."""
+
+    deployment: Deployment
+
+
+@dataclass(slots=True, frozen=True)
+class VersionNamed:
+    """A new version of an adapter, or of a base model's weights."""
+
+    model: ModelRef
+    version: int
+
+
+@dataclass(slots=True, frozen=True)
+class EndpointNamed:
+    """The store lists an endpoint."""
+
+    record: EndpointRecord
+
+
+@dataclass(slots=True, frozen=True)
+class EndpointGone:
+    """The store lists an endpoint no more."""
+
+    endpoint: str
+
+
+@dataclass(slots=True, frozen=True)
+class DaemonNamed:
+    """The store lists a daemon."""
+
+    record: DaemonRecord
+
+
+@dataclass(slots=True, frozen=True)
+class DaemonGone:
+    """The store lists a daemon no more."""
+
+    name: str
+
+
+@dataclass(slots=True, frozen=True)
+class OwnerNamed:
+    """The store names an engine's owner."""
+
+    endpoint: str
+    record: OwnerRecord
+
+
+@dataclass(slots=True, frozen=True)
+class OwnerGone:
+    """An owner's record is gone: its lease lapsed."""
+
+    endpoint: str
+
+
+@dataclass(slots=True, frozen=True)
+class SecretNamed:
+    """The secret by which daemons know each other."""
+
+    secret: bytes
+
+
+Belief = (
+    DeploymentNamed
+    | VersionNamed
+    | EndpointNamed
+    | EndpointGone
+    | DaemonNamed
+    | DaemonGone
+    | OwnerNamed
+    | OwnerGone
+    | SecretNamed
+)
+
+
+@dataclass(slots=True)
+class NamedVersion:
+    """The newest version of a model that is known, and when it was heard of."""
+
+    version: int
+    heard_s: float
+
+
+@dataclass(slots=True)
+class Beliefs:
+    """All that one daemon believes of the deployment.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        The endpoints.
+    deployment : Deployment or None
+        Newest configuration seen; None before the first.
+    """
+
+    fleet: Fleet = field(default_factory=Fleet)
+    deployment: Deployment | None = None
+    versions: dict[ModelRef, NamedVersion] = field(default_factory=dict)
+    daemons: dict[str, DaemonRecord] = field(default_factory=dict)
+    owners: dict[str, OwnerRecord] = field(default_factory=dict)
+    free_since_s: dict[str, float] = field(default_factory=dict)
+    secret: bytes = b""
+
+    def take(self, belief: Belief, now_s: float, in_outage: bool = False) -> bool:
+        """Take one thing the store says; tell whether it changed anything.
+
+        Parameters
+        ----------
+        in_outage : bool
+            Whether the store was disturbed lately; see `Fleet.unlisted`.
+        """
+        match belief:
+            case DeploymentNamed(deployment):
+                return self._take_deployment(deployment)
+            case VersionNamed(model, version):
+                return self._take_version(model, version, now_s)
+            case EndpointNamed(record):
+                return self._take_endpoint(record, now_s)
+            case EndpointGone(endpoint):
+                self.fleet.unlisted(endpoint, now_s, in_outage)
+            case DaemonNamed(record):
+                self.daemons[record.name] = record
+            case DaemonGone(name):
+                self.daemons.pop(name, None)
+            case OwnerNamed(endpoint, record):
+                self._take_owner(endpoint, record, now_s)
+            case OwnerGone(endpoint):
+                self._owner_gone(endpoint, now_s)
+            case SecretNamed(secret):
+                self.secret = secret
+        return True
+
+    def _take_deployment(self, deployment: Deployment) -> bool:
+        # A stale read, or an answer that was overtaken, must not set it back.
+        if self.deployment and deployment.version <= self.deployment.version:
+            return False
+        self.deployment = deployment
+        return True
+
+    def _take_version(self, model: ModelRef, version: int, now_s: float) -> bool:
+        known = self.versions.get(model)
+        if known is not None and version <= known.version:
+            return False
+        self.versions[model] = NamedVersion(version, now_s)
+        return True
+
+    def _take_endpoint(self, record: EndpointRecord, now_s: float) -> bool:
+        known = self.fleet.endpoints.get(record.endpoint)
+        changed = known is None or known.record.leaving != record.leaving
+        self.fleet.listed(record, now_s)
+        return changed
+
+    def _take_owner(self, endpoint: str, record: OwnerRecord, now_s: float) -> None:
+        known = self.owners.get(endpoint)
+        if known is not None and record.number < known.number:
+            return
+        self.owners[endpoint] = record
+        if record.owner:
+            self.free_since_s.pop(endpoint, None)
+        else:
+            self.free_since_s[endpoint] = now_s
+        if endpoint in self.fleet.endpoints:
+            self.fleet.endpoints[endpoint].owner = record.owner
+
+    def _owner_gone(self, endpoint: str, now_s: float) -> None:
+        if self.owners.pop(endpoint, None) is not None:
+            self.free_since_s[endpoint] = now_s
+        if endpoint in self.fleet.endpoints:
+            self.fleet.endpoints[endpoint].owner = ""
+
+    def wanted_version(self, model: ModelRef) -> int | None:
+        """Return the newest version named, or None where none was."""
+        named = self.versions.get(model)
+        return named.version if named else None
+
+    def older_allowed(self, model: ModelRef, now_s: float) -> bool:
+        """Tell whether an older version may still serve a call."""
+        named = self.versions.get(model)
+        return named is None or now_s - named.heard_s < OLDER_VERSION_S
--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/serving/deployment.py
@@ -0,0 +1,199 @@
+"""The configuration in force: routes, services and what an engine can hold."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from knapweedbridge_core.rendezvous import score
+
+HASH_RANGE = 1 << 64
+
+
+class CallKind(Enum):
+    """What may be repeated of a call."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAM = "stream"
+
+
+@dataclass(slots=True, frozen=True)
+class WeightedService:
+    """A service that a route sends a share of its calls to."""
+
+    service: str
+    weight: float
+
+
+@dataclass(slots=True, frozen=True)
+class Route:
+    """Which calls go to which service, and within what bounds.
+
+    Parameters
+    ----------
+    name : str
+        Name of the route.
+    host, path_prefix : str
+        Which calls it takes; the longest prefix of a host goes first.
+    kind : CallKind
+        What may be repeated.
+    services : tuple of WeightedService
+        Where its calls go.
+    timeout_s : float
+        Longest time a caller may be kept waiting, in seconds.
+    objective_s : float
+        Time to the answer, or a stream's first event, in seconds.
+    gap_objective_s : float
+        Longest pause between events of a stream, in seconds.
+    urgency : int
+        Rank among calls; 0 goes first.
+    max_attempts : int
+        Most endpoints that one call may run on.
+    resumable : bool
+        Whether a stream may be continued on another endpoint.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: CallKind
+    services: tuple[WeightedService, ...]
+    timeout_s: float
+    objective_s: float
+    gap_objective_s: float = 0.0
+    urgency: int = 5
+    max_attempts: int = 1
+    resumable: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a call may run more than once."""
+        if self.kind is CallKind.STREAM:
+            return self.resumable
+        return self.kind is CallKind.IDEMPOTENT
+
+    def service_of(self, call_id: str) -> str:
+        """Choose the service of one call; the same for the same call."""
+        if len(self.services) == 1:
+            return self.services[0].service
+        total = sum(each.weight for each in self.services)
+        point = score(call_id, self.name) / HASH_RANGE * total
+        for each in self.services:
+            point -= each.weight
+            if point < 0:
+                return each.service
+        return self.services[-1].service
+
+
+@dataclass(slots=True, frozen=True)
+class BaseModel:
+    """A base model that engines of a service may hold.
+
+    Parameters
+    ----------
+    name : str
+        Name of the model.
+    weights_mb : float
+        Size of its weights.
+    load_s : float
+        Time to load it from the weight store, in seconds.
+    adapters : int
+        How many adapters of it there are.
+    """
+
+    name: str
+    weights_mb: float
+    load_s: float
+    adapters: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class EngineLimits:
+    """What one model engine of a service can hold and run.
+
+    Parameters
+    ----------
+    slots : int
+        Requests in one batch.
+    cache_tokens : int
+        Tokens of running requests and cached prompts together.
+    adapter_places : int
+        Adapters held at once, those on their way among them.
+    weights_mb : float
+        Memory for weights.
+    loads_per_s : float
+        Loads of base models that the weight store allows over all engines.
+    models : dict of str to BaseModel
+        Base models of the service.
+    """
+
+    slots: int
+    cache_tokens: int
+    adapter_places: int
+    weights_mb: float
+    loads_per_s: float
+    models: dict[str, BaseModel] = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class Service:
+    """Endpoints of one kind; ``engine`` is None for plain ones."""
+
+    name: str
+    health_path: str
+    max_connections: int
+    engine: EngineLimits | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class FaceLimits:
+    """What a caller may send, and how long it may take."""
+
+    header_bytes: int = 16384
+    body_bytes: int = 4 << 20
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclass(slots=True)
+class Deployment:
+    """One version of the configuration, whole.
+
+    Parameters
+    ----------
+    version : int
+        Rises with each change.
+    routes : tuple of Route
+        All routes.
+    services : dict of str to Service
+        All services by name.
+    limits : FaceLimits
+        Bounds on what callers send.
+    """
+
+    version: int
+    routes: tuple[Route, ...]
+    services: dict[str, Service]
+    limits: FaceLimits = FaceLimits()
+    _by_host: dict[str, list[Route]] = field(init=False, repr=False)
+
+    def __post_init__(self) -> None:
+        self._by_host = {}
+        for route in self.routes:
+            self._by_host.setdefault(route.host, []).append(route)
+        for routes in self._by_host.values():
+            routes.sort(key=lambda route: -len(route.path_prefix))
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route of a call, or None where no route takes it.
+
+        Parameters
+        ----------
+        host : str
+            The call's host name, without a port.
+        path : str
+            The call's path, without its query.
+        """
+        for route in self._by_host.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
@@ -0,0 +1,336 @@
+"""What the owner of one engine orders of it: loads, and unloads that make room.
+
+The keeper counts each place as taken from the order on, and as free only when the
+engine proves it. Ordering more than an engine's places crashes it with all its runs.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from enum import Enum
+
+from knapweedbridge_core.serving.deployment import EngineLimits
+from knapweedbridge_core.serving.fleet import ModelRef
+
+COMING_MOST = 4
+"""Adapters that may be on their way to one engine at once; the engine refuses more."""
+
+COLD_LOAD_S = 0.25
+"""Time of an adapter's load from the weight store; what the users' engines take."""
+
+WARM_LOAD_S = 0.025
+"""Time of a load of an adapter that the engine held lately: a tenth of a cold one."""
+
+READY_MARGIN_S = 0.006
+"""Added to an expected load, so that a call sent on time does not arrive before it."""
+
+RECENT_ADAPTERS = 110
+"""Adapters that an engine is taken to have in its memory; it keeps about 120."""
+
+WANT_LIFE_S = 2.0
+"""How long a wish for an adapter stands; daemons that still wait ask again."""
+
+VICTIM_REST_S = 0.05
+"""How long an adapter must be unused before it is unloaded: word of a call that was
+just sent there takes some milliseconds."""
+
+
+class OrderKind(Enum):
+    """What an order does."""
+
+    LOAD = "load"
+    UNLOAD = "unload"
+
+
+class OrderAnswer(Enum):
+    """How an engine answered an order."""
+
+    STARTED = "started"
+    DONE = "done"
+    CONFLICT = "conflict"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@dataclass(slots=True, frozen=True)
+class Order:
+    """One order to an engine.
+
+    Parameters
+    ----------
+    kind : OrderKind
+        Load or unload.
+    model : ModelRef
+        A base model or an adapter.
+    version : int
+        Version of the adapter to load; 0: the newest.
+    sequence : int
+        Orders that the engine must have accepted before; else it refuses.
+    """
+
+    kind: OrderKind
+    model: ModelRef
+    version: int
+    sequence: int
+
+
+@dataclass(slots=True, frozen=True)
+class EngineReport:
+    """What an engine says of itself; it may be some hundred ms old.
+
+    Parameters
+    ----------
+    sequence : int
+        Orders accepted since its start.
+    bases : tuple of str
+        Base models held.
+    adapters, coming : dict of ModelRef to int
+        Adapters held and on their way, with versions.
+    busy : bool
+        Whether a base model is being loaded or unloaded.
+    queued, running : int
+        Calls that wait and run there.
+    cache_used_tokens : int
+        Tokens of memory that cannot yield.
+    """
+
+    sequence: int
+    bases: tuple[str, ...]
+    adapters: dict[ModelRef, int]
+    coming: dict[ModelRef, int]
+    busy: bool = False
+    queued: int = 0
+    running: int = 0
+    cache_used_tokens: int = 0
+
+
+@dataclass(slots=True)
+class Place:
+    """One place of an engine that is taken."""
+
+    version: int
+    ready_s: float
+    used_s: float
+    leaving: bool = False
+
+
+@dataclass(slots=True)
+class Want:
+    """An adapter that daemons wait for."""
+
+    version: int
+    asked_s: float
+
+
+class EngineKeeper:
+    """Plans the orders for one engine.
+
+    Parameters
+    ----------
+    limits : EngineLimits
+        What the engine can hold.
+    number : int
+        The owner's fencing number.
+    """
+
+    def __init__(self, limits: EngineLimits, number: int) -> None:
+        self.limits = limits
+        self.number = number
+        self.sequence = 0
+        self.bases: set[str] = set()
+        self.places: dict[ModelRef, Place] = {}
+        self.needs_report = True
+        self.coming_elsewhere = 0
+        self._wants: OrderedDict[ModelRef, Want] = OrderedDict()
+        self._calls: dict[str, dict[ModelRef, int]] = {}
+        self._recent: OrderedDict[ModelRef, None] = OrderedDict()
+        self._base_due_s = 0.0
+
+    def want(self, model: ModelRef, version: int, now_s: float) -> None:
+        """Take a daemon's wish for an adapter."""
+        known = self._wants.get(model)
+        if known is None:
+            self._wants[model] = Want(version, now_s)
+            return
+        known.version = max(known.version, version)
+        known.asked_s = now_s
+
+    @property
+    def has_wants(self) -> bool:
+        """Whether any adapter is waited for."""
+        return bool(self._wants)
+
+    def calls_running(
+        self, daemon: str, calls: dict[ModelRef, int], now_s: float
+    ) -> None:
+        """Take all calls of one daemon on this engine."""
+        before = self._calls.get(daemon, {})
+        self._calls[daemon] = calls
+        for model in {*before, *calls}:
+            if model in self.places:
+                self.places[model].used_s = now_s
+
+    def forget_daemon(self, daemon: str) -> None:
+        """Drop the calls of a daemon that is gone."""
+        self._calls.pop(daemon, None)
+
+    def users(self, model: ModelRef) -> int:
+        """Return the calls that run on an adapter."""
+        return sum(calls.get(model, 0) for calls in self._calls.values())
+
+    def calls_by_daemon(self) -> dict[str, int]:
+        """Return the calls on the engine, by daemon."""
+        totals = {daemon: sum(calls.values()) for daemon, calls in self._calls.items()}
+        return {daemon: total for daemon, total in totals.items() if total}
+
+    def places_free(self, now_s: float) -> int:
+        """Return the places that a new adapter could get at once."""
+        taken = sum(
+            place.leaving or place.ready_s > now_s or self.users(model) > 0
+            for model, place in self.places.items()
+        )
+        return max(0, self.limits.adapter_places - taken)
+
+    def reported(self, report: EngineReport, now_s: float) -> None:
+        """Take a report that was asked for after the last order's answer.
+
+        A report that counts fewer orders than were accepted is from before them:
+        it would show places as free that are taken, so it is not used.
+        """
+        if report.sequence < self.sequence:
+            return
+        self.sequence = report.sequence
+        self.bases = set(report.bases)
+        shown = {**report.adapters, **report.coming}
+        for model in [model for model in self.places if model not in shown]:
+            self._drop(model)
+        for model, version in shown.items():
+            self._show(model, version, model in report.coming, now_s)
+        self.needs_report = any(place.leaving for place in self.places.values())
+
+    def _show(self, model: ModelRef, version: int, coming: bool, now_s: float) -> None:
+        place = self.places.get(model)
+        if place is None:
+            place = self.places[model] = Place(version, now_s, now_s)
+            if coming:
+                place.ready_s = now_s + COLD_LOAD_S
+            return
+        place.version = max(place.version, version)
+
+    def next_order(self, now_s: float) -> Order | None:
+        """Return the next order, or None where none is due."""
+        if self.needs_report:
+            return None
+        missing = self._missing_base(now_s)
+        if missing is not None:
+            return self._order(OrderKind.LOAD, missing, 0)
+        coming = sum(place.ready_s > now_s for place in self.places.values())
+        for model, want in list(self._wants.items()):
+            if self._is_over(model, want, now_s):
+                del self._wants[model]
+                continue
+            if coming >= COMING_MOST or model.base not in self.bases:
+                continue
+            order = self._toward(model, want, now_s)
+            if order is not None:
+                return order
+        return None
+
+    def _missing_base(self, now_s: float) -> ModelRef | None:
+        # A restarted engine is empty; until it holds a base it serves nothing.
+        if self.bases or now_s < self._base_due_s:
+            return None
+        fitting = [
+            model
+            for model in self.limits.models.values()
+            if model.weights_mb <= self.limits.weights_mb
+        ]
+        return ModelRef(fitting[0].name) if fitting else None
+
+    def _is_over(self, model: ModelRef, want: Want, now_s: float) -> bool:
+        place = self.places.get(model)
+        served = (
+            place is not None and place.version >= want.version and not place.leaving
+        )
+        return served or now_s - want.asked_s > WANT_LIFE_S
+
+    def _toward(self, model: ModelRef, want: Want, now_s: float) -> Order | None:
+        place = self.places.get(model)
+        if place is not None:
+            # An older version: a replacement waits for its runs and refuses new
+            # calls meanwhile, so it is ordered only when none runs.
+            if place.leaving or self.users(model):
+                return None
+            return self._order(OrderKind.LOAD, model, want.version)
+        if len(self.places) < self.limits.adapter_places:
+            return self._order(OrderKind.LOAD, model, want.version)
+        victim = self._victim(now_s)
+        if victim is None:
+            return None
+        return self._order(OrderKind.UNLOAD, victim, 0)
+
+    def _victim(self, now_s: float) -> ModelRef | None:
+        unused = [
+            (place.used_s, str(model), model)
+            for model, place in self.places.items()
+            if not place.leaving
+            and place.ready_s <= now_s
+            and now_s - place.used_s >= VICTIM_REST_S
+            and not self.users(model)
+            and model not in self._wants
+        ]
+        return min(unused)[2] if unused else None
+
+    def _order(self, kind: OrderKind, model: ModelRef, version: int) -> Order:
+        return Order(kind, model, version, self.sequence)
+
+    def answered(self, order: Order, answer: OrderAnswer, now_s: float) -> None:
+        """Take an engine's answer to an order."""
+        if answer in (OrderAnswer.STARTED, OrderAnswer.DONE):
+            self.sequence += 1
+            self._accepted(order, answer, now_s)
+        elif answer is OrderAnswer.UNKNOWN:
+            # It may be carried out yet: a place is taken until a later order is
+            # accepted with the same sequence, which kills this one.
+            self.needs_report = True
+        else:
+            self.needs_report = True
+
+    def _accepted(self, order: Order, answer: OrderAnswer, now_s: float) -> None:
+        if not order.model.adapter:
+            if order.kind is OrderKind.LOAD:
+                load_s = self.limits.models[order.model.base].load_s
+                self._base_due_s = now_s + 2 * load_s
+            self.needs_report = True
+            return
+        if order.kind is OrderKind.UNLOAD:
+            if answer is OrderAnswer.DONE:
+                self._drop(order.model)
+            else:
+                self.places[order.model].leaving = True
+                self.needs_report = True
+            return
+        ready_s = now_s
+        if answer is OrderAnswer.STARTED:
+            ready_s += self._load_s(order.model, now_s) + READY_MARGIN_S
+        version = order.version
+        self._wants.pop(order.model, None)
+        self._recent.pop(order.model, None)
+        self.places[order.model] = Place(version, ready_s, now_s)
+
+    def _load_s(self, model: ModelRef, now_s: float) -> float:
+        if model in self._recent:
+            return WARM_LOAD_S
+        return COLD_LOAD_S
+
+    def _drop(self, model: ModelRef) -> None:
+        del self.places[model]
+        self._recent[model] = None
+        self._recent.move_to_end(model)
+        while len(self._recent) > RECENT_ADAPTERS:
+            self._recent.popitem(last=False)
+
+    def missed(self, model: ModelRef, now_s: float) -> None:
+        """Take that the engine refused a call on an adapter it should hold."""
+        place = self.places.get(model)
+        if place is not None and place.ready_s <= now_s:
+            self.needs_report = True
--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -0,0 +1,245 @@
+"""What a daemon believes of the endpoints: who exists, holds what, runs how much."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+SUSPECT_FIRST_S = 0.5
+"""Pause after a first failed connection: a restart of an endpoint takes seconds."""
+
+SUSPECT_LONGEST_S = 2.0
+"""Longest pause, so that an endpoint that is back is found within it."""
+
+UNLISTED_USE_S = 1.5
+"""How long an endpoint that fell out of the list with the store's outage stays in
+use: the list is whole again about 2 s after the store's return, and an endpoint
+that has left may get no new work after 2 s."""
+
+FAILURE_HALF_LIFE_S = 3.0
+"""Half-life of the share of failures, so that one bad second is soon forgotten."""
+
+
+@dataclass(slots=True, frozen=True)
+class ModelRef:
+    """A base model, or an adapter of one; ``adapter`` is empty for the base."""
+
+    base: str
+    adapter: str = ""
+
+    def __str__(self) -> str:
+        return f"{self.base}/{self.adapter}" if self.adapter else self.base
+
+
+def parse_model(text: str) -> ModelRef:
+    """Read ``BASE`` or ``BASE/ADAPTER``."""
+    base, _, adapter = text.partition("/")
+    return ModelRef(base, adapter)
+
+
+@dataclass(slots=True, frozen=True)
+class EndpointRecord:
+    """One endpoint as the platform lists it.
+
+    Parameters
+    ----------
+    endpoint : str
+        Id of this start of the endpoint.
+    service : str
+        Name of its service.
+    address : str
+        IP number and port.
+    data_centre : str
+        Where it stands.
+    slots : int
+        Requests it runs at once.
+    leaving : bool
+        Whether it takes no new work.
+    bases : tuple of str
+        Base models that it holds.
+    adapters : dict of ModelRef to int
+        Adapters that it holds, and their versions.
+    """
+
+    endpoint: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    leaving: bool
+    bases: tuple[str, ...] = ()
+    adapters: dict[ModelRef, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class HeldAdapter:
+    """An adapter on an engine, from ``ready_s`` on."""
+
+    version: int
+    ready_s: float
+
+
+@dataclass(slots=True)
+class Endpoint:
+    """What is believed of one endpoint.
+
+    Parameters
+    ----------
+    record : EndpointRecord
+        What the platform says.
+    held : dict of ModelRef to HeldAdapter
+        Adapters as the owner tells, or as the list told first.
+    own_calls : int
+        Calls of this daemon that run there.
+    others_calls : int
+        Calls of other daemons, as the owner tells.
+    queued_first : int
+        Calls of this daemon that wait for their first byte there.
+    """
+
+    record: EndpointRecord
+    held: dict[ModelRef, HeldAdapter] = field(default_factory=dict)
+    bases: set[str] = field(default_factory=set)
+    owner: str = ""
+    own_calls: int = 0
+    others_calls: int = 0
+    queued_first: int = 0
+    told: bool = False
+    unlisted_s: float | None = None
+    refused_until_s: float = 0.0
+    suspect_until_s: float = 0.0
+    failures_in_row: int = 0
+    failure_share: float = 0.0
+    failure_s: float = 0.0
+    places_free: int = 0
+    first_listed_s: float = 0.0
+    told_by: str = ""
+    told_number: int = 0
+    told_order: int = 0
+
+    @property
+    def name(self) -> str:
+        """Id of the endpoint."""
+        return self.record.endpoint
+
+    @property
+    def calls(self) -> int:
+        """Calls that run there, of all daemons."""
+        return self.own_calls + self.others_calls
+
+    def failing_share(self, now_s: float) -> float:
+        """Return the decayed share of failed calls, 0 to 1."""
+        age_s = max(0.0, now_s - self.failure_s)
+        return self.failure_share * 0.5 ** (age_s / FAILURE_HALF_LIFE_S)
+
+    def note_result(self, failed: bool, now_s: float) -> None:
+        """Add one call's end to the share of failures."""
+        share = self.failing_share(now_s)
+        self.failure_share = share + 0.2 * ((1.0 if failed else 0.0) - share)
+        self.failure_s = now_s
+
+    def note_unreachable(self, now_s: float) -> None:
+        """Back off after a connection that could not be made or broke at once."""
+        pause_s = SUSPECT_FIRST_S * 2**self.failures_in_row
+        self.failures_in_row = min(self.failures_in_row + 1, 8)
+        self.suspect_until_s = now_s + min(pause_s, SUSPECT_LONGEST_S)
+
+    def note_answer(self) -> None:
+        """End the back-off: the endpoint answers."""
+        self.failures_in_row = 0
+        self.suspect_until_s = 0.0
+
+
+class Fleet:
+    """All endpoints that this daemon knows of."""
+
+    def __init__(self) -> None:
+        self.endpoints: dict[str, Endpoint] = {}
+        self._by_service: dict[str, dict[str, Endpoint]] = {}
+
+    def listed(self, record: EndpointRecord, now_s: float) -> Endpoint:
+        """Take what the platform says of an endpoint."""
+        endpoint = self.endpoints.get(record.endpoint)
+        if endpoint is None:
+            endpoint = Endpoint(record, first_listed_s=now_s)
+            self.endpoints[record.endpoint] = endpoint
+            self._by_service.setdefault(record.service, {})[record.endpoint] = endpoint
+        endpoint.record = record
+        endpoint.unlisted_s = None
+        endpoint.bases = set(record.bases)
+        if not endpoint.told:
+            # Until an owner tells more, the list is all there is.
+            endpoint.held = {
+                model: HeldAdapter(version, now_s)
+                for model, version in record.adapters.items()
+            }
+        return endpoint
+
+    def told(
+        self,
+        name: str,
+        number: int,
+        order: int,
+        held: dict[ModelRef, HeldAdapter],
+    ) -> Endpoint | None:
+        """Take what an owner tells of its engine; None where that is outdated."""
+        endpoint = self.endpoints.get(name)
+        if endpoint is None:
+            return None
+        if (number, order) <= (endpoint.told_number, endpoint.told_order):
+            return None
+        endpoint.told_number, endpoint.told_order = number, order
+        endpoint.told = True
+        endpoint.held = held
+        return endpoint
+
+    def unlisted(self, name: str, now_s: float, in_outage: bool) -> None:
+        """Take that an endpoint is gone from the list.
+
+        Parameters
+        ----------
+        in_outage : bool
+            Whether the list's store was disturbed lately: entries then lapse that
+            belong to endpoints which live.
+        """
+        endpoint = self.endpoints.get(name)
+        if endpoint is None:
+            return
+        if in_outage and not endpoint.record.leaving:
+            endpoint.unlisted_s = now_s
+            return
+        self._drop(endpoint)
+
+    def forget_unlisted(self, now_s: float) -> list[str]:
+        """Drop endpoints that did not come back to the list, and name them."""
+        gone = [
+            endpoint
+            for endpoint in self.endpoints.values()
+            if endpoint.unlisted_s is not None
+            and now_s - endpoint.unlisted_s > UNLISTED_USE_S
+        ]
+        for endpoint in gone:
+            self._drop(endpoint)
+        return [endpoint.name for endpoint in gone]
+
+    def _drop(self, endpoint: Endpoint) -> None:
+        del self.endpoints[endpoint.name]
+        del self._by_service[endpoint.record.service][endpoint.name]
+
+    def of_service(self, service: str) -> list[Endpoint]:
+        """Return the endpoints of a service that may take new work."""
+        return [
+            endpoint
+            for endpoint in self._by_service.get(service, {}).values()
+            if not endpoint.record.leaving
+        ]
+
+    def reachable(self, service: str, now_s: float) -> list[Endpoint]:
+        """Return those that may take new work and are not backed off from."""
+        return [
+            endpoint
+            for endpoint in self.of_service(service)
+            if endpoint.suspect_until_s <= now_s
+        ]
+
+    def engines(self) -> Iterator[Endpoint]:
+        """Iterate over all endpoints, those that leave too."""
+        return iter(self.endpoints.values())
--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/serving/messages.py
@@ -0,0 +1,72 @@
+"""What daemons tell each other of engines."""
+
+from knapweedbridge_core.codec import message
+
+
+@message
+class AdapterWanted:
+    """A daemon asks an engine's owner to load an adapter.
+
+    Parameters
+    ----------
+    endpoint : str
+        The engine.
+    base, adapter : str
+        What to load.
+    version : int
+        Oldest version that will do; 0: any.
+    """
+
+    endpoint: str
+    base: str
+    adapter: str
+    version: int
+
+
+@message
+class CallsRunning:
+    """All calls of a daemon on one engine; this replaces what it said before.
+
+    Parameters
+    ----------
+    endpoint : str
+        The engine.
+    calls : dict of str to int
+        Calls by model, ``BASE/ADAPTER`` or ``BASE``.
+    """
+
+    endpoint: str
+    calls: dict[str, int]
+
+
+@message
+class EngineTold:
+    """An owner tells what its engine holds; this replaces what it said before.
+
+    Parameters
+    ----------
+    endpoint : str
+        The engine.
+    number : int
+        The owner's fencing number; a lower one is of an owner of before.
+    order : int
+        Rises with each telling of one owner.
+    held : list of [base, adapter, version, ready_in_s]
+        Adapters that are there, or will be after some seconds.
+    calls : dict of str to int
+        Calls on the engine by daemon.
+    places_free : int
+        Places that a new adapter could get now.
+    """
+
+    endpoint: str
+    number: int
+    order: int
+    held: list[list]
+    calls: dict[str, int]
+    places_free: int
+
+
+@message
+class DeploymentAsked:
+    """A daemon that cannot read the platform's store asks a peer what is known."""
--- a/packages/daemon/src/knapweedbridge_daemon/daemon.py
+++ b/packages/daemon/src/knapweedbridge_daemon/daemon.py
@@ -21,12 +21,13 @@
 from knapweedbridge_daemon.draining import Drain, DrainBounds
 from knapweedbridge_daemon.driver import Driver
 from knapweedbridge_daemon.errors import DaemonError
+from knapweedbridge_daemon.etcd_store import EtcdStore
 from knapweedbridge_daemon.hosts import HostList, HttpHostList
 from knapweedbridge_daemon.metrics import Metrics
 from knapweedbridge_daemon.observer import Observer
 from knapweedbridge_daemon.peers import Peers
 from knapweedbridge_daemon.probes import Prober
-from knapweedbridge_daemon.store import EtcdStore, KeyValueStore
+from knapweedbridge_daemon.store import KeyValueStore
 from knapweedbridge_daemon.tls import CertificateKeeper, open_certificates
 from knapweedbridge_daemon.watching import ConfigurationReader
 from knapweedbridge_daemon.web import CLOSING_S, make_config, serve_until
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
@@ -0,0 +1,126 @@
+"""Follows the platform's store, and keeps this daemon's beliefs up to it."""
+
+import random
+from itertools import chain
+
+import anyio
+
+from knapweedbridge_daemon.errors import StoreError
+from knapweedbridge_daemon.serving.dialects import DialectError
+from knapweedbridge_daemon.serving.hub import Hub
+from knapweedbridge_daemon.serving.own_records import read_own
+from knapweedbridge_daemon.store import HistoryGoneError, StoreItem
+
+WATCH_S = 10.0
+"""Wait of a watch without changes: each waiting watch costs a call."""
+
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 1.0
+"""Pauses between calls that fail: the store's return is seen within a second."""
+
+
+class StoreFollower:
+    """The task that reads the store and follows its changes.
+
+    Parameters
+    ----------
+    hub : Hub
+        What it keeps up to date.
+    """
+
+    def __init__(self, hub: Hub) -> None:
+        self._hub = hub
+        self._failures = 0
+        self._watch: anyio.CancelScope | None = None
+        self._revision = 0
+        self._known: set[str] = set()
+
+    def watch_anew(self) -> None:
+        """End the watch that waits: its connection may have gone silent."""
+        if self._watch is not None:
+            self._watch.cancel()
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        prefix = self._hub.dialects.store_items.prefix
+        store = self._hub.dialects.store
+        while True:
+            try:
+                if not self._revision:
+                    await self._read_all(prefix)
+                with anyio.CancelScope() as self._watch:
+                    found = await store.read_changes(prefix, self._revision, WATCH_S)
+                    self._take(found.items)
+                    self._revision = max(self._revision, found.revision)
+                    self._answered()
+            except HistoryGoneError:
+                self._hub.log.info("store.history_gone", revision=self._revision)
+                self._revision = 0
+            except StoreError as error:
+                await self._failed(error)
+
+    async def _read_all(self, prefix: str) -> None:
+        found = await self._hub.dialects.store.read_items(prefix)
+        keys = {item.key for item in found.items}
+        removed = [StoreItem(key, None, found.revision) for key in self._known - keys]
+        self._take(list(chain(found.items, removed)))
+        self._revision = found.revision
+        self._hub.synced = True
+        self._hub.log.info(
+            "store.read", items=len(found.items), revision=found.revision
+        )
+        self._answered()
+
+    def _answered(self) -> None:
+        if self._failures:
+            self._hub.log.info("store.regained", failures=self._failures)
+        self._failures = 0
+
+    async def _failed(self, error: StoreError) -> None:
+        if not self._failures:
+            self._hub.log.error("store.lost", error=str(error))
+        self._failures += 1
+        self._hub.measures.count("store_failures")
+        self._hub.store_disturbed()
+        pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**self._failures)
+        # Spread: at the store's return all daemons would else call at once.
+        await anyio.sleep(pause_s * random.uniform(0.5, 1.0))
+
+    def _take(self, items: list[StoreItem]) -> None:
+        changed = False
+        for item in items:
+            changed = self._take_one(item) or changed
+        if changed:
+            self._hub.beliefs_changed.tell()
+            self._hub.engines_changed.tell()
+
+    def _take_one(self, item: StoreItem) -> bool:
+        hub = self._hub
+        if item.value is None:
+            self._known.discard(item.key)
+        else:
+            self._known.add(item.key)
+        keys = hub.dialects.own_keys
+        try:
+            if item.key.startswith(keys.prefix):
+                belief = read_own(keys, item.key, item.value, item.revision)
+            else:
+                belief = hub.dialects.store_items.read(
+                    item.key, item.value, item.revision
+                )
+        except DialectError as error:
+            # What was believed before stays in force.
+            hub.log.error("store.unreadable", key=item.key, error=str(error))
+            return False
+        if belief is None:
+            return False
+        now_s = anyio.current_time()
+        changed = hub.beliefs.take(belief, now_s, hub.is_store_disturbed)
+        if changed:
+            hub.log.info(
+                "belief.changed",
+                key=item.key,
+                belief=type(belief).__name__,
+                revision=item.revision,
+            )
+        return changed
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
@@ -0,0 +1,157 @@
+"""What is done with each request of a caller."""
+
+import traceback
+
+import anyio
+
+from knapweedbridge_core.serving import Deployment, FaceLimits, Route
+from knapweedbridge_daemon.serving.calls import Call, CallRunner
+from knapweedbridge_daemon.serving.dialects import CallDetails, DialectError, Refusal
+from knapweedbridge_daemon.serving.http_server import (
+    BadRequestError,
+    ReceivedRequest,
+    Responder,
+)
+from knapweedbridge_daemon.serving.hub import Hub
+from knapweedbridge_daemon.serving.wire import get_header
+
+START_AFTER_S = 0.5
+"""When a caller should come back to a daemon that knows no configuration yet."""
+
+LAST_PLACES = 4
+"""Lines of a traceback that a log line carries."""
+
+DEADLINE_S = 60.0
+"""Deadline of a call that names none and whose route has no timeout."""
+
+
+class CallersApp:
+    """Routes requests and runs them.
+
+    Parameters
+    ----------
+    hub : Hub
+        Beliefs, dialects and measures.
+    runner : CallRunner
+        Runs the calls.
+    """
+
+    def __init__(self, hub: Hub, runner: CallRunner) -> None:
+        self._hub = hub
+        self._runner = runner
+        self.running = 0
+
+    def limits(self) -> FaceLimits:
+        """Return the bounds on what callers send."""
+        deployment = self._hub.beliefs.deployment
+        return deployment.limits if deployment else FaceLimits()
+
+    def count_bad(self, error: BadRequestError) -> None:
+        """Count a request that could not be read."""
+        self._hub.measures.count("bad_requests", str(error.status))
+        self._hub.log.info("request.bad", status=error.status, error=str(error))
+
+    def count_fault(self, error: Exception) -> None:
+        """Count an error of the daemon's own code, with its place."""
+        self._hub.measures.count("internal_errors")
+        places = "".join(traceback.format_exception(error)[-LAST_PLACES:])
+        self._hub.log.error("daemon.fault", error=repr(error), places=places)
+
+    async def handle(self, request: ReceivedRequest, responder: Responder) -> None:
+        """Answer one request."""
+        self.running += 1
+        try:
+            await self._handle(request, responder)
+        finally:
+            self.running -= 1
+
+    async def _handle(self, request: ReceivedRequest, responder: Responder) -> None:
+        deployment = self._hub.beliefs.deployment
+        if deployment is None:
+            refusal = Refusal(503, "no_configuration", START_AFTER_S)
+            await self._refuse(request, responder, refusal)
+            return
+        try:
+            details = self._hub.dialects.callers.read_call(request.head)
+        except DialectError as error:
+            self._hub.log.info("request.unreadable", error=str(error))
+            await self._refuse(request, responder, Refusal(400, "unreadable"))
+            return
+        route = _route_of(deployment, request)
+        if route is None:
+            await self._refuse(request, responder, Refusal(404, "no_route"))
+            return
+        await self._run(request, responder, route, details, deployment.version)
+
+    async def _refuse(
+        self, request: ReceivedRequest, responder: Responder, refusal: Refusal
+    ) -> None:
+        self._hub.measures.count("requests", refusal.reason)
+        self._hub.log.info(
+            "request.refused", path=request.head.path, reason=refusal.reason
+        )
+        headers, body = self._hub.dialects.callers.refusal(refusal)
+        await responder.answer(refusal.status, headers, body)
+
+    async def _run(
+        self,
+        request: ReceivedRequest,
+        responder: Responder,
+        route: Route,
+        details: CallDetails,
+        version: int,
+    ) -> None:
+        allowed_s = min(details.deadline_s or DEADLINE_S, route.timeout_s)
+        call = Call(
+            request,
+            responder,
+            route,
+            route.service_of(details.call_id),
+            details,
+            request.received_s + allowed_s,
+        )
+        self._hub.budget.note_request(call.service, anyio.current_time())
+        outcome = "caller_left"
+        try:
+            with anyio.move_on_at(call.deadline_s) as bound:
+                outcome = await self._runner.run(call)
+            if bound.cancelled_caught:
+                outcome = await self._time_out(call)
+        finally:
+            self._note(call, outcome, version)
+
+    async def _time_out(self, call: Call) -> str:
+        if call.responder.begun:
+            return "cut_at_timeout"
+        ran = call.progress.sends > 0
+        refusal = Refusal(504, "timeout") if ran else Refusal(503, "no_place", 0.5)
+        headers, body = self._hub.dialects.callers.refusal(refusal)
+        await call.responder.answer(refusal.status, headers, body)
+        return refusal.reason
+
+    def _note(self, call: Call, outcome: str, version: int) -> None:
+        now_s = anyio.current_time()
+        self._hub.measures.count("requests", outcome)
+        self._hub.measures.time("request_seconds", now_s - call.request.received_s)
+        first_s = call.first_event_s
+        if first_s is not None:
+            first_s = round(first_s - call.request.received_s, 4)
+            self._hub.measures.time("first_event_seconds", first_s)
+        self._hub.log.info(
+            "request.ended",
+            request=call.details.call_id,
+            route=call.route.name,
+            service=call.service,
+            model=str(call.details.model or ""),
+            configuration=version,
+            outcome=outcome,
+            sends=call.progress.sends,
+            first_s=first_s,
+            took_s=round(now_s - call.request.received_s, 4),
+        )
+
+
+def _route_of(deployment: Deployment, request: ReceivedRequest) -> Route | None:
+    host = get_header(request.head.headers, b"host") or ""
+    name = host.partition(":")[0]
+    return deployment.match(name, request.head.path)
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
@@ -0,0 +1,301 @@
+"""Gives orders to the engines that this daemon owns."""
+
+from contextlib import suppress
+
+import anyio
+from anyio.abc import TaskGroup
+
+from knapweedbridge_core.serving import (
+    Endpoint,
+    EngineKeeper,
+    EngineLimits,
+    ModelRef,
+    Order,
+    OrderAnswer,
+    parse_model,
+)
+from knapweedbridge_core.serving.messages import (
+    AdapterWanted,
+    CallsRunning,
+    EngineTold,
+)
+from knapweedbridge_core.serving.ownership import OwnerRecord
+from knapweedbridge_daemon.serving.dialects import DialectError, WireRequest
+from knapweedbridge_daemon.serving.http_client import BrokenError, NotSentError
+from knapweedbridge_daemon.serving.hub import Hub, Send, suspended_clock_s
+from knapweedbridge_daemon.serving.wire import ResponseHead
+
+ORDER_TIMEOUT_S = 0.5
+"""Bound on an order; less than the margin before a lease's end."""
+
+REPORT_TIMEOUT_S = 0.5
+REPORT_PAUSE_S = 0.3
+"""Pause between reports that are asked for: they are some 200 ms old, and priced."""
+
+WORK_S = 1.0
+"""Longest wait for work; what is due by time alone is seen within it."""
+
+TELL_CALLS_S = 0.1
+"""Pause between tellings where only the count of calls changed: counts steer the
+balance among engines, and prompts take 50 ms each."""
+
+
+class EngineOwner:
+    """The task that orders one engine.
+
+    Parameters
+    ----------
+    hub : Hub
+        Beliefs and dialects.
+    endpoint : Endpoint
+        The engine.
+    limits : EngineLimits
+        What it can hold.
+    record : OwnerRecord
+        Under which this daemon owns it.
+    send : callable
+        Sends a message to a daemon.
+    """
+
+    def __init__(
+        self,
+        hub: Hub,
+        endpoint: Endpoint,
+        limits: EngineLimits,
+        record: OwnerRecord,
+        send: Send,
+    ) -> None:
+        self._hub = hub
+        self._endpoint = endpoint
+        self._record = record
+        self._send = send
+        self._work = anyio.Event()
+        self._told = 0
+        self._told_s = float("-inf")
+        self._held_changed = True
+        self._calls_changed = False
+        self.keeper = EngineKeeper(limits, record.number)
+        self.scope = anyio.CancelScope()
+
+    @property
+    def number(self) -> int:
+        """The fencing number of its orders."""
+        return self._record.number
+
+    def wanted(self, model: ModelRef, version: int) -> None:
+        """Take a daemon's wish for an adapter."""
+        self.keeper.want(model, version, anyio.current_time())
+        self._work.set()
+
+    def calls_running(self, daemon: str, calls: dict[str, int]) -> None:
+        """Take all calls of one daemon on the engine."""
+        found = {parse_model(name): count for name, count in calls.items()}
+        self.keeper.calls_running(daemon, found, anyio.current_time())
+        self._calls_changed = True
+        self._work.set()
+
+    def forget_daemon(self, daemon: str) -> None:
+        """Drop the calls of a daemon that is gone."""
+        self.keeper.forget_daemon(daemon)
+        self._calls_changed = True
+        self._work.set()
+
+    def missed(self, model: ModelRef) -> None:
+        """Take that the engine does not hold what it should."""
+        self.keeper.missed(model, anyio.current_time())
+        self._work.set()
+
+    async def run(self) -> None:
+        """Order the engine until its ownership ends."""
+        with self.scope:
+            while True:
+                self._work = anyio.Event()
+                await self._step()
+                await self._tell()
+                if not self._work.is_set():
+                    await self._wait()
+
+    async def _wait(self) -> None:
+        pause_s = WORK_S
+        if self.keeper.needs_report:
+            pause_s = REPORT_PAUSE_S
+        elif self._calls_changed:
+            pause_s = TELL_CALLS_S
+        elif self.keeper.has_wants:
+            pause_s = 0.05
+        with anyio.move_on_after(pause_s):
+            await self._work.wait()
+
+    async def _step(self) -> None:
+        if not self._hub.lease.may_order(suspended_clock_s()):
+            return
+        if self.keeper.needs_report:
+            await self._ask_report()
+        order = self.keeper.next_order(anyio.current_time())
+        while order is not None and self._hub.lease.may_order(suspended_clock_s()):
+            await self._order(order)
+            order = self.keeper.next_order(anyio.current_time())
+
+    async def _ask_report(self) -> None:
+        record = self._endpoint.record
+        request = self._hub.dialects.endpoints.report(record.address)
+        self._hub.measures.count("reports")
+        try:
+            head, body = await self._exchange(request, REPORT_TIMEOUT_S)
+            if head.status != 200:
+                raise DialectError(f"status {head.status}")
+            report = self._hub.dialects.endpoints.read_report(body)
+        except (NotSentError, BrokenError, TimeoutError, DialectError) as error:
+            self._hub.log.info(
+                "engine.report_failed", engine=self._endpoint.name, error=str(error)
+            )
+            await anyio.sleep(REPORT_PAUSE_S)
+            return
+        self.keeper.reported(report, anyio.current_time())
+        self._held_changed = True
+
+    async def _exchange(
+        self, request: WireRequest, timeout_s: float
+    ) -> tuple[ResponseHead, bytes]:
+        address = self._endpoint.record.address
+        with anyio.fail_after(timeout_s):
+            async with self._hub.pool.connection(address) as connection:
+                await connection.send(request.head, request.body)
+                head = await connection.read_head(request.head, lambda headers: True)
+                parts = [part async for part in connection.read_body()]
+                return head, b"".join(parts)
+
+    async def _order(self, order: Order) -> None:
+        hub = self._hub
+        dialect = hub.dialects.endpoints
+        request = dialect.order(
+            order,
+            self._endpoint.name,
+            self._endpoint.record.address,
+            hub.identity.name,
+            self.number,
+        )
+        answer, status = OrderAnswer.UNKNOWN, 0
+        try:
+            head, body = await self._exchange(request, ORDER_TIMEOUT_S)
+            answer, status = dialect.read_order_answer(head, body), head.status
+        except NotSentError:
+            answer = OrderAnswer.REFUSED
+        except (BrokenError, TimeoutError):
+            # Whether it is carried out, now or later, only a later order shows.
+            answer = OrderAnswer.UNKNOWN
+        self.keeper.answered(order, answer, anyio.current_time())
+        self._held_changed = True
+        hub.measures.count("orders", f"{order.kind.value}_{answer.value}")
+        hub.log.info(
+            "engine.ordered",
+            engine=self._endpoint.name,
+            order=order.kind.value,
+            model=str(order.model),
+            version=order.version,
+            sequence=order.sequence,
+            number=self.number,
+            answer=answer.value,
+            status=status,
+        )
+
+    async def _tell(self) -> None:
+        now_s = anyio.current_time()
+        calls_due = self._calls_changed and now_s - self._told_s >= TELL_CALLS_S
+        if not (self._held_changed or calls_due):
+            return
+        self._held_changed = self._calls_changed = False
+        self._told_s = now_s
+        self._told += 1
+        told = EngineTold(
+            self._endpoint.name,
+            self.number,
+            self._told,
+            [
+                [model.base, model.adapter, place.version, place.ready_s - now_s]
+                for model, place in self.keeper.places.items()
+                if not place.leaving
+            ],
+            self.keeper.calls_by_daemon(),
+            self.keeper.places_free(now_s),
+        )
+        for daemon in list(self._hub.beliefs.daemons):
+            await self._send(daemon, told)
+
+
+class EngineOwners:
+    """All engines that this daemon owns, by the records that it sees.
+
+    Parameters
+    ----------
+    hub : Hub
+        Beliefs and dialects.
+    send : callable
+        Sends a message to a daemon, this one too.
+    """
+
+    def __init__(self, hub: Hub, send: Send) -> None:
+        self._hub = hub
+        self._send = send
+        self._owned: dict[str, EngineOwner] = {}
+
+    async def run(self, tasks: TaskGroup) -> None:
+        """Follow the owner records until cancelled."""
+        while True:
+            self._drop_lost()
+            self._take_new(tasks)
+            await self._hub.beliefs_changed.wait(WORK_S)
+
+    def _is_ours(self, record: OwnerRecord | None) -> bool:
+        identity = self._hub.identity
+        return (
+            record is not None
+            and record.owner == identity.name
+            and record.incarnation == identity.incarnation
+        )
+
+    def _drop_lost(self) -> None:
+        beliefs = self._hub.beliefs
+        for name, owner in list(self._owned.items()):
+            record = beliefs.owners.get(name)
+            same = self._is_ours(record) and record and record.number == owner.number
+            if same and name in beliefs.fleet.endpoints and not self._hub.draining:
+                continue
+            owner.scope.cancel()
+            del self._owned[name]
+            self._hub.log.info("owner.ended", engine=name, number=owner.number)
+
+    def _take_new(self, tasks: TaskGroup) -> None:
+        if self._hub.draining:
+            return
+        for name, record in self._hub.beliefs.owners.items():
+            endpoint = self._hub.beliefs.fleet.endpoints.get(name)
+            if name in self._owned or endpoint is None or not self._is_ours(record):
+                continue
+            limits = self._hub.engine_limits(endpoint.record.service)
+            if limits is None:
+                continue
+            owner = EngineOwner(self._hub, endpoint, limits, record, self._send)
+            self._owned[name] = owner
+            tasks.start_soon(owner.run)
+            self._hub.log.info("owner.begun", engine=name, number=record.number)
+
+    def missed(self, endpoint: str, model: ModelRef) -> None:
+        """Take that an engine refused a call on a model it should hold."""
+        with suppress(KeyError):
+            self._owned[endpoint].missed(model)
+
+    def heard(self, daemon: str, message: AdapterWanted | CallsRunning) -> None:
+        """Take a daemon's message about an engine that is owned here."""
+        owner = self._owned.get(message.endpoint)
+        if owner is None:
+            return
+        if isinstance(message, AdapterWanted):
+            owner.wanted(ModelRef(message.base, message.adapter), message.version)
+        else:
+            owner.calls_running(daemon, message.calls)
+
+    def forget_daemon(self, daemon: str) -> None:
+        """Drop the calls of a daemon that is gone."""
+        for owner in self._owned.values():
+            owner.forget_daemon(daemon)
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/event_stream.py
@@ -0,0 +1,91 @@
+"""Streams of events as an endpoint sends them: cut into whole events, with their ids.
+
+Only whole events are passed on, so that a stream which breaks in the middle of one
+can be continued, on another endpoint, after the last that the caller has.
+"""
+
+import re
+from dataclasses import dataclass
+
+MOST_EVENT_BYTES = 1 << 20
+
+_END = re.compile(rb"\r?\n\r?\n")
+_ID = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
+
+
+class EventTooLongError(Exception):
+    """A line without an end would fill the daemon's memory."""
+
+
+@dataclass(slots=True, frozen=True)
+class WholeEvents:
+    """Events that one chunk completed.
+
+    Parameters
+    ----------
+    data : bytes
+        The events, with their ends.
+    count : int
+        How many.
+    last_id : str or None
+        Id of the last of them that has one.
+    """
+
+    data: bytes
+    count: int
+    last_id: str | None
+
+
+class EventCutter:
+    """Cuts the chunks of one answer into whole events.
+
+    Parameters
+    ----------
+    after : str or None
+        Id of the last event that the caller has; events up to it are dropped.
+    """
+
+    def __init__(self, after: str | None = None) -> None:
+        self._held = b""
+        self._after = int(after) if after and after.isdecimal() else None
+
+    @property
+    def rest(self) -> bytes:
+        """What follows the last whole event."""
+        return self._held
+
+    def feed(self, chunk: bytes) -> WholeEvents:
+        """Take a chunk and return the events that it completed.
+
+        Raises
+        ------
+        EventTooLongError
+            If an event is longer than `MOST_EVENT_BYTES`.
+        """
+        buffer = self._held + chunk
+        events: list[bytes] = []
+        start = 0
+        for end in _END.finditer(buffer):
+            events.append(buffer[start : end.end()])
+            start = end.end()
+        self._held = buffer[start:]
+        if len(self._held) > MOST_EVENT_BYTES:
+            raise EventTooLongError(f"{len(self._held)} bytes without an end")
+        return self._wanted(events)
+
+    def _wanted(self, events: list[bytes]) -> WholeEvents:
+        kept: list[bytes] = []
+        last_id = None
+        for event in events:
+            found = _ID.search(event)
+            named = found[1].decode("latin-1") if found else None
+            if self._is_known(named):
+                continue
+            kept.append(event)
+            last_id = named if named is not None else last_id
+        return WholeEvents(b"".join(kept), len(kept), last_id)
+
+    def _is_known(self, named: str | None) -> bool:
+        if self._after is None or named is None or not named.isdecimal():
+            return False
+        return int(named) <= self._after
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -0,0 +1,154 @@
+"""The central object of a daemon that serves by a platform's dialect."""
+
+import signal
+import time
+from contextlib import AsyncExitStack
+
+import anyio
+from anyio.abc import TaskGroup
+
+from knapweedbridge_core.addresses import split_address
+from knapweedbridge_core.serving import RetryBudget
+from knapweedbridge_daemon.serving.believing import StoreFollower
+from knapweedbridge_daemon.serving.callers_app import CallersApp
+from knapweedbridge_daemon.serving.calls import CallRunner
+from knapweedbridge_daemon.serving.decision_log import DecisionLog
+from knapweedbridge_daemon.serving.dialects import load_dialects
+from knapweedbridge_daemon.serving.http_server import CallersFace
+from knapweedbridge_daemon.serving.hub import Hub, Identity
+from knapweedbridge_daemon.serving.lease_keeping import LeaseKeeper
+from knapweedbridge_daemon.serving.measures import Measures
+from knapweedbridge_daemon.serving.peer_link import PeerLink
+from knapweedbridge_daemon.serving.settings import ServingSettings
+from knapweedbridge_daemon.serving.side_faces import SideFaces
+
+BACKLOG = 1024
+END_MARGIN_S = 0.6
+"""Time before the end of the grace at which the daemon ends by itself."""
+
+SWEEP_S = 0.5
+LATE_CONNECTION_S = 2.5
+"""How long after the stop signal callers may still come: the balancer takes two
+questions, a second apart, to send them elsewhere."""
+
+
+class ServingHost:
+    """One daemon, with all that it owns.
+
+    Parameters
+    ----------
+    settings : ServingSettings
+        Checked settings.
+    """
+
+    def __init__(self, settings: ServingSettings) -> None:
+        self._settings = settings
+
+    async def run(self) -> None:
+        """Serve until a stop signal, then finish what is in flight."""
+        async with AsyncExitStack() as stack:
+            hub = self._make_hub(stack)
+            stack.push_async_callback(hub.pool.aclose)
+            stack.push_async_callback(hub.dialects.store.close)
+            hub.log.open()
+            stack.callback(hub.log.close)
+            hub.log.info("daemon.started", incarnation=hub.identity.incarnation)
+            await self._serve(hub)
+            hub.log.info("daemon.stopped")
+
+    def _make_hub(self, stack: AsyncExitStack) -> Hub:
+        get = self._settings.get
+        identity = Identity(
+            get("host", "name"),
+            time.time_ns(),
+            get("host", "data_centre"),
+            get("listen", "peers"),
+        )
+        dialects = load_dialects(
+            get("serving", "dialect"),
+            get("store", "address"),
+            get("store", "timeout_s"),
+        )
+        budget = RetryBudget(
+            get("limits", "retry_ratio"),
+            get("limits", "retry_slack"),
+            get("limits", "retry_window_s"),
+        )
+        log = DecisionLog(
+            identity.name, get("logs", "level"), get("logs", "lines_per_s")
+        )
+        settle_s = get("store", "settle_ms") / 1000
+        return Hub(identity, dialects, budget, log, Measures(), settle_s=settle_s)
+
+    async def _serve(self, hub: Hub) -> None:
+        follower = StoreFollower(hub)
+        lease = LeaseKeeper(
+            hub, follower, self._settings.get("store", "lease_ms") / 1000
+        )
+        link = PeerLink(hub)
+        app = CallersApp(hub, CallRunner(hub, link))
+        face = CallersFace(app.handle, app.limits, app.count_bad, app.count_fault)
+        async with anyio.create_task_group() as tasks:
+            await self._listen(tasks, hub, face, app)
+            tasks.start_soon(hub.log.run)
+            tasks.start_soon(follower.run)
+            tasks.start_soon(lease.run)
+            tasks.start_soon(lease.claim)
+            tasks.start_soon(lease.make_secret)
+            tasks.start_soon(link.run, tasks, self._address("peers"))
+            tasks.start_soon(link.owners.run, tasks)
+            tasks.start_soon(link.running.run)
+            tasks.start_soon(self._sweep, hub)
+            await self._await_stop(hub, lease, face, app)
+            tasks.cancel_scope.cancel()
+
+    def _address(self, name: str) -> tuple[str, int]:
+        return split_address(self._settings.get("listen", name))
+
+    async def _listen(
+        self, tasks: TaskGroup, hub: Hub, face: CallersFace, app: CallersApp
+    ) -> None:
+        side = SideFaces(hub)
+        counts = app.count_bad, app.count_fault
+        ready = CallersFace(side.ready, side.limits, *counts)
+        metrics = CallersFace(side.metrics, side.limits, *counts)
+        faces = {"callers": face, "ready": ready, "metrics": metrics}
+        for name, served in faces.items():
+            ip, port = self._address(name)
+            listener = await anyio.create_tcp_listener(
+                local_host=ip, local_port=port, backlog=BACKLOG, reuse_port=False
+            )
+            tasks.start_soon(listener.serve, served.serve)
+
+    async def _await_stop(
+        self, hub: Hub, lease: LeaseKeeper, face: CallersFace, app: CallersApp
+    ) -> None:
+        with anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+            async for number in signals:
+                if number != signal.SIGHUP:
+                    break
+                # All that can change at run time comes from the store.
+                hub.log.info("settings.reload_asked")
+        ends_s = anyio.current_time() + self._settings.get("limits", "grace_s")
+        hub.draining = True
+        face.closing = True
+        hub.log.info("daemon.draining", running=app.running)
+        await lease.hand_over()
+        late_s = anyio.current_time() + LATE_CONNECTION_S
+        while anyio.current_time() < ends_s - END_MARGIN_S:
+            idle = not app.running and not face.open_connections
+            if idle and anyio.current_time() > late_s:
+                return
+            await anyio.sleep(0.1)
+
+    async def _sweep(self, hub: Hub) -> None:
+        while True:
+            await anyio.sleep(SWEEP_S)
+            now_s = anyio.current_time()
+            for name in hub.beliefs.fleet.forget_unlisted(now_s):
+                hub.log.info("endpoint.gone", endpoint=name, cause="not listed again")
+                hub.engines_changed.tell()
+            wanted = {each.record.address for each in hub.beliefs.fleet.engines()}
+            await hub.pool.close_idle(wanted)
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
@@ -0,0 +1,113 @@
+"""What the tasks of one serving daemon share."""
+
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import anyio
+
+from knapweedbridge_core.serving import (
+    Beliefs,
+    EngineLimits,
+    LeaseClock,
+    RetryBudget,
+)
+from knapweedbridge_daemon.serving.decision_log import DecisionLog
+from knapweedbridge_daemon.serving.dialects import Dialects
+from knapweedbridge_daemon.serving.http_client import ConnectionPool
+from knapweedbridge_daemon.serving.measures import Measures
+
+Send = Callable[[str, Any], Awaitable[None]]
+
+
+def suspended_clock_s() -> float:
+    """Return a clock that also counts while the host is suspended, in seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+@dataclass(slots=True)
+class Identity:
+    """Who this daemon is."""
+
+    name: str
+    incarnation: int
+    data_centre: str
+    peers_address: str
+
+
+class Changes:
+    """Wakes the tasks that wait for a change of what is believed."""
+
+    def __init__(self) -> None:
+        self._event = anyio.Event()
+
+    def tell(self) -> None:
+        """Wake all that wait."""
+        self._event.set()
+        self._event = anyio.Event()
+
+    async def wait(self, longest_s: float) -> None:
+        """Wait for a change, or for some seconds."""
+        with anyio.move_on_after(longest_s):
+            await self._event.wait()
+
+
+@dataclass(slots=True)
+class Hub:
+    """Beliefs, dialects and measures of one daemon.
+
+    Parameters
+    ----------
+    identity : Identity
+        Who it is.
+    dialects : Dialects
+        How others are spoken to.
+    budget : RetryBudget
+        Bounds repeated sends.
+    log, measures
+        Where decisions are told.
+    settle_s : float
+        How long after a failed call the store counts as disturbed, in seconds.
+    """
+
+    identity: Identity
+    dialects: Dialects
+    budget: RetryBudget
+    log: DecisionLog
+    measures: Measures
+    pool: ConnectionPool = field(default_factory=ConnectionPool)
+    beliefs: Beliefs = field(default_factory=Beliefs)
+    lease: LeaseClock = field(default_factory=LeaseClock)
+    engines_changed: Changes = field(default_factory=Changes)
+    beliefs_changed: Changes = field(default_factory=Changes)
+    draining: bool = False
+    synced: bool = False
+    settle_s: float = 3.0
+    disturbed_s: float = float("-inf")
+
+    def store_disturbed(self) -> None:
+        """Note that a call to the store failed."""
+        self.disturbed_s = anyio.current_time()
+
+    @property
+    def is_store_disturbed(self) -> bool:
+        """Whether a call to the store failed lately."""
+        return anyio.current_time() - self.disturbed_s < self.settle_s
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may be sent here."""
+        known = self.beliefs.deployment is not None and self.synced
+        return known and not self.draining
+
+    @property
+    def daemons(self) -> int:
+        """Daemons that are believed to serve, this one among them."""
+        return max(1, len(self.beliefs.daemons))
+
+    def engine_limits(self, service: str) -> EngineLimits | None:
+        """Return what engines of a service hold; None for a plain service."""
+        deployment = self.beliefs.deployment
+        found = deployment.services.get(service) if deployment else None
+        return found.engine if found else None
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/lease_keeping.py
@@ -0,0 +1,213 @@
+"""Keeps this daemon's lease and record in the store, and claims engines under it."""
+
+import random
+import secrets
+
+import anyio
+
+from knapweedbridge_core.serving import (
+    DaemonRecord,
+    Endpoint,
+    claim_due_s,
+    claimants,
+)
+from knapweedbridge_daemon.errors import StoreError
+from knapweedbridge_daemon.serving.believing import StoreFollower
+from knapweedbridge_daemon.serving.hub import Hub, suspended_clock_s
+from knapweedbridge_daemon.serving.own_records import pack_daemon, pack_owner
+from knapweedbridge_daemon.store import LeaseGoneError, Transaction
+
+RENEWALS_A_LEASE = 3
+"""Renewals in the life of a lease: one may be lost, and the next is in time."""
+
+FIRST_CLAIM_S = 0.8
+"""Pause before the first claim: daemons that start together must all be listed, or
+the first would own every engine."""
+
+LOOK_S = 0.4
+"""Pause between looks for engines without an owner, where nothing changes."""
+
+SECRET_BYTES = 32
+
+
+class LeaseKeeper:
+    """The task that holds the lease and what hangs on it.
+
+    Parameters
+    ----------
+    hub : Hub
+        Beliefs and dialects.
+    follower : StoreFollower
+        Told when the store answers again.
+    lease_s : float
+        Life of the lease, in seconds.
+    """
+
+    def __init__(self, hub: Hub, follower: StoreFollower, lease_s: float) -> None:
+        self._hub = hub
+        self._follower = follower
+        self._lease_s = lease_s
+        self._lease = ""
+        self._failing = False
+        self._started_s = anyio.current_time()
+        self._claimed_s: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Hold the lease until cancelled."""
+        while True:
+            pause_s = self._lease_s / RENEWALS_A_LEASE
+            try:
+                await self._hold()
+                self._note_answer()
+            except LeaseGoneError:
+                self._lose()
+                pause_s = 0.05
+            except StoreError as error:
+                self._note_failure(error)
+                pause_s = random.uniform(0.2, 0.5)
+            await anyio.sleep(pause_s)
+
+    async def _hold(self) -> None:
+        store = self._hub.dialects.store
+        sent_s = suspended_clock_s()
+        if not self._lease:
+            self._lease = await store.grant_lease(self._lease_s)
+            await self._put_record()
+            self._hub.lease.renewed(sent_s, self._lease_s)
+            self._hub.log.info("lease.begun", lease=self._lease)
+            return
+        left_s = await store.keep_lease(self._lease)
+        if not left_s:
+            raise LeaseGoneError("the lease has ended")
+        self._hub.lease.renewed(sent_s, left_s)
+
+    async def _put_record(self) -> None:
+        identity = self._hub.identity
+        record = DaemonRecord(
+            identity.name,
+            identity.incarnation,
+            identity.peers_address,
+            identity.data_centre,
+            self._hub.draining,
+        )
+        key = self._hub.dialects.own_keys.daemon(identity.name)
+        await self._hub.dialects.store.commit(
+            Transaction(puts={key: pack_daemon(record)}, lease=self._lease)
+        )
+
+    def _lose(self) -> None:
+        self._hub.log.error("lease.lost", lease=self._lease)
+        self._lease = ""
+        self._hub.lease.lost()
+
+    def _note_answer(self) -> None:
+        if self._failing:
+            self._follower.watch_anew()
+        self._failing = False
+
+    def _note_failure(self, error: StoreError) -> None:
+        if not self._failing:
+            self._hub.log.error("lease.not_renewed", error=str(error))
+        self._failing = True
+        self._hub.store_disturbed()
+
+    async def claim(self) -> None:
+        """Claim engines that have no owner, until cancelled."""
+        while True:
+            await self._hub.beliefs_changed.wait(LOOK_S)
+            if self._hub.draining or not self._lease or not self._hub.synced:
+                continue
+            for endpoint in self._due():
+                await self._claim(endpoint)
+
+    def _due(self) -> list[Endpoint]:
+        hub, now_s = self._hub, anyio.current_time()
+        daemons = list(hub.beliefs.daemons.values())
+        due: list[Endpoint] = []
+        for endpoint in hub.beliefs.fleet.engines():
+            if not self._is_free(endpoint, now_s):
+                continue
+            record = endpoint.record
+            order = claimants(record.endpoint, record.data_centre, daemons)
+            free_s = hub.beliefs.free_since_s.get(record.endpoint)
+            if free_s is None:
+                free_s = max(endpoint.first_listed_s, self._started_s + FIRST_CLAIM_S)
+            due_s = claim_due_s(hub.identity.name, order, free_s, 0.0)
+            if due_s is not None and due_s <= now_s:
+                due.append(endpoint)
+        return due
+
+    def _is_free(self, endpoint: Endpoint, now_s: float) -> bool:
+        if self._hub.engine_limits(endpoint.record.service) is None:
+            return False
+        if endpoint.record.leaving:
+            return False
+        owner = self._hub.beliefs.owners.get(endpoint.name)
+        if owner is not None and owner.owner:
+            return False
+        return now_s - self._claimed_s.get(endpoint.name, -10.0) > 1.0
+
+    async def _claim(self, endpoint: Endpoint) -> None:
+        hub, now_s = self._hub, anyio.current_time()
+        self._claimed_s[endpoint.name] = now_s
+        key = hub.dialects.own_keys.owner(endpoint.name)
+        known = hub.beliefs.owners.get(endpoint.name)
+        value = pack_owner(hub.identity.name, hub.identity.incarnation)
+        transaction = Transaction(
+            {key: known.number if known else 0}, {key: value}, lease=self._lease
+        )
+        try:
+            done = await hub.dialects.store.commit(transaction)
+        except LeaseGoneError:
+            self._lose()
+            return
+        except StoreError as error:
+            # It may have been written: then the watch tells.
+            hub.log.info("owner.claim_failed", engine=endpoint.name, error=str(error))
+            return
+        hub.log.info(
+            "owner.claimed",
+            engine=endpoint.name,
+            applied=done.applied,
+            number=done.revision,
+        )
+
+    async def hand_over(self) -> None:
+        """Give up all engines, and tell that this daemon ends."""
+        hub = self._hub
+        owned = {
+            endpoint: record
+            for endpoint, record in hub.beliefs.owners.items()
+            if record.owner == hub.identity.name
+        }
+        hub.lease.lost()
+        if not self._lease:
+            return
+        try:
+            await self._put_record()
+            for endpoint, record in owned.items():
+                key = hub.dialects.own_keys.owner(endpoint)
+                await hub.dialects.store.commit(
+                    Transaction(
+                        {key: record.number},
+                        {key: pack_owner("", hub.identity.incarnation)},
+                        lease=self._lease,
+                    )
+                )
+        except StoreError as error:
+            # The lease lapses by itself; successors wait that long.
+            hub.log.error("owner.hand_over_failed", error=str(error))
+
+    async def make_secret(self) -> None:
+        """Write the secret that daemons share, where there is none yet."""
+        key = self._hub.dialects.own_keys.secret
+        while not self._hub.beliefs.secret:
+            if self._hub.synced:
+                value = secrets.token_bytes(SECRET_BYTES)
+                try:
+                    await self._hub.dialects.store.commit(
+                        Transaction({key: 0}, {key: value})
+                    )
+                except StoreError as error:
+                    self._hub.log.error("secret.not_written", error=str(error))
+            await self._hub.beliefs_changed.wait(LOOK_S)
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/own_records.py
@@ -0,0 +1,63 @@
+"""What daemons write of themselves into the store, in msgpack."""
+
+import msgpack
+
+from knapweedbridge_core.serving import DaemonRecord, OwnerRecord
+from knapweedbridge_core.serving.beliefs import (
+    Belief,
+    DaemonGone,
+    DaemonNamed,
+    OwnerGone,
+    OwnerNamed,
+    SecretNamed,
+)
+from knapweedbridge_daemon.serving.dialects import DialectError, OwnKeys
+
+
+def pack_daemon(record: DaemonRecord) -> bytes:
+    """Encode a daemon's record."""
+    fields = [
+        record.incarnation,
+        record.address,
+        record.data_centre,
+        record.draining,
+    ]
+    return msgpack.packb(fields)
+
+
+def pack_owner(owner: str, incarnation: int) -> bytes:
+    """Encode an owner's record; an empty owner hands the engine over."""
+    return msgpack.packb([owner, incarnation])
+
+
+def read_own(
+    keys: OwnKeys, key: str, value: bytes | None, revision: int
+) -> Belief | None:
+    """Decode an item that daemons keep; raises DialectError."""
+    kind, _, name = key.removeprefix(keys.prefix).partition("/")
+    try:
+        if kind == "secret":
+            return SecretNamed(value) if value else None
+        if kind == "daemons":
+            return _read_daemon(name, value)
+        if kind == "owners":
+            return _read_owner(name, value, revision)
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        raise DialectError(f"{key}: no record of ours") from error
+    return None
+
+
+def _read_daemon(name: str, value: bytes | None) -> Belief:
+    if value is None:
+        return DaemonGone(name)
+    incarnation, address, data_centre, draining = msgpack.unpackb(value)
+    return DaemonNamed(
+        DaemonRecord(name, incarnation, address, data_centre, bool(draining))
+    )
+
+
+def _read_owner(name: str, value: bytes | None, revision: int) -> Belief:
+    if value is None:
+        return OwnerGone(name)
+    owner, incarnation = msgpack.unpackb(value)
+    return OwnerNamed(name, OwnerRecord(owner, incarnation, revision))
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/settings.py
@@ -0,0 +1,126 @@
+"""Settings of a daemon that serves by a platform's dialect: one INI file."""
+
+from dataclasses import dataclass
+from typing import Any
+
+from knapweedbridge_core.errors import CheckError
+from knapweedbridge_core.faults import Fault, read_ini
+from knapweedbridge_core.schema import (
+    Address,
+    Choice,
+    Key,
+    Name,
+    Number,
+    Section,
+    Text,
+)
+
+SECTIONS: dict[str, Section] = {
+    "host": Section(
+        "Who this daemon is.",
+        {
+            "name": Key(Name(), None, "Name of the host."),
+            "data_centre": Key(Name(), None, "Data centre the host stands in."),
+        },
+    ),
+    "listen": Section(
+        "The addresses this daemon listens on.",
+        {
+            "callers": Key(Address(), None, "Address of the callers' face."),
+            "ready": Key(Address(), None, "Address that the balancer asks."),
+            "peers": Key(Address(), None, "Address for streams from other daemons."),
+            "metrics": Key(Address(), None, "Address that counters are read from."),
+        },
+    ),
+    "serving": Section(
+        "How callers, endpoints and the store are spoken to.",
+        {
+            "dialect": Key(Name(), None, "Package of the platform's dialect."),
+        },
+    ),
+    "store": Section(
+        "The platform's store.",
+        {
+            "address": Key(Address(), None, "IP number and port of the store."),
+            "timeout_s": Key(Number(0.05, 60), "1.0", "Bound on one call, seconds."),
+            "lease_ms": Key(
+                Number(500, 600_000), "3000", "Life of a daemon's lease, milliseconds."
+            ),
+            "settle_ms": Key(
+                Number(100, 600_000),
+                "3000",
+                "Disturbance of the store counts on for this, ms.",
+            ),
+        },
+    ),
+    "limits": Section(
+        "Bounds on repeats and on stopping.",
+        {
+            "retry_ratio": Key(Number(0, 10), "0.2", "Repeats allowed a request."),
+            "retry_slack": Key(
+                Number(0, 100_000), "50", "Repeats allowed besides, over all daemons."
+            ),
+            "retry_window_s": Key(
+                Number(0.1, 600), "10", "Window that repeats are counted in, seconds."
+            ),
+            "grace_s": Key(
+                Number(0.5, 600), "8", "Time from a stop signal to the end, seconds."
+            ),
+        },
+    ),
+    "logs": Section(
+        "Logs.",
+        {
+            "level": Key(
+                Choice("error", "info", "debug"),
+                "info",
+                "error: failures; info: also decisions; debug: every step.",
+            ),
+            "lines_per_s": Key(
+                Number(1, 100_000),
+                "200",
+                "Lines a second of one kind; more are counted.",
+            ),
+            "format": Key(Text(), "json", "Only json."),
+        },
+    ),
+}
+
+
+@dataclass(slots=True)
+class ServingSettings:
+    """Checked settings, a value a section and key."""
+
+    values: dict[str, dict[str, Any]]
+
+    def get(self, section: str, key: str) -> Any:
+        """Return one checked value."""
+        return self.values[section][key]
+
+
+def is_serving(text: str) -> bool:
+    """Tell whether a settings file is of this kind."""
+    return "[serving]" in text
+
+
+def read_serving_settings(file: str, text: str) -> ServingSettings:
+    """Check the text of a settings file.
+
+    Raises
+    ------
+    CheckError
+        With every fault, each naming file, section and key.
+    """
+    parser, faults = read_ini(file, text)
+    for title in parser.sections():
+        if title not in SECTIONS:
+            allowed = ", ".join(SECTIONS)
+            faults.append(Fault(file, title, "", f"unknown; allowed: {allowed}"))
+    values: dict[str, dict[str, Any]] = {}
+    for title, section in SECTIONS.items():
+        items = dict(parser[title]) if parser.has_section(title) else {}
+        values[title], found = section.read(file, title, items)
+        faults += found
+    if faults:
+        raise CheckError(faults)
+    return ServingSettings(values)
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/side_faces.py
@@ -0,0 +1,49 @@
+"""Small faces beside the callers': readiness for the balancer, and metrics."""
+
+import anyio
+
+from knapweedbridge_core.serving import FaceLimits
+from knapweedbridge_daemon.serving.http_server import ReceivedRequest, Responder
+from knapweedbridge_daemon.serving.hub import Hub
+
+
+class SideFaces:
+    """Answers the balancer's question, and serves counters.
+
+    Parameters
+    ----------
+    hub : Hub
+        What is told of.
+    """
+
+    def __init__(self, hub: Hub) -> None:
+        self._hub = hub
+
+    @staticmethod
+    def limits() -> FaceLimits:
+        """Return the bounds on what is asked here."""
+        return FaceLimits()
+
+    async def ready(self, request: ReceivedRequest, responder: Responder) -> None:
+        """Tell whether callers may be sent here."""
+        if request.head.path != self._hub.dialects.callers.ready_path:
+            await responder.answer(404, [], b"")
+            return
+        await responder.answer(200 if self._hub.ready else 503, [], b"")
+
+    async def metrics(self, request: ReceivedRequest, responder: Responder) -> None:
+        """Serve all counters and histograms."""
+        hub = self._hub
+        hub.measures.gauges["endpoints"] = len(hub.beliefs.fleet.endpoints)
+        hub.measures.gauges["daemons"] = len(hub.beliefs.daemons)
+        deployment = hub.beliefs.deployment
+        hub.measures.gauges["configuration_version"] = (
+            deployment.version if deployment else 0
+        )
+        hub.measures.gauges["connections_opened"] = hub.pool.opened
+        hub.measures.gauges["connections_reused"] = hub.pool.reused
+        hub.measures.gauges["store_disturbed"] = float(hub.is_store_disturbed)
+        hub.measures.gauges["log_lines_dropped"] = sum(hub.log.dropped.values())
+        kind = (b"Content-Type", b"text/plain; version=0.0.4")
+        body = await anyio.to_thread.run_sync(hub.measures.render)
+        await responder.answer(200, [kind], body)
--- a/packages/daemon/src/knapweedbridge_daemon/store.py
+++ b/packages/daemon/src/knapweedbridge_daemon/store.py
@@ -1,16 +1,10 @@
-"""The platform's key-value service."""
+"""The platform's key-value service, as the daemon uses it."""
 
-import base64
-import json
 from abc import ABC, abstractmethod
 from collections.abc import AsyncGenerator
 from dataclasses import dataclass, field
-from typing import Any
-
-import httpx
 
 from knapweedbridge_daemon.errors import StoreError
-from knapweedbridge_daemon.transports import GuardedTransport
 
 
 @dataclass(slots=True)
@@ -67,124 +61,76 @@
         """Close all connections."""
 
 
-def _encode(data: str | bytes) -> str:
-    raw = data.encode() if isinstance(data, str) else data
-    return base64.b64encode(raw).decode()
+@dataclass(slots=True, frozen=True)
+class StoreItem:
+    """A key as it was written at a revision; ``value`` is None where it was removed."""
 
+    key: str
+    value: bytes | None
+    revision: int
 
-def _decode(text: str) -> bytes:
-    return base64.b64decode(text)
 
+@dataclass(slots=True, frozen=True)
+class StoreItems:
+    """Items, and the store's revision when it answered."""
 
-def _prefix_end(prefix: str) -> str:
-    return prefix[:-1] + chr(ord(prefix[-1]) + 1)
+    items: list[StoreItem]
+    revision: int
 
 
-class EtcdStore(KeyValueStore):
-    """The service spoken to by etcd's published v3 JSON gateway.
+@dataclass(slots=True, frozen=True)
+class Committed:
+    """What became of a transaction.
 
     Parameters
     ----------
-    url : str
-        Base URL of the gateway.
-    timeout_s : float
-        Bound on each call but a watch.
+    applied : bool
+        Whether its comparisons held.
+    revision : int
+        Revision of what was written; 0 where nothing was.
     """
 
-    def __init__(self, url: str, timeout_s: float) -> None:
-        self._client = httpx.AsyncClient(
-            base_url=url, transport=GuardedTransport(), timeout=timeout_s
-        )
-
-    async def _call(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
-        try:
-            response = await self._client.post(path, json=body)
-            response.raise_for_status()
-            return response.json()
-        except httpx.ConnectError as error:
-            raise StoreError(f"{path}: {error!r}") from error
-        except (httpx.HTTPError, ValueError) as error:
-            raise StoreError(f"{path}: {error!r}", may_have_applied=True) from error
+    applied: bool
+    revision: int = 0
 
-    async def read(self, key: str) -> tuple[bytes, int] | None:
-        """See `KeyValueStore.read`."""
-        found = await self._call("/v3/kv/range", {"key": _encode(key)})
-        for pair in found.get("kvs", []):
-            return _decode(pair.get("value", "")), int(pair["mod_revision"])
-        return None
 
-    async def read_prefix(self, prefix: str) -> dict[str, tuple[bytes, int]]:
-        """See `KeyValueStore.read_prefix`."""
-        body = {"key": _encode(prefix), "range_end": _encode(_prefix_end(prefix))}
-        found = await self._call("/v3/kv/range", body)
-        return {
-            _decode(pair["key"]).decode(): (
-                _decode(pair.get("value", "")),
-                int(pair["mod_revision"]),
-            )
-            for pair in found.get("kvs", [])
-        }
+class HistoryGoneError(StoreError):
+    """The store no longer knows the changes since a revision: read all anew."""
 
-    async def write(self, transaction: Transaction) -> bool:
-        """See `KeyValueStore.write`."""
-        compare = [
-            {
-                "key": _encode(key),
-                "target": "MOD",
-                "result": "EQUAL",
-                "mod_revision": str(revision),
-            }
-            for key, revision in transaction.compares.items()
-        ]
-        puts = [
-            {
-                "request_put": {
-                    "key": _encode(key),
-                    "value": _encode(value),
-                    "lease": transaction.lease or "0",
-                }
-            }
-            for key, value in transaction.puts.items()
-        ]
-        deletes = [
-            {"request_delete_range": {"key": _encode(key)}}
-            for key in transaction.deletes
-        ]
-        body = {"compare": compare, "success": puts + deletes}
-        answer = await self._call("/v3/kv/txn", body)
-        return bool(answer.get("succeeded", False))
 
-    async def grant_lease(self, ttl_s: float) -> str:
-        """See `KeyValueStore.grant_lease`."""
-        answer = await self._call("/v3/lease/grant", {"TTL": str(max(1, int(ttl_s)))})
-        return str(answer["ID"])
+class LeaseGoneError(StoreError):
+    """A lease has ended, and with it all that hung on it."""
 
-    async def keep_lease(self, lease: str) -> float:
-        """See `KeyValueStore.keep_lease`."""
-        answer = await self._call("/v3/lease/keepalive", {"ID": lease})
-        return float(answer["result"].get("TTL", 0))
-
-    async def watch(self, prefix: str, revision: int) -> AsyncGenerator[str, None]:
-        """See `KeyValueStore.watch`."""
-        body = {
-            "create_request": {
-                "key": _encode(prefix),
-                "range_end": _encode(_prefix_end(prefix)),
-                "start_revision": str(revision + 1),
-            }
-        }
-        timeout = httpx.Timeout(self._client.timeout.connect, read=None)
-        try:
-            async with self._client.stream(
-                "POST", "/v3/watch", json=body, timeout=timeout
-            ) as response:
-                response.raise_for_status()
-                async for line in response.aiter_lines():
-                    for event in json.loads(line)["result"].get("events", []):
-                        yield _decode(event["kv"]["key"]).decode()
-        except (httpx.HTTPError, ValueError) as error:
-            raise StoreError(f"watch: {error!r}") from error
 
-    async def close(self) -> None:
-        """See `KeyValueStore.close`."""
-        await self._client.aclose()
+class RevisionedStore(KeyValueStore):
+    """A key-value service that tells the revision with each answer."""
+
+    @abstractmethod
+    async def read_items(self, prefix: str) -> StoreItems:
+        """Return all items under a prefix, and a revision to follow from."""
+
+    @abstractmethod
+    async def read_changes(
+        self, prefix: str, revision: int, wait_s: float
+    ) -> StoreItems:
+        """Wait for changes under a prefix after a revision.
+
+        Raises
+        ------
+        HistoryGoneError
+            If the changes since then are not known any more.
+        StoreError
+            If there was no answer.
+        """
+
+    @abstractmethod
+    async def commit(self, transaction: Transaction) -> Committed:
+        """Write under comparisons.
+
+        Raises
+        ------
+        LeaseGoneError
+            If the lease has ended.
+        StoreError
+            If there was no answer; it tells whether it may have applied.
+        """
