--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -44,10 +44,10 @@
 )
 from knapweedbridge_core.serving.placement import (
     EnginePlacement,
-    HomePlacement,
     LoadOn,
     NoEngine,
     PlacementAsk,
+    PricedPlacement,
     SendTo,
     WaitFor,
 )
@@ -71,7 +71,7 @@
     "EngineReport",
     "FaceLimits",
     "Fleet",
-    "HomePlacement",
+    "PricedPlacement",
     "LeaseClock",
     "LoadOn",
     "ModelRef",
--- a/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
@@ -9,7 +9,7 @@
 from enum import Enum
 
 from knapweedbridge_core.serving.deployment import EngineLimits
-from knapweedbridge_core.serving.fleet import ModelRef
+from knapweedbridge_core.serving.fleet import RECENT_ADAPTERS, ModelRef
 
 COMING_MOST = 4
 """Adapters that may be on their way to one engine at once; the engine refuses more."""
@@ -23,8 +23,15 @@
 READY_MARGIN_S = 0.006
 """Added to an expected load, so that a call sent on time does not arrive before it."""
 
-RECENT_ADAPTERS = 110
-"""Adapters that an engine is taken to have in its memory; it keeps about 120."""
+COLD_AT_ONCE = 8
+"""Loads over all engines that the weight store serves at full speed."""
+
+LATE_LOAD_S = 0.04
+"""Added to a load's time where a call came before its end: some calls' patience."""
+
+LATE_LOAD_LIFE_S = 1.5
+"""How long after its expected end a load may still be under way; past that a call
+that finds no adapter means that the keeper is wrong."""
 
 WANT_LIFE_S = 2.0
 """How long a wish for an adapter stands; daemons that still wait ask again."""
@@ -312,15 +319,16 @@
         ready_s = now_s
         if answer is OrderAnswer.STARTED:
             ready_s += self._load_s(order.model, now_s) + READY_MARGIN_S
-        version = order.version
         self._wants.pop(order.model, None)
         self._recent.pop(order.model, None)
-        self.places[order.model] = Place(version, ready_s, now_s)
+        self.places[order.model] = Place(order.version, ready_s, now_s)
 
     def _load_s(self, model: ModelRef, now_s: float) -> float:
         if model in self._recent:
             return WARM_LOAD_S
-        return COLD_LOAD_S
+        coming = 1 + self.coming_elsewhere
+        coming += sum(place.ready_s > now_s for place in self.places.values())
+        return COLD_LOAD_S * max(1.0, coming / COLD_AT_ONCE)
 
     def _drop(self, model: ModelRef) -> None:
         del self.places[model]
@@ -332,5 +340,9 @@
     def missed(self, model: ModelRef, now_s: float) -> None:
         """Take that the engine refused a call on an adapter it should hold."""
         place = self.places.get(model)
-        if place is not None and place.ready_s <= now_s:
+        if place is None or place.ready_s > now_s:
+            return
+        if now_s - place.ready_s < LATE_LOAD_LIFE_S:
+            place.ready_s = now_s + LATE_LOAD_S
+        else:
             self.needs_report = True
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -1,5 +1,6 @@
 """What a daemon believes of the endpoints: who exists, holds what, runs how much."""
 
+from collections import OrderedDict
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -14,6 +15,10 @@
 use: the list is whole again about 2 s after the store's return, and an endpoint
 that has left may get no new work after 2 s."""
 
+RECENT_ADAPTERS = 90
+"""Adapters that an engine is taken to have in its memory besides those it holds; the
+users' engines keep 120 in all."""
+
 FAILURE_HALF_LIFE_S = 3.0
 """Half-life of the share of failures, so that one bad second is soon forgotten."""
 
@@ -71,10 +76,11 @@
 
 @dataclass(slots=True)
 class HeldAdapter:
-    """An adapter on an engine, from ``ready_s`` on."""
+    """An adapter on an engine, from ``ready_s`` on, with the calls that run on it."""
 
     version: int
     ready_s: float
+    users: int = 0
 
 
 @dataclass(slots=True)
@@ -87,6 +93,8 @@
         What the platform says.
     held : dict of ModelRef to HeldAdapter
         Adapters as the owner tells, or as the list told first.
+    recent : ordered dict of ModelRef
+        Adapters that it held lately, the latest last; it has them in memory.
     own_calls : int
         Calls of this daemon that run there.
     others_calls : int
@@ -97,6 +105,7 @@
 
     record: EndpointRecord
     held: dict[ModelRef, HeldAdapter] = field(default_factory=dict)
+    recent: OrderedDict[ModelRef, None] = field(default_factory=OrderedDict)
     bases: set[str] = field(default_factory=set)
     owner: str = ""
     own_calls: int = 0
@@ -125,6 +134,22 @@
         """Calls that run there, of all daemons."""
         return self.own_calls + self.others_calls
 
+    def coming(self, now_s: float) -> int:
+        """Return the adapters that are on their way there."""
+        return sum(held.ready_s > now_s for held in self.held.values())
+
+    def take_held(self, held: dict[ModelRef, HeldAdapter]) -> None:
+        """Take what it holds now; what it held before stays in its memory."""
+        for model in self.held:
+            if model not in held:
+                self.recent[model] = None
+                self.recent.move_to_end(model)
+        for model in held:
+            self.recent.pop(model, None)
+        while len(self.recent) > RECENT_ADAPTERS:
+            self.recent.popitem(last=False)
+        self.held = held
+
     def failing_share(self, now_s: float) -> float:
         """Return the decayed share of failed calls, 0 to 1."""
         age_s = max(0.0, now_s - self.failure_s)
@@ -188,7 +213,7 @@
             return None
         endpoint.told_number, endpoint.told_order = number, order
         endpoint.told = True
-        endpoint.held = held
+        endpoint.take_held(held)
         return endpoint
 
     def unlisted(self, name: str, now_s: float, in_outage: bool) -> None:
--- a/packages/core/src/knapweedbridge_core/serving/messages.py
+++ b/packages/core/src/knapweedbridge_core/serving/messages.py
@@ -23,6 +23,15 @@
     version: int
 
 
+@message
+class AdapterMissed:
+    """An engine refused a call, as it does not hold the adapter that it should."""
+
+    endpoint: str
+    base: str
+    adapter: str
+
+
 @message
 class CallsRunning:
     """All calls of a daemon on one engine; this replaces what it said before.
@@ -51,8 +60,8 @@
         The owner's fencing number; a lower one is of an owner of before.
     order : int
         Rises with each telling of one owner.
-    held : list of [base, adapter, version, ready_in_s]
-        Adapters that are there, or will be after some seconds.
+    held : list of [base, adapter, version, ready_in_s, users]
+        Adapters that are there, or will be after some seconds, and the calls on each.
     calls : dict of str to int
         Calls on the engine by daemon.
     places_free : int
@@ -65,8 +74,3 @@
     held: list[list]
     calls: dict[str, int]
     places_free: int
-
-
-@message
-class DeploymentAsked:
-    """A daemon that cannot read the platform's store asks a peer what is known."""
--- a/packages/core/src/knapweedbridge_core/serving/placement.py
+++ b/packages/core/src/knapweedbridge_core/serving/placement.py
@@ -1,9 +1,10 @@
 """Which engine a model request goes to, and where its adapter is loaded.
 
 The load that this answers: thousands of adapters with few places an engine, most
-calls on a few of them. An adapter has a home among the engines, by hashing, so that
-its calls find it there and the engine's memory of adapters it held lately serves the
-rest. A hot adapter gets a second home when its engines run ahead of the others.
+calls on a few of them. Each engine gets a price in seconds, and the call goes where
+that is least. An engine that holds the adapter costs only what runs there; one that
+held it lately has it in memory, and loads it in a tenth of the time; any other must
+fetch it from the weight store, which costs time, and a share of what all fetch.
 """
 
 from abc import ABC, abstractmethod
@@ -12,22 +13,46 @@
 from knapweedbridge_core.rendezvous import score
 from knapweedbridge_core.serving.fleet import Endpoint, ModelRef
 
-SPILL_CALLS = 6
-"""Calls by which a holder may run ahead of the least loaded engine before a copy is
-made there: one prompt's reading, about 50 ms, delays each call of the batch, and six
-ahead are about 0.3 s, half the shortest objective."""
+CALL_S = 0.02
+"""What a call that runs there costs the next: its prompt's reading, some 50 ms, is
+in the way of the first event with a chance of about two in five."""
 
-HOME_CALLS = 10
-"""Calls by which a home may run ahead of the least loaded engine and still get a new
-adapter: a load costs 0.25 s once, as much as about five prompts read before it."""
+REMOTE_S = 0.01
+"""Another data centre: half a call ahead. The way takes 2 ms, its bytes are paid."""
 
-REMOTE_CALLS = 1.0
-"""What another data centre counts as, in calls: bytes between them are paid for, and
-a call ahead costs less time than the milliseconds of the way only when idle."""
+FAILING_S = 2.0
+"""An engine that fails all its calls: more than any wait that is still in time, so
+that it gets calls only where nothing else is left."""
 
-FAILING_CALLS = 20.0
-"""What an engine that fails all its calls counts as, in calls: more than any batch
-holds on an ordinary day, so that it gets calls only when others are full."""
+WARM_S = 0.035
+"""A load from the engine's own memory, with the two orders it takes."""
+
+COLD_S = 0.26
+"""A load from the weight store, with its orders, while few are on their way."""
+
+COLD_AT_ONCE = 8
+"""Loads that the weight store serves at full speed; beyond, each takes longer in
+proportion."""
+
+FETCH_S = 0.25
+"""Added to a fetch from the weight store: users pay for each about a third of what
+an answer in time is worth, so the adapter's own engine may be slower by this."""
+
+NO_PLACE_S = 0.3
+"""An engine whose places are all in use: a call takes 1 to 2 s, and of twenty one
+ends within this."""
+
+RANK_S = 0.02
+"""A step in the adapter's own order of engines: without it daemons that miss the same
+adapter at the same time would load it on different engines."""
+
+COPY_CALLS = 8
+"""Calls by which an engine must run ahead of the least loaded one before a hot adapter
+gets a copy there: some 0.2 s more before a first event, a third of an objective."""
+
+COPY_USERS = 4
+"""Calls on one adapter that make it hot: with fewer, a copy takes too little load
+away to pay for its fetch."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -113,8 +138,8 @@
         """Choose among engines that may take new work."""
 
 
-class HomePlacement(EnginePlacement):
-    """Sends a call where its adapter is; loads it at its home."""
+class PricedPlacement(EnginePlacement):
+    """Sends a call to the engine whose price is least."""
 
     def choose(
         self, ask: PlacementAsk, engines: list[Endpoint], now_s: float
@@ -125,32 +150,54 @@
         if not with_base:
             return NoEngine()
         if not ask.model.adapter:
-            return SendTo(min(with_base, key=lambda e: _load(e, ask, now_s)), None)
-        least = min(each.calls for each in with_base)
+            return SendTo(min(with_base, key=lambda e: _running_s(e, ask, now_s)), None)
         holders = [each for each in with_base if _holds(each, ask)]
-        if not holders:
-            return self._without_holder(ask, with_base, least, now_s)
-        best = min(holders, key=lambda e: _arrival(e, ask, now_s))
-        ready_s = best.held[ask.model].ready_s
-        if ready_s > now_s:
-            return WaitFor(best, ready_s)
-        copy_to = None
-        if best.calls - least >= SPILL_CALLS:
-            copy_to = _home(ask, [e for e in with_base if e not in holders], least)
-        return SendTo(best, _expected(best, ask), copy_to)
+        load_s = _cold_s(with_base, now_s)
+        loaders = _ranked(ask, [each for each in with_base if each not in holders])
+        prices = [(_holder_s(each, ask, now_s), each.name, each) for each in holders]
+        prices += [
+            (_loader_s(each, ask, now_s, load_s) + RANK_S * rank, each.name, each)
+            for rank, each in enumerate(loaders)
+        ]
+        if not prices:
+            return NoEngine()
+        best = min(prices)[2]
+        if best in holders:
+            return self._on_holder(ask, best, loaders, with_base, now_s)
+        older = self._older(ask, with_base, best, now_s)
+        return older or LoadOn(best)
 
     @staticmethod
-    def _without_holder(
-        ask: PlacementAsk, engines: list[Endpoint], least: int, now_s: float
+    def _on_holder(
+        ask: PlacementAsk,
+        best: Endpoint,
+        loaders: list[Endpoint],
+        engines: list[Endpoint],
+        now_s: float,
     ) -> Choice:
-        home = _home(ask, engines, least)
-        if ask.older_allowed:
-            older = [e for e in engines if _ready(e, ask.model, now_s)]
-            if older:
-                best = min(older, key=lambda e: _load(e, ask, now_s))
-                version = best.held[ask.model].version
-                return SendTo(best, version or None, home)
-        return LoadOn(home) if home is not None else NoEngine()
+        held = best.held[ask.model]
+        if held.ready_s > now_s:
+            return WaitFor(best, held.ready_s)
+        version = held.version if ask.version is not None else None
+        ahead = best.calls - min(each.calls for each in engines)
+        copy_to = None
+        if ahead >= COPY_CALLS and held.users >= COPY_USERS and loaders:
+            copy_to = min(loaders, key=lambda each: _running_s(each, ask, now_s))
+        return SendTo(best, version, copy_to)
+
+    @staticmethod
+    def _older(
+        ask: PlacementAsk, engines: list[Endpoint], loader: Endpoint, now_s: float
+    ) -> SendTo | None:
+        if not ask.older_allowed:
+            return None
+        older = [each for each in engines if _is_ready(each, ask.model, now_s)]
+        if not older:
+            return None
+        best = min(older, key=lambda each: _running_s(each, ask, now_s))
+        # The engine with the old version would replace it only when none runs.
+        copy_to = loader if loader is not best else None
+        return SendTo(best, best.held[ask.model].version or None, copy_to)
 
 
 def _holds(endpoint: Endpoint, ask: PlacementAsk) -> bool:
@@ -158,34 +205,41 @@
     return held is not None and (ask.version is None or held.version >= ask.version)
 
 
-def _ready(endpoint: Endpoint, model: ModelRef, now_s: float) -> bool:
+def _is_ready(endpoint: Endpoint, model: ModelRef, now_s: float) -> bool:
     held = endpoint.held.get(model)
     return held is not None and held.ready_s <= now_s
 
 
-def _expected(endpoint: Endpoint, ask: PlacementAsk) -> int | None:
-    if ask.version is None:
-        return None
-    return endpoint.held[ask.model].version
-
-
-def _load(endpoint: Endpoint, ask: PlacementAsk, now_s: float) -> float:
+def _running_s(endpoint: Endpoint, ask: PlacementAsk, now_s: float) -> float:
     remote = endpoint.record.data_centre != ask.data_centre
     failing = endpoint.failing_share(now_s)
-    return endpoint.calls + REMOTE_CALLS * remote + FAILING_CALLS * failing
+    return CALL_S * endpoint.calls + REMOTE_S * remote + FAILING_S * failing
+
+
+def _holder_s(endpoint: Endpoint, ask: PlacementAsk, now_s: float) -> float:
+    wait_s = max(0.0, endpoint.held[ask.model].ready_s - now_s)
+    return wait_s + _running_s(endpoint, ask, now_s)
+
+
+def _loader_s(
+    endpoint: Endpoint, ask: PlacementAsk, now_s: float, cold_s: float
+) -> float:
+    load_s = WARM_S if ask.model in endpoint.recent else cold_s + FETCH_S
+    full = endpoint.places_free <= 0
+    # A version that is replaced must wait until no call runs on the old one.
+    replaces = ask.model in endpoint.held
+    extra_s = NO_PLACE_S * full + NO_PLACE_S * replaces
+    return load_s + extra_s + _running_s(endpoint, ask, now_s)
 
 
-def _arrival(endpoint: Endpoint, ask: PlacementAsk, now_s: float) -> tuple[bool, float]:
-    ready_s = endpoint.held[ask.model].ready_s
-    return ready_s > now_s, _load(endpoint, ask, now_s)
+def _cold_s(engines: list[Endpoint], now_s: float) -> float:
+    coming = sum(each.coming(now_s) for each in engines)
+    return COLD_S * max(1.0, (coming + 1) / COLD_AT_ONCE)
 
 
-def _home(ask: PlacementAsk, engines: list[Endpoint], least: int) -> Endpoint | None:
-    """Return the first engine of the adapter's order that has room for it."""
-    # An engine without an owner gets no orders: the next home takes its adapters
-    # until one is found for it.
+def _ranked(ask: PlacementAsk, engines: list[Endpoint]) -> list[Endpoint]:
+    """Return the engines that can get orders, in the adapter's own order."""
+    # An engine without an owner gets no orders until one is found for it.
     owned = [each for each in engines if each.owner]
-    with_place = [each for each in owned if each.places_free > 0] or owned
-    calm = [each for each in with_place if each.calls - least <= HOME_CALLS]
     key = str(ask.model)
-    return max(calm or with_place, key=lambda each: score(key, each.name), default=None)
+    return sorted(owned, key=lambda each: score(key, each.name), reverse=True)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
@@ -14,6 +14,10 @@
 WATCH_S = 10.0
 """Wait of a watch without changes: each waiting watch costs a call."""
 
+JOIN_S = 0.3
+"""Pause after changes before the next watch, so that changes share a call: engines
+tell of their adapters some five times a second. The operators allow 2 s."""
+
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 1.0
 """Pauses between calls that fail: the store's return is seen within a second."""
@@ -53,6 +57,8 @@
                     self._take(found.items)
                     self._revision = max(self._revision, found.revision)
                     self._answered()
+                    if found.items:
+                        await anyio.sleep(JOIN_S)
             except HistoryGoneError:
                 self._hub.log.info("store.history_gone", revision=self._revision)
                 self._revision = 0
--- a/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
@@ -9,11 +9,11 @@
     CallKind,
     CallProgress,
     Endpoint,
-    HomePlacement,
     LoadOn,
     ModelRef,
     PlacementAsk,
     PlainAsk,
+    PricedPlacement,
     Route,
     SendTo,
     WaitFor,
@@ -21,7 +21,7 @@
     may_send_again,
     resumes,
 )
-from knapweedbridge_core.serving.messages import AdapterWanted
+from knapweedbridge_core.serving.messages import AdapterMissed, AdapterWanted
 from knapweedbridge_daemon.serving.dialects import (
     AnswerHead,
     AttemptDetails,
@@ -54,6 +54,9 @@
 WANT_AGAIN_S = 0.25
 """Pause after which an owner is asked again for an adapter that is not coming."""
 
+NOT_READY_S = 0.04
+"""Wait after an engine refused a call as its adapter's load is not done."""
+
 NO_ENDPOINT_AFTER_S = 0.6
 BUSY_AFTER_S = 0.4
 """When a refused caller should come back: a load takes 0.25 s, a restart longer."""
@@ -125,7 +128,7 @@
     def __init__(self, hub: Hub, link: PeerLink) -> None:
         self._hub = hub
         self._link = link
-        self._placement = HomePlacement()
+        self._placement = PricedPlacement()
 
     async def run(self, call: Call) -> str:
         """Run a call, and answer it; return a word for how it ended."""
@@ -290,7 +293,7 @@
             if proved.not_run:
                 async for _ in connection.read_body():
                     pass
-                self._note_refused(call, target, answer, proved)
+                await self._note_refused(call, target, answer, proved)
                 return AttemptEnd.NOT_RUN
             call.progress.runs.add(target.endpoint.name)
             if not proved.genuine:
@@ -315,11 +318,10 @@
             headers.append((b"Content-Length", b"%d" % len(body)))
         return RequestHead(head.method, head.target, headers)
 
-    def _note_refused(
+    async def _note_refused(
         self, call: Call, target: Target, answer: ResponseHead, proved: AnswerHead
     ) -> None:
         endpoint, model = target.endpoint, call.details.model
-        call.refused.add(endpoint.name)
         self._hub.log.info(
             "attempt.refused",
             request=call.details.call_id,
@@ -328,12 +330,18 @@
             version=target.version,
             model=str(model or ""),
         )
+        now_s = anyio.current_time()
         if proved.endpoint not in (None, endpoint.name):
             # Its address went to another: the one that was believed in is gone.
-            endpoint.note_unreachable(anyio.current_time())
-        elif proved.wrong_endpoint and model is not None:
-            endpoint.held.pop(model, None)
-            self._link.owners.missed(endpoint.name, model)
+            call.refused.add(endpoint.name)
+            endpoint.note_unreachable(now_s)
+        elif proved.wrong_endpoint and model in endpoint.held:
+            # The load is not done yet: a fetch elsewhere would take longer.
+            endpoint.held[model].ready_s = now_s + NOT_READY_S
+            missed = AdapterMissed(endpoint.name, model.base, model.adapter)
+            await self._link.send(endpoint.owner, missed)
+        else:
+            call.refused.add(endpoint.name)
 
     async def _take_whole(
         self, call: Call, connection: ClientConnection, answer: ResponseHead
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
@@ -1,7 +1,5 @@
 """Gives orders to the engines that this daemon owns."""
 
-from contextlib import suppress
-
 import anyio
 from anyio.abc import TaskGroup
 
@@ -15,6 +13,7 @@
     parse_model,
 )
 from knapweedbridge_core.serving.messages import (
+    AdapterMissed,
     AdapterWanted,
     CallsRunning,
     EngineTold,
@@ -103,6 +102,7 @@
     def missed(self, model: ModelRef) -> None:
         """Take that the engine does not hold what it should."""
         self.keeper.missed(model, anyio.current_time())
+        self._held_changed = True
         self._work.set()
 
     async def run(self) -> None:
@@ -184,6 +184,7 @@
         except (BrokenError, TimeoutError):
             # Whether it is carried out, now or later, only a later order shows.
             answer = OrderAnswer.UNKNOWN
+        self.keeper.coming_elsewhere = self._coming_elsewhere()
         self.keeper.answered(order, answer, anyio.current_time())
         self._held_changed = True
         hub.measures.count("orders", f"{order.kind.value}_{answer.value}")
@@ -199,6 +200,14 @@
             status=status,
         )
 
+    def _coming_elsewhere(self) -> int:
+        now_s = anyio.current_time()
+        return sum(
+            each.coming(now_s)
+            for each in self._hub.beliefs.fleet.engines()
+            if each is not self._endpoint
+        )
+
     async def _tell(self) -> None:
         now_s = anyio.current_time()
         calls_due = self._calls_changed and now_s - self._told_s >= TELL_CALLS_S
@@ -212,7 +221,13 @@
             self.number,
             self._told,
             [
-                [model.base, model.adapter, place.version, place.ready_s - now_s]
+                [
+                    model.base,
+                    model.adapter,
+                    place.version,
+                    place.ready_s - now_s,
+                    self.keeper.users(model),
+                ]
                 for model, place in self.keeper.places.items()
                 if not place.leaving
             ],
@@ -248,11 +263,12 @@
 
     def _is_ours(self, record: OwnerRecord | None) -> bool:
         identity = self._hub.identity
-        return (
-            record is not None
-            and record.owner == identity.name
-            and record.incarnation == identity.incarnation
-        )
+        if record is None or record.owner != identity.name:
+            return False
+        # A record of before the present lease is gone with the lease before, also
+        # where the watch has not told so yet: another may own the engine since.
+        same_lease = record.number > self._hub.lease_revision
+        return record.incarnation == identity.incarnation and same_lease
 
     def _drop_lost(self) -> None:
         beliefs = self._hub.beliefs
@@ -280,18 +296,17 @@
             tasks.start_soon(owner.run)
             self._hub.log.info("owner.begun", engine=name, number=record.number)
 
-    def missed(self, endpoint: str, model: ModelRef) -> None:
-        """Take that an engine refused a call on a model it should hold."""
-        with suppress(KeyError):
-            self._owned[endpoint].missed(model)
-
-    def heard(self, daemon: str, message: AdapterWanted | CallsRunning) -> None:
+    def heard(
+        self, daemon: str, message: AdapterWanted | AdapterMissed | CallsRunning
+    ) -> None:
         """Take a daemon's message about an engine that is owned here."""
         owner = self._owned.get(message.endpoint)
         if owner is None:
             return
         if isinstance(message, AdapterWanted):
             owner.wanted(ModelRef(message.base, message.adapter), message.version)
+        elif isinstance(message, AdapterMissed):
+            owner.missed(ModelRef(message.base, message.adapter))
         else:
             owner.calls_running(daemon, message.calls)
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
@@ -67,6 +67,8 @@
         Bounds repeated sends.
     log, measures
         Where decisions are told.
+    lease_revision : int
+        The store's revision when the present lease began.
     settle_s : float
         How long after a failed call the store counts as disturbed, in seconds.
     """
@@ -81,6 +83,7 @@
     lease: LeaseClock = field(default_factory=LeaseClock)
     engines_changed: Changes = field(default_factory=Changes)
     beliefs_changed: Changes = field(default_factory=Changes)
+    lease_revision: int = 0
     draining: bool = False
     synced: bool = False
     settle_s: float = 3.0
--- a/packages/daemon/src/knapweedbridge_daemon/serving/lease_keeping.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/lease_keeping.py
@@ -2,6 +2,7 @@
 
 import random
 import secrets
+import sys
 
 import anyio
 
@@ -72,7 +73,7 @@
         sent_s = suspended_clock_s()
         if not self._lease:
             self._lease = await store.grant_lease(self._lease_s)
-            await self._put_record()
+            self._hub.lease_revision = await self._put_record()
             self._hub.lease.renewed(sent_s, self._lease_s)
             self._hub.log.info("lease.begun", lease=self._lease)
             return
@@ -81,7 +82,8 @@
             raise LeaseGoneError("the lease has ended")
         self._hub.lease.renewed(sent_s, left_s)
 
-    async def _put_record(self) -> None:
+    async def _put_record(self) -> int:
+        """Write this daemon's record, and return its revision."""
         identity = self._hub.identity
         record = DaemonRecord(
             identity.name,
@@ -91,14 +93,17 @@
             self._hub.draining,
         )
         key = self._hub.dialects.own_keys.daemon(identity.name)
-        await self._hub.dialects.store.commit(
+        done = await self._hub.dialects.store.commit(
             Transaction(puts={key: pack_daemon(record)}, lease=self._lease)
         )
+        return done.revision
 
     def _lose(self) -> None:
         self._hub.log.error("lease.lost", lease=self._lease)
         self._lease = ""
         self._hub.lease.lost()
+        self._hub.lease_revision = sys.maxsize
+        self._hub.beliefs_changed.tell()
 
     def _note_answer(self) -> None:
         if self._failing:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -9,6 +9,7 @@
 from knapweedbridge_core.serving import ModelRef
 from knapweedbridge_core.serving.fleet import HeldAdapter
 from knapweedbridge_core.serving.messages import (
+    AdapterMissed,
     AdapterWanted,
     CallsRunning,
     EngineTold,
@@ -82,14 +83,14 @@
     def _take(self, daemon: str, message: Any) -> None:
         if isinstance(message, EngineTold):
             self._take_told(daemon, message)
-        elif isinstance(message, (AdapterWanted, CallsRunning)):
+        elif isinstance(message, (AdapterWanted, AdapterMissed, CallsRunning)):
             self.owners.heard(daemon, message)
 
     def _take_told(self, daemon: str, message: EngineTold) -> None:
         now_s = anyio.current_time()
         held = {
-            ModelRef(base, adapter): HeldAdapter(version, now_s + ready_in_s)
-            for base, adapter, version, ready_in_s in message.held
+            ModelRef(base, adapter): HeldAdapter(version, now_s + ready_in_s, users)
+            for base, adapter, version, ready_in_s, users in message.held
         }
         fleet = self._hub.beliefs.fleet
         endpoint = fleet.told(message.endpoint, message.number, message.order, held)
