--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -7,6 +7,7 @@
 from knapweedbridge_core.serving.attempts import (
     AttemptEnd,
     CallProgress,
+    first_byte_patience_s,
     may_send_again,
     resumes,
 )
@@ -91,6 +92,7 @@
     "choose_plain",
     "claim_due_s",
     "claimants",
+    "first_byte_patience_s",
     "may_send_again",
     "parse_model",
     "resumes",
--- a/packages/core/src/knapweedbridge_core/serving/attempts.py
+++ b/packages/core/src/knapweedbridge_core/serving/attempts.py
@@ -62,3 +62,26 @@
 def resumes(route: Route, progress: CallProgress) -> bool:
     """Tell whether another endpoint must go on where the last one stopped."""
     return route.kind is CallKind.STREAM and progress.begun
+
+
+ENGINE_PATIENCE_S = 0.3
+"""Longest wait for an idle engine's first event: reading the longest prompt takes
+0.15 s, and with 0.3 s lost half of the objectives can still be met elsewhere."""
+
+CALL_PATIENCE_S = 0.015
+"""Added for each call that runs there: a third of a prompt's reading."""
+
+PLAIN_PATIENCE = 0.6
+"""Longest wait for a plain answer, in objectives: a second endpoint's answer then
+comes within the objective as often as not."""
+
+
+def first_byte_patience_s(route: Route, calls_there: int) -> float:
+    """Return how long an attempt may stay silent before another is better.
+
+    An answer can be lost, or its endpoint dark, with the connection open. Only calls
+    that may be repeated are given up this way.
+    """
+    if route.kind is CallKind.STREAM:
+        return ENGINE_PATIENCE_S + CALL_PATIENCE_S * calls_there
+    return PLAIN_PATIENCE * route.objective_s
--- a/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
@@ -18,6 +18,10 @@
 START_AFTER_S = 0.5
 """When a caller should come back to a daemon that knows no configuration yet."""
 
+STOPPING_AFTER_S = 0.05
+"""When to come back after a refusal of a daemon that stops: another takes it at once.
+"""
+
 LAST_PLACES = 4
 """Lines of a traceback that a log line carries."""
 
@@ -81,8 +85,19 @@
         if route is None:
             await self._refuse(request, responder, Refusal(404, "no_route"))
             return
+        if self._ends_before(route):
+            refusal = Refusal(503, "stopping", STOPPING_AFTER_S)
+            await self._refuse(request, responder, refusal)
+            return
         await self._run(request, responder, route, details, deployment.version)
 
+    def _ends_before(self, route: Route) -> bool:
+        # A call that is still running when the daemon must end would be cut.
+        ends_s = self._hub.ends_s
+        if ends_s is None:
+            return False
+        return anyio.current_time() + route.timeout_s > ends_s
+
     async def _refuse(
         self, request: ReceivedRequest, responder: Responder, refusal: Refusal
     ) -> None:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
@@ -1,5 +1,6 @@
 """The life of one call: routed, placed, sent, passed on, and ended once."""
 
+import math
 from dataclasses import dataclass, field
 
 import anyio
@@ -18,6 +19,7 @@
     SendTo,
     WaitFor,
     choose_plain,
+    first_byte_patience_s,
     may_send_again,
     resumes,
 )
@@ -243,8 +245,12 @@
         self._link.running.begin(endpoint, model)
         end = AttemptEnd.BROKEN
         detail = ""
+        patience = anyio.CancelScope(deadline=self._patient_until_s(call, target))
         try:
-            end = await self._exchange(call, target)
+            with patience:
+                end = await self._exchange(call, target, patience)
+            if patience.cancelled_caught:
+                raise BrokenError("silent")
         except NotSentError as error:
             end, detail = AttemptEnd.NOT_RUN, str(error)
             call.refused.add(endpoint.name)
@@ -276,7 +282,16 @@
             detail=detail,
         )
 
-    async def _exchange(self, call: Call, target: Target) -> AttemptEnd:
+    def _patient_until_s(self, call: Call, target: Target) -> float:
+        others_left = len(call.progress.runs) + 1 < call.route.max_attempts
+        if not (call.route.repeatable and others_left):
+            return math.inf
+        patience_s = first_byte_patience_s(call.route, target.endpoint.calls)
+        return anyio.current_time() + patience_s
+
+    async def _exchange(
+        self, call: Call, target: Target, patience: anyio.CancelScope
+    ) -> AttemptEnd:
         head = self._attempt_head(call, target)
         async with self._hub.pool.connection(
             target.endpoint.record.address
@@ -296,10 +311,12 @@
                 await self._note_refused(call, target, answer, proved)
                 return AttemptEnd.NOT_RUN
             call.progress.runs.add(target.endpoint.name)
+            if not proved.stream:
+                patience.deadline = math.inf
             if not proved.genuine:
                 raise BrokenError(f"status {answer.status} without a signature")
             if proved.stream and answer.status == 200:
-                return await self._relay(call, connection, answer)
+                return await self._relay(call, connection, answer, patience)
             return await self._take_whole(call, connection, answer)
 
     def _attempt_head(self, call: Call, target: Target) -> RequestHead:
@@ -373,7 +390,11 @@
             call.first_event_s = anyio.current_time()
 
     async def _relay(
-        self, call: Call, connection: ClientConnection, answer: ResponseHead
+        self,
+        call: Call,
+        connection: ClientConnection,
+        answer: ResponseHead,
+        patience: anyio.CancelScope,
     ) -> AttemptEnd:
         resumed = call.progress.begun
         cutter = EventCutter(call.last_event if resumed else None)
@@ -383,6 +404,7 @@
                 call.last_event = events.last_id
             if not events.count:
                 continue
+            patience.deadline = math.inf
             if not call.progress.begun:
                 call.progress.begun = True
                 call.first_event_s = anyio.current_time()
--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -27,9 +27,10 @@
 """Time before the end of the grace at which the daemon ends by itself."""
 
 SWEEP_S = 0.5
-LATE_CONNECTION_S = 2.5
-"""How long after the stop signal callers may still come: the balancer takes two
-questions, a second apart, to send them elsewhere."""
+LATE_CALLS_S = 2.6
+"""How long after the stop signal calls are taken that may last: the balancer takes
+two questions, a second apart, to send callers elsewhere, and a call that is taken
+later than 3 s after the signal must be ended before the daemon is."""
 
 
 class ServingHost:
@@ -131,17 +132,26 @@
                     break
                 # All that can change at run time comes from the store.
                 hub.log.info("settings.reload_asked")
-        ends_s = anyio.current_time() + self._settings.get("limits", "grace_s")
+        await self._drain(hub, lease, face, app)
+
+    async def _drain(
+        self, hub: Hub, lease: LeaseKeeper, face: CallersFace, app: CallersApp
+    ) -> None:
+        began_s = anyio.current_time()
+        ends_s = began_s + self._settings.get("limits", "grace_s") - END_MARGIN_S
         hub.draining = True
         face.closing = True
         hub.log.info("daemon.draining", running=app.running)
         await lease.hand_over()
-        late_s = anyio.current_time() + LATE_CONNECTION_S
-        while anyio.current_time() < ends_s - END_MARGIN_S:
-            idle = not app.running and not face.open_connections
-            if idle and anyio.current_time() > late_s:
+        await anyio.sleep(began_s + LATE_CALLS_S - anyio.current_time())
+        # What a caller sends from here on crosses the close, and is not passed on.
+        hub.ends_s = ends_s
+        while anyio.current_time() < ends_s:
+            face.close_idle()
+            if not app.running and not face.open_connections:
                 return
             await anyio.sleep(0.1)
+        hub.log.error("daemon.cut", running=app.running)
 
     async def _sweep(self, hub: Hub) -> None:
         while True:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/http_client.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/http_client.py
@@ -276,9 +276,8 @@
                 await connection.aclose()
 
     async def _take(self, address: str) -> ClientConnection | None:
-        idle = self._idle[address]
-        while idle:
-            connection = idle.pop()
+        while self._idle[address]:
+            connection = self._idle[address].pop()
             fresh = connection.idle_until_s > anyio.current_time()
             if fresh and connection.is_silent():
                 return connection
@@ -299,16 +298,21 @@
     async def close_idle(self, wanted: set[str] | None = None) -> None:
         """Close connections whose idle life is over, or that lead elsewhere."""
         now_s = anyio.current_time()
-        for address in list(self._idle):
-            keep: deque[ClientConnection] = deque()
-            for connection in self._idle.pop(address):
-                unwanted = wanted is not None and address not in wanted
-                if unwanted or connection.idle_until_s <= now_s:
-                    await connection.aclose()
-                else:
-                    keep.append(connection)
-            if keep:
-                self._idle[address] = keep
+        over: list[ClientConnection] = []
+        for address, connections in list(self._idle.items()):
+            unwanted = wanted is not None and address not in wanted
+            kept = [
+                each
+                for each in connections
+                if not unwanted and each.idle_until_s > now_s
+            ]
+            over += [each for each in connections if each not in kept]
+            self._idle[address] = deque(kept)
+            if not kept:
+                del self._idle[address]
+        # Closed last: while one closes, another task may take a connection.
+        for connection in over:
+            await connection.aclose()
 
     async def aclose(self) -> None:
         """Close all idle connections."""
--- a/packages/daemon/src/knapweedbridge_daemon/serving/http_server.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/http_server.py
@@ -138,7 +138,9 @@
     async def _read_request(self) -> ReceivedRequest | None:
         limits = self._face.limits()
         with anyio.move_on_after(limits.idle_timeout_s) as idle:
+            self._face.idle.add(idle)
             first = await self._first_bytes()
+        self._face.idle.discard(idle)
         if idle.cancelled_caught or not first:
             return None
         with anyio.move_on_after(limits.header_timeout_s) as slow:
@@ -332,6 +334,12 @@
         self.count_fault = count_fault
         self.closing = False
         self.open_connections = 0
+        self.idle: set[anyio.CancelScope] = set()
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is under way."""
+        for scope in list(self.idle):
+            scope.cancel()
 
     async def serve(self, stream: SocketStream) -> None:
         """Serve one connection to its end."""
--- a/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
@@ -69,6 +69,8 @@
         Where decisions are told.
     lease_revision : int
         The store's revision when the present lease began.
+    ends_s : float or None
+        When this daemon ends, where it takes no calls that may last longer.
     settle_s : float
         How long after a failed call the store counts as disturbed, in seconds.
     """
@@ -85,6 +87,7 @@
     beliefs_changed: Changes = field(default_factory=Changes)
     lease_revision: int = 0
     draining: bool = False
+    ends_s: float | None = None
     synced: bool = False
     settle_s: float = 3.0
     disturbed_s: float = float("-inf")
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -61,17 +61,22 @@
             local_host=address[0], local_port=address[1], reuse_port=False
         )
         tasks.start_soon(listener.serve, self._peers.serve)
-        known: set[str] = set()
+        known: dict[str, int] = {}
         while True:
-            addresses = {
-                record.name: record.address
-                for record in self._hub.beliefs.daemons.values()
-                if record.name != identity.name
+            others = {
+                name: record
+                for name, record in self._hub.beliefs.daemons.items()
+                if name != identity.name
             }
-            self._peers.know(tasks, addresses)
-            for gone in known - addresses.keys():
-                self.owners.forget_daemon(gone)
-            known = set(addresses)
+            self._peers.know(
+                tasks, {name: each.address for name, each in others.items()}
+            )
+            starts = {name: each.incarnation for name, each in others.items()}
+            for name, start in known.items():
+                # A daemon that was started anew ran into its end with its calls.
+                if starts.get(name) != start:
+                    self.owners.forget_daemon(name)
+            known = starts
             await self._hub.beliefs_changed.wait(5.0)
 
     async def _submit(self, event: Any) -> None:
