--- a/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
@@ -5,6 +5,7 @@
 """
 
 from collections import OrderedDict
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from enum import Enum
 
@@ -135,13 +136,20 @@
     ----------
     limits : EngineLimits
         What the engine can hold.
-    number : int
-        The owner's fencing number.
+    used_s : dict of ModelRef to float
+        When each adapter was last used, as the owner before told.
+    recent : iterable of ModelRef
+        Adapters that the engine held lately, the latest last.
     """
 
-    def __init__(self, limits: EngineLimits, number: int) -> None:
+    def __init__(
+        self,
+        limits: EngineLimits,
+        used_s: Mapping[ModelRef, float] | None = None,
+        recent: Iterable[ModelRef] = (),
+    ) -> None:
         self.limits = limits
-        self.number = number
+        self._used_s = dict(used_s or {})
         self.sequence = 0
         self.bases: set[str] = set()
         self.places: dict[ModelRef, Place] = {}
@@ -149,7 +157,7 @@
         self.coming_elsewhere = 0
         self._wants: OrderedDict[ModelRef, Want] = OrderedDict()
         self._calls: dict[str, dict[ModelRef, int]] = {}
-        self._recent: OrderedDict[ModelRef, None] = OrderedDict()
+        self._recent: OrderedDict[ModelRef, None] = OrderedDict.fromkeys(recent)
         self._base_due_s = 0.0
 
     def want(self, model: ModelRef, version: int, now_s: float) -> None:
@@ -217,7 +225,8 @@
     def _show(self, model: ModelRef, version: int, coming: bool, now_s: float) -> None:
         place = self.places.get(model)
         if place is None:
-            place = self.places[model] = Place(version, now_s, now_s)
+            used_s = self._used_s.get(model, now_s)
+            place = self.places[model] = Place(version, now_s, used_s)
             if coming:
                 place.ready_s = now_s + COLD_LOAD_S
             return
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -19,6 +19,10 @@
 """Adapters that an engine is taken to have in its memory besides those it holds; the
 users' engines keep 120 in all."""
 
+OWNER_ANSWERS_S = 0.15
+"""An owner answers each question at once, over a way of some milliseconds; its lease
+outlives it by seconds, in which its engines would get no orders."""
+
 FAILURE_HALF_LIFE_S = 3.0
 """Half-life of the share of failures, so that one bad second is soon forgotten."""
 
@@ -81,6 +85,7 @@
     version: int
     ready_s: float
     users: int = 0
+    used_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -119,6 +124,7 @@
     failure_share: float = 0.0
     failure_s: float = 0.0
     places_free: int = 0
+    asked_s: float | None = None
     first_listed_s: float = 0.0
     told_by: str = ""
     told_number: int = 0
@@ -134,6 +140,15 @@
         """Calls that run there, of all daemons."""
         return self.own_calls + self.others_calls
 
+    def note_asked(self, now_s: float) -> None:
+        """Note that its owner was asked for something, and has not answered yet."""
+        if self.asked_s is None:
+            self.asked_s = now_s
+
+    def has_silent_owner(self, now_s: float) -> bool:
+        """Tell whether its owner left a question open: it may be frozen or cut off."""
+        return self.asked_s is not None and now_s - self.asked_s > OWNER_ANSWERS_S
+
     def coming(self, now_s: float) -> int:
         """Return the adapters that are on their way there."""
         return sum(held.ready_s > now_s for held in self.held.values())
@@ -213,6 +228,7 @@
             return None
         endpoint.told_number, endpoint.told_order = number, order
         endpoint.told = True
+        endpoint.asked_s = None
         endpoint.take_held(held)
         return endpoint
 
--- a/packages/core/src/knapweedbridge_core/serving/messages.py
+++ b/packages/core/src/knapweedbridge_core/serving/messages.py
@@ -60,8 +60,9 @@
         The owner's fencing number; a lower one is of an owner of before.
     order : int
         Rises with each telling of one owner.
-    held : list of [base, adapter, version, ready_in_s, users]
-        Adapters that are there, or will be after some seconds, and the calls on each.
+    held : list of [base, adapter, version, ready_in_s, users, idle_s]
+        Adapters that are there, or will be after some seconds, the calls on each, and
+        for how long none has begun or ended.
     calls : dict of str to int
         Calls on the engine by daemon.
     places_free : int
--- a/packages/core/src/knapweedbridge_core/serving/placement.py
+++ b/packages/core/src/knapweedbridge_core/serving/placement.py
@@ -153,7 +153,8 @@
             return SendTo(min(with_base, key=lambda e: _running_s(e, ask, now_s)), None)
         holders = [each for each in with_base if _holds(each, ask)]
         load_s = _cold_s(with_base, now_s)
-        loaders = _ranked(ask, [each for each in with_base if each not in holders])
+        others = [each for each in with_base if each not in holders]
+        loaders = _ranked(ask, others, now_s)
         prices = [(_holder_s(each, ask, now_s), each.name, each) for each in holders]
         prices += [
             (_loader_s(each, ask, now_s, load_s) + RANK_S * rank, each.name, each)
@@ -237,9 +238,9 @@
     return COLD_S * max(1.0, (coming + 1) / COLD_AT_ONCE)
 
 
-def _ranked(ask: PlacementAsk, engines: list[Endpoint]) -> list[Endpoint]:
+def _ranked(ask: PlacementAsk, engines: list[Endpoint], now_s: float) -> list[Endpoint]:
     """Return the engines that can get orders, in the adapter's own order."""
-    # An engine without an owner gets no orders until one is found for it.
-    owned = [each for each in engines if each.owner]
+    # Without an owner that answers an engine gets no orders, for seconds.
+    able = [each for each in engines if each.owner and not each.has_silent_owner(now_s)]
     key = str(ask.model)
-    return sorted(owned, key=lambda each: score(key, each.name), reverse=True)
+    return sorted(able, key=lambda each: score(key, each.name), reverse=True)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
@@ -161,6 +161,7 @@
             configuration=version,
             outcome=outcome,
             sends=call.progress.sends,
+            placed=call.last_choice,
             first_s=first_s,
             took_s=round(now_s - call.request.received_s, 4),
         )
--- a/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
@@ -109,6 +109,7 @@
     failure: KeptAnswer | None = None
     refused: set[str] = field(default_factory=set)
     first_event_s: float | None = None
+    last_choice: str = ""
 
     @property
     def left_s(self) -> float:
@@ -179,6 +180,7 @@
         while True:
             now_s = anyio.current_time()
             choice = self._choose(call, call.details.model, now_s)
+            call.last_choice = type(choice).__name__
             if isinstance(choice, SendTo):
                 if choice.copy_to is not None:
                     await self._want(call, choice.copy_to)
@@ -220,6 +222,7 @@
             version=version,
         )
         if endpoint.owner:
+            endpoint.note_asked(anyio.current_time())
             wanted = AdapterWanted(endpoint.name, model.base, model.adapter, version)
             await self._link.send(endpoint.owner, wanted)
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
@@ -73,7 +73,12 @@
         self._told_s = float("-inf")
         self._held_changed = True
         self._calls_changed = False
-        self.keeper = EngineKeeper(limits, record.number)
+        self._askers: set[str] = set()
+        self.keeper = EngineKeeper(
+            limits,
+            {model: held.used_s for model, held in endpoint.held.items()},
+            endpoint.recent,
+        )
         self.scope = anyio.CancelScope()
 
     @property
@@ -81,8 +86,9 @@
         """The fencing number of its orders."""
         return self._record.number
 
-    def wanted(self, model: ModelRef, version: int) -> None:
-        """Take a daemon's wish for an adapter."""
+    def wanted(self, daemon: str, model: ModelRef, version: int) -> None:
+        """Take a daemon's wish for an adapter, which is answered at once."""
+        self._askers.add(daemon)
         self.keeper.want(model, version, anyio.current_time())
         self._work.set()
 
@@ -211,10 +217,13 @@
     async def _tell(self) -> None:
         now_s = anyio.current_time()
         calls_due = self._calls_changed and now_s - self._told_s >= TELL_CALLS_S
-        if not (self._held_changed or calls_due):
+        hearers, self._askers = self._askers, set()
+        if self._held_changed or calls_due:
+            hearers = set(self._hub.beliefs.daemons)
+            self._held_changed = self._calls_changed = False
+            self._told_s = now_s
+        if not hearers:
             return
-        self._held_changed = self._calls_changed = False
-        self._told_s = now_s
         self._told += 1
         told = EngineTold(
             self._endpoint.name,
@@ -227,6 +236,7 @@
                     place.version,
                     place.ready_s - now_s,
                     self.keeper.users(model),
+                    now_s - place.used_s,
                 ]
                 for model, place in self.keeper.places.items()
                 if not place.leaving
@@ -234,7 +244,7 @@
             self.keeper.calls_by_daemon(),
             self.keeper.places_free(now_s),
         )
-        for daemon in list(self._hub.beliefs.daemons):
+        for daemon in hearers:
             await self._send(daemon, told)
 
 
@@ -304,7 +314,8 @@
         if owner is None:
             return
         if isinstance(message, AdapterWanted):
-            owner.wanted(ModelRef(message.base, message.adapter), message.version)
+            model = ModelRef(message.base, message.adapter)
+            owner.wanted(daemon, model, message.version)
         elif isinstance(message, AdapterMissed):
             owner.missed(ModelRef(message.base, message.adapter))
         else:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -94,8 +94,10 @@
     def _take_told(self, daemon: str, message: EngineTold) -> None:
         now_s = anyio.current_time()
         held = {
-            ModelRef(base, adapter): HeldAdapter(version, now_s + ready_in_s, users)
-            for base, adapter, version, ready_in_s, users in message.held
+            ModelRef(base, adapter): HeldAdapter(
+                version, now_s + ready_in_s, users, now_s - idle_s
+            )
+            for base, adapter, version, ready_in_s, users, idle_s in message.held
         }
         fleet = self._hub.beliefs.fleet
         endpoint = fleet.told(message.endpoint, message.number, message.order, held)
