--- a/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
@@ -37,6 +37,9 @@
 WANT_LIFE_S = 2.0
 """How long a wish for an adapter stands; daemons that still wait ask again."""
 
+STUCK_S = 0.4
+"""Age of a wish from which on it is told why it is not met."""
+
 VICTIM_REST_S = 0.05
 """How long an adapter must be unused before it is unloaded: word of a call that was
 just sent there takes some milliseconds."""
@@ -127,6 +130,7 @@
 
     version: int
     asked_s: float
+    again_s: float
 
 
 class EngineKeeper:
@@ -153,7 +157,7 @@
         self.sequence = 0
         self.bases: set[str] = set()
         self.places: dict[ModelRef, Place] = {}
-        self.needs_report = True
+        self._unsure = True
         self.coming_elsewhere = 0
         self._wants: OrderedDict[ModelRef, Want] = OrderedDict()
         self._calls: dict[str, dict[ModelRef, int]] = {}
@@ -164,16 +168,43 @@
         """Take a daemon's wish for an adapter."""
         known = self._wants.get(model)
         if known is None:
-            self._wants[model] = Want(version, now_s)
+            self._wants[model] = Want(version, now_s, now_s)
             return
         known.version = max(known.version, version)
-        known.asked_s = now_s
+        known.again_s = now_s
+
+    @property
+    def needs_report(self) -> bool:
+        """Whether only a report can tell what the engine holds, or still holds."""
+        return self._unsure or any(place.leaving for place in self.places.values())
 
     @property
     def has_wants(self) -> bool:
         """Whether any adapter is waited for."""
         return bool(self._wants)
 
+    def stuck_wants(self, now_s: float) -> dict[str, int | bool] | None:
+        """Tell why adapters that are wanted for long are not loaded, or None.
+
+        Returns
+        -------
+        dict
+            Counts of places by what keeps them from being given away.
+        """
+        oldest_s = min((want.asked_s for want in self._wants.values()), default=now_s)
+        if now_s - oldest_s < STUCK_S:
+            return None
+        places = self.places.items()
+        return {
+            "wants": len(self._wants),
+            "places": len(self.places),
+            "in_use": sum(self.users(model) > 0 for model, _ in places),
+            "coming": sum(place.ready_s > now_s for _, place in places),
+            "leaving": sum(place.leaving for _, place in places),
+            "wanted_too": sum(model in self._wants for model, _ in places),
+            "unsure": self._unsure,
+        }
+
     def calls_running(
         self, daemon: str, calls: dict[ModelRef, int], now_s: float
     ) -> None:
@@ -220,7 +251,7 @@
             self._drop(model)
         for model, version in shown.items():
             self._show(model, version, model in report.coming, now_s)
-        self.needs_report = any(place.leaving for place in self.places.values())
+        self._unsure = False
 
     def _show(self, model: ModelRef, version: int, coming: bool, now_s: float) -> None:
         place = self.places.get(model)
@@ -234,7 +265,7 @@
 
     def next_order(self, now_s: float) -> Order | None:
         """Return the next order, or None where none is due."""
-        if self.needs_report:
+        if self._unsure:
             return None
         missing = self._missing_base(now_s)
         if missing is not None:
@@ -267,7 +298,7 @@
         served = (
             place is not None and place.version >= want.version and not place.leaving
         )
-        return served or now_s - want.asked_s > WANT_LIFE_S
+        return served or now_s - want.again_s > WANT_LIFE_S
 
     def _toward(self, model: ModelRef, want: Want, now_s: float) -> Order | None:
         place = self.places.get(model)
@@ -307,23 +338,22 @@
         elif answer is OrderAnswer.UNKNOWN:
             # It may be carried out yet: a place is taken until a later order is
             # accepted with the same sequence, which kills this one.
-            self.needs_report = True
+            self._unsure = True
         else:
-            self.needs_report = True
+            self._unsure = True
 
     def _accepted(self, order: Order, answer: OrderAnswer, now_s: float) -> None:
         if not order.model.adapter:
             if order.kind is OrderKind.LOAD:
                 load_s = self.limits.models[order.model.base].load_s
                 self._base_due_s = now_s + 2 * load_s
-            self.needs_report = True
+            self._unsure = True
             return
         if order.kind is OrderKind.UNLOAD:
             if answer is OrderAnswer.DONE:
                 self._drop(order.model)
             else:
                 self.places[order.model].leaving = True
-                self.needs_report = True
             return
         ready_s = now_s
         if answer is OrderAnswer.STARTED:
@@ -354,4 +384,4 @@
         if now_s - place.ready_s < LATE_LOAD_LIFE_S:
             place.ready_s = now_s + LATE_LOAD_S
         else:
-            self.needs_report = True
+            self._unsure = True
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
@@ -69,6 +69,7 @@
         self._record = record
         self._send = send
         self._work = anyio.Event()
+        self._reported_s = float("-inf")
         self._told = 0
         self._told_s = float("-inf")
         self._held_changed = True
@@ -135,12 +136,17 @@
     async def _step(self) -> None:
         if not self._hub.lease.may_order(suspended_clock_s()):
             return
-        if self.keeper.needs_report:
+        now_s = anyio.current_time()
+        if self.keeper.needs_report and now_s - self._reported_s >= REPORT_PAUSE_S:
+            self._reported_s = now_s
             await self._ask_report()
         order = self.keeper.next_order(anyio.current_time())
         while order is not None and self._hub.lease.may_order(suspended_clock_s()):
             await self._order(order)
             order = self.keeper.next_order(anyio.current_time())
+        stuck = self.keeper.stuck_wants(anyio.current_time())
+        if stuck is not None:
+            self._hub.log.info("engine.stuck", engine=self._endpoint.name, **stuck)
 
     async def _ask_report(self) -> None:
         record = self._endpoint.record
@@ -155,7 +161,6 @@
             self._hub.log.info(
                 "engine.report_failed", engine=self._endpoint.name, error=str(error)
             )
-            await anyio.sleep(REPORT_PAUSE_S)
             return
         self.keeper.reported(report, anyio.current_time())
         self._held_changed = True
