--- a/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
@@ -34,8 +34,14 @@
 """How long after its expected end a load may still be under way; past that a call
 that finds no adapter means that the keeper is wrong."""
 
-WANT_LIFE_S = 2.0
-"""How long a wish for an adapter stands; daemons that still wait ask again."""
+WANT_LIFE_S = 0.7
+"""How long a wish for an adapter stands; daemons that still wait ask again each
+0.25 s, and those that went to another engine do not."""
+
+CALLS_LIFE_S = 2.5
+"""How long a daemon's word of its calls stands: it is repeated each second. One that
+is cut off from the store goes on serving, so its lapsed record says nothing of them.
+"""
 
 STUCK_S = 0.4
 """Age of a wish from which on it is told why it is not met."""
@@ -133,6 +139,14 @@
     again_s: float
 
 
+@dataclass(slots=True)
+class DaemonCalls:
+    """Calls of one daemon on the engine, and when it told of them."""
+
+    calls: dict[ModelRef, int]
+    heard_s: float
+
+
 class EngineKeeper:
     """Plans the orders for one engine.
 
@@ -160,7 +174,7 @@
         self._unsure = True
         self.coming_elsewhere = 0
         self._wants: OrderedDict[ModelRef, Want] = OrderedDict()
-        self._calls: dict[str, dict[ModelRef, int]] = {}
+        self._calls: dict[str, DaemonCalls] = {}
         self._recent: OrderedDict[ModelRef, None] = OrderedDict.fromkeys(recent)
         self._base_due_s = 0.0
 
@@ -173,16 +187,16 @@
         known.version = max(known.version, version)
         known.again_s = now_s
 
+    @property
+    def wants(self) -> int:
+        """How many adapters are waited for."""
+        return len(self._wants)
+
     @property
     def needs_report(self) -> bool:
         """Whether only a report can tell what the engine holds, or still holds."""
         return self._unsure or any(place.leaving for place in self.places.values())
 
-    @property
-    def has_wants(self) -> bool:
-        """Whether any adapter is waited for."""
-        return bool(self._wants)
-
     def stuck_wants(self, now_s: float) -> dict[str, int | bool] | None:
         """Tell why adapters that are wanted for long are not loaded, or None.
 
@@ -209,23 +223,32 @@
         self, daemon: str, calls: dict[ModelRef, int], now_s: float
     ) -> None:
         """Take all calls of one daemon on this engine."""
-        before = self._calls.get(daemon, {})
-        self._calls[daemon] = calls
+        known = self._calls.get(daemon)
+        before = known.calls if known else {}
+        self._calls[daemon] = DaemonCalls(calls, now_s)
         for model in {*before, *calls}:
-            if model in self.places:
+            if model in self.places and before.get(model) != calls.get(model):
                 self.places[model].used_s = now_s
 
+    def forget_silent(self, now_s: float) -> None:
+        """Drop the calls of daemons that tell of them no more."""
+        for daemon, known in list(self._calls.items()):
+            if now_s - known.heard_s > CALLS_LIFE_S:
+                del self._calls[daemon]
+
     def forget_daemon(self, daemon: str) -> None:
         """Drop the calls of a daemon that is gone."""
         self._calls.pop(daemon, None)
 
     def users(self, model: ModelRef) -> int:
         """Return the calls that run on an adapter."""
-        return sum(calls.get(model, 0) for calls in self._calls.values())
+        return sum(known.calls.get(model, 0) for known in self._calls.values())
 
     def calls_by_daemon(self) -> dict[str, int]:
         """Return the calls on the engine, by daemon."""
-        totals = {daemon: sum(calls.values()) for daemon, calls in self._calls.items()}
+        totals = {
+            daemon: sum(known.calls.values()) for daemon, known in self._calls.items()
+        }
         return {daemon: total for daemon, total in totals.items() if total}
 
     def places_free(self, now_s: float) -> int:
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -124,6 +124,7 @@
     failure_share: float = 0.0
     failure_s: float = 0.0
     places_free: int = 0
+    wants: int = 0
     asked_s: float | None = None
     first_listed_s: float = 0.0
     told_by: str = ""
--- a/packages/core/src/knapweedbridge_core/serving/messages.py
+++ b/packages/core/src/knapweedbridge_core/serving/messages.py
@@ -67,6 +67,8 @@
         Calls on the engine by daemon.
     places_free : int
         Places that a new adapter could get now.
+    wants : int
+        Adapters that daemons wait for there.
     """
 
     endpoint: str
@@ -75,3 +77,4 @@
     held: list[list]
     calls: dict[str, int]
     places_free: int
+    wants: int
--- a/packages/core/src/knapweedbridge_core/serving/ownership.py
+++ b/packages/core/src/knapweedbridge_core/serving/ownership.py
@@ -15,7 +15,7 @@
 """Time before the end of a lease at which its owner stops ordering: an order is on
 its way for at most the order's timeout, which is less than this."""
 
-NEXT_CLAIMANT_S = 0.8
+NEXT_CLAIMANT_S = 0.5
 """Pause after which the next daemon in order claims a record that the one before it
 has not: that one may be down, or cut off from the store."""
 
--- a/packages/core/src/knapweedbridge_core/serving/placement.py
+++ b/packages/core/src/knapweedbridge_core/serving/placement.py
@@ -42,6 +42,9 @@
 """An engine whose places are all in use: a call takes 1 to 2 s, and of twenty one
 ends within this."""
 
+WANT_S = 0.06
+"""An adapter that is waited for there already: four are loaded at once, in 0.25 s."""
+
 RANK_S = 0.02
 """A step in the adapter's own order of engines: without it daemons that miss the same
 adapter at the same time would load it on different engines."""
@@ -229,7 +232,7 @@
     full = endpoint.places_free <= 0
     # A version that is replaced must wait until no call runs on the old one.
     replaces = ask.model in endpoint.held
-    extra_s = NO_PLACE_S * full + NO_PLACE_S * replaces
+    extra_s = NO_PLACE_S * full + NO_PLACE_S * replaces + WANT_S * endpoint.wants
     return load_s + extra_s + _running_s(endpoint, ask, now_s)
 
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
@@ -34,6 +34,9 @@
 WORK_S = 1.0
 """Longest wait for work; what is due by time alone is seen within it."""
 
+LEARN_S = 0.05
+"""Time in which daemons tell a new owner of their calls: ways take milliseconds."""
+
 TELL_CALLS_S = 0.1
 """Pause between tellings where only the count of calls changed: counts steer the
 balance among engines, and prompts take 50 ms each."""
@@ -115,6 +118,7 @@
     async def run(self) -> None:
         """Order the engine until its ownership ends."""
         with self.scope:
+            await self._learn()
             while True:
                 self._work = anyio.Event()
                 await self._step()
@@ -122,13 +126,20 @@
                 if not self._work.is_set():
                     await self._wait()
 
+    async def _learn(self) -> None:
+        # An adapter that is unloaded while calls run on it blocks the engine for all
+        # other orders until they end: so daemons are asked for their calls first.
+        await self._ask_report()
+        await self._tell()
+        await anyio.sleep(LEARN_S)
+
     async def _wait(self) -> None:
         pause_s = WORK_S
         if self.keeper.needs_report:
             pause_s = REPORT_PAUSE_S
         elif self._calls_changed:
             pause_s = TELL_CALLS_S
-        elif self.keeper.has_wants:
+        elif self.keeper.wants:
             pause_s = 0.05
         with anyio.move_on_after(pause_s):
             await self._work.wait()
@@ -137,6 +148,7 @@
         if not self._hub.lease.may_order(suspended_clock_s()):
             return
         now_s = anyio.current_time()
+        self.keeper.forget_silent(now_s)
         if self.keeper.needs_report and now_s - self._reported_s >= REPORT_PAUSE_S:
             self._reported_s = now_s
             await self._ask_report()
@@ -248,6 +260,7 @@
             ],
             self.keeper.calls_by_daemon(),
             self.keeper.places_free(now_s),
+            self.keeper.wants,
         )
         for daemon in hearers:
             await self._send(daemon, told)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -73,8 +73,8 @@
             )
             starts = {name: each.incarnation for name, each in others.items()}
             for name, start in known.items():
-                # A daemon that was started anew ran into its end with its calls.
-                if starts.get(name) != start:
+                # The calls of a daemon that was started anew ended with it.
+                if starts.get(name, start) != start:
                     self.owners.forget_daemon(name)
             known = starts
             await self._hub.beliefs_changed.wait(5.0)
@@ -106,6 +106,7 @@
         new_owner = endpoint.told_by != daemon
         endpoint.told_by = daemon
         endpoint.places_free = message.places_free
+        endpoint.wants = message.wants
         endpoint.others_calls = sum(
             count
             for name, count in message.calls.items()
--- a/packages/daemon/src/knapweedbridge_daemon/serving/running_calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/running_calls.py
@@ -12,6 +12,9 @@
 """Pause in which changes share one message; an adapter is not unloaded within 50 ms
 of its last use, so that word of a new call is in time."""
 
+REPEAT_S = 1.0
+"""Pause between repeats: an owner forgets what it has not heard of for 2.5 s."""
+
 
 class RunningCalls:
     """Counts this daemon's calls by endpoint and model.
@@ -52,10 +55,17 @@
 
     async def run(self) -> None:
         """Tell the owners of changes until cancelled."""
+        repeated_s = anyio.current_time()
         while True:
-            await self._wake.wait()
+            with anyio.move_on_after(REPEAT_S):
+                await self._wake.wait()
             await anyio.sleep(JOIN_S)
             self._wake = anyio.Event()
+            if anyio.current_time() - repeated_s >= REPEAT_S:
+                repeated_s = anyio.current_time()
+                self._changed.update(
+                    name for name, calls in self._calls.items() if calls
+                )
             changed, self._changed = self._changed, set()
             for name in changed:
                 await self._tell_owner(name)
