--- a/packages/core/src/knapweedbridge_core/serving/placement.py
+++ b/packages/core/src/knapweedbridge_core/serving/placement.py
@@ -45,9 +45,9 @@
 WANT_S = 0.06
 """An adapter that is waited for there already: four are loaded at once, in 0.25 s."""
 
-RANK_S = 0.02
-"""A step in the adapter's own order of engines: without it daemons that miss the same
-adapter at the same time would load it on different engines."""
+RANK_S = 0.06
+"""A step in the adapter's own order of engines, as much as three calls: daemons that
+miss an adapter at the same time, or after a restart, go to the same engine for it."""
 
 COPY_CALLS = 8
 """Calls by which an engine must run ahead of the least loaded one before a hot adapter
--- a/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
@@ -262,7 +262,8 @@
             end, detail = AttemptEnd.BROKEN, str(error)
             call.progress.runs.add(endpoint.name)
         finally:
-            self._link.running.end(endpoint, model)
+            whole = end is not AttemptEnd.BROKEN
+            self._link.running.end(endpoint, model, whole)
             self._note(call, target, end, began_s, detail)
         return end
 
