--- a/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
@@ -408,6 +408,10 @@
                 call.last_event = events.last_id
             if not events.count:
                 continue
+            if patience.cancel_called:
+                # The first event came as patience ended. The next wait is cancelled,
+                # which would leave the answer begun and its head unwritten.
+                raise BrokenError("silent")
             patience.deadline = math.inf
             if not call.progress.begun:
                 call.progress.begun = True
