--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -8,6 +8,7 @@
     AttemptEnd,
     CallProgress,
     first_byte_patience_s,
+    first_event_patience_s,
     may_send_again,
     resumes,
 )
@@ -50,6 +51,7 @@
     PlacementAsk,
     PricedPlacement,
     SendTo,
+    TooLate,
     WaitFor,
 )
 from knapweedbridge_core.serving.plain_choice import PlainAsk, choose_plain
@@ -87,12 +89,14 @@
     "Route",
     "SendTo",
     "Service",
+    "TooLate",
     "WaitFor",
     "WeightedService",
     "choose_plain",
     "claim_due_s",
     "claimants",
     "first_byte_patience_s",
+    "first_event_patience_s",
     "may_send_again",
     "parse_model",
     "resumes",
--- a/packages/core/src/knapweedbridge_core/serving/attempts.py
+++ b/packages/core/src/knapweedbridge_core/serving/attempts.py
@@ -85,3 +85,27 @@
     if route.kind is CallKind.STREAM:
         return ENGINE_PATIENCE_S + CALL_PATIENCE_S * calls_there
     return PLAIN_PATIENCE * route.objective_s
+
+
+URGENCY_STEP = 0.12
+"""Part of the objective by which each rank of urgency is refused sooner: where not all
+can be served in time, the less urgent make way, and all of a kind alike."""
+
+LEAST_PART = 0.5
+WAITED_PART = 1.5
+"""Part of the objective up to which a call that has waited is not given up: it has a
+place in the line, and the forecast is off by some tenths of a second."""
+
+
+def first_event_patience_s(route: Route, waited_s: float) -> float:
+    """Return the longest wait for a first event that a call is accepted with.
+
+    Parameters
+    ----------
+    waited_s : float
+        How long the caller has waited.
+    """
+    part = max(LEAST_PART, 1.0 - URGENCY_STEP * route.urgency)
+    if waited_s > 0.05:
+        part = WAITED_PART
+    return part * route.objective_s - waited_s
--- a/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
@@ -144,6 +144,7 @@
     """Calls of one daemon on the engine, and when it told of them."""
 
     calls: dict[ModelRef, int]
+    unread_tokens: int
     heard_s: float
 
 
@@ -220,12 +221,12 @@
         }
 
     def calls_running(
-        self, daemon: str, calls: dict[ModelRef, int], now_s: float
+        self, daemon: str, calls: dict[ModelRef, int], unread_tokens: int, now_s: float
     ) -> None:
         """Take all calls of one daemon on this engine."""
         known = self._calls.get(daemon)
         before = known.calls if known else {}
-        self._calls[daemon] = DaemonCalls(calls, now_s)
+        self._calls[daemon] = DaemonCalls(calls, unread_tokens, now_s)
         for model in {*before, *calls}:
             if model in self.places and before.get(model) != calls.get(model):
                 self.places[model].used_s = now_s
@@ -244,12 +245,13 @@
         """Return the calls that run on an adapter."""
         return sum(known.calls.get(model, 0) for known in self._calls.values())
 
-    def calls_by_daemon(self) -> dict[str, int]:
-        """Return the calls on the engine, by daemon."""
-        totals = {
-            daemon: sum(known.calls.values()) for daemon, known in self._calls.items()
+    def load_by_daemon(self) -> dict[str, list[int]]:
+        """Return calls and unread tokens, by daemon."""
+        return {
+            daemon: [sum(known.calls.values()), known.unread_tokens]
+            for daemon, known in self._calls.items()
+            if known.calls
         }
-        return {daemon: total for daemon, total in totals.items() if total}
 
     def places_free(self, now_s: float) -> int:
         """Return the places that a new adapter could get at once."""
@@ -358,12 +360,11 @@
         if answer in (OrderAnswer.STARTED, OrderAnswer.DONE):
             self.sequence += 1
             self._accepted(order, answer, now_s)
-        elif answer is OrderAnswer.UNKNOWN:
-            # It may be carried out yet: a place is taken until a later order is
-            # accepted with the same sequence, which kills this one.
-            self._unsure = True
-        else:
+        elif answer is not OrderAnswer.UNKNOWN:
             self._unsure = True
+        # An order without an answer may be carried out yet, at any time. The next is
+        # sent with the same sequence: accepted, it voids this one for good; refused,
+        # it shows that this one was carried out, and a report tells what holds.
 
     def _accepted(self, order: Order, answer: OrderAnswer, now_s: float) -> None:
         if not order.model.adapter:
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -104,8 +104,9 @@
         Calls of this daemon that run there.
     others_calls : int
         Calls of other daemons, as the owner tells.
-    queued_first : int
-        Calls of this daemon that wait for their first byte there.
+    own_unread_tokens, others_unread_tokens : int
+        Tokens of prompts that the engine has yet to read, of this daemon's calls and
+        of others'.
     """
 
     record: EndpointRecord
@@ -115,7 +116,8 @@
     owner: str = ""
     own_calls: int = 0
     others_calls: int = 0
-    queued_first: int = 0
+    own_unread_tokens: int = 0
+    others_unread_tokens: int = 0
     told: bool = False
     unlisted_s: float | None = None
     refused_until_s: float = 0.0
@@ -126,6 +128,7 @@
     places_free: int = 0
     wants: int = 0
     asked_s: float | None = None
+    asked_all_s: float = float("-inf")
     first_listed_s: float = 0.0
     told_by: str = ""
     told_number: int = 0
@@ -166,6 +169,11 @@
             self.recent.popitem(last=False)
         self.held = held
 
+    @property
+    def unread_tokens(self) -> int:
+        """Tokens of prompts that the engine has yet to read."""
+        return self.own_unread_tokens + self.others_unread_tokens
+
     def failing_share(self, now_s: float) -> float:
         """Return the decayed share of failed calls, 0 to 1."""
         age_s = max(0.0, now_s - self.failure_s)
@@ -214,14 +222,8 @@
             }
         return endpoint
 
-    def told(
-        self,
-        name: str,
-        number: int,
-        order: int,
-        held: dict[ModelRef, HeldAdapter],
-    ) -> Endpoint | None:
-        """Take what an owner tells of its engine; None where that is outdated."""
+    def told(self, name: str, number: int, order: int) -> Endpoint | None:
+        """Take that an owner told all of its engine; None where that is outdated."""
         endpoint = self.endpoints.get(name)
         if endpoint is None:
             return None
@@ -230,9 +232,15 @@
         endpoint.told_number, endpoint.told_order = number, order
         endpoint.told = True
         endpoint.asked_s = None
-        endpoint.take_held(held)
         return endpoint
 
+    def follows(self, name: str, number: int, order: int) -> bool:
+        """Tell whether a change is the next after what was told."""
+        endpoint = self.endpoints.get(name)
+        if endpoint is None:
+            return False
+        return (number, order) == (endpoint.told_number, endpoint.told_order + 1)
+
     def unlisted(self, name: str, now_s: float, in_outage: bool) -> None:
         """Take that an endpoint is gone from the list.
 
--- a/packages/core/src/knapweedbridge_core/serving/messages.py
+++ b/packages/core/src/knapweedbridge_core/serving/messages.py
@@ -42,15 +42,18 @@
         The engine.
     calls : dict of str to int
         Calls by model, ``BASE/ADAPTER`` or ``BASE``.
+    unread_tokens : int
+        Tokens of the prompts whose first event has not come yet.
     """
 
     endpoint: str
     calls: dict[str, int]
+    unread_tokens: int
 
 
 @message
 class EngineTold:
-    """An owner tells what its engine holds; this replaces what it said before.
+    """An owner tells all of its engine; this replaces what it said before.
 
     Parameters
     ----------
@@ -59,12 +62,12 @@
     number : int
         The owner's fencing number; a lower one is of an owner of before.
     order : int
-        Rises with each telling of one owner.
+        Rises by one with each telling of one owner.
     held : list of [base, adapter, version, ready_in_s, users, idle_s]
         Adapters that are there, or will be after some seconds, the calls on each, and
         for how long none has begun or ended.
-    calls : dict of str to int
-        Calls on the engine by daemon.
+    load : dict of str to [calls, unread_tokens]
+        Calls on the engine by daemon, and the tokens that they have it read yet.
     places_free : int
         Places that a new adapter could get now.
     wants : int
@@ -75,6 +78,43 @@
     number: int
     order: int
     held: list[list]
-    calls: dict[str, int]
+    load: dict[str, list[int]]
+    places_free: int
+    wants: int
+
+
+@message
+class EngineChanged:
+    """What changed since the owner's last telling; fields as in `EngineTold`.
+
+    Parameters
+    ----------
+    added : list of [base, adapter, version, ready_in_s]
+        Adapters that were loaded or are on their way.
+    removed : list of [base, adapter]
+        Adapters that are gone.
+    """
+
+    endpoint: str
+    number: int
+    order: int
+    added: list[list]
+    removed: list[list]
+    load: dict[str, list[int]]
     places_free: int
     wants: int
+
+
+@message
+class OwnerAnswered:
+    """An owner has heard a daemon's wish; nothing else changed."""
+
+    endpoint: str
+    number: int
+
+
+@message
+class EngineAsked:
+    """A daemon missed a telling, and asks for all."""
+
+    endpoint: str
--- a/packages/core/src/knapweedbridge_core/serving/placement.py
+++ b/packages/core/src/knapweedbridge_core/serving/placement.py
@@ -7,15 +7,20 @@
 fetch it from the weight store, which costs time, and a share of what all fetch.
 """
 
+import math
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
 from knapweedbridge_core.rendezvous import score
 from knapweedbridge_core.serving.fleet import Endpoint, ModelRef
 
-CALL_S = 0.02
-"""What a call that runs there costs the next: its prompt's reading, some 50 ms, is
-in the way of the first event with a chance of about two in five."""
+TOKEN_S = 5e-5
+"""Reading of one token of a prompt; the users' engines read 19 to 26 in 1 ms, between
+the steps of the calls that run."""
+
+CALL_S = 0.004
+"""What a call that runs there costs the next: its steps come between the parts of
+the next one's prompt, and its own prompt was known of late."""
 
 REMOTE_S = 0.01
 """Another data centre: half a call ahead. The way takes 2 ms, its bytes are paid."""
@@ -49,9 +54,9 @@
 """A step in the adapter's own order of engines, as much as three calls: daemons that
 miss an adapter at the same time, or after a restart, go to the same engine for it."""
 
-COPY_CALLS = 8
-"""Calls by which an engine must run ahead of the least loaded one before a hot adapter
-gets a copy there: some 0.2 s more before a first event, a third of an objective."""
+COPY_S = 0.15
+"""Wait by which an engine must run ahead of the least loaded one before a hot adapter
+gets a copy there: a quarter of the shortest objective."""
 
 COPY_USERS = 4
 """Calls on one adapter that make it hot: with fewer, a copy takes too little load
@@ -74,6 +79,10 @@
         Where the daemon stands.
     tried : frozenset of str
         Endpoints that refused or failed it.
+    prompt_tokens : int
+        Length of its prompt.
+    patience_s : float
+        Longest wait from now to its first event that is worth while.
     """
 
     model: ModelRef
@@ -81,6 +90,8 @@
     older_allowed: bool
     data_centre: str
     tried: frozenset[str] = frozenset()
+    prompt_tokens: int = 0
+    patience_s: float = math.inf
 
 
 @dataclass(slots=True, frozen=True)
@@ -128,7 +139,42 @@
     """No engine can hold the model now."""
 
 
-Choice = SendTo | WaitFor | LoadOn | NoEngine
+@dataclass(slots=True, frozen=True)
+class TooLate:
+    """No engine is expected to answer in time.
+
+    Parameters
+    ----------
+    over_s : float
+        By how much the best one would be late, in seconds.
+    """
+
+    over_s: float
+
+
+Choice = SendTo | WaitFor | LoadOn | NoEngine | TooLate
+
+
+@dataclass(slots=True, frozen=True)
+class _Offer:
+    """One engine for a call.
+
+    Parameters
+    ----------
+    expected_s : float
+        Expected time to the first event.
+    extra_s : float
+        What else speaks against the engine, in seconds.
+    """
+
+    endpoint: Endpoint
+    expected_s: float
+    extra_s: float
+
+    @property
+    def price(self) -> tuple[float, str]:
+        """What offers are compared by."""
+        return self.expected_s + self.extra_s, self.endpoint.name
 
 
 class EnginePlacement(ABC):
@@ -152,42 +198,44 @@
         with_base = [each for each in fresh if ask.model.base in each.bases]
         if not with_base:
             return NoEngine()
-        if not ask.model.adapter:
-            return SendTo(min(with_base, key=lambda e: _running_s(e, ask, now_s)), None)
         holders = [each for each in with_base if _holds(each, ask)]
-        load_s = _cold_s(with_base, now_s)
-        others = [each for each in with_base if each not in holders]
-        loaders = _ranked(ask, others, now_s)
-        prices = [(_holder_s(each, ask, now_s), each.name, each) for each in holders]
-        prices += [
-            (_loader_s(each, ask, now_s, load_s) + RANK_S * rank, each.name, each)
-            for rank, each in enumerate(loaders)
-        ]
-        if not prices:
+        offers = [_holder_offer(each, ask, now_s) for each in holders]
+        loaders: list[Endpoint] = []
+        if ask.model.adapter:
+            others = [each for each in with_base if each not in holders]
+            loaders = _ranked(ask, others, now_s)
+            cold_s = _cold_s(with_base, now_s)
+            offers += [
+                _loader_offer(each, ask, now_s, cold_s, rank)
+                for rank, each in enumerate(loaders)
+            ]
+        if not offers:
             return NoEngine()
-        best = min(prices)[2]
-        if best in holders:
-            return self._on_holder(ask, best, loaders, with_base, now_s)
-        older = self._older(ask, with_base, best, now_s)
-        return older or LoadOn(best)
+        best = min(offers, key=lambda offer: offer.price)
+        if best.expected_s > ask.patience_s:
+            return TooLate(best.expected_s - ask.patience_s)
+        if best.endpoint in holders:
+            return self._on_holder(ask, best, loaders, now_s)
+        older = self._older(ask, with_base, best.endpoint, now_s)
+        return older or LoadOn(best.endpoint)
 
     @staticmethod
     def _on_holder(
-        ask: PlacementAsk,
-        best: Endpoint,
-        loaders: list[Endpoint],
-        engines: list[Endpoint],
-        now_s: float,
+        ask: PlacementAsk, best: _Offer, loaders: list[Endpoint], now_s: float
     ) -> Choice:
-        held = best.held[ask.model]
+        endpoint = best.endpoint
+        held = endpoint.held.get(ask.model)
+        if held is None:
+            return SendTo(endpoint, None)
         if held.ready_s > now_s:
-            return WaitFor(best, held.ready_s)
+            return WaitFor(endpoint, held.ready_s)
         version = held.version if ask.version is not None else None
-        ahead = best.calls - min(each.calls for each in engines)
         copy_to = None
-        if ahead >= COPY_CALLS and held.users >= COPY_USERS and loaders:
-            copy_to = min(loaders, key=lambda each: _running_s(each, ask, now_s))
-        return SendTo(best, version, copy_to)
+        if held.users >= COPY_USERS and loaders:
+            calmest = min(loaders, key=_reading_s)
+            if _reading_s(endpoint) - _reading_s(calmest) >= COPY_S:
+                copy_to = calmest
+        return SendTo(endpoint, version, copy_to)
 
     @staticmethod
     def _older(
@@ -205,6 +253,8 @@
 
 
 def _holds(endpoint: Endpoint, ask: PlacementAsk) -> bool:
+    if not ask.model.adapter:
+        return True
     held = endpoint.held.get(ask.model)
     return held is not None and (ask.version is None or held.version >= ask.version)
 
@@ -214,26 +264,38 @@
     return held is not None and held.ready_s <= now_s
 
 
-def _running_s(endpoint: Endpoint, ask: PlacementAsk, now_s: float) -> float:
+def _reading_s(endpoint: Endpoint) -> float:
+    """Return the time until an engine begins to read one more prompt."""
+    return TOKEN_S * endpoint.unread_tokens + CALL_S * endpoint.calls
+
+
+def _against_s(endpoint: Endpoint, ask: PlacementAsk, now_s: float) -> float:
     remote = endpoint.record.data_centre != ask.data_centre
-    failing = endpoint.failing_share(now_s)
-    return CALL_S * endpoint.calls + REMOTE_S * remote + FAILING_S * failing
+    return REMOTE_S * remote + FAILING_S * endpoint.failing_share(now_s)
+
+
+def _running_s(endpoint: Endpoint, ask: PlacementAsk, now_s: float) -> float:
+    return _reading_s(endpoint) + _against_s(endpoint, ask, now_s)
 
 
-def _holder_s(endpoint: Endpoint, ask: PlacementAsk, now_s: float) -> float:
-    wait_s = max(0.0, endpoint.held[ask.model].ready_s - now_s)
-    return wait_s + _running_s(endpoint, ask, now_s)
+def _holder_offer(endpoint: Endpoint, ask: PlacementAsk, now_s: float) -> _Offer:
+    held = endpoint.held.get(ask.model)
+    wait_s = max(0.0, held.ready_s - now_s) if held else 0.0
+    reading_s = _reading_s(endpoint) + TOKEN_S * ask.prompt_tokens
+    return _Offer(endpoint, wait_s + reading_s, _against_s(endpoint, ask, now_s))
 
 
-def _loader_s(
-    endpoint: Endpoint, ask: PlacementAsk, now_s: float, cold_s: float
-) -> float:
-    load_s = WARM_S if ask.model in endpoint.recent else cold_s + FETCH_S
-    full = endpoint.places_free <= 0
+def _loader_offer(
+    endpoint: Endpoint, ask: PlacementAsk, now_s: float, cold_s: float, rank: int
+) -> _Offer:
+    warm = ask.model in endpoint.recent
+    load_s = WARM_S if warm else cold_s
     # A version that is replaced must wait until no call runs on the old one.
-    replaces = ask.model in endpoint.held
-    extra_s = NO_PLACE_S * full + NO_PLACE_S * replaces + WANT_S * endpoint.wants
-    return load_s + extra_s + _running_s(endpoint, ask, now_s)
+    waits = (endpoint.places_free <= 0) + (ask.model in endpoint.held)
+    load_s += NO_PLACE_S * waits + WANT_S * endpoint.wants
+    reading_s = _reading_s(endpoint) + TOKEN_S * ask.prompt_tokens
+    extra_s = _against_s(endpoint, ask, now_s) + RANK_S * rank
+    return _Offer(endpoint, load_s + reading_s, extra_s + (0 if warm else FETCH_S))
 
 
 def _cold_s(engines: list[Endpoint], now_s: float) -> float:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
@@ -17,13 +17,16 @@
     PricedPlacement,
     Route,
     SendTo,
+    TooLate,
     WaitFor,
     choose_plain,
     first_byte_patience_s,
+    first_event_patience_s,
     may_send_again,
     resumes,
 )
 from knapweedbridge_core.serving.messages import AdapterMissed, AdapterWanted
+from knapweedbridge_core.serving.placement import Choice
 from knapweedbridge_daemon.serving.dialects import (
     AnswerHead,
     AttemptDetails,
@@ -50,8 +53,12 @@
 MOST_BUFFERED_BYTES = 8 << 20
 """Longest answer that is held until it is whole; plain answers are some kB."""
 
-PLACE_PATIENCE = 3.0
-"""How long a call waits for an engine, in objectives: its answer is late by then."""
+PLACE_PATIENCE = 2.0
+"""How long a call waits for an engine, in objectives: its answer is late by then, and
+callers leave a silent stream after some seconds."""
+
+LOOK_S = 0.1
+"""Pause between looks for an engine, where nothing changes."""
 
 WANT_AGAIN_S = 0.25
 """Pause after which an owner is asked again for an adapter that is not coming."""
@@ -110,6 +117,7 @@
     refused: set[str] = field(default_factory=set)
     first_event_s: float | None = None
     last_choice: str = ""
+    unread_tokens: int = 0
 
     @property
     def left_s(self) -> float:
@@ -174,8 +182,6 @@
     async def _place(self, call: Call) -> Target | Refusal:
         if call.details.model is None:
             return self._place_plain(call)
-        wait_s = max(0.5, PLACE_PATIENCE * call.route.objective_s)
-        until_s = min(anyio.current_time() + wait_s, call.deadline_s - 0.05)
         asked_s = float("-inf")
         while True:
             now_s = anyio.current_time()
@@ -185,19 +191,25 @@
                 if choice.copy_to is not None:
                     await self._want(call, choice.copy_to)
                 return Target(choice.endpoint, choice.version)
-            pause_s = 0.1
+            if isinstance(choice, TooLate):
+                return Refusal(503, "overloaded", BUSY_AFTER_S + choice.over_s)
+            pause_s = LOOK_S
             if isinstance(choice, WaitFor):
                 pause_s = choice.ready_s - now_s
             elif isinstance(choice, LoadOn) and now_s - asked_s > WANT_AGAIN_S:
                 asked_s = now_s
                 await self._want(call, choice.endpoint)
-            if now_s + min(pause_s, 0.01) > until_s:
+            if now_s > self._patient_s(call):
                 return Refusal(503, "no_place", BUSY_AFTER_S)
             await self._hub.engines_changed.wait(max(0.001, pause_s))
 
-    def _choose(
-        self, call: Call, model: ModelRef, now_s: float
-    ) -> SendTo | WaitFor | LoadOn | object:
+    @staticmethod
+    def _patient_s(call: Call) -> float:
+        """Return until when a call waits for an engine, on the daemon's clock."""
+        wait_s = max(0.5, PLACE_PATIENCE * call.route.objective_s)
+        return min(call.request.received_s + wait_s, call.deadline_s - 0.05)
+
+    def _choose(self, call: Call, model: ModelRef, now_s: float) -> Choice:
         beliefs = self._hub.beliefs
         ask = PlacementAsk(
             model,
@@ -205,6 +217,8 @@
             beliefs.older_allowed(model, now_s),
             self._hub.identity.data_centre,
             frozenset(call.progress.runs | call.refused),
+            call.details.prompt_tokens,
+            first_event_patience_s(call.route, now_s - call.request.received_s),
         )
         engines = beliefs.fleet.reachable(call.service, now_s)
         return self._placement.choose(ask, engines, now_s)
@@ -245,7 +259,8 @@
         model = call.details.model
         began_s = anyio.current_time()
         call.progress.sends += 1
-        self._link.running.begin(endpoint, model)
+        call.unread_tokens = call.details.prompt_tokens
+        self._link.running.begin(endpoint, model, call.unread_tokens)
         end = AttemptEnd.BROKEN
         detail = ""
         patience = anyio.CancelScope(deadline=self._patient_until_s(call, target))
@@ -262,11 +277,17 @@
             end, detail = AttemptEnd.BROKEN, str(error)
             call.progress.runs.add(endpoint.name)
         finally:
+            self._note_read(call, endpoint)
             whole = end is not AttemptEnd.BROKEN
             self._link.running.end(endpoint, model, whole)
             self._note(call, target, end, began_s, detail)
         return end
 
+    def _note_read(self, call: Call, endpoint: Endpoint) -> None:
+        if call.unread_tokens:
+            self._link.running.prompt_read(endpoint, call.unread_tokens)
+            call.unread_tokens = 0
+
     def _note(
         self, call: Call, target: Target, end: AttemptEnd, began_s: float, detail: str
     ) -> None:
@@ -320,7 +341,9 @@
             if not proved.genuine:
                 raise BrokenError(f"status {answer.status} without a signature")
             if proved.stream and answer.status == 200:
-                return await self._relay(call, connection, answer, patience)
+                return await self._relay(
+                    call, target.endpoint, connection, answer, patience
+                )
             return await self._take_whole(call, connection, answer)
 
     def _attempt_head(self, call: Call, target: Target) -> RequestHead:
@@ -396,6 +419,7 @@
     async def _relay(
         self,
         call: Call,
+        endpoint: Endpoint,
         connection: ClientConnection,
         answer: ResponseHead,
         patience: anyio.CancelScope,
@@ -413,6 +437,7 @@
                 # which would leave the answer begun and its head unwritten.
                 raise BrokenError("silent")
             patience.deadline = math.inf
+            self._note_read(call, endpoint)
             if not call.progress.begun:
                 call.progress.begun = True
                 call.first_event_s = anyio.current_time()
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
@@ -16,7 +16,10 @@
     AdapterMissed,
     AdapterWanted,
     CallsRunning,
+    EngineAsked,
+    EngineChanged,
     EngineTold,
+    OwnerAnswered,
 )
 from knapweedbridge_core.serving.ownership import OwnerRecord
 from knapweedbridge_daemon.serving.dialects import DialectError, WireRequest
@@ -24,8 +27,9 @@
 from knapweedbridge_daemon.serving.hub import Hub, Send, suspended_clock_s
 from knapweedbridge_daemon.serving.wire import ResponseHead
 
-ORDER_TIMEOUT_S = 0.5
-"""Bound on an order; less than the margin before a lease's end."""
+ORDER_TIMEOUT_S = 0.12
+"""Bound on an order: answers take some ms, each engine gets one order at a time, and
+an order without an answer is safely followed by the next."""
 
 REPORT_TIMEOUT_S = 0.5
 REPORT_PAUSE_S = 0.3
@@ -37,9 +41,15 @@
 LEARN_S = 0.05
 """Time in which daemons tell a new owner of their calls: ways take milliseconds."""
 
-TELL_CALLS_S = 0.1
-"""Pause between tellings where only the count of calls changed: counts steer the
-balance among engines, and prompts take 50 ms each."""
+TELL_LOAD_S = 0.06
+"""Pause between tellings where only the calls changed: they steer the balance among
+engines, and a prompt takes some 50 ms."""
+
+TELL_ALL_S = 3.0
+"""Pause between tellings of all: a successor learns from them what is in use."""
+
+
+ToOwner = AdapterWanted | AdapterMissed | CallsRunning | EngineAsked
 
 
 class EngineOwner:
@@ -78,6 +88,10 @@
         self._held_changed = True
         self._calls_changed = False
         self._askers: set[str] = set()
+        self._lost: set[str] = set()
+        self._hearers: set[str] = set()
+        self._shown: dict[ModelRef, tuple[int, float]] = {}
+        self._told_all_s = float("-inf")
         self.keeper = EngineKeeper(
             limits,
             {model: held.used_s for model, held in endpoint.held.items()},
@@ -96,10 +110,11 @@
         self.keeper.want(model, version, anyio.current_time())
         self._work.set()
 
-    def calls_running(self, daemon: str, calls: dict[str, int]) -> None:
+    def calls_running(self, daemon: str, message: CallsRunning) -> None:
         """Take all calls of one daemon on the engine."""
-        found = {parse_model(name): count for name, count in calls.items()}
-        self.keeper.calls_running(daemon, found, anyio.current_time())
+        found = {parse_model(name): count for name, count in message.calls.items()}
+        now_s = anyio.current_time()
+        self.keeper.calls_running(daemon, found, message.unread_tokens, now_s)
         self._calls_changed = True
         self._work.set()
 
@@ -138,7 +153,7 @@
         if self.keeper.needs_report:
             pause_s = REPORT_PAUSE_S
         elif self._calls_changed:
-            pause_s = TELL_CALLS_S
+            pause_s = TELL_LOAD_S
         elif self.keeper.wants:
             pause_s = 0.05
         with anyio.move_on_after(pause_s):
@@ -231,39 +246,83 @@
             if each is not self._endpoint
         )
 
+    def asked_for_all(self, daemon: str) -> None:
+        """Take that a daemon missed a telling."""
+        self._lost.add(daemon)
+        self._work.set()
+
     async def _tell(self) -> None:
         now_s = anyio.current_time()
-        calls_due = self._calls_changed and now_s - self._told_s >= TELL_CALLS_S
-        hearers, self._askers = self._askers, set()
-        if self._held_changed or calls_due:
-            hearers = set(self._hub.beliefs.daemons)
+        askers, self._askers = self._askers, set()
+        load_due = self._calls_changed and now_s - self._told_s >= TELL_LOAD_S
+        if self._held_changed or load_due or self._lost:
             self._held_changed = self._calls_changed = False
             self._told_s = now_s
-        if not hearers:
+            await self._tell_daemons(now_s)
             return
+        for daemon in askers:
+            answered = OwnerAnswered(self._endpoint.name, self.number)
+            await self._send(daemon, answered)
+
+    async def _tell_daemons(self, now_s: float) -> None:
         self._told += 1
-        told = EngineTold(
+        told, changed = self._tell_all(now_s), self._tell_changes(now_s)
+        self._shown = dict(self._rows(now_s))
+        all_due = now_s - self._told_all_s >= TELL_ALL_S
+        if all_due:
+            self._told_all_s = now_s
+        for daemon in list(self._hub.beliefs.daemons):
+            new = daemon in self._lost or daemon not in self._hearers
+            await self._send(daemon, told if all_due or new else changed)
+        self._hearers = set(self._hub.beliefs.daemons)
+        self._lost.clear()
+
+    def _rows(self, now_s: float) -> dict[ModelRef, tuple[int, float]]:
+        return {
+            model: (place.version, place.ready_s)
+            for model, place in self.keeper.places.items()
+            if not place.leaving
+        }
+
+    def _tell_all(self, now_s: float) -> EngineTold:
+        keeper = self.keeper
+        held = [
+            [
+                model.base,
+                model.adapter,
+                version,
+                ready_s - now_s,
+                keeper.users(model),
+                now_s - keeper.places[model].used_s,
+            ]
+            for model, (version, ready_s) in self._rows(now_s).items()
+        ]
+        return EngineTold(
+            self._endpoint.name,
+            self.number,
+            self._told,
+            held,
+            keeper.load_by_daemon(),
+            keeper.places_free(now_s),
+            keeper.wants,
+        )
+
+    def _tell_changes(self, now_s: float) -> EngineChanged:
+        rows = self._rows(now_s)
+        return EngineChanged(
             self._endpoint.name,
             self.number,
             self._told,
             [
-                [
-                    model.base,
-                    model.adapter,
-                    place.version,
-                    place.ready_s - now_s,
-                    self.keeper.users(model),
-                    now_s - place.used_s,
-                ]
-                for model, place in self.keeper.places.items()
-                if not place.leaving
+                [model.base, model.adapter, version, ready_s - now_s]
+                for model, (version, ready_s) in rows.items()
+                if self._shown.get(model) != (version, ready_s)
             ],
-            self.keeper.calls_by_daemon(),
+            [[model.base, model.adapter] for model in self._shown if model not in rows],
+            self.keeper.load_by_daemon(),
             self.keeper.places_free(now_s),
             self.keeper.wants,
         )
-        for daemon in hearers:
-            await self._send(daemon, told)
 
 
 class EngineOwners:
@@ -324,9 +383,7 @@
             tasks.start_soon(owner.run)
             self._hub.log.info("owner.begun", engine=name, number=record.number)
 
-    def heard(
-        self, daemon: str, message: AdapterWanted | AdapterMissed | CallsRunning
-    ) -> None:
+    def heard(self, daemon: str, message: ToOwner) -> None:
         """Take a daemon's message about an engine that is owned here."""
         owner = self._owned.get(message.endpoint)
         if owner is None:
@@ -334,10 +391,12 @@
         if isinstance(message, AdapterWanted):
             model = ModelRef(message.base, message.adapter)
             owner.wanted(daemon, model, message.version)
+        elif isinstance(message, EngineAsked):
+            owner.asked_for_all(daemon)
         elif isinstance(message, AdapterMissed):
             owner.missed(ModelRef(message.base, message.adapter))
         else:
-            owner.calls_running(daemon, message.calls)
+            owner.calls_running(daemon, message)
 
     def forget_daemon(self, daemon: str) -> None:
         """Drop the calls of a daemon that is gone."""
--- a/packages/daemon/src/knapweedbridge_daemon/serving/measures.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/measures.py
@@ -35,6 +35,7 @@
             CounterMetricFamily,
             GaugeMetricFamily,
             HistogramMetricFamily,
+            Metric,
         )
         from prometheus_client.exposition import generate_latest
 
@@ -44,7 +45,7 @@
                 name, CounterMetricFamily(_full(name), name, labels=["kind"])
             )
             family.add_metric([kind], value)
-        found = [*families.values()]
+        found: list[Metric] = [*families.values()]
         found += [
             GaugeMetricFamily(_full(name), name, value=value)
             for name, value in sorted(self.gauges.items())
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -6,22 +6,25 @@
 from anyio.abc import TaskGroup
 
 from knapweedbridge_core.events import PeerHeard, PeerUnlinked
-from knapweedbridge_core.serving import ModelRef
+from knapweedbridge_core.serving import Endpoint, ModelRef
 from knapweedbridge_core.serving.fleet import HeldAdapter
 from knapweedbridge_core.serving.messages import (
-    AdapterMissed,
-    AdapterWanted,
-    CallsRunning,
+    EngineAsked,
+    EngineChanged,
     EngineTold,
+    OwnerAnswered,
 )
 from knapweedbridge_daemon.peers import Peers
-from knapweedbridge_daemon.serving.engine_owning import EngineOwners
+from knapweedbridge_daemon.serving.engine_owning import EngineOwners, ToOwner
 from knapweedbridge_daemon.serving.hub import Hub
 from knapweedbridge_daemon.serving.running_calls import RunningCalls
 
 SILENCE_S = 1.5
 """Silence that closes a stream between daemons: answers take milliseconds."""
 
+ASK_ALL_S = 0.2
+"""Pause between questions for all of an engine, where a telling was missed."""
+
 
 class PeerLink:
     """Sends and takes the messages between daemons.
@@ -88,31 +91,74 @@
     def _take(self, daemon: str, message: Any) -> None:
         if isinstance(message, EngineTold):
             self._take_told(daemon, message)
-        elif isinstance(message, (AdapterWanted, AdapterMissed, CallsRunning)):
+        elif isinstance(message, EngineChanged):
+            self._take_changed(daemon, message)
+        elif isinstance(message, OwnerAnswered):
+            self._take_answered(message)
+        elif isinstance(message, ToOwner):
             self.owners.heard(daemon, message)
 
     def _take_told(self, daemon: str, message: EngineTold) -> None:
         now_s = anyio.current_time()
-        held = {
-            ModelRef(base, adapter): HeldAdapter(
-                version, now_s + ready_in_s, users, now_s - idle_s
-            )
-            for base, adapter, version, ready_in_s, users, idle_s in message.held
-        }
         fleet = self._hub.beliefs.fleet
-        endpoint = fleet.told(message.endpoint, message.number, message.order, held)
+        endpoint = fleet.told(message.endpoint, message.number, message.order)
         if endpoint is None:
             return
+        endpoint.take_held(
+            {
+                ModelRef(base, adapter): HeldAdapter(
+                    version, now_s + ready_in_s, users, now_s - idle_s
+                )
+                for base, adapter, version, ready_in_s, users, idle_s in message.held
+            }
+        )
         new_owner = endpoint.told_by != daemon
         endpoint.told_by = daemon
-        endpoint.places_free = message.places_free
-        endpoint.wants = message.wants
-        endpoint.others_calls = sum(
-            count
-            for name, count in message.calls.items()
-            if name != self._hub.identity.name
-        )
+        self._take_load(endpoint, message)
         if new_owner:
             # It cannot know of calls that began under the owner before it.
             self.running.tell(message.endpoint)
+
+    def _take_changed(self, daemon: str, message: EngineChanged) -> None:
+        now_s = anyio.current_time()
+        fleet = self._hub.beliefs.fleet
+        if not fleet.follows(message.endpoint, message.number, message.order):
+            self._ask_all(daemon, message, now_s)
+            return
+        endpoint = fleet.told(message.endpoint, message.number, message.order)
+        if endpoint is None:
+            return
+        held = dict(endpoint.held)
+        for base, adapter in message.removed:
+            held.pop(ModelRef(base, adapter), None)
+        for base, adapter, version, ready_in_s in message.added:
+            known = held.get(ModelRef(base, adapter))
+            held[ModelRef(base, adapter)] = HeldAdapter(
+                version, now_s + ready_in_s, known.users if known else 0, now_s
+            )
+        endpoint.take_held(held)
+        self._take_load(endpoint, message)
+
+    def _ask_all(self, daemon: str, message: EngineChanged, now_s: float) -> None:
+        endpoint = self._hub.beliefs.fleet.endpoints.get(message.endpoint)
+        if endpoint is None or message.number < endpoint.told_number:
+            return
+        if now_s - endpoint.asked_all_s > ASK_ALL_S and self._peers is not None:
+            endpoint.asked_all_s = now_s
+            self._peers.send(daemon, EngineAsked(message.endpoint))
+
+    def _take_load(
+        self, endpoint: Endpoint, message: EngineTold | EngineChanged
+    ) -> None:
+        own = self._hub.identity.name
+        others = [load for daemon, load in message.load.items() if daemon != own]
+        endpoint.others_calls = sum(calls for calls, _ in others)
+        endpoint.others_unread_tokens = sum(tokens for _, tokens in others)
+        endpoint.places_free = message.places_free
+        endpoint.wants = message.wants
         self._hub.engines_changed.tell()
+
+    def _take_answered(self, message: OwnerAnswered) -> None:
+        endpoint = self._hub.beliefs.fleet.endpoints.get(message.endpoint)
+        if endpoint is not None:
+            endpoint.asked_s = None
--- a/packages/daemon/src/knapweedbridge_daemon/serving/running_calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/running_calls.py
@@ -40,13 +40,21 @@
         self._changed: set[str] = set()
         self._wake = anyio.Event()
 
-    def begin(self, endpoint: Endpoint, model: ModelRef | None) -> None:
+    def begin(
+        self, endpoint: Endpoint, model: ModelRef | None, prompt_tokens: int
+    ) -> None:
         """Count a call that is about to be sent."""
         endpoint.own_calls += 1
+        endpoint.own_unread_tokens += prompt_tokens
         if model is not None:
             self._calls[endpoint.name][str(model)] += 1
             self.tell(endpoint.name)
 
+    def prompt_read(self, endpoint: Endpoint, prompt_tokens: int) -> None:
+        """Take that a call's first event came, or will not come there."""
+        endpoint.own_unread_tokens -= prompt_tokens
+        self.tell(endpoint.name)
+
     def end(self, endpoint: Endpoint, model: ModelRef | None, whole: bool) -> None:
         """Count a call that has ended there.
 
@@ -105,6 +113,7 @@
                 del self._calls[name]
             return
         self._calls[name] = calls
-        owner = self._hub.beliefs.fleet.endpoints[name].owner
-        if owner:
-            await self._send(owner, CallsRunning(name, dict(calls)))
+        endpoint = self._hub.beliefs.fleet.endpoints[name]
+        if endpoint.owner:
+            told = CallsRunning(name, dict(calls), endpoint.own_unread_tokens)
+            await self._send(endpoint.owner, told)
