--- a/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
@@ -1,6 +1,7 @@
 """The life of one call: routed, placed, sent, passed on, and ended once."""
 
 import math
+import random
 from dataclasses import dataclass, field
 
 import anyio
@@ -66,6 +67,14 @@
 NOT_READY_S = 0.04
 """Wait after an engine refused a call as its adapter's load is not done."""
 
+RESUME_PATIENCE_S = 2.0
+"""Longest wait for the next event of a stream that is continued elsewhere: callers
+leave after a gap of two seconds."""
+
+OVERLOAD_AFTER_S = (1.0, 3.0)
+"""When callers should come back that no engine can serve in time: peaks last about
+two seconds, and those who return together would make the next one."""
+
 NO_ENDPOINT_AFTER_S = 0.6
 BUSY_AFTER_S = 0.4
 """When a refused caller should come back: a load takes 0.25 s, a restart longer."""
@@ -192,7 +201,8 @@
                     await self._want(call, choice.copy_to)
                 return Target(choice.endpoint, choice.version)
             if isinstance(choice, TooLate):
-                return Refusal(503, "overloaded", BUSY_AFTER_S + choice.over_s)
+                after_s = random.uniform(*OVERLOAD_AFTER_S) + choice.over_s
+                return Refusal(503, "overloaded", after_s)
             pause_s = LOOK_S
             if isinstance(choice, WaitFor):
                 pause_s = choice.ready_s - now_s
@@ -203,9 +213,17 @@
                 return Refusal(503, "no_place", BUSY_AFTER_S)
             await self._hub.engines_changed.wait(max(0.001, pause_s))
 
+    @staticmethod
+    def _patience_s(call: Call, now_s: float) -> float:
+        if call.progress.begun:
+            return RESUME_PATIENCE_S
+        return first_event_patience_s(call.route, now_s - call.request.received_s)
+
     @staticmethod
     def _patient_s(call: Call) -> float:
         """Return until when a call waits for an engine, on the daemon's clock."""
+        if call.progress.begun:
+            return call.deadline_s - 0.05
         wait_s = max(0.5, PLACE_PATIENCE * call.route.objective_s)
         return min(call.request.received_s + wait_s, call.deadline_s - 0.05)
 
@@ -218,7 +236,7 @@
             self._hub.identity.data_centre,
             frozenset(call.progress.runs | call.refused),
             call.details.prompt_tokens,
-            first_event_patience_s(call.route, now_s - call.request.received_s),
+            self._patience_s(call, now_s),
         )
         engines = beliefs.fleet.reachable(call.service, now_s)
         return self._placement.choose(ask, engines, now_s)
