--- /dev/null
+++ b/features/platform/standins.py
@@ -0,0 +1,353 @@
+"""Stand-ins that speak the platform's published wire, on loopback."""
+
+import base64
+import json
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs, urlsplit
+
+import anyio
+
+from knapweedbridge_core.serving import FaceLimits
+from knapweedbridge_daemon.serving.http_server import CallersFace
+
+JSON = [(b"Content-Type", b"application/json")]
+
+
+class Server:
+    """Serves a handler on a free port; subclasses answer requests."""
+
+    def __init__(self):
+        self.address = ""
+        self.faults = []
+        self.calls = []
+        self.scope = anyio.CancelScope()
+
+    async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED):
+        face = CallersFace(
+            self.handle, lambda: FaceLimits(), self.faults.append, self.faults.append
+        )
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        self.address = f"127.0.0.1:{port}"
+        with self.scope:
+            task_status.started()
+            await listener.serve(face.serve)
+
+    async def handle(self, request, responder):
+        raise NotImplementedError
+
+
+async def answer_json(responder, status, value):
+    await responder.answer(status, JSON, json.dumps(value).encode())
+
+
+@dataclass
+class Lease:
+    ttl_s: float
+    ends_s: float
+    keys: set = field(default_factory=set)
+
+
+class Store(Server):
+    """The platform's store: items, leases, transactions, watches."""
+
+    def __init__(self):
+        super().__init__()
+        self.items = {}
+        self.events = []
+        self.revision = 1
+        self.leases = {}
+        self.down = False
+        self.nonsense = False
+        self.oldest = 0
+        self.changed = anyio.Event()
+
+    def put(self, key, value, lease=0):
+        """Write as the operator or a server would."""
+        self.revision += 1
+        packed = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self.items[key] = (packed, self.revision, lease)
+        if lease:
+            self.leases[lease].keys.add(key)
+        self._tell(key, packed)
+        return self.revision
+
+    def remove(self, key):
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self._tell(key, None)
+
+    def forget_history(self):
+        self.oldest = self.revision + 1
+
+    def _tell(self, key, value):
+        self.events.append((key, value, self.revision))
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def _expire(self):
+        now_s = anyio.current_time()
+        for name, lease in list(self.leases.items()):
+            if lease.ends_s < now_s:
+                del self.leases[name]
+                for key in sorted(lease.keys):
+                    if self.items.get(key, (0, 0, 0))[2] == name:
+                        self.remove(key)
+
+    async def handle(self, request, responder):
+        self._expire()
+        url = urlsplit(request.head.target.decode())
+        query = {key: values[0] for key, values in parse_qs(url.query).items()}
+        self.calls.append(url.path)
+        if self.down:
+            await responder.answer(503, [], b"")
+            return
+        if self.nonsense:
+            await responder.answer(200, JSON, b"<html>no store</html>")
+            return
+        body = json.loads(request.body) if request.body else {}
+        name = url.path.rsplit("/", 1)[-1]
+        if url.path == "/v1/kv-range":
+            await self._range(responder, query)
+        elif url.path == "/v1/kv-watch":
+            await self._watch(responder, query)
+        elif url.path == "/v1/kv-txn":
+            await self._transact(responder, body)
+        elif url.path == "/v1/kv-lease":
+            lease = len(self.leases) + 100
+            ttl_s = body["ttl_ms"] / 1000
+            self.leases[lease] = Lease(ttl_s, anyio.current_time() + ttl_s)
+            await answer_json(
+                responder, 200, {"lease": lease, "ttl_ms": body["ttl_ms"]}
+            )
+        elif url.path.startswith("/v1/kv-keep/") and int(name) in self.leases:
+            lease = self.leases[int(name)]
+            lease.ends_s = anyio.current_time() + lease.ttl_s
+            await answer_json(responder, 200, {"ttl_ms": int(lease.ttl_s * 1000)})
+        else:
+            await responder.answer(404, [], b"")
+
+    def _item(self, key):
+        value, revision, lease = self.items[key]
+        return {
+            "key": key,
+            "value": base64.b64encode(value).decode(),
+            "revision": revision,
+            "created": revision,
+            "lease": lease,
+        }
+
+    async def _range(self, responder, query):
+        prefix, after = query.get("path_prefix", ""), query.get("after", "")
+        keys = sorted(k for k in self.items if k.startswith(prefix) and k > after)
+        page = keys[:5]
+        answer = {
+            "items": [self._item(key) for key in page],
+            "more_pages": len(keys) > len(page),
+            "current_rev": self.revision,
+        }
+        await answer_json(responder, 200, answer)
+
+    async def _watch(self, responder, query):
+        prefix, after = query.get("path_prefix", ""), int(query["after"])
+        if after < self.oldest - 1:
+            await responder.answer(410, [], b"")
+            return
+        with anyio.move_on_after(int(query["wait_ms"]) / 1000):
+            while not self._since(prefix, after):
+                await self.changed.wait()
+        events = [
+            {"key": key, "revision": revision, "deleted": True}
+            if value is None
+            else {
+                "key": key,
+                "value": base64.b64encode(value).decode(),
+                "revision": revision,
+                "created": revision,
+                "lease": 0,
+            }
+            for key, value, revision in self._since(prefix, after)
+        ]
+        answer = {"events": events, "current_rev": self.revision}
+        await answer_json(responder, 200, answer)
+
+    def _since(self, prefix, after):
+        return [e for e in self.events if e[2] > after and e[0].startswith(prefix)]
+
+    async def _transact(self, responder, body):
+        for row in body["expected"]:
+            found = self.items.get(row["key"], (b"", 0, 0))[1]
+            if found != row["revision"]:
+                await answer_json(responder, 412, {"items": []})
+                return
+        leases = {put["lease"] for put in body["puts"] if put["lease"]}
+        if not leases <= self.leases.keys():
+            await responder.answer(404, [], b"")
+            return
+        for put in body["puts"]:
+            self.put(put["key"], base64.b64decode(put["value"]), put["lease"])
+        for key in body["remove"]:
+            self.remove(key)
+        await answer_json(responder, 200, {"revision": self.revision})
+
+
+def header(request, name):
+    for key, value in request.head.headers:
+        if key.lower() == name.lower().encode():
+            return value.decode()
+    return None
+
+
+class Endpoint(Server):
+    """A server of a service, with an id and a seal."""
+
+    def __init__(self, name, service, zone="hall-a"):
+        super().__init__()
+        self.name = name
+        self.service = service
+        self.zone = zone
+        self.requests = []
+        self.behaviour = []
+
+    def entry(self, **fields):
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "seq": 1,
+            **fields,
+        }
+
+    def sealed(self, request):
+        return [
+            (b"Request-Id", (header(request, "Request-Id") or "").encode()),
+            (b"Response-Seal", f"seal-of-{self.name}".encode()),
+        ]
+
+    async def refuse(self, responder, status):
+        headers = [(b"Not-Run", b"1"), (b"Instance-Id", self.name.encode())]
+        await responder.answer(status, headers, b"")
+
+    async def handle(self, request, responder):
+        expected = header(request, "Expect-Instance")
+        if expected not in (None, self.name):
+            await self.refuse(responder, 421)
+            return
+        self.requests.append(request)
+        behaviour = self.behaviour.pop(0) if self.behaviour else "well"
+        await self.answer(request, responder, behaviour)
+
+    async def answer(self, request, responder, behaviour):
+        if behaviour == "silent":
+            await anyio.sleep(30)
+        elif behaviour == "shed":
+            self.requests.pop()
+            await self.refuse(responder, 503)
+        elif behaviour == "fail":
+            await responder.answer(500, self.sealed(request), b"failed")
+        elif behaviour == "unsealed":
+            await responder.answer(200, [], b"forged")
+        elif behaviour == "another's":
+            headers = [(b"Request-Id", b"other"), (b"Response-Seal", b"x")]
+            await responder.answer(200, headers, b"another's")
+        else:
+            body = b"%s %s" % (request.head.method, request.head.target)
+            await responder.answer(200, self.sealed(request), body + request.body)
+
+
+class Engine(Endpoint):
+    """A model server with places for adapters."""
+
+    def __init__(self, name, service, zone="hall-a", places=3, load_s=0.05):
+        super().__init__(name, service, zone)
+        self.places = places
+        self.load_s = load_s
+        self.held = {}
+        self.sequence = 0
+        self.orders = []
+        self.crashed = False
+        self.pause_s = 0.005
+
+    def models(self):
+        adapters = [f"{name}@{version}" for name, (version, _) in self.held.items()]
+        return [{"name": "base", "version": 1, "adapters": adapters}]
+
+    def entry(self, **fields):
+        return super().entry(models=self.models(), stage="both", **fields)
+
+    async def handle(self, request, responder):
+        path = request.head.path
+        if path == "/v1/report":
+            report = {
+                "stage": "both",
+                "models": self.models(),
+                "busy": False,
+                "seq": self.sequence,
+                "queued": 0,
+                "running": 0,
+                "kv_used": 0,
+                "kv_total": 1000,
+                "handles": 0,
+            }
+            await answer_json(responder, 200, report)
+        elif path == "/v1/order":
+            await self._order(request, responder)
+        else:
+            await super().handle(request, responder)
+
+    async def _order(self, request, responder):
+        order = json.loads(request.body)
+        self.orders.append(order)
+        if order.get("expected", self.sequence) != self.sequence:
+            await responder.answer(409, [], b"")
+            return
+        self.sequence += 1
+        name = order["adapter"]
+        if order["operation"] == "unload":
+            self.held.pop(name, None)
+            await responder.answer(200, [], b"")
+            return
+        ready_s = anyio.current_time() + self.load_s
+        self.held[name] = (order.get("version", 1), ready_s)
+        self.crashed = self.crashed or len(self.held) > self.places
+        await responder.answer(202, [], b"")
+
+    def _holds(self, request):
+        _, _, name = (header(request, "Model") or "").partition("/")
+        if not name:
+            return True
+        version, ready_s = self.held.get(name, (0, 0.0))
+        wanted = header(request, "Expect-Version")
+        there = version and ready_s <= anyio.current_time()
+        return there and wanted in (None, str(version))
+
+    async def answer(self, request, responder, behaviour):
+        if not self._holds(request):
+            self.requests.pop()
+            await self.refuse(responder, 421)
+            return
+        if behaviour not in ("well", "cut", "cut in an event"):
+            await super().answer(request, responder, behaviour)
+            return
+        await self._stream(request, responder, behaviour)
+
+    async def _stream(self, request, responder, behaviour):
+        from knapweedbridge_daemon.serving.wire import ResponseHead
+
+        first = int(header(request, "Last-Event-Id") or 0) + 1
+        kind = [(b"Content-Type", b"text/event-stream")]
+        await responder.start(ResponseHead(200, self.sealed(request) + kind))
+        for number in range(first, 11):
+            event = f"id: {number}\ndata: t{number}\n\n".encode()
+            if behaviour != "well" and number == first + 4:
+                if behaviour == "cut in an event":
+                    await responder.send(event[:7])
+                # Without an end the connection is closed.
+                return
+            await responder.send(event)
+            await anyio.sleep(self.pause_s)
+        await responder.end()
--- /dev/null
+++ b/features/platform/steps/path_steps.py
@@ -0,0 +1,422 @@
+import functools
+
+import anyio
+import httpx
+from behave import given, then, when
+from whole_path import configuration, free_port, settings_fields, whole_path
+
+from knapweedbridge_core.errors import CheckError
+from knapweedbridge_daemon.serving.settings import read_serving_settings
+
+
+def played(work):
+    """Run a scenario's whole story in one event loop."""
+
+    @functools.wraps(work)
+    def step(context, **values):
+        async def story():
+            async with whole_path(context.daemons) as path:
+                context.path = path
+                await work(context, path, **values)
+
+        anyio.run(story)
+
+    return step
+
+
+@given("the whole path")
+def one_daemon(context):
+    context.daemons = 1
+
+
+@given("the whole path with {daemons:d} daemons")
+def several_daemons(context, daemons):
+    context.daemons = daemons
+
+
+@when('the endpoints behave "{behaves}" once and a "{kind}" call comes')
+@played
+async def plain_call(context, path, behaves, kind):
+    # Which endpoint is chosen first is not told: the first that is reached behaves.
+    shared = [behaves]
+    for desk in path.desks:
+        desk.behaviour = shared
+    context.response = await path.call("GET", f"/{kind}/1")
+
+
+@then("it ends with {status:d}, run by {runs:d} endpoints")
+def ends_with(context, status, runs):
+    assert context.response.status_code == status, context.response
+    ran = sum(len(desk.requests) for desk in context.path.desks)
+    assert ran == runs, ran
+
+
+@when('"{method}" "{path_}" is called with body "{body}"')
+@played
+async def called_with(context, path, method, path_, body):
+    context.response = await path.call(method, path_, content=body.encode())
+
+
+@then('the answer is "{text}"')
+def answer_is(context, text):
+    assert context.response.text == text, context.response.text
+
+
+@when('a call comes with the caller\'s own "{a}", "{b}", "{c}", "{d}"')
+@played
+async def own_headers(context, path, **names):
+    context.names = list(names.values())
+    headers = dict.fromkeys(context.names, "of-the-caller")
+    context.response = await path.call("GET", "/look/1", headers=headers)
+
+
+@then("the endpoint got none of the caller's")
+def got_none(context):
+    assert context.response.status_code == 200, context.response
+    for desk in context.path.desks:
+        for request in desk.requests:
+            values = [value for _, value in request.head.headers]
+            assert b"of-the-caller" not in values, request.head.headers
+
+
+async def ask_drafts(path, models, daemons=1):
+    responses = []
+
+    async def ask(number, model):
+        response = await path.draft(model, number % daemons)
+        while response.status_code == 503:
+            await anyio.sleep(float(response.headers["Retry-After"]))
+            response = await path.draft(model, number % daemons)
+        responses.append(response)
+
+    async with anyio.create_task_group() as tasks:
+        for number, model in enumerate(models):
+            tasks.start_soon(ask, number, model)
+            await anyio.sleep(0.02)
+    return responses
+
+
+@when("streams for {count:d} adapters come one after another")
+@played
+async def adapters_in_turn(context, path, count):
+    context.responses = [await path.draft(f"base/a{n}") for n in range(count)]
+
+
+@when("{streams:d} streams for {count:d} adapters come to all daemons")
+@played
+async def adapters_everywhere(context, path, streams, count):
+    models = [f"base/a{n % count}" for n in range(streams)]
+    context.responses = await ask_drafts(path, models, context.daemons)
+
+
+def is_whole(response):
+    ids = [line for line in response.text.splitlines() if line.startswith("id: ")]
+    return response.status_code == 200 and ids == [f"id: {n}" for n in range(1, 11)]
+
+
+@then("all are whole")
+def all_whole(context):
+    bad = [each for each in context.responses if not is_whole(each)]
+    assert not bad, [(each.status_code, each.text[:80]) for each in bad]
+
+
+@then("no engine was ordered beyond its places")
+def not_beyond(context):
+    assert not any(engine.crashed for engine in context.path.engines)
+    assert sum(len(engine.orders) for engine in context.path.engines) > 5
+
+
+@then("no engine was ordered by two daemons")
+def one_orderer(context):
+    for engine in context.path.engines:
+        holders = {(order["holder"], order["fencing_token"]) for order in engine.orders}
+        assert len(holders) <= 1, holders
+
+
+@when('a draft comes and the engine\'s stream is "{behaves}"')
+@played
+async def draft_breaks(context, path, behaves):
+    shared = [behaves]
+    for engine in path.engines:
+        engine.behaviour = shared
+    context.response = await path.draft("base")
+
+
+@then("the caller has all ten events once, in order")
+def all_ten(context):
+    assert is_whole(context.response), context.response.text
+
+
+@when('a note comes and the engine\'s stream is "{behaves}"')
+@played
+async def note_breaks(context, path, behaves):
+    for engine in path.engines:
+        engine.behaviour = [behaves]
+    context.got, context.complete = b"", False
+    url = f"http://127.0.0.1:{path.ports[0][0]}/note/1"
+    headers = {"Host": "shop.example", "Request-Id": "n1", "Model": "base"}
+    async with httpx.AsyncClient() as client:
+        try:
+            async with client.stream("POST", url, headers=headers) as response:
+                async for chunk in response.aiter_raw():
+                    context.got += chunk
+            context.complete = True
+        except httpx.HTTPError:
+            pass
+
+
+@then("the caller's stream breaks after {events:d} events")
+def breaks_after(context, events):
+    assert not context.complete
+    assert context.got.count(b"\n\n") == events, context.got
+
+
+@when('version {version:d} of "base/a1" is named and a draft for it comes')
+@played
+async def version_named(context, path, version):
+    named = {"model": "base", "adapter": "a1", "version": version}
+    await path.draft("base/a1")
+    path.store.put("op/version/base.a1", named)
+    for _ in range(100):
+        context.response = await path.draft("base/a1")
+        if any(order.get("version") == version for order in orders_of(path)):
+            break
+        await anyio.sleep(0.05)
+    await anyio.sleep(0.2)
+    context.response = await path.draft("base/a1")
+
+
+def orders_of(path):
+    return [order for engine in path.engines for order in engine.orders]
+
+
+@then("an engine was ordered to load version {version:d}")
+def ordered_version(context, version):
+    found = [o for o in orders_of(context.path) if o.get("version") == version]
+    assert found and found[0]["operation"] == "load", orders_of(context.path)
+
+
+@then("the draft was sent with that version expected")
+def version_expected(context):
+    assert is_whole(context.response)
+    sent = [
+        value
+        for engine in context.path.engines
+        for request in engine.requests[-1:]
+        for key, value in request.head.headers
+        if key == b"Expect-Version"
+    ]
+    assert b"2" in sent, sent
+
+
+@when("desk-1 says that it is leaving")
+@played
+async def leaving(context, path):
+    path.store.put("servers/desk-1", path.desks[0].entry(state="draining"))
+    await path.until(
+        lambda: any(
+            line.get("key") == "servers/desk-1"
+            and line["message_type"] == "belief.changed"
+            for line in path.lines()[-3:]
+        ),
+        "the daemon takes it",
+    )
+    for desk in path.desks:
+        desk.requests.clear()
+    for number in range(10):
+        await path.call("GET", f"/look/{number}")
+
+
+@then("{calls:d} calls all reach desk-2")
+def reach_other(context, calls):
+    assert [len(desk.requests) for desk in context.path.desks] == [0, calls]
+
+
+TROUBLES = {
+    "the configuration cannot be read": lambda store: store.put("op/config", b"{no"),
+    "the store is down": lambda store: setattr(store, "down", True),
+    "the store answers nonsense": lambda store: setattr(store, "nonsense", True),
+}
+
+
+@when("the configuration cannot be read")
+def unreadable(context):
+    play_trouble(context, trouble="the configuration cannot be read")
+
+
+@when("the store is down")
+def store_down(context):
+    play_trouble(context, trouble="the store is down")
+
+
+@when("the store answers nonsense")
+def store_nonsense(context):
+    play_trouble(context, trouble="the store answers nonsense")
+
+
+@played
+async def play_trouble(context, path, trouble):
+    TROUBLES[trouble](path.store)
+    path.store.changed.set()
+    await anyio.sleep(1.5)
+    context.response = await path.call("GET", "/look/1")
+    context.kinds = {line["message_type"] for line in path.lines()}
+
+
+@then('"{path_}" is answered with {status:d}')
+def answered_with(context, path_, status):
+    assert context.response.status_code == status, context.response
+
+
+@then('the log tells "{kind}"')
+def log_tells(context, kind):
+    assert kind in context.kinds, context.kinds
+
+
+@when('the store forgets its history and the route "{name}" is dropped')
+@played
+async def forgets(context, path, name):
+    path.store.put("op/config", configuration(2, drop=(name,)))
+    path.store.forget_history()
+    path.store.put("servers/none", path.desks[0].entry(service="none"))
+    with anyio.move_on_after(5):
+        while True:
+            context.response = await path.call("GET", "/look/1")
+            if context.response.status_code == 404:
+                break
+            await anyio.sleep(0.05)
+
+
+@then('"{path_}" is soon answered with {status:d}')
+def soon_answered(context, path_, status):
+    answered_with(context, path_, status)
+
+
+def owner_of(path, engine):
+    found = path.store.items.get(f"knapweedbridge/owners/{engine}")
+    return found and (found[0], found[1])
+
+
+@when("the owner of engine-1 gives its lease up")
+@played
+async def lease_lapses(context, path):
+    await path.until(lambda: owner_of(path, "engine-1"), "engine-1 has an owner")
+    context.before = owner_of(path, "engine-1")
+    lease = path.store.items["knapweedbridge/owners/engine-1"][2]
+    # The store ends the lease, as for a host that fell silent.
+    path.store.leases[lease].ends_s = 0.0
+    await path.until(
+        lambda: (owner_of(path, "engine-1") or context.before)[1] != context.before[1],
+        "engine-1 has a new record",
+    )
+    context.after = owner_of(path, "engine-1")
+
+
+@then("the other daemon owns engine-1 with a higher number")
+def other_owns(context):
+    assert context.after[1] > context.before[1]
+
+
+RAW = {
+    "two framings": b"POST /look/1 HTTP/1.1\r\nHost: shop.example\r\n"
+    b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "two lengths": b"POST /look/1 HTTP/1.1\r\nHost: shop.example\r\n"
+    b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+    "a body of 2000 bytes": b"POST /look/1 HTTP/1.1\r\nHost: shop.example\r\n"
+    b"Content-Length: 2000\r\n\r\n" + b"x" * 2000,
+    "no request at all": b"\x16\x03\x01 hello\r\n\r\n",
+    "half a head": b"GET /look/1 HTTP/1.1\r\nHost: sh",
+    "an unreadable header": b"GET /look/1 HTTP/1.1\r\nHost: shop.example\r\n"
+    b"Deadline-Ms: soon\r\n\r\n",
+}
+
+
+@when("a caller sends {what}")
+@played
+async def sends_raw(context, path, what):
+    async with await anyio.connect_tcp("127.0.0.1", path.ports[0][0]) as stream:
+        await stream.send(RAW[what])
+        context.got = b""
+        with anyio.move_on_after(3):
+            context.got = await stream.receive()
+
+
+@then("it is answered {status:d} and no endpoint got it")
+def answered_raw(context, status):
+    assert context.got.startswith(f"HTTP/1.1 {status}".encode()), context.got
+    assert not any(desk.requests for desk in context.path.desks)
+
+
+@when("a caller leaves in the middle of a stream")
+@played
+async def leaves(context, path):
+    for engine in path.engines:
+        engine.pause_s = 0.2
+    async with await anyio.connect_tcp("127.0.0.1", path.ports[0][0]) as stream:
+        await stream.send(
+            b"POST /draft/1 HTTP/1.1\r\nHost: shop.example\r\nModel: base\r\n"
+            b"Request-Id: i1\r\nContent-Length: 0\r\n\r\n"
+        )
+        while b"id: 2" not in await stream.receive():
+            pass
+    await anyio.sleep(0.5)
+    ended = [line for line in path.lines() if line["message_type"] == "request.ended"]
+    context.outcomes = [line["outcome"] for line in ended]
+
+
+@then("the engine's connection is closed soon after")
+def closed_soon(context):
+    assert context.outcomes == ["caller_left"], context.outcomes
+
+
+@given("the whole path without a configuration")
+def without_configuration(context):
+    async def story():
+        async with whole_path(0) as path:
+            path.store.remove("op/config")
+            path.start_daemon("host-0")
+            await anyio.sleep(0.5)
+            async with httpx.AsyncClient() as client:
+                url = f"http://127.0.0.1:{path.ports[0][1]}/v1/ready"
+                context.ready = await client.get(url)
+            context.response = await path.call("GET", "/look/1")
+
+    anyio.run(story)
+
+
+@then("the daemon is not ready")
+def not_ready(context):
+    assert context.ready.status_code == 503, context.ready
+
+
+@then("a call is answered with 503 and when to come back")
+def come_back(context):
+    assert context.response.status_code == 503, context.response
+    assert float(context.response.headers["Retry-After"]) > 0
+
+
+FAULTS = {
+    "a missing key": ("address = 127.0.0.1:1\n", ""),
+    "an unknown key": ("[host]\n", "[host]\ncolour = red\n"),
+    "an unknown section": ("[host]\n", "[colours]\nred = 1\n\n[host]\n"),
+    "a bad address": ("ready = 127.0.0.1", "ready = nowhere"),
+}
+
+
+@when("the settings have {fault}")
+def settings_fault(context, fault):
+    from whole_path import TEMPLATE, fill
+
+    ports = [free_port() for _ in range(3)]
+    text = fill(TEMPLATE.read_text(), settings_fields("h", "127.0.0.1:1", ports))
+    changed = text.replace(*FAULTS[fault])
+    assert changed != text
+    try:
+        read_serving_settings("settings.ini", changed)
+    except CheckError as error:
+        context.message = str(error)
+
+
+@then('the check names "{place}"')
+def check_names(context, place):
+    assert place in context.message, context.message
--- /dev/null
+++ b/features/platform/whole_path.feature
@@ -0,0 +1,140 @@
+Feature: The whole path on the platform's wire
+  Daemons, a store, plain endpoints and engines over sockets, without the platform.
+
+  Scenario Outline: Plain calls, when the first endpoint <behaves>
+    A caller's look-up fails though a second endpoint is well; or an order is run
+    twice, as the first endpoint had run it and its answer was lost.
+
+    Given the whole path
+    When the endpoints behave "<behaves>" once and a "<kind>" call comes
+    Then it ends with <status>, run by <runs> endpoints
+
+    Examples:
+      | kind  | behaves   | status | runs |
+      | look  | well      | 200    | 1    |
+      | order | well      | 200    | 1    |
+      | look  | fail      | 200    | 2    |
+      | order | fail      | 500    | 1    |
+      | look  | shed      | 200    | 1    |
+      | order | shed      | 200    | 1    |
+      | look  | silent    | 200    | 2    |
+      | look  | unsealed  | 200    | 2    |
+      | order | unsealed  | 502    | 1    |
+      | look  | another's | 200    | 2    |
+
+  Scenario: Method, path, query and body reach the endpoint unchanged
+    Given the whole path
+    When "POST" "/order/a%20b?x=1&y=%2F" is called with body "abc"
+    Then the answer is "POST /order/a%20b?x=1&y=%2Fabc"
+
+  Scenario: What only the system sets is not forwarded
+    A caller reserved memory on an engine, and named which instance must run it.
+
+    Given the whole path
+    When a call comes with the caller's own "Hold", "Pin-Ms", "Kv-From", "Expect-Instance"
+    Then the endpoint got none of the caller's
+
+  Scenario: An adapter is loaded when it is asked for, and an old one makes room
+    Given the whole path
+    When streams for 8 adapters come one after another
+    Then all are whole
+    And no engine was ordered beyond its places
+    And no engine was ordered by two daemons
+
+  Scenario Outline: A stream that breaks is continued: <behaves>
+    A user's draft stops in the middle, or shows a line twice. The engine's stream
+    broke; another engine can go on after the last event.
+
+    Given the whole path
+    When a draft comes and the engine's stream is "<behaves>"
+    Then the caller has all ten events once, in order
+
+    Examples:
+      | behaves         |
+      | well            |
+      | cut             |
+      | cut in an event |
+
+  Scenario: A stream that may not be continued breaks without looking complete
+    A user took half a note for a whole one.
+
+    Given the whole path
+    When a note comes and the engine's stream is "cut"
+    Then the caller's stream breaks after 4 events
+
+  Scenario: A named version is loaded and expected
+    Given the whole path
+    When version 2 of "base/a1" is named and a draft for it comes
+    Then an engine was ordered to load version 2
+    And the draft was sent with that version expected
+
+  Scenario: A leaving endpoint gets no new calls
+    Given the whole path
+    When desk-1 says that it is leaving
+    Then 10 calls all reach desk-2
+
+  Scenario Outline: The last good configuration stays in force: <trouble>
+    Given the whole path
+    When <trouble>
+    Then "/look/1" is answered with 200
+    And the log tells "<line>"
+
+    Examples:
+      | trouble                                | line             |
+      | the configuration cannot be read       | store.unreadable |
+      | the store is down                      | store.lost       |
+      | the store answers nonsense             | store.lost       |
+
+  Scenario: A dropped route is refused, also after the store forgot its history
+    Given the whole path
+    When the store forgets its history and the route "look" is dropped
+    Then "/look/1" is soon answered with 404
+
+  Scenario: Three daemons, one owner an engine
+    Two daemons ordered one engine, and it got more adapters than it has places for.
+
+    Given the whole path with 3 daemons
+    When 60 streams for 9 adapters come to all daemons
+    Then all are whole
+    And no engine was ordered beyond its places
+    And no engine was ordered by two daemons
+
+  Scenario: An owner that ends hands its engines over
+    Given the whole path with 2 daemons
+    When the owner of engine-1 gives its lease up
+    Then the other daemon owns engine-1 with a higher number
+
+  Scenario Outline: What cannot be read is refused: <what>
+    Given the whole path
+    When a caller sends <what>
+    Then it is answered <status> and no endpoint got it
+
+    Examples:
+      | what                  | status |
+      | two framings          | 400    |
+      | two lengths           | 400    |
+      | a body of 2000 bytes  | 413    |
+      | no request at all     | 400    |
+      | half a head           | 408    |
+      | an unreadable header  | 400    |
+
+  Scenario: A caller that leaves ends its call at the endpoint
+    Given the whole path
+    When a caller leaves in the middle of a stream
+    Then the engine's connection is closed soon after
+
+  Scenario: A daemon without a configuration says that it was not run
+    Given the whole path without a configuration
+    Then the daemon is not ready
+    And a call is answered with 503 and when to come back
+
+  Scenario Outline: Settings are checked whole: <fault>
+    When the settings have <fault>
+    Then the check names "<place>"
+
+    Examples:
+      | fault             | place            |
+      | a missing key     | [store] address  |
+      | an unknown key    | [host] colour    |
+      | an unknown section| [colours]        |
+      | a bad address     | [listen] ready   |
--- /dev/null
+++ b/features/platform/whole_path.py
@@ -0,0 +1,200 @@
+"""Daemons and stand-ins in one process, over real sockets on loopback."""
+
+import json
+import os
+import re
+import socket
+import tempfile
+from contextlib import AsyncExitStack, asynccontextmanager
+from pathlib import Path
+
+import anyio
+import httpx
+from standins import Endpoint, Engine, Store
+
+from knapweedbridge_daemon.serving.host import ServingHost
+from knapweedbridge_daemon.serving.settings import read_serving_settings
+
+TEMPLATE = Path(__file__).parents[2] / "platform/settings.ini"
+PLACEHOLDER = re.compile(r"{{([a-z_.0-9]+)}}")
+
+
+def free_port():
+    with socket.socket() as found:
+        found.bind(("127.0.0.1", 0))
+        return found.getsockname()[1]
+
+
+def settings_fields(name, store, ports):
+    return {
+        "node_name": name,
+        "zone": "hall-a",
+        "ip": "127.0.0.1",
+        "listen": {
+            "frontend": f"127.0.0.1:{ports[0]}",
+            "readiness": f"127.0.0.1:{ports[1]}",
+        },
+        "internal_ports": [ports[2], ports[2]],
+        "platform": {"address": store},
+        "bounds": {
+            "lease_ms": 2000,
+            "contact_ms": 1000,
+            "retry_budget_ratio": 0.2,
+            "budget_slack": 50,
+            "budget_window_s": 10,
+            "grace_s": 3,
+        },
+    }
+
+
+def fill(template, fields):
+    """Fill a template as the platform does: plain placeholders only."""
+
+    def value(match):
+        found = fields
+        for part in match[1].split("."):
+            found = found[int(part)] if isinstance(found, list) else found[part]
+        return str(found)
+
+    return PLACEHOLDER.sub(value, template)
+
+
+def route(name, prefix, service, kind, **fields):
+    return {
+        "name": name,
+        "host": "shop.example",
+        "path_prefix": prefix,
+        "kind": kind,
+        "timeout_ms": 5000,
+        "target_latency_ms": 800,
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        **fields,
+    }
+
+
+def configuration(version=1, drop=()):
+    routes = [
+        route("look", "/look/", "desk", "idempotent"),
+        route("order", "/order/", "desk", "non_idempotent", max_attempts=1),
+        route("draft", "/draft/", "llm", "streaming", resumable=True),
+        route("note", "/note/", "llm", "streaming", resumable=False),
+    ]
+    model = {"name": "base", "weights_mb": 10, "load_time_s": 0.1, "adapters": 9}
+    engine = {
+        "slots": 8,
+        "kv_tokens": 1000,
+        "models": [model],
+        "weights_mb": 12,
+        "adapter_slots": 3,
+        "loads_per_s": 2,
+    }
+    return {
+        "version": version,
+        "routes": [each for each in routes if each["name"] not in drop],
+        "services": [
+            {"name": "desk", "health_path": "/health", "max_conns": 9},
+            {"name": "llm", "health_path": "/health", "max_conns": 9, "engine": engine},
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1000,
+            "header_timeout_ms": 500,
+            "idle_timeout_ms": 2000,
+        },
+    }
+
+
+class WholePath:
+    """The whole path: a store, two plain endpoints, two engines and daemons."""
+
+    def __init__(self, stack, tasks):
+        self._stack = stack
+        self._tasks = tasks
+        self.store = Store()
+        self.desks = [Endpoint(f"desk-{n}", "desk") for n in (1, 2)]
+        self.engines = [Engine(f"engine-{n}", "llm") for n in (1, 2)]
+        self.ports = []
+        self.logs = []
+
+    @property
+    def endpoints(self):
+        return [*self.desks, *self.engines]
+
+    async def start(self, daemons=1):
+        for server in [self.store, *self.endpoints]:
+            await self._tasks.start(server.run)
+        self.store.put("op/config", configuration())
+        for endpoint in self.endpoints:
+            self.store.put(f"servers/{endpoint.name}", endpoint.entry())
+        for number in range(daemons):
+            self.start_daemon(f"host-{number}")
+
+    def start_daemon(self, name):
+        ports = [free_port() for _ in range(3)]
+        fields = settings_fields(name, self.store.address, ports)
+        text = fill(TEMPLATE.read_text(), fields)
+        text = text.replace("127.0.0.1:9464", f"127.0.0.1:{free_port()}")
+        log = tempfile.TemporaryFile()  # noqa: SIM115
+        self._stack.callback(log.close)
+        self.logs.append(log)
+        host = ServingHost(read_serving_settings(name, text), os.dup(log.fileno()))
+        self.ports.append(ports)
+        self._tasks.start_soon(host.run)
+
+    def lines(self, daemon=0):
+        self.logs[daemon].seek(0)
+        return [json.loads(line) for line in self.logs[daemon].read().splitlines()]
+
+    def is_owned(self, daemons):
+        keys = [f"knapweedbridge/owners/{engine.name}" for engine in self.engines]
+        return not daemons or all(key in self.store.items for key in keys)
+
+    async def until_ready(self, daemon=0):
+        async with httpx.AsyncClient() as client:
+            with anyio.fail_after(10):
+                while True:
+                    try:
+                        url = f"http://127.0.0.1:{self.ports[daemon][1]}/v1/ready"
+                        if (await client.get(url)).status_code == 200:
+                            return
+                    except httpx.HTTPError:
+                        pass
+                    await anyio.sleep(0.02)
+
+    async def until(self, holds, what):
+        with anyio.move_on_after(8):
+            while not holds():
+                await anyio.sleep(0.02)
+        assert holds(), what
+
+    async def call(self, method, path, daemon=0, headers=None, **more):
+        url = f"http://127.0.0.1:{self.ports[daemon][0]}{path}"
+        sent = {
+            "Host": "shop.example",
+            "Request-Id": f"id-{os.urandom(4).hex()}",
+            "Deadline-Ms": "4000",
+            **(headers or {}),
+        }
+        async with httpx.AsyncClient(timeout=8) as client:
+            return await client.request(method, url, headers=sent, **more)
+
+    async def draft(self, model, daemon=0, path="/draft/1", **headers):
+        named = {"Model": model, "Token-Counts": "100,30", **headers}
+        return await self.call("POST", path, daemon, named, content=b"prompt")
+
+
+@asynccontextmanager
+async def whole_path(daemons=1):
+    async with AsyncExitStack() as stack:
+        tasks = await stack.enter_async_context(anyio.create_task_group())
+        path = WholePath(stack, tasks)
+        try:
+            await path.start(daemons)
+            for daemon in range(daemons):
+                await path.until_ready(daemon)
+            await path.until(lambda: path.is_owned(daemons), "engines have owners")
+            yield path
+        finally:
+            tasks.cancel_scope.cancel()
--- /dev/null
+++ b/features/serving/decisions.feature
@@ -0,0 +1,200 @@
+Feature: Decisions of serving, without a network
+  Where a call goes, what an owner orders, who owns an engine, what may be repeated.
+
+  Scenario Outline: A call goes where it is answered soonest: <story>
+    A user waits for an adapter that was loaded on another engine a second ago, or
+    in the line of a busy engine while others idle.
+
+    Given engines a, b and c that hold base "m"
+    And <state>
+    When a call for "m/x" is placed
+    Then it is <choice>
+
+    Examples:
+      | story                           | state                                        | choice              |
+      | one holds it                    | b holds "m/x"                                | sent to b           |
+      | two hold it, one is busy        | a and b hold "m/x" and a has 40000 unread    | sent to b           |
+      | it is on its way                | b gets "m/x" in 0.2 s                        | awaited on b        |
+      | one had it lately               | c held "m/x" lately                          | loaded on c         |
+      | the holder is far behind        | b holds "m/x" and b has 60000 unread         | loaded elsewhere    |
+      | the holder's owner is frozen    | c held "m/x" lately and its owner is silent  | loaded on a or b    |
+      | no engine has an owner          | no engine has an owner                       | not placed          |
+      | the holder fails its calls      | a and b hold "m/x" and a fails all calls     | sent to b           |
+
+  Scenario: A call that no engine can answer in time is refused at once
+    Under twice the load that the engines hold each call waited in line until its
+    answer was late: engines worked, and no caller was served in time.
+
+    Given engines a, b and c that hold base "m"
+    And all have 20000 unread
+    When a call for "m" with 0.6 s of patience is placed
+    Then it is refused as 0.4 s or more too late
+
+  Scenario Outline: A named version is not served by an older one: <story>
+    A user gets an answer of the old adapter seconds after the new one was named.
+
+    Given engines a, b and c that hold base "m"
+    And b holds "m/x" at version 1
+    When a call for "m/x" at version 2 is placed, <when>
+    Then it is <choice>
+
+    Examples:
+      | story                 | when                   | choice                |
+      | just named            | an older one may serve | sent to b, version 1  |
+      | named some time ago   | no older one may serve | loaded elsewhere      |
+
+  Scenario: A hot adapter gets a copy, a cold one does not
+    One engine's line grows while another idles: all calls of a hot adapter went to
+    the one that has it. For a cold adapter a copy would cost more than it helps.
+
+    Given engines a, b and c that hold base "m"
+    And b holds "m/hot" with 6 users and "m/cold" with 1 user and has 5000 unread
+    Then a call for "m/hot" asks for a copy
+    And a call for "m/cold" asks for no copy
+
+  Scenario: An owner never orders more than an engine's places hold
+    An engine that is ordered beyond its places crashes with all its runs. Orders
+    are lost, carried out seconds late, or answered without being carried out.
+
+    Then no random history of 400 orders overfills an engine
+
+  Scenario: An adapter in use is not unloaded
+    Users of the old adapter hold the engine for seconds: an unload waits for its
+    runs, and the engine takes no other order meanwhile.
+
+    Given an owned engine with 2 places, both in use
+    When a third adapter is wanted
+    Then nothing is ordered
+    And when the calls of one end, that one is unloaded and the third loaded
+
+  Scenario: A wish does not wait for an adapter that leaves
+    One adapter's unload waited two seconds for its runs. The owner took that for a
+    reason to order nothing at all, and thirty callers were refused.
+
+    Given an owned engine with 3 places, both of two in use and one leaving
+    When a free place comes by a report
+    Then the wanted adapter is loaded
+
+  Scenario: An order without an answer does not hold up the next
+    An engine left an order unanswered. The owner waited half a second for it, and
+    again for the next: loads came to a stop while the engine was well.
+
+    Given an owned engine with 4 places
+    When an order for "m/a1" gets no answer
+    Then the next order follows with the same sequence
+
+  Scenario: A load that takes longer than forecast is waited for
+    Calls came 6 ms before a load's end, were refused, and were sent to another
+    engine, which fetched the adapter a second time.
+
+    Given an owned engine with 4 places
+    When "m/a1" is loaded and a call is refused just after the expected end
+    Then its expected end is put off
+
+  Scenario: A successor spares what its predecessor's calls use
+    An owner froze. Its successor unloaded the busiest adapters first, as it knew
+    nothing of their use.
+
+    Given a successor's engine with 3 places, "m/hot" used last
+    When a fourth adapter is wanted
+    Then another than "m/hot" is unloaded
+
+  Scenario: Calls of a daemon that fell silent count no more
+    A host lost power with calls on an adapter; its place was never given away again.
+
+    Given an owned engine with 1 place, in use by a daemon that falls silent
+    When another adapter is wanted 3 s later
+    Then the place is given away
+
+  Scenario Outline: The retry budget is shared by <daemons> daemons
+    In an outage each call was sent three times; the endpoints that were left failed
+    under it.
+
+    When <daemons> daemons with <requests> requests each repeat all they may
+    Then at most <most> repeats are sent in all
+
+    Examples:
+      | daemons | requests | most |
+      | 1       | 100      | 74   |
+      | 7       | 10       | 68   |
+      | 9       | 0        | 54   |
+
+  Scenario Outline: Whether a call is sent again: <kind>, <end>, <runs> runs of <most>
+    When a <kind> call with <most> attempts and <runs> runs ends as <end>
+    Then it may be sent again: <again>
+
+    Examples:
+      | kind            | most | runs | end     | again |
+      | idempotent      | 2    | 1    | broken  | yes   |
+      | idempotent      | 2    | 2    | broken  | no    |
+      | non-idempotent  | 2    | 1    | broken  | no    |
+      | non-idempotent  | 1    | 0    | not run | yes   |
+      | non-idempotent  | 1    | 1    | not run | no    |
+      | resumable       | 2    | 1    | broken  | yes   |
+      | unresumable     | 2    | 1    | broken  | no    |
+      | idempotent      | 2    | 1    | failed  | yes   |
+
+  Scenario Outline: Who claims an engine without an owner, after <passed> s
+    A host that owned engines was killed. Its engines got no orders until another
+    claimed them; two that claimed at once raced in the store.
+
+    Given daemons near1 and near2 in the engine's data centre, and far1 elsewhere
+    When <passed> s have passed since its record lapsed
+    Then <count> daemons may claim it, the nearest first
+
+    Examples:
+      | passed | count |
+      | 0      | 1     |
+      | 0.6    | 2     |
+      | 1.2    | 3     |
+
+  Scenario Outline: An owner stops before its lease can have lapsed: <story>
+    Two owners ordered one engine: the first was cut off from the store, and did not
+    know that its lease had lapsed.
+
+    When a lease of 3 s was renewed <ago> s ago
+    Then the owner may order: <may>
+
+    Examples:
+      | story            | ago | may |
+      | just renewed     | 0.1 | yes |
+      | shortly before   | 2.3 | yes |
+      | within the margin| 2.5 | no  |
+      | lapsed           | 3.5 | no  |
+
+  Scenario Outline: What is believed is never set back: <what>
+    A stale read of the store put an older configuration in force.
+
+    When <what> at 5 is followed by 4
+    Then 5 is believed
+
+    Examples:
+      | what                     |
+      | a configuration          |
+      | an adapter's version     |
+      | an owner's record        |
+
+  Scenario Outline: An endpoint that is not listed any more, <when>
+    After an outage of the store every entry had lapsed though all endpoints lived:
+    all callers were refused until the entries were back.
+
+    Given a listed endpoint
+    When its entry goes <when>
+    Then it is used for <long> s
+
+    Examples:
+      | when                         | long |
+      | while the store is well      | 0    |
+      | right after a store's outage | 1.5  |
+
+  Scenario Outline: A route is chosen by host and longest prefix: <host> <path>
+    Given routes "one.example" "/a/" and "/a/b/", and "two.example" "/"
+    Then "<host>" "<path>" takes route "<route>"
+
+    Examples:
+      | host         | path    | route |
+      | one.example  | /a/x    | a     |
+      | one.example  | /a/b/x  | ab    |
+      | one.example  | /c/     | none  |
+      | two.example  | /c/     | all   |
+      | six.example  | /a/x    | none  |
--- a/packages/core/src/knapweedbridge_core/serving/placement.py
+++ b/packages/core/src/knapweedbridge_core/serving/placement.py
@@ -241,7 +241,7 @@
     def _older(
         ask: PlacementAsk, engines: list[Endpoint], loader: Endpoint, now_s: float
     ) -> SendTo | None:
-        if not ask.older_allowed:
+        if ask.version is None or not ask.older_allowed:
             return None
         older = [each for each in engines if _is_ready(each, ask.model, now_s)]
         if not older:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -45,10 +45,15 @@
     ----------
     settings : ServingSettings
         Checked settings.
+    log_descriptor : int, optional
+        Where log lines go; standard output.
     """
 
-    def __init__(self, settings: ServingSettings) -> None:
+    def __init__(
+        self, settings: ServingSettings, log_descriptor: int | None = None
+    ) -> None:
         self._settings = settings
+        self._log_descriptor = log_descriptor
 
     async def run(self) -> None:
         """Serve until a stop signal, then finish what is in flight."""
@@ -81,7 +86,10 @@
             get("limits", "retry_window_s"),
         )
         log = DecisionLog(
-            identity.name, get("logs", "level"), get("logs", "lines_per_s")
+            identity.name,
+            get("logs", "level"),
+            get("logs", "lines_per_s"),
+            self._log_descriptor,
         )
         settle_s = get("store", "settle_ms") / 1000
         return Hub(identity, dialects, budget, log, Measures(), settle_s=settle_s)
