--- a/Makefile
+++ b/Makefile
@@ -2,15 +2,15 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := core daemon cli standins
+PACKAGES := packages/core packages/daemon packages/cli packages/standins platform
 
 .PHONY: bench-relay install demo test lint processes
 
-$(VENV)/.installed: requirements.txt packages/*/pyproject.toml
+$(VENV)/.installed: requirements.txt packages/*/pyproject.toml platform/pyproject.toml
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.txt
 	$(BIN)/python -m pip install --quiet --disable-pip-version-check \
-		--no-deps --no-build-isolation $(PACKAGES:%=-e packages/%)
+		--no-deps --no-build-isolation $(PACKAGES:%=-e %)
 	touch $@
 
 install: $(VENV)/.installed
@@ -24,7 +24,7 @@
 lint: install
 	$(BIN)/ruff check .
 	$(BIN)/ruff format --check .
-	$(BIN)/mypy packages/*/src
+	$(BIN)/mypy packages/*/src platform/src
 
 .PHONY: rolling
 rolling: install
--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -106,6 +106,14 @@
     When another adapter is wanted 3 s later
     Then the place is given away
 
+  Scenario: An engine that started empty is put to use as soon as its base is loaded
+    All engines were replaced one by one. The new ones loaded the base model, and
+    nobody was told: after the last old one had left all callers were refused.
+
+    Given an owned engine that started empty
+    Then its base is ordered once, and reports are asked for until it is there
+    And then adapters are loaded
+
   Scenario Outline: The retry budget is shared by <daemons> daemons
     In an outage each call was sent three times; the endpoints that were left failed
     under it.
--- a/features/serving/steps/decision_steps.py
+++ b/features/serving/steps/decision_steps.py
@@ -413,6 +413,33 @@
     assert (order.kind, order.model) == (OrderKind.UNLOAD, adapter("a1")), order
 
 
+@given("an owned engine that started empty")
+def started_empty(context):
+    context.keeper = EngineKeeper(limits(2))
+    context.keeper.reported(EngineReport(0, (), {}, {}), NOW_S)
+
+
+@then("its base is ordered once, and reports are asked for until it is there")
+def base_ordered_once(context):
+    keeper = context.keeper
+    order = keeper.next_order(NOW_S)
+    assert order.model == ModelRef("m"), order
+    keeper.answered(order, OrderAnswer.STARTED, NOW_S)
+    for second in (1, 2, 3):
+        assert keeper.needs_report
+        keeper.reported(EngineReport(1, (), {}, {}, busy=True), NOW_S + second)
+        assert keeper.next_order(NOW_S + second) is None
+    keeper.reported(EngineReport(1, ("m",), {}, {}), NOW_S + 4)
+    assert not keeper.needs_report
+
+
+@then("then adapters are loaded")
+def then_adapters(context):
+    context.keeper.want(adapter("a1"), 0, NOW_S + 4)
+    order = context.keeper.next_order(NOW_S + 4)
+    assert order.model == adapter("a1"), order
+
+
 @when("{daemons:d} daemons with {requests:d} requests each repeat all they may")
 def repeat_all(context, daemons, requests):
     context.repeats = 0
--- a/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
@@ -43,6 +43,10 @@
 is cut off from the store goes on serving, so its lapsed record says nothing of them.
 """
 
+BASE_PATIENCE = 4.0
+"""How long a base model's load may take before it is ordered again, in load times:
+several loads at once share the weight store's speed."""
+
 STUCK_S = 0.4
 """Age of a wish from which on it is told why it is not met."""
 
@@ -196,7 +200,9 @@
     @property
     def needs_report(self) -> bool:
         """Whether only a report can tell what the engine holds, or still holds."""
-        return self._unsure or any(place.leaving for place in self.places.values())
+        loading = self._base_due_s > 0 and not self.bases
+        leaving = any(place.leaving for place in self.places.values())
+        return self._unsure or loading or leaving
 
     def stuck_wants(self, now_s: float) -> dict[str, int | bool] | None:
         """Tell why adapters that are wanted for long are not loaded, or None.
@@ -370,7 +376,7 @@
         if not order.model.adapter:
             if order.kind is OrderKind.LOAD:
                 load_s = self.limits.models[order.model.base].load_s
-                self._base_due_s = now_s + 2 * load_s
+                self._base_due_s = now_s + BASE_PATIENCE * load_s
             self._unsure = True
             return
         if order.kind is OrderKind.UNLOAD:
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -213,9 +213,10 @@
             self._by_service.setdefault(record.service, {})[record.endpoint] = endpoint
         endpoint.record = record
         endpoint.unlisted_s = None
-        endpoint.bases = set(record.bases)
         if not endpoint.told:
-            # Until an owner tells more, the list is all there is.
+            # Until an owner tells more, the list is all there is; after that it is
+            # late: it does not say when a load is done.
+            endpoint.bases = set(record.bases)
             endpoint.held = {
                 model: HeldAdapter(version, now_s)
                 for model, version in record.adapters.items()
--- a/packages/core/src/knapweedbridge_core/serving/messages.py
+++ b/packages/core/src/knapweedbridge_core/serving/messages.py
@@ -72,6 +72,8 @@
         Places that a new adapter could get now.
     wants : int
         Adapters that daemons wait for there.
+    bases : list of str
+        Base models that it holds.
     """
 
     endpoint: str
@@ -81,6 +83,7 @@
     load: dict[str, list[int]]
     places_free: int
     wants: int
+    bases: list[str]
 
 
 @message
@@ -103,6 +106,7 @@
     load: dict[str, list[int]]
     places_free: int
     wants: int
+    bases: list[str]
 
 
 @message
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
@@ -305,6 +305,7 @@
             keeper.load_by_daemon(),
             keeper.places_free(now_s),
             keeper.wants,
+            sorted(keeper.bases),
         )
 
     def _tell_changes(self, now_s: float) -> EngineChanged:
@@ -322,6 +323,7 @@
             self.keeper.load_by_daemon(),
             self.keeper.places_free(now_s),
             self.keeper.wants,
+            sorted(self.keeper.bases),
         )
 
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -156,6 +156,7 @@
         endpoint.others_unread_tokens = sum(tokens for _, tokens in others)
         endpoint.places_free = message.places_free
         endpoint.wants = message.wants
+        endpoint.bases = set(message.bases)
         self._hub.engines_changed.tell()
 
     def _take_answered(self, message: OwnerAnswered) -> None:
