Guess other daemons' calls where no owner tells, and wait longer for a first event

After a restart of all daemons callers come at once: each daemon sent all calls of a hot adapter to the one engine that has it, gave them up after 0.3 s and began them anew.

--- a/packages/core/src/knapweedbridge_core/events.py
+++ b/packages/core/src/knapweedbridge_core/events.py
@@ -1,14 +1,43 @@
 """What the shell tells the core."""
 
 from dataclasses import dataclass
-from typing import Any
 
 from knapweedbridge_core.configuration import Configuration
 from knapweedbridge_core.names import AdapterVersion
 from knapweedbridge_core.outcomes import Outcome
 from knapweedbridge_core.parts import Parts, Root
+from knapweedbridge_core.peer_events import PeerHeard, PeerLinked, PeerUnlinked
 from knapweedbridge_core.rules import WithoutKey
 
+__all__ = [
+    "AdapterMissed",
+    "AttemptCancelled",
+    "AttemptEnded",
+    "AttemptJudged",
+    "CallerLeft",
+    "ClaimsDue",
+    "ConfigurationRead",
+    "DrainBegan",
+    "DrainClosed",
+    "EndpointDrained",
+    "EndpointProbed",
+    "EndpointReported",
+    "GenerationTaken",
+    "GenerationsAsked",
+    "HostsListed",
+    "ListedHost",
+    "OrderEnded",
+    "PartsRead",
+    "PeerHeard",
+    "PeerLinked",
+    "PeerUnlinked",
+    "Request",
+    "RequestArrived",
+    "RootSeen",
+    "StoreReplied",
+    "Tick",
+]
+
 
 @dataclass(slots=True, frozen=True)
 class ListedHost:
@@ -116,28 +145,6 @@
     hosts: tuple[ListedHost, ...]
 
 
-@dataclass(slots=True, frozen=True)
-class PeerLinked:
-    """A stream to a peer stands."""
-
-    host: str
-
-
-@dataclass(slots=True, frozen=True)
-class PeerUnlinked:
-    """No stream to the peer stands."""
-
-    host: str
-
-
-@dataclass(slots=True, frozen=True)
-class PeerHeard:
-    """A peer sent a message."""
-
-    host: str
-    message: Any
-
-
 @dataclass(slots=True, frozen=True)
 class RequestArrived:
     """A caller sent a request."""
--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/peer_events.py
@@ -0,0 +1,26 @@
+"""What the streams between daemons tell."""
+
+from dataclasses import dataclass
+from typing import Any
+
+
+@dataclass(slots=True, frozen=True)
+class PeerLinked:
+    """A stream to a peer stands."""
+
+    host: str
+
+
+@dataclass(slots=True, frozen=True)
+class PeerUnlinked:
+    """No stream to the peer stands."""
+
+    host: str
+
+
+@dataclass(slots=True, frozen=True)
+class PeerHeard:
+    """A peer sent a message."""
+
+    host: str
+    message: Any
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -53,6 +53,7 @@
     SendTo,
     TooLate,
     WaitFor,
+    reading_s,
 )
 from knapweedbridge_core.serving.plain_choice import PlainAsk, choose_plain
 from knapweedbridge_core.serving.retry_budget import RetryBudget
@@ -99,5 +100,6 @@
     "first_event_patience_s",
     "may_send_again",
     "parse_model",
+    "reading_s",
     "resumes",
 ]
--- a/packages/core/src/knapweedbridge_core/serving/attempts.py
+++ b/packages/core/src/knapweedbridge_core/serving/attempts.py
@@ -64,26 +64,32 @@
     return route.kind is CallKind.STREAM and progress.begun
 
 
-ENGINE_PATIENCE_S = 0.3
-"""Longest wait for an idle engine's first event: reading the longest prompt takes
-0.15 s, and with 0.3 s lost half of the objectives can still be met elsewhere."""
+ENGINE_PATIENCE_S = 0.7
+"""Longest wait for an idle engine's first event. Reading the longest prompt takes
+0.15 s, and callers leave a silent stream after 2 s: an answer that is lost can still
+come from another engine. With 0.3 s, calls of a crowd were begun twice and lost."""
 
-CALL_PATIENCE_S = 0.015
-"""Added for each call that runs there: a third of a prompt's reading."""
+READING_PATIENCE = 3.0
+"""Times that an engine's forecast may be exceeded: others' calls are known late."""
 
 PLAIN_PATIENCE = 0.6
 """Longest wait for a plain answer, in objectives: a second endpoint's answer then
 comes within the objective as often as not."""
 
 
-def first_byte_patience_s(route: Route, calls_there: int) -> float:
+def first_byte_patience_s(route: Route, reading_s: float) -> float:
     """Return how long an attempt may stay silent before another is better.
 
     An answer can be lost, or its endpoint dark, with the connection open. Only calls
     that may be repeated are given up this way.
+
+    Parameters
+    ----------
+    reading_s : float
+        Forecast of the time until the endpoint begins with the call.
     """
     if route.kind is CallKind.STREAM:
-        return ENGINE_PATIENCE_S + CALL_PATIENCE_S * calls_there
+        return ENGINE_PATIENCE_S + READING_PATIENCE * reading_s
     return PLAIN_PATIENCE * route.objective_s
 
 
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -19,6 +19,10 @@
 """Adapters that an engine is taken to have in its memory besides those it holds; the
 users' engines keep 120 in all."""
 
+LOAD_LIFE_S = 1.0
+"""How long an owner's word of the calls of all daemons holds; it tells of changes
+within 0.06 s, so after this there were none, or there is no owner."""
+
 OWNER_ANSWERS_S = 0.15
 """An owner answers each question at once, over a way of some milliseconds; its lease
 outlives it by seconds, in which its engines would get no orders."""
@@ -128,6 +132,7 @@
     places_free: int = 0
     wants: int = 0
     asked_s: float | None = None
+    heard_s: float = float("-inf")
     asked_all_s: float = float("-inf")
     first_listed_s: float = 0.0
     told_by: str = ""
@@ -169,6 +174,16 @@
             self.recent.popitem(last=False)
         self.held = held
 
+    def guess_others(self, daemons: int, now_s: float) -> None:
+        """Take others to send as much as this daemon, where no owner tells.
+
+        After a restart of all daemons callers come at once. Each daemon knew only its
+        own calls, and sent all for a hot adapter to the one engine that has it.
+        """
+        if now_s - self.heard_s > LOAD_LIFE_S:
+            self.others_calls = self.own_calls * (daemons - 1)
+            self.others_unread_tokens = self.own_unread_tokens * (daemons - 1)
+
     @property
     def unread_tokens(self) -> int:
         """Tokens of prompts that the engine has yet to read."""
--- a/packages/core/src/knapweedbridge_core/serving/placement.py
+++ b/packages/core/src/knapweedbridge_core/serving/placement.py
@@ -232,8 +232,8 @@
         version = held.version if ask.version is not None else None
         copy_to = None
         if held.users >= COPY_USERS and loaders:
-            calmest = min(loaders, key=_reading_s)
-            if _reading_s(endpoint) - _reading_s(calmest) >= COPY_S:
+            calmest = min(loaders, key=reading_s)
+            if reading_s(endpoint) - reading_s(calmest) >= COPY_S:
                 copy_to = calmest
         return SendTo(endpoint, version, copy_to)
 
@@ -264,8 +264,8 @@
     return held is not None and held.ready_s <= now_s
 
 
-def _reading_s(endpoint: Endpoint) -> float:
-    """Return the time until an engine begins to read one more prompt."""
+def reading_s(endpoint: Endpoint) -> float:
+    """Return the time until an engine begins to read one more prompt, in seconds."""
     return TOKEN_S * endpoint.unread_tokens + CALL_S * endpoint.calls
 
 
@@ -275,14 +275,14 @@
 
 
 def _running_s(endpoint: Endpoint, ask: PlacementAsk, now_s: float) -> float:
-    return _reading_s(endpoint) + _against_s(endpoint, ask, now_s)
+    return reading_s(endpoint) + _against_s(endpoint, ask, now_s)
 
 
 def _holder_offer(endpoint: Endpoint, ask: PlacementAsk, now_s: float) -> _Offer:
     held = endpoint.held.get(ask.model)
     wait_s = max(0.0, held.ready_s - now_s) if held else 0.0
-    reading_s = _reading_s(endpoint) + TOKEN_S * ask.prompt_tokens
-    return _Offer(endpoint, wait_s + reading_s, _against_s(endpoint, ask, now_s))
+    first_s = wait_s + reading_s(endpoint) + TOKEN_S * ask.prompt_tokens
+    return _Offer(endpoint, first_s, _against_s(endpoint, ask, now_s))
 
 
 def _loader_offer(
@@ -293,9 +293,9 @@
     # A version that is replaced must wait until no call runs on the old one.
     waits = (endpoint.places_free <= 0) + (ask.model in endpoint.held)
     load_s += NO_PLACE_S * waits + WANT_S * endpoint.wants
-    reading_s = _reading_s(endpoint) + TOKEN_S * ask.prompt_tokens
+    first_s = load_s + reading_s(endpoint) + TOKEN_S * ask.prompt_tokens
     extra_s = _against_s(endpoint, ask, now_s) + RANK_S * rank
-    return _Offer(endpoint, load_s + reading_s, extra_s + (0 if warm else FETCH_S))
+    return _Offer(endpoint, first_s, extra_s + (0 if warm else FETCH_S))
 
 
 def _cold_s(engines: list[Endpoint], now_s: float) -> float:
--- a/packages/daemon/src/knapweedbridge_daemon/handshake.py
+++ b/packages/daemon/src/knapweedbridge_daemon/handshake.py
@@ -15,7 +15,7 @@
 import msgpack
 from anyio.abc import SocketStream
 
-from knapweedbridge_core.messages import unpacker
+from knapweedbridge_core.codec import unpacker
 from knapweedbridge_daemon.errors import PeerError
 
 NONCE_BYTES = 16
--- a/packages/daemon/src/knapweedbridge_daemon/peers.py
+++ b/packages/daemon/src/knapweedbridge_daemon/peers.py
@@ -15,9 +15,9 @@
 from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
 from knapweedbridge_core.addresses import split_address
+from knapweedbridge_core.codec import decode, encode, unpacker
 from knapweedbridge_core.errors import MessageError
-from knapweedbridge_core.events import PeerHeard, PeerLinked, PeerUnlinked
-from knapweedbridge_core.messages import decode, encode, unpacker
+from knapweedbridge_core.peer_events import PeerHeard, PeerLinked, PeerUnlinked
 from knapweedbridge_core.timeline import HybridClock
 from knapweedbridge_daemon.errors import PeerError
 from knapweedbridge_daemon.handshake import Handshake
--- a/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
@@ -24,6 +24,7 @@
     first_byte_patience_s,
     first_event_patience_s,
     may_send_again,
+    reading_s,
     resumes,
 )
 from knapweedbridge_core.serving.messages import AdapterMissed, AdapterWanted
@@ -239,6 +240,8 @@
             self._patience_s(call, now_s),
         )
         engines = beliefs.fleet.reachable(call.service, now_s)
+        for engine in engines:
+            engine.guess_others(self._hub.daemons, now_s)
         return self._placement.choose(ask, engines, now_s)
 
     async def _want(self, call: Call, endpoint: Endpoint) -> None:
@@ -329,7 +332,7 @@
         others_left = len(call.progress.runs) + 1 < call.route.max_attempts
         if not (call.route.repeatable and others_left):
             return math.inf
-        patience_s = first_byte_patience_s(call.route, target.endpoint.calls)
+        patience_s = first_byte_patience_s(call.route, reading_s(target.endpoint))
         return anyio.current_time() + patience_s
 
     async def _exchange(
--- a/packages/daemon/src/knapweedbridge_daemon/serving/lease_keeping.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/lease_keeping.py
@@ -21,7 +21,7 @@
 RENEWALS_A_LEASE = 3
 """Renewals in the life of a lease: one may be lost, and the next is in time."""
 
-FIRST_CLAIM_S = 0.4
+FIRST_CLAIM_S = 0.3
 """Pause before the first claim: daemons that start together must all be listed, or
 the first would own every engine."""
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -5,7 +5,7 @@
 import anyio
 from anyio.abc import TaskGroup
 
-from knapweedbridge_core.events import PeerHeard, PeerUnlinked
+from knapweedbridge_core.peer_events import PeerHeard, PeerUnlinked
 from knapweedbridge_core.serving import Endpoint, ModelRef
 from knapweedbridge_core.serving.fleet import HeldAdapter
 from knapweedbridge_core.serving.messages import (
@@ -154,6 +154,7 @@
         others = [load for daemon, load in message.load.items() if daemon != own]
         endpoint.others_calls = sum(calls for calls, _ in others)
         endpoint.others_unread_tokens = sum(tokens for _, tokens in others)
+        endpoint.heard_s = anyio.current_time()
         endpoint.places_free = message.places_free
         endpoint.wants = message.wants
         endpoint.bases = set(message.bases)
--- a/packages/daemon/src/knapweedbridge_daemon/stamps.py
+++ b/packages/daemon/src/knapweedbridge_daemon/stamps.py
@@ -12,7 +12,7 @@
 
 import msgpack
 
-from knapweedbridge_core.messages import Heartbeat
+from knapweedbridge_core.membership_messages import Heartbeat
 from knapweedbridge_core.timeline import HybridClock, Stamp
 
 MAX_AHEAD_US = 600_000_000
