Make a successor wait for an owner that may still act, and claim at once over a dead one

Cause: a store that takes keys away tells the owner nothing while its lease runs on; and engines of a killed host waited out its lease although its next start was listed. Ruled out: load (p50 of first events unchanged).

--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -156,6 +156,22 @@
       | 0.6    | 2     |
       | 1.2    | 3     |
 
+  Scenario Outline: An owner whose record is gone: <story>
+    The store took a host's keys away at once, while its lease ran on. Its engines
+    were claimed and ordered by another, and a moment later by the first again.
+
+    Given host h1 at start 5 owned engine e1
+    When of the owner, <change>
+    Then e1 is ownerless: <free>, and may still be ordered by h1: <may>
+
+    Examples:
+      | story                  | change                                    | free | may |
+      | it is there            | nothing changes                           | no   | no  |
+      | keys taken away        | the record goes                           | yes  | yes |
+      | handed over            | the record is handed over                 | yes  | no  |
+      | started anew           | h1 is listed at start 6                   | yes  | no  |
+      | gone, and started anew | the record goes and h1 is listed at start 6 | yes  | no  |
+
   Scenario Outline: An owner stops before its lease can have lapsed: <story>
     Two owners ordered one engine: the first was cut off from the store, and did not
     know that its lease had lapsed.
--- a/features/serving/steps/decision_steps.py
+++ b/features/serving/steps/decision_steps.py
@@ -37,8 +37,10 @@
     parse_model,
 )
 from knapweedbridge_core.serving.beliefs import (
+    DaemonNamed,
     DeploymentNamed,
     EndpointNamed,
+    OwnerGone,
     OwnerNamed,
     VersionNamed,
 )
@@ -522,6 +524,34 @@
     assert context.order[-1] == "far1", context.order
 
 
+@given("host h1 at start 5 owned engine e1")
+def owned_before(context):
+    beliefs = context.beliefs = Beliefs()
+    beliefs.take(DaemonNamed(DaemonRecord("h1", 5, "a", "d1")), NOW_S)
+    beliefs.take(OwnerNamed("e1", OwnerRecord("h1", 5, 40)), NOW_S)
+
+
+CHANGES = {
+    "nothing changes": [],
+    "the record goes": [OwnerGone("e1")],
+    "the record is handed over": [OwnerNamed("e1", OwnerRecord("", 5, 50))],
+    "h1 is listed at start 6": [DaemonNamed(DaemonRecord("h1", 6, "a", "d1"))],
+}
+
+
+@when("of the owner, {changes}")
+def beliefs_change(context, changes):
+    for change in changes.split(" and "):
+        for belief in CHANGES[change]:
+            context.beliefs.take(belief, NOW_S)
+
+
+@then("e1 is ownerless: {free}, and may still be ordered by h1: {may}")
+def is_ownerless(context, free, may):
+    assert context.beliefs.is_ownerless("e1") == (free == "yes")
+    assert bool(context.beliefs.silent_predecessor("e1")) == (may == "yes")
+
+
 @when("a lease of {ttl:g} s was renewed {ago:g} s ago")
 def renewed(context, ttl, ago):
     clock = LeaseClock()
--- a/packages/core/src/knapweedbridge_core/serving/beliefs.py
+++ b/packages/core/src/knapweedbridge_core/serving/beliefs.py
@@ -107,6 +107,8 @@
         The endpoints.
     deployment : Deployment or None
         Newest configuration seen; None before the first.
+    lost_owners : dict of str to OwnerRecord
+        By engine, the last owner's record that went without a word.
     """
 
     fleet: Fleet = field(default_factory=Fleet)
@@ -115,6 +117,7 @@
     daemons: dict[str, DaemonRecord] = field(default_factory=dict)
     owners: dict[str, OwnerRecord] = field(default_factory=dict)
     free_since_s: dict[str, float] = field(default_factory=dict)
+    lost_owners: dict[str, OwnerRecord] = field(default_factory=dict)
     secret: bytes = b""
 
     def take(self, belief: Belief, now_s: float, in_outage: bool = False) -> bool:
@@ -170,6 +173,11 @@
         known = self.owners.get(endpoint)
         if known is not None and record.number < known.number:
             return
+        if known is not None and known.owner and known.owner != record.owner:
+            # Claimed over a record that was not given up: its owner was dead.
+            self.lost_owners[endpoint] = known
+        if not record.owner:
+            self.lost_owners.pop(endpoint, None)
         self.owners[endpoint] = record
         if record.owner:
             self.free_since_s.pop(endpoint, None)
@@ -179,11 +187,32 @@
             self.fleet.endpoints[endpoint].owner = record.owner
 
     def _owner_gone(self, endpoint: str, now_s: float) -> None:
-        if self.owners.pop(endpoint, None) is not None:
+        lost = self.owners.pop(endpoint, None)
+        if lost is not None:
             self.free_since_s[endpoint] = now_s
+            self.lost_owners[endpoint] = lost
         if endpoint in self.fleet.endpoints:
             self.fleet.endpoints[endpoint].owner = ""
 
+    def is_dead(self, record: OwnerRecord) -> bool:
+        """Tell whether an owner's process has surely ended: its host started anew."""
+        daemon = self.daemons.get(record.owner)
+        return daemon is not None and daemon.incarnation > record.incarnation
+
+    def is_ownerless(self, endpoint: str) -> bool:
+        """Tell whether an engine may be claimed."""
+        record = self.owners.get(endpoint)
+        return record is None or not record.owner or self.is_dead(record)
+
+    def silent_predecessor(self, endpoint: str) -> OwnerRecord | None:
+        """Return the last owner that may still give orders, or None.
+
+        An owner whose record lapsed has stopped by its own clock. But a store that
+        takes keys away at once tells it nothing, while its lease runs on.
+        """
+        lost = self.lost_owners.get(endpoint)
+        return None if lost is None or self.is_dead(lost) else lost
+
     def wanted_version(self, model: ModelRef) -> int | None:
         """Return the newest version named, or None where none was."""
         named = self.versions.get(model)
--- a/packages/core/src/knapweedbridge_core/serving/messages.py
+++ b/packages/core/src/knapweedbridge_core/serving/messages.py
@@ -122,3 +122,19 @@
     """A daemon missed a telling, and asks for all."""
 
     endpoint: str
+
+
+@message
+class OwnershipTaken:
+    """A daemon that claimed an engine asks the owner before to stop ordering it."""
+
+    endpoint: str
+    number: int
+
+
+@message
+class OwnershipEnded:
+    """The owner before gives no more orders to an engine."""
+
+    endpoint: str
+    number: int
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
@@ -20,6 +20,8 @@
     EngineChanged,
     EngineTold,
     OwnerAnswered,
+    OwnershipEnded,
+    OwnershipTaken,
 )
 from knapweedbridge_core.serving.ownership import OwnerRecord
 from knapweedbridge_daemon.serving.dialects import DialectError, WireRequest
@@ -49,7 +51,14 @@
 """Pause between tellings of all: a successor learns from them what is in use."""
 
 
-ToOwner = AdapterWanted | AdapterMissed | CallsRunning | EngineAsked
+ToOwner = (
+    AdapterWanted
+    | AdapterMissed
+    | CallsRunning
+    | EngineAsked
+    | OwnershipTaken
+    | OwnershipEnded
+)
 
 
 class EngineOwner:
@@ -82,6 +91,7 @@
         self._record = record
         self._send = send
         self._work = anyio.Event()
+        self._alone = anyio.Event()
         self._reported_s = float("-inf")
         self._told = 0
         self._told_s = float("-inf")
@@ -141,7 +151,30 @@
                 if not self._work.is_set():
                     await self._wait()
 
+    def predecessor_ended(self, number: int) -> None:
+        """Take that the owner before gives no more orders."""
+        if number == self.number:
+            self._alone.set()
+
+    async def _await_predecessor(self) -> None:
+        beliefs = self._hub.beliefs
+        lost = beliefs.silent_predecessor(self._endpoint.name)
+        if lost is None or lost.owner == self._hub.identity.name:
+            return
+        free_s = beliefs.free_since_s.get(self._endpoint.name, anyio.current_time())
+        await self._send(lost.owner, OwnershipTaken(self._endpoint.name, self.number))
+        with anyio.move_on_at(free_s + self._hub.lease_s):
+            await self._alone.wait()
+        self._hub.log.info(
+            "owner.succeeded",
+            engine=self._endpoint.name,
+            number=self.number,
+            predecessor=lost.owner,
+            answered=self._alone.is_set(),
+        )
+
     async def _learn(self) -> None:
+        await self._await_predecessor()
         # An adapter that is unloaded while calls run on it blocks the engine for all
         # other orders until they end: so daemons are asked for their calls first.
         await self._ask_report()
@@ -342,6 +375,7 @@
         self._hub = hub
         self._send = send
         self._owned: dict[str, EngineOwner] = {}
+        self._given_up: dict[str, int] = {}
 
     async def run(self, tasks: TaskGroup) -> None:
         """Follow the owner records until cancelled."""
@@ -377,6 +411,8 @@
             endpoint = self._hub.beliefs.fleet.endpoints.get(name)
             if name in self._owned or endpoint is None or not self._is_ours(record):
                 continue
+            if record.number < self._given_up.get(name, 0):
+                continue
             limits = self._hub.engine_limits(endpoint.record.service)
             if limits is None:
                 continue
@@ -385,11 +421,17 @@
             tasks.start_soon(owner.run)
             self._hub.log.info("owner.begun", engine=name, number=record.number)
 
-    def heard(self, daemon: str, message: ToOwner) -> None:
+    async def heard(self, daemon: str, message: ToOwner) -> None:
         """Take a daemon's message about an engine that is owned here."""
+        if isinstance(message, OwnershipTaken):
+            await self._give_up(daemon, message)
+            return
         owner = self._owned.get(message.endpoint)
         if owner is None:
             return
+        if isinstance(message, OwnershipEnded):
+            owner.predecessor_ended(message.number)
+            return
         if isinstance(message, AdapterWanted):
             model = ModelRef(message.base, message.adapter)
             owner.wanted(daemon, model, message.version)
@@ -400,6 +442,19 @@
         else:
             owner.calls_running(daemon, message)
 
+    async def _give_up(self, daemon: str, message: OwnershipTaken) -> None:
+        owner = self._owned.get(message.endpoint)
+        if owner is not None and owner.number < message.number:
+            owner.scope.cancel()
+            del self._owned[message.endpoint]
+            self._given_up[message.endpoint] = message.number
+            # An order that is on its way must arrive before the successor's first.
+            await anyio.sleep(ORDER_TIMEOUT_S)
+            self._hub.log.info(
+                "owner.given_up", engine=message.endpoint, successor=daemon
+            )
+        await self._send(daemon, OwnershipEnded(message.endpoint, message.number))
+
     def forget_daemon(self, daemon: str) -> None:
         """Drop the calls of a daemon that is gone."""
         for owner in self._owned.values():
--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -92,13 +92,20 @@
             self._log_descriptor,
         )
         settle_s = get("store", "settle_ms") / 1000
-        return Hub(identity, dialects, budget, log, Measures(), settle_s=settle_s)
+        lease_s = LEASE_SHARE * get("store", "lease_ms") / 1000
+        return Hub(
+            identity,
+            dialects,
+            budget,
+            log,
+            Measures(),
+            settle_s=settle_s,
+            lease_s=lease_s,
+        )
 
     async def _serve(self, hub: Hub) -> None:
         follower = StoreFollower(hub)
-        lease = LeaseKeeper(
-            hub, follower, self._settings.get("store", "lease_ms") / 1000
-        )
+        lease = LeaseKeeper(hub, follower)
         link = PeerLink(hub)
         app = CallersApp(hub, CallRunner(hub, link))
         face = CallersFace(app.handle, app.limits, app.count_bad, app.count_fault)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
@@ -71,6 +71,8 @@
         The store's revision when the present lease began.
     ends_s : float or None
         When this daemon ends, where it takes no calls that may last longer.
+    lease_s : float
+        Life of a daemon's lease, in seconds.
     settle_s : float
         How long after a failed call the store counts as disturbed, in seconds.
     """
@@ -90,6 +92,7 @@
     ends_s: float | None = None
     synced: bool = False
     settle_s: float = 3.0
+    lease_s: float = 3.0
     disturbed_s: float = float("-inf")
 
     def store_disturbed(self) -> None:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/lease_keeping.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/lease_keeping.py
@@ -14,6 +14,7 @@
 )
 from knapweedbridge_daemon.errors import StoreError
 from knapweedbridge_daemon.serving.believing import StoreFollower
+from knapweedbridge_daemon.serving.engine_owning import ORDER_TIMEOUT_S
 from knapweedbridge_daemon.serving.hub import Hub, suspended_clock_s
 from knapweedbridge_daemon.serving.own_records import pack_daemon, pack_owner
 from knapweedbridge_daemon.store import LeaseGoneError, Transaction
@@ -40,14 +41,12 @@
         Beliefs and dialects.
     follower : StoreFollower
         Told when the store answers again.
-    lease_s : float
-        Life of the lease, in seconds.
     """
 
-    def __init__(self, hub: Hub, follower: StoreFollower, lease_s: float) -> None:
+    def __init__(self, hub: Hub, follower: StoreFollower) -> None:
         self._hub = hub
         self._follower = follower
-        self._lease_s = lease_s
+        self._lease_s = hub.lease_s
         self._lease = ""
         self._failing = False
         self._started_s = anyio.current_time()
@@ -73,14 +72,29 @@
         sent_s = suspended_clock_s()
         if not self._lease:
             self._lease = await store.grant_lease(self._lease_s)
-            self._hub.lease_revision = await self._put_record()
-            self._hub.lease.renewed(sent_s, self._lease_s)
+            self._hub.lease_revision = sys.maxsize
             self._hub.log.info("lease.begun", lease=self._lease)
+        elif not self._is_recorded():
+            # The record's writing got no answer, or the store took the keys away
+            # without a word: others then know nothing of this daemon.
+            self._hub.log.info("lease.record_missing", lease=self._lease)
+        else:
+            left_s = await store.keep_lease(self._lease)
+            if not left_s:
+                raise LeaseGoneError("the lease has ended")
+            self._hub.lease.renewed(sent_s, left_s)
             return
-        left_s = await store.keep_lease(self._lease)
-        if not left_s:
-            raise LeaseGoneError("the lease has ended")
-        self._hub.lease.renewed(sent_s, left_s)
+        revision = await self._put_record()
+        if self._hub.lease_revision == sys.maxsize:
+            self._hub.lease_revision = revision
+        self._hub.lease.renewed(sent_s, self._lease_s)
+
+    def _is_recorded(self) -> bool:
+        identity = self._hub.identity
+        known = self._hub.beliefs.daemons.get(identity.name)
+        written = self._hub.lease_revision < sys.maxsize
+        seen = known is not None and known.incarnation == identity.incarnation
+        return written and (seen or not self._hub.synced)
 
     async def _put_record(self) -> int:
         """Write this daemon's record, and return its revision."""
@@ -147,8 +161,7 @@
             return False
         if endpoint.record.leaving:
             return False
-        owner = self._hub.beliefs.owners.get(endpoint.name)
-        if owner is not None and owner.owner:
+        if not self._hub.beliefs.is_ownerless(endpoint.name):
             return False
         return now_s - self._claimed_s.get(endpoint.name, -10.0) > 1.0
 
@@ -188,6 +201,8 @@
         hub.lease.lost()
         if not self._lease:
             return
+        # An order that is on its way must arrive before the successor's first.
+        await anyio.sleep(ORDER_TIMEOUT_S)
         try:
             await self._put_record()
             for endpoint, record in owned.items():
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -44,7 +44,7 @@
     async def send(self, daemon: str, message: Any) -> None:
         """Send a message to a daemon, which may be this one."""
         if daemon == self._hub.identity.name:
-            self._take(daemon, message)
+            await self._take(daemon, message)
         elif self._peers is not None:
             self._peers.send(daemon, message)
 
@@ -84,11 +84,11 @@
 
     async def _submit(self, event: Any) -> None:
         if isinstance(event, PeerHeard):
-            self._take(event.host, event.message)
+            await self._take(event.host, event.message)
         elif isinstance(event, PeerUnlinked):
             self._hub.log.info("peer.unlinked", peer=event.host)
 
-    def _take(self, daemon: str, message: Any) -> None:
+    async def _take(self, daemon: str, message: Any) -> None:
         if isinstance(message, EngineTold):
             self._take_told(daemon, message)
         elif isinstance(message, EngineChanged):
@@ -96,7 +96,7 @@
         elif isinstance(message, OwnerAnswered):
             self._take_answered(message)
         elif isinstance(message, ToOwner):
-            self.owners.heard(daemon, message)
+            await self.owners.heard(daemon, message)
 
     def _take_told(self, daemon: str, message: EngineTold) -> None:
         now_s = anyio.current_time()
