--- a/packages/core/src/knapweedbridge_core/serving/attempts.py
+++ b/packages/core/src/knapweedbridge_core/serving/attempts.py
@@ -98,20 +98,23 @@
 can be served in time, the less urgent make way, and all of a kind alike."""
 
 LEAST_PART = 0.5
-WAITED_PART = 1.5
-"""Part of the objective up to which a call that has waited is not given up: it has a
-place in the line, and the forecast is off by some tenths of a second."""
+WAITED_PART = 1.0
+"""Part of the objective up to which a call that was accepted is not given up: it has a
+place in the line, its own wish counts among those before it, and the forecast is off
+by some tenths of a second."""
 
 
-def first_event_patience_s(route: Route, waited_s: float) -> float:
+def first_event_patience_s(route: Route, waited_s: float, accepted: bool) -> float:
     """Return the longest wait for a first event that a call is accepted with.
 
     Parameters
     ----------
     waited_s : float
         How long the caller has waited.
+    accepted : bool
+        Whether it waits in a line already.
     """
     part = max(LEAST_PART, 1.0 - URGENCY_STEP * route.urgency)
-    if waited_s > 0.05:
+    if accepted:
         part = WAITED_PART
     return part * route.objective_s - waited_s
--- a/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
@@ -13,6 +13,7 @@
     Endpoint,
     LoadOn,
     ModelRef,
+    NoEngine,
     PlacementAsk,
     PlainAsk,
     PricedPlacement,
@@ -128,6 +129,7 @@
     first_event_s: float | None = None
     last_choice: str = ""
     unread_tokens: int = 0
+    accepted: bool = False
 
     @property
     def left_s(self) -> float:
@@ -156,7 +158,7 @@
         while True:
             target = await self._place(call)
             if isinstance(target, Refusal):
-                return await self._give_up(call, target)
+                return await self._unplaced(call, target)
             end = await self._attempt(call, target)
             if end is AttemptEnd.ANSWERED:
                 return "answered"
@@ -180,6 +182,13 @@
             return await self._give_up(call, Refusal(503, "not_run", BUSY_AFTER_S))
         return await self._give_up(call, Refusal(502, "broken"))
 
+    async def _unplaced(self, call: Call, refusal: Refusal) -> str:
+        if call.failure is not None and not call.responder.begun:
+            # The endpoint's own answer tells the caller more than ours would.
+            await self._pass_on(call, call.failure)
+            return "failed_by_endpoint"
+        return await self._give_up(call, refusal)
+
     async def _give_up(self, call: Call, refusal: Refusal) -> str:
         if call.responder.begun:
             return "cut"
@@ -204,6 +213,7 @@
             if isinstance(choice, TooLate):
                 after_s = random.uniform(*OVERLOAD_AFTER_S) + choice.over_s
                 return Refusal(503, "overloaded", after_s)
+            call.accepted = not isinstance(choice, NoEngine)
             pause_s = LOOK_S
             if isinstance(choice, WaitFor):
                 pause_s = choice.ready_s - now_s
@@ -218,7 +228,8 @@
     def _patience_s(call: Call, now_s: float) -> float:
         if call.progress.begun:
             return RESUME_PATIENCE_S
-        return first_event_patience_s(call.route, now_s - call.request.received_s)
+        waited_s = now_s - call.request.received_s
+        return first_event_patience_s(call.route, waited_s, call.accepted)
 
     @staticmethod
     def _patient_s(call: Call) -> float:
