--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -222,3 +222,16 @@
       | one.example  | /c/     | none  |
       | two.example  | /c/     | all   |
       | six.example  | /a/x    | none  |
+
+  Scenario Outline: Who watches the store and hears of an engine, among <daemons> daemons
+    With 79 hosts each watching the store, their calls were a third of what a day
+    was worth, and each owner's telling went to all of them.
+
+    Given <daemons> daemons in 3 data centres
+    Then <watching> of a data centre's watch the store
+    And <hearing> hear of an engine there without asking
+
+    Examples:
+      | daemons | watching | hearing |
+      | 9       | 3        | 9       |
+      | 78      | 2        | 26      |
--- a/features/serving/steps/decision_steps.py
+++ b/features/serving/steps/decision_steps.py
@@ -34,7 +34,9 @@
     claim_due_s,
     claimants,
     may_send_again,
+    near,
     parse_model,
+    watchers,
 )
 from knapweedbridge_core.serving.beliefs import (
     DaemonNamed,
@@ -622,3 +624,20 @@
 def takes_route(context, host, path, name):
     route = context.deployment.match(host, path)
     assert (route.name if route else "none") == name, route
+
+
+@given("{count:d} daemons in 3 data centres")
+def many_daemons(context, count):
+    context.daemons = [DaemonRecord(f"h{n}", 1, "a", f"d{n % 3}") for n in range(count)]
+
+
+@then("{count:d} of a data centre's watch the store")
+def watching(context, count):
+    names = watchers(context.daemons, "d1")
+    own = [each.name for each in context.daemons if each.data_centre == "d1"]
+    assert len([name for name in names if name in own]) == count, names
+
+
+@then("{count:d} hear of an engine there without asking")
+def hearing(context, count):
+    assert len(near(context.daemons, "d1")) == count
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -56,6 +56,7 @@
     reading_s,
 )
 from knapweedbridge_core.serving.plain_choice import PlainAsk, choose_plain
+from knapweedbridge_core.serving.pool import is_small, near, watchers
 from knapweedbridge_core.serving.retry_budget import RetryBudget
 
 __all__ = [
@@ -98,8 +99,11 @@
     "claimants",
     "first_byte_patience_s",
     "first_event_patience_s",
+    "is_small",
     "may_send_again",
+    "near",
     "parse_model",
     "reading_s",
     "resumes",
+    "watchers",
 ]
--- a/packages/core/src/knapweedbridge_core/serving/messages.py
+++ b/packages/core/src/knapweedbridge_core/serving/messages.py
@@ -138,3 +138,20 @@
 
     endpoint: str
     number: int
+
+
+@message
+class StoreTold:
+    """A daemon that watches the store hands on what it heard.
+
+    Parameters
+    ----------
+    since, revision : int
+        The changes after the first revision, up to the second.
+    items : list of [key, value, revision]
+        What changed; the value is None where a key was removed.
+    """
+
+    since: int
+    revision: int
+    items: list[list]
--- a/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
@@ -5,14 +5,21 @@
 
 import anyio
 
+from knapweedbridge_core.serving import is_small, near, watchers
+from knapweedbridge_core.serving.messages import StoreTold
 from knapweedbridge_daemon.errors import StoreError
 from knapweedbridge_daemon.serving.dialects import DialectError
-from knapweedbridge_daemon.serving.hub import Hub
+from knapweedbridge_daemon.serving.hub import Hub, Send
 from knapweedbridge_daemon.serving.own_records import read_own
 from knapweedbridge_daemon.store import HistoryGoneError, StoreItem
 
-WATCH_S = 10.0
-"""Wait of a watch without changes: each waiting watch costs a call."""
+WATCH_S = 1.5
+"""Wait of a watch without changes. Its connection may go silent, which shows only when
+the wait is over: a configuration must be in force within 2 s."""
+
+SILENCE_S = 2.5
+"""Silence of the daemons that watch for this one, after which it looks itself; they
+tell at least once a watch."""
 
 JOIN_S = 0.3
 """Pause after changes before the next watch, so that changes share a call: engines
@@ -30,41 +37,91 @@
     ----------
     hub : Hub
         What it keeps up to date.
+    send : callable
+        Sends a message to a daemon.
     """
 
-    def __init__(self, hub: Hub) -> None:
+    def __init__(self, hub: Hub, send: Send) -> None:
         self._hub = hub
+        self._send = send
         self._failures = 0
         self._watch: anyio.CancelScope | None = None
         self._revision = 0
         self._known: set[str] = set()
+        self._told = anyio.Event()
 
     def watch_anew(self) -> None:
         """End the watch that waits: its connection may have gone silent."""
         if self._watch is not None:
             self._watch.cancel()
 
+    def heard(self, message: StoreTold) -> None:
+        """Take changes that another daemon heard from the store."""
+        if not self._revision or message.since > self._revision:
+            # Something between is missing: the next look at the store gets it.
+            return
+        items = [
+            StoreItem(key, value, revision)
+            for key, value, revision in message.items
+            if revision > self._revision
+        ]
+        self._take(items)
+        self._revision = max(self._revision, message.revision)
+        self._told.set()
+
     async def run(self) -> None:
         """Follow the store until cancelled."""
         prefix = self._hub.dialects.store_items.prefix
-        store = self._hub.dialects.store
         while True:
             try:
                 if not self._revision:
                     await self._read_all(prefix)
-                with anyio.CancelScope() as self._watch:
-                    found = await store.read_changes(prefix, self._revision, WATCH_S)
-                    self._take(found.items)
-                    self._revision = max(self._revision, found.revision)
-                    self._answered()
-                    if found.items:
-                        await anyio.sleep(JOIN_S)
+                if self._listens():
+                    await self._listen(prefix)
+                else:
+                    await self._watch_once(prefix, WATCH_S)
             except HistoryGoneError:
                 self._hub.log.info("store.history_gone", revision=self._revision)
                 self._revision = 0
             except StoreError as error:
                 await self._failed(error)
 
+    def _listens(self) -> bool:
+        identity = self._hub.identity
+        daemons = self._hub.beliefs.daemons.values()
+        return identity.name not in watchers(daemons, identity.data_centre)
+
+    async def _listen(self, prefix: str) -> None:
+        self._told = anyio.Event()
+        with anyio.move_on_after(SILENCE_S):
+            await self._told.wait()
+        if not self._told.is_set():
+            # Those that watch are gone or cut off, or a telling was missed.
+            await self._watch_once(prefix, 0.0)
+
+    async def _watch_once(self, prefix: str, wait_s: float) -> None:
+        store = self._hub.dialects.store
+        with anyio.CancelScope() as self._watch:
+            found = await store.read_changes(prefix, self._revision, wait_s)
+            since = self._revision
+            self._take(found.items)
+            self._revision = max(self._revision, found.revision)
+            self._answered()
+            await self._hand_on(since, found.items)
+            if found.items:
+                await anyio.sleep(JOIN_S)
+
+    async def _hand_on(self, since: int, items: list[StoreItem]) -> None:
+        identity, beliefs = self._hub.identity, self._hub.beliefs
+        daemons = list(beliefs.daemons.values())
+        if is_small(daemons) or self._listens():
+            return
+        rows = [[item.key, item.value, item.revision] for item in items]
+        told = StoreTold(since, self._revision, rows)
+        for name in near(daemons, identity.data_centre):
+            if name != identity.name:
+                await self._send(name, told)
+
     async def _read_all(self, prefix: str) -> None:
         found = await self._hub.dialects.store.read_items(prefix)
         keys = {item.key for item in found.items}
--- a/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
@@ -24,6 +24,7 @@
     choose_plain,
     first_byte_patience_s,
     first_event_patience_s,
+    is_small,
     may_send_again,
     reading_s,
     resumes,
@@ -253,7 +254,18 @@
         engines = beliefs.fleet.reachable(call.service, now_s)
         for engine in engines:
             engine.guess_others(self._hub.daemons, now_s)
-        return self._placement.choose(ask, engines, now_s)
+        close = self._close_engines(engines)
+        choice = self._placement.choose(ask, close, now_s)
+        if len(close) < len(engines) and isinstance(choice, TooLate | NoEngine):
+            choice = self._placement.choose(ask, engines, now_s)
+        return choice
+
+    def _close_engines(self, engines: list[Endpoint]) -> list[Endpoint]:
+        """Return the engines whose owners tell this daemon without being asked."""
+        if is_small(self._hub.beliefs.daemons.values()):
+            return engines
+        here = self._hub.identity.data_centre
+        return [each for each in engines if each.record.data_centre == here] or engines
 
     async def _want(self, call: Call, endpoint: Endpoint) -> None:
         model = call.details.model
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
@@ -10,6 +10,7 @@
     ModelRef,
     Order,
     OrderAnswer,
+    near,
     parse_model,
 )
 from knapweedbridge_core.serving.messages import (
@@ -40,6 +41,9 @@
 WORK_S = 1.0
 """Longest wait for work; what is due by time alone is seen within it."""
 
+HEARER_LIFE_S = 5.0
+"""How long a daemon of another data centre hears of an engine after its last use."""
+
 LEARN_S = 0.05
 """Time in which daemons tell a new owner of their calls: ways take milliseconds."""
 
@@ -99,6 +103,7 @@
         self._calls_changed = False
         self._askers: set[str] = set()
         self._lost: set[str] = set()
+        self._used_s: dict[str, float] = {}
         self._hearers: set[str] = set()
         self._shown: dict[ModelRef, tuple[int, float]] = {}
         self._told_all_s = float("-inf")
@@ -117,6 +122,7 @@
     def wanted(self, daemon: str, model: ModelRef, version: int) -> None:
         """Take a daemon's wish for an adapter, which is answered at once."""
         self._askers.add(daemon)
+        self._used_s[daemon] = anyio.current_time()
         self.keeper.want(model, version, anyio.current_time())
         self._work.set()
 
@@ -124,6 +130,7 @@
         """Take all calls of one daemon on the engine."""
         found = {parse_model(name): count for name, count in message.calls.items()}
         now_s = anyio.current_time()
+        self._used_s[daemon] = now_s
         self.keeper.calls_running(daemon, found, message.unread_tokens, now_s)
         self._calls_changed = True
         self._work.set()
@@ -304,12 +311,24 @@
         all_due = now_s - self._told_all_s >= TELL_ALL_S
         if all_due:
             self._told_all_s = now_s
-        for daemon in list(self._hub.beliefs.daemons):
+        hearers = self._wanted_hearers(now_s)
+        for daemon in hearers:
             new = daemon in self._lost or daemon not in self._hearers
             await self._send(daemon, told if all_due or new else changed)
-        self._hearers = set(self._hub.beliefs.daemons)
+        self._hearers = hearers
         self._lost.clear()
 
+    def _wanted_hearers(self, now_s: float) -> set[str]:
+        daemons = self._hub.beliefs.daemons
+        hearers = set(near(daemons.values(), self._endpoint.record.data_centre))
+        # Those farther off hear of the engine for as long as they use it.
+        for daemon, used_s in list(self._used_s.items()):
+            if now_s - used_s > HEARER_LIFE_S:
+                del self._used_s[daemon]
+            elif daemon in daemons:
+                hearers.add(daemon)
+        return hearers
+
     def _rows(self, now_s: float) -> dict[ModelRef, tuple[int, float]]:
         return {
             model: (place.version, place.ready_s)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -104,9 +104,10 @@
         )
 
     async def _serve(self, hub: Hub) -> None:
-        follower = StoreFollower(hub)
-        lease = LeaseKeeper(hub, follower)
         link = PeerLink(hub)
+        follower = StoreFollower(hub, link.send)
+        link.on_store_told = follower.heard
+        lease = LeaseKeeper(hub, follower)
         app = CallersApp(hub, CallRunner(hub, link))
         face = CallersFace(app.handle, app.limits, app.count_bad, app.count_fault)
         async with anyio.create_task_group() as tasks:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -1,5 +1,6 @@
 """Messages between serving daemons, over the product's peer streams."""
 
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -13,6 +14,7 @@
     EngineChanged,
     EngineTold,
     OwnerAnswered,
+    StoreTold,
 )
 from knapweedbridge_daemon.peers import Peers
 from knapweedbridge_daemon.serving.engine_owning import EngineOwners, ToOwner
@@ -39,6 +41,7 @@
         self._hub = hub
         self.owners = EngineOwners(hub, self.send)
         self.running = RunningCalls(hub, self.send)
+        self.on_store_told: Callable[[StoreTold], None] = lambda message: None
         self._peers: Peers | None = None
 
     async def send(self, daemon: str, message: Any) -> None:
@@ -93,6 +96,8 @@
             self._take_told(daemon, message)
         elif isinstance(message, EngineChanged):
             self._take_changed(daemon, message)
+        elif isinstance(message, StoreTold):
+            self.on_store_told(message)
         elif isinstance(message, OwnerAnswered):
             self._take_answered(message)
         elif isinstance(message, ToOwner):
