Let a starting daemon watch the store, and renew a lease whose record is missing

Cause: before it is listed a daemon took itself for one that is told of changes, and looked at the store each 2.5 s; without its record in sight it did not renew its lease. Test first: whole_path 'learns of changes at once' failed, passes.

--- a/features/platform/steps/path_steps.py
+++ b/features/platform/steps/path_steps.py
@@ -317,6 +317,33 @@
     assert context.after[1] > context.before[1]
 
 
+@when("the store takes away the daemon's record")
+@played
+async def record_taken(context, path):
+    key = "knapweedbridge/daemons/host-0"
+    context.lease = path.store.items[key][2]
+    path.store.remove(key)
+    await path.until(lambda: key in path.store.items, "the record is written again")
+    context.lease_after = path.store.items[key][2]
+
+
+@then("the record is soon there again, under the same lease")
+def record_again(context):
+    assert context.lease_after == context.lease
+
+
+@then("no lease was lost")
+def no_lease_lost(context):
+    async def story():
+        async with whole_path(context.daemons) as path:
+            await anyio.sleep(2.5)
+            context.kinds = [line["message_type"] for line in path.lines()]
+
+    anyio.run(story)
+    assert "lease.lost" not in context.kinds, context.kinds
+    assert "lease.record_missing" not in context.kinds, context.kinds
+
+
 RAW = {
     "two framings": b"POST /look/1 HTTP/1.1\r\nHost: shop.example\r\n"
     b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
--- a/features/platform/whole_path.feature
+++ b/features/platform/whole_path.feature
@@ -104,6 +104,21 @@
     When the owner of engine-1 gives its lease up
     Then the other daemon owns engine-1 with a higher number
 
+  Scenario: A daemon whose record is taken away writes it again
+    The store took a host's keys away while its lease ran on. Others forgot the host
+    for good, and it heard nothing of the engines any more.
+
+    Given the whole path
+    When the store takes away the daemon's record
+    Then the record is soon there again, under the same lease
+
+  Scenario: A daemon that starts learns of changes at once
+    A daemon waited to be told of the store's changes before anybody knew it: its
+    lease lapsed, and no engine had an owner for three seconds after each start.
+
+    Given the whole path
+    Then no lease was lost
+
   Scenario Outline: What cannot be read is refused: <what>
     Given the whole path
     When a caller sends <what>
--- a/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
@@ -88,8 +88,11 @@
 
     def _listens(self) -> bool:
         identity = self._hub.identity
-        daemons = self._hub.beliefs.daemons.values()
-        return identity.name not in watchers(daemons, identity.data_centre)
+        daemons = self._hub.beliefs.daemons
+        if identity.name not in daemons:
+            # Nobody tells a daemon that is not listed.
+            return False
+        return identity.name not in watchers(daemons.values(), identity.data_centre)
 
     async def _listen(self, prefix: str) -> None:
         self._told = anyio.Event()
--- a/packages/daemon/src/knapweedbridge_daemon/serving/lease_keeping.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/lease_keeping.py
@@ -74,16 +74,16 @@
             self._lease = await store.grant_lease(self._lease_s)
             self._hub.lease_revision = sys.maxsize
             self._hub.log.info("lease.begun", lease=self._lease)
-        elif not self._is_recorded():
-            # The record's writing got no answer, or the store took the keys away
-            # without a word: others then know nothing of this daemon.
-            self._hub.log.info("lease.record_missing", lease=self._lease)
         else:
             left_s = await store.keep_lease(self._lease)
             if not left_s:
                 raise LeaseGoneError("the lease has ended")
             self._hub.lease.renewed(sent_s, left_s)
-            return
+            if self._is_recorded():
+                return
+            # The record's writing got no answer, or the store took the keys away
+            # without a word: others then know nothing of this daemon.
+            self._hub.log.info("lease.record_missing", lease=self._lease)
         revision = await self._put_record()
         if self._hub.lease_revision == sys.maxsize:
             self._hub.lease_revision = revision
