--- a/features/platform/whole_path.py
+++ b/features/platform/whole_path.py
@@ -148,8 +148,15 @@
         return [json.loads(line) for line in self.logs[daemon].read().splitlines()]
 
     def is_owned(self, daemons):
-        keys = [f"knapweedbridge/owners/{engine.name}" for engine in self.engines]
-        return not daemons or all(key in self.store.items for key in keys)
+        # A record in the store is not enough: until its owner has begun, a call for
+        # an adapter waits, and is refused if that takes long.
+        begun = {
+            line["engine"]
+            for daemon in range(daemons)
+            for line in self.lines(daemon)
+            if line["message_type"] == "owner.begun"
+        }
+        return not daemons or begun == {engine.name for engine in self.engines}
 
     async def until_ready(self, daemon=0):
         async with httpx.AsyncClient() as client:
