--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -0,0 +1,242 @@
+"""Sends a call to one endpoint, and passes its answer on."""
+
+import math
+
+import anyio
+
+from knapweedbridge_core.serving import (
+    AttemptEnd,
+    Endpoint,
+    first_byte_patience_s,
+    reading_s,
+    resumes,
+)
+from knapweedbridge_core.serving.messages import AdapterMissed
+from knapweedbridge_daemon.serving.call import Call, KeptAnswer, Target
+from knapweedbridge_daemon.serving.dialects import AnswerHead, AttemptDetails
+from knapweedbridge_daemon.serving.event_stream import EventCutter, EventTooLongError
+from knapweedbridge_daemon.serving.http_client import (
+    BrokenError,
+    ClientConnection,
+    NotSentError,
+)
+from knapweedbridge_daemon.serving.hub import Hub
+from knapweedbridge_daemon.serving.peer_link import PeerLink
+from knapweedbridge_daemon.serving.wire import (
+    RequestHead,
+    ResponseHead,
+    end_to_end,
+    get_header,
+)
+
+MOST_BUFFERED_BYTES = 8 << 20
+"""Longest answer that is held until it is whole; plain answers are some kB."""
+
+NOT_READY_S = 0.04
+"""Wait after an engine refused a call as its adapter's load is not done."""
+
+
+class Attempting:
+    """Makes attempts of calls.
+
+    Parameters
+    ----------
+    hub : Hub
+        Dialects, connections and measures.
+    link : PeerLink
+        Is told which calls run where.
+    """
+
+    def __init__(self, hub: Hub, link: PeerLink) -> None:
+        self._hub = hub
+        self._link = link
+
+    async def attempt(self, call: Call, target: Target) -> AttemptEnd:
+        """Send a call to an endpoint, and tell how that ended."""
+        endpoint = target.endpoint
+        model = call.details.model
+        began_s = anyio.current_time()
+        call.progress.sends += 1
+        call.unread_tokens = call.details.prompt_tokens
+        self._link.running.begin(endpoint, model, call.unread_tokens)
+        end = AttemptEnd.BROKEN
+        detail = ""
+        patience = anyio.CancelScope(deadline=self._patient_until_s(call, target))
+        try:
+            with patience:
+                end = await self._exchange(call, target, patience)
+            if patience.cancelled_caught:
+                raise BrokenError("silent")
+        except NotSentError as error:
+            end, detail = AttemptEnd.NOT_RUN, str(error)
+            call.refused.add(endpoint.name)
+            endpoint.note_unreachable(anyio.current_time())
+        except (BrokenError, EventTooLongError) as error:
+            end, detail = AttemptEnd.BROKEN, str(error)
+            call.progress.runs.add(endpoint.name)
+        finally:
+            self._note_read(call, endpoint)
+            whole = end is not AttemptEnd.BROKEN
+            self._link.running.end(endpoint, model, whole)
+            self._note(call, target, end, began_s, detail)
+        return end
+
+    def _note_read(self, call: Call, endpoint: Endpoint) -> None:
+        if call.unread_tokens:
+            self._link.running.prompt_read(endpoint, call.unread_tokens)
+            call.unread_tokens = 0
+
+    def _note(
+        self, call: Call, target: Target, end: AttemptEnd, began_s: float, detail: str
+    ) -> None:
+        now_s = anyio.current_time()
+        failed = end in (AttemptEnd.FAILED, AttemptEnd.BROKEN)
+        target.endpoint.note_result(failed, now_s)
+        self._hub.measures.count("attempts", end.value)
+        self._hub.log.info(
+            "attempt.ended",
+            request=call.details.call_id,
+            endpoint=target.endpoint.name,
+            version=target.version,
+            calls_there=target.endpoint.calls,
+            outcome=end.value,
+            took_s=round(now_s - began_s, 4),
+            left_s=round(call.deadline_s - now_s, 3),
+            detail=detail,
+        )
+
+    def _patient_until_s(self, call: Call, target: Target) -> float:
+        others_left = len(call.progress.runs) + 1 < call.route.max_attempts
+        if not (call.route.repeatable and others_left):
+            return math.inf
+        patience_s = first_byte_patience_s(call.route, reading_s(target.endpoint))
+        return anyio.current_time() + patience_s
+
+    async def _exchange(
+        self, call: Call, target: Target, patience: anyio.CancelScope
+    ) -> AttemptEnd:
+        head = self._attempt_head(call, target)
+        async with self._hub.pool.connection(
+            target.endpoint.record.address
+        ) as connection:
+            await connection.send(head, call.request.body)
+            answer = await connection.read_head(
+                head,
+                lambda headers: self._hub.dialects.endpoints.belongs(
+                    call.details.call_id, headers
+                ),
+            )
+            target.endpoint.note_answer()
+            proved = self._hub.dialects.endpoints.read_answer(answer)
+            if proved.not_run:
+                async for _ in connection.read_body():
+                    pass
+                await self._note_refused(call, target, answer, proved)
+                return AttemptEnd.NOT_RUN
+            call.progress.runs.add(target.endpoint.name)
+            if not proved.stream:
+                patience.deadline = math.inf
+            if not proved.genuine:
+                raise BrokenError(f"status {answer.status} without a signature")
+            if proved.stream and answer.status == 200:
+                return await self._relay(
+                    call, target.endpoint, connection, answer, patience
+                )
+            return await self._take_whole(call, connection, answer)
+
+    def _attempt_head(self, call: Call, target: Target) -> RequestHead:
+        head = call.request.head
+        details = AttemptDetails(
+            target.endpoint.name,
+            target.version,
+            call.left_s,
+            min(9, call.route.urgency),
+            call.last_event if resumes(call.route, call.progress) else None,
+        )
+        headers = self._hub.dialects.endpoints.attempt_headers(head, details)
+        body = call.request.body
+        framed = get_header(headers, b"content-length") is not None
+        if not framed and (body or head.method not in (b"GET", b"HEAD")):
+            headers.append((b"Content-Length", b"%d" % len(body)))
+        return RequestHead(head.method, head.target, headers)
+
+    async def _note_refused(
+        self, call: Call, target: Target, answer: ResponseHead, proved: AnswerHead
+    ) -> None:
+        endpoint, model = target.endpoint, call.details.model
+        self._hub.log.info(
+            "attempt.refused",
+            request=call.details.call_id,
+            endpoint=endpoint.name,
+            status=answer.status,
+            version=target.version,
+            model=str(model or ""),
+        )
+        now_s = anyio.current_time()
+        if proved.endpoint not in (None, endpoint.name):
+            # Its address went to another: the one that was believed in is gone.
+            call.refused.add(endpoint.name)
+            endpoint.note_unreachable(now_s)
+        elif proved.wrong_endpoint and model in endpoint.held:
+            # The load is not done yet: a fetch elsewhere would take longer.
+            endpoint.held[model].ready_s = now_s + NOT_READY_S
+            missed = AdapterMissed(endpoint.name, model.base, model.adapter)
+            await self._link.send(endpoint.owner, missed)
+        else:
+            call.refused.add(endpoint.name)
+
+    async def _take_whole(
+        self, call: Call, connection: ClientConnection, answer: ResponseHead
+    ) -> AttemptEnd:
+        parts: list[bytes] = []
+        size = 0
+        async for part in connection.read_body():
+            parts.append(part)
+            size += len(part)
+            if size > MOST_BUFFERED_BYTES:
+                raise BrokenError("the answer is too long")
+        kept = KeptAnswer(answer, b"".join(parts))
+        if answer.status >= 500:
+            call.failure = kept
+            return AttemptEnd.FAILED
+        await call.pass_on(kept)
+        return AttemptEnd.ANSWERED
+
+    async def _relay(
+        self,
+        call: Call,
+        endpoint: Endpoint,
+        connection: ClientConnection,
+        answer: ResponseHead,
+        patience: anyio.CancelScope,
+    ) -> AttemptEnd:
+        resumed = call.progress.begun
+        cutter = EventCutter(call.last_event if resumed else None)
+        async for chunk in connection.read_body():
+            events = cutter.feed(chunk)
+            if events.last_id is not None:
+                call.last_event = events.last_id
+            if not events.count:
+                continue
+            if patience.cancel_called:
+                # The first event came as patience ended. The next wait is cancelled,
+                # which would leave the answer begun and its head unwritten.
+                raise BrokenError("silent")
+            patience.deadline = math.inf
+            self._note_read(call, endpoint)
+            if not call.progress.begun:
+                call.progress.begun = True
+                call.first_event_s = anyio.current_time()
+                headers = [
+                    pair
+                    for pair in end_to_end(answer.headers)
+                    if pair[0].lower() != b"content-length"
+                ]
+                await call.responder.start(ResponseHead(200, headers, answer.reason))
+            await call.responder.send(events.data)
+        if cutter.rest:
+            raise BrokenError("ended in the middle of an event")
+        if not call.progress.begun:
+            raise BrokenError("a stream without an event")
+        await call.responder.end()
+        return AttemptEnd.ANSWERED
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/call.py
@@ -0,0 +1,78 @@
+"""One call, and what has become of it so far."""
+
+from dataclasses import dataclass, field
+
+import anyio
+
+from knapweedbridge_core.serving import CallProgress, Endpoint, Route
+from knapweedbridge_daemon.serving.dialects import CallDetails
+from knapweedbridge_daemon.serving.http_server import ReceivedRequest, Responder
+from knapweedbridge_daemon.serving.wire import ResponseHead, end_to_end
+
+
+@dataclass(slots=True, frozen=True)
+class Target:
+    """Where an attempt goes, and which version must stand there."""
+
+    endpoint: Endpoint
+    version: int | None
+
+
+@dataclass(slots=True)
+class KeptAnswer:
+    """A whole answer of an endpoint that was not passed on yet."""
+
+    head: ResponseHead
+    body: bytes
+
+
+@dataclass(slots=True)
+class Call:
+    """One call and what has become of it so far.
+
+    Parameters
+    ----------
+    request : ReceivedRequest
+        As the caller sent it.
+    route : Route
+        The route that takes it.
+    service : str
+        Service that it goes to.
+    details : CallDetails
+        What the caller says of it.
+    deadline_s : float
+        When its answer is due at the latest, on the daemon's clock.
+    """
+
+    request: ReceivedRequest
+    responder: Responder
+    route: Route
+    service: str
+    details: CallDetails
+    deadline_s: float
+    progress: CallProgress = field(default_factory=CallProgress)
+    last_event: str | None = None
+    failure: KeptAnswer | None = None
+    refused: set[str] = field(default_factory=set)
+    first_event_s: float | None = None
+    last_choice: str = ""
+    unread_tokens: int = 0
+    accepted: bool = False
+
+    @property
+    def left_s(self) -> float:
+        """Time that is left, in seconds."""
+        return self.deadline_s - anyio.current_time()
+
+    async def pass_on(self, kept: KeptAnswer) -> None:
+        """Answer the caller with a whole answer of an endpoint."""
+        headers = end_to_end(kept.head.headers)
+        if self.request.head.method != b"HEAD":
+            headers = [p for p in headers if p[0].lower() != b"content-length"]
+            headers.append((b"Content-Length", b"%d" % len(kept.body)))
+        await self.responder.start(
+            ResponseHead(kept.head.status, headers, kept.head.reason)
+        )
+        await self.responder.end(kept.body)
+        if self.first_event_s is None:
+            self.first_event_s = anyio.current_time()
--- a/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
@@ -5,7 +5,8 @@
 import anyio
 
 from knapweedbridge_core.serving import Deployment, FaceLimits, Route
-from knapweedbridge_daemon.serving.calls import Call, CallRunner
+from knapweedbridge_daemon.serving.call import Call
+from knapweedbridge_daemon.serving.calls import CallRunner
 from knapweedbridge_daemon.serving.dialects import CallDetails, DialectError, Refusal
 from knapweedbridge_daemon.serving.http_server import (
     BadRequestError,
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
@@ -1,7 +1,6 @@
-"""Gives orders to the engines that this daemon owns."""
+"""Gives orders to one engine that this daemon owns."""
 
 import anyio
-from anyio.abc import TaskGroup
 
 from knapweedbridge_core.serving import (
     Endpoint,
@@ -10,22 +9,17 @@
     ModelRef,
     Order,
     OrderAnswer,
-    near,
+    is_small,
     parse_model,
 )
 from knapweedbridge_core.serving.messages import (
-    AdapterMissed,
-    AdapterWanted,
     CallsRunning,
-    EngineAsked,
-    EngineChanged,
-    EngineTold,
     OwnerAnswered,
-    OwnershipEnded,
     OwnershipTaken,
 )
 from knapweedbridge_core.serving.ownership import OwnerRecord
 from knapweedbridge_daemon.serving.dialects import DialectError, WireRequest
+from knapweedbridge_daemon.serving.engine_telling import EngineTeller
 from knapweedbridge_daemon.serving.http_client import BrokenError, NotSentError
 from knapweedbridge_daemon.serving.hub import Hub, Send, suspended_clock_s
 from knapweedbridge_daemon.serving.wire import ResponseHead
@@ -41,9 +35,6 @@
 WORK_S = 1.0
 """Longest wait for work; what is due by time alone is seen within it."""
 
-HEARER_LIFE_S = 5.0
-"""How long a daemon of another data centre hears of an engine after its last use."""
-
 LEARN_S = 0.05
 """Time in which daemons tell a new owner of their calls: ways take milliseconds."""
 
@@ -51,18 +42,10 @@
 """Pause between tellings where only the calls changed: they steer the balance among
 engines, and a prompt takes some 50 ms."""
 
-TELL_ALL_S = 3.0
-"""Pause between tellings of all: a successor learns from them what is in use."""
-
-
-ToOwner = (
-    AdapterWanted
-    | AdapterMissed
-    | CallsRunning
-    | EngineAsked
-    | OwnershipTaken
-    | OwnershipEnded
-)
+TELL_HELD_FAR_S = 0.1
+TELL_LOAD_FAR_S = 0.3
+"""The same in a large pool, where a telling goes to some thirty daemons: a load takes
+0.25 s, and each daemon sends a smaller part of the calls."""
 
 
 class EngineOwner:
@@ -97,21 +80,16 @@
         self._work = anyio.Event()
         self._alone = anyio.Event()
         self._reported_s = float("-inf")
-        self._told = 0
         self._told_s = float("-inf")
         self._held_changed = True
         self._calls_changed = False
         self._askers: set[str] = set()
-        self._lost: set[str] = set()
-        self._used_s: dict[str, float] = {}
-        self._hearers: set[str] = set()
-        self._shown: dict[ModelRef, tuple[int, float]] = {}
-        self._told_all_s = float("-inf")
         self.keeper = EngineKeeper(
             limits,
             {model: held.used_s for model, held in endpoint.held.items()},
             endpoint.recent,
         )
+        self._teller = EngineTeller(hub, endpoint, record.number, self.keeper, send)
         self.scope = anyio.CancelScope()
 
     @property
@@ -122,7 +100,7 @@
     def wanted(self, daemon: str, model: ModelRef, version: int) -> None:
         """Take a daemon's wish for an adapter, which is answered at once."""
         self._askers.add(daemon)
-        self._used_s[daemon] = anyio.current_time()
+        self._teller.used_by(daemon, anyio.current_time())
         self.keeper.want(model, version, anyio.current_time())
         self._work.set()
 
@@ -130,7 +108,7 @@
         """Take all calls of one daemon on the engine."""
         found = {parse_model(name): count for name, count in message.calls.items()}
         now_s = anyio.current_time()
-        self._used_s[daemon] = now_s
+        self._teller.used_by(daemon, now_s)
         self.keeper.calls_running(daemon, found, message.unread_tokens, now_s)
         self._calls_changed = True
         self._work.set()
@@ -192,7 +170,7 @@
         pause_s = WORK_S
         if self.keeper.needs_report:
             pause_s = REPORT_PAUSE_S
-        elif self._calls_changed:
+        elif self._calls_changed or self._held_changed:
             pause_s = TELL_LOAD_S
         elif self.keeper.wants:
             pause_s = 0.05
@@ -288,193 +266,24 @@
 
     def asked_for_all(self, daemon: str) -> None:
         """Take that a daemon missed a telling."""
-        self._lost.add(daemon)
+        self._teller.asked_for_all(daemon)
         self._work.set()
 
     async def _tell(self) -> None:
         now_s = anyio.current_time()
         askers, self._askers = self._askers, set()
-        load_due = self._calls_changed and now_s - self._told_s >= TELL_LOAD_S
-        if self._held_changed or load_due or self._lost:
+        since_s = now_s - self._told_s
+        small = is_small(self._hub.beliefs.daemons.values())
+        load_due = since_s >= (TELL_LOAD_S if small else TELL_LOAD_FAR_S)
+        held_due = since_s >= (0.0 if small else TELL_HELD_FAR_S)
+        changed = (self._held_changed and held_due) or (
+            self._calls_changed and load_due
+        )
+        if changed or self._teller.is_asked:
             self._held_changed = self._calls_changed = False
             self._told_s = now_s
-            await self._tell_daemons(now_s)
+            await self._teller.tell(now_s)
             return
         for daemon in askers:
             answered = OwnerAnswered(self._endpoint.name, self.number)
             await self._send(daemon, answered)
-
-    async def _tell_daemons(self, now_s: float) -> None:
-        self._told += 1
-        told, changed = self._tell_all(now_s), self._tell_changes(now_s)
-        self._shown = dict(self._rows(now_s))
-        all_due = now_s - self._told_all_s >= TELL_ALL_S
-        if all_due:
-            self._told_all_s = now_s
-        hearers = self._wanted_hearers(now_s)
-        for daemon in hearers:
-            new = daemon in self._lost or daemon not in self._hearers
-            await self._send(daemon, told if all_due or new else changed)
-        self._hearers = hearers
-        self._lost.clear()
-
-    def _wanted_hearers(self, now_s: float) -> set[str]:
-        daemons = self._hub.beliefs.daemons
-        hearers = set(near(daemons.values(), self._endpoint.record.data_centre))
-        # Those farther off hear of the engine for as long as they use it.
-        for daemon, used_s in list(self._used_s.items()):
-            if now_s - used_s > HEARER_LIFE_S:
-                del self._used_s[daemon]
-            elif daemon in daemons:
-                hearers.add(daemon)
-        return hearers
-
-    def _rows(self, now_s: float) -> dict[ModelRef, tuple[int, float]]:
-        return {
-            model: (place.version, place.ready_s)
-            for model, place in self.keeper.places.items()
-            if not place.leaving
-        }
-
-    def _tell_all(self, now_s: float) -> EngineTold:
-        keeper = self.keeper
-        held = [
-            [
-                model.base,
-                model.adapter,
-                version,
-                ready_s - now_s,
-                keeper.users(model),
-                now_s - keeper.places[model].used_s,
-            ]
-            for model, (version, ready_s) in self._rows(now_s).items()
-        ]
-        return EngineTold(
-            self._endpoint.name,
-            self.number,
-            self._told,
-            held,
-            keeper.load_by_daemon(),
-            keeper.places_free(now_s),
-            keeper.wants,
-            sorted(keeper.bases),
-        )
-
-    def _tell_changes(self, now_s: float) -> EngineChanged:
-        rows = self._rows(now_s)
-        return EngineChanged(
-            self._endpoint.name,
-            self.number,
-            self._told,
-            [
-                [model.base, model.adapter, version, ready_s - now_s]
-                for model, (version, ready_s) in rows.items()
-                if self._shown.get(model) != (version, ready_s)
-            ],
-            [[model.base, model.adapter] for model in self._shown if model not in rows],
-            self.keeper.load_by_daemon(),
-            self.keeper.places_free(now_s),
-            self.keeper.wants,
-            sorted(self.keeper.bases),
-        )
-
-
-class EngineOwners:
-    """All engines that this daemon owns, by the records that it sees.
-
-    Parameters
-    ----------
-    hub : Hub
-        Beliefs and dialects.
-    send : callable
-        Sends a message to a daemon, this one too.
-    """
-
-    def __init__(self, hub: Hub, send: Send) -> None:
-        self._hub = hub
-        self._send = send
-        self._owned: dict[str, EngineOwner] = {}
-        self._given_up: dict[str, int] = {}
-
-    async def run(self, tasks: TaskGroup) -> None:
-        """Follow the owner records until cancelled."""
-        while True:
-            self._drop_lost()
-            self._take_new(tasks)
-            await self._hub.beliefs_changed.wait(WORK_S)
-
-    def _is_ours(self, record: OwnerRecord | None) -> bool:
-        identity = self._hub.identity
-        if record is None or record.owner != identity.name:
-            return False
-        # A record of before the present lease is gone with the lease before, also
-        # where the watch has not told so yet: another may own the engine since.
-        same_lease = record.number > self._hub.lease_revision
-        return record.incarnation == identity.incarnation and same_lease
-
-    def _drop_lost(self) -> None:
-        beliefs = self._hub.beliefs
-        for name, owner in list(self._owned.items()):
-            record = beliefs.owners.get(name)
-            same = self._is_ours(record) and record and record.number == owner.number
-            if same and name in beliefs.fleet.endpoints and not self._hub.draining:
-                continue
-            owner.scope.cancel()
-            del self._owned[name]
-            self._hub.log.info("owner.ended", engine=name, number=owner.number)
-
-    def _take_new(self, tasks: TaskGroup) -> None:
-        if self._hub.draining:
-            return
-        for name, record in self._hub.beliefs.owners.items():
-            endpoint = self._hub.beliefs.fleet.endpoints.get(name)
-            if name in self._owned or endpoint is None or not self._is_ours(record):
-                continue
-            if record.number < self._given_up.get(name, 0):
-                continue
-            limits = self._hub.engine_limits(endpoint.record.service)
-            if limits is None:
-                continue
-            owner = EngineOwner(self._hub, endpoint, limits, record, self._send)
-            self._owned[name] = owner
-            tasks.start_soon(owner.run)
-            self._hub.log.info("owner.begun", engine=name, number=record.number)
-
-    async def heard(self, daemon: str, message: ToOwner) -> None:
-        """Take a daemon's message about an engine that is owned here."""
-        if isinstance(message, OwnershipTaken):
-            await self._give_up(daemon, message)
-            return
-        owner = self._owned.get(message.endpoint)
-        if owner is None:
-            return
-        if isinstance(message, OwnershipEnded):
-            owner.predecessor_ended(message.number)
-            return
-        if isinstance(message, AdapterWanted):
-            model = ModelRef(message.base, message.adapter)
-            owner.wanted(daemon, model, message.version)
-        elif isinstance(message, EngineAsked):
-            owner.asked_for_all(daemon)
-        elif isinstance(message, AdapterMissed):
-            owner.missed(ModelRef(message.base, message.adapter))
-        else:
-            owner.calls_running(daemon, message)
-
-    async def _give_up(self, daemon: str, message: OwnershipTaken) -> None:
-        owner = self._owned.get(message.endpoint)
-        if owner is not None and owner.number < message.number:
-            owner.scope.cancel()
-            del self._owned[message.endpoint]
-            self._given_up[message.endpoint] = message.number
-            # An order that is on its way must arrive before the successor's first.
-            await anyio.sleep(ORDER_TIMEOUT_S)
-            self._hub.log.info(
-                "owner.given_up", engine=message.endpoint, successor=daemon
-            )
-        await self._send(daemon, OwnershipEnded(message.endpoint, message.number))
-
-    def forget_daemon(self, daemon: str) -> None:
-        """Drop the calls of a daemon that is gone."""
-        for owner in self._owned.values():
-            owner.forget_daemon(daemon)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -17,7 +17,7 @@
     StoreTold,
 )
 from knapweedbridge_daemon.peers import Peers
-from knapweedbridge_daemon.serving.engine_owning import EngineOwners, ToOwner
+from knapweedbridge_daemon.serving.engine_owners import EngineOwners, ToOwner
 from knapweedbridge_daemon.serving.hub import Hub
 from knapweedbridge_daemon.serving.running_calls import RunningCalls
 
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/placing.py
@@ -0,0 +1,168 @@
+"""Finds the endpoint of a call, and waits where its adapter must be loaded."""
+
+import random
+
+import anyio
+
+from knapweedbridge_core.serving import (
+    Endpoint,
+    LoadOn,
+    ModelRef,
+    NoEngine,
+    PlacementAsk,
+    PlainAsk,
+    PricedPlacement,
+    SendTo,
+    TooLate,
+    WaitFor,
+    choose_plain,
+    first_event_patience_s,
+    is_small,
+)
+from knapweedbridge_core.serving.messages import AdapterWanted
+from knapweedbridge_core.serving.placement import Choice
+from knapweedbridge_daemon.serving.call import Call, Target
+from knapweedbridge_daemon.serving.dialects import Refusal
+from knapweedbridge_daemon.serving.hub import Hub
+from knapweedbridge_daemon.serving.peer_link import PeerLink
+
+BUSY_AFTER_S = 0.4
+"""When a refused caller should come back: a load takes 0.25 s."""
+
+PLACE_PATIENCE = 2.0
+"""How long a call waits for an engine, in objectives: its answer is late by then, and
+callers leave a silent stream after some seconds."""
+
+LOOK_S = 0.1
+"""Pause between looks for an engine, where nothing changes."""
+
+WANT_AGAIN_S = 0.25
+"""Pause after which an owner is asked again for an adapter that is not coming."""
+
+RESUME_PATIENCE_S = 2.0
+"""Longest wait for the next event of a stream that is continued elsewhere: callers
+leave after a gap of two seconds."""
+
+OVERLOAD_AFTER_S = (1.0, 3.0)
+"""When callers should come back that no engine can serve in time: peaks last about
+two seconds, and those who return together would make the next one."""
+
+NO_ENDPOINT_AFTER_S = 0.6
+"""When to come back where a service has no endpoint: one restarts in some seconds."""
+
+
+class Placing:
+    """Places calls by what is believed of the endpoints.
+
+    Parameters
+    ----------
+    hub : Hub
+        Beliefs.
+    link : PeerLink
+        To the owners of engines.
+    """
+
+    def __init__(self, hub: Hub, link: PeerLink) -> None:
+        self._hub = hub
+        self._link = link
+        self._placement = PricedPlacement()
+
+    async def place(self, call: Call) -> Target | Refusal:
+        """Return where a call goes next, or why it goes nowhere."""
+        if call.details.model is None:
+            return self._place_plain(call)
+        asked_s = float("-inf")
+        while True:
+            now_s = anyio.current_time()
+            choice = self._choose(call, call.details.model, now_s)
+            call.last_choice = type(choice).__name__
+            if isinstance(choice, SendTo):
+                if choice.copy_to is not None:
+                    await self._want(call, choice.copy_to)
+                return Target(choice.endpoint, choice.version)
+            if isinstance(choice, TooLate):
+                after_s = random.uniform(*OVERLOAD_AFTER_S) + choice.over_s
+                return Refusal(503, "overloaded", after_s)
+            call.accepted = not isinstance(choice, NoEngine)
+            pause_s = LOOK_S
+            if isinstance(choice, WaitFor):
+                pause_s = choice.ready_s - now_s
+            elif isinstance(choice, LoadOn) and now_s - asked_s > WANT_AGAIN_S:
+                asked_s = now_s
+                await self._want(call, choice.endpoint)
+            if now_s > self._patient_s(call):
+                return Refusal(503, "no_place", BUSY_AFTER_S)
+            await self._hub.engines_changed.wait(max(0.001, pause_s))
+
+    @staticmethod
+    def _patience_s(call: Call, now_s: float) -> float:
+        if call.progress.begun:
+            return RESUME_PATIENCE_S
+        waited_s = now_s - call.request.received_s
+        return first_event_patience_s(call.route, waited_s, call.accepted)
+
+    @staticmethod
+    def _patient_s(call: Call) -> float:
+        """Return until when a call waits for an engine, on the daemon's clock."""
+        if call.progress.begun:
+            return call.deadline_s - 0.05
+        wait_s = max(0.5, PLACE_PATIENCE * call.route.objective_s)
+        return min(call.request.received_s + wait_s, call.deadline_s - 0.05)
+
+    def _choose(self, call: Call, model: ModelRef, now_s: float) -> Choice:
+        beliefs = self._hub.beliefs
+        ask = PlacementAsk(
+            model,
+            beliefs.wanted_version(model) if model.adapter else None,
+            beliefs.older_allowed(model, now_s),
+            self._hub.identity.data_centre,
+            frozenset(call.progress.runs | call.refused),
+            call.details.prompt_tokens,
+            self._patience_s(call, now_s),
+        )
+        engines = beliefs.fleet.reachable(call.service, now_s)
+        for engine in engines:
+            engine.guess_others(self._hub.daemons, now_s)
+        close = self._close_engines(engines)
+        choice = self._placement.choose(ask, close, now_s)
+        if len(close) < len(engines) and isinstance(choice, TooLate | NoEngine):
+            choice = self._placement.choose(ask, engines, now_s)
+        return choice
+
+    def _close_engines(self, engines: list[Endpoint]) -> list[Endpoint]:
+        """Return the engines whose owners tell this daemon without being asked."""
+        if is_small(self._hub.beliefs.daemons.values()):
+            return engines
+        here = self._hub.identity.data_centre
+        return [each for each in engines if each.record.data_centre == here] or engines
+
+    async def _want(self, call: Call, endpoint: Endpoint) -> None:
+        model = call.details.model
+        assert model is not None
+        version = self._hub.beliefs.wanted_version(model) or 0
+        self._hub.log.info(
+            "adapter.wanted",
+            request=call.details.call_id,
+            engine=endpoint.name,
+            owner=endpoint.owner,
+            model=str(model),
+            version=version,
+        )
+        if endpoint.owner:
+            endpoint.note_asked(anyio.current_time())
+            wanted = AdapterWanted(endpoint.name, model.base, model.adapter, version)
+            await self._link.send(endpoint.owner, wanted)
+
+    def _place_plain(self, call: Call) -> Target | Refusal:
+        now_s = anyio.current_time()
+        ask = PlainAsk(
+            self._hub.identity.data_centre,
+            frozenset(call.progress.runs | call.refused),
+        )
+        fleet = self._hub.beliefs.fleet
+        # One that is backed off from is better than none.
+        able = fleet.reachable(call.service, now_s) or fleet.of_service(call.service)
+        endpoint = choose_plain(ask, able, now_s)
+        if endpoint is None:
+            return Refusal(503, "no_endpoint", NO_ENDPOINT_AFTER_S)
+        return Target(endpoint, None)
