--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,11 @@
 soak: install
 	$(BIN)/python bench/soak.py
 
+# SOAK_SEEDS, SOAK_S, SOAK_DAEMONS and SOAK_PLANT: see bench/soak_serving.py.
+.PHONY: soak-serving
+soak-serving: install
+	$(BIN)/python bench/soak_serving.py
+
 slopes: install
 	$(BIN)/python bench/slopes.py
 
--- a/features/platform/steps/path_steps.py
+++ b/features/platform/steps/path_steps.py
@@ -1,4 +1,8 @@
 import functools
+import os
+import subprocess
+import sys
+from pathlib import Path
 
 import anyio
 import httpx
@@ -8,6 +12,8 @@
 from knapweedbridge_core.errors import CheckError
 from knapweedbridge_daemon.serving.settings import read_serving_settings
 
+ROOT = Path(__file__).parents[3]
+
 
 def played(work):
     """Run a scenario's whole story in one event loop."""
@@ -447,3 +453,22 @@
 @then('the check names "{place}"')
 def check_names(context, place):
     assert place in context.message, context.message
+
+
+@when("the soak plays seed {seed:d} for {seconds:d} s")
+def soak(context, seed, seconds):
+    named = {"SOAK_SEEDS": str(seed), "SOAK_S": str(seconds)}
+    context.found = subprocess.run(
+        [sys.executable, str(ROOT / "bench/soak_serving.py")],
+        env={**os.environ, **named},
+        capture_output=True,
+        text=True,
+        timeout=120,
+    )
+
+
+@then("it finds no broken promise")
+def no_broken_promise(context):
+    found = context.found
+    assert found.returncode == 0, found.stdout + found.stderr
+    assert "1 passed, 0 failed" in found.stdout, found.stdout
--- a/features/platform/whole_path.feature
+++ b/features/platform/whole_path.feature
@@ -153,3 +153,10 @@
       | an unknown key    | [host] colour    |
       | an unknown section| [colours]        |
       | a bad address     | [listen] ready   |
+
+  Scenario: A short fault soak of real daemons
+    What no single story tells: kills, stops, pauses, cut and silent connections, a store
+    that is down and endpoints that crash, leave and spoil answers, in overlapping series.
+
+    When the soak plays seed 1 for 6 s
+    Then it finds no broken promise
--- a/features/platform/whole_path.py
+++ b/features/platform/whole_path.py
@@ -77,7 +77,7 @@
 def configuration(version=1, drop=()):
     routes = [
         route("look", "/look/", "desk", "idempotent"),
-        route("order", "/order/", "desk", "non_idempotent", max_attempts=1),
+        route("order", "/order/", "desk", "non_idempotent"),
         route("draft", "/draft/", "llm", "streaming", resumable=True),
         route("note", "/note/", "llm", "streaming", resumable=False),
     ]
--- a/packages/cli/src/knapweedbridge_cli/main.py
+++ b/packages/cli/src/knapweedbridge_cli/main.py
@@ -13,6 +13,7 @@
     Rollback,
 )
 from knapweedbridge_cli.errors import CommandError, ExitCode
+from knapweedbridge_cli.explain_command import Explain
 from knapweedbridge_cli.fleet_commands import (
     Adapters,
     Drain,
@@ -45,6 +46,7 @@
         | Endpoints
         | Drain
         | ShowTimeline
+        | Explain
         | Version
     ]
 
--- a/packages/daemon/src/knapweedbridge_daemon/main.py
+++ b/packages/daemon/src/knapweedbridge_daemon/main.py
@@ -12,8 +12,10 @@
 from knapweedbridge_core.settings import Settings
 from knapweedbridge_daemon.daemon import Daemon
 from knapweedbridge_daemon.errors import LocalFileError
-from knapweedbridge_daemon.local_files import load_settings
+from knapweedbridge_daemon.local_files import load_settings, read_text
 from knapweedbridge_daemon.logs import logging_to
+from knapweedbridge_daemon.serving.main import serve
+from knapweedbridge_daemon.serving.settings import is_serving, read_serving_settings
 
 EXIT_BAD_SETTINGS = 2
 EXIT_CUT = 3
@@ -34,6 +36,9 @@
 
     def __call__(self) -> None:
         """Check the settings, then serve until a signal."""
+        if is_serving(self._text()):
+            self._serve_by_dialect()
+            return
         settings = self._read()
         if self.check:
             print(f"{self.settings}: no fault")
@@ -44,6 +49,22 @@
         except LocalFileError as error:
             _refuse(error)
 
+    def _text(self) -> str:
+        try:
+            return read_text(self.settings)
+        except LocalFileError as error:
+            _refuse(error)
+
+    def _serve_by_dialect(self) -> None:
+        try:
+            settings = read_serving_settings(str(self.settings), self._text())
+        except CheckError as error:
+            _refuse(error)
+        if self.check:
+            print(f"{self.settings}: no fault")
+            return
+        serve(settings)
+
     @staticmethod
     def _serve(settings: Settings) -> None:
         daemon = Daemon(settings)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/decision_log.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/decision_log.py
@@ -6,6 +6,7 @@
 
 import os
 import sys
+import time
 from collections import Counter, deque
 from dataclasses import dataclass
 from enum import IntEnum
@@ -96,6 +97,7 @@
                 "message_type": kind,
                 "host": self._host,
                 "level": level.name.lower(),
+                "time_s": round(time.time(), 4),
                 "clock_s": round(now_s, 4),
                 **fields,
             }
