Refuse a call that crashed two endpoints, on all daemons

Blame is told when an endpoint is proved lost shortly after calls broke there. Calls with less than 16 bytes of body are not told apart and never blamed.

--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -235,3 +235,19 @@
       | daemons | watching | hearing |
       | 9       | 3        | 9       |
       | 78      | 2        | 26      |
+
+  Scenario Outline: A call that crashes endpoints, <losses> losses <how>
+    A caller's request crashed one engine after another, each with all that it ran:
+    its caller sent it again by the next host each time.
+
+    When a call of <bytes> bytes was lost with <losses> endpoints, <how>
+    Then it is refused: <refused>, and another call: no
+
+    Examples:
+      | losses | bytes | how                        | refused |
+      | 1      | 100   | seen by this daemon        | no      |
+      | 2      | 100   | seen by this daemon        | yes     |
+      | 2      | 100   | told by another daemon     | yes     |
+      | 2      | 0     | seen by this daemon        | no      |
+      | 2      | 100   | but they lived on          | no      |
+      | 2      | 100   | seen more than 60 s ago    | no      |
--- /dev/null
+++ b/features/serving/logs.feature
@@ -0,0 +1,37 @@
+Feature: What a daemon tells of itself
+  Logs never stand in the way of serving, and metrics and the command agree with them.
+
+  Scenario Outline: A standard output that <fault> does not stop the daemon
+    A daemon stood still: who read its standard output had stopped reading.
+
+    Given a log whose output <fault>
+    When 20000 lines are logged
+    Then no write waited, and lost lines were counted
+
+    Examples:
+      | fault               |
+      | is read by nobody   |
+      | was closed          |
+
+  Scenario: A kind of line that comes too often is thinned out
+    Under overload the lines of refusals took more processor time than serving.
+
+    Given a log of 5 lines a second of a kind
+    When 50 lines of one kind and 1 of another are logged
+    Then 6 lines are written, and 45 counted as lost
+
+  Scenario: Metrics are served as text with bounded labels
+    When calls, attempts and durations were measured
+    Then the page holds each counter and histogram once
+
+  Scenario Outline: The command explains a call: <case>
+    Given logs of two hosts with a call that waited for an engine
+    When the command explains "<id>"
+    Then it ends with <code> and shows "<shown>"
+
+    Examples:
+      | case              | id    | code | shown                         |
+      | a known call      | c1    | 0    | request.ended                 |
+      | the owner's lines | c1    | 0    | engine.stuck                  |
+      | another's lines   | c1    | 0    | not other-engine              |
+      | an unknown call   | c9    | 7    | no line of request c9         |
--- a/features/serving/steps/decision_steps.py
+++ b/features/serving/steps/decision_steps.py
@@ -9,6 +9,7 @@
     Beliefs,
     CallKind,
     CallProgress,
+    CrashLedger,
     DaemonRecord,
     Deployment,
     EndpointRecord,
@@ -33,6 +34,7 @@
     WeightedService,
     claim_due_s,
     claimants,
+    fingerprint,
     may_send_again,
     near,
     parse_model,
@@ -641,3 +643,26 @@
 @then("{count:d} hear of an engine there without asking")
 def hearing(context, count):
     assert len(near(context.daemons, "d1")) == count
+
+
+@when("a call of {size:d} bytes was lost with {losses:d} endpoints, {how}")
+def lost_with(context, size, losses, how):
+    ledger = context.ledger = CrashLedger()
+    context.mark = fingerprint(b"/draft/1", b"x" * size)
+    at_s = NOW_S - 70 if "ago" in how else NOW_S - 1
+    for number in range(losses):
+        name = f"e{number}"
+        if "told" in how:
+            ledger.told(context.mark, name, at_s + 2 * number)
+            continue
+        ledger.broke(context.mark, name, at_s + 2 * number)
+        if "lived" not in how:
+            ledger.lost(name, at_s + 2 * number + 0.5)
+
+
+@then("it is refused: {refused}, and another call: no")
+def is_refused(context, refused):
+    found = context.ledger.refused_for_s(context.mark, NOW_S + 2)
+    assert (found > 0) == (refused == "yes"), found
+    other = fingerprint(b"/draft/1", b"y" * 100)
+    assert context.ledger.refused_for_s(other, NOW_S + 2) == 0
--- /dev/null
+++ b/features/serving/steps/log_steps.py
@@ -0,0 +1,156 @@
+import contextlib
+import io
+import json
+import os
+import tempfile
+import time
+from pathlib import Path
+
+import anyio
+from behave import given, then, when
+
+from knapweedbridge_cli.main import run
+from knapweedbridge_daemon.serving.decision_log import DecisionLog
+from knapweedbridge_daemon.serving.measures import Measures
+
+
+@given("a log whose output {fault}")
+def faulty_output(context, fault):
+    reading, writing = os.pipe()
+    context.descriptors = [writing]
+    if fault == "was closed":
+        os.close(reading)
+    else:
+        context.descriptors.append(reading)
+    context.log = DecisionLog("h1", "info", 1e9, writing)
+
+
+@given("a log of {lines:d} lines a second of a kind")
+def thinned(context, lines):
+    context.file = tempfile.TemporaryFile()  # noqa: SIM115
+    context.descriptors = []
+    context.log = DecisionLog("h1", "info", lines, context.file.fileno())
+
+
+def log_in_loop(context, work):
+    async def story():
+        context.log.open()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(context.log.run)
+            await work()
+            await anyio.sleep(0.3)
+            tasks.cancel_scope.cancel()
+        context.log.close()
+
+    anyio.run(story)
+    for descriptor in context.descriptors:
+        os.close(descriptor)
+
+
+@when("{count:d} lines are logged")
+def log_lines(context, count):
+    async def work():
+        longest_s = 0.0
+        for number in range(count):
+            began_s = time.monotonic()
+            context.log.info("attempt.ended", request=f"r{number}", text="x" * 50)
+            longest_s = max(longest_s, time.monotonic() - began_s)
+            if number % 500 == 0:
+                await anyio.sleep(0)
+        context.longest_s = longest_s
+
+    log_in_loop(context, work)
+
+
+@then("no write waited, and lost lines were counted")
+def nothing_waited(context):
+    assert context.longest_s < 0.5, context.longest_s
+    assert sum(context.log.dropped.values()) > 1000, context.log.dropped
+
+
+@when("{many:d} lines of one kind and {few:d} of another are logged")
+def log_two_kinds(context, many, few):
+    async def work():
+        for _ in range(many):
+            context.log.info("request.ended", request="r")
+        for _ in range(few):
+            context.log.error("store.lost", error="e")
+
+    log_in_loop(context, work)
+
+
+@then("{written:d} lines are written, and {lost:d} counted as lost")
+def lines_written(context, written, lost):
+    context.file.seek(0)
+    lines = [json.loads(line) for line in context.file.read().splitlines()]
+    assert len(lines) == written, lines
+    assert context.log.dropped == {"request.ended": lost}, context.log.dropped
+    assert {line["host"] for line in lines} == {"h1"}
+
+
+@when("calls, attempts and durations were measured")
+def measured(context):
+    measures = Measures()
+    for kind in ("answered", "answered", "overloaded"):
+        measures.count("requests", kind)
+    measures.count("attempts", "broken")
+    measures.time("request_seconds", 0.03)
+    measures.time("request_seconds", 99.0)
+    measures.gauges["daemons"] = 3
+    context.page = measures.render().decode()
+
+
+@then("the page holds each counter and histogram once")
+def page_holds(context):
+    wanted = [
+        'knapweedbridge_requests_total{kind="answered"} 2.0',
+        'knapweedbridge_requests_total{kind="overloaded"} 1.0',
+        'knapweedbridge_attempts_total{kind="broken"} 1.0',
+        'knapweedbridge_request_seconds_bucket{le="0.05"} 1.0',
+        'knapweedbridge_request_seconds_bucket{le="+Inf"} 2.0',
+        "knapweedbridge_daemons 3.0",
+    ]
+    lines = context.page.splitlines()
+    assert all(lines.count(line) == 1 for line in wanted), context.page
+
+
+LINES = {
+    "h1": [
+        ("adapter.wanted", 10.0, {"request": "c1", "engine": "e1"}),
+        ("request.ended", 11.0, {"request": "c1", "outcome": "no_place"}),
+        ("request.ended", 11.0, {"request": "c2", "outcome": "answered"}),
+    ],
+    "h2": [
+        ("engine.stuck", 10.5, {"engine": "e1", "wants": 9}),
+        ("engine.stuck", 10.5, {"engine": "other-engine", "wants": 1}),
+    ],
+}
+
+
+@given("logs of two hosts with a call that waited for an engine")
+def two_logs(context):
+    context.folder = Path(tempfile.mkdtemp())
+    for host, lines in LINES.items():
+        rows = ["no line of ours"]
+        rows += [
+            json.dumps({"message_type": kind, "host": host, "time_s": at_s, **fields})
+            for kind, at_s, fields in lines
+        ]
+        (context.folder / f"{host}.log").write_text("\n".join(rows))
+
+
+@when('the command explains "{call}"')
+def explain(context, call):
+    output = io.StringIO()
+    with contextlib.redirect_stdout(output), contextlib.redirect_stderr(output):
+        context.code = run(["explain", call, "--logs", str(context.folder)])
+    context.output = output.getvalue()
+
+
+@then('it ends with {code:d} and shows "{shown}"')
+def shows(context, code, shown):
+    assert context.code == code, context.output
+    if shown.startswith("not "):
+        assert shown[4:] not in context.output, context.output
+    else:
+        assert shown in context.output, context.output
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -13,6 +13,7 @@
     resumes,
 )
 from knapweedbridge_core.serving.beliefs import Belief, Beliefs
+from knapweedbridge_core.serving.crashes import CrashLedger, fingerprint
 from knapweedbridge_core.serving.deployment import (
     BaseModel,
     CallKind,
@@ -66,6 +67,7 @@
     "Beliefs",
     "CallKind",
     "CallProgress",
+    "CrashLedger",
     "DaemonRecord",
     "Deployment",
     "Endpoint",
@@ -97,6 +99,7 @@
     "choose_plain",
     "claim_due_s",
     "claimants",
+    "fingerprint",
     "first_byte_patience_s",
     "first_event_patience_s",
     "is_small",
--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/serving/crashes.py
@@ -0,0 +1,78 @@
+"""Calls that crash the endpoints that run them, and who tells whom of it.
+
+A caller sends such a call again and again, by any daemon; each time an endpoint is
+lost with all that it ran. Those others are blamed as well, but only once: with two
+losses a call is refused, and what is innocent is hardly ever lost twice.
+"""
+
+import hashlib
+from collections import deque
+from dataclasses import dataclass
+
+from knapweedbridge_core.blame import Blame, Verdict
+
+LAPSE_S = 60.0
+"""How long blame holds; callers give up on such a call within seconds."""
+
+PROOF_S = 4.0
+"""How long after a call broke its endpoint's loss may show: an entry lapses after
+three heartbeats of 1.2 s."""
+
+SHORTEST_BODY_BYTES = 16
+"""A call without a body of its own cannot be told from others on its path."""
+
+
+def fingerprint(target: bytes, body: bytes) -> str:
+    """Return what a call is known by when it comes again, or an empty text."""
+    if len(body) < SHORTEST_BODY_BYTES:
+        return ""
+    return hashlib.blake2b(target + b"\0" + body, digest_size=16).hexdigest()
+
+
+@dataclass(slots=True, frozen=True)
+class Broke:
+    """A call that broke off at an endpoint."""
+
+    fingerprint: str
+    endpoint: str
+    at_s: float
+
+
+class CrashLedger:
+    """What one daemon knows of calls that were lost with their endpoints."""
+
+    def __init__(self) -> None:
+        self._blame = Blame(lapse_s=LAPSE_S)
+        self._broke: deque[Broke] = deque(maxlen=1000)
+
+    def broke(self, mark: str, endpoint: str, now_s: float) -> None:
+        """Note that a call broke off; the endpoint may have been lost with it."""
+        if mark:
+            self._broke.append(Broke(mark, endpoint, now_s))
+
+    def lost(self, endpoint: str, now_s: float) -> list[str]:
+        """Take that an endpoint is lost; return the calls that are to be blamed."""
+        found = [
+            each.fingerprint
+            for each in self._broke
+            if each.endpoint == endpoint and now_s - each.at_s <= PROOF_S
+        ]
+        kept = [each for each in self._broke if each.endpoint != endpoint]
+        self._broke = deque(kept, maxlen=self._broke.maxlen)
+        for mark in found:
+            self.told(mark, endpoint, now_s)
+        return found
+
+    def told(self, mark: str, endpoint: str, now_s: float) -> None:
+        """Blame a call for an endpoint's loss, here or at another daemon."""
+        self._blame.suspect(mark, endpoint, endpoint, now_s)
+        self._blame.proved(mark, endpoint)
+
+    def refused_for_s(self, mark: str, now_s: float) -> float:
+        """Return for how long a call is refused; 0 where it may run."""
+        if not mark:
+            return 0.0
+        self._blame.lapse(now_s)
+        if self._blame.judge(mark, now_s) is not Verdict.REFUSE:
+            return 0.0
+        return self._blame.refused_for_s(mark, now_s)
--- a/packages/core/src/knapweedbridge_core/serving/messages.py
+++ b/packages/core/src/knapweedbridge_core/serving/messages.py
@@ -155,3 +155,11 @@
     since: int
     revision: int
     items: list[list]
+
+
+@message
+class CallsBlamed:
+    """An endpoint was lost with these calls; `crashes` says what that means."""
+
+    endpoint: str
+    fingerprints: list[str]
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -71,9 +71,12 @@
             end, detail = AttemptEnd.NOT_RUN, str(error)
             call.refused.add(endpoint.name)
             endpoint.note_unreachable(anyio.current_time())
+            await self._link.endpoint_lost(endpoint.name)
         except (BrokenError, EventTooLongError) as error:
             end, detail = AttemptEnd.BROKEN, str(error)
             call.progress.runs.add(endpoint.name)
+            if not patience.cancelled_caught:
+                self._hub.crashes.broke(call.mark, endpoint.name, anyio.current_time())
         finally:
             self._note_read(call, endpoint)
             whole = end is not AttemptEnd.BROKEN
--- a/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
@@ -1,11 +1,13 @@
 """Follows the platform's store, and keeps this daemon's beliefs up to it."""
 
 import random
+from collections.abc import Awaitable, Callable
 from itertools import chain
 
 import anyio
 
 from knapweedbridge_core.serving import is_small, near, watchers
+from knapweedbridge_core.serving.beliefs import EndpointGone
 from knapweedbridge_core.serving.messages import StoreTold
 from knapweedbridge_daemon.errors import StoreError
 from knapweedbridge_daemon.serving.dialects import DialectError
@@ -29,6 +31,8 @@
 LONGEST_PAUSE_S = 1.0
 """Pauses between calls that fail: the store's return is seen within a second."""
 
+OnGone = Callable[[str], Awaitable[None]]
+
 
 class StoreFollower:
     """The task that reads the store and follows its changes.
@@ -39,11 +43,15 @@
         What it keeps up to date.
     send : callable
         Sends a message to a daemon.
+    on_gone : callable
+        Takes the name of each endpoint that is listed no more.
     """
 
-    def __init__(self, hub: Hub, send: Send) -> None:
+    def __init__(self, hub: Hub, send: Send, on_gone: OnGone) -> None:
         self._hub = hub
         self._send = send
+        self._on_gone = on_gone
+        self._gone: list[str] = []
         self._failures = 0
         self._watch: anyio.CancelScope | None = None
         self._revision = 0
@@ -80,6 +88,8 @@
                     await self._listen(prefix)
                 else:
                     await self._watch_once(prefix, WATCH_S)
+                while self._gone:
+                    await self._on_gone(self._gone.pop())
             except HistoryGoneError:
                 self._hub.log.info("store.history_gone", revision=self._revision)
                 self._revision = 0
@@ -180,6 +190,8 @@
             return False
         if belief is None:
             return False
+        if isinstance(belief, EndpointGone):
+            self._gone.append(belief.endpoint)
         now_s = anyio.current_time()
         changed = hub.beliefs.take(belief, now_s, hub.is_store_disturbed)
         if changed:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/call.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/call.py
@@ -42,6 +42,8 @@
         What the caller says of it.
     deadline_s : float
         When its answer is due at the latest, on the daemon's clock.
+    mark : str
+        What it is known by when it comes again.
     """
 
     request: ReceivedRequest
@@ -58,6 +60,7 @@
     last_choice: str = ""
     unread_tokens: int = 0
     accepted: bool = False
+    mark: str = ""
 
     @property
     def left_s(self) -> float:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from knapweedbridge_core.serving import Deployment, FaceLimits, Route
+from knapweedbridge_core.serving import Deployment, FaceLimits, Route, fingerprint
 from knapweedbridge_daemon.serving.call import Call
 from knapweedbridge_daemon.serving.calls import CallRunner
 from knapweedbridge_daemon.serving.dialects import CallDetails, DialectError, Refusal
@@ -125,9 +125,14 @@
             route.service_of(details.call_id),
             details,
             request.received_s + allowed_s,
+            mark=fingerprint(request.head.target, request.body),
         )
         self._hub.budget.note_request(call.service, anyio.current_time())
         outcome = "caller_left"
+        blamed_s = self._hub.crashes.refused_for_s(call.mark, anyio.current_time())
+        if blamed_s:
+            await self._refuse(request, responder, Refusal(503, "blamed", blamed_s))
+            return
         try:
             with anyio.move_on_at(call.deadline_s) as bound:
                 outcome = await self._runner.run(call)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
@@ -43,6 +43,8 @@
         if not may_send_again(call.route, call.progress, end):
             return False
         now_s = anyio.current_time()
+        if self._hub.crashes.refused_for_s(call.mark, now_s):
+            return False
         return self._hub.budget.spend(call.service, self._hub.daemons, now_s)
 
     async def _fail(self, call: Call, end: AttemptEnd) -> str:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -105,7 +105,7 @@
 
     async def _serve(self, hub: Hub) -> None:
         link = PeerLink(hub)
-        follower = StoreFollower(hub, link.send)
+        follower = StoreFollower(hub, link.send, link.endpoint_lost)
         link.on_store_told = follower.heard
         lease = LeaseKeeper(hub, follower)
         app = CallersApp(hub, CallRunner(hub, link))
--- a/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
@@ -9,6 +9,7 @@
 
 from knapweedbridge_core.serving import (
     Beliefs,
+    CrashLedger,
     EngineLimits,
     LeaseClock,
     RetryBudget,
@@ -84,6 +85,7 @@
     measures: Measures
     pool: ConnectionPool = field(default_factory=ConnectionPool)
     beliefs: Beliefs = field(default_factory=Beliefs)
+    crashes: CrashLedger = field(default_factory=CrashLedger)
     lease: LeaseClock = field(default_factory=LeaseClock)
     engines_changed: Changes = field(default_factory=Changes)
     beliefs_changed: Changes = field(default_factory=Changes)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -10,6 +10,7 @@
 from knapweedbridge_core.serving import Endpoint, ModelRef
 from knapweedbridge_core.serving.fleet import HeldAdapter
 from knapweedbridge_core.serving.messages import (
+    CallsBlamed,
     EngineAsked,
     EngineChanged,
     EngineTold,
@@ -98,6 +99,10 @@
             self._take_changed(daemon, message)
         elif isinstance(message, StoreTold):
             self.on_store_told(message)
+        elif isinstance(message, CallsBlamed):
+            now_s = anyio.current_time()
+            for mark in message.fingerprints:
+                self._hub.crashes.told(mark, message.endpoint, now_s)
         elif isinstance(message, OwnerAnswered):
             self._take_answered(message)
         elif isinstance(message, ToOwner):
@@ -165,6 +170,16 @@
         endpoint.bases = set(message.bases)
         self._hub.engines_changed.tell()
 
+    async def endpoint_lost(self, endpoint: str) -> None:
+        """Blame the calls that an endpoint was lost with, on all daemons."""
+        marks = self._hub.crashes.lost(endpoint, anyio.current_time())
+        if not marks:
+            return
+        self._hub.log.info("calls.blamed", endpoint=endpoint, calls=len(marks))
+        for daemon in list(self._hub.beliefs.daemons):
+            if daemon != self._hub.identity.name:
+                await self.send(daemon, CallsBlamed(endpoint, marks))
+
     def _take_answered(self, message: OwnerAnswered) -> None:
         endpoint = self._hub.beliefs.fleet.endpoints.get(message.endpoint)
         if endpoint is not None:
