Take a call that is ended from here for no failure of its endpoint

Cause: an attempt that was cancelled (the caller left, its time was up) counted as broken, and raised the price of a well engine by up to 2 s; found by reading. Test first: 'A caller that leaves' failed, passes.

--- a/features/platform/steps/path_steps.py
+++ b/features/platform/steps/path_steps.py
@@ -395,6 +395,10 @@
     await anyio.sleep(0.5)
     ended = [line for line in path.lines() if line["message_type"] == "request.ended"]
     context.outcomes = [line["outcome"] for line in ended]
+    attempts = [
+        line for line in path.lines() if line["message_type"] == "attempt.ended"
+    ]
+    context.attempts = [line["outcome"] for line in attempts]
 
 
 @then("the engine's connection is closed soon after")
@@ -402,6 +406,11 @@
     assert context.outcomes == ["caller_left"], context.outcomes
 
 
+@then("the engine is not taken for one that fails")
+def not_failing(context):
+    assert context.attempts == ["abandoned"], context.attempts
+
+
 @given("the whole path without a configuration")
 def without_configuration(context):
     async def story():
--- a/features/platform/whole_path.feature
+++ b/features/platform/whole_path.feature
@@ -134,9 +134,13 @@
       | an unreadable header  | 400    |
 
   Scenario: A caller that leaves ends its call at the endpoint
+    While many callers left early, well engines got few calls: each left call was
+    counted as the engine's failure.
+
     Given the whole path
     When a caller leaves in the middle of a stream
     Then the engine's connection is closed soon after
+    And the engine is not taken for one that fails
 
   Scenario: A daemon without a configuration says that it was not run
     Given the whole path without a configuration
--- a/packages/core/src/knapweedbridge_core/serving/attempts.py
+++ b/packages/core/src/knapweedbridge_core/serving/attempts.py
@@ -15,12 +15,15 @@
     ``NOT_RUN``: the endpoint says so, or no byte of the call was written.
     ``FAILED``: the endpoint ran it and answered with a failure of its own.
     ``BROKEN``: it may have run; no whole answer came.
+    ``ABANDONED``: it was ended from here: the caller left, or its time was up. That
+    says nothing of the endpoint.
     """
 
     ANSWERED = "answered"
     NOT_RUN = "not_run"
     FAILED = "failed"
     BROKEN = "broken"
+    ABANDONED = "abandoned"
 
 
 @dataclass(slots=True)
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -124,7 +124,6 @@
     others_unread_tokens: int = 0
     told: bool = False
     unlisted_s: float | None = None
-    refused_until_s: float = 0.0
     suspect_until_s: float = 0.0
     failures_in_row: int = 0
     failure_share: float = 0.0
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -59,7 +59,7 @@
         call.progress.sends += 1
         call.unread_tokens = call.details.prompt_tokens
         self._link.running.begin(endpoint, model, call.unread_tokens)
-        end = AttemptEnd.BROKEN
+        end = AttemptEnd.ABANDONED
         detail = ""
         patience = anyio.CancelScope(deadline=self._patient_until_s(call, target))
         try:
@@ -79,7 +79,7 @@
                 self._hub.crashes.broke(call.mark, endpoint.name, anyio.current_time())
         finally:
             self._note_read(call, endpoint)
-            whole = end is not AttemptEnd.BROKEN
+            whole = end not in (AttemptEnd.BROKEN, AttemptEnd.ABANDONED)
             self._link.running.end(endpoint, model, whole)
             self._note(call, target, end, began_s, detail)
         return end
@@ -93,8 +93,9 @@
         self, call: Call, target: Target, end: AttemptEnd, began_s: float, detail: str
     ) -> None:
         now_s = anyio.current_time()
-        failed = end in (AttemptEnd.FAILED, AttemptEnd.BROKEN)
-        target.endpoint.note_result(failed, now_s)
+        if end is not AttemptEnd.ABANDONED:
+            failed = end in (AttemptEnd.FAILED, AttemptEnd.BROKEN)
+            target.endpoint.note_result(failed, now_s)
         self._hub.measures.count("attempts", end.value)
         self._hub.log.info(
             "attempt.ended",
@@ -217,8 +218,6 @@
         cutter = EventCutter(call.last_event if resumed else None)
         async for chunk in connection.read_body():
             events = cutter.feed(chunk)
-            if events.last_id is not None:
-                call.last_event = events.last_id
             if not events.count:
                 continue
             if patience.cancel_called:
@@ -227,6 +226,8 @@
                 raise BrokenError("silent")
             patience.deadline = math.inf
             self._note_read(call, endpoint)
+            if events.last_id is not None:
+                call.last_event = events.last_id
             if not call.progress.begun:
                 call.progress.begun = True
                 call.first_event_s = anyio.current_time()
