Read the sections of a settings file in one place

The loop over sections stood twice, once a kind of settings; both call read_sections now, and the daemon's command reads its settings file once.

--- a/packages/core/src/knapweedbridge_core/schema.py
+++ b/packages/core/src/knapweedbridge_core/schema.py
@@ -8,7 +8,7 @@
 from typing import Any
 from urllib.parse import urlsplit
 
-from knapweedbridge_core.faults import Fault
+from knapweedbridge_core.faults import Fault, read_ini
 from knapweedbridge_core.names import is_name
 
 MAX_PORT = 65535
@@ -223,3 +223,20 @@
                     Fault(file, title, name, f"{text!r}: allowed: {key.kind.allowed}")
                 )
         return values, faults
+
+
+def read_sections(
+    file: str, text: str, sections: Mapping[str, Section]
+) -> tuple[dict[str, dict[str, Any]], list[Fault]]:
+    """Read an INI text of known sections, and find every fault in it."""
+    parser, faults = read_ini(file, text)
+    for title in parser.sections():
+        if title not in sections:
+            allowed = ", ".join(sections)
+            faults.append(Fault(file, title, "", f"unknown; allowed: {allowed}"))
+    values: dict[str, dict[str, Any]] = {}
+    for title, section in sections.items():
+        items = dict(parser[title]) if parser.has_section(title) else {}
+        values[title], found = section.read(file, title, items)
+        faults += found
+    return values, faults
--- a/packages/core/src/knapweedbridge_core/settings.py
+++ b/packages/core/src/knapweedbridge_core/settings.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from knapweedbridge_core.errors import CheckError
-from knapweedbridge_core.faults import Fault, read_ini
+from knapweedbridge_core.faults import Fault
 from knapweedbridge_core.schema import (
     Address,
     Choice,
@@ -18,6 +18,7 @@
     Section,
     Text,
     Url,
+    read_sections,
 )
 
 HEARTBEATS_BEFORE_SILENCE = 2
@@ -186,16 +187,7 @@
 
 def inspect_settings(file: str, text: str) -> tuple[Settings, list[Fault]]:
     """Read what can be read of a settings file, and find every fault in it."""
-    parser, faults = read_ini(file, text)
-    for title in parser.sections():
-        if title not in SECTIONS:
-            allowed = ", ".join(SECTIONS)
-            faults.append(Fault(file, title, "", f"unknown; allowed: {allowed}"))
-    values: dict[str, dict[str, Any]] = {}
-    for title, section in SECTIONS.items():
-        items = dict(parser[title]) if parser.has_section(title) else {}
-        values[title], found = section.read(file, title, items)
-        faults += found
+    values, faults = read_sections(file, text, SECTIONS)
     faults += [Fault(file, *fault) for fault in _inconsistent(values)]
     return Settings(values), faults
 
--- a/packages/daemon/src/knapweedbridge_daemon/main.py
+++ b/packages/daemon/src/knapweedbridge_daemon/main.py
@@ -36,8 +36,9 @@
 
     def __call__(self) -> None:
         """Check the settings, then serve until a signal."""
-        if is_serving(self._text()):
-            self._serve_by_dialect()
+        text = self._text()
+        if is_serving(text):
+            self._serve_by_dialect(text)
             return
         settings = self._read()
         if self.check:
@@ -55,9 +56,9 @@
         except LocalFileError as error:
             _refuse(error)
 
-    def _serve_by_dialect(self) -> None:
+    def _serve_by_dialect(self, text: str) -> None:
         try:
-            settings = read_serving_settings(str(self.settings), self._text())
+            settings = read_serving_settings(str(self.settings), text)
         except CheckError as error:
             _refuse(error)
         if self.check:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/settings.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/settings.py
@@ -4,7 +4,6 @@
 from typing import Any
 
 from knapweedbridge_core.errors import CheckError
-from knapweedbridge_core.faults import Fault, read_ini
 from knapweedbridge_core.schema import (
     Address,
     Choice,
@@ -13,6 +12,7 @@
     Number,
     Section,
     Text,
+    read_sections,
 )
 
 SECTIONS: dict[str, Section] = {
@@ -111,16 +111,7 @@
     CheckError
         With every fault, each naming file, section and key.
     """
-    parser, faults = read_ini(file, text)
-    for title in parser.sections():
-        if title not in SECTIONS:
-            allowed = ", ".join(SECTIONS)
-            faults.append(Fault(file, title, "", f"unknown; allowed: {allowed}"))
-    values: dict[str, dict[str, Any]] = {}
-    for title, section in SECTIONS.items():
-        items = dict(parser[title]) if parser.has_section(title) else {}
-        values[title], found = section.read(file, title, items)
-        faults += found
+    values, faults = read_sections(file, text, SECTIONS)
     if faults:
         raise CheckError(faults)
     return ServingSettings(values)
