Read an answer that comes before a long body is written; name each refused call

Cause: a request was written whole before its answer was looked at. An endpoint that refuses a long body early and closes broke the write, and the refusal that proved the call was not run was lost with it: a call that may run once ended 502. Ruled out: reading only after the broken write; the event loop drops unread bytes with the connection (the test failed so). Also: request.refused told no request id; an order and a store call had each their own exchange, now ClientConnection.call. Tests: an early answer before 8 MB are read, closed and kept (the first failed before); the id of a refused call (failed before).

--- a/features/platform/steps/path_steps.py
+++ b/features/platform/steps/path_steps.py
@@ -10,9 +10,12 @@
 from whole_path import configuration, free_port, settings_fields, whole_path
 
 from knapweedbridge_core.errors import CheckError
+from knapweedbridge_daemon.serving.http_client import ConnectionPool
 from knapweedbridge_daemon.serving.settings import read_serving_settings
+from knapweedbridge_daemon.serving.wire import RequestHead, WireRequest
 
 ROOT = Path(__file__).parents[3]
+REFUSED = "request.refused"
 
 
 def played(work):
@@ -380,6 +383,73 @@
     assert not any(desk.requests for desk in context.path.desks)
 
 
+EARLY = b"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+class EarlyServer:
+    """Answers after the head, then closes or reads the rest on."""
+
+    def __init__(self, closes):
+        self._closes = closes
+        self.got_bytes = []
+
+    async def serve(self, stream):
+        async with stream:
+            while True:
+                got = await stream.receive()
+                if not self.got_bytes or self.got_bytes[-1] >= LONG_BODY_BYTES:
+                    self.got_bytes.append(0)
+                    await stream.send(EARLY)
+                    if self._closes:
+                        await anyio.sleep(0.05)
+                        return
+                self.got_bytes[-1] += len(got)
+
+
+LONG_BODY_BYTES = 8 << 20
+
+
+@when("an endpoint answers 503 before a body of 8 MB is read, and {ends}")
+def early_answer(context, ends):
+    server = EarlyServer(closes=ends == "closes")
+    head = RequestHead(
+        b"POST",
+        b"/order/1",
+        [(b"Host", b"h"), (b"Content-Length", b"%d" % LONG_BODY_BYTES)],
+    )
+
+    async def story():
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        pool = ConnectionPool()
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(listener.serve, server.serve)
+            for _ in range(1 if server._closes else 2):
+                async with pool.connection(f"127.0.0.1:{port}") as connection:
+                    request = WireRequest(head, b"x" * LONG_BODY_BYTES)
+                    context.early_head, _ = await connection.call(request)
+            context.reused = pool.reused
+            await pool.aclose()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(story)
+
+
+@then("the answer is read")
+def early_is_read(context):
+    assert context.early_head.status == 503, context.early_head
+
+
+@then("the connection is not kept")
+def early_not_kept(context):
+    assert context.reused == 0, context.reused
+
+
+@then("the connection is kept")
+def early_kept(context):
+    assert context.reused == 1, context.reused
+
+
 @when("a caller leaves in the middle of a stream")
 @played
 async def leaves(context, path):
@@ -411,6 +481,11 @@
     assert context.attempts == ["abandoned"], context.attempts
 
 
+def refused_calls(path):
+    refused = [line for line in path.lines() if line["message_type"] == REFUSED]
+    return [(line["request"], line["reason"]) for line in refused]
+
+
 @given("the whole path without a configuration")
 def without_configuration(context):
     async def story():
@@ -421,7 +496,10 @@
             async with httpx.AsyncClient() as client:
                 url = f"http://127.0.0.1:{path.ports[0][1]}/v1/ready"
                 context.ready = await client.get(url)
-            context.response = await path.call("GET", "/look/1")
+            named = {"Request-Id": "early-1"}
+            context.response = await path.call("GET", "/look/1", headers=named)
+            await path.until(lambda: refused_calls(path), "the refusal is logged")
+            context.refused = refused_calls(path)
 
     anyio.run(story)
 
@@ -437,6 +515,11 @@
     assert float(context.response.headers["Retry-After"]) > 0
 
 
+@then("the log tells that call's id and why")
+def refused_id(context):
+    assert context.refused == [("early-1", "no_configuration")], context.refused
+
+
 FAULTS = {
     "a missing key": ("address = 127.0.0.1:1\n", ""),
     "an unknown key": ("[host]\n", "[host]\ncolour = red\n"),
--- a/features/platform/whole_path.feature
+++ b/features/platform/whole_path.feature
@@ -133,6 +133,19 @@
       | half a head           | 408    |
       | an unreadable header  | 400    |
 
+  Scenario Outline: An endpoint answers a long body early, and <then it>
+    An order was answered "may have run", and was lost: its endpoint had refused it
+    before it read the whole body. The write broke, and the answer was not looked at.
+
+    When an endpoint answers 503 before a body of 8 MB is read, and <then it>
+    Then the answer is read
+    And the connection is <kept>
+
+    Examples:
+      | then it           | kept     |
+      | closes            | not kept |
+      | reads the rest on | kept     |
+
   Scenario: A caller that leaves ends its call at the endpoint
     While many callers left early, well engines got few calls: each left call was
     counted as the engine's failure.
@@ -146,6 +159,7 @@
     Given the whole path without a configuration
     Then the daemon is not ready
     And a call is answered with 503 and when to come back
+    And the log tells that call's id and why
 
   Scenario Outline: Settings are checked whole: <fault>
     When the settings have <fault>
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -123,9 +123,9 @@
         async with self._hub.pool.connection(
             target.endpoint.record.address
         ) as connection:
-            await connection.send(head, call.request.body)
-            answer = await connection.read_head(
+            answer = await connection.exchange(
                 head,
+                call.request.body,
                 lambda headers: self._hub.dialects.endpoints.belongs(
                     call.details.call_id, headers
                 ),
--- a/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
@@ -71,27 +71,33 @@
             self.running -= 1
 
     async def _handle(self, request: ReceivedRequest, responder: Responder) -> None:
-        deployment = self._hub.beliefs.deployment
-        if deployment is None:
-            refusal = Refusal(503, "no_configuration", START_AFTER_S)
-            await self._refuse(request, responder, refusal)
-            return
         try:
             details = self._hub.dialects.callers.read_call(request.head)
         except DialectError as error:
             self._hub.log.info("request.unreadable", error=str(error))
-            await self._refuse(request, responder, Refusal(400, "unreadable"))
-            return
-        route = _route_of(deployment, request)
-        if route is None:
-            await self._refuse(request, responder, Refusal(404, "no_route"))
+            await self._refuse(request, responder, Refusal(400, "unreadable"), "")
             return
-        if self._ends_before(route):
-            refusal = Refusal(503, "stopping", STOPPING_AFTER_S)
-            await self._refuse(request, responder, refusal)
+        deployment = self._hub.beliefs.deployment
+        route = _route_of(deployment, request) if deployment else None
+        refusal = self._refusal(deployment, route)
+        if refusal is not None:
+            await self._refuse(request, responder, refusal, details.call_id)
             return
+        assert deployment is not None and route is not None
         await self._run(request, responder, route, details, deployment.version)
 
+    def _refusal(
+        self, deployment: Deployment | None, route: Route | None
+    ) -> Refusal | None:
+        """Return why a call is not begun, or None."""
+        if deployment is None:
+            return Refusal(503, "no_configuration", START_AFTER_S)
+        if route is None:
+            return Refusal(404, "no_route")
+        if self._ends_before(route):
+            return Refusal(503, "stopping", STOPPING_AFTER_S)
+        return None
+
     def _ends_before(self, route: Route) -> bool:
         # A call that is still running when the daemon must end would be cut.
         ends_s = self._hub.ends_s
@@ -100,11 +106,20 @@
         return anyio.current_time() + route.timeout_s > ends_s
 
     async def _refuse(
-        self, request: ReceivedRequest, responder: Responder, refusal: Refusal
+        self,
+        request: ReceivedRequest,
+        responder: Responder,
+        refusal: Refusal,
+        call_id: str,
     ) -> None:
         self._hub.measures.count("requests", refusal.reason)
+        deployment = self._hub.beliefs.deployment
         self._hub.log.info(
-            "request.refused", path=request.head.path, reason=refusal.reason
+            "request.refused",
+            request=call_id,
+            path=request.head.path,
+            configuration=deployment.version if deployment else None,
+            reason=refusal.reason,
         )
         headers, body = self._hub.dialects.callers.refusal(refusal)
         await responder.answer(refusal.status, headers, body)
@@ -131,7 +146,8 @@
         outcome = "caller_left"
         blamed_s = self._hub.crashes.refused_for_s(call.mark, anyio.current_time())
         if blamed_s:
-            await self._refuse(request, responder, Refusal(503, "blamed", blamed_s))
+            refusal = Refusal(503, "blamed", blamed_s)
+            await self._refuse(request, responder, refusal, call.details.call_id)
             return
         try:
             with anyio.move_on_at(call.deadline_s) as bound:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/dialects.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/dialects.py
@@ -17,7 +17,12 @@
 )
 from knapweedbridge_core.serving.beliefs import Belief
 from knapweedbridge_daemon.errors import DaemonError
-from knapweedbridge_daemon.serving.wire import Headers, RequestHead, ResponseHead
+from knapweedbridge_daemon.serving.wire import (
+    Headers,
+    RequestHead,
+    ResponseHead,
+    WireRequest,
+)
 from knapweedbridge_daemon.store import RevisionedStore
 
 
@@ -101,14 +106,6 @@
     endpoint: str | None = None
 
 
-@dataclass(slots=True, frozen=True)
-class WireRequest:
-    """A request of ours to an endpoint."""
-
-    head: RequestHead
-    body: bytes = b""
-
-
 @dataclass(slots=True, frozen=True)
 class Refusal:
     """An answer of ours that says a call was not run, or failed.
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
@@ -18,11 +18,11 @@
     OwnershipTaken,
 )
 from knapweedbridge_core.serving.ownership import OwnerRecord
-from knapweedbridge_daemon.serving.dialects import DialectError, WireRequest
+from knapweedbridge_daemon.serving.dialects import DialectError
 from knapweedbridge_daemon.serving.engine_telling import EngineTeller
 from knapweedbridge_daemon.serving.http_client import BrokenError, NotSentError
 from knapweedbridge_daemon.serving.hub import Hub, Send, suspended_clock_s
-from knapweedbridge_daemon.serving.wire import ResponseHead
+from knapweedbridge_daemon.serving.wire import ResponseHead, WireRequest
 
 ORDER_TIMEOUT_S = 0.12
 """Bound on an order: answers take some ms, each engine gets one order at a time, and
@@ -216,10 +216,7 @@
         address = self._endpoint.record.address
         with anyio.fail_after(timeout_s):
             async with self._hub.pool.connection(address) as connection:
-                await connection.send(request.head, request.body)
-                head = await connection.read_head(request.head, lambda headers: True)
-                parts = [part async for part in connection.read_body()]
-                return head, b"".join(parts)
+                return await connection.call(request)
 
     async def _order(self, order: Order) -> None:
         hub = self._hub
--- a/packages/daemon/src/knapweedbridge_daemon/serving/http_client.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/http_client.py
@@ -22,6 +22,7 @@
     Headers,
     RequestHead,
     ResponseHead,
+    WireRequest,
     connection_options,
     get_header,
 )
@@ -39,6 +40,9 @@
 
 CHUNK_BYTES = 65536
 MOST_HEAD_BYTES = 65536
+BUFFERED_BYTES = 65536
+"""What is written at once: the event loop buffers as much without waiting for the
+server. Only longer requests are written while their answer is read."""
 
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_PROBES = 2
@@ -97,18 +101,67 @@
         self._sent_whole = False
         self._keeps = True
 
-    async def send(self, head: RequestHead, body: bytes) -> None:
-        """Write a request.
+    async def exchange(
+        self, head: RequestHead, body: bytes, belongs: Belongs
+    ) -> ResponseHead:
+        """Write a request, and read the head of its answer.
 
         Raises
         ------
         BrokenError
-            If the connection broke; part of the request may have been written.
+            If the connection broke without an answer; part of the request may have
+            been written.
         """
         self.requests += 1
         self._sent_whole = False
-        await self._write(self._pack(head, body))
+        packed = self._pack(head, body)
+        if len(packed) > BUFFERED_BYTES:
+            return await self._exchange_long(packed, head, belongs)
+        await self._write(packed)
         self._sent_whole = True
+        return await self._read_head(head, belongs)
+
+    async def _exchange_long(
+        self, packed: bytes, head: RequestHead, belongs: Belongs
+    ) -> ResponseHead:
+        # A server may refuse a long body before it has read it, and close. The write
+        # then breaks, and what was not read by then is lost: the answer that proves
+        # that the call was not run. So it is read while the body is written. Where
+        # the connection is kept, the server still reads the rest as a body.
+        answer: ResponseHead | None = None
+        broken: BrokenError | None = None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._write_long, packed)
+            try:
+                answer = await self._read_head(head, belongs)
+            except BrokenError as error:
+                broken = error
+            if broken or not self._keeps:
+                tasks.cancel_scope.cancel()
+        if answer is None:
+            raise broken or BrokenError(f"{self.address}: no answer")
+        return answer
+
+    async def _write_long(self, packed: bytes) -> None:
+        try:
+            await self._write(packed)
+        except BrokenError:
+            # Whether an answer came before, the reader tells.
+            self._keeps = False
+            return
+        self._sent_whole = True
+
+    async def call(self, request: WireRequest) -> tuple[ResponseHead, bytes]:
+        """Exchange a request of our own, and read the whole answer.
+
+        Raises
+        ------
+        BrokenError
+            If the connection broke before the answer's end.
+        """
+        head = await self.exchange(request.head, request.body, lambda headers: True)
+        parts = [part async for part in self.read_body()]
+        return head, b"".join(parts)
 
     def _pack(self, head: RequestHead, body: bytes) -> bytes:
         request = h11.Request(
@@ -125,16 +178,11 @@
         except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
             raise BrokenError(f"{self.address}: {error!r}") from error
 
-    async def read_head(self, request: RequestHead, belongs: Belongs) -> ResponseHead:
+    async def _read_head(self, request: RequestHead, belongs: Belongs) -> ResponseHead:
         """Read the head of the answer to the request that was sent.
 
         A server may answer an earlier request a second time, where this one's answer
         is due; such an answer is read to its end and dropped.
-
-        Raises
-        ------
-        BrokenError
-            If the connection broke or what came is no answer.
         """
         while True:
             head = await self._next_head()
--- a/packages/daemon/src/knapweedbridge_daemon/serving/wire.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/wire.py
@@ -43,6 +43,14 @@
         return self.target.partition(b"?")[0].decode("latin-1")
 
 
+@dataclass(slots=True, frozen=True)
+class WireRequest:
+    """A request of ours, whole."""
+
+    head: RequestHead
+    body: bytes = b""
+
+
 @dataclass(slots=True, frozen=True)
 class ResponseHead:
     """First part of a response."""
