Take no answer that came as patience with it ended; spare late calls less under load

Streams were guarded against this, plain answers were not. Also guarded: an engine that answers a continued stream with something else. Test: the answer and the end of patience in one turn of the loop (failed before).

--- a/Makefile
+++ b/Makefile
@@ -62,6 +62,11 @@
 bench-load: install
 	PYTHONHASHSEED=0 $(BIN)/python bench/serving_load.py
 
+# BENCH, SITE, ENGINES, PLAIN, DAYS and JOBS: see bench/kinds_days.py.
+.PHONY: kinds-days
+kinds-days: install
+	$(BIN)/python bench/kinds_days.py
+
 .PHONY: docs
 docs: install
 	$(BIN)/python docs/make_settings.py
--- a/features/platform/standins.py
+++ b/features/platform/standins.py
@@ -2,6 +2,8 @@
 
 import base64
 import json
+import os
+import time
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, urlsplit
 
@@ -232,6 +234,15 @@
         headers = [(b"Not-Run", b"1"), (b"Instance-Id", self.name.encode())]
         await responder.answer(status, headers, b"")
 
+    def write_at_once(self, responder, headers, body):
+        """Write an answer without giving other tasks a turn."""
+        length = [(b"Content-Length", b"%d" % len(body))]
+        lines = [b"%s: %s" % pair for pair in headers + length]
+        packed = b"\r\n".join([b"HTTP/1.1 200 OK", *lines, b"", body])
+        stream = responder._connection._stream
+        raw = stream.extra(anyio.abc.SocketAttribute.raw_socket)
+        os.write(raw.fileno(), packed)
+
     async def handle(self, request, responder):
         expected = header(request, "Expect-Instance")
         if expected not in (None, self.name):
@@ -249,6 +260,13 @@
             await self.refuse(responder, 503)
         elif behaviour == "fail":
             await responder.answer(500, self.sealed(request), b"failed")
+        elif behaviour == "in the last moment":
+            await anyio.sleep(0.05)
+            self.write_at_once(responder, self.sealed(request), b"late")
+            # The daemon shares this event loop: it finds the answer and the end of
+            # its patience in one turn.
+            time.sleep(0.3)
+            await anyio.sleep(30)
         elif behaviour == "unsealed":
             await responder.answer(200, [], b"forged")
         elif behaviour == "another's":
--- a/features/platform/steps/path_steps.py
+++ b/features/platform/steps/path_steps.py
@@ -3,6 +3,7 @@
 import subprocess
 import sys
 from pathlib import Path
+from unittest import mock
 
 import anyio
 import httpx
@@ -10,6 +11,7 @@
 from whole_path import configuration, free_port, settings_fields, whole_path
 
 from knapweedbridge_core.errors import CheckError
+from knapweedbridge_daemon.serving import attempting
 from knapweedbridge_daemon.serving.http_client import ConnectionPool
 from knapweedbridge_daemon.serving.settings import read_serving_settings
 from knapweedbridge_daemon.serving.wire import RequestHead, WireRequest
@@ -60,6 +62,22 @@
     assert ran == runs, ran
 
 
+@when("the first endpoint's answer to a look-up comes just as patience with it ends")
+@played
+async def last_moment(context, path):
+    shared = ["in the last moment"]
+    for desk in path.desks:
+        desk.behaviour = shared
+    with mock.patch.object(attempting, "first_byte_patience_s", lambda *_: 0.1):
+        context.response = await path.call("GET", "/look/1")
+
+
+@then("the look-up is answered with {status:d}, by the second endpoint")
+def look_up_answered(context, status):
+    assert context.response.status_code == status, context.response
+    assert [len(desk.requests) for desk in context.path.desks] == [1, 1]
+
+
 @when('"{method}" "{path_}" is called with body "{body}"')
 @played
 async def called_with(context, path, method, path_, body):
--- a/features/platform/whole_path.feature
+++ b/features/platform/whole_path.feature
@@ -22,6 +22,15 @@
       | order | unsealed  | 502    | 1    |
       | look  | another's | 200    | 2    |
 
+  Scenario: An answer that comes just as patience with it ends
+    A caller's connection was closed without an answer. The endpoint's answer came in
+    the moment in which the daemon gave it up: it was taken, not written, and the next
+    endpoint's answer could not be written after it.
+
+    Given the whole path
+    When the first endpoint's answer to a look-up comes just as patience with it ends
+    Then the look-up is answered with 200, by the second endpoint
+
   Scenario: Method, path, query and body reach the endpoint unchanged
     Given the whole path
     When "POST" "/order/a%20b?x=1&y=%2F" is called with body "abc"
--- a/features/serving/load.feature
+++ b/features/serving/load.feature
@@ -12,7 +12,7 @@
     Examples:
       | load | share |
       | 1    | 0.96  |
-      | 1.5  | 0.90  |
+      | 1.5  | 0.84  |
 
   Scenario: Under an overload that lasts the answers in time do not become fewer
     With each caller taken in, however late, all waited and none was served in time.
@@ -30,7 +30,7 @@
     idled: no daemon hears of all engines, and each took the unknown ones for <story>.
 
     When a large pool is played at its usual load
-    Then at least 0.85 of its callers are answered in time
+    Then at least 0.8 of its callers are answered in time
     And at least 0.05 more than where daemons <do not>
 
     Examples:
--- a/features/serving/steps/load_steps.py
+++ b/features/serving/steps/load_steps.py
@@ -70,8 +70,7 @@
 
 @then("more than where every late call is refused")
 def more_than_strict(context):
-    strict = {"SPARE_MOST": 0.0, "SPARE_LEAST": 0.0}
-    with mock.patch.multiple(late_admission, **strict):
+    with mock.patch.object(late_admission, "SPARE_MOST", 0.0):
         found = play(
             context.site, PricedPlacement(), context.load, PLAYED_S[context.site.name]
         )
--- a/packages/core/src/knapweedbridge_core/serving/late_admission.py
+++ b/packages/core/src/knapweedbridge_core/serving/late_admission.py
@@ -5,10 +5,12 @@
 waited, and the next moment's load is no smaller. Only while the load stays above what
 the engines hold does a refusal help others, who are then answered in time.
 
-So the share of calls that come too late decides. Modelled on the first deployment, of
-the calls that were asked for were answered in time, without this and with it: 96% and
-99% at its heaviest usual load, 90% and 95% at 1.5 times that, 82% and 85% at twice,
-65% and 64% at three times.
+So the share of calls that come too late decides. Modelled with four seeds, the share
+of callers who were answered in time without this and with it, at the heaviest usual
+load, 1.5 times that and twice: 0.95 and 0.98, 0.88 and 0.89, 0.80 and 0.82 on the first
+deployment; 0.98 and 0.99, 0.92 and 0.94, 0.79 and 0.80 on the second. Sparing more (by
+1.5 objectives, until 0.3 of the calls are late) helped the first and harmed the second:
+0.89 and 0.74 at 1.5 times and twice its load.
 """
 
 from dataclasses import replace
@@ -21,16 +23,13 @@
     TooLate,
 )
 
-SPARE_MOST = 1.5
-"""Objectives by which an answer may be late while few are: as late as that, it still
-comes sooner than one that is refused and asked for again."""
+SPARE_MOST = 0.6
+"""Objectives by which an answer may be late while none are: forecasts are off by a
+third, and an answer as late as that comes sooner than one that is asked for again."""
 
-SPARE_LEAST = 0.2
-"""The same while many are late: forecasts are off by as much."""
-
-CROWDED_SHARE = 0.3
-"""Share of calls that come too late at which no more than the least is spared: a peak
-of 1.5 times the usual load makes it 0.15, twice the usual load 0.33."""
+CROWDED_SHARE = 0.12
+"""Share of calls that come too late from which on each is refused: the heaviest usual
+load makes it 0.05, and 1.5 times that 0.15."""
 
 HALF_LIFE_S = 1.0
 """Half-life of that share: peaks last about two seconds."""
@@ -96,5 +95,4 @@
         self._noted_s = now_s
 
     def _spare(self) -> float:
-        crowded = self._late_share / CROWDED_SHARE
-        return max(SPARE_LEAST, SPARE_MOST * (1.0 - crowded))
+        return SPARE_MOST * max(0.0, 1.0 - self._late_share / CROWDED_SHARE)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -139,7 +139,7 @@
                 return AttemptEnd.NOT_RUN
             call.progress.runs.add(target.endpoint.name)
             if not proved.stream:
-                patience.deadline = math.inf
+                self._end_patience(patience)
             if not proved.genuine:
                 raise BrokenError(f"status {answer.status} without a signature")
             if proved.stream and answer.status == 200:
@@ -148,6 +148,15 @@
                 )
             return await self._take_whole(call, connection, answer)
 
+    @staticmethod
+    def _end_patience(patience: anyio.CancelScope) -> None:
+        if patience.cancel_called:
+            # The answer came as patience ended. The next wait is cancelled, which
+            # would leave the caller's answer begun and unwritten: its connection is
+            # then closed without one. So this answer counts as one that did not come.
+            raise BrokenError("silent")
+        patience.deadline = math.inf
+
     def _attempt_head(self, call: Call, target: Target) -> RequestHead:
         head = call.request.head
         details = AttemptDetails(
@@ -203,7 +212,8 @@
             if size > MOST_BUFFERED_BYTES:
                 raise BrokenError("the answer is too long")
         kept = KeptAnswer(answer, b"".join(parts))
-        if answer.status >= 500:
+        if answer.status >= 500 or call.responder.begun:
+            # A stream that was begun cannot become another answer.
             call.failure = kept
             return AttemptEnd.FAILED
         await call.pass_on(kept)
@@ -223,11 +233,7 @@
             events = cutter.feed(chunk)
             if not events.count:
                 continue
-            if patience.cancel_called:
-                # The first event came as patience ended. The next wait is cancelled,
-                # which would leave the answer begun and its head unwritten.
-                raise BrokenError("silent")
-            patience.deadline = math.inf
+            self._end_patience(patience)
             self._note_read(call, endpoint)
             if events.last_id is not None:
                 call.last_event = events.last_id
