--- a/packages/core/src/knapweedbridge_core/serving/engine_teller.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_teller.py
@@ -11,10 +11,10 @@
 """Pause between tellings where only the calls changed: they steer the balance among
 engines, and a prompt takes some 50 ms."""
 
-TELL_HELD_FAR_S = 0.1
-TELL_LOAD_FAR_S = 0.3
-"""The same in a large pool, where a telling goes to some twenty daemons: a load takes
-0.25 s, and each daemon sends a smaller part of the calls."""
+TELL_FAR_S = 0.3
+"""Pause between tellings in a large pool, where one goes to some twenty daemons and
+each of them sends a small part of the calls. A daemon that waits for an adapter is told
+at once that it is on its way."""
 
 TELL_ALL_S = 3.0
 """Pause between tellings of all: a successor learns from them what is in use."""
@@ -54,6 +54,16 @@
         self._hearers: set[str] = set()
         self._used_s: dict[str, float] = {}
         self._shown: dict[ModelRef, tuple[int, float]] = {}
+        self._wanted_by: dict[ModelRef, set[str]] = {}
+
+    def wanted_by(self, daemon: str, model: ModelRef, now_s: float) -> None:
+        """Note that a daemon waits for an adapter."""
+        self.used_by(daemon, now_s)
+        self._wanted_by.setdefault(model, set()).add(daemon)
+
+    def load_ordered(self, model: ModelRef) -> None:
+        """Take that an adapter is on its way; who waits for it is told at once."""
+        self._lost |= self._wanted_by.pop(model, set())
 
     def used_by(self, daemon: str, now_s: float) -> None:
         """Note that a daemon uses the engine; one that is new to it is told all."""
@@ -89,8 +99,8 @@
             Whether all of them hear of every engine.
         """
         since_s = now_s - self._told_s
-        held_due = since_s >= (0.0 if small else TELL_HELD_FAR_S)
-        load_due = since_s >= (TELL_LOAD_S if small else TELL_LOAD_FAR_S)
+        held_due = since_s >= (0.0 if small else TELL_FAR_S)
+        load_due = since_s >= (TELL_LOAD_S if small else TELL_FAR_S)
         if (self._held_changed and held_due) or (self._calls_changed and load_due):
             hearers = self._wanted_hearers(set(daemons), small, now_s)
             return self._tell_changes(hearers, now_s)
@@ -100,6 +110,12 @@
         self._told += 1
         self._told_s = now_s
         self._held_changed = self._calls_changed = False
+        # What was wanted and never loaded is asked for again by those who still wait.
+        self._wanted_by = {
+            model: daemons & hearers
+            for model, daemons in self._wanted_by.items()
+            if daemons & hearers
+        }
         new = (hearers - self._hearers) | (hearers & self._lost)
         if now_s - self._told_all_s >= TELL_ALL_S:
             self._told_all_s = now_s
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
@@ -10,6 +10,7 @@
     ModelRef,
     Order,
     OrderAnswer,
+    OrderKind,
     is_small,
     parse_model,
 )
@@ -90,7 +91,7 @@
     def wanted(self, daemon: str, model: ModelRef, version: int) -> None:
         """Take a daemon's wish for an adapter, which is answered at once."""
         self._askers.add(daemon)
-        self._teller.used_by(daemon, anyio.current_time())
+        self._teller.wanted_by(daemon, model, anyio.current_time())
         self.keeper.want(model, version, anyio.current_time())
         self._work.set()
 
@@ -230,6 +231,8 @@
         self._count_others()
         self.keeper.answered(order, answer, anyio.current_time())
         self._teller.held_changed()
+        if order.kind is OrderKind.LOAD and answer is not OrderAnswer.UNKNOWN:
+            self._teller.load_ordered(order.model)
         hub.measures.count("orders", f"{order.kind.value}_{answer.value}")
         hub.log.info(
             "engine.ordered",
--- a/packages/standins/src/knapweedbridge_standins/serving_load/pool.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/pool.py
@@ -21,6 +21,7 @@
     NoEngine,
     Order,
     OrderAnswer,
+    OrderKind,
     PlacementAsk,
     Route,
     SendTo,
@@ -96,7 +97,7 @@
 
     def wanted(self, daemon: str, model: ModelRef) -> None:
         """Take a daemon's wish."""
-        self._teller.used_by(daemon, self._pool.clock.now_s)
+        self._teller.wanted_by(daemon, model, self._pool.clock.now_s)
         self.keeper.want(model, 0, self._pool.clock.now_s)
         self.work()
 
@@ -149,6 +150,8 @@
         )
         self.keeper.answered(order, answer, now_s)
         self._teller.held_changed()
+        if order.kind is OrderKind.LOAD:
+            self._teller.load_ordered(order.model)
         self._ordering = False
         self.work()
 
