--- a/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
@@ -264,10 +264,10 @@
         """Return the calls that run on an adapter."""
         return sum(known.calls.get(model, 0) for known in self._calls.values())
 
-    def load_by_daemon(self) -> dict[str, list[int]]:
+    def load_by_daemon(self) -> dict[str, tuple[int, int]]:
         """Return calls and unread tokens, by daemon."""
         return {
-            daemon: [sum(known.calls.values()), known.unread_tokens]
+            daemon: (sum(known.calls.values()), known.unread_tokens)
             for daemon, known in self._calls.items()
             if known.calls
         }
--- a/packages/core/src/knapweedbridge_core/serving/engine_teller.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_teller.py
@@ -1,7 +1,7 @@
 """Tells daemons what an engine holds and runs, as changes where that will do."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from knapweedbridge_core.serving.engine_keeper import EngineKeeper
 from knapweedbridge_core.serving.fleet import HEARD_LIFE_S, ModelRef
@@ -122,8 +122,7 @@
             new = hearers
         tellings: list[Telling] = []
         if new != hearers:
-            changed = self._changes(now_s)
-            tellings = [Telling(daemon, changed) for daemon in hearers - new]
+            tellings = self._each(hearers - new, self._changes(now_s))
         self._shown = self._rows()
         tellings += self._tell_all(new, now_s)
         self._hearers = hearers
@@ -138,10 +137,28 @@
         return tellings
 
     def _tell_all(self, daemons: set[str], now_s: float) -> list[Telling]:
-        if not daemons:
-            return []
-        told = self._all(now_s)
-        return [Telling(daemon, told) for daemon in daemons]
+        return self._each(daemons, self._all(now_s)) if daemons else []
+
+    def _each(
+        self, daemons: set[str], message: EngineTold | EngineChanged
+    ) -> list[Telling]:
+        """Tell each daemon the calls of the others.
+
+        To send all of them the calls by daemon made most of a telling's bytes.
+        """
+        load = self._keeper.load_by_daemon()
+        calls = sum(each for each, _ in load.values())
+        tokens = sum(each for _, each in load.values())
+        tellings = []
+        for daemon in daemons:
+            own_calls, own_tokens = load.get(daemon, (0, 0))
+            told = replace(
+                message,
+                others_calls=calls - own_calls,
+                others_unread_tokens=tokens - own_tokens,
+            )
+            tellings.append(Telling(daemon, told))
+        return tellings
 
     def _wanted_hearers(self, daemons: set[str], small: bool, now_s: float) -> set[str]:
         if small:
@@ -177,7 +194,8 @@
             self._number,
             self._told,
             held,
-            keeper.load_by_daemon(),
+            0,
+            0,
             keeper.places_free(now_s),
             keeper.wants,
             sorted(keeper.bases),
@@ -196,7 +214,8 @@
                 if self._shown.get(model) != (version, ready_s)
             ],
             [[model.base, model.adapter] for model in self._shown if model not in rows],
-            self._keeper.load_by_daemon(),
+            0,
+            0,
             self._keeper.places_free(now_s),
             self._keeper.wants,
             sorted(self._keeper.bases),
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -192,14 +192,11 @@
         following = self.told_number, self.told_order + 1
         return (message.number, message.order) == following
 
-    def take_load(
-        self, message: EngineTold | EngineChanged, own: str, now_s: float
-    ) -> None:
+    def take_load(self, message: EngineTold | EngineChanged, now_s: float) -> None:
         """Take the calls of other daemons and what else every telling holds."""
         self.told_number, self.told_order = message.number, message.order
-        others = [load for daemon, load in message.load.items() if daemon != own]
-        self.others_calls = sum(calls for calls, _ in others)
-        self.others_unread_tokens = sum(tokens for _, tokens in others)
+        self.others_calls = message.others_calls
+        self.others_unread_tokens = message.others_unread_tokens
         self.heard_s, self.asked_s = now_s, None
         self.places_free = message.places_free
         self.wants = message.wants
@@ -275,14 +272,8 @@
             )
         return endpoint
 
-    def take_told(self, message: EngineTold, own: str, now_s: float) -> Endpoint | None:
-        """Take all that an owner tells of its engine; None where that is outdated.
-
-        Parameters
-        ----------
-        own : str
-            Name of this daemon, whose calls are not counted among others'.
-        """
+    def take_told(self, message: EngineTold, now_s: float) -> Endpoint | None:
+        """Take all that an owner tells of its engine; None where that is outdated."""
         endpoint = self.endpoints.get(message.endpoint)
         if endpoint is None or not endpoint.is_new(message):
             return None
@@ -294,10 +285,10 @@
                 for base, adapter, version, ready_in_s, users, idle_s in message.held
             }
         )
-        endpoint.take_load(message, own, now_s)
+        endpoint.take_load(message, now_s)
         return endpoint
 
-    def take_changed(self, message: EngineChanged, own: str, now_s: float) -> bool:
+    def take_changed(self, message: EngineChanged, now_s: float) -> bool:
         """Take what changed; False where something before it was missed."""
         endpoint = self.endpoints.get(message.endpoint)
         if endpoint is None or not endpoint.is_next(message):
@@ -311,7 +302,7 @@
                 version, now_s + ready_in_s, known.users if known else 0, now_s
             )
         endpoint.take_held(held)
-        endpoint.take_load(message, own, now_s)
+        endpoint.take_load(message, now_s)
         return True
 
     def unlisted(self, name: str, now_s: float, in_outage: bool) -> None:
--- a/packages/core/src/knapweedbridge_core/serving/messages.py
+++ b/packages/core/src/knapweedbridge_core/serving/messages.py
@@ -66,8 +66,9 @@
     held : list of [base, adapter, version, ready_in_s, users, idle_s]
         Adapters that are there, or will be after some seconds, the calls on each, and
         for how long none has begun or ended.
-    load : dict of str to [calls, unread_tokens]
-        Calls on the engine by daemon, and the tokens that they have it read yet.
+    others_calls, others_unread_tokens : int
+        Calls of other daemons than the one that is told, and the tokens of their
+        prompts that the engine has yet to read.
     places_free : int
         Places that a new adapter could get now.
     wants : int
@@ -82,7 +83,8 @@
     number: int
     order: int
     held: list[list]
-    load: dict[str, list[int]]
+    others_calls: int
+    others_unread_tokens: int
     places_free: int
     wants: int
     bases: list[str]
@@ -106,7 +108,8 @@
     order: int
     added: list[list]
     removed: list[list]
-    load: dict[str, list[int]]
+    others_calls: int
+    others_unread_tokens: int
     places_free: int
     wants: int
     bases: list[str]
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -113,8 +113,7 @@
     def _take_told(self, daemon: str, message: EngineTold) -> None:
         self._hub.load_times.told(message.cold_s)
         now_s = anyio.current_time()
-        own = self._hub.identity.name
-        endpoint = self._hub.beliefs.fleet.take_told(message, own, now_s)
+        endpoint = self._hub.beliefs.fleet.take_told(message, now_s)
         if endpoint is None:
             return
         self._hub.engines_changed.tell()
@@ -125,8 +124,7 @@
 
     def _take_changed(self, daemon: str, message: EngineChanged) -> None:
         now_s = anyio.current_time()
-        own = self._hub.identity.name
-        if self._hub.beliefs.fleet.take_changed(message, own, now_s):
+        if self._hub.beliefs.fleet.take_changed(message, now_s):
             self._hub.engines_changed.tell()
         else:
             self._ask_all(daemon, message, now_s)
--- a/packages/standins/src/knapweedbridge_standins/serving_load/pool.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/pool.py
@@ -192,8 +192,8 @@
         now_s = self._pool.clock.now_s
         if isinstance(message, EngineTold):
             self.load_times.told(message.cold_s)
-            self.fleet.take_told(message, self.name, now_s)
-        elif not self.fleet.take_changed(message, self.name, now_s):
+            self.fleet.take_told(message, now_s)
+        elif not self.fleet.take_changed(message, now_s):
             ask = self._pool.owners[message.endpoint].asked
             self._pool.clock.after(WAY_S, lambda: ask(self.name))
         self._look()
