One piece of code where serving had two: recent adapters, unknown loads, levels, events

RecentAdapters serves a daemon's belief, an owner's keeper and the model's engine, which each kept the list by hand. Fleet.guess_load serves the daemon and the load model. A refusal for lateness carries what it refuses, so that sparing it does not choose a second time. Beliefs.is_small_pool counts in place of listing the daemons at six places. The load model takes the daemon's own pauses, and the grown sites are the first ones with other sizes. Level, the end of an event and its bound, and the errors of a stream stand once. Dropped, as nothing used them: a wait of claims that was always 0, CallProgress.refusals, connection(fresh).

--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -272,13 +272,13 @@
       | two.example  | /c/     | all   |
       | six.example  | /a/x    | none  |
 
-  Scenario Outline: Who watches the store and hears of an engine, among <daemons> daemons
+  Scenario Outline: Who watches the store and is told of its changes, among <daemons> daemons
     With 79 hosts each watching the store, their calls were a third of what a day
-    was worth, and each owner's telling went to all of them.
+    was worth.
 
     Given <daemons> daemons in 3 data centres
     Then <watching> of a data centre's watch the store
-    And <hearing> hear of an engine there without asking
+    And <hearing> are handed what those hear
 
     Examples:
       | daemons | watching | hearing |
--- a/features/serving/steps/decision_steps.py
+++ b/features/serving/steps/decision_steps.py
@@ -116,7 +116,7 @@
 
 @given('c held "m/x" lately')
 def c_held(context):
-    engine(context, "c").recent[parse_model("m/x")] = None
+    engine(context, "c").recent.add(parse_model("m/x"))
 
 
 @given('c held "m/x" lately and its owner is silent')
@@ -507,7 +507,7 @@
 def have_passed(context, passed):
     context.order = claimants("e1", "d1", context.daemons)
     dues = {
-        daemon.name: claim_due_s(daemon.name, context.order, NOW_S, 0.0)
+        daemon.name: claim_due_s(daemon.name, context.order, NOW_S)
         for daemon in context.daemons
     }
     context.able = [
@@ -633,7 +633,7 @@
     assert len([name for name in names if name in own]) == count, names
 
 
-@then("{count:d} hear of an engine there without asking")
+@then("{count:d} are handed what those hear")
 def hearing(context, count):
     assert len(near(context.daemons, "d1")) == count
 
--- a/features/serving/steps/load_steps.py
+++ b/features/serving/steps/load_steps.py
@@ -31,7 +31,7 @@
 figures = cache(played)
 
 
-def guess_busy(fleet, engines, daemons, now_s):
+def guess_busy(fleet, engines, daemons, small, now_s):
     """Take unknown engines to run what the known ones do."""
     heard = [each for each in engines if each.is_heard(now_s)]
     count = max(1, len(heard))
@@ -45,9 +45,7 @@
 
 WITHOUT = {
     "do not ask before they send": mock.patch.object(load_pool, "QUESTIONS_MOST", 0),
-    "take unknown engines for busy": mock.patch.object(
-        Fleet, "assume_typical", guess_busy
-    ),
+    "take unknown engines for busy": mock.patch.object(Fleet, "guess_load", guess_busy),
 }
 
 
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -36,11 +36,10 @@
     Endpoint,
     EndpointRecord,
     Fleet,
-    ModelRef,
-    parse_model,
 )
 from knapweedbridge_core.serving.late_admission import LateAdmission
 from knapweedbridge_core.serving.load_times import LoadTimes
+from knapweedbridge_core.serving.model_ref import ModelRef, parse_model
 from knapweedbridge_core.serving.ownership import (
     DaemonRecord,
     LeaseClock,
--- a/packages/core/src/knapweedbridge_core/serving/attempts.py
+++ b/packages/core/src/knapweedbridge_core/serving/attempts.py
@@ -41,7 +41,6 @@
     """
 
     runs: set[str] = field(default_factory=set)
-    refusals: set[str] = field(default_factory=set)
     sends: int = 0
     begun: bool = False
 
--- a/packages/core/src/knapweedbridge_core/serving/beliefs.py
+++ b/packages/core/src/knapweedbridge_core/serving/beliefs.py
@@ -3,8 +3,10 @@
 from dataclasses import dataclass, field
 
 from knapweedbridge_core.serving.deployment import Deployment
-from knapweedbridge_core.serving.fleet import EndpointRecord, Fleet, ModelRef
+from knapweedbridge_core.serving.fleet import EndpointRecord, Fleet
+from knapweedbridge_core.serving.model_ref import ModelRef
 from knapweedbridge_core.serving.ownership import DaemonRecord, OwnerRecord
+from knapweedbridge_core.serving.pool import is_small
 
 OLDER_VERSION_S = 3.0
 """How long after a new version was heard of an older one may serve, where the new one
@@ -120,6 +122,11 @@
     lost_owners: dict[str, OwnerRecord] = field(default_factory=dict)
     secret: bytes = b""
 
+    @property
+    def is_small_pool(self) -> bool:
+        """Whether all daemons hear all."""
+        return is_small(self.daemons)
+
     def take(self, belief: Belief, now_s: float, in_outage: bool = False) -> bool:
         """Take one thing the store says; tell whether it changed anything.
 
--- a/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
@@ -10,12 +10,13 @@
 from enum import Enum
 
 from knapweedbridge_core.serving.deployment import EngineLimits
-from knapweedbridge_core.serving.fleet import RECENT_ADAPTERS, ModelRef
 from knapweedbridge_core.serving.load_times import (
     WARM_LOAD_S,
     LoadTimes,
     cold_load_s,
 )
+from knapweedbridge_core.serving.model_ref import ModelRef
+from knapweedbridge_core.serving.recent_adapters import RecentAdapters
 
 COMING_MOST = 4
 """Adapters that may be on their way to one engine at once; the engine refuses more."""
@@ -193,7 +194,7 @@
         self.engines = 1
         self._wants: OrderedDict[ModelRef, Want] = OrderedDict()
         self._calls: dict[str, DaemonCalls] = {}
-        self._recent: OrderedDict[ModelRef, None] = OrderedDict.fromkeys(recent)
+        self._recent = RecentAdapters(recent)
         self._base_due_s = 0.0
 
     def want(self, model: ModelRef, version: int, now_s: float) -> None:
@@ -400,7 +401,7 @@
             return
         self._wants.pop(order.model, None)
         self.places[order.model] = self._loading(order, answer, now_s)
-        self._recent.pop(order.model, None)
+        self._recent.discard(order.model)
 
     def _loading(self, order: Order, answer: OrderAnswer, now_s: float) -> Place:
         if answer is OrderAnswer.DONE:
@@ -417,10 +418,7 @@
 
     def _drop(self, model: ModelRef) -> None:
         del self.places[model]
-        self._recent[model] = None
-        self._recent.move_to_end(model)
-        while len(self._recent) > RECENT_ADAPTERS:
-            self._recent.popitem(last=False)
+        self._recent.add(model)
 
     def missed(self, model: ModelRef, now_s: float) -> None:
         """Take that the engine refused a call on an adapter it should hold."""
--- a/packages/core/src/knapweedbridge_core/serving/engine_teller.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_teller.py
@@ -4,8 +4,9 @@
 from dataclasses import dataclass, replace
 
 from knapweedbridge_core.serving.engine_keeper import EngineKeeper
-from knapweedbridge_core.serving.fleet import HEARD_LIFE_S, ModelRef
+from knapweedbridge_core.serving.fleet import HEARD_LIFE_S
 from knapweedbridge_core.serving.messages import EngineChanged, EngineTold
+from knapweedbridge_core.serving.model_ref import ModelRef
 
 TELL_LOAD_S = 0.06
 """Pause between tellings where only the calls changed: they steer the balance among
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -1,10 +1,11 @@
 """What a daemon believes of the endpoints: who exists, holds what, runs how much."""
 
-from collections import OrderedDict
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from knapweedbridge_core.serving.messages import EngineChanged, EngineTold
+from knapweedbridge_core.serving.model_ref import ModelRef
+from knapweedbridge_core.serving.recent_adapters import RecentAdapters
 
 SUSPECT_FIRST_S = 0.5
 """Pause after a first failed connection: a restart of an endpoint takes seconds."""
@@ -17,10 +18,6 @@
 use: the list is whole again about 2 s after the store's return, and an endpoint
 that has left may get no new work after 2 s."""
 
-RECENT_ADAPTERS = 90
-"""Adapters that an engine is taken to have in its memory besides those it holds; the
-users' engines keep 120 in all."""
-
 HEARD_LIFE_S = 3.0
 """How long a daemon of a large pool hears of an engine after its last use; past that
 it knows of it by the platform's list. Calls run 1 to 2 s, and come in bursts."""
@@ -37,23 +34,6 @@
 """Half-life of the share of failures, so that one bad second is soon forgotten."""
 
 
-@dataclass(slots=True, frozen=True)
-class ModelRef:
-    """A base model, or an adapter of one; ``adapter`` is empty for the base."""
-
-    base: str
-    adapter: str = ""
-
-    def __str__(self) -> str:
-        return f"{self.base}/{self.adapter}" if self.adapter else self.base
-
-
-def parse_model(text: str) -> ModelRef:
-    """Read ``BASE`` or ``BASE/ADAPTER``."""
-    base, _, adapter = text.partition("/")
-    return ModelRef(base, adapter)
-
-
 @dataclass(slots=True, frozen=True)
 class EndpointRecord:
     """One endpoint as the platform lists it.
@@ -108,8 +88,8 @@
         What the platform says.
     held : dict of ModelRef to HeldAdapter
         Adapters as the owner tells, or as the list told first.
-    recent : ordered dict of ModelRef
-        Adapters that it held lately, the latest last; it has them in memory.
+    recent : RecentAdapters
+        Adapters that it held lately; it has them in memory.
     own_calls : int
         Calls of this daemon that run there.
     others_calls : int
@@ -121,7 +101,7 @@
 
     record: EndpointRecord
     held: dict[ModelRef, HeldAdapter] = field(default_factory=dict)
-    recent: OrderedDict[ModelRef, None] = field(default_factory=OrderedDict)
+    recent: RecentAdapters = field(default_factory=RecentAdapters)
     bases: set[str] = field(default_factory=set)
     owner: str = ""
     own_calls: int = 0
@@ -173,12 +153,9 @@
         """Take what it holds now; what it held before stays in its memory."""
         for model in self.held:
             if model not in held:
-                self.recent[model] = None
-                self.recent.move_to_end(model)
+                self.recent.add(model)
         for model in held:
-            self.recent.pop(model, None)
-        while len(self.recent) > RECENT_ADAPTERS:
-            self.recent.popitem(last=False)
+            self.recent.discard(model)
         self.held = held
         self.coming_until_s = max((each.ready_s for each in held.values()), default=0.0)
 
@@ -354,7 +331,23 @@
             if endpoint.suspect_until_s <= now_s
         ]
 
-    def assume_typical(
+    def guess_load(
+        self, engines: list[Endpoint], daemons: int, small: bool, now_s: float
+    ) -> None:
+        """Take a load for the engines of which no owner tells.
+
+        Parameters
+        ----------
+        small : bool
+            Whether this daemon hears of every engine that has an owner.
+        """
+        if small:
+            for each in engines:
+                each.guess_others(daemons, now_s)
+        else:
+            self._assume_typical(engines, daemons, now_s)
+
+    def _assume_typical(
         self, engines: list[Endpoint], daemons: int, now_s: float
     ) -> None:
         """Take engines that this daemon hears nothing of to run as much as others.
--- a/packages/core/src/knapweedbridge_core/serving/late_admission.py
+++ b/packages/core/src/knapweedbridge_core/serving/late_admission.py
@@ -13,8 +13,6 @@
 0.89 and 0.74 at 1.5 times and twice its load.
 """
 
-from dataclasses import replace
-
 from knapweedbridge_core.serving.fleet import Endpoint
 from knapweedbridge_core.serving.placement import (
     Choice,
@@ -81,11 +79,8 @@
             self._note(late, now_s)
         if not isinstance(choice, TooLate):
             return choice
-        spare_s = self._spare() * objective_s
-        if choice.over_s > spare_s:
-            return choice
-        patient = replace(ask, patience_s=ask.patience_s + spare_s)
-        return self._placement.choose(patient, engines, now_s)
+        spared = choice.over_s <= self._spare() * objective_s
+        return choice.instead if spared else choice
 
     def _note(self, late: bool, now_s: float) -> None:
         since_s = max(0.0, now_s - self._noted_s)
--- a/packages/core/src/knapweedbridge_core/serving/ownership.py
+++ b/packages/core/src/knapweedbridge_core/serving/ownership.py
@@ -110,9 +110,7 @@
     return [each.name for each in able]
 
 
-def claim_due_s(
-    own_name: str, order: list[str], free_since_s: float, wait_s: float
-) -> float | None:
+def claim_due_s(own_name: str, order: list[str], free_since_s: float) -> float | None:
     """Return when this daemon may claim a free engine, or None for never.
 
     Parameters
@@ -123,9 +121,7 @@
         From `claimants`.
     free_since_s : float
         When the record was seen to be free.
-    wait_s : float
-        Time that must pass after a record lapsed; 0 after a hand-over.
     """
     if own_name not in order:
         return None
-    return free_since_s + wait_s + NEXT_CLAIMANT_S * order.index(own_name)
+    return free_since_s + NEXT_CLAIMANT_S * order.index(own_name)
--- a/packages/core/src/knapweedbridge_core/serving/placement.py
+++ b/packages/core/src/knapweedbridge_core/serving/placement.py
@@ -14,8 +14,9 @@
 from itertools import islice
 
 from knapweedbridge_core.rendezvous import score
-from knapweedbridge_core.serving.fleet import Endpoint, ModelRef
+from knapweedbridge_core.serving.fleet import Endpoint
 from knapweedbridge_core.serving.load_times import WARM_LOAD_S, cold_load_s
+from knapweedbridge_core.serving.model_ref import ModelRef
 
 TOKEN_S = 5e-5
 """Reading of one token of a prompt; the users' engines read 19 to 26 in 1 ms, between
@@ -156,10 +157,13 @@
         By how much the best one would be late, in seconds.
     best : Endpoint
         That one.
+    instead : SendTo, WaitFor or LoadOn
+        What becomes of the call where it is taken all the same.
     """
 
     over_s: float
     best: Endpoint
+    instead: SendTo | WaitFor | LoadOn
 
 
 Choice = SendTo | WaitFor | LoadOn | NoEngine | TooLate
@@ -222,17 +226,22 @@
         if not offers:
             return NoEngine()
         best = min(offers, key=lambda offer: offer.price)
-        if best.expected_s > ask.patience_s:
-            return TooLate(best.expected_s - ask.patience_s, best.endpoint)
         if best.endpoint in holders:
-            return self._on_holder(ask, best, loaders, now_s)
-        older = self._older(ask, with_base, best.endpoint, now_s)
-        return older or LoadOn(best.endpoint)
+            choice: SendTo | WaitFor | LoadOn = self._on_holder(
+                ask, best, loaders, now_s
+            )
+        else:
+            older = self._older(ask, with_base, best.endpoint, now_s)
+            choice = older or LoadOn(best.endpoint)
+        if best.expected_s > ask.patience_s:
+            over_s = best.expected_s - ask.patience_s
+            return TooLate(over_s, best.endpoint, choice)
+        return choice
 
     @staticmethod
     def _on_holder(
         ask: PlacementAsk, best: _Offer, loaders: list[Endpoint], now_s: float
-    ) -> Choice:
+    ) -> SendTo | WaitFor:
         endpoint = best.endpoint
         held = endpoint.held.get(ask.model)
         if held is None:
--- a/packages/core/src/knapweedbridge_core/serving/pool.py
+++ b/packages/core/src/knapweedbridge_core/serving/pool.py
@@ -5,7 +5,7 @@
 a few watch for their data centre, and an owner tells those near its engine.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sized
 
 from knapweedbridge_core.rendezvous import score
 from knapweedbridge_core.serving.ownership import DaemonRecord
@@ -17,13 +17,13 @@
 """Daemons a data centre that watch the store: one may fail unseen for a second."""
 
 
-def is_small(daemons: Iterable[DaemonRecord]) -> bool:
+def is_small(daemons: Sized) -> bool:
     """Tell whether all daemons hear all."""
-    return len(list(daemons)) <= SMALL_POOL
+    return len(daemons) <= SMALL_POOL
 
 
 def near(daemons: Iterable[DaemonRecord], data_centre: str) -> list[str]:
-    """Name the daemons that hear of an engine without asking."""
+    """Name the daemons that those who watch the store hand changes on to."""
     listed = list(daemons)
     if is_small(listed):
         return [each.name for each in listed]
--- a/packages/daemon/src/knapweedbridge_daemon/logs.py
+++ b/packages/daemon/src/knapweedbridge_daemon/logs.py
@@ -8,7 +8,6 @@
 import time
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
-from enum import IntEnum
 from pathlib import Path
 from typing import Any, TextIO
 
@@ -21,15 +20,7 @@
 )
 
 from knapweedbridge_daemon.errors import LocalFileError
-
-
-class Level(IntEnum):
-    """How much an event matters."""
-
-    DEBUG = 0
-    INFO = 1
-    ERROR = 2
-
+from knapweedbridge_daemon.levels import Level
 
 REQUEST_FAMILIES = ("attempt", "blame", "evict", "grant", "load", "request")
 """First words of the events of single requests and loads: `Level.DEBUG`."""
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -14,7 +14,7 @@
 from knapweedbridge_core.serving.messages import AdapterMissed
 from knapweedbridge_daemon.serving.call import Call, KeptAnswer, Target
 from knapweedbridge_daemon.serving.dialects import AnswerHead, AttemptDetails
-from knapweedbridge_daemon.serving.event_stream import EventCutter, EventTooLongError
+from knapweedbridge_daemon.serving.event_stream import EventCutter
 from knapweedbridge_daemon.serving.http_client import (
     BrokenError,
     ClientConnection,
@@ -28,6 +28,7 @@
     end_to_end,
     get_header,
 )
+from knapweedbridge_daemon.sse import BrokenEventsError
 
 MOST_BUFFERED_BYTES = 8 << 20
 """Longest answer that is held until it is whole; plain answers are some kB."""
@@ -72,7 +73,7 @@
             call.refused.add(endpoint.name)
             endpoint.note_unreachable(anyio.current_time())
             await self._link.endpoint_lost(endpoint.name)
-        except (BrokenError, EventTooLongError) as error:
+        except (BrokenError, BrokenEventsError) as error:
             end, detail = AttemptEnd.BROKEN, str(error)
             call.progress.runs.add(endpoint.name)
             if not patience.cancelled_caught:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from knapweedbridge_core.serving import is_small, near, watchers
+from knapweedbridge_core.serving import near, watchers
 from knapweedbridge_core.serving.beliefs import EndpointGone
 from knapweedbridge_core.serving.messages import StoreTold
 from knapweedbridge_daemon.errors import StoreError
@@ -126,13 +126,13 @@
             self._answered()
             await self._hand_on(since, found.items)
             if found.items:
-                small = is_small(self._hub.beliefs.daemons.values())
+                small = self._hub.beliefs.is_small_pool
                 await anyio.sleep(JOIN_S if small else JOIN_FAR_S)
 
     async def _hand_on(self, since: int, items: list[StoreItem]) -> None:
         identity, beliefs = self._hub.identity, self._hub.beliefs
         daemons = list(beliefs.daemons.values())
-        if is_small(daemons) or self._listens():
+        if beliefs.is_small_pool or self._listens():
             return
         told = StoreTold(since, self._revision, pack_items(items))
         for name in near(daemons, identity.data_centre):
--- a/packages/daemon/src/knapweedbridge_daemon/serving/decision_log.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/decision_log.py
@@ -9,26 +9,19 @@
 import time
 from collections import Counter, deque
 from dataclasses import dataclass
-from enum import IntEnum
 from typing import Any
 
 import anyio
 import orjson
 from eliot import Logger, add_destinations, remove_destination
 
+from knapweedbridge_daemon.levels import Level
+
 WAITING_LINES = 5000
 WRITE_PERIOD_S = 0.1
 WRITE_BYTES = 65536
 
 
-class Level(IntEnum):
-    """How much a line matters."""
-
-    DEBUG = 0
-    INFO = 1
-    ERROR = 2
-
-
 @dataclass(slots=True)
 class _Allowance:
     """Lines of one kind in the present second."""
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
@@ -11,7 +11,6 @@
     Order,
     OrderAnswer,
     OrderKind,
-    is_small,
     parse_model,
 )
 from knapweedbridge_core.serving.engine_teller import TELL_LOAD_S
@@ -263,9 +262,8 @@
 
     async def _tell(self) -> None:
         askers, self._askers = self._askers, set()
-        daemons = self._hub.beliefs.daemons
-        small = is_small(daemons.values())
-        for telling in self._teller.tell(daemons, small, anyio.current_time()):
+        beliefs, now_s = self._hub.beliefs, anyio.current_time()
+        for telling in self._teller.tell(beliefs.daemons, beliefs.is_small_pool, now_s):
             askers.discard(telling.daemon)
             await self._send(telling.daemon, telling.message)
         for daemon in askers:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/event_stream.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/event_stream.py
@@ -7,16 +7,11 @@
 import re
 from dataclasses import dataclass
 
-MOST_EVENT_BYTES = 1 << 20
+from knapweedbridge_daemon.sse import END_OF_EVENT, MAX_EVENT_BYTES, BrokenEventsError
 
-_END = re.compile(rb"\r?\n\r?\n")
 _ID = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
 
 
-class EventTooLongError(Exception):
-    """A line without an end would fill the daemon's memory."""
-
-
 @dataclass(slots=True, frozen=True)
 class WholeEvents:
     """Events that one chunk completed.
@@ -59,18 +54,18 @@
 
         Raises
         ------
-        EventTooLongError
-            If an event is longer than `MOST_EVENT_BYTES`.
+        BrokenEventsError
+            If an event is longer than `MAX_EVENT_BYTES`.
         """
         buffer = self._held + chunk
         events: list[bytes] = []
         start = 0
-        for end in _END.finditer(buffer):
+        for end in END_OF_EVENT.finditer(buffer):
             events.append(buffer[start : end.end()])
             start = end.end()
         self._held = buffer[start:]
-        if len(self._held) > MOST_EVENT_BYTES:
-            raise EventTooLongError(f"{len(self._held)} bytes without an end")
+        if len(self._held) > MAX_EVENT_BYTES:
+            raise BrokenEventsError(f"{len(self._held)} bytes without an end")
         return self._wanted(events)
 
     def _wanted(self, events: list[bytes]) -> WholeEvents:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/http_client.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/http_client.py
@@ -61,6 +61,9 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS),
 )
 
+STREAM_ERRORS = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
+"""What a broken or closed connection shows."""
+
 Belongs = Callable[[Headers], bool]
 
 
@@ -175,7 +178,7 @@
     async def _write(self, packed: bytes) -> None:
         try:
             await self._stream.send(packed)
-        except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError) as error:
+        except STREAM_ERRORS as error:
             raise BrokenError(f"{self.address}: {error!r}") from error
 
     async def _read_head(self, request: RequestHead, belongs: Belongs) -> ResponseHead:
@@ -243,12 +246,7 @@
                 except anyio.EndOfStream:
                     chunk = b""
                 self._protocol.receive_data(chunk)
-        except (
-            OSError,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-            h11.ProtocolError,
-        ) as error:
+        except (*STREAM_ERRORS, h11.ProtocolError) as error:
             raise BrokenError(f"{self.address}: {error!r}") from error
 
     def end_exchange(self, now_s: float) -> bool:
@@ -293,22 +291,15 @@
         self.reused = 0
 
     @asynccontextmanager
-    async def connection(
-        self, address: str, fresh: bool = False
-    ) -> AsyncGenerator[ClientConnection, None]:
+    async def connection(self, address: str) -> AsyncGenerator[ClientConnection, None]:
         """Lend a connection; it is kept if its last answer ended cleanly.
 
-        Parameters
-        ----------
-        fresh : bool
-            Whether it must be new.
-
         Raises
         ------
         NotSentError
             If none can be made.
         """
-        connection = None if fresh else await self._take(address)
+        connection = await self._take(address)
         if connection is None:
             connection = await self._open(address)
         else:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/http_server.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/http_server.py
@@ -12,7 +12,10 @@
 from anyio.abc import SocketStream, TaskGroup
 
 from knapweedbridge_core.serving import FaceLimits
-from knapweedbridge_daemon.serving.http_client import set_socket_options
+from knapweedbridge_daemon.serving.http_client import (
+    STREAM_ERRORS,
+    set_socket_options,
+)
 from knapweedbridge_daemon.serving.wire import Headers, RequestHead, ResponseHead
 
 CHUNK_BYTES = 65536
@@ -20,8 +23,6 @@
 """How long a closing connection is read on: closing it with unread bytes would reset
 it, and the caller could lose an answer that was just written."""
 
-STREAM_ERRORS = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
-
 
 class BadRequestError(Exception):
     """A request that cannot be read; it is answered and its connection closed.
--- a/packages/daemon/src/knapweedbridge_daemon/serving/lease_keeping.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/lease_keeping.py
@@ -151,7 +151,7 @@
             free_s = hub.beliefs.free_since_s.get(record.endpoint)
             if free_s is None:
                 free_s = max(endpoint.first_listed_s, self._started_s + FIRST_CLAIM_S)
-            due_s = claim_due_s(hub.identity.name, order, free_s, 0.0)
+            due_s = claim_due_s(hub.identity.name, order, free_s)
             if due_s is not None and due_s <= now_s:
                 due.append(endpoint)
         return due
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -98,7 +98,7 @@
         if isinstance(message, EngineTold):
             self._take_told(daemon, message)
         elif isinstance(message, EngineChanged):
-            self._take_changed(daemon, message)
+            await self._take_changed(daemon, message)
         elif isinstance(message, StoreTold):
             self.on_store_told(message)
         elif isinstance(message, CallsBlamed):
@@ -122,27 +122,25 @@
             # It cannot know of calls that began under the owner before it.
             self.running.tell(message.endpoint)
 
-    def _take_changed(self, daemon: str, message: EngineChanged) -> None:
+    async def _take_changed(self, daemon: str, message: EngineChanged) -> None:
         now_s = anyio.current_time()
         if self._hub.beliefs.fleet.take_changed(message, now_s):
             self._hub.engines_changed.tell()
         else:
-            self._ask_all(daemon, message, now_s)
-
-    def _ask_all(self, daemon: str, message: EngineChanged, now_s: float) -> None:
-        endpoint = self._hub.beliefs.fleet.endpoints.get(message.endpoint)
-        if endpoint is None or message.number < endpoint.told_number:
-            return
-        if now_s - endpoint.asked_all_s > ASK_ALL_S and self._peers is not None:
-            endpoint.asked_all_s = now_s
-            self._peers.send(daemon, EngineAsked(message.endpoint))
+            endpoint = self._hub.beliefs.fleet.endpoints.get(message.endpoint)
+            if endpoint is not None and message.number >= endpoint.told_number:
+                await self._ask(endpoint, daemon, ASK_ALL_S)
 
     async def ask_load(self, endpoint: Endpoint) -> None:
         """Ask an engine's owner how much runs there, where that is not known."""
+        if endpoint.owner:
+            await self._ask(endpoint, endpoint.owner, ASK_LOAD_S)
+
+    async def _ask(self, endpoint: Endpoint, owner: str, pause_s: float) -> None:
         now_s = anyio.current_time()
-        if endpoint.owner and now_s - endpoint.asked_all_s > ASK_LOAD_S:
+        if now_s - endpoint.asked_all_s > pause_s:
             endpoint.asked_all_s = now_s
-            await self.send(endpoint.owner, EngineAsked(endpoint.name))
+            await self.send(owner, EngineAsked(endpoint.name))
 
     async def endpoint_lost(self, endpoint: str) -> None:
         """Blame the calls that an endpoint was lost with, on all daemons."""
--- a/packages/daemon/src/knapweedbridge_daemon/serving/placing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/placing.py
@@ -18,7 +18,6 @@
     WaitFor,
     choose_plain,
     first_event_patience_s,
-    is_small,
 )
 from knapweedbridge_core.serving.fleet import LOAD_LIFE_S
 from knapweedbridge_core.serving.messages import AdapterWanted
@@ -110,7 +109,7 @@
 
     def _is_unknown(self, engine: Endpoint, now_s: float) -> bool:
         """Tell whether this daemon hears too little of an engine to send there."""
-        if is_small(self._hub.beliefs.daemons.values()):
+        if self._hub.beliefs.is_small_pool:
             return False
         return engine.owner != "" and now_s - engine.heard_s > LOAD_LIFE_S
 
@@ -163,11 +162,9 @@
             self._patience_s(call, now_s),
         )
         engines = beliefs.fleet.reachable(call.service, now_s)
-        if is_small(beliefs.daemons.values()):
-            for engine in engines:
-                engine.guess_others(self._hub.daemons, now_s)
-        else:
-            beliefs.fleet.assume_typical(engines, self._hub.daemons, now_s)
+        beliefs.fleet.guess_load(
+            engines, self._hub.daemons, beliefs.is_small_pool, now_s
+        )
         objective_s = 0.0 if call.progress.begun else call.route.objective_s
         is_new, call.placed = not call.placed, True
         return self._admission.choose(ask, engines, objective_s, is_new, now_s)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/running_calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/running_calls.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from knapweedbridge_core.serving import Endpoint, ModelRef, is_small
+from knapweedbridge_core.serving import Endpoint, ModelRef
 from knapweedbridge_core.serving.messages import CallsRunning
 from knapweedbridge_daemon.serving.hub import Hub, Send
 
@@ -100,7 +100,7 @@
         soon : bool
             Whether it is told at once in a large pool too.
         """
-        urgent = soon or is_small(self._hub.beliefs.daemons.values())
+        urgent = soon or self._hub.beliefs.is_small_pool
         due_s = anyio.current_time() + (JOIN_S if urgent else JOIN_FAR_S)
         if due_s < self._due_s.get(endpoint, math.inf):
             self._due_s[endpoint] = due_s
--- a/packages/daemon/src/knapweedbridge_daemon/sse.py
+++ b/packages/daemon/src/knapweedbridge_daemon/sse.py
@@ -5,7 +5,7 @@
 
 MAX_EVENT_BYTES = 1 << 20
 
-_END = re.compile(rb"\r?\n\r?\n")
+END_OF_EVENT = re.compile(rb"\r?\n\r?\n")
 _PLAIN_END = b"\n\n"
 _RETURN = b"\r"
 _DATA = b"data:"
@@ -68,7 +68,7 @@
             return Block(chunk, 1, False)
         buffer = self._held + chunk if self._held else chunk
         start = events = 0
-        for end in _END.finditer(buffer):
+        for end in END_OF_EVENT.finditer(buffer):
             event = buffer[start : end.start()]
             start = end.end()
             if event in _DONE:
--- a/packages/standins/src/knapweedbridge_standins/serving_histories/owners.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_histories/owners.py
@@ -91,7 +91,7 @@
     records = [DaemonRecord(each.name, 1, "", "d") for each in all_]
     order = claimants("e", "d", records)
     free_s = beliefs.free_since_s.get("e", 0.0)
-    due_s = claim_due_s(daemon.name, order, free_s, 0.0)
+    due_s = claim_due_s(daemon.name, order, free_s)
     if due_s is None or due_s > now_s:
         return
     known = beliefs.owners.get("e")
--- a/packages/standins/src/knapweedbridge_standins/serving_load/engine.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/engine.py
@@ -1,6 +1,6 @@
 """A model engine: slots, steps that read prompts and make tokens, adapters."""
 
-from collections import OrderedDict, deque
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -11,8 +11,8 @@
     OrderAnswer,
     OrderKind,
 )
-from knapweedbridge_core.serving.fleet import RECENT_ADAPTERS
 from knapweedbridge_core.serving.load_times import WARM_LOAD_S
+from knapweedbridge_core.serving.recent_adapters import RecentAdapters
 from knapweedbridge_standins.serving_load.sites import LoadSite
 from knapweedbridge_standins.virtual_pool import VirtualClock
 
@@ -70,7 +70,7 @@
         self._running: list[EngineCall] = []
         self._stepping = False
         self.held: dict[ModelRef, float] = {}
-        self._recent: OrderedDict[ModelRef, None] = OrderedDict()
+        self._recent = RecentAdapters()
         self.sequence = 0
 
     def send(self, call: EngineCall) -> bool:
@@ -134,15 +134,13 @@
         self.sequence += 1
         if order.kind is OrderKind.UNLOAD:
             self.held.pop(order.model, None)
-            self._recent[order.model] = None
-            if len(self._recent) > RECENT_ADAPTERS:
-                self._recent.popitem(last=False)
+            self._recent.add(order.model)
             return OrderAnswer.DONE
         if len(self.held) >= self._site.places:
             raise AssertionError("an engine was ordered beyond its places")
         load_s = WARM_LOAD_S
         if order.model in self._recent:
-            del self._recent[order.model]
+            self._recent.discard(order.model)
         else:
             load_s = self._store.fetch_s()
             self._clock.after(load_s, self._fetched)
--- a/packages/standins/src/knapweedbridge_standins/serving_load/pool.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/pool.py
@@ -36,6 +36,15 @@
 from knapweedbridge_core.serving.messages import EngineChanged, EngineTold
 from knapweedbridge_core.serving.ownership import DaemonRecord
 from knapweedbridge_core.serving.placement import Choice
+from knapweedbridge_daemon.serving.attempting import NOT_READY_S
+from knapweedbridge_daemon.serving.engine_owning import REPORT_PAUSE_S
+from knapweedbridge_daemon.serving.placing import (
+    LOOK_S,
+    OVERLOAD_AFTER_S,
+    PLACE_PATIENCE,
+    WANT_AGAIN_S,
+)
+from knapweedbridge_daemon.serving.running_calls import JOIN_FAR_S, JOIN_S
 from knapweedbridge_standins.serving_load.engine import (
     EngineCall,
     ModelledEngine,
@@ -49,15 +58,11 @@
 """One way between two hosts, with what they take to handle a message."""
 
 QUESTIONS_MOST = 3
+"""Owners that are asked for their load before a call is sent."""
+
 LIST_S = 1.5
 """Age of what the platform lists of an engine, at most."""
 
-JOIN_S = 0.003
-LOOK_S = 0.05
-WANT_AGAIN_S = 0.25
-BACK_S = (1.0, 3.0)
-"""As in the daemon: how soon it tells of calls, asks again, and has callers return."""
-
 
 @dataclass(slots=True)
 class LoadCall:
@@ -124,7 +129,7 @@
     def work(self) -> None:
         """Order and tell what is due."""
         now_s = self._pool.clock.now_s
-        if self.keeper.needs_report and now_s - self._reported_s >= 0.3:
+        if self.keeper.needs_report and now_s - self._reported_s >= REPORT_PAUSE_S:
             self._reported_s = now_s
             self.keeper.reported(self._pool.engines[self._name].report(), now_s)
             self._teller.held_changed()
@@ -230,7 +235,9 @@
             self._send(call, choice.endpoint.name)
             return
         waited_s = now_s - call.began_s
-        if isinstance(choice, TooLate) or waited_s > max(0.5, 2 * call.mix.objective_s):
+        if isinstance(choice, TooLate) or waited_s > max(
+            0.5, PLACE_PATIENCE * call.mix.objective_s
+        ):
             over_s = choice.over_s if isinstance(choice, TooLate) else 0.0
             self._pool.refused(call, over_s)
             return
@@ -239,7 +246,7 @@
             call.asked_s = now_s
             choice.endpoint.note_asked(now_s)
             self._want(choice.endpoint.name, call.model)
-        pause_s = 0.1
+        pause_s = LOOK_S
         if isinstance(choice, WaitFor):
             pause_s = min(pause_s, max(0.001, choice.ready_s - now_s))
         self._wait(call, pause_s)
@@ -268,11 +275,7 @@
             first_event_patience_s(route, waited_s, call.accepted),
         )
         engines = self.fleet.reachable("llm", now_s)
-        if self._pool.small:
-            for engine in engines:
-                engine.guess_others(len(self._pool.daemons), now_s)
-        else:
-            self.fleet.assume_typical(engines, len(self._pool.daemons), now_s)
+        self.fleet.guess_load(engines, len(self._pool.daemons), self._pool.small, now_s)
         is_new, call.placed = not call.placed, True
         return self._admission.choose(ask, engines, call.mix.objective_s, is_new, now_s)
 
@@ -326,7 +329,7 @@
         elif not endpoint.is_heard(now_s):
             del endpoint.held[call.model]
         else:
-            endpoint.held[call.model].ready_s = now_s + 0.04
+            endpoint.held[call.model].ready_s = now_s + NOT_READY_S
             owner = self._pool.owners[engine]
             self._pool.clock.after(WAY_S, lambda: owner.missed(call.model))
         self.place(call)
@@ -335,7 +338,7 @@
         if engine in self._due:
             return
         self._due.add(engine)
-        pause_s = JOIN_S if soon or self._pool.small else LOOK_S
+        pause_s = JOIN_S if soon or self._pool.small else JOIN_FAR_S
         self._pool.clock.after(pause_s, lambda: self._tell_now(engine))
 
     def _tell_now(self, engine: str) -> None:
@@ -484,7 +487,7 @@
     def refused(self, call: LoadCall, over_s: float) -> None:
         """Take that a call was refused; its caller comes back once."""
         self.figures.refusals += 1
-        back_s = self._luck.uniform(*BACK_S) + over_s
+        back_s = self._luck.uniform(*OVERLOAD_AFTER_S) + over_s
         if call.returned:
             self.figures.count(self.figures.refused, call.mix.name)
             self.figures.big += call.big
--- a/packages/standins/src/knapweedbridge_standins/serving_load/sites.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/sites.py
@@ -1,6 +1,6 @@
 """Sizes of the deployments that are modelled."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 
 @dataclass(slots=True, frozen=True)
@@ -108,25 +108,23 @@
     event_tokens=3,
 )
 
-_OKAVANGO_GROWN = LoadSite(
-    "okavango-grown",
+_OKAVANGO_GROWN = replace(
+    _OKAVANGO,
+    name="okavango-grown",
     daemons=79,
-    data_centres=3,
     engines=70,
     slots=12,
     places=8,
     adapters=10_000,
     mixes=_mixes((168, 172, 0.6, 12), (23, 172, 1.0, 20), (104, 69, 1.0, 6)),
-    step_s=0.0082,
-    slot_step_s=1.8e-5,
-    read_tokens_per_s=25800,
     event_tokens=5,
     load_s=0.288,
     loads_at_once=72,
 )
 
-_CHAOPHRAYA_GROWN = LoadSite(
-    "chaophraya-grown",
+_CHAOPHRAYA_GROWN = replace(
+    _CHAOPHRAYA,
+    name="chaophraya-grown",
     daemons=79,
     data_centres=4,
     engines=30,
@@ -134,10 +132,6 @@
     places=14,
     adapters=10_000,
     mixes=_mixes((110, 172, 0.8, 15), (15, 172, 1.0, 20), (68, 69, 1.0, 8)),
-    step_s=0.00947,
-    slot_step_s=1.8e-5,
-    read_tokens_per_s=19200,
-    event_tokens=3,
     load_s=0.288,
     loads_at_once=40,
 )
