Tell starts of an endpoint under one id apart; use no entry of another writer

Cause: an endpoint may start again under its id. Its owner kept the counts of the start before, took every report of the new one for outdated as it counted fewer orders, and gave no order any more; daemons went on sending calls for adapters of before. A miss also put a load's expected end off each time, so an adapter that never came was waited for as long as calls asked for it. Entries of the list were read with defaults for what was missing, and an unknown state was taken for leaving.

Change: the start's time (started_ms) is part of entries, reports and the daemons' messages; a later start is another Endpoint and gets another keeper; its idle connections are closed and its calls blamed as a lost endpoint's. Entries are read whole or not at all; one that cannot be read takes its endpoint out of use and is logged once. An engine that comes back into the list has the owner that its record names.

Ruled out: late orders of before are no danger, as each names the count it expects. Streams' longest pause and prompt tokens are logged (attempt.ended, request.ended).

--- a/features/platform/standins.py
+++ b/features/platform/standins.py
@@ -210,6 +210,7 @@
         self.zone = zone
         self.requests = []
         self.behaviour = []
+        self.born = 1_700_000_000_000
 
     def entry(self, **fields):
         return {
@@ -221,6 +222,7 @@
             "state": "ready",
             "cold_left_ms": 0,
             "seq": 1,
+            "born": self.born,
             **fields,
         }
 
@@ -290,6 +292,13 @@
         self.crashed = False
         self.pause_s = 0.005
 
+    def start_again(self):
+        """Lose all that it held, under the id that it has."""
+        self.held = {}
+        self.sequence = 0
+        self.orders = []
+        self.born += 5000
+
     def models(self):
         adapters = [f"{name}@{version}" for name, (version, _) in self.held.items()]
         return [{"name": "base", "version": 1, "adapters": adapters}]
@@ -310,6 +319,7 @@
                 "kv_used": 0,
                 "kv_total": 1000,
                 "handles": 0,
+                "born": self.born,
             }
             await answer_json(responder, 200, report)
         elif path == "/v1/order":
--- a/features/platform/steps/path_steps.py
+++ b/features/platform/steps/path_steps.py
@@ -582,3 +582,60 @@
     found = context.found
     assert found.returncode == 0, found.stdout + found.stderr
     assert "1 passed, 0 failed" in found.stdout, found.stdout
+
+
+@when('a draft for "{model}" was answered, and all engines start again, {told}')
+@played
+async def engines_start_again(context, path, model, told):
+    first = await path.draft(model)
+    assert first.status_code == 200, first
+    for engine in path.engines:
+        engine.start_again()
+        if "entries" in told:
+            path.store.put(f"servers/{engine.name}", engine.entry())
+    context.response = None
+    with anyio.move_on_after(6):
+        while context.response is None or context.response.status_code != 200:
+            context.response = await path.draft(model)
+
+
+@then("a draft for it is soon answered, and its load was ordered anew")
+def answered_anew(context):
+    assert context.response.status_code == 200, context.response
+    orders = [order for engine in context.path.engines for order in engine.orders]
+    loads = [order for order in orders if order["operation"] == "load"]
+    assert [order["expected"] for order in loads] == [0], orders
+
+
+FOREIGN = {
+    "servers/forged-1": b"no entry",
+    "servers/forged-2": b'{"service": "desk", "address": "127.0.0.1:1"}',
+    "servers/forged-3": b'{"service": 5, "state": "ready", "zone": []}',
+    "op/version/base.a1": b"\xff",
+    "knapweedbridge/daemons/forged": b"\x93\xa1a\x05\x05",
+    "knapweedbridge/owners/engine-1x": b"[]",
+    "another/program": b"its own",
+}
+
+
+@when("other programs write among the entries")
+@played
+async def others_write(context, path):
+    forged = path.desks[0].entry(state="resting", address="127.0.0.1:1")
+    path.store.put("servers/forged-4", forged)
+    for key, value in FOREIGN.items():
+        path.store.put(key, value)
+    last = {"service": "desk", "address": path.desks[0].address, "zone": "hall-a"}
+    path.store.put("servers/forged-5", last)
+    found = "store.unreadable"
+    await path.until(
+        lambda: sum(each["message_type"] == found for each in path.lines()) >= 6,
+        "the entries are seen",
+    )
+    context.responses = [await path.call("GET", f"/look/{n}") for n in range(10)]
+
+
+@then("10 calls are answered by the desks")
+def answered_by_desks(context):
+    assert [each.status_code for each in context.responses] == [200] * 10
+    assert sum(len(desk.requests) for desk in context.path.desks) == 10
--- a/features/platform/whole_path.feature
+++ b/features/platform/whole_path.feature
@@ -77,6 +77,27 @@
     Then an engine was ordered to load version 2
     And the draft was sent with that version expected
 
+  Scenario Outline: Engines start again under their ids: <told>
+    A user's draft was refused for as long as the engine lived: its owner took each
+    report of the new start for one of before, as it counted fewer orders.
+
+    Given the whole path
+    When a draft for "base/a1" was answered, and all engines start again, <told>
+    Then a draft for it is soon answered, and its load was ordered anew
+
+    Examples:
+      | told                   |
+      | as their entries tell  |
+      | as their reports tell  |
+
+  Scenario: Entries of another writer change nothing
+    A user's look-up went to an address that no server had written, or to none, as the
+    daemon stumbled over what another program had put among the entries.
+
+    Given the whole path
+    When other programs write among the entries
+    Then 10 calls are answered by the desks
+
   Scenario: A leaving endpoint gets no new calls
     Given the whole path
     When desk-1 says that it is leaving
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -35,6 +35,7 @@
 from knapweedbridge_core.serving.fleet import (
     Endpoint,
     EndpointRecord,
+    EndpointStart,
     Fleet,
 )
 from knapweedbridge_core.serving.late_admission import LateAdmission
@@ -74,6 +75,7 @@
     "Deployment",
     "Endpoint",
     "EndpointRecord",
+    "EndpointStart",
     "EngineKeeper",
     "EngineLimits",
     "EnginePlacement",
--- a/packages/core/src/knapweedbridge_core/serving/beliefs.py
+++ b/packages/core/src/knapweedbridge_core/serving/beliefs.py
@@ -35,6 +35,20 @@
     record: EndpointRecord
 
 
+@dataclass(slots=True, frozen=True)
+class EndpointUnreadable:
+    """The entry of an endpoint in the list cannot be read.
+
+    Parameters
+    ----------
+    cause : str
+        What is wrong with it, for the log.
+    """
+
+    endpoint: str
+    cause: str
+
+
 @dataclass(slots=True, frozen=True)
 class EndpointGone:
     """The store lists an endpoint no more."""
@@ -82,6 +96,7 @@
     DeploymentNamed
     | VersionNamed
     | EndpointNamed
+    | EndpointUnreadable
     | EndpointGone
     | DaemonNamed
     | DaemonGone
@@ -140,10 +155,8 @@
                 return self._take_deployment(deployment)
             case VersionNamed(model, version):
                 return self._take_version(model, version, now_s)
-            case EndpointNamed(record):
-                return self._take_endpoint(record, now_s)
-            case EndpointGone(endpoint):
-                self.fleet.unlisted(endpoint, now_s, in_outage)
+            case EndpointNamed() | EndpointUnreadable() | EndpointGone():
+                return self._take_listing(belief, now_s, in_outage)
             case DaemonNamed(record):
                 self.daemons[record.name] = record
             case DaemonGone(name):
@@ -170,11 +183,31 @@
         self.versions[model] = NamedVersion(version, now_s)
         return True
 
+    def _take_listing(
+        self,
+        listing: EndpointNamed | EndpointUnreadable | EndpointGone,
+        now_s: float,
+        in_outage: bool,
+    ) -> bool:
+        match listing:
+            case EndpointNamed(record):
+                return self._take_endpoint(record, now_s)
+            case EndpointUnreadable(endpoint):
+                return self.fleet.unusable(endpoint)
+            case EndpointGone(endpoint):
+                self.fleet.unlisted(endpoint, now_s, in_outage)
+        return True
+
     def _take_endpoint(self, record: EndpointRecord, now_s: float) -> bool:
         known = self.fleet.endpoints.get(record.endpoint)
-        changed = known is None or known.record.leaving != record.leaving
-        self.fleet.listed(record, now_s)
-        return changed
+        before = known and (known.usable, known.record.leaving)
+        endpoint = self.fleet.listed(record, now_s)
+        if endpoint is known:
+            return before != (endpoint.usable, endpoint.record.leaving)
+        # An engine that comes back under its id may have its owner already.
+        owner = self.owners.get(record.endpoint)
+        endpoint.owner = owner.owner if owner else ""
+        return True
 
     def _take_owner(self, endpoint: str, record: OwnerRecord, now_s: float) -> None:
         known = self.owners.get(endpoint)
--- a/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
@@ -109,6 +109,8 @@
         Calls that wait and run there.
     cache_used_tokens : int
         Tokens of memory that cannot yield.
+    started_ms : int
+        The start that it is about, as in `EndpointRecord`.
     """
 
     sequence: int
@@ -119,6 +121,7 @@
     queued: int = 0
     running: int = 0
     cache_used_tokens: int = 0
+    started_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -127,6 +130,8 @@
 
     Parameters
     ----------
+    ready_s, due_s : float
+        When it is taken to be there, and when that was expected at first.
     fetched_s : float or None
         When its load from the weight store began, where few were on their way.
     """
@@ -136,6 +141,10 @@
     used_s: float
     fetched_s: float | None = None
     leaving: bool = False
+    due_s: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.due_s = self.ready_s
 
 
 @dataclass(slots=True)
@@ -429,7 +438,9 @@
             self.times.took_longer(now_s - place.fetched_s)
         if place.ready_s > now_s:
             return
-        if now_s - place.ready_s < LATE_LOAD_LIFE_S:
+        # From when it was expected at first: each miss puts ``ready_s`` off, and an
+        # adapter that never comes would be waited for as long as calls ask for it.
+        if now_s - place.due_s < LATE_LOAD_LIFE_S:
             place.ready_s = now_s + LATE_LOAD_S
         else:
             self._unsure = True
--- a/packages/core/src/knapweedbridge_core/serving/engine_teller.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_teller.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, replace
 
 from knapweedbridge_core.serving.engine_keeper import EngineKeeper
-from knapweedbridge_core.serving.fleet import HEARD_LIFE_S
+from knapweedbridge_core.serving.fleet import HEARD_LIFE_S, EndpointStart
 from knapweedbridge_core.serving.messages import EngineChanged, EngineTold
 from knapweedbridge_core.serving.model_ref import ModelRef
 
@@ -34,7 +34,7 @@
 
     Parameters
     ----------
-    endpoint : str
+    start : EndpointStart
         The engine.
     number : int
         The owner's fencing number.
@@ -42,8 +42,9 @@
         What the engine holds.
     """
 
-    def __init__(self, endpoint: str, number: int, keeper: EngineKeeper) -> None:
-        self._endpoint = endpoint
+    def __init__(self, start: EndpointStart, number: int, keeper: EngineKeeper) -> None:
+        self._endpoint = start.endpoint
+        self._started_ms = start.started_ms
         self._number = number
         self._keeper = keeper
         self._told = 0
@@ -201,6 +202,7 @@
             keeper.wants,
             sorted(keeper.bases),
             keeper.times.cold_s,
+            self._started_ms,
         )
 
     def _changes(self, now_s: float) -> EngineChanged:
@@ -220,4 +222,5 @@
             self._keeper.places_free(now_s),
             self._keeper.wants,
             sorted(self._keeper.bases),
+            self._started_ms,
         )
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -1,7 +1,7 @@
 """What a daemon believes of the endpoints: who exists, holds what, runs how much."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from knapweedbridge_core.serving.messages import EngineChanged, EngineTold
 from knapweedbridge_core.serving.model_ref import ModelRef
@@ -34,6 +34,30 @@
 """Half-life of the share of failures, so that one bad second is soon forgotten."""
 
 
+@dataclass(slots=True, frozen=True)
+class EndpointStart:
+    """One start of an endpoint: it may start again under the same id.
+
+    Parameters
+    ----------
+    started_ms : int
+        As in `EndpointRecord`.
+    """
+
+    endpoint: str
+    started_ms: int
+
+    def may_be(self, other: "EndpointStart") -> bool:
+        """Tell whether two are one and the same, as far as is told of them."""
+        told = self.started_ms and other.started_ms
+        same = not told or self.started_ms == other.started_ms
+        return self.endpoint == other.endpoint and same
+
+    def is_before(self, other: "EndpointStart") -> bool:
+        """Tell whether this is surely an earlier start than another."""
+        return 0 < self.started_ms < other.started_ms
+
+
 @dataclass(slots=True, frozen=True)
 class EndpointRecord:
     """One endpoint as the platform lists it.
@@ -56,6 +80,9 @@
         Base models that it holds.
     adapters : dict of ModelRef to int
         Adapters that it holds, and their versions.
+    started_ms : int
+        Unix time of its start in milliseconds, which tells starts under one id apart;
+        0 where it is not told.
     """
 
     endpoint: str
@@ -66,6 +93,12 @@
     leaving: bool
     bases: tuple[str, ...] = ()
     adapters: dict[ModelRef, int] = field(default_factory=dict)
+    started_ms: int = 0
+
+    @property
+    def start(self) -> EndpointStart:
+        """Which start of which endpoint this is of."""
+        return EndpointStart(self.endpoint, self.started_ms)
 
 
 @dataclass(slots=True)
@@ -97,6 +130,8 @@
     own_unread_tokens, others_unread_tokens : int
         Tokens of prompts that the engine has yet to read, of this daemon's calls and
         of others'.
+    usable : bool
+        Whether its entry in the list can be read; if not, it gets no new work.
     """
 
     record: EndpointRecord
@@ -108,6 +143,7 @@
     others_calls: int = 0
     own_unread_tokens: int = 0
     others_unread_tokens: int = 0
+    usable: bool = True
     unlisted_s: float | None = None
     suspect_until_s: float = 0.0
     failures_in_row: int = 0
@@ -129,6 +165,11 @@
         """Id of the endpoint."""
         return self.record.endpoint
 
+    @property
+    def start(self) -> EndpointStart:
+        """Which start of which endpoint this is."""
+        return self.record.start
+
     @property
     def calls(self) -> int:
         """Calls that run there, of all daemons."""
@@ -227,15 +268,22 @@
     def __init__(self) -> None:
         self.endpoints: dict[str, Endpoint] = {}
         self._by_service: dict[str, dict[str, Endpoint]] = {}
+        self._restarted: list[Endpoint] = []
 
     def listed(self, record: EndpointRecord, now_s: float) -> Endpoint:
-        """Take what the platform says of an endpoint."""
+        """Take what the platform says of an endpoint.
+
+        A word of an earlier start than the known one changes nothing: such words come
+        late. One of a later start, or of another service, makes a new `Endpoint`.
+        """
         endpoint = self.endpoints.get(record.endpoint)
-        if endpoint is None:
-            endpoint = Endpoint(record, first_listed_s=now_s)
-            self.endpoints[record.endpoint] = endpoint
-            self._by_service.setdefault(record.service, {})[record.endpoint] = endpoint
-        endpoint.record = record
+        if endpoint is not None and record.start.is_before(endpoint.start):
+            return endpoint
+        if endpoint is None or _is_another(endpoint.record, record):
+            endpoint = self._begin(endpoint, record, now_s)
+        started_ms = record.started_ms or endpoint.record.started_ms
+        endpoint.record = replace(record, started_ms=started_ms)
+        endpoint.usable = True
         endpoint.unlisted_s = None
         if not endpoint.is_heard(now_s):
             # An owner's word is newer: the list is up to 2 s old, and does not say
@@ -249,9 +297,67 @@
             )
         return endpoint
 
+    def _begin(
+        self, before: Endpoint | None, record: EndpointRecord, now_s: float
+    ) -> Endpoint:
+        """Begin anew with an endpoint; what was believed of an earlier start is gone.
+
+        The calls of before end at the `Endpoint` of before: their failures and their
+        counts do not touch the new one, which holds and runs nothing yet.
+        """
+        endpoint = Endpoint(record, first_listed_s=now_s)
+        if before is not None:
+            self._drop(before)
+            self._restarted.append(before)
+            endpoint.owner = before.owner
+        self.endpoints[record.endpoint] = endpoint
+        self._by_service.setdefault(record.service, {})[record.endpoint] = endpoint
+        return endpoint
+
+    def restarted(self, start: EndpointStart, now_s: float) -> bool:
+        """Take that an endpoint tells of itself that it has started again.
+
+        Its entry in the list follows about a second later; until then its orders and
+        adapters would be believed to be those of the start before.
+        """
+        known = self.endpoints.get(start.endpoint)
+        if known is None or not known.start.is_before(start):
+            return False
+        record = replace(
+            known.record, started_ms=start.started_ms, bases=(), adapters={}
+        )
+        self._begin(known, record, now_s)
+        return True
+
+    def take_restarted(self) -> list[Endpoint]:
+        """Return, once, the endpoints whose earlier start is over."""
+        found, self._restarted = self._restarted, []
+        return found
+
+    def unusable(self, name: str) -> bool:
+        """Take that an endpoint's entry cannot be read; tell whether that is new.
+
+        Another writer may have overwritten it. It gets no new work until its own next
+        word, and what it runs goes on.
+        """
+        endpoint = self.endpoints.get(name)
+        if endpoint is None or not endpoint.usable:
+            return False
+        endpoint.usable = False
+        return True
+
+    def _of_start(
+        self, message: EngineTold | EngineChanged, now_s: float
+    ) -> Endpoint | None:
+        """Return the endpoint that a telling is about; None for an earlier start."""
+        start = EndpointStart(message.endpoint, message.started_ms)
+        self.restarted(start, now_s)
+        endpoint = self.endpoints.get(message.endpoint)
+        return endpoint if endpoint and endpoint.start.may_be(start) else None
+
     def take_told(self, message: EngineTold, now_s: float) -> Endpoint | None:
         """Take all that an owner tells of its engine; None where that is outdated."""
-        endpoint = self.endpoints.get(message.endpoint)
+        endpoint = self._of_start(message, now_s)
         if endpoint is None or not endpoint.is_new(message):
             return None
         endpoint.take_held(
@@ -267,7 +373,7 @@
 
     def take_changed(self, message: EngineChanged, now_s: float) -> bool:
         """Take what changed; False where something before it was missed."""
-        endpoint = self.endpoints.get(message.endpoint)
+        endpoint = self._of_start(message, now_s)
         if endpoint is None or not endpoint.is_next(message):
             return False
         held = dict(endpoint.held)
@@ -320,7 +426,7 @@
         return [
             endpoint
             for endpoint in self._by_service.get(service, {}).values()
-            if not endpoint.record.leaving
+            if endpoint.usable and not endpoint.record.leaving
         ]
 
     def reachable(self, service: str, now_s: float) -> list[Endpoint]:
@@ -367,3 +473,8 @@
     def engines(self) -> Iterator[Endpoint]:
         """Iterate over all endpoints, those that leave too."""
         return iter(self.endpoints.values())
+
+
+def _is_another(known: EndpointRecord, record: EndpointRecord) -> bool:
+    """Tell whether a record is of another start, or of another service's endpoint."""
+    return known.start.is_before(record.start) or record.service != known.service
--- a/packages/core/src/knapweedbridge_core/serving/messages.py
+++ b/packages/core/src/knapweedbridge_core/serving/messages.py
@@ -44,11 +44,14 @@
         Calls by model, ``BASE/ADAPTER`` or ``BASE``.
     unread_tokens : int
         Tokens of the prompts whose first event has not come yet.
+    started_ms : int
+        The engine's start that they run on, as in `EndpointRecord`.
     """
 
     endpoint: str
     calls: dict[str, int]
     unread_tokens: int
+    started_ms: int = 0
 
 
 @message
@@ -77,6 +80,8 @@
         Base models that it holds.
     cold_s : float
         How long a load from the weight store takes, as far as the owner knows.
+    started_ms : int
+        The engine's start that this is about, as in `EndpointRecord`.
     """
 
     endpoint: str
@@ -89,6 +94,7 @@
     wants: int
     bases: list[str]
     cold_s: float = 0.0
+    started_ms: int = 0
 
 
 @message
@@ -113,6 +119,7 @@
     places_free: int
     wants: int
     bases: list[str]
+    started_ms: int = 0
 
 
 @message
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -105,6 +105,7 @@
             version=target.version,
             calls_there=target.endpoint.calls,
             outcome=end.value,
+            prompt_tokens=call.details.prompt_tokens,
             took_s=round(now_s - began_s, 4),
             left_s=round(call.deadline_s - now_s, 3),
             detail=detail,
@@ -236,6 +237,7 @@
                 continue
             self._end_patience(patience)
             self._note_read(call, endpoint)
+            call.note_events(anyio.current_time())
             if events.last_id is not None:
                 call.last_event = events.last_id
             if not call.progress.begun:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
@@ -7,7 +7,7 @@
 import anyio
 
 from knapweedbridge_core.serving import near, watchers
-from knapweedbridge_core.serving.beliefs import EndpointGone
+from knapweedbridge_core.serving.beliefs import EndpointGone, EndpointUnreadable
 from knapweedbridge_core.serving.messages import StoreTold
 from knapweedbridge_daemon.errors import StoreError
 from knapweedbridge_daemon.serving.dialects import DialectError
@@ -60,6 +60,7 @@
         self._revision = 0
         self._known: set[str] = set()
         self._told = anyio.Event()
+        self._unreadable: set[str] = set()
 
     def watch_anew(self) -> None:
         """End the watch that waits: its connection may have gone silent."""
@@ -174,6 +175,14 @@
             self._hub.beliefs_changed.tell()
             self._hub.engines_changed.tell()
 
+    def _note_unreadable(self, item: StoreItem, cause: str) -> None:
+        # Another writer may repeat itself each second: one line tells it.
+        if item.key not in self._unreadable:
+            self._unreadable.add(item.key)
+            self._hub.log.error(
+                "store.unreadable", key=item.key, revision=item.revision, error=cause
+            )
+
     def _take_one(self, item: StoreItem) -> bool:
         hub = self._hub
         if item.value is None:
@@ -190,8 +199,13 @@
                 )
         except DialectError as error:
             # What was believed before stays in force.
-            hub.log.error("store.unreadable", key=item.key, error=str(error))
+            self._note_unreadable(item, str(error))
             return False
+        if isinstance(belief, EndpointUnreadable):
+            self._note_unreadable(item, belief.cause)
+        elif item.key in self._unreadable:
+            self._unreadable.discard(item.key)
+            hub.log.info("store.readable", key=item.key, revision=item.revision)
         if belief is None:
             return False
         if isinstance(belief, EndpointGone):
--- a/packages/daemon/src/knapweedbridge_daemon/serving/call.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/call.py
@@ -44,6 +44,8 @@
         When its answer is due at the latest, on the daemon's clock.
     mark : str
         What it is known by when it comes again.
+    longest_pause_s, paused_s : float
+        Longest time between two events of its stream, and when that pause ended.
     """
 
     request: ReceivedRequest
@@ -57,6 +59,9 @@
     failure: KeptAnswer | None = None
     refused: set[str] = field(default_factory=set)
     first_event_s: float | None = None
+    event_s: float | None = None
+    longest_pause_s: float = 0.0
+    paused_s: float = 0.0
     last_choice: str = ""
     unread_tokens: int = 0
     accepted: bool = False
@@ -68,6 +73,13 @@
         """Time that is left, in seconds."""
         return self.deadline_s - anyio.current_time()
 
+    def note_events(self, now_s: float) -> None:
+        """Take that events of its stream came."""
+        if self.event_s is not None and now_s - self.event_s > self.longest_pause_s:
+            self.longest_pause_s = now_s - self.event_s
+            self.paused_s = now_s
+        self.event_s = now_s
+
     async def pass_on(self, kept: KeptAnswer) -> None:
         """Answer the caller with a whole answer of an endpoint."""
         headers = end_to_end(kept.head.headers)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
@@ -174,6 +174,7 @@
         if first_s is not None:
             first_s = round(first_s - call.request.received_s, 4)
             self._hub.measures.time("first_event_seconds", first_s)
+            self._hub.measures.time("longest_pause_seconds", call.longest_pause_s)
         self._hub.log.info(
             "request.ended",
             request=call.details.call_id,
@@ -185,6 +186,8 @@
             sends=call.progress.sends,
             placed=call.last_choice,
             first_s=first_s,
+            pause_s=round(call.longest_pause_s, 4),
+            paused_at_s=round(call.paused_s, 4),
             took_s=round(now_s - call.request.received_s, 4),
         )
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owners.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owners.py
@@ -68,7 +68,10 @@
         for name, owner in list(self._owned.items()):
             record = beliefs.owners.get(name)
             same = self._is_ours(record) and record and record.number == owner.number
-            if same and name in beliefs.fleet.endpoints and not self._hub.draining:
+            # An engine that has started again is another `Endpoint`, and needs a new
+            # keeper: the one of before counts orders and adapters that are gone.
+            known = beliefs.fleet.endpoints.get(name) is owner.endpoint
+            if same and known and not self._hub.draining:
                 continue
             owner.scope.cancel()
             del self._owned[name]
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
@@ -4,8 +4,10 @@
 
 from knapweedbridge_core.serving import (
     Endpoint,
+    EndpointStart,
     EngineKeeper,
     EngineLimits,
+    EngineReport,
     EngineTeller,
     ModelRef,
     Order,
@@ -66,7 +68,7 @@
         send: Send,
     ) -> None:
         self._hub = hub
-        self._endpoint = endpoint
+        self.endpoint = endpoint
         self._record = record
         self._send = send
         self._work = anyio.Event()
@@ -79,7 +81,7 @@
             endpoint.recent,
             hub.load_times,
         )
-        self._teller = EngineTeller(endpoint.name, record.number, self.keeper)
+        self._teller = EngineTeller(endpoint.start, record.number, self.keeper)
         self.scope = anyio.CancelScope()
 
     @property
@@ -96,6 +98,11 @@
 
     def calls_running(self, daemon: str, message: CallsRunning) -> None:
         """Take all calls of one daemon on the engine."""
+        start = EndpointStart(message.endpoint, message.started_ms)
+        if not start.may_be(self.endpoint.start):
+            # They run on another start of the engine than this one; if on a later
+            # one, they are told again within a second.
+            return
         found = {parse_model(name): count for name, count in message.calls.items()}
         now_s = anyio.current_time()
         self._teller.used_by(daemon, now_s)
@@ -133,16 +140,16 @@
 
     async def _await_predecessor(self) -> None:
         beliefs = self._hub.beliefs
-        lost = beliefs.silent_predecessor(self._endpoint.name)
+        lost = beliefs.silent_predecessor(self.endpoint.name)
         if lost is None or lost.owner == self._hub.identity.name:
             return
-        free_s = beliefs.free_since_s.get(self._endpoint.name, anyio.current_time())
-        await self._send(lost.owner, OwnershipTaken(self._endpoint.name, self.number))
+        free_s = beliefs.free_since_s.get(self.endpoint.name, anyio.current_time())
+        await self._send(lost.owner, OwnershipTaken(self.endpoint.name, self.number))
         with anyio.move_on_at(free_s + self._hub.lease_s):
             await self._alone.wait()
         self._hub.log.info(
             "owner.succeeded",
-            engine=self._endpoint.name,
+            engine=self.endpoint.name,
             number=self.number,
             predecessor=lost.owner,
             answered=self._alone.is_set(),
@@ -181,10 +188,10 @@
             order = self.keeper.next_order(anyio.current_time())
         stuck = self.keeper.stuck_wants(anyio.current_time())
         if stuck is not None:
-            self._hub.log.info("engine.stuck", engine=self._endpoint.name, **stuck)
+            self._hub.log.info("engine.stuck", engine=self.endpoint.name, **stuck)
 
     async def _ask_report(self) -> None:
-        record = self._endpoint.record
+        record = self.endpoint.record
         request = self._hub.dialects.endpoints.report(record.address)
         self._hub.measures.count("reports")
         try:
@@ -194,16 +201,31 @@
             report = self._hub.dialects.endpoints.read_report(body)
         except (NotSentError, BrokenError, TimeoutError, DialectError) as error:
             self._hub.log.info(
-                "engine.report_failed", engine=self._endpoint.name, error=str(error)
+                "engine.report_failed", engine=self.endpoint.name, error=str(error)
             )
             return
+        if self._is_of_another_start(report):
+            return
         self.keeper.reported(report, anyio.current_time())
         self._teller.held_changed()
 
+    def _is_of_another_start(self, report: EngineReport) -> bool:
+        """Tell whether a report is of another start of the engine than is known.
+
+        Its counts begin anew, so the keeper of before would take every report for an
+        outdated one. `EngineOwners` begins with a new keeper.
+        """
+        start = EndpointStart(self.endpoint.name, report.started_ms)
+        if start.may_be(self.endpoint.start):
+            return False
+        if self._hub.beliefs.fleet.restarted(start, anyio.current_time()):
+            self._hub.beliefs_changed.tell()
+        return True
+
     async def _exchange(
         self, request: WireRequest, timeout_s: float
     ) -> tuple[ResponseHead, bytes]:
-        address = self._endpoint.record.address
+        address = self.endpoint.record.address
         with anyio.fail_after(timeout_s):
             async with self._hub.pool.connection(address) as connection:
                 return await connection.call(request)
@@ -213,8 +235,8 @@
         dialect = hub.dialects.endpoints
         request = dialect.order(
             order,
-            self._endpoint.name,
-            self._endpoint.record.address,
+            self.endpoint.name,
+            self.endpoint.record.address,
             hub.identity.name,
             self.number,
         )
@@ -235,7 +257,7 @@
         hub.measures.count("orders", f"{order.kind.value}_{answer.value}")
         hub.log.info(
             "engine.ordered",
-            engine=self._endpoint.name,
+            engine=self.endpoint.name,
             order=order.kind.value,
             model=str(order.model),
             version=order.version,
@@ -248,10 +270,10 @@
     def _count_others(self) -> None:
         now_s = anyio.current_time()
         fleet = self._hub.beliefs.fleet
-        engines = fleet.of_service(self._endpoint.record.service)
+        engines = fleet.of_service(self.endpoint.record.service)
         self.keeper.engines = len(engines)
         self.keeper.coming_elsewhere = sum(
-            each.coming(now_s) for each in engines if each is not self._endpoint
+            each.coming(now_s) for each in engines if each is not self.endpoint
         )
 
     async def asked_for_all(self, daemon: str) -> None:
@@ -267,5 +289,5 @@
             askers.discard(telling.daemon)
             await self._send(telling.daemon, telling.message)
         for daemon in askers:
-            answered = OwnerAnswered(self._endpoint.name, self.number)
+            answered = OwnerAnswered(self.endpoint.name, self.number)
             await self._send(daemon, answered)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -8,7 +8,7 @@
 from anyio.abc import TaskGroup
 
 from knapweedbridge_core.addresses import split_address
-from knapweedbridge_core.serving import RetryBudget
+from knapweedbridge_core.serving import Endpoint, RetryBudget
 from knapweedbridge_daemon.serving.believing import StoreFollower
 from knapweedbridge_daemon.serving.callers_app import CallersApp
 from knapweedbridge_daemon.serving.calls import CallRunner
@@ -120,7 +120,7 @@
             tasks.start_soon(link.run, tasks, self._address("peers"))
             tasks.start_soon(link.owners.run, tasks)
             tasks.start_soon(link.running.run)
-            tasks.start_soon(self._sweep, hub)
+            tasks.start_soon(self._sweep, hub, link)
             await self._await_stop(hub, lease, face, app)
             tasks.cancel_scope.cancel()
 
@@ -174,12 +174,30 @@
             await anyio.sleep(0.1)
         hub.log.error("daemon.cut", running=app.running)
 
-    async def _sweep(self, hub: Hub) -> None:
+    async def _sweep(self, hub: Hub, link: PeerLink) -> None:
         while True:
             await anyio.sleep(SWEEP_S)
             now_s = anyio.current_time()
             for name in hub.beliefs.fleet.forget_unlisted(now_s):
                 hub.log.info("endpoint.gone", endpoint=name, cause="not listed again")
                 hub.engines_changed.tell()
+            for before in hub.beliefs.fleet.take_restarted():
+                await self._end_start(hub, link, before)
             wanted = {each.record.address for each in hub.beliefs.fleet.engines()}
             await hub.pool.close_idle(wanted)
+
+    @staticmethod
+    async def _end_start(hub: Hub, link: PeerLink, before: Endpoint) -> None:
+        """Draw the conclusions of an endpoint's new start under its id.
+
+        Connections to the start before may be silent for good, as those to a host that
+        lost its power are: a call that is sent on one gets no answer.
+        """
+        hub.log.info(
+            "endpoint.restarted",
+            endpoint=before.name,
+            before_ms=before.record.started_ms,
+        )
+        await hub.pool.close_idle_to(before.record.address)
+        await link.endpoint_lost(before.name)
+        hub.engines_changed.tell()
--- a/packages/daemon/src/knapweedbridge_daemon/serving/http_client.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/http_client.py
@@ -353,6 +353,11 @@
         for connection in over:
             await connection.aclose()
 
+    async def close_idle_to(self, address: str) -> None:
+        """Close the idle connections to an address."""
+        for connection in self._idle.pop(address, ()):
+            await connection.aclose()
+
     async def aclose(self) -> None:
         """Close all idle connections."""
         await self.close_idle(set())
--- a/packages/daemon/src/knapweedbridge_daemon/serving/own_records.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/own_records.py
@@ -51,6 +51,9 @@
     if value is None:
         return DaemonGone(name)
     incarnation, address, data_centre, draining = msgpack.unpackb(value)
+    _check(incarnation, int)
+    _check(address, str)
+    _check(data_centre, str)
     return DaemonNamed(
         DaemonRecord(name, incarnation, address, data_centre, bool(draining))
     )
@@ -60,4 +63,11 @@
     if value is None:
         return OwnerGone(name)
     owner, incarnation = msgpack.unpackb(value)
+    _check(owner, str)
+    _check(incarnation, int)
     return OwnerNamed(name, OwnerRecord(owner, incarnation, revision))
+
+
+def _check(value: object, kind: type) -> None:
+    if not isinstance(value, kind):
+        raise TypeError(f"{value!r:.50} is no {kind.__name__}")
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -120,7 +120,7 @@
         if endpoint.told_by != daemon:
             endpoint.told_by = daemon
             # It cannot know of calls that began under the owner before it.
-            self.running.tell(message.endpoint)
+            self.running.tell(endpoint.start)
 
     async def _take_changed(self, daemon: str, message: EngineChanged) -> None:
         now_s = anyio.current_time()
--- a/packages/daemon/src/knapweedbridge_daemon/serving/running_calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/running_calls.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from knapweedbridge_core.serving import Endpoint, ModelRef
+from knapweedbridge_core.serving import Endpoint, EndpointStart, ModelRef
 from knapweedbridge_core.serving.messages import CallsRunning
 from knapweedbridge_daemon.serving.hub import Hub, Send
 
@@ -43,10 +43,10 @@
     def __init__(self, hub: Hub, send: Send) -> None:
         self._hub = hub
         self._send = send
-        self._calls: dict[str, Counter[str]] = defaultdict(Counter)
-        self._lingering: deque[tuple[float, str, ModelRef]] = deque()
-        self._due_s: dict[str, float] = {}
-        self._told_s: dict[str, float] = {}
+        self._calls: dict[EndpointStart, Counter[str]] = defaultdict(Counter)
+        self._lingering: deque[tuple[float, EndpointStart, ModelRef]] = deque()
+        self._due_s: dict[EndpointStart, float] = {}
+        self._told_s: dict[EndpointStart, float] = {}
         self._wake = anyio.Event()
 
     def begin(
@@ -56,13 +56,13 @@
         endpoint.own_calls += 1
         endpoint.own_unread_tokens += prompt_tokens
         if model is not None:
-            self._calls[endpoint.name][str(model)] += 1
-            self.tell(endpoint.name)
+            self._calls[endpoint.start][str(model)] += 1
+            self.tell(endpoint.start)
 
     def prompt_read(self, endpoint: Endpoint, prompt_tokens: int) -> None:
         """Take that a call's first event came, or will not come there."""
         endpoint.own_unread_tokens -= prompt_tokens
-        self.tell(endpoint.name, soon=False)
+        self.tell(endpoint.start, soon=False)
 
     def end(self, endpoint: Endpoint, model: ModelRef | None, whole: bool) -> None:
         """Count a call that has ended there.
@@ -77,22 +77,22 @@
         if model is None:
             return
         if whole:
-            self._forget(endpoint.name, model)
+            self._forget(endpoint.start, model)
         else:
             due_s = anyio.current_time() + LINGER_S
-            self._lingering.append((due_s, endpoint.name, model))
+            self._lingering.append((due_s, endpoint.start, model))
 
-    def _forget(self, endpoint: str, model: ModelRef) -> None:
-        self._calls[endpoint][str(model)] -= 1
-        self.tell(endpoint, soon=False)
+    def _forget(self, start: EndpointStart, model: ModelRef) -> None:
+        self._calls[start][str(model)] -= 1
+        self.tell(start, soon=False)
 
     def _forget_lingering(self) -> None:
         now_s = anyio.current_time()
         while self._lingering and self._lingering[0][0] <= now_s:
-            _, endpoint, model = self._lingering.popleft()
-            self._forget(endpoint, model)
+            _, start, model = self._lingering.popleft()
+            self._forget(start, model)
 
-    def tell(self, endpoint: str, soon: bool = True) -> None:
+    def tell(self, start: EndpointStart, soon: bool = True) -> None:
         """Have the owner of an endpoint told of all calls there.
 
         Parameters
@@ -102,8 +102,8 @@
         """
         urgent = soon or self._hub.beliefs.is_small_pool
         due_s = anyio.current_time() + (JOIN_S if urgent else JOIN_FAR_S)
-        if due_s < self._due_s.get(endpoint, math.inf):
-            self._due_s[endpoint] = due_s
+        if due_s < self._due_s.get(start, math.inf):
+            self._due_s[start] = due_s
             self._wake.set()
 
     async def run(self) -> None:
@@ -115,32 +115,38 @@
             with anyio.move_on_at(next_s):
                 await self._wake.wait()
             self._forget_lingering()
-            for name in self._due(anyio.current_time()):
-                self._due_s.pop(name, None)
-                await self._tell_owner(name)
+            for start in self._due(anyio.current_time()):
+                self._due_s.pop(start, None)
+                await self._tell_owner(start)
 
-    def _due(self, now_s: float) -> set[str]:
-        due = {name for name, due_s in self._due_s.items() if due_s <= now_s}
+    def _due(self, now_s: float) -> set[EndpointStart]:
+        due = {start for start, due_s in self._due_s.items() if due_s <= now_s}
         return due | self._silent(now_s)
 
-    def _silent(self, now_s: float) -> set[str]:
+    def _silent(self, now_s: float) -> set[EndpointStart]:
         """Return where calls run that were not told of for long."""
         return {
-            name
-            for name, calls in self._calls.items()
-            if calls and now_s - self._told_s.get(name, 0.0) >= REPEAT_S
+            start
+            for start, calls in self._calls.items()
+            if calls and now_s - self._told_s.get(start, 0.0) >= REPEAT_S
         }
 
-    async def _tell_owner(self, name: str) -> None:
-        calls = +self._calls[name]
-        if name not in self._hub.beliefs.fleet.endpoints:
+    async def _tell_owner(self, start: EndpointStart) -> None:
+        calls = +self._calls[start]
+        endpoint = self._hub.beliefs.fleet.endpoints.get(start.endpoint)
+        if endpoint is None or endpoint.start != start:
+            # It is gone, or has started again: the calls of before ended with it.
             if not calls:
-                del self._calls[name]
-                self._told_s.pop(name, None)
+                del self._calls[start]
+                self._told_s.pop(start, None)
             return
-        self._calls[name] = calls
-        endpoint = self._hub.beliefs.fleet.endpoints[name]
-        self._told_s[name] = anyio.current_time()
+        self._calls[start] = calls
+        self._told_s[start] = anyio.current_time()
         if endpoint.owner:
-            told = CallsRunning(name, dict(calls), endpoint.own_unread_tokens)
+            told = CallsRunning(
+                endpoint.name,
+                dict(calls),
+                endpoint.own_unread_tokens,
+                start.started_ms,
+            )
             await self._send(endpoint.owner, told)
--- a/packages/standins/src/knapweedbridge_standins/serving_load/pool.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/pool.py
@@ -9,6 +9,7 @@
 from knapweedbridge_core.serving import (
     CallKind,
     EndpointRecord,
+    EndpointStart,
     EngineKeeper,
     EngineLimits,
     EnginePlacement,
@@ -95,7 +96,7 @@
         limits = EngineLimits(site.slots, 10**6, site.places, 1e5, 10.0)
         self.keeper = EngineKeeper(limits, times=pool.daemons[daemon].load_times)
         self.keeper.reported(pool.engines[name].report(), pool.clock.now_s)
-        self._teller = EngineTeller(name, 1, self.keeper)
+        self._teller = EngineTeller(EndpointStart(name, 0), 1, self.keeper)
         self._ordering = False
         self._woken = False
         self._reported_s = float("-inf")
