--- a/features/serving/load.feature
+++ b/features/serving/load.feature
@@ -7,12 +7,12 @@
 
     When a small pool is played at <load> times its usual load
     Then at least <share> of its callers are answered in time
-    And more than where every late call is refused
+    And <compared> where every late call is refused
 
     Examples:
-      | load | share |
-      | 1    | 0.96  |
-      | 1.5  | 0.84  |
+      | load | share | compared                                      |
+      | 1    | 0.96  | as many, with at most half as many refused as |
+      | 1.5  | 0.9   | more than                                     |
 
   Scenario: Under an overload that lasts the answers in time do not become fewer
     With each caller taken in, however late, all waited and none was served in time.
--- a/features/serving/steps/decision_steps.py
+++ b/features/serving/steps/decision_steps.py
@@ -48,7 +48,7 @@
     VersionNamed,
 )
 from knapweedbridge_core.serving.fleet import HeldAdapter
-from knapweedbridge_core.serving.load_times import cold_load_s
+from knapweedbridge_core.serving.load_times import LoadTimes
 from knapweedbridge_core.serving.messages import EngineTold
 from knapweedbridge_standins.serving_histories import HISTORIES
 
@@ -141,7 +141,8 @@
 
 @then("with {engines:d} engines and {coming:d} loads on their way one takes {s:g} s")
 def load_takes(context, engines, coming, s):
-    assert cold_load_s(coming, engines) == s, cold_load_s(coming, engines)
+    found = LoadTimes().load_s(coming, engines)
+    assert found == s, found
 
 
 @when("a load is taken to be done and calls are refused until {s:g} s after its order")
--- a/features/serving/steps/load_steps.py
+++ b/features/serving/steps/load_steps.py
@@ -66,12 +66,24 @@
     assert context.figures.in_time_share >= share, context.figures.in_time_share
 
 
-@then("more than where every late call is refused")
-def more_than_strict(context):
+def strict(context):
     with mock.patch.object(late_admission, "SPARE_MOST", 0.0):
-        found = play(
+        return play(
             context.site, PricedPlacement(), context.load, PLAYED_S[context.site.name]
         )
+
+
+@then("as many, with at most half as many refused as where every late call is refused")
+def fewer_refused_than_strict(context):
+    found = strict(context)
+    shares = context.figures.in_time_share, found.in_time_share
+    assert shares[0] >= shares[1] - 0.015, shares
+    assert 2 * context.figures.refusals <= found.refusals, found.refusals
+
+
+@then("more than where every late call is refused")
+def more_than_strict(context):
+    found = strict(context)
     shares = context.figures.in_time_share, found.in_time_share
     assert shares[0] > shares[1], shares
     assert context.figures.refusals < found.refusals, found.refusals
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -31,6 +31,7 @@
     OrderAnswer,
     OrderKind,
 )
+from knapweedbridge_core.serving.engine_rates import EngineRates, LearntRates
 from knapweedbridge_core.serving.engine_teller import EngineTeller, Telling
 from knapweedbridge_core.serving.fleet import (
     Endpoint,
@@ -57,10 +58,15 @@
     SendTo,
     TooLate,
     WaitFor,
-    reading_s,
 )
 from knapweedbridge_core.serving.plain_choice import PlainAsk, choose_plain
 from knapweedbridge_core.serving.pool import is_small, near, watchers
+from knapweedbridge_core.serving.prompt_pacing import (
+    NoPacing,
+    PromptPacer,
+    PromptTurn,
+    WindowPacing,
+)
 from knapweedbridge_core.serving.retry_budget import RetryBudget
 
 __all__ = [
@@ -79,16 +85,19 @@
     "EngineKeeper",
     "EngineLimits",
     "EnginePlacement",
+    "EngineRates",
     "EngineReport",
     "EngineTeller",
     "FaceLimits",
     "Fleet",
     "LateAdmission",
+    "LearntRates",
     "LeaseClock",
     "LoadOn",
     "LoadTimes",
     "ModelRef",
     "NoEngine",
+    "NoPacing",
     "Order",
     "OrderAnswer",
     "OrderKind",
@@ -96,6 +105,8 @@
     "PlacementAsk",
     "PlainAsk",
     "PricedPlacement",
+    "PromptPacer",
+    "PromptTurn",
     "RetryBudget",
     "Route",
     "SendTo",
@@ -104,6 +115,7 @@
     "TooLate",
     "WaitFor",
     "WeightedService",
+    "WindowPacing",
     "choose_plain",
     "claim_due_s",
     "claimants",
@@ -114,7 +126,6 @@
     "may_send_again",
     "near",
     "parse_model",
-    "reading_s",
     "resumes",
     "watchers",
 ]
--- a/packages/core/src/knapweedbridge_core/serving/beliefs.py
+++ b/packages/core/src/knapweedbridge_core/serving/beliefs.py
@@ -202,6 +202,9 @@
         known = self.fleet.endpoints.get(record.endpoint)
         before = known and (known.usable, known.record.leaving)
         endpoint = self.fleet.listed(record, now_s)
+        limits = self.deployment and self.deployment.engine_limits(record.service)
+        if limits:
+            endpoint.recent.most = limits.recent_adapters
         if endpoint is known:
             return before != (endpoint.usable, endpoint.record.leaving)
         # An engine that comes back under its id may have its owner already.
--- a/packages/core/src/knapweedbridge_core/serving/deployment.py
+++ b/packages/core/src/knapweedbridge_core/serving/deployment.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from knapweedbridge_core.rendezvous import score
+from knapweedbridge_core.serving.recent_adapters import RECENT_A_PLACE
 
 HASH_RANGE = 1 << 64
 
@@ -133,6 +134,11 @@
     loads_per_s: float
     models: dict[str, BaseModel] = field(default_factory=dict)
 
+    @property
+    def recent_adapters(self) -> int:
+        """Adapters that it has in its memory besides those it holds."""
+        return RECENT_A_PLACE * self.adapter_places
+
 
 @dataclass(slots=True, frozen=True)
 class Service:
@@ -197,3 +203,22 @@
             if path.startswith(route.path_prefix):
                 return route
         return None
+
+    def engine_limits(self, service: str) -> EngineLimits | None:
+        """Return what engines of a service hold; None for a plain service."""
+        found = self.services.get(service)
+        return found.engine if found else None
+
+    def longest_pauses_s(self) -> dict[str, float]:
+        """Return, by service, the shortest of the longest pauses its routes accept.
+
+        A service is missing where none of its routes has streams with such a bound.
+        """
+        found: dict[str, float] = {}
+        for route in self.routes:
+            if route.gap_objective_s <= 0:
+                continue
+            for each in route.services:
+                known_s = found.get(each.service, route.gap_objective_s)
+                found[each.service] = min(known_s, route.gap_objective_s)
+        return found
--- a/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
@@ -11,11 +11,12 @@
 
 from knapweedbridge_core.serving.deployment import EngineLimits
 from knapweedbridge_core.serving.load_times import (
+    TRIAL_SEEN_S,
     WARM_LOAD_S,
     LoadTimes,
-    cold_load_s,
 )
 from knapweedbridge_core.serving.model_ref import ModelRef
+from knapweedbridge_core.serving.prompt_pacing import LongPrompts
 from knapweedbridge_core.serving.recent_adapters import RecentAdapters
 
 COMING_MOST = 4
@@ -134,6 +135,8 @@
         When it is taken to be there, and when that was expected at first.
     fetched_s : float or None
         When its load from the weight store began, where few were on their way.
+    tried_at_once : float
+        Loads that its time was planned to be served with; see `LoadPlan`.
     """
 
     version: int
@@ -141,6 +144,7 @@
     used_s: float
     fetched_s: float | None = None
     leaving: bool = False
+    tried_at_once: float = 0.0
     due_s: float = 0.0
 
     def __post_init__(self) -> None:
@@ -183,6 +187,8 @@
     ----------
     engines, coming_elsewhere : int
         Engines of the service, and adapters on their way to others of them.
+    long_prompts : LongPrompts
+        Counts the prompts that pause the engine's streams.
     """
 
     def __init__(
@@ -203,8 +209,9 @@
         self.engines = 1
         self._wants: OrderedDict[ModelRef, Want] = OrderedDict()
         self._calls: dict[str, DaemonCalls] = {}
-        self._recent = RecentAdapters(recent)
+        self._recent = RecentAdapters(recent, limits.recent_adapters)
         self._base_due_s = 0.0
+        self.long_prompts = LongPrompts()
 
     def want(self, model: ModelRef, version: int, now_s: float) -> None:
         """Take a daemon's wish for an adapter."""
@@ -259,6 +266,12 @@
         for model in {*before, *calls}:
             if model in self.places and before.get(model) != calls.get(model):
                 self.places[model].used_s = now_s
+                self._note_trial(self.places[model], calls.get(model, 0), now_s)
+
+    def _note_trial(self, place: Place, users: int, now_s: float) -> None:
+        if place.tried_at_once and users and now_s >= place.ready_s + TRIAL_SEEN_S:
+            self.times.trial_held(place.tried_at_once)
+            place.tried_at_once = 0.0
 
     def forget_silent(self, now_s: float) -> None:
         """Drop the calls of daemons that tell of them no more."""
@@ -405,7 +418,7 @@
         if order.kind is OrderKind.UNLOAD:
             if answer is OrderAnswer.DONE:
                 self._drop(order.model)
-            else:
+            elif order.model in self.places:
                 self.places[order.model].leaving = True
             return
         self._wants.pop(order.model, None)
@@ -419,14 +432,17 @@
             return Place(order.version, now_s + WARM_LOAD_S + READY_MARGIN_S, now_s)
         coming = 1 + self.coming_elsewhere
         coming += sum(place.ready_s > now_s for place in self.places.values())
-        cold_s = self.times.cold_s
-        load_s = cold_load_s(coming, self.engines, cold_s)
-        ready_s = now_s + load_s + READY_MARGIN_S
-        fetched_s = now_s if load_s <= cold_s else None
-        return Place(order.version, ready_s, now_s, fetched_s)
+        plan = self.times.plan(coming, self.engines, now_s)
+        ready_s = now_s + plan.load_s + READY_MARGIN_S
+        alone = coming <= self.times.full_speed(self.engines)
+        fetched_s = now_s if alone else None
+        return Place(
+            order.version, ready_s, now_s, fetched_s, tried_at_once=plan.at_once
+        )
 
     def _drop(self, model: ModelRef) -> None:
-        del self.places[model]
+        # A report may have shown meanwhile that it is gone.
+        self.places.pop(model, None)
         self._recent.add(model)
 
     def missed(self, model: ModelRef, now_s: float) -> None:
@@ -434,6 +450,9 @@
         place = self.places.get(model)
         if place is None:
             return
+        if place.tried_at_once:
+            self.times.trial_failed(now_s)
+            place.tried_at_once = 0.0
         if place.fetched_s is not None:
             self.times.took_longer(now_s - place.fetched_s)
         if place.ready_s > now_s:
--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/serving/engine_rates.py
@@ -0,0 +1,268 @@
+"""How long an engine takes to a call's first event, learnt from what calls showed.
+
+The load that this answers: engines of different makes. Constants that fit one make
+forecast 0.25 s of waiting on engines of another where none came: with 60 calls running,
+630 of 4,850 callers were refused, came back seconds later and were late by that.
+
+The time to a first event is taken to be a sum: a base, a part for each token of the
+call's prompt, and a part for each token that the engine had yet to read. Least squares
+with a decay fit the three. They begin at priors that weigh as much as ten calls,
+which a daemon sees within two seconds of usual traffic.
+"""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, field
+
+from knapweedbridge_core.serving.fleet import Endpoint
+from knapweedbridge_core.serving.prompt_pacing import turn_wait_s
+
+BASE_PRIOR_S = 0.05
+"""Time to the first event of a short prompt on an idle engine: one step, the ways
+between the hosts and what both ends do; 0.03 to 0.05 s on three makes of engines."""
+
+PROMPT_PRIOR_S = 5e-5
+"""Reading of one token of a call's own prompt; 2.6e-5 to 5.2e-5 s on three makes."""
+
+UNREAD_PRIOR_S = 5e-5
+"""Wait for one token that was unread when the call was sent, as long as its reading.
+Part of it has been read by then, so a third to a half of that is learnt."""
+
+HOLD_PRIOR_S = 1.2
+"""How long a call holds its slot; streams of the users' kinds last 0.6 to 4 s."""
+
+KEPT = 0.97
+"""Weight that earlier calls keep with each new one: the last 33 calls count most, five
+seconds of a daemon's share of the usual load."""
+
+PRIOR_WEIGHT = 0.3
+"""Weight of the priors, renewed with each call: a third of what a call weighs, so that
+a direction in which calls do not differ stays sane."""
+
+OUTLIER = 3.0
+"""Times its forecast from which on a time counts no further: a lost packet or a frozen
+host would else be taken for a slow engine."""
+
+HOLD_STEP = 0.05
+"""Weight of one call's time in the mean time that a slot is held."""
+
+SLOW_STEP = 0.25
+"""Weight of one call in an engine's own slowness: four calls show a slow one."""
+
+LEVEL_STEP = 0.03
+"""Weight of one call in what all engines of a service take in times of the forecast."""
+
+SLOW_MOST = 6.0
+"""Slowest that an engine is believed to be, in times of the others."""
+
+SLOW_HALF_LIFE_S = 2.0
+"""Half-life of an engine's slowness where no call shows it: it is tried again."""
+
+THOUSAND = 1000.0
+
+
+class EngineRates(ABC):
+    """What is known of the speed of engines."""
+
+    @abstractmethod
+    def first_event_s(
+        self, endpoint: Endpoint, prompt_tokens: int, now_s: float
+    ) -> float:
+        """Forecast the time from sending a call to its first event, in seconds.
+
+        The waits for its turn and for a slot are part of it.
+        """
+
+    @abstractmethod
+    def accept_pauses(self, longest_s: dict[str, float]) -> None:
+        """Take the longest pause that streams accept, by service, in seconds."""
+
+    @abstractmethod
+    def hold_s(self, service: str) -> float:
+        """Return how long a call holds its slot, in seconds."""
+
+    @abstractmethod
+    def slot_wait_s(self, endpoint: Endpoint) -> float:
+        """Forecast the wait for a slot, in seconds."""
+
+    @abstractmethod
+    def token_s(self, service: str) -> float:
+        """Return the time in which an engine reads one token of a prompt."""
+
+    @abstractmethod
+    def saw_first_event(
+        self,
+        endpoint: Endpoint,
+        prompt_tokens: int,
+        unread_tokens: int,
+        took_s: float,
+        now_s: float,
+    ) -> None:
+        """Take a call's first event, or that it did not come for some seconds.
+
+        Parameters
+        ----------
+        unread_tokens : int
+            Tokens that the engine had yet to read when the call was sent.
+        took_s : float
+            Time since the call was sent, its wait for a turn left out.
+        """
+
+    @abstractmethod
+    def saw_end(self, endpoint: Endpoint, took_s: float) -> None:
+        """Take how long a call that was answered held its slot."""
+
+
+@dataclass(slots=True)
+class FirstEventFit:
+    """Least squares of the time to a first event, with a decay.
+
+    Attributes
+    ----------
+    base_s, prompt_s, unread_s : float
+        The three parts as they are fitted now: a base, and for a token each.
+    """
+
+    base_s: float = BASE_PRIOR_S
+    prompt_s: float = PROMPT_PRIOR_S
+    unread_s: float = UNREAD_PRIOR_S
+    _products: list[list[float]] = field(init=False)
+    _targets: list[float] = field(init=False)
+
+    def __post_init__(self) -> None:
+        # As if many calls had shown the priors, so that the first one moves little.
+        steady = PRIOR_WEIGHT / (1 - KEPT)
+        self._products = [[steady * (i == j) for j in range(3)] for i in range(3)]
+        self._targets = [steady * prior for prior in _PRIORS]
+
+    def forecast_s(self, prompt_tokens: int, unread_tokens: float) -> float:
+        """Return the expected time to the first event, in seconds."""
+        own_s = self.prompt_s * prompt_tokens
+        return self.base_s + own_s + self.unread_s * unread_tokens
+
+    def saw(self, prompt_tokens: int, unread_tokens: int, took_s: float) -> None:
+        """Take one call's time."""
+        took_s = min(took_s, OUTLIER * self.forecast_s(prompt_tokens, unread_tokens))
+        row = (1.0, prompt_tokens / THOUSAND, unread_tokens / THOUSAND)
+        for i in range(3):
+            prior = PRIOR_WEIGHT * _PRIORS[i]
+            self._targets[i] = KEPT * self._targets[i] + row[i] * took_s + prior
+            for j in range(3):
+                kept = KEPT * self._products[i][j] + row[i] * row[j]
+                self._products[i][j] = kept + PRIOR_WEIGHT * (i == j)
+        base_s, prompt_s, unread_s = _solve(self._products, self._targets)
+        self.base_s = max(LEAST_BASE_S, base_s)
+        self.prompt_s = max(LEAST_TOKEN_S, prompt_s / THOUSAND)
+        self.unread_s = max(LEAST_TOKEN_S, unread_s / THOUSAND)
+
+
+_PRIORS = (BASE_PRIOR_S, PROMPT_PRIOR_S * THOUSAND, UNREAD_PRIOR_S * THOUSAND)
+
+LEAST_BASE_S = 0.002
+"""Shortest base that is believed: a way there and back."""
+
+LEAST_TOKEN_S = 1e-6
+"""Fastest reading that is believed, ten times as fast as any engine known."""
+
+
+def _solve(products: list[list[float]], targets: list[float]) -> list[float]:
+    """Solve a symmetric, positive system by elimination."""
+    rows = [[*row, target] for row, target in zip(products, targets, strict=True)]
+    size = len(rows)
+    for i in range(size):
+        for k in range(i + 1, size):
+            factor = rows[k][i] / rows[i][i]
+            rows[k] = [a - factor * b for a, b in zip(rows[k], rows[i], strict=True)]
+    found = [0.0] * size
+    for i in reversed(range(size)):
+        known = sum(rows[i][j] * found[j] for j in range(i + 1, size))
+        found[i] = (rows[i][size] - known) / rows[i][i]
+    return found
+
+
+class LearntRates(EngineRates):
+    """Learns from the calls of one daemon, by service and by engine."""
+
+    def __init__(self) -> None:
+        self._fits: dict[str, FirstEventFit] = {}
+        self._gap_s: dict[str, float] = {}
+        self._hold_s: dict[str, float] = {}
+        self._level: dict[str, float] = {}
+
+    def _fit(self, service: str) -> FirstEventFit:
+        return self._fits.setdefault(service, FirstEventFit())
+
+    def first_event_s(
+        self, endpoint: Endpoint, prompt_tokens: int, now_s: float
+    ) -> float:
+        """See `EngineRates.first_event_s`."""
+        service = endpoint.record.service
+        fit, unread = self._fit(service), endpoint.unread_tokens
+        pace_tokens = endpoint.pace_tokens
+        turn_s = turn_wait_s(unread, pace_tokens, self._gap_s.get(service, 0.0))
+        # What waits for its turn is not before the engine yet.
+        before = min(unread, pace_tokens) if turn_s else unread
+        read_s = fit.forecast_s(prompt_tokens, before)
+        read_s *= slowness(endpoint, now_s)
+        return turn_s + read_s + self.slot_wait_s(endpoint)
+
+    def accept_pauses(self, longest_s: dict[str, float]) -> None:
+        """See `EngineRates.accept_pauses`."""
+        self._gap_s = longest_s
+
+    def hold_s(self, service: str) -> float:
+        """See `EngineRates.hold_s`."""
+        return self._hold_s.get(service, HOLD_PRIOR_S)
+
+    def slot_wait_s(self, endpoint: Endpoint) -> float:
+        """See `EngineRates.slot_wait_s`.
+
+        Of the calls that run, one ends each part of the time that a slot is held.
+        """
+        slots = max(1, endpoint.record.slots)
+        before = endpoint.calls + 1 - slots
+        if before <= 0:
+            return 0.0
+        return before * self.hold_s(endpoint.record.service) / slots
+
+    def token_s(self, service: str) -> float:
+        """See `EngineRates.token_s`."""
+        return self._fit(service).prompt_s
+
+    def saw_first_event(
+        self,
+        endpoint: Endpoint,
+        prompt_tokens: int,
+        unread_tokens: int,
+        took_s: float,
+        now_s: float,
+    ) -> None:
+        """See `EngineRates.saw_first_event`."""
+        fit = self._fit(endpoint.record.service)
+        service = endpoint.record.service
+        times = took_s / fit.forecast_s(prompt_tokens, unread_tokens)
+        # Where all engines are slower than forecast it is the forecast that is wrong.
+        level = self._level.get(service, 1.0)
+        level += LEVEL_STEP * (min(times, SLOW_MOST) - level)
+        self._level[service] = level
+        times /= max(1.0, level)
+        slow = slowness(endpoint, now_s)
+        # What one engine's slowness explains says nothing of the others.
+        fit.saw(prompt_tokens, unread_tokens, took_s / slow)
+        endpoint.slowness = slow + SLOW_STEP * (_within(times) - slow)
+        endpoint.slowness_s = now_s
+
+    def saw_end(self, endpoint: Endpoint, took_s: float) -> None:
+        """See `EngineRates.saw_end`."""
+        service = endpoint.record.service
+        known_s = self.hold_s(service)
+        self._hold_s[service] = known_s + HOLD_STEP * (took_s - known_s)
+
+
+def _within(times: float) -> float:
+    return min(SLOW_MOST, max(1.0, times))
+
+
+def slowness(endpoint: Endpoint, now_s: float) -> float:
+    """Return how many times as slow as others an engine is taken to be, 1 or more."""
+    age_s = max(0.0, now_s - endpoint.slowness_s)
+    return 1.0 + (endpoint.slowness - 1.0) * 0.5 ** (age_s / SLOW_HALF_LIFE_S)
--- a/packages/core/src/knapweedbridge_core/serving/engine_teller.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_teller.py
@@ -8,7 +8,7 @@
 from knapweedbridge_core.serving.messages import EngineChanged, EngineTold
 from knapweedbridge_core.serving.model_ref import ModelRef
 
-TELL_LOAD_S = 0.06
+TELL_LOAD_S = 0.02
 """Pause between tellings where only the calls changed: they steer the balance among
 engines, and a prompt takes some 50 ms."""
 
@@ -203,6 +203,10 @@
             sorted(keeper.bases),
             keeper.times.cold_s,
             self._started_ms,
+            self._keeper.long_prompts.per_s(now_s),
+            self._keeper.long_prompts.pace_tokens,
+            self._keeper.long_prompts.pace_scale,
+            keeper.times.at_once,
         )
 
     def _changes(self, now_s: float) -> EngineChanged:
@@ -223,4 +227,7 @@
             self._keeper.wants,
             sorted(self._keeper.bases),
             self._started_ms,
+            self._keeper.long_prompts.per_s(now_s),
+            self._keeper.long_prompts.pace_tokens,
+            self._keeper.long_prompts.pace_scale,
         )
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -1,5 +1,6 @@
 """What a daemon believes of the endpoints: who exists, holds what, runs how much."""
 
+import math
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 
@@ -130,6 +131,9 @@
     own_unread_tokens, others_unread_tokens : int
         Tokens of prompts that the engine has yet to read, of this daemon's calls and
         of others'.
+    slowness, slowness_s : float
+        Times as slow as the others' first events that its own came, and when that was
+        seen last; see `engine_rates`.
     usable : bool
         Whether its entry in the list can be read; if not, it gets no new work.
     """
@@ -149,8 +153,13 @@
     failures_in_row: int = 0
     failure_share: float = 0.0
     failure_s: float = 0.0
+    slowness: float = 1.0
+    slowness_s: float = 0.0
     coming_until_s: float = 0.0
     places_free: int = 0
+    long_prompts_per_s: float = 0.0
+    pace_tokens: float = math.inf
+    pace_scale: float = 0.0
     wants: int = 0
     asked_s: float | None = None
     heard_s: float = float("-inf")
@@ -218,6 +227,9 @@
         self.heard_s, self.asked_s = now_s, None
         self.places_free = message.places_free
         self.wants = message.wants
+        self.long_prompts_per_s = message.long_prompts_per_s
+        self.pace_tokens = message.pace_tokens
+        self.pace_scale = message.pace_scale
         self.bases = set(message.bases)
 
     def is_heard(self, now_s: float) -> bool:
--- a/packages/core/src/knapweedbridge_core/serving/late_admission.py
+++ b/packages/core/src/knapweedbridge_core/serving/late_admission.py
@@ -5,12 +5,11 @@
 waited, and the next moment's load is no smaller. Only while the load stays above what
 the engines hold does a refusal help others, who are then answered in time.
 
-So the share of calls that come too late decides. Modelled with four seeds, the share
-of callers who were answered in time without this and with it, at the heaviest usual
-load, 1.5 times that and twice: 0.95 and 0.98, 0.88 and 0.89, 0.80 and 0.82 on the first
-deployment; 0.98 and 0.99, 0.92 and 0.94, 0.79 and 0.80 on the second. Sparing more (by
-1.5 objectives, until 0.3 of the calls are late) helped the first and harmed the second:
-0.89 and 0.74 at 1.5 times and twice its load.
+So the share of calls that come too late decides. Modelled with two seeds, the share of
+callers who were answered in time without this and with it: 0.93 and 0.96 at 1.5 times
+the usual load of one deployment, 0.95 and 0.97 on another, 0.93 and 0.91 on a third; at
+the usual load as many are in time and a quarter as many are refused. On played days of
+a small pool it was worth 0.02 to 0.03 on four of four.
 """
 
 from knapweedbridge_core.serving.fleet import Endpoint
@@ -21,9 +20,9 @@
     TooLate,
 )
 
-SPARE_MOST = 0.6
-"""Objectives by which an answer may be late while none are: forecasts are off by a
-third, and an answer as late as that comes sooner than one that is asked for again."""
+SPARE_MOST = 1.0
+"""Objectives by which an answer may be late while none are: one that is asked for again
+comes after one to three seconds."""
 
 CROWDED_SHARE = 0.12
 """Share of calls that come too late from which on each is refused: the heaviest usual
--- a/packages/core/src/knapweedbridge_core/serving/messages.py
+++ b/packages/core/src/knapweedbridge_core/serving/messages.py
@@ -46,12 +46,43 @@
         Tokens of the prompts whose first event has not come yet.
     started_ms : int
         The engine's start that they run on, as in `EndpointRecord`.
+    pause_s : float
+        Longest pause between two events of a stream there since the last telling.
     """
 
     endpoint: str
     calls: dict[str, int]
     unread_tokens: int
     started_ms: int = 0
+    pause_s: float = 0.0
+
+
+@message
+class TurnAsked:
+    """A daemon asks an engine's owner when it may send a prompt.
+
+    Parameters
+    ----------
+    ticket : int
+        What the daemon knows the prompt by; 0: it was sent without a turn.
+    tokens : int
+        Its length.
+    urgency : int
+        Rank among calls; 0 goes first.
+    """
+
+    endpoint: str
+    ticket: int
+    tokens: int
+    urgency: int
+
+
+@message
+class TurnsGiven:
+    """An owner lets a daemon send some prompts."""
+
+    endpoint: str
+    tickets: list[int]
 
 
 @message
@@ -82,6 +113,14 @@
         How long a load from the weight store takes, as far as the owner knows.
     started_ms : int
         The engine's start that this is about, as in `EndpointRecord`.
+    long_prompts_per_s : float
+        Prompts that pause its streams for longer than they accept, of late.
+    pace_tokens : float
+        Tokens of prompts that pass within the longest pause which its streams accept.
+    pace_scale : float
+        That as a part of what its reading allows, where pauses have shown it; else 0.
+    loads_at_once : float
+        Loads that the weight store was seen to serve at full speed.
     """
 
     endpoint: str
@@ -95,6 +134,10 @@
     bases: list[str]
     cold_s: float = 0.0
     started_ms: int = 0
+    long_prompts_per_s: float = 0.0
+    pace_tokens: float = float("inf")
+    pace_scale: float = 0.0
+    loads_at_once: float = 0.0
 
 
 @message
@@ -120,6 +163,9 @@
     wants: int
     bases: list[str]
     started_ms: int = 0
+    long_prompts_per_s: float = 0.0
+    pace_tokens: float = float("inf")
+    pace_scale: float = 0.0
 
 
 @message
--- a/packages/core/src/knapweedbridge_core/serving/placement.py
+++ b/packages/core/src/knapweedbridge_core/serving/placement.py
@@ -14,21 +14,29 @@
 from itertools import islice
 
 from knapweedbridge_core.rendezvous import score
+from knapweedbridge_core.serving.engine_rates import EngineRates, LearntRates
 from knapweedbridge_core.serving.fleet import Endpoint
-from knapweedbridge_core.serving.load_times import WARM_LOAD_S, cold_load_s
+from knapweedbridge_core.serving.load_times import WARM_LOAD_S, LoadTimes
 from knapweedbridge_core.serving.model_ref import ModelRef
+from knapweedbridge_core.serving.prompt_pacing import LONG_SHARE
 
-TOKEN_S = 5e-5
-"""Reading of one token of a prompt; the users' engines read 19 to 26 in 1 ms, between
-the steps of the calls that run."""
+UNREAD_S = 3e-5
+"""What a token that is yet to be read speaks against an engine, besides the time until
+it is read: prompts that come together pause the streams that run there."""
 
-CALL_S = 0.004
-"""What a call that runs there costs the next: its steps come between the parts of
-the next one's prompt, and its own prompt was known of late."""
+FULL_S = 0.6
+"""What a full batch speaks against an engine: its calls share steps and memory, and the
+next ones wait for a slot. It grows with the square of the part that is taken: engines
+begin as soon with half of their slots taken as idle, and an empty one must not draw the
+prompts of all daemons at once. Modelled on a large pool with twelve slots an engine,
+0.82 of the callers were answered in time, with 0.4 in its place 0.79."""
 
 REMOTE_S = 0.01
 """Another data centre: half a call ahead. The way takes 2 ms, its bytes are paid."""
 
+LATE_S = 0.3
+"""An answer that comes late: half the shortest objective of the users' kinds."""
+
 FAILING_S = 2.0
 """An engine that fails all its calls: more than any wait that is still in time, so
 that it gets calls only where nothing else is left."""
@@ -36,9 +44,6 @@
 ORDERS_S = 0.01
 """Added to a load: the way of the wish to the owner, and one or two orders."""
 
-SLOT_S = 1.2
-"""How long a call holds its slot: a stream of the users' kinds runs 0.6 to 1.7 s."""
-
 RANKS = 8
 """Engines that an adapter is loaded on, by its own order of them: one more costs more
 than waiting for a place on the first."""
@@ -159,11 +164,14 @@
         That one.
     instead : SendTo, WaitFor or LoadOn
         What becomes of the call where it is taken all the same.
+    load_s : float
+        Part of the wait there that is for the adapter's load, in seconds.
     """
 
     over_s: float
     best: Endpoint
     instead: SendTo | WaitFor | LoadOn
+    load_s: float = 0.0
 
 
 Choice = SendTo | WaitFor | LoadOn | NoEngine | TooLate
@@ -179,11 +187,14 @@
         Expected time to the first event.
     extra_s : float
         What else speaks against the engine, in seconds.
+    load_s : float
+        Part of the expected time that is for the adapter's load.
     """
 
     endpoint: Endpoint
     expected_s: float
     extra_s: float
+    load_s: float = 0.0
 
     @property
     def price(self) -> tuple[float, str]:
@@ -202,7 +213,21 @@
 
 
 class PricedPlacement(EnginePlacement):
-    """Sends a call to the engine whose price is least."""
+    """Sends a call to the engine whose price is least.
+
+    Parameters
+    ----------
+    rates : EngineRates, optional
+        Forecasts the first events; by priors alone where none is given.
+    times : LoadTimes, optional
+        What is known of loads.
+    """
+
+    def __init__(
+        self, rates: EngineRates | None = None, times: LoadTimes | None = None
+    ) -> None:
+        self.rates = rates or LearntRates()
+        self._times = times or LoadTimes()
 
     def choose(
         self, ask: PlacementAsk, engines: list[Endpoint], now_s: float
@@ -213,14 +238,14 @@
         if not with_base:
             return NoEngine()
         holders = [each for each in with_base if _holds(each, ask)]
-        offers = [_holder_offer(each, ask, now_s) for each in holders]
+        offers = [self._holder_offer(each, ask, now_s) for each in holders]
         loaders: list[Endpoint] = []
         if ask.model.adapter:
             others = [each for each in with_base if each not in holders]
             loaders = _ranked(ask, others, now_s)
-            cold_s = _cold_s(with_base, now_s)
+            cold_s = self._cold_s(with_base, now_s)
             offers += [
-                _loader_offer(each, ask, now_s, cold_s, rank)
+                self._loader_offer(each, ask, now_s, cold_s, rank)
                 for rank, each in enumerate(loaders)
             ]
         if not offers:
@@ -235,12 +260,11 @@
             choice = older or LoadOn(best.endpoint)
         if best.expected_s > ask.patience_s:
             over_s = best.expected_s - ask.patience_s
-            return TooLate(over_s, best.endpoint, choice)
+            return TooLate(over_s, best.endpoint, choice, best.load_s)
         return choice
 
-    @staticmethod
     def _on_holder(
-        ask: PlacementAsk, best: _Offer, loaders: list[Endpoint], now_s: float
+        self, ask: PlacementAsk, best: _Offer, loaders: list[Endpoint], now_s: float
     ) -> SendTo | WaitFor:
         endpoint = best.endpoint
         held = endpoint.held.get(ask.model)
@@ -251,25 +275,85 @@
         version = held.version if ask.version is not None else None
         copy_to = None
         if held.users >= COPY_USERS and loaders:
-            calmest = min(loaders, key=reading_s)
-            if reading_s(endpoint) - reading_s(calmest) >= COPY_S:
+            calmest = min(loaders, key=self._load_s)
+            if self._load_s(endpoint) - self._load_s(calmest) >= COPY_S:
                 copy_to = calmest
         return SendTo(endpoint, version, copy_to)
 
-    @staticmethod
     def _older(
-        ask: PlacementAsk, engines: list[Endpoint], loader: Endpoint, now_s: float
+        self, ask: PlacementAsk, engines: list[Endpoint], loader: Endpoint, now_s: float
     ) -> SendTo | None:
         if ask.version is None or not ask.older_allowed:
             return None
         older = [each for each in engines if _is_ready(each, ask.model, now_s)]
         if not older:
             return None
-        best = min(older, key=lambda each: _running_s(each, ask, now_s))
+        best = min(older, key=lambda each: self._running_s(each, ask, now_s))
         # The engine with the old version would replace it only when none runs.
         copy_to = loader if loader is not best else None
         return SendTo(best, best.held[ask.model].version or None, copy_to)
 
+    def _cold_s(self, engines: list[Endpoint], now_s: float) -> float:
+        coming = sum(each.coming(now_s) for each in engines)
+        return self._times.load_s(coming + 1, len(engines))
+
+    def _load_s(self, endpoint: Endpoint) -> float:
+        """Return how much stands before one more call, in seconds."""
+        reading_s = UNREAD_S * endpoint.unread_tokens + _batch_s(endpoint)
+        return reading_s + self.rates.slot_wait_s(endpoint)
+
+    def _running_s(self, endpoint: Endpoint, ask: PlacementAsk, now_s: float) -> float:
+        first_s = self.rates.first_event_s(endpoint, ask.prompt_tokens, now_s)
+        return first_s + self._against_s(endpoint, ask, now_s)
+
+    def _against_s(self, endpoint: Endpoint, ask: PlacementAsk, now_s: float) -> float:
+        remote = endpoint.record.data_centre != ask.data_centre
+        failing_s = FAILING_S * endpoint.failing_share(now_s)
+        spread_s = UNREAD_S * endpoint.unread_tokens + _batch_s(endpoint)
+        return REMOTE_S * remote + spread_s + failing_s + self._late_s(endpoint, ask)
+
+    def _late_s(self, endpoint: Endpoint, ask: PlacementAsk) -> float:
+        """Return what long prompts make late, in seconds of price.
+
+        A long prompt pauses all streams of its engine, and each of them is late by
+        that. So long prompts go where few calls run, and calls where few long prompts
+        go: one engine of a small pool takes most of them, with few other calls.
+        """
+        if ask.prompt_tokens >= LONG_SHARE * endpoint.pace_tokens:
+            return LATE_S * endpoint.calls
+        hold_s = self.rates.hold_s(endpoint.record.service)
+        return LATE_S * -math.expm1(-endpoint.long_prompts_per_s * hold_s)
+
+    def _holder_offer(
+        self, endpoint: Endpoint, ask: PlacementAsk, now_s: float
+    ) -> _Offer:
+        held = endpoint.held.get(ask.model)
+        wait_s = max(0.0, held.ready_s - now_s) if held else 0.0
+        first_s = self.rates.first_event_s(endpoint, ask.prompt_tokens, now_s)
+        extra_s = self._against_s(endpoint, ask, now_s)
+        return _Offer(endpoint, wait_s + first_s, extra_s, wait_s)
+
+    def _loader_offer(
+        self,
+        endpoint: Endpoint,
+        ask: PlacementAsk,
+        now_s: float,
+        cold_s: float,
+        rank: int,
+    ) -> _Offer:
+        warm = ask.model in endpoint.recent
+        load_s = ORDERS_S + (WARM_LOAD_S if warm else cold_s)
+        # A version that is replaced must wait until no call runs on the old one.
+        waits = int(ask.model in endpoint.held)
+        if endpoint.is_heard(now_s):
+            waits += endpoint.places_free <= 0
+            load_s += WANT_S * endpoint.wants
+        load_s += NO_PLACE_S * waits
+        first_s = self.rates.first_event_s(endpoint, ask.prompt_tokens, now_s)
+        extra_s = self._against_s(endpoint, ask, now_s) + RANK_S * rank
+        extra_s += 0 if warm else FETCH_S
+        return _Offer(endpoint, load_s + first_s, extra_s, load_s)
+
 
 def _holds(endpoint: Endpoint, ask: PlacementAsk) -> bool:
     if not ask.model.adapter:
@@ -283,54 +367,9 @@
     return held is not None and held.ready_s <= now_s
 
 
-def reading_s(endpoint: Endpoint) -> float:
-    """Return the time until an engine begins to read one more prompt, in seconds."""
-    reading_s = TOKEN_S * endpoint.unread_tokens + CALL_S * endpoint.calls
-    return reading_s + _slot_wait_s(endpoint)
-
-
-def _slot_wait_s(endpoint: Endpoint) -> float:
-    """Return the wait for a slot: of those that run, one ends each part of a call."""
-    slots = max(1, endpoint.record.slots)
-    before = endpoint.calls + 1 - slots
-    return max(0, before) * SLOT_S / slots
-
-
-def _against_s(endpoint: Endpoint, ask: PlacementAsk, now_s: float) -> float:
-    remote = endpoint.record.data_centre != ask.data_centre
-    return REMOTE_S * remote + FAILING_S * endpoint.failing_share(now_s)
-
-
-def _running_s(endpoint: Endpoint, ask: PlacementAsk, now_s: float) -> float:
-    return reading_s(endpoint) + _against_s(endpoint, ask, now_s)
-
-
-def _holder_offer(endpoint: Endpoint, ask: PlacementAsk, now_s: float) -> _Offer:
-    held = endpoint.held.get(ask.model)
-    wait_s = max(0.0, held.ready_s - now_s) if held else 0.0
-    first_s = wait_s + reading_s(endpoint) + TOKEN_S * ask.prompt_tokens
-    return _Offer(endpoint, first_s, _against_s(endpoint, ask, now_s))
-
-
-def _loader_offer(
-    endpoint: Endpoint, ask: PlacementAsk, now_s: float, cold_s: float, rank: int
-) -> _Offer:
-    warm = ask.model in endpoint.recent
-    load_s = ORDERS_S + (WARM_LOAD_S if warm else cold_s)
-    # A version that is replaced must wait until no call runs on the old one.
-    waits = int(ask.model in endpoint.held)
-    if endpoint.is_heard(now_s):
-        waits += endpoint.places_free <= 0
-        load_s += WANT_S * endpoint.wants
-    load_s += NO_PLACE_S * waits
-    first_s = load_s + reading_s(endpoint) + TOKEN_S * ask.prompt_tokens
-    extra_s = _against_s(endpoint, ask, now_s) + RANK_S * rank
-    return _Offer(endpoint, first_s, extra_s + (0 if warm else FETCH_S))
-
-
-def _cold_s(engines: list[Endpoint], now_s: float) -> float:
-    coming = sum(each.coming(now_s) for each in engines)
-    return cold_load_s(coming + 1, len(engines))
+def _batch_s(endpoint: Endpoint) -> float:
+    taken = endpoint.calls / max(1, endpoint.record.slots)
+    return FULL_S * taken * taken
 
 
 def _ranked(ask: PlacementAsk, engines: list[Endpoint], now_s: float) -> list[Endpoint]:
--- a/packages/core/src/knapweedbridge_core/serving/recent_adapters.py
+++ b/packages/core/src/knapweedbridge_core/serving/recent_adapters.py
@@ -5,9 +5,14 @@
 
 from knapweedbridge_core.serving.model_ref import ModelRef
 
-RECENT_ADAPTERS = 90
-"""Adapters that an engine is taken to have in its memory besides those it holds; the
-users' engines keep 120 in all."""
+RECENT_A_PLACE = 5
+"""Adapters that an engine is taken to have in its memory for each of its places,
+besides those it holds. The users' engines keep six times their places in all, with 8
+places as with 29. Taken for 90 with 29 places, 50 adapters that were there were fetched
+elsewhere; with 8 places, loads were awaited that took ten times as long."""
+
+RECENT_PRIOR = 90
+"""The same before a configuration tells the places."""
 
 
 class RecentAdapters:
@@ -17,10 +22,15 @@
     ----------
     models : iterable of ModelRef
         What is known at first.
+    most : int
+        Adapters that are remembered.
     """
 
-    def __init__(self, models: Iterable[ModelRef] = ()) -> None:
+    def __init__(
+        self, models: Iterable[ModelRef] = (), most: int = RECENT_PRIOR
+    ) -> None:
         self._models = OrderedDict.fromkeys(models)
+        self.most = most
 
     def __contains__(self, model: ModelRef) -> bool:
         return model in self._models
@@ -32,7 +42,7 @@
         """Take that an adapter was unloaded."""
         self._models[model] = None
         self._models.move_to_end(model)
-        while len(self._models) > RECENT_ADAPTERS:
+        while len(self._models) > self.most:
             self._models.popitem(last=False)
 
     def discard(self, model: ModelRef) -> None:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -1,6 +1,7 @@
 """Sends a call to one endpoint, and passes its answer on."""
 
 import math
+from dataclasses import dataclass
 
 import anyio
 
@@ -8,7 +9,6 @@
     AttemptEnd,
     Endpoint,
     first_byte_patience_s,
-    reading_s,
     resumes,
 )
 from knapweedbridge_core.serving.messages import AdapterMissed
@@ -37,6 +37,30 @@
 """Wait after an engine refused a call as its adapter's load is not done."""
 
 
+@dataclass(slots=True)
+class Forecast:
+    """What is expected of one attempt, and what came; times on the daemon's clock.
+
+    Parameters
+    ----------
+    began_s : float
+        When it began to wait for its turn.
+    unread_tokens : int
+        Tokens that the engine had yet to read when it was sent.
+    slot_wait_s, expected_s : float
+        Forecast wait for a slot, and time to the first event in all.
+    sent_s, first_s : float or None
+        When it was sent, and when its first event came.
+    """
+
+    began_s: float
+    unread_tokens: int = 0
+    slot_wait_s: float = 0.0
+    expected_s: float = 0.0
+    sent_s: float = 0.0
+    first_s: float | None = None
+
+
 class Attempting:
     """Makes attempts of calls.
 
@@ -59,13 +83,21 @@
         began_s = anyio.current_time()
         call.progress.sends += 1
         call.unread_tokens = call.details.prompt_tokens
+        forecast = self._forecast(call, endpoint, began_s)
         self._link.running.begin(endpoint, model, call.unread_tokens)
         end = AttemptEnd.ABANDONED
         detail = ""
-        patience = anyio.CancelScope(deadline=self._patient_until_s(call, target))
+        patience = anyio.CancelScope()
         try:
+            if model is not None:
+                await self._link.turns.take(
+                    endpoint, call.unread_tokens, call.route.urgency
+                )
+            forecast.sent_s = anyio.current_time()
+            forecast.unread_tokens = endpoint.unread_tokens - call.unread_tokens
+            patience.deadline = self._patient_until_s(call, target)
             with patience:
-                end = await self._exchange(call, target, patience)
+                end = await self._exchange(call, target, patience, forecast)
             if patience.cancelled_caught:
                 raise BrokenError("silent")
         except NotSentError as error:
@@ -79,21 +111,63 @@
             if not patience.cancelled_caught:
                 self._hub.crashes.broke(call.mark, endpoint.name, anyio.current_time())
         finally:
+            self._learn(call, endpoint, forecast, end)
             self._note_read(call, endpoint)
             whole = end not in (AttemptEnd.BROKEN, AttemptEnd.ABANDONED)
             self._link.running.end(endpoint, model, whole)
-            self._note(call, target, end, began_s, detail)
+            self._note(call, target, end, forecast, detail)
         return end
 
+    def _forecast(self, call: Call, endpoint: Endpoint, now_s: float) -> Forecast:
+        """Return what is expected of an attempt that begins now."""
+        if call.details.model is None:
+            return Forecast(now_s)
+        return Forecast(
+            now_s,
+            0,
+            self._hub.rates.slot_wait_s(endpoint),
+            self._hub.rates.first_event_s(endpoint, call.details.prompt_tokens, now_s),
+        )
+
+    def _learn(
+        self, call: Call, endpoint: Endpoint, forecast: Forecast, end: AttemptEnd
+    ) -> None:
+        """Learn of the engine's speed by what came of an attempt."""
+        now_s = anyio.current_time()
+        if call.details.model is None or end is AttemptEnd.NOT_RUN:
+            return
+        if end is AttemptEnd.ANSWERED:
+            self._hub.rates.saw_end(endpoint, now_s - forecast.began_s)
+        first_s = forecast.first_s
+        if first_s is None and end is AttemptEnd.BROKEN:
+            # It did not come for as long: a lower bound, and the best that is known.
+            first_s = now_s
+        if first_s is None or forecast.slot_wait_s:
+            return
+        took_s = first_s - forecast.sent_s
+        self._hub.rates.saw_first_event(
+            endpoint, call.details.prompt_tokens, forecast.unread_tokens, took_s, now_s
+        )
+        self._hub.measures.time(
+            "forecast_error_seconds",
+            abs(first_s - forecast.began_s - forecast.expected_s),
+        )
+
     def _note_read(self, call: Call, endpoint: Endpoint) -> None:
         if call.unread_tokens:
             self._link.running.prompt_read(endpoint, call.unread_tokens)
             call.unread_tokens = 0
 
     def _note(
-        self, call: Call, target: Target, end: AttemptEnd, began_s: float, detail: str
+        self,
+        call: Call,
+        target: Target,
+        end: AttemptEnd,
+        forecast: Forecast,
+        detail: str,
     ) -> None:
         now_s = anyio.current_time()
+        first_s = forecast.first_s
         if end is not AttemptEnd.ABANDONED:
             failed = end in (AttemptEnd.FAILED, AttemptEnd.BROKEN)
             target.endpoint.note_result(failed, now_s)
@@ -106,7 +180,11 @@
             calls_there=target.endpoint.calls,
             outcome=end.value,
             prompt_tokens=call.details.prompt_tokens,
-            took_s=round(now_s - began_s, 4),
+            turn_s=round(max(0.0, forecast.sent_s - forecast.began_s), 4),
+            forecast_s=round(forecast.expected_s, 4),
+            first_s=round(first_s - forecast.began_s, 4) if first_s else None,
+            unread_tokens=forecast.unread_tokens,
+            took_s=round(now_s - forecast.began_s, 4),
             left_s=round(call.deadline_s - now_s, 3),
             detail=detail,
         )
@@ -115,11 +193,18 @@
         others_left = len(call.progress.runs) + 1 < call.route.max_attempts
         if not (call.route.repeatable and others_left):
             return math.inf
-        patience_s = first_byte_patience_s(call.route, reading_s(target.endpoint))
-        return anyio.current_time() + patience_s
+        now_s = anyio.current_time()
+        patience_s = first_byte_patience_s(
+            call.route, self._hub.rates.first_event_s(target.endpoint, 0, now_s)
+        )
+        return now_s + patience_s
 
     async def _exchange(
-        self, call: Call, target: Target, patience: anyio.CancelScope
+        self,
+        call: Call,
+        target: Target,
+        patience: anyio.CancelScope,
+        forecast: Forecast,
     ) -> AttemptEnd:
         head = self._attempt_head(call, target)
         async with self._hub.pool.connection(
@@ -146,7 +231,7 @@
                 raise BrokenError(f"status {answer.status} without a signature")
             if proved.stream and answer.status == 200:
                 return await self._relay(
-                    call, target.endpoint, connection, answer, patience
+                    call, target.endpoint, connection, answer, patience, forecast
                 )
             return await self._take_whole(call, connection, answer)
 
@@ -203,6 +288,14 @@
             missed = AdapterMissed(endpoint.name, model.base, model.adapter)
             await self._link.send(endpoint.owner, missed)
 
+    def _note_events(self, call: Call, endpoint: Endpoint, forecast: Forecast) -> None:
+        now_s = anyio.current_time()
+        if forecast.first_s is None:
+            forecast.first_s = now_s
+        elif call.event_s is not None:
+            self._link.running.paused(endpoint, now_s - call.event_s)
+        call.note_events(now_s)
+
     async def _take_whole(
         self, call: Call, connection: ClientConnection, answer: ResponseHead
     ) -> AttemptEnd:
@@ -228,6 +321,7 @@
         connection: ClientConnection,
         answer: ResponseHead,
         patience: anyio.CancelScope,
+        forecast: Forecast,
     ) -> AttemptEnd:
         resumed = call.progress.begun
         cutter = EventCutter(call.last_event if resumed else None)
@@ -237,7 +331,7 @@
                 continue
             self._end_patience(patience)
             self._note_read(call, endpoint)
-            call.note_events(anyio.current_time())
+            self._note_events(call, endpoint, forecast)
             if events.last_id is not None:
                 call.last_event = events.last_id
             if not call.progress.begun:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
@@ -7,7 +7,11 @@
 import anyio
 
 from knapweedbridge_core.serving import near, watchers
-from knapweedbridge_core.serving.beliefs import EndpointGone, EndpointUnreadable
+from knapweedbridge_core.serving.beliefs import (
+    DeploymentNamed,
+    EndpointGone,
+    EndpointUnreadable,
+)
 from knapweedbridge_core.serving.messages import StoreTold
 from knapweedbridge_daemon.errors import StoreError
 from knapweedbridge_daemon.serving.dialects import DialectError
@@ -212,6 +216,8 @@
             self._gone.append(belief.endpoint)
         now_s = anyio.current_time()
         changed = hub.beliefs.take(belief, now_s, hub.is_store_disturbed)
+        if changed and isinstance(belief, DeploymentNamed):
+            hub.rates.accept_pauses(belief.deployment.longest_pauses_s())
         if changed:
             hub.log.info(
                 "belief.changed",
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owners.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owners.py
@@ -11,6 +11,7 @@
     EngineAsked,
     OwnershipEnded,
     OwnershipTaken,
+    TurnAsked,
 )
 from knapweedbridge_core.serving.ownership import OwnerRecord
 from knapweedbridge_daemon.serving.engine_owning import (
@@ -25,6 +26,7 @@
     | AdapterMissed
     | CallsRunning
     | EngineAsked
+    | TurnAsked
     | OwnershipTaken
     | OwnershipEnded
 )
@@ -108,6 +110,8 @@
         if isinstance(message, AdapterWanted):
             model = ModelRef(message.base, message.adapter)
             owner.wanted(daemon, model, message.version)
+        elif isinstance(message, TurnAsked):
+            await owner.turns.asked(daemon, message)
         elif isinstance(message, EngineAsked):
             await owner.asked_for_all(daemon)
         elif isinstance(message, AdapterMissed):
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
@@ -25,11 +25,17 @@
 from knapweedbridge_daemon.serving.dialects import DialectError
 from knapweedbridge_daemon.serving.http_client import BrokenError, NotSentError
 from knapweedbridge_daemon.serving.hub import Hub, Send, suspended_clock_s
+from knapweedbridge_daemon.serving.turn_giving import TurnGiver
 from knapweedbridge_daemon.serving.wire import ResponseHead, WireRequest
 
 ORDER_TIMEOUT_S = 0.12
-"""Bound on an order: answers take some ms, each engine gets one order at a time, and
-an order without an answer is safely followed by the next."""
+"""How long an order may be on its way: a successor's first must come after it."""
+
+ORDER_ANSWER_S = 0.05
+"""How long an order's answer is awaited. Answers take some ms, each engine gets one
+order at a time, and one without an answer is safely followed by the next. Where a third
+of the orders went unanswered, 0.12 s each left up to ten adapters waiting for theirs,
+and 190 of 3,650 calls were refused for it."""
 
 REPORT_TIMEOUT_S = 0.5
 REPORT_PAUSE_S = 0.3
@@ -82,6 +88,9 @@
             hub.load_times,
         )
         self._teller = EngineTeller(endpoint.start, record.number, self.keeper)
+        self.turns = TurnGiver(
+            hub, endpoint, record.number, self.keeper.long_prompts, send
+        )
         self.scope = anyio.CancelScope()
 
     @property
@@ -106,6 +115,7 @@
         found = {parse_model(name): count for name, count in message.calls.items()}
         now_s = anyio.current_time()
         self._teller.used_by(daemon, now_s)
+        self.turns.saw_pause(message.pause_s)
         self.keeper.calls_running(daemon, found, message.unread_tokens, now_s)
         self._teller.calls_changed()
         self._work.set()
@@ -125,13 +135,18 @@
     async def run(self) -> None:
         """Order the engine until its ownership ends."""
         with self.scope:
-            await self._learn()
-            while True:
-                self._work = anyio.Event()
-                await self._step()
-                await self._tell()
-                if not self._work.is_set():
-                    await self._wait()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self.turns.run)
+                await self._learn()
+                await self._work_on()
+
+    async def _work_on(self) -> None:
+        while True:
+            self._work = anyio.Event()
+            await self._step()
+            await self._tell()
+            if not self._work.is_set():
+                await self._wait()
 
     def predecessor_ended(self, number: int) -> None:
         """Take that the owner before gives no more orders."""
@@ -242,7 +257,7 @@
         )
         answer, status = OrderAnswer.UNKNOWN, 0
         try:
-            head, body = await self._exchange(request, ORDER_TIMEOUT_S)
+            head, body = await self._exchange(request, ORDER_ANSWER_S)
             answer, status = dialect.read_order_answer(head, body), head.status
         except NotSentError:
             answer = OrderAnswer.REFUSED
--- a/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
@@ -11,6 +11,8 @@
     Beliefs,
     CrashLedger,
     EngineLimits,
+    EngineRates,
+    LearntRates,
     LeaseClock,
     LoadTimes,
     RetryBudget,
@@ -89,6 +91,7 @@
     crashes: CrashLedger = field(default_factory=CrashLedger)
     lease: LeaseClock = field(default_factory=LeaseClock)
     load_times: LoadTimes = field(default_factory=LoadTimes)
+    rates: EngineRates = field(default_factory=LearntRates)
     engines_changed: Changes = field(default_factory=Changes)
     beliefs_changed: Changes = field(default_factory=Changes)
     lease_revision: int = 0
@@ -122,5 +125,4 @@
     def engine_limits(self, service: str) -> EngineLimits | None:
         """Return what engines of a service hold; None for a plain service."""
         deployment = self.beliefs.deployment
-        found = deployment.services.get(service) if deployment else None
-        return found.engine if found else None
+        return deployment.engine_limits(service) if deployment else None
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -15,11 +15,13 @@
     EngineTold,
     OwnerAnswered,
     StoreTold,
+    TurnsGiven,
 )
 from knapweedbridge_daemon.peers import Peers
 from knapweedbridge_daemon.serving.engine_owners import EngineOwners, ToOwner
 from knapweedbridge_daemon.serving.hub import Hub
 from knapweedbridge_daemon.serving.running_calls import RunningCalls
+from knapweedbridge_daemon.serving.turns import Turns
 
 SILENCE_S = 1.5
 """Silence that closes a stream between daemons: answers take milliseconds."""
@@ -44,6 +46,7 @@
         self._hub = hub
         self.owners = EngineOwners(hub, self.send)
         self.running = RunningCalls(hub, self.send)
+        self.turns = Turns(hub, self.send)
         self.on_store_told: Callable[[StoreTold], None] = lambda message: None
         self._peers: Peers | None = None
 
@@ -99,6 +102,8 @@
             self._take_told(daemon, message)
         elif isinstance(message, EngineChanged):
             await self._take_changed(daemon, message)
+        elif isinstance(message, TurnsGiven):
+            self.turns.given(message)
         elif isinstance(message, StoreTold):
             self.on_store_told(message)
         elif isinstance(message, CallsBlamed):
@@ -112,6 +117,7 @@
 
     def _take_told(self, daemon: str, message: EngineTold) -> None:
         self._hub.load_times.told(message.cold_s)
+        self._hub.load_times.trial_held(message.loads_at_once)
         now_s = anyio.current_time()
         endpoint = self._hub.beliefs.fleet.take_told(message, now_s)
         if endpoint is None:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/placing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/placing.py
@@ -72,7 +72,7 @@
     def __init__(self, hub: Hub, link: PeerLink) -> None:
         self._hub = hub
         self._link = link
-        self._admission = LateAdmission(PricedPlacement())
+        self._admission = LateAdmission(PricedPlacement(hub.rates, hub.load_times))
 
     async def place(self, call: Call) -> Target | Refusal:
         """Return where a call goes next, or why it goes nowhere."""
@@ -121,6 +121,8 @@
             request=call.details.call_id,
             model=str(model),
             over_s=round(choice.over_s, 3),
+            load_s=round(choice.load_s, 3),
+            prompt_tokens=call.details.prompt_tokens,
             patience_s=round(self._patience_s(call, now_s), 3),
             engine=best.name,
             held=held is not None,
--- a/packages/daemon/src/knapweedbridge_daemon/serving/running_calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/running_calls.py
@@ -24,6 +24,9 @@
 LOOK_S = 0.25
 """Longest pause between looks at what is due by time alone."""
 
+LONG_PAUSE_S = 0.1
+"""Pause of a stream that an engine's owner is told of at once: users accept 0.25 s."""
+
 REPEAT_S = 1.0
 """Pause after which what was told is told again: an owner forgets what it has not
 heard of for 2.5 s."""
@@ -47,6 +50,7 @@
         self._lingering: deque[tuple[float, EndpointStart, ModelRef]] = deque()
         self._due_s: dict[EndpointStart, float] = {}
         self._told_s: dict[EndpointStart, float] = {}
+        self._pauses_s: dict[EndpointStart, float] = {}
         self._wake = anyio.Event()
 
     def begin(
@@ -64,6 +68,14 @@
         endpoint.own_unread_tokens -= prompt_tokens
         self.tell(endpoint.start, soon=False)
 
+    def paused(self, endpoint: Endpoint, pause_s: float) -> None:
+        """Take the time between two events of a stream that runs there."""
+        longest_s = self._pauses_s.get(endpoint.start, 0.0)
+        if pause_s > longest_s:
+            self._pauses_s[endpoint.start] = pause_s
+            if pause_s > LONG_PAUSE_S:
+                self.tell(endpoint.start, soon=False)
+
     def end(self, endpoint: Endpoint, model: ModelRef | None, whole: bool) -> None:
         """Count a call that has ended there.
 
@@ -139,6 +151,7 @@
             if not calls:
                 del self._calls[start]
                 self._told_s.pop(start, None)
+                self._pauses_s.pop(start, None)
             return
         self._calls[start] = calls
         self._told_s[start] = anyio.current_time()
@@ -148,5 +161,6 @@
                 dict(calls),
                 endpoint.own_unread_tokens,
                 start.started_ms,
+                self._pauses_s.pop(start, 0.0),
             )
             await self._send(endpoint.owner, told)
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/turn_giving.py
@@ -0,0 +1,123 @@
+"""Lets daemons send prompts to one engine that this daemon owns."""
+
+import math
+
+import anyio
+
+from knapweedbridge_core.serving import (
+    Endpoint,
+    NoPacing,
+    PromptPacer,
+    PromptTurn,
+    WindowPacing,
+)
+from knapweedbridge_core.serving.messages import (
+    OwnerAnswered,
+    TurnAsked,
+    TurnsGiven,
+)
+from knapweedbridge_core.serving.prompt_pacing import LongPrompts
+from knapweedbridge_daemon.serving.hub import Hub, Send
+
+
+class TurnGiver:
+    """The task that gives the prompts for one engine their turns.
+
+    Parameters
+    ----------
+    hub : Hub
+        Configuration, and what is known of the engine's speed.
+    endpoint : Endpoint
+        The engine.
+    number : int
+        The owner's fencing number.
+    long_prompts : LongPrompts
+        Counts the prompts that pause the engine's streams.
+    send : callable
+        Sends a message to a daemon.
+    """
+
+    def __init__(
+        self,
+        hub: Hub,
+        endpoint: Endpoint,
+        number: int,
+        long_prompts: LongPrompts,
+        send: Send,
+    ) -> None:
+        self._long_prompts = long_prompts
+        self._hub = hub
+        self._endpoint = endpoint
+        self._number = number
+        self._send = send
+        self._asked = anyio.Event()
+        self._pacer = self._make_pacer()
+
+    def _make_pacer(self) -> PromptPacer:
+        service = self._endpoint.record.service
+        deployment = self._hub.beliefs.deployment
+        gap_s = deployment.longest_pauses_s().get(service) if deployment else None
+        if gap_s is None:
+            return NoPacing()
+        return WindowPacing(gap_s, self._hub.rates.token_s(service))
+
+    async def asked(self, daemon: str, message: TurnAsked) -> None:
+        """Take a daemon's question, and answer it at once."""
+        now_s = anyio.current_time()
+        if not message.ticket:
+            self._pacer.sent(message.tokens, now_s)
+            self._long_prompts.note(message.tokens, now_s)
+            self._show_pace()
+            return
+        self._pacer.ask(
+            PromptTurn(daemon, message.ticket, message.tokens, message.urgency, now_s)
+        )
+        if not await self._give(now_s, daemon):
+            await self._send(daemon, OwnerAnswered(self._endpoint.name, self._number))
+            self._asked.set()
+
+    def saw_pause(self, pause_s: float) -> None:
+        """Take the longest pause of streams that ran on the engine just now."""
+        before = self._pacer.budget_tokens
+        self._pacer.saw_pause(pause_s, anyio.current_time())
+        self._show_pace()
+        now = self._pacer.budget_tokens
+        if now != before:
+            self._hub.log.info(
+                "pacing.changed",
+                engine=self._endpoint.name,
+                pause_s=round(pause_s, 3),
+                before_tokens=round(before),
+                tokens=round(now),
+            )
+
+    async def run(self) -> None:
+        """Give the turns of those that wait until cancelled."""
+        while True:
+            next_s = self._pacer.next_s(anyio.current_time())
+            self._asked = anyio.Event()
+            with anyio.move_on_at(math.inf if next_s is None else next_s):
+                await self._asked.wait()
+            await self._give(anyio.current_time())
+
+    def _show_pace(self) -> None:
+        """Put what daemons are told of the pace up to date."""
+        if isinstance(self._pacer, WindowPacing):
+            service = self._endpoint.record.service
+            self._pacer.token_s = self._hub.rates.token_s(service)
+            engines = self._hub.beliefs.fleet.of_service(service)
+            others = (each for each in engines if each is not self._endpoint)
+            self._pacer.heard(each.pace_scale for each in others)
+            self._long_prompts.pace_scale = self._pacer.seen_scale
+        self._long_prompts.pace_tokens = self._pacer.budget_tokens
+
+    async def _give(self, now_s: float, asker: str = "") -> bool:
+        """Give the turns that are due; tell whether the asker got one."""
+        self._show_pace()
+        by_daemon: dict[str, list[int]] = {}
+        for turn in self._pacer.due(now_s):
+            self._long_prompts.note(turn.tokens, now_s)
+            by_daemon.setdefault(turn.daemon, []).append(turn.ticket)
+        for daemon, tickets in by_daemon.items():
+            await self._send(daemon, TurnsGiven(self._endpoint.name, tickets))
+        return asker in by_daemon
--- a/packages/standins/src/knapweedbridge_standins/serving_load/engine.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/engine.py
@@ -16,9 +16,6 @@
 from knapweedbridge_standins.serving_load.sites import LoadSite
 from knapweedbridge_standins.virtual_pool import VirtualClock
 
-CHUNK_TOKENS = 1024
-"""Most tokens of prompts that one step reads."""
-
 
 class WeightStore:
     """Counts the adapters that are on their way to any engine."""
@@ -91,7 +88,7 @@
         if not self._running:
             self._stepping = False
             return
-        left, read = CHUNK_TOKENS, 0
+        left, read = self._site.chunk_tokens, 0
         for call in self._running:
             part = min(left, call.unread_tokens)
             call.unread_tokens -= part
--- a/packages/standins/src/knapweedbridge_standins/serving_load/figures.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/figures.py
@@ -19,6 +19,10 @@
         Sends that an engine refused.
     fetched : int
         Adapters that were fetched from the weight store.
+    paused : int
+        Requests that were late by a pause between two events alone.
+    forecast_errors_s : list of float
+        By how much first events came sooner or later than forecast.
     big_in_time, big : int
         Of the tenth of the requests with the longest prompts.
     """
@@ -28,6 +32,8 @@
     refused: dict[str, int] = field(default_factory=dict)
     first_s: list[float] = field(default_factory=list)
     pauses_s: list[float] = field(default_factory=list)
+    forecast_errors_s: list[float] = field(default_factory=list)
+    paused: int = 0
     refusals: int = 0
     not_run: int = 0
     fetched: int = 0
--- a/packages/standins/src/knapweedbridge_standins/serving_load/pool.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/pool.py
@@ -4,10 +4,12 @@
 import itertools
 import random
 from collections import Counter, defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from knapweedbridge_core.serving import (
     CallKind,
+    Endpoint,
     EndpointRecord,
     EndpointStart,
     EngineKeeper,
@@ -16,18 +18,23 @@
     EngineTeller,
     Fleet,
     LateAdmission,
+    LearntRates,
     LoadOn,
     LoadTimes,
     ModelRef,
     NoEngine,
+    NoPacing,
     Order,
     OrderAnswer,
     OrderKind,
     PlacementAsk,
+    PromptPacer,
+    PromptTurn,
     Route,
     SendTo,
     TooLate,
     WaitFor,
+    WindowPacing,
     claimants,
     first_event_patience_s,
     is_small,
@@ -37,6 +44,7 @@
 from knapweedbridge_core.serving.messages import EngineChanged, EngineTold
 from knapweedbridge_core.serving.ownership import DaemonRecord
 from knapweedbridge_core.serving.placement import Choice
+from knapweedbridge_core.serving.prompt_pacing import passes_at_once
 from knapweedbridge_daemon.serving.attempting import NOT_READY_S
 from knapweedbridge_daemon.serving.engine_owning import REPORT_PAUSE_S
 from knapweedbridge_daemon.serving.placing import (
@@ -83,6 +91,8 @@
     turn: int = 0
     questions: int = 0
     returned: bool = False
+    first_s: float = 0.0
+    longest_pause_s: float = 0.0
 
 
 class ModelledOwner:
@@ -100,6 +110,53 @@
         self._ordering = False
         self._woken = False
         self._reported_s = float("-inf")
+        self._tickets = itertools.count()
+        self._go: dict[int, Callable[[], None]] = {}
+        self._giving = False
+        self._pacer = pool.make_pacer()
+
+    def ask_turn(self, tokens: int, urgency: int, go: Callable[[], None]) -> None:
+        """Let a prompt go to the engine when its turn has come."""
+        ticket, now_s = next(self._tickets), self._pool.clock.now_s
+        self._go[ticket] = go
+        self._pacer.ask(PromptTurn("", ticket, tokens, urgency, now_s))
+        self._give()
+
+    def sent(self, tokens: int) -> None:
+        """Take a prompt that was sent without a turn."""
+        now_s = self._pool.clock.now_s
+        self._pacer.sent(tokens, now_s)
+        self.keeper.long_prompts.note(tokens, now_s)
+        self._show_pace()
+
+    def saw_pause(self, pause_s: float) -> None:
+        """Take the longest pause of streams on the engine."""
+        self._pacer.saw_pause(pause_s, self._pool.clock.now_s)
+        self._show_pace()
+
+    def _show_pace(self) -> None:
+        if isinstance(self._pacer, WindowPacing):
+            self._pacer.token_s = self._pool.rates.token_s("llm")
+            engines = self._pool.daemons[self.daemon].fleet.endpoints
+            others = (e.pace_scale for n, e in engines.items() if n != self._name)
+            self._pacer.heard(others)
+            self.keeper.long_prompts.pace_scale = self._pacer.seen_scale
+        self.keeper.long_prompts.pace_tokens = self._pacer.budget_tokens
+
+    def _give(self) -> None:
+        now_s = self._pool.clock.now_s
+        self._show_pace()
+        for turn in self._pacer.due(now_s):
+            self.keeper.long_prompts.note(turn.tokens, now_s)
+            self._pool.clock.after(WAY_S, self._go.pop(turn.ticket))
+        next_s = self._pacer.next_s(now_s)
+        if next_s is not None and not self._giving:
+            self._giving = True
+            self._pool.clock.after(next_s - now_s, self._give_later)
+
+    def _give_later(self) -> None:
+        self._giving = False
+        self._give()
 
     def wanted(self, daemon: str, model: ModelRef) -> None:
         """Take a daemon's wish."""
@@ -176,7 +233,7 @@
     """Places calls by what it believes."""
 
     def __init__(self, pool: "ModelledPool", name: str, data_centre: str) -> None:
-        self._pool = pool
+        self.pool = pool
         self.name = name
         self.data_centre = data_centre
         self.fleet = Fleet()
@@ -189,25 +246,25 @@
 
     def list_engines(self) -> None:
         """Take the platform's list."""
-        for record in self._pool.records():
-            endpoint = self.fleet.listed(record, self._pool.clock.now_s)
-            endpoint.owner = self._pool.owners[record.endpoint].daemon
+        for record in self.pool.records():
+            endpoint = self.fleet.listed(record, self.pool.clock.now_s)
+            endpoint.owner = self.pool.owners[record.endpoint].daemon
 
     def told(self, owner: str, message: EngineTold | EngineChanged) -> None:
         """Take an owner's telling."""
-        now_s = self._pool.clock.now_s
+        now_s = self.pool.clock.now_s
         if isinstance(message, EngineTold):
             self.load_times.told(message.cold_s)
             self.fleet.take_told(message, now_s)
         elif not self.fleet.take_changed(message, now_s):
-            ask = self._pool.owners[message.endpoint].asked
-            self._pool.clock.after(WAY_S, lambda: ask(self.name))
+            ask = self.pool.owners[message.endpoint].asked
+            self.pool.clock.after(WAY_S, lambda: ask(self.name))
         self._look()
 
     def _look(self) -> None:
         if self._waiting and not self._looking:
             self._looking = True
-            self._pool.clock.after(0.001, self._place_waiting)
+            self.pool.clock.after(0.001, self._place_waiting)
 
     def _place_waiting(self) -> None:
         self._looking = False
@@ -222,12 +279,12 @@
 
     def place(self, call: LoadCall) -> None:
         """Send, hold or refuse a call."""
-        now_s = self._pool.clock.now_s
+        now_s = self.pool.clock.now_s
         choice = self._choose(call, now_s)
         if isinstance(choice, SendTo) and self._must_ask(call, choice, now_s):
             call.questions += 1
-            ask = self._pool.owners[choice.endpoint.name].asked
-            self._pool.clock.after(WAY_S, lambda: ask(self.name))
+            ask = self.pool.owners[choice.endpoint.name].asked
+            self.pool.clock.after(WAY_S, lambda: ask(self.name))
             self._wait(call, 0.02)
             return
         if isinstance(choice, SendTo):
@@ -240,7 +297,7 @@
             0.5, PLACE_PATIENCE * call.mix.objective_s
         ):
             over_s = choice.over_s if isinstance(choice, TooLate) else 0.0
-            self._pool.refused(call, over_s)
+            self.pool.refused(call, over_s)
             return
         call.accepted = not isinstance(choice, NoEngine)
         if isinstance(choice, LoadOn) and now_s - call.asked_s > WANT_AGAIN_S:
@@ -253,7 +310,7 @@
         self._wait(call, pause_s)
 
     def _must_ask(self, call: LoadCall, choice: SendTo, now_s: float) -> bool:
-        if self._pool.small or call.questions >= QUESTIONS_MOST:
+        if self.pool.small or call.questions >= QUESTIONS_MOST:
             return False
         return now_s - choice.endpoint.heard_s > LOAD_LIFE_S
 
@@ -261,10 +318,10 @@
         call.turn += 1
         turn = call.turn
         self._waiting[id(call)] = call
-        self._pool.clock.after(pause_s, lambda: self._place_late(call, turn))
+        self.pool.clock.after(pause_s, lambda: self._place_late(call, turn))
 
     def _choose(self, call: LoadCall, now_s: float) -> Choice:
-        route = self._pool.routes[call.mix.name]
+        route = self.pool.routes[call.mix.name]
         waited_s = now_s - call.began_s
         ask = PlacementAsk(
             call.model,
@@ -276,50 +333,44 @@
             first_event_patience_s(route, waited_s, call.accepted),
         )
         engines = self.fleet.reachable("llm", now_s)
-        self.fleet.guess_load(engines, len(self._pool.daemons), self._pool.small, now_s)
+        self.fleet.guess_load(engines, len(self.pool.daemons), self.pool.small, now_s)
         is_new, call.placed = not call.placed, True
         return self._admission.choose(ask, engines, call.mix.objective_s, is_new, now_s)
 
     def _want(self, engine: str, model: ModelRef) -> None:
-        owner = self._pool.owners[engine]
-        self._pool.clock.after(WAY_S, lambda: owner.wanted(self.name, model))
+        owner = self.pool.owners[engine]
+        self.pool.clock.after(WAY_S, lambda: owner.wanted(self.name, model))
 
     def _send(self, call: LoadCall, engine: str) -> None:
-        endpoint = self.fleet.endpoints[engine]
+        endpoint, owner = self.fleet.endpoints[engine], self.pool.owners[engine]
         endpoint.own_calls += 1
         endpoint.own_unread_tokens += call.prompt_tokens
         self._calls[engine][call.model] += 1
         self._tell(engine, soon=True)
-        read = [False]
-
-        def on_first() -> None:
-            read[0] = True
-            endpoint.own_unread_tokens -= call.prompt_tokens
-            self._tell(engine)
-            self._pool.first(call)
-
-        def on_end() -> None:
-            endpoint.own_calls -= 1
-            self._calls[engine][call.model] -= 1
-            self._tell(engine)
+        attempt = ModelledAttempt(self, call, endpoint)
+        clock = self.pool.clock
+        if passes_at_once(attempt.unread, call.prompt_tokens, endpoint.pace_tokens):
+            attempt.go()
+            clock.after(WAY_S, lambda: owner.sent(call.prompt_tokens))
+        else:
+            tokens, urgency = call.prompt_tokens, call.mix.urgency
+            clock.after(WAY_S, lambda: owner.ask_turn(tokens, urgency, attempt.go))
 
-        def arrive() -> None:
-            sent = EngineCall(
-                call.model,
-                call.prompt_tokens,
-                call.output_tokens,
-                on_first,
-                on_end,
-                self._pool.figures.pauses_s.append,
-            )
-            if not self._pool.engines[engine].send(sent):
-                self._pool.clock.after(WAY_S, lambda: self._not_run(call, engine))
+    def read(self, call: LoadCall, endpoint: Endpoint) -> None:
+        """Take that an engine has read a call's prompt."""
+        endpoint.own_unread_tokens -= call.prompt_tokens
+        self._tell(endpoint.name)
 
-        self._pool.clock.after(WAY_S, arrive)
+    def left(self, call: LoadCall, endpoint: Endpoint) -> None:
+        """Take that a call runs on an engine no more."""
+        endpoint.own_calls -= 1
+        self._calls[endpoint.name][call.model] -= 1
+        self._tell(endpoint.name)
 
-    def _not_run(self, call: LoadCall, engine: str) -> None:
-        now_s = self._pool.clock.now_s
-        self._pool.figures.not_run += 1
+    def not_run(self, call: LoadCall, engine: str) -> None:
+        """Take that an engine refused a call."""
+        now_s = self.pool.clock.now_s
+        self.pool.figures.not_run += 1
         endpoint = self.fleet.endpoints[engine]
         endpoint.own_calls -= 1
         endpoint.own_unread_tokens -= call.prompt_tokens
@@ -331,33 +382,107 @@
             del endpoint.held[call.model]
         else:
             endpoint.held[call.model].ready_s = now_s + NOT_READY_S
-            owner = self._pool.owners[engine]
-            self._pool.clock.after(WAY_S, lambda: owner.missed(call.model))
+            owner = self.pool.owners[engine]
+            self.pool.clock.after(WAY_S, lambda: owner.missed(call.model))
         self.place(call)
 
     def _tell(self, engine: str, soon: bool = False) -> None:
         if engine in self._due:
             return
         self._due.add(engine)
-        pause_s = JOIN_S if soon or self._pool.small else JOIN_FAR_S
-        self._pool.clock.after(pause_s, lambda: self._tell_now(engine))
+        pause_s = JOIN_S if soon or self.pool.small else JOIN_FAR_S
+        self.pool.clock.after(pause_s, lambda: self._tell_now(engine))
 
     def _tell_now(self, engine: str) -> None:
         self._due.discard(engine)
         calls = dict(+self._calls[engine])
         unread = self.fleet.endpoints[engine].own_unread_tokens
-        owner = self._pool.owners[engine]
-        self._pool.clock.after(WAY_S, lambda: owner.running(self.name, calls, unread))
+        owner = self.pool.owners[engine]
+        self.pool.clock.after(WAY_S, lambda: owner.running(self.name, calls, unread))
+
+
+class ModelledAttempt:
+    """One call on its way to an engine, and there."""
+
+    def __init__(
+        self, daemon: ModelledDaemon, call: LoadCall, endpoint: Endpoint
+    ) -> None:
+        self._daemon = daemon
+        self._pool = daemon.pool
+        self._call = call
+        self._endpoint = endpoint
+        self._began_s = self._sent_s = self._pool.clock.now_s
+        self.unread = endpoint.unread_tokens - call.prompt_tokens
+        rates = self._pool.rates
+        self._slot_wait_s = rates.slot_wait_s(endpoint)
+        # Its own prompt is among what is unread there.
+        self._forecast_s = rates.first_event_s(endpoint, 0, self._began_s)
+
+    def go(self) -> None:
+        """Send the call."""
+        self._sent_s = self._pool.clock.now_s
+        self._pool.clock.after(WAY_S, self._arrive)
+
+    def _arrive(self) -> None:
+        call, engine = self._call, self._endpoint.name
+        sent = EngineCall(
+            call.model,
+            call.prompt_tokens,
+            call.output_tokens,
+            self._first,
+            self._end,
+            self._pause,
+        )
+        if not self._pool.engines[engine].send(sent):
+            refused = self._daemon.not_run
+            self._pool.clock.after(WAY_S, lambda: refused(call, engine))
+
+    def _first(self) -> None:
+        now_s, call = self._pool.clock.now_s, self._call
+        error_s = abs(now_s - self._began_s - self._forecast_s)
+        self._pool.figures.forecast_errors_s.append(error_s)
+        if not self._slot_wait_s:
+            self._pool.rates.saw_first_event(
+                self._endpoint,
+                call.prompt_tokens,
+                self.unread,
+                now_s - self._sent_s,
+                now_s,
+            )
+        self._daemon.read(call, self._endpoint)
+        self._pool.first(call)
+
+    def _end(self) -> None:
+        took_s = self._pool.clock.now_s - self._sent_s
+        self._daemon.left(self._call, self._endpoint)
+        self._pool.rates.saw_end(self._endpoint, took_s)
+        self._pool.ended(self._call)
+
+    def _pause(self, pause_s: float) -> None:
+        self._pool.figures.pauses_s.append(pause_s)
+        if pause_s > self._call.longest_pause_s:
+            self._call.longest_pause_s = pause_s
+            owner = self._pool.owners[self._endpoint.name]
+            self._pool.clock.after(WAY_S, lambda: owner.saw_pause(pause_s))
 
 
 class ModelledPool:
     """All of one deployment."""
 
     def __init__(
-        self, site: LoadSite, policy: EnginePlacement, load: float, seed: int
+        self,
+        site: LoadSite,
+        policy: EnginePlacement,
+        load: float,
+        seed: int,
+        paced: bool = True,
     ) -> None:
         self.site = site
         self.policy = policy
+        self._paced = paced
+        self.rates = getattr(policy, "rates", None) or LearntRates()
+        if paced:
+            self.rates.accept_pauses({"llm": site.gap_s})
         self.clock = VirtualClock()
         self.figures = Figures()
         self._load = load
@@ -400,6 +525,12 @@
     def _centre(self, number: int) -> str:
         return self._centres[number % len(self._centres)]
 
+    def make_pacer(self) -> PromptPacer:
+        """Make what gives the prompts for one engine their turns."""
+        if not self._paced:
+            return NoPacing()
+        return WindowPacing(self.site.gap_s, self.rates.token_s("llm"))
+
     def records(self) -> list[EndpointRecord]:
         """Return what the platform lists of the engines."""
         now_s = self.clock.now_s
@@ -441,17 +572,26 @@
         self.clock.after(LIST_S, self._list)
 
     def _arrive_later(self, mix: CallMix, ends_s: float) -> None:
-        pause_s = self._luck.expovariate(mix.per_s * self._load)
+        clump = self.site.clump
+        pause_s = self._luck.expovariate(mix.per_s * self._load / clump)
 
         def arrive() -> None:
             if self.clock.now_s < ends_s:
-                self._arrive(mix)
+                for _ in range(self._clump_size(clump)):
+                    self._arrive(mix)
                 self._arrive_later(mix, ends_s)
 
         self.clock.after(pause_s, arrive)
 
+    def _clump_size(self, mean: float) -> int:
+        size = 1
+        while self._luck.random() > 1 / mean:
+            size += 1
+        return size
+
     def _arrive(self, mix: CallMix) -> None:
-        prompt = self._spread(mix.prompt_tokens)
+        prompt = self._spread(mix.prompt_tokens, mix.prompt_spread)
+        prompt = min(prompt, mix.longest_prompt)
         call = LoadCall(
             mix,
             self._model(),
@@ -466,8 +606,9 @@
     def _any_daemon(self) -> ModelledDaemon:
         return self.daemons[f"h{self._luck.randrange(self.site.daemons)}"]
 
-    def _spread(self, mean: float) -> int:
-        return max(4, int(mean * self._luck.lognormvariate(-0.18, 0.6)))
+    def _spread(self, mean: float, sigma: float = 0.6) -> int:
+        factor = self._luck.lognormvariate(-sigma * sigma / 2, sigma)
+        return max(4, int(mean * factor))
 
     def _model(self) -> ModelRef:
         if self._luck.random() > self.site.adapter_share:
@@ -477,11 +618,17 @@
 
     def first(self, call: LoadCall) -> None:
         """Take a call's first event."""
-        took_s = self.clock.now_s - call.arrived_s
-        self.figures.first_s.append(took_s)
-        in_time = took_s <= call.mix.objective_s
+        call.first_s = self.clock.now_s - call.arrived_s
+        self.figures.first_s.append(call.first_s)
+
+    def ended(self, call: LoadCall) -> None:
+        """Take a call's end: it is late by its first event or by a pause."""
         figures = self.figures
+        begun_in_time = call.first_s <= call.mix.objective_s
+        smooth = call.longest_pause_s <= self.site.gap_s
+        in_time = begun_in_time and smooth
         figures.count(figures.in_time if in_time else figures.late, call.mix.name)
+        figures.paused += begun_in_time and not smooth
         figures.big += call.big
         figures.big_in_time += call.big and in_time
 
@@ -511,6 +658,7 @@
     load: float = 1.0,
     for_s: float = 20.0,
     seed: int = 1,
+    paced: bool = True,
 ) -> Figures:
     """Play a load on a pool in virtual time.
 
@@ -520,5 +668,7 @@
         Times the site's usual load.
     for_s : float
         How long calls arrive, in virtual seconds.
+    paced : bool
+        Whether owners give prompts their turns.
     """
-    return ModelledPool(site, policy, load, seed).run(for_s)
+    return ModelledPool(site, policy, load, seed, paced).run(for_s)
--- a/packages/standins/src/knapweedbridge_standins/serving_load/sites.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/sites.py
@@ -15,6 +15,10 @@
         Means; both are spread like a log-normal.
     objective_s, deadline_s : float
         To the first event, and to the answer's end.
+    prompt_spread : float
+        Spread of the prompts' lengths, as the log-normal's sigma.
+    longest_prompt : int
+        Longest prompt, in tokens.
     """
 
     name: str
@@ -24,6 +28,8 @@
     objective_s: float
     deadline_s: float
     urgency: int
+    prompt_spread: float = 0.6
+    longest_prompt: int = 8000
 
 
 @dataclass(slots=True, frozen=True)
@@ -46,6 +52,12 @@
         Time of an adapter's load from the weight store.
     loads_at_once : int
         Loads that the weight store serves at full speed.
+    chunk_tokens : int
+        Most tokens of prompts that one step reads.
+    gap_s : float
+        Longest pause between two events that callers accept.
+    clump : float
+        Calls that come together, in the mean.
     """
 
     name: str
@@ -62,6 +74,9 @@
     event_tokens: int
     load_s: float = 0.25
     loads_at_once: int = 8
+    chunk_tokens: int = 1024
+    gap_s: float = 0.25
+    clump: float = 1.0
     adapter_share: float = 0.95
     skew: float = 1.2
 
@@ -108,6 +123,28 @@
     event_tokens=3,
 )
 
+_SCHOOLS = LoadSite(
+    "schools",
+    daemons=9,
+    data_centres=3,
+    engines=6,
+    slots=64,
+    places=29,
+    adapters=3000,
+    mixes=(
+        CallMix("callout", 48, 630, 290, 0.6, 12, 1, 0.7, 3400),
+        CallMix("roster", 6.7, 630, 290, 1.0, 15, 0, 0.7, 3400),
+        CallMix("brief", 8.9, 1800, 24, 0.8, 3, 2, 0.9, 6900),
+    ),
+    step_s=0.00473,
+    slot_step_s=1.4e-5,
+    read_tokens_per_s=38400,
+    event_tokens=6,
+    loads_at_once=16,
+    chunk_tokens=2048,
+    clump=3.0,
+)
+
 _OKAVANGO_GROWN = replace(
     _OKAVANGO,
     name="okavango-grown",
@@ -138,5 +175,5 @@
 
 SITES = {
     site.name: site
-    for site in (_OKAVANGO, _CHAOPHRAYA, _OKAVANGO_GROWN, _CHAOPHRAYA_GROWN)
+    for site in (_OKAVANGO, _CHAOPHRAYA, _SCHOOLS, _OKAVANGO_GROWN, _CHAOPHRAYA_GROWN)
 }
