Place waiting calls anew only where a telling may help; take late calls that may have run

Cause: owners tell their loads some fifty times a second since prompts are paced. Each telling had every waiting call placed anew: with sixty of them a daemon came too late to renew its lease and claimed its engine again, and answers that were there were taken for silence. A call that had been given up at one engine was then refused as too late, with 502, as it may have run.

--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -130,12 +130,24 @@
 
     async def _take_changed(self, daemon: str, message: EngineChanged) -> None:
         now_s = anyio.current_time()
+        endpoint = self._hub.beliefs.fleet.endpoints.get(message.endpoint)
+        room = endpoint and (endpoint.places_free, endpoint.wants)
         if self._hub.beliefs.fleet.take_changed(message, now_s):
-            self._hub.engines_changed.tell()
-        else:
-            endpoint = self._hub.beliefs.fleet.endpoints.get(message.endpoint)
-            if endpoint is not None and message.number >= endpoint.told_number:
-                await self._ask(endpoint, daemon, ASK_ALL_S)
+            # Calls that wait for an adapter are placed anew only where that may help:
+            # loads are told some fifty times a second, and sixty calls that were placed
+            # with each telling kept a daemon from renewing its lease.
+            if (
+                message.added
+                or message.removed
+                or room
+                != (
+                    message.places_free,
+                    message.wants,
+                )
+            ):
+                self._hub.engines_changed.tell()
+        elif endpoint is not None and message.number >= endpoint.told_number:
+            await self._ask(endpoint, daemon, ASK_ALL_S)
 
     async def ask_load(self, endpoint: Endpoint) -> None:
         """Ask an engine's owner how much runs there, where that is not known."""
--- a/packages/daemon/src/knapweedbridge_daemon/serving/placing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/placing.py
@@ -169,7 +169,12 @@
         )
         objective_s = 0.0 if call.progress.begun else call.route.objective_s
         is_new, call.placed = not call.placed, True
-        return self._admission.choose(ask, engines, objective_s, is_new, now_s)
+        choice = self._admission.choose(ask, engines, objective_s, is_new, now_s)
+        if isinstance(choice, TooLate) and call.progress.may_have_run:
+            # It cannot be told that it was not run: to refuse it would fail it, and a
+            # late answer is better than none.
+            return choice.instead
+        return choice
 
     async def _want(self, call: Call, endpoint: Endpoint) -> None:
         model = call.details.model
