--- a/features/serving/logs.feature
+++ b/features/serving/logs.feature
@@ -35,3 +35,18 @@
       | the owner's lines | c1    | 0    | engine.stuck                  |
       | another's lines   | c1    | 0    | not other-engine              |
       | an unknown call   | c9    | 7    | no line of request c9         |
+
+  Scenario Outline: The command tells where answers in time were lost: <case>
+    Users called a heavy hour slow; nobody could say whether first events came late,
+    texts stopped, or callers were sent away.
+
+    Given logs of calls in time, late by a first event, by a pause, and refused
+    When the command counts the losses with "<options>"
+    Then it ends with <code> and shows "<text>"
+
+    Examples:
+      | case               | options      | code | text                                          |
+      | by route           |              | 0    | draft        1                  1            1           1 |
+      | another bound      | --pause-s 1  | 0    | draft        2                  1           1 |
+      | a bad length       | --every-s 0  | 64   | --every-s must be above 0                     |
+      | no logs            | elsewhere    | 7    | no line tells how a call ended                |
--- a/features/serving/steps/load_steps.py
+++ b/features/serving/steps/load_steps.py
@@ -15,7 +15,7 @@
     LeastCallsPlacement,
     play,
 )
-from knapweedbridge_standins.serving_load import pool as load_pool
+from knapweedbridge_standins.serving_load import daemon as load_daemon
 
 PLAYED_S = {"okavango": 10.0, "okavango-grown": 4.0}
 SMALL = SITES["okavango"]
@@ -44,7 +44,7 @@
 
 
 WITHOUT = {
-    "do not ask before they send": mock.patch.object(load_pool, "QUESTIONS_MOST", 0),
+    "do not ask before they send": mock.patch.object(load_daemon, "QUESTIONS_MOST", 0),
     "take unknown engines for busy": mock.patch.object(Fleet, "guess_load", guess_busy),
 }
 
--- a/features/serving/steps/log_steps.py
+++ b/features/serving/steps/log_steps.py
@@ -154,3 +154,43 @@
         assert shown[4:] not in context.output, context.output
     else:
         assert shown in context.output, context.output
+
+
+@given("logs of calls in time, late by a first event, by a pause, and refused")
+def loss_logs(context):
+    context.folder = Path(tempfile.mkdtemp())
+    ends = [
+        ("answered", 0.1, 0.0),
+        ("answered", 0.9, 0.0),
+        ("answered", 0.1, 0.4),
+        ("overloaded", None, 0.0),
+    ]
+    lines = [
+        {
+            "message_type": "request.ended",
+            "time_s": 100.0 + number,
+            "route": "draft",
+            "outcome": outcome,
+            "first_s": first_s,
+            "pause_s": pause_s,
+        }
+        for number, (outcome, first_s, pause_s) in enumerate(ends)
+    ]
+    text = "".join("host-1 " + json.dumps(line) + "\n" for line in lines)
+    (context.folder / "host-1.log").write_text(text)
+
+
+@when('the command counts the losses with "{options}"')
+def count_losses_with(context, options):
+    logs = context.folder / options if options == "elsewhere" else context.folder
+    logs.mkdir(exist_ok=True)
+    more = [] if options == "elsewhere" else options.split()
+    shown = io.StringIO()
+    with contextlib.redirect_stdout(shown), contextlib.redirect_stderr(shown):
+        context.code = run(["losses", "--logs", str(logs), *more])
+    context.output = shown.getvalue()
+
+
+@when('the command counts the losses with ""')
+def count_losses(context):
+    count_losses_with(context, "")
--- a/packages/cli/src/knapweedbridge_cli/explain_command.py
+++ b/packages/cli/src/knapweedbridge_cli/explain_command.py
@@ -1,14 +1,13 @@
 """The command that tells from the hosts' logs what became of one call."""
 
-from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Annotated, Any
 
 import cappa
-import orjson
 
 from knapweedbridge_cli.errors import CommandError, ExitCode
+from knapweedbridge_cli.log_files import read_lines
 from knapweedbridge_cli.options import Json
 from knapweedbridge_cli.output import show
 
@@ -35,7 +34,7 @@
 
     def run(self) -> None:
         """Read the logs, then print the call's lines and what stands beside them."""
-        lines = sorted(_read(self.logs), key=lambda line: line.get("time_s", 0.0))
+        lines = sorted(read_lines(self.logs), key=lambda line: line.get("time_s", 0.0))
         chain = [line for line in lines if line.get("request") == self.request]
         if not chain:
             message = f"{self.logs}: no line of request {self.request}"
@@ -48,23 +47,6 @@
         show({"chain": chain, "engines": beside}, text, self.as_json)
 
 
-def _read(path: Path) -> Iterator[dict[str, Any]]:
-    files = sorted(path.glob("*.log")) if path.is_dir() else [path]
-    for file in files:
-        try:
-            content = file.read_bytes()
-        except OSError as error:
-            message = f"{file}: {error.strerror}"
-            raise CommandError(message, ExitCode.NOT_FOUND) from error
-        for raw in content.splitlines():
-            # What runs before the daemon may write lines of its own.
-            if raw.startswith(b"{"):
-                try:
-                    yield orjson.loads(raw)
-                except ValueError:
-                    continue
-
-
 def _beside(
     chain: list[dict[str, Any]], lines: list[dict[str, Any]]
 ) -> list[dict[str, Any]]:
--- a/packages/cli/src/knapweedbridge_cli/main.py
+++ b/packages/cli/src/knapweedbridge_cli/main.py
@@ -21,6 +21,7 @@
     Status,
     Version,
 )
+from knapweedbridge_cli.losses_command import Losses
 from knapweedbridge_cli.output import show_error
 from knapweedbridge_cli.timeline_command import ShowTimeline
 
@@ -47,6 +48,7 @@
         | Drain
         | ShowTimeline
         | Explain
+        | Losses
         | Version
     ]
 
--- /dev/null
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/daemon.py
@@ -0,0 +1,210 @@
+"""A modelled daemon: places calls by what it believes."""
+
+from collections import Counter, defaultdict
+from typing import TYPE_CHECKING
+
+from knapweedbridge_core.serving import (
+    Endpoint,
+    Fleet,
+    LateAdmission,
+    LoadOn,
+    LoadTimes,
+    ModelRef,
+    NoEngine,
+    PlacementAsk,
+    SendTo,
+    TooLate,
+    WaitFor,
+    first_event_patience_s,
+)
+from knapweedbridge_core.serving.fleet import LOAD_LIFE_S
+from knapweedbridge_core.serving.messages import EngineChanged, EngineTold
+from knapweedbridge_core.serving.placement import Choice
+from knapweedbridge_core.serving.prompt_pacing import passes_at_once
+from knapweedbridge_daemon.serving.attempting import NOT_READY_S
+from knapweedbridge_daemon.serving.placing import (
+    LOOK_S,
+    PLACE_PATIENCE,
+    WANT_AGAIN_S,
+)
+from knapweedbridge_daemon.serving.running_calls import JOIN_FAR_S, JOIN_S
+from knapweedbridge_standins.serving_load.attempt import ModelledAttempt
+from knapweedbridge_standins.serving_load.call import WAY_S, LoadCall
+
+if TYPE_CHECKING:
+    from knapweedbridge_standins.serving_load.pool import ModelledPool
+
+QUESTIONS_MOST = 3
+"""Owners that are asked for their load before a call is sent."""
+
+
+class ModelledDaemon:
+    """Places calls by what it believes."""
+
+    def __init__(self, pool: "ModelledPool", name: str, data_centre: str) -> None:
+        self.pool = pool
+        self.name = name
+        self.data_centre = data_centre
+        self.fleet = Fleet()
+        self._admission = LateAdmission(pool.policy)
+        self.load_times = LoadTimes()
+        self._waiting: dict[int, LoadCall] = {}
+        self._calls: dict[str, Counter[ModelRef]] = defaultdict(Counter)
+        self._due: set[str] = set()
+        self._looking = False
+
+    def list_engines(self) -> None:
+        """Take the platform's list."""
+        for record in self.pool.records():
+            endpoint = self.fleet.listed(record, self.pool.clock.now_s)
+            endpoint.owner = self.pool.owners[record.endpoint].daemon
+
+    def told(self, owner: str, message: EngineTold | EngineChanged) -> None:
+        """Take an owner's telling."""
+        now_s = self.pool.clock.now_s
+        if isinstance(message, EngineTold):
+            self.load_times.told(message.cold_s)
+            self.fleet.take_told(message, now_s)
+        elif not self.fleet.take_changed(message, now_s):
+            ask = self.pool.owners[message.endpoint].asked
+            self.pool.clock.after(WAY_S, lambda: ask(self.name))
+        self._look()
+
+    def _look(self) -> None:
+        if self._waiting and not self._looking:
+            self._looking = True
+            self.pool.clock.after(0.001, self._place_waiting)
+
+    def _place_waiting(self) -> None:
+        self._looking = False
+        waiting, self._waiting = self._waiting, {}
+        for call in waiting.values():
+            self.place(call)
+
+    def _place_late(self, call: LoadCall, turn: int) -> None:
+        if call.turn == turn and id(call) in self._waiting:
+            del self._waiting[id(call)]
+            self.place(call)
+
+    def place(self, call: LoadCall) -> None:
+        """Send, hold or refuse a call."""
+        now_s = self.pool.clock.now_s
+        choice = self._choose(call, now_s)
+        if isinstance(choice, SendTo) and self._must_ask(call, choice, now_s):
+            call.questions += 1
+            ask = self.pool.owners[choice.endpoint.name].asked
+            self.pool.clock.after(WAY_S, lambda: ask(self.name))
+            self._wait(call, 0.02)
+            return
+        if isinstance(choice, SendTo):
+            if choice.copy_to is not None:
+                self._want(choice.copy_to.name, call.model)
+            self._send(call, choice.endpoint.name)
+            return
+        waited_s = now_s - call.began_s
+        if isinstance(choice, TooLate) or waited_s > max(
+            0.5, PLACE_PATIENCE * call.mix.objective_s
+        ):
+            over_s = choice.over_s if isinstance(choice, TooLate) else 0.0
+            self.pool.refused(call, over_s)
+            return
+        call.accepted = not isinstance(choice, NoEngine)
+        if isinstance(choice, LoadOn) and now_s - call.asked_s > WANT_AGAIN_S:
+            call.asked_s = now_s
+            choice.endpoint.note_asked(now_s)
+            self._want(choice.endpoint.name, call.model)
+        pause_s = LOOK_S
+        if isinstance(choice, WaitFor):
+            pause_s = min(pause_s, max(0.001, choice.ready_s - now_s))
+        self._wait(call, pause_s)
+
+    def _must_ask(self, call: LoadCall, choice: SendTo, now_s: float) -> bool:
+        if self.pool.small or call.questions >= QUESTIONS_MOST:
+            return False
+        return now_s - choice.endpoint.heard_s > LOAD_LIFE_S
+
+    def _wait(self, call: LoadCall, pause_s: float) -> None:
+        call.turn += 1
+        turn = call.turn
+        self._waiting[id(call)] = call
+        self.pool.clock.after(pause_s, lambda: self._place_late(call, turn))
+
+    def _choose(self, call: LoadCall, now_s: float) -> Choice:
+        route = self.pool.routes[call.mix.name]
+        waited_s = now_s - call.began_s
+        ask = PlacementAsk(
+            call.model,
+            None,
+            True,
+            self.data_centre,
+            frozenset(call.refused),
+            call.prompt_tokens,
+            first_event_patience_s(route, waited_s, call.accepted),
+        )
+        engines = self.fleet.reachable("llm", now_s)
+        self.fleet.guess_load(engines, len(self.pool.daemons), self.pool.small, now_s)
+        is_new, call.placed = not call.placed, True
+        return self._admission.choose(ask, engines, call.mix.objective_s, is_new, now_s)
+
+    def _want(self, engine: str, model: ModelRef) -> None:
+        owner = self.pool.owners[engine]
+        self.pool.clock.after(WAY_S, lambda: owner.wanted(self.name, model))
+
+    def _send(self, call: LoadCall, engine: str) -> None:
+        endpoint, owner = self.fleet.endpoints[engine], self.pool.owners[engine]
+        endpoint.own_calls += 1
+        endpoint.own_unread_tokens += call.prompt_tokens
+        self._calls[engine][call.model] += 1
+        self._tell(engine, soon=True)
+        attempt = ModelledAttempt(self, call, endpoint)
+        clock = self.pool.clock
+        if passes_at_once(attempt.unread, call.prompt_tokens, endpoint.pace_tokens):
+            attempt.go()
+            clock.after(WAY_S, lambda: owner.sent(call.prompt_tokens))
+        else:
+            tokens, urgency = call.prompt_tokens, call.mix.urgency
+            clock.after(WAY_S, lambda: owner.ask_turn(tokens, urgency, attempt.go))
+
+    def read(self, call: LoadCall, endpoint: Endpoint) -> None:
+        """Take that an engine has read a call's prompt."""
+        endpoint.own_unread_tokens -= call.prompt_tokens
+        self._tell(endpoint.name)
+
+    def left(self, call: LoadCall, endpoint: Endpoint) -> None:
+        """Take that a call runs on an engine no more."""
+        endpoint.own_calls -= 1
+        self._calls[endpoint.name][call.model] -= 1
+        self._tell(endpoint.name)
+
+    def not_run(self, call: LoadCall, engine: str) -> None:
+        """Take that an engine refused a call."""
+        now_s = self.pool.clock.now_s
+        self.pool.figures.not_run += 1
+        endpoint = self.fleet.endpoints[engine]
+        endpoint.own_calls -= 1
+        endpoint.own_unread_tokens -= call.prompt_tokens
+        self._calls[engine][call.model] -= 1
+        self._tell(engine)
+        if call.model not in endpoint.held:
+            call.refused.add(engine)
+        elif not endpoint.is_heard(now_s):
+            del endpoint.held[call.model]
+        else:
+            endpoint.held[call.model].ready_s = now_s + NOT_READY_S
+            owner = self.pool.owners[engine]
+            self.pool.clock.after(WAY_S, lambda: owner.missed(call.model))
+        self.place(call)
+
+    def _tell(self, engine: str, soon: bool = False) -> None:
+        if engine in self._due:
+            return
+        self._due.add(engine)
+        pause_s = JOIN_S if soon or self.pool.small else JOIN_FAR_S
+        self.pool.clock.after(pause_s, lambda: self._tell_now(engine))
+
+    def _tell_now(self, engine: str) -> None:
+        self._due.discard(engine)
+        calls = dict(+self._calls[engine])
+        unread = self.fleet.endpoints[engine].own_unread_tokens
+        owner = self.pool.owners[engine]
+        self.pool.clock.after(WAY_S, lambda: owner.running(self.name, calls, unread))
--- /dev/null
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/owner.py
@@ -0,0 +1,158 @@
+"""The owner of one modelled engine: orders it, and tells of it."""
+
+import itertools
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from knapweedbridge_core.serving import (
+    EndpointStart,
+    EngineKeeper,
+    EngineLimits,
+    EngineTeller,
+    ModelRef,
+    Order,
+    OrderAnswer,
+    OrderKind,
+    PromptTurn,
+    WindowPacing,
+)
+from knapweedbridge_core.serving.engine_teller import TELL_LOAD_S
+from knapweedbridge_daemon.serving.engine_owning import REPORT_PAUSE_S
+from knapweedbridge_standins.serving_load.call import WAY_S
+
+if TYPE_CHECKING:
+    from knapweedbridge_standins.serving_load.pool import ModelledPool
+
+
+class ModelledOwner:
+    """Orders one engine, and tells of it."""
+
+    def __init__(self, pool: "ModelledPool", name: str, daemon: str) -> None:
+        self._pool = pool
+        self._name = name
+        self.daemon = daemon
+        site = pool.site
+        limits = EngineLimits(site.slots, 10**6, site.places, 1e5, 10.0)
+        self.keeper = EngineKeeper(limits, times=pool.daemons[daemon].load_times)
+        self.keeper.reported(pool.engines[name].report(), pool.clock.now_s)
+        self._teller = EngineTeller(EndpointStart(name, 0), 1, self.keeper)
+        self._ordering = False
+        self._woken = False
+        self._reported_s = float("-inf")
+        self._tickets = itertools.count()
+        self._go: dict[int, Callable[[], None]] = {}
+        self._giving = False
+        self._pacer = pool.make_pacer()
+
+    def ask_turn(self, tokens: int, urgency: int, go: Callable[[], None]) -> None:
+        """Let a prompt go to the engine when its turn has come."""
+        ticket, now_s = next(self._tickets), self._pool.clock.now_s
+        self._go[ticket] = go
+        self._pacer.ask(PromptTurn("", ticket, tokens, urgency, now_s))
+        self._give()
+
+    def sent(self, tokens: int) -> None:
+        """Take a prompt that was sent without a turn."""
+        now_s = self._pool.clock.now_s
+        self._pacer.sent(tokens, now_s)
+        self.keeper.long_prompts.note(tokens, now_s)
+        self._show_pace()
+
+    def saw_pause(self, pause_s: float) -> None:
+        """Take the longest pause of streams on the engine."""
+        self._pacer.saw_pause(pause_s, self._pool.clock.now_s)
+        self._show_pace()
+
+    def _show_pace(self) -> None:
+        if isinstance(self._pacer, WindowPacing):
+            self._pacer.token_s = self._pool.rates.token_s("llm")
+            engines = self._pool.daemons[self.daemon].fleet.endpoints
+            others = (e.pace_scale for n, e in engines.items() if n != self._name)
+            self._pacer.heard(others)
+            self.keeper.long_prompts.pace_scale = self._pacer.seen_scale
+        self.keeper.long_prompts.pace_tokens = self._pacer.budget_tokens
+
+    def _give(self) -> None:
+        now_s = self._pool.clock.now_s
+        self._show_pace()
+        for turn in self._pacer.due(now_s):
+            self.keeper.long_prompts.note(turn.tokens, now_s)
+            self._pool.clock.after(WAY_S, self._go.pop(turn.ticket))
+        next_s = self._pacer.next_s(now_s)
+        if next_s is not None and not self._giving:
+            self._giving = True
+            self._pool.clock.after(next_s - now_s, self._give_later)
+
+    def _give_later(self) -> None:
+        self._giving = False
+        self._give()
+
+    def wanted(self, daemon: str, model: ModelRef) -> None:
+        """Take a daemon's wish."""
+        self._teller.wanted_by(daemon, model, self._pool.clock.now_s)
+        self.keeper.want(model, 0, self._pool.clock.now_s)
+        self.work()
+
+    def running(self, daemon: str, calls: dict[ModelRef, int], unread: int) -> None:
+        """Take a daemon's calls."""
+        now_s = self._pool.clock.now_s
+        self._teller.used_by(daemon, now_s)
+        self.keeper.calls_running(daemon, calls, unread, now_s)
+        self._teller.calls_changed()
+        self.work()
+
+    def missed(self, model: ModelRef) -> None:
+        """Take that the engine refused a call."""
+        self.keeper.missed(model, self._pool.clock.now_s)
+        self._teller.held_changed()
+        self.work()
+
+    def asked(self, daemon: str) -> None:
+        """Take that a daemon missed a telling."""
+        self._teller.asked_for_all(daemon)
+        for telling in self._teller.tell_asked(self._pool.clock.now_s):
+            self._pool.tell(telling.daemon, self.daemon, telling.message)
+
+    def work(self) -> None:
+        """Order and tell what is due."""
+        now_s = self._pool.clock.now_s
+        if self.keeper.needs_report and now_s - self._reported_s >= REPORT_PAUSE_S:
+            self._reported_s = now_s
+            self.keeper.reported(self._pool.engines[self._name].report(), now_s)
+            self._teller.held_changed()
+        if not self._ordering:
+            order = self.keeper.next_order(now_s)
+            if order is not None:
+                self._ordering = True
+                self._pool.clock.after(WAY_S, lambda: self._order(order))
+        for telling in self._teller.tell(self._pool.daemons, self._pool.small, now_s):
+            self._pool.tell(telling.daemon, self.daemon, telling.message)
+        self._wake_later()
+
+    def _order(self, order: Order) -> None:
+        answer = self._pool.engines[self._name].order(order)
+        self._pool.clock.after(WAY_S, lambda: self._answered(order, answer))
+
+    def _answered(self, order: Order, answer: OrderAnswer) -> None:
+        now_s = self._pool.clock.now_s
+        fleet = self._pool.daemons[self.daemon].fleet
+        self.keeper.engines = len(self._pool.engines)
+        self.keeper.coming_elsewhere = sum(
+            each.coming(now_s) for each in fleet.engines() if each.name != self._name
+        )
+        self.keeper.answered(order, answer, now_s)
+        self._teller.held_changed()
+        if order.kind is OrderKind.LOAD:
+            self._teller.load_ordered(order.model)
+        self._ordering = False
+        self.work()
+
+    def _wake_later(self) -> None:
+        busy = self.keeper.wants or self._teller.has_news or self.keeper.needs_report
+        if busy and not self._woken:
+            self._woken = True
+            self._pool.clock.after(TELL_LOAD_S, self._wake)
+
+    def _wake(self) -> None:
+        self._woken = False
+        self.work()
