Forget what was sent without a turn

Cause: an owner notes each prompt that is sent without a turn; only giving a turn forgot those of before. In a pool whose streams never pause no turn is asked for, so the list grew with each prompt. Before: 20,000 kept after 20,000 prompts in 200 s; after: at most 101.

--- a/features/serving/pacing.feature
+++ b/features/serving/pacing.feature
@@ -40,6 +40,14 @@
     When streams paused 0.3 s, and later pauses of 0.1 s follow while all that may passes
     Then as much passes for 20 s, and more after that
 
+  Scenario: What was sent without a turn is forgotten after its window
+    An owner's memory grew with each prompt of a pool whose streams never pause: nobody
+    asked for a turn, and only the next turn's giving forgot what had been sent.
+
+    Given engines that read 1000 tokens in 0.04 s, whose streams accept pauses of 0.25 s
+    When 20000 prompts are sent without a turn, one each 0.01 s
+    Then no more of them are kept than of a second
+
   Scenario: A pace that one engine's pauses showed holds on its service's others
     Given engines that read 1000 tokens in 0.04 s, whose streams accept pauses of 0.25 s
     When streams of another engine paused too long
--- a/features/serving/steps/pacing_steps.py
+++ b/features/serving/steps/pacing_steps.py
@@ -167,6 +167,18 @@
     assert context.seen[-1][1] > 1.5 * context.first, context.seen[-1]
 
 
+@when("{count:d} prompts are sent without a turn, one each {s:g} s")
+def sent_without_turns(context, count, s):
+    for number in range(count):
+        context.pacer.sent(500, NOW_S + number * s)
+
+
+@then("no more of them are kept than of a second")
+def forgotten(context):
+    kept = len(context.pacer._sent)
+    assert kept <= 101, kept
+
+
 @when("streams of another engine paused too long")
 def another_engine(context):
     context.pacer.heard([0.0, 1.0])
--- a/packages/core/src/knapweedbridge_core/serving/prompt_pacing.py
+++ b/packages/core/src/knapweedbridge_core/serving/prompt_pacing.py
@@ -277,6 +277,7 @@
 
     def sent(self, tokens: int, now_s: float) -> None:
         """See `PromptPacer.sent`."""
+        self._slide(now_s)
         self._sent.append((now_s, tokens))
         self._in_window += tokens
         self._most_tokens = max(self._most_tokens, self._in_window)
