--- a/packages/core/src/knapweedbridge_core/serving/load_times.py
+++ b/packages/core/src/knapweedbridge_core/serving/load_times.py
@@ -56,8 +56,8 @@
 
     Nor does one tell how many loads the weight store serves at full speed. Taken for
     8 where it served 16, a wait of 0.44 s was forecast for loads of 0.25 s. With more
-    being tried, now and then, 396 tries of a heavy day were refused as too late in place
-    of 475.
+    being tried, now and then, 396 tries of a heavy day were refused as too late in
+    place of 475.
 
     Parameters
     ----------
