Client accounts: keys are checked, their account named to endpoints, revoked ones refused

Callers saw: any key, or none, had its calls run. Endpoints got the key itself and no account's name.

Cause: the serving path knew no accounts; `keys.py` of the product's own face was its only reader of keys. Ruled out: the store's follower, which had each version in time.

Change: the dialect decodes accounts, keys (as digests), rank, unit, rate and burst into `accounts.py`; `Deployment` finds the account of a key in one look-up. `call_terms.py` decides 401, 404, 503. Digests of keys have one module for both faces. A route named `public` needs no key. A configuration with an account without a name, a name or key twice, an unknown unit or a figure below zero is logged, and the last good one stays in force.

Weighed: a daemon that no longer knows how old its keys are serves on with those it has. To refuse them would deny calls that every configuration allows.

--- /dev/null
+++ b/features/platform/steps/account_steps.py
@@ -0,0 +1,195 @@
+import functools
+import re
+
+import anyio
+import httpx
+from behave import given, then, when
+from standins import header
+from whole_path import NO_TLS, configuration, whole_path
+
+
+def account(name, *keys, **fields):
+    return {"name": name, "api_keys": list(keys), **fields}
+
+
+def good_accounts():
+    return [account("shop", "k-shop", priority=3), account("lab", "k-lab")]
+
+
+def played(work):
+    """Run a step's whole story in one event loop, with accounts in force."""
+
+    @functools.wraps(work)
+    def step(context, **values):
+        async def story():
+            async with whole_path(1) as path:
+                await put_accounts(path, good_accounts(), 2)
+                context.path = path
+                await work(context, path, **values)
+                # Lines are written some moments after what they tell.
+                await anyio.sleep(0.15)
+                context.lines = path.lines()
+
+        anyio.run(story)
+
+    return step
+
+
+async def put_accounts(path, accounts, version):
+    path.store.put("op/config", configuration(version, accounts=accounts))
+    await path.until(
+        lambda: (
+            any(
+                line.get("belief") == "DeploymentNamed"
+                and line.get("key") == "op/config"
+                for line in path.lines()
+            )
+            and is_in_force(path)
+        ),
+        "the accounts are in force",
+    )
+
+
+def is_in_force(path):
+    named = [
+        line["revision"]
+        for line in path.lines()
+        if line.get("belief") == "DeploymentNamed"
+    ]
+    return named and named[-1] == path.store.items["op/config"][1]
+
+
+@given(
+    'the accounts "{a}" with key "{ka}" and rank {rank:d}, and "{b}" with key "{kb}"'
+)
+def accounts_named(context, a, ka, rank, b, kb):
+    assert good_accounts() == [account(a, ka, priority=rank), account(b, kb)]
+
+
+def shown_headers(shown):
+    """Return the Authorization lines that a row of the table means."""
+    if shown == "nothing":
+        return []
+    if shown == "the keys of both accounts":
+        return ["Bearer k-shop", "Bearer k-lab"]
+    long_key = re.fullmatch(r"a key of (\d+) letters", shown)
+    return ["Bearer " + "k" * int(long_key[1])] if long_key else [shown.strip('"')]
+
+
+async def call(path, target, authorizations, client=None, **headers):
+    pairs = [("Host", "shop.example"), ("Request-Id", "id-1"), ("Deadline-Ms", "4000")]
+    pairs += [("Authorization", value) for value in authorizations]
+    pairs += [(name.replace("_", "-"), value) for name, value in headers.items()]
+    url = f"http://127.0.0.1:{path.ports[0][0]}{target}"
+    if client is not None:
+        return await client.get(url, headers=pairs)
+    async with httpx.AsyncClient(timeout=8, verify=NO_TLS) as own:
+        return await own.get(url, headers=pairs)
+
+
+def ran(path):
+    return [request for desk in path.desks for request in desk.requests]
+
+
+@when("a call of {target} comes with {shown}")
+@played
+async def call_comes(context, path, target, shown):
+    context.response = await call(path, target, shown_headers(shown))
+
+
+@then('it ends with {status:d}, and endpoints ran it for "{name}"')
+def ended_for(context, status, name):
+    assert context.response.status_code == status, context.response
+    found = [header(request, "Tenant") for request in ran(context.path)]
+    expected = [] if status != 200 else [None if name == "nobody" else name]
+    assert found == expected, found
+
+
+@when('a call comes with the key "{key}" that names the account "{other}" itself')
+@played
+async def names_another(context, path, key, other):
+    context.response = await call(path, "/look/1", [f"Bearer {key}"], Tenant=other)
+
+
+@then('the endpoint got the account "{name}" alone, rank {rank:d} and no key')
+def got_account(context, name, rank):
+    assert context.response.status_code == 200, context.response
+    (request,) = ran(context.path)
+    pairs = [(k.lower(), v.decode()) for k, v in request.head.headers]
+    assert [v for k, v in pairs if k == b"tenant"] == [name], pairs
+    assert [v for k, v in pairs if k == b"request-priority"] == [str(rank)], pairs
+    assert not [v for k, v in pairs if "k-shop" in v], pairs
+
+
+@then('no log line holds "{text}"')
+def no_line_holds(context, text):
+    assert any(line.get("account") == "shop" for line in context.lines)
+    assert not [line for line in context.lines if text in str(line)]
+
+
+@when('the key "{old}" is replaced by "{new}", {where}')
+@played
+async def key_replaced(context, path, old, new, where):
+    async with httpx.AsyncClient(timeout=8, verify=NO_TLS) as client:
+        kept = client if where == "on an open connection" else None
+        assert (await call(path, "/look/1", [f"Bearer {old}"], kept)).status_code == 200
+        changed = [account("shop", new, priority=3), account("lab", "k-lab")]
+        path.store.put("op/config", configuration(3, accounts=changed))
+        await anyio.sleep(2.0)
+        context.statuses = {
+            key: (await call(path, "/look/1", [f"Bearer {key}"], kept)).status_code
+            for key in (old, new)
+        }
+
+
+@then('within 2 s "{old}" gets {refused:d} and "{new}" {answered:d}')
+def keys_in_force(context, old, refused, new, answered):
+    assert context.statuses == {old: refused, new: answered}, context.statuses
+
+
+@when("the store has been away for {seconds:f} s")
+@played
+async def store_away(context, path, seconds):
+    path.store.down = True
+    await anyio.sleep(seconds)
+    context.answers = {
+        key: await call(path, "/look/1", [f"Bearer {key}"])
+        for key in ("k-shop", "k-none")
+    }
+
+
+@when("the operator writes accounts with {fault}")
+@played
+async def faulty_accounts(context, path, fault):
+    faulty = {
+        "a key that two hold": [account("shop", "k"), account("lab", "k")],
+        "one name twice": [account("shop", "k1"), account("shop", "k2")],
+        "an unknown unit": [account("shop", "k", unit="pages", rate_per_s=1)],
+        "a rate below zero": [account("shop", "k", rate_per_s=-1)],
+        "no name": [account("", "k")],
+    }[fault]
+    path.store.put("op/config", configuration(3, accounts=faulty))
+    await path.until(
+        lambda: [x for x in path.lines() if x["message_type"] == "store.unreadable"],
+        "the fault is logged",
+    )
+    context.answers = {"k-shop": await call(path, "/look/1", ["Bearer k-shop"])}
+
+
+@then("the fault is logged")
+def fault_logged(context):
+    (line,) = [
+        line for line in context.lines if line["message_type"] == "store.unreadable"
+    ]
+    assert line["key"] == "op/config", line
+
+
+@then('a call with the key "{key}" ends with {status:d}')
+def key_ends_with(context, key, status):
+    assert context.answers[key].status_code == status, context.answers
+
+
+@then('a call with the key "{key}" ends with {status:d} and says when to come back')
+def key_comes_back(context, key, status):
+    key_ends_with(context, key, status)
+    assert float(context.answers[key].headers["Retry-After"]) > 0
--- a/features/platform/whole_path.py
+++ b/features/platform/whole_path.py
@@ -79,12 +79,13 @@
     }
 
 
-def configuration(version=1, drop=()):
+def configuration(version=1, drop=(), accounts=()):
     routes = [
         route("look", "/look/", "desk", "idempotent"),
         route("order", "/order/", "desk", "non_idempotent"),
         route("draft", "/draft/", "llm", "streaming", resumable=True),
         route("note", "/note/", "llm", "streaming", resumable=False),
+        route("open", "/open/", "desk", "idempotent", public=True),
     ]
     model = {"name": "base", "weights_mb": 10, "load_time_s": 0.1, "adapters": 9}
     engine = {
@@ -108,6 +109,7 @@
             "header_timeout_ms": 500,
             "idle_timeout_ms": 2000,
         },
+        "tenants": list(accounts),
     }
 
 
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -4,6 +4,12 @@
 model; the endpoint's own checks of instance and version make a mistake harmless.
 """
 
+from knapweedbridge_core.serving.accounts import (
+    Accounts,
+    ClientAccount,
+    Quota,
+    QuotaUnit,
+)
 from knapweedbridge_core.serving.attempts import (
     AttemptEnd,
     CallProgress,
@@ -68,12 +74,14 @@
 from knapweedbridge_core.serving.store_age import HearerMarks, StoreAge
 
 __all__ = [
+    "Accounts",
     "AttemptEnd",
     "BaseModel",
     "Belief",
     "Beliefs",
     "CallKind",
     "CallProgress",
+    "ClientAccount",
     "CrashLedger",
     "DaemonRecord",
     "Deployment",
@@ -106,6 +114,8 @@
     "PricedPlacement",
     "PromptPacer",
     "PromptTurn",
+    "Quota",
+    "QuotaUnit",
     "RetryBudget",
     "Route",
     "SendTo",
--- a/packages/core/src/knapweedbridge_core/serving/deployment.py
+++ b/packages/core/src/knapweedbridge_core/serving/deployment.py
@@ -1,9 +1,10 @@
 """The configuration in force: routes, services and what an engine can hold."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 from knapweedbridge_core.rendezvous import score
+from knapweedbridge_core.serving.accounts import Accounts, ClientAccount
 from knapweedbridge_core.serving.recent_adapters import RECENT_A_PLACE
 
 HASH_RANGE = 1 << 64
@@ -51,6 +52,8 @@
         Most endpoints that one call may run on.
     resumable : bool
         Whether a stream may be continued on another endpoint.
+    public : bool
+        Whether its calls need no key.
     """
 
     name: str
@@ -64,6 +67,7 @@
     urgency: int = 5
     max_attempts: int = 1
     resumable: bool = False
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -72,6 +76,12 @@
             return self.resumable
         return self.kind is CallKind.IDEMPOTENT
 
+    def on_terms_of(self, account: ClientAccount | None) -> "Route":
+        """Return the route with the rank that an account's calls have on it."""
+        if account is None or account.urgency in (None, self.urgency):
+            return self
+        return replace(self, urgency=account.urgency)
+
     def service_of(self, call_id: str) -> str:
         """Choose the service of one call; the same for the same call."""
         if len(self.services) == 1:
@@ -174,12 +184,15 @@
         All services by name.
     limits : FaceLimits
         Bounds on what callers send.
+    accounts : Accounts or None
+        Client accounts; None where calls need no keys.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service]
     limits: FaceLimits = FaceLimits()
+    accounts: Accounts | None = None
     _by_host: dict[str, list[Route]] = field(init=False, repr=False)
 
     def __post_init__(self) -> None:
@@ -204,6 +217,14 @@
                 return route
         return None
 
+    def account_of(self, key_digest: str) -> ClientAccount | None:
+        """Return the client account that holds a key, or None."""
+        return self.accounts.holding(key_digest) if self.accounts else None
+
+    def is_closed_to(self, route: Route, account: ClientAccount | None) -> bool:
+        """Tell whether a route takes no calls of a caller for want of a key."""
+        return self.accounts is not None and account is None and not route.public
+
     def engine_limits(self, service: str) -> EngineLimits | None:
         """Return what engines of a service hold; None for a plain service."""
         found = self.services.get(service)
--- a/packages/daemon/src/knapweedbridge_daemon/access.py
+++ b/packages/daemon/src/knapweedbridge_daemon/access.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass
 
 from knapweedbridge_core.configuration import Configuration
+from knapweedbridge_core.key_digests import digest_key
 from knapweedbridge_daemon.api_errors import ApiError, ErrorCode
-from knapweedbridge_daemon.keys import bearer_key, hash_key
+from knapweedbridge_daemon.keys import bearer_key
 
 FIRST_KEY_NAME = "first_key"
 
@@ -52,7 +53,7 @@
         return Caller(key.name, key.team, key.role == "administrator")
     shown = headers.get("authorization", "").partition(" ")[2].strip()
     first = bool(first_key_hash) and configuration.generation == 0
-    if first and hmac.compare_digest(hash_key(shown), first_key_hash):
+    if first and hmac.compare_digest(digest_key(shown), first_key_hash):
         return Caller(FIRST_KEY_NAME, "", administrator=True)
     raise ApiError(ErrorCode.UNAUTHENTICATED, "no such key")
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -252,6 +252,8 @@
             call.left_s,
             min(9, call.route.urgency),
             call.last_event if resumes(call.route, call.progress) else None,
+            call.account.name if call.account else "",
+            call.is_keyed,
         )
         headers = self._hub.dialects.endpoints.attempt_headers(head, details)
         body = call.request.body
--- a/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
@@ -205,7 +205,7 @@
                 await anyio.sleep(JOIN_S if small else JOIN_FAR_S)
 
     def _age_s(self) -> float:
-        return round(self._hub.store_age.age_s(self._hub.steady_s()), 3)
+        return round(self._hub.news_age_s, 3)
 
     def _hand_on(self, since: int, items: list[StoreItem], began_s: float) -> None:
         told = [item for item in items if item.key in self._to_tell]
--- a/packages/daemon/src/knapweedbridge_daemon/serving/call.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/call.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from knapweedbridge_core.serving import CallProgress, Endpoint, Route
+from knapweedbridge_core.serving import CallProgress, ClientAccount, Endpoint, Route
 from knapweedbridge_daemon.serving.dialects import CallDetails
 from knapweedbridge_daemon.serving.http_server import ReceivedRequest, Responder
 from knapweedbridge_daemon.serving.wire import ResponseHead, end_to_end
@@ -35,7 +35,11 @@
     request : ReceivedRequest
         As the caller sent it.
     route : Route
-        The route that takes it.
+        The route that takes it, on the terms of its account.
+    account : ClientAccount or None
+        Whose call it is.
+    is_keyed : bool
+        Whether callers show keys here.
     service : str
         Service that it goes to.
     details : CallDetails
@@ -67,6 +71,8 @@
     accepted: bool = False
     placed: bool = False
     mark: str = ""
+    account: ClientAccount | None = None
+    is_keyed: bool = False
 
     @property
     def left_s(self) -> float:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
@@ -4,8 +4,9 @@
 
 import anyio
 
-from knapweedbridge_core.serving import Deployment, FaceLimits, Route, fingerprint
+from knapweedbridge_core.serving import FaceLimits, Route, fingerprint
 from knapweedbridge_daemon.serving.call import Call
+from knapweedbridge_daemon.serving.call_terms import CallTerms, TermsFinder
 from knapweedbridge_daemon.serving.calls import CallRunner
 from knapweedbridge_daemon.serving.dialects import CallDetails, DialectError, Refusal
 from knapweedbridge_daemon.serving.http_server import (
@@ -14,15 +15,15 @@
     Responder,
 )
 from knapweedbridge_daemon.serving.hub import Hub
-from knapweedbridge_daemon.serving.wire import get_header
-
-START_AFTER_S = 0.5
-"""When a caller should come back to a daemon that knows no configuration yet."""
 
 STOPPING_AFTER_S = 0.05
 """When to come back after a refusal of a daemon that stops: another takes it at once.
 """
 
+KEY_DIGITS = 8
+"""Digits of a key's digest in log lines: enough to tell keys apart, not to guess one.
+"""
+
 LAST_PLACES = 4
 """Lines of a traceback that a log line carries."""
 
@@ -44,6 +45,7 @@
     def __init__(self, hub: Hub, runner: CallRunner) -> None:
         self._hub = hub
         self._runner = runner
+        self._terms = TermsFinder(hub)
         self.running = 0
 
     def limits(self) -> FaceLimits:
@@ -75,28 +77,16 @@
             details = self._hub.dialects.callers.read_call(request.head)
         except DialectError as error:
             self._hub.log.info("request.unreadable", error=str(error))
-            await self._refuse(request, responder, Refusal(400, "unreadable"), "")
+            refusal = Refusal(400, "unreadable")
+            await self._refuse(request, responder, refusal, CallDetails())
             return
-        deployment = self._hub.beliefs.deployment
-        route = _route_of(deployment, request) if deployment else None
-        refusal = self._refusal(deployment, route)
-        if refusal is not None:
-            await self._refuse(request, responder, refusal, details.call_id)
+        terms = await self._terms.find(request, details)
+        if isinstance(terms, CallTerms) and self._ends_before(terms.route):
+            terms = Refusal(503, "stopping", STOPPING_AFTER_S)
+        if isinstance(terms, Refusal):
+            await self._refuse(request, responder, terms, details)
             return
-        assert deployment is not None and route is not None
-        await self._run(request, responder, route, details, deployment.version)
-
-    def _refusal(
-        self, deployment: Deployment | None, route: Route | None
-    ) -> Refusal | None:
-        """Return why a call is not begun, or None."""
-        if deployment is None:
-            return Refusal(503, "no_configuration", START_AFTER_S)
-        if route is None:
-            return Refusal(404, "no_route")
-        if self._ends_before(route):
-            return Refusal(503, "stopping", STOPPING_AFTER_S)
-        return None
+        await self._run(request, responder, terms, details)
 
     def _ends_before(self, route: Route) -> bool:
         # A call that is still running when the daemon must end would be cut.
@@ -110,16 +100,18 @@
         request: ReceivedRequest,
         responder: Responder,
         refusal: Refusal,
-        call_id: str,
+        details: CallDetails,
     ) -> None:
         self._hub.measures.count("requests", refusal.reason)
         deployment = self._hub.beliefs.deployment
         self._hub.log.info(
             "request.refused",
-            request=call_id,
+            request=details.call_id,
             path=request.head.path,
             configuration=deployment.version if deployment else None,
             reason=refusal.reason,
+            key=details.key_digest[:KEY_DIGITS],
+            news_age_s=round(min(999.0, self._hub.news_age_s), 3),
         )
         headers, body = self._hub.dialects.callers.refusal(refusal)
         await responder.answer(refusal.status, headers, body)
@@ -128,10 +120,10 @@
         self,
         request: ReceivedRequest,
         responder: Responder,
-        route: Route,
+        terms: CallTerms,
         details: CallDetails,
-        version: int,
     ) -> None:
+        route = terms.route
         allowed_s = min(details.deadline_s or DEADLINE_S, route.timeout_s)
         call = Call(
             request,
@@ -141,13 +133,15 @@
             details,
             request.received_s + allowed_s,
             mark=fingerprint(request.head.target, request.body),
+            account=terms.account,
+            is_keyed=terms.deployment.accounts is not None,
         )
         self._hub.budget.note_request(call.service, anyio.current_time())
         outcome = "caller_left"
         blamed_s = self._hub.crashes.refused_for_s(call.mark, anyio.current_time())
         if blamed_s:
             refusal = Refusal(503, "blamed", blamed_s)
-            await self._refuse(request, responder, refusal, call.details.call_id)
+            await self._refuse(request, responder, refusal, details)
             return
         try:
             with anyio.move_on_at(call.deadline_s) as bound:
@@ -155,7 +149,7 @@
             if bound.cancelled_caught:
                 outcome = await self._time_out(call)
         finally:
-            self._note(call, outcome, version)
+            self._note(call, outcome, terms.deployment.version)
 
     async def _time_out(self, call: Call) -> str:
         if call.responder.begun:
@@ -179,6 +173,7 @@
             "request.ended",
             request=call.details.call_id,
             route=call.route.name,
+            account=call.account.name if call.account else "",
             service=call.service,
             model=str(call.details.model or ""),
             configuration=version,
@@ -190,9 +185,3 @@
             paused_at_s=round(call.paused_s, 4),
             took_s=round(now_s - call.request.received_s, 4),
         )
-
-
-def _route_of(deployment: Deployment, request: ReceivedRequest) -> Route | None:
-    host = get_header(request.head.headers, b"host") or ""
-    name = host.partition(":")[0]
-    return deployment.match(name, request.head.path)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/dialects.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/dialects.py
@@ -46,6 +46,10 @@
         Tokens of the prompt, and the most that are asked for.
     prompt_parts : tuple of (str, int)
         Ids and tokens of the parts of the prompt, in order.
+    key_digest : str
+        Digest of the key that it shows; empty where it shows none that can be read.
+    counts_told : bool
+        Whether it tells how many tokens it asks for.
     """
 
     call_id: str = ""
@@ -54,6 +58,13 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     prompt_parts: tuple[tuple[str, int], ...] = ()
+    key_digest: str = ""
+    counts_told: bool = False
+
+    @property
+    def tokens(self) -> int | None:
+        """Tokens of the prompt and the answer together; None: it tells none."""
+        return self.prompt_tokens + self.output_tokens if self.counts_told else None
 
 
 @dataclass(slots=True, frozen=True)
@@ -72,6 +83,10 @@
         Rank among the endpoint's calls; 0 goes first.
     after_event : str or None
         Id of the last event that the caller has of a stream that is continued.
+    account : str
+        Name of the client account whose call it is; empty where there is none.
+    is_keyed : bool
+        Whether callers show keys here, which are not passed on.
     """
 
     endpoint: str
@@ -79,6 +94,8 @@
     left_s: float
     urgency: int
     after_event: str | None = None
+    account: str = ""
+    is_keyed: bool = False
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
@@ -116,6 +116,11 @@
         """Whether a call to the store failed lately."""
         return anyio.current_time() - self.disturbed_s < self.settle_s
 
+    @property
+    def news_age_s(self) -> float:
+        """How old what is known of the store may be, in seconds."""
+        return self.store_age.age_s(self.steady_s())
+
     @property
     def ready(self) -> bool:
         """Whether callers may be sent here."""
--- a/packages/daemon/src/knapweedbridge_daemon/serving/side_faces.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/side_faces.py
@@ -43,7 +43,7 @@
         hub.measures.gauges["connections_opened"] = hub.pool.opened
         hub.measures.gauges["connections_reused"] = hub.pool.reused
         hub.measures.gauges["store_disturbed"] = float(hub.is_store_disturbed)
-        hub.measures.gauges["store_age_s"] = hub.store_age.age_s(hub.steady_s())
+        hub.measures.gauges["store_age_s"] = hub.news_age_s
         hub.measures.gauges["log_lines_dropped"] = sum(hub.log.dropped.values())
         kind = (b"Content-Type", b"text/plain; version=0.0.4")
         body = await anyio.to_thread.run_sync(hub.measures.render)
