Quotas of client accounts: parts kept by daemons, which give units as calls come

Callers saw: one account that sent many times its usual was served like the others, who were late for it; its limit bound nobody.

Cause: serving knew no quotas. Ruled out: counting by each daemon alone (an equal part of a 64th of the rate is less than one large call).

Change: `quotas.py` splits a quota into equal parts, so many that the overdraft of one large call in each is within what the operators accept; `keepers` spreads them over data centres. A part begins empty at its daemon's start, gives only while that daemon's lease stands, and gives nothing to whom it cannot hear: the bound rests on no knowledge of other daemons. `quota_purse.py` is what one daemon holds and whom it asks; `quota_shares.py` carries both. Refused at once with 429 and when to come back; what was not run is given back. An attempt that was broken off counts as one that may have run. Window, share and slack are settings, filled from what the platform says.

--- a/features/platform/steps/account_steps.py
+++ b/features/platform/steps/account_steps.py
@@ -1,4 +1,5 @@
 import functools
+import os
 import re
 
 import anyio
@@ -76,11 +77,12 @@
     return ["Bearer " + "k" * int(long_key[1])] if long_key else [shown.strip('"')]
 
 
-async def call(path, target, authorizations, client=None, **headers):
-    pairs = [("Host", "shop.example"), ("Request-Id", "id-1"), ("Deadline-Ms", "4000")]
+async def call(path, target, authorizations, client=None, daemon=0, **headers):
+    call_id = f"id-{os.urandom(4).hex()}"
+    pairs = [("Host", "shop.example"), ("Request-Id", call_id), ("Deadline-Ms", "4000")]
     pairs += [("Authorization", value) for value in authorizations]
     pairs += [(name.replace("_", "-"), value) for name, value in headers.items()]
-    url = f"http://127.0.0.1:{path.ports[0][0]}{target}"
+    url = f"http://127.0.0.1:{path.ports[daemon][0]}{target}"
     if client is not None:
         return await client.get(url, headers=pairs)
     async with httpx.AsyncClient(timeout=8, verify=NO_TLS) as own:
--- a/features/platform/whole_path.py
+++ b/features/platform/whole_path.py
@@ -18,6 +18,7 @@
 
 TEMPLATE = Path(__file__).parents[2] / "platform/settings.ini"
 PLACEHOLDER = re.compile(r"{{([a-z_.0-9]+)}}")
+SECTION = re.compile(r"{{#([a-z_.0-9]+)}}\n(.*?){{/\1}}\n", re.DOTALL)
 
 NO_TLS = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
 """Shared by all clients, which speak plain HTTP. One of its own made each client read
@@ -53,15 +54,16 @@
 
 
 def fill(template, fields):
-    """Fill a template as the platform does: plain placeholders only."""
+    """Fill a template as the platform does: plain placeholders, and simple sections."""
 
-    def value(match):
+    def look_up(name):
         found = fields
-        for part in match[1].split("."):
-            found = found[int(part)] if isinstance(found, list) else found[part]
-        return str(found)
+        for part in name.split("."):
+            found = found[int(part)] if isinstance(found, list) else found.get(part, "")
+        return found
 
-    return PLACEHOLDER.sub(value, template)
+    kept = SECTION.sub(lambda match: match[2] if look_up(match[1]) else "", template)
+    return PLACEHOLDER.sub(lambda match: str(look_up(match[1])), kept)
 
 
 def route(name, prefix, service, kind, **fields):
--- a/features/serving/steps/decision_steps.py
+++ b/features/serving/steps/decision_steps.py
@@ -39,6 +39,7 @@
     may_claim,
     may_send_again,
     parse_model,
+    ranked,
     relays,
 )
 from knapweedbridge_core.serving.beliefs import (
@@ -638,13 +639,13 @@
 @then("{count:d} of a data centre's watch the store")
 def watching(context, count):
     own = [each.name for each in context.daemons if each.data_centre == "d1"]
-    names = own if is_small(context.daemons) else relays(context.daemons)["d1"]
+    names = own if is_small(context.daemons) else relays(ranked(context.daemons))["d1"]
     assert len([name for name in names if name in own]) == count, names
 
 
 @then("{count:d} are handed what those hear, each by one of them")
 def hearing(context, count):
-    names = [] if is_small(context.daemons) else relays(context.daemons)["d1"]
+    names = [] if is_small(context.daemons) else relays(ranked(context.daemons))["d1"]
     told = [
         daemon
         for relay in names
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -63,13 +63,22 @@
     WaitFor,
 )
 from knapweedbridge_core.serving.plain_choice import PlainAsk, choose_plain
-from knapweedbridge_core.serving.pool import hearers, is_small, relays
+from knapweedbridge_core.serving.pool import hearers, is_small, ranked, relays
 from knapweedbridge_core.serving.prompt_pacing import (
     NoPacing,
     PromptPacer,
     PromptTurn,
     WindowPacing,
 )
+from knapweedbridge_core.serving.quota_purse import QuotaPurse, nearest_first
+from knapweedbridge_core.serving.quotas import (
+    Given,
+    PartBucket,
+    QuotaPart,
+    QuotaTolerance,
+    keepers,
+    split,
+)
 from knapweedbridge_core.serving.retry_budget import RetryBudget
 from knapweedbridge_core.serving.store_age import HearerMarks, StoreAge
 
@@ -96,6 +105,7 @@
     "EngineTeller",
     "FaceLimits",
     "Fleet",
+    "Given",
     "HearerMarks",
     "LateAdmission",
     "LearntRates",
@@ -109,12 +119,16 @@
     "OrderAnswer",
     "OrderKind",
     "OwnerRecord",
+    "PartBucket",
     "PlacementAsk",
     "PlainAsk",
     "PricedPlacement",
     "PromptPacer",
     "PromptTurn",
     "Quota",
+    "QuotaPart",
+    "QuotaPurse",
+    "QuotaTolerance",
     "QuotaUnit",
     "RetryBudget",
     "Route",
@@ -134,9 +148,13 @@
     "first_event_patience_s",
     "hearers",
     "is_small",
+    "keepers",
     "may_claim",
     "may_send_again",
+    "nearest_first",
     "parse_model",
-    "resumes",
+    "ranked",
     "relays",
+    "resumes",
+    "split",
 ]
--- a/packages/core/src/knapweedbridge_core/serving/beliefs.py
+++ b/packages/core/src/knapweedbridge_core/serving/beliefs.py
@@ -9,7 +9,12 @@
 from knapweedbridge_core.serving.fleet import Fleet
 from knapweedbridge_core.serving.model_ref import ModelRef
 from knapweedbridge_core.serving.ownership import DaemonRecord, OwnerRecord
-from knapweedbridge_core.serving.pool import is_small, relays
+from knapweedbridge_core.serving.pool import (
+    is_small,
+    quota_keepers,
+    ranked,
+    relays,
+)
 
 OLDER_VERSION_S = 3.0
 """How long after a new version was heard of an older one may serve, where the new one
@@ -139,15 +144,26 @@
     free_since_s: dict[str, float] = field(default_factory=dict)
     lost_owners: dict[str, OwnerRecord] = field(default_factory=dict)
     secret: bytes = b""
-    _relays: dict[str, list[str]] | None = None
+    _ranks: dict[str, list[str]] | None = None
+    _relays: dict[str, list[str]] = field(default_factory=dict)
 
     @property
     def relays(self) -> dict[str, list[str]]:
         """The relays of a large pool, by data centre; none in a small one."""
-        if self._relays is None:
-            self._relays = {} if self.is_small_pool else relays(self.daemons.values())
+        self._rank()
         return self._relays
 
+    @property
+    def quota_keepers(self) -> dict[str, list[str]]:
+        """The daemons that may keep parts of quotas, by data centre."""
+        return quota_keepers(self._rank())
+
+    def _rank(self) -> dict[str, list[str]]:
+        if self._ranks is None:
+            self._ranks = ranked(self.daemons.values())
+            self._relays = {} if self.is_small_pool else relays(self._ranks)
+        return self._ranks
+
     @property
     def is_small_pool(self) -> bool:
         """Whether all daemons hear all."""
@@ -193,10 +209,10 @@
                 return self._take_listing(belief, now_s, in_outage)
             case DaemonNamed(record):
                 self.daemons[record.name] = record
-                self._relays = None
+                self._ranks = None
             case DaemonGone(name):
                 self.daemons.pop(name, None)
-                self._relays = None
+                self._ranks = None
             case OwnerNamed(endpoint, record):
                 self._take_owner(endpoint, record, now_s)
             case OwnerGone(endpoint):
--- a/packages/core/src/knapweedbridge_core/serving/messages.py
+++ b/packages/core/src/knapweedbridge_core/serving/messages.py
@@ -258,6 +258,44 @@
     revision: int = 0
 
 
+@message
+class ShareAsked:
+    """A daemon asks a keeper of an account's quota for units of its part.
+
+    Parameters
+    ----------
+    account : str
+        The client account.
+    needed, others, ahead : float
+        Units of the first call that waits, of those behind it, and for calls that are
+        still to come.
+    """
+
+    account: str
+    needed: float
+    others: float
+    ahead: float
+
+
+@message
+class ShareGiven:
+    """A keeper gives units of its part, or says after how long it may.
+
+    Parameters
+    ----------
+    account : str
+        The client account.
+    units : float
+        What the asker may use.
+    wait_s : float
+        After how long more may be there; 0.0: all that was asked for was given.
+    """
+
+    account: str
+    units: float
+    wait_s: float
+
+
 @message
 class CallsBlamed:
     """An endpoint was lost with these calls; `crashes` says what that means."""
--- a/packages/core/src/knapweedbridge_core/serving/pool.py
+++ b/packages/core/src/knapweedbridge_core/serving/pool.py
@@ -18,14 +18,20 @@
 RELAYS = 2
 """Relays a data centre: one may fail unseen for a second."""
 
+QUOTA_KEEPERS = 4
+"""Daemons a data centre that keep parts of client accounts' quotas."""
+
 
 def is_small(daemons: Sized) -> bool:
     """Tell whether all daemons hear all."""
     return len(daemons) <= SMALL_POOL
 
 
-def relays(daemons: Iterable[DaemonRecord]) -> dict[str, list[str]]:
-    """Name the relays of a large pool, by data centre."""
+def ranked(daemons: Iterable[DaemonRecord]) -> dict[str, list[str]]:
+    """Name the daemons of each data centre in the order in which duties fall to them.
+
+    The first of them are its relays, the next keep parts of client accounts' quotas.
+    """
     able: dict[str, list[str]] = defaultdict(list)
     for each in daemons:
         if not each.draining:
@@ -37,7 +43,22 @@
 
 def _first(data_centre: str, names: list[str]) -> list[str]:
     names.sort(key=lambda name: score(data_centre, name), reverse=True)
-    return names[:RELAYS]
+    return names[: RELAYS + QUOTA_KEEPERS]
+
+
+def relays(ranks: dict[str, list[str]]) -> dict[str, list[str]]:
+    """Name the relays of a large pool, by data centre."""
+    return {data_centre: names[:RELAYS] for data_centre, names in ranks.items()}
+
+
+def quota_keepers(ranks: dict[str, list[str]]) -> dict[str, list[str]]:
+    """Name the daemons that may keep parts of quotas, by data centre.
+
+    Relays have most to do as it is; they keep none where there are others.
+    """
+    return {
+        data_centre: names[RELAYS:] or names for data_centre, names in ranks.items()
+    }
 
 
 def hearers(
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -111,6 +111,9 @@
             if not patience.cancelled_caught:
                 self._hub.crashes.broke(call.mark, endpoint.name, anyio.current_time())
         finally:
+            if end is AttemptEnd.ABANDONED:
+                # Broken off by its caller or by a deadline, it may run all the same.
+                call.progress.runs.add(endpoint.name)
             self._learn(call, endpoint, forecast, end)
             self._note_read(call, endpoint)
             whole = end not in (AttemptEnd.BROKEN, AttemptEnd.ABANDONED)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
@@ -15,6 +15,7 @@
     Responder,
 )
 from knapweedbridge_daemon.serving.hub import Hub
+from knapweedbridge_daemon.serving.quota_shares import QuotaShares
 
 STOPPING_AFTER_S = 0.05
 """When to come back after a refusal of a daemon that stops: another takes it at once.
@@ -40,11 +41,14 @@
         Beliefs, dialects and measures.
     runner : CallRunner
         Runs the calls.
+    shares : QuotaShares
+        What client accounts may use.
     """
 
-    def __init__(self, hub: Hub, runner: CallRunner) -> None:
+    def __init__(self, hub: Hub, runner: CallRunner, shares: QuotaShares) -> None:
         self._hub = hub
         self._runner = runner
+        self._shares = shares
         self._terms = TermsFinder(hub)
         self.running = 0
 
@@ -143,12 +147,18 @@
             refusal = Refusal(503, "blamed", blamed_s)
             await self._refuse(request, responder, refusal, details)
             return
+        over_quota = await self._shares.take(call.account, details.tokens)
+        if over_quota is not None:
+            await self._refuse(request, responder, over_quota, details)
+            return
         try:
             with anyio.move_on_at(call.deadline_s) as bound:
                 outcome = await self._runner.run(call)
             if bound.cancelled_caught:
                 outcome = await self._time_out(call)
         finally:
+            if not call.progress.may_have_run:
+                self._shares.give_back(call.account, details.tokens)
             self._note(call, outcome, terms.deployment.version)
 
     async def _time_out(self, call: Call) -> str:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -8,7 +8,7 @@
 from anyio.abc import TaskGroup
 
 from knapweedbridge_core.addresses import split_address
-from knapweedbridge_core.serving import Endpoint, RetryBudget
+from knapweedbridge_core.serving import Endpoint, QuotaTolerance, RetryBudget
 from knapweedbridge_daemon.serving.believing import StoreFollower
 from knapweedbridge_daemon.serving.callers_app import CallersApp
 from knapweedbridge_daemon.serving.calls import CallRunner
@@ -96,6 +96,11 @@
             log,
             Measures(),
             settle_s=settle_s,
+            tolerance=QuotaTolerance(
+                get("limits", "quota_window_s"),
+                get("limits", "quota_over"),
+                get("limits", "quota_slack"),
+            ),
             lease_s=lease_s,
         )
 
@@ -106,7 +111,7 @@
         )
         link.on_store_told = follower.heard
         lease = LeaseKeeper(hub, follower)
-        app = CallersApp(hub, CallRunner(hub, link))
+        app = CallersApp(hub, CallRunner(hub, link), link.shares)
         face = CallersFace(app.handle, app.limits, app.count_bad, app.count_fault)
         async with anyio.create_task_group() as tasks:
             await self._listen(tasks, hub, face, app)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
@@ -15,6 +15,7 @@
     LearntRates,
     LeaseClock,
     LoadTimes,
+    QuotaTolerance,
     RetryBudget,
     StoreAge,
 )
@@ -82,6 +83,8 @@
         Life of a daemon's lease, in seconds.
     settle_s : float
         How long after a failed call the store counts as disturbed, in seconds.
+    tolerance : QuotaTolerance
+        What the operators accept beyond the quotas of client accounts.
     """
 
     identity: Identity
@@ -106,6 +109,7 @@
     settle_s: float = 3.0
     lease_s: float = 3.0
     disturbed_s: float = float("-inf")
+    tolerance: QuotaTolerance = QuotaTolerance()
 
     def store_disturbed(self) -> None:
         """Note that a call to the store failed."""
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -15,6 +15,8 @@
     EngineTold,
     OwnerAnswered,
     RelayAsked,
+    ShareAsked,
+    ShareGiven,
     StoreMarked,
     StoreTold,
     TurnsGiven,
@@ -22,6 +24,7 @@
 from knapweedbridge_daemon.peers import Peers
 from knapweedbridge_daemon.serving.engine_owners import EngineOwners, ToOwner
 from knapweedbridge_daemon.serving.hub import Hub
+from knapweedbridge_daemon.serving.quota_shares import QuotaShares
 from knapweedbridge_daemon.serving.relaying import Relaying
 from knapweedbridge_daemon.serving.running_calls import RunningCalls
 from knapweedbridge_daemon.serving.store_telling import unpack_engines
@@ -55,6 +58,7 @@
         self.running = RunningCalls(hub, self.send)
         self.turns = Turns(hub, self.send, self.running.note_sent)
         self.relaying = Relaying(hub, self.send)
+        self.shares = QuotaShares(hub, self.send)
         self._relays_asked_s: dict[str, float] = {}
         self.on_store_told: Callable[[str, StoreTold], int] = lambda *told: 0
         self._peers: Peers | None = None
@@ -107,13 +111,12 @@
             self._hub.log.info("peer.unlinked", peer=event.host)
 
     async def _take(self, daemon: str, message: Any) -> None:
-        if isinstance(message, EngineTold):
-            if self._take_told(message):
-                self.relaying.engine_told(message)
-        elif isinstance(message, EngineChanged):
-            await self._take_changed(message)
+        if isinstance(message, EngineTold | EngineChanged):
+            await self._take_of_owner(message)
         elif isinstance(message, TurnsGiven):
             self.turns.given(message)
+        elif isinstance(message, ShareAsked | ShareGiven):
+            await self.shares.heard(daemon, message)
         elif isinstance(message, StoreTold | StoreMarked | RelayAsked):
             await self._take_of_relay(daemon, message)
         elif isinstance(message, CallsBlamed):
@@ -125,6 +128,13 @@
         elif isinstance(message, ToOwner):
             await self.owners.heard(daemon, message)
 
+    async def _take_of_owner(self, message: EngineTold | EngineChanged) -> None:
+        """Take what an owner tells this daemon itself of its engine."""
+        if isinstance(message, EngineChanged):
+            await self._take_changed(message)
+        elif self._take_told(message):
+            self.relaying.engine_told(message)
+
     async def _take_of_relay(
         self, daemon: str, message: StoreTold | StoreMarked | RelayAsked
     ) -> None:
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/quota_shares.py
@@ -0,0 +1,222 @@
+"""Units of client accounts' quotas: taken for calls, given of the parts kept here."""
+
+import random
+from collections import deque
+from dataclasses import dataclass, field
+
+import anyio
+
+from knapweedbridge_core.serving import (
+    ClientAccount,
+    Given,
+    PartBucket,
+    Quota,
+    QuotaPurse,
+    keepers,
+    nearest_first,
+    split,
+)
+from knapweedbridge_core.serving.messages import ShareAsked, ShareGiven
+from knapweedbridge_core.serving.quotas import LEAST_WAIT_S
+from knapweedbridge_daemon.serving.dialects import Refusal
+from knapweedbridge_daemon.serving.hub import Hub, Send, suspended_clock_s
+
+ANSWER_S = 0.05
+"""How long a keeper's answer is awaited, before another one is asked: ways take
+milliseconds."""
+
+TAKE_S = 0.2
+"""How long a call waits for its units in all."""
+
+OVER_QUOTA_AFTER_S = (0.3, 1.2)
+"""Added to the time after which units may be there: callers who return together would
+find them used by the first."""
+
+
+@dataclass(slots=True, eq=False)
+class Waiter:
+    """A call that waits for units."""
+
+    units: float
+    done: anyio.Event = field(default_factory=anyio.Event)
+    has_units: bool = False
+
+
+@dataclass(slots=True)
+class Purse:
+    """One account's units here, the calls that wait, and the keeper that was asked."""
+
+    held: QuotaPurse = field(default_factory=QuotaPurse)
+    waiting: deque[Waiter] = field(default_factory=deque)
+    asked: str = ""
+    asked_s: float = 0.0
+
+
+class QuotaShares:
+    """The quotas of client accounts, as far as this daemon has to do with them.
+
+    Parameters
+    ----------
+    hub : Hub
+        Beliefs.
+    send : callable
+        Sends a message to a daemon, this one too.
+    """
+
+    def __init__(self, hub: Hub, send: Send) -> None:
+        self._hub = hub
+        self._send = send
+        self._purses: dict[str, Purse] = {}
+        self._buckets: dict[str, PartBucket] = {}
+        self._started_s = anyio.current_time()
+
+    async def take(
+        self, account: ClientAccount | None, tokens: int | None
+    ) -> Refusal | None:
+        """Take a call's units; return its refusal where its account has too few."""
+        if account is None or account.quota is None:
+            return None
+        units, now_s = account.quota.cost(tokens), anyio.current_time()
+        purse = self._purses.setdefault(account.name, Purse())
+        purse.held.note_use(units, now_s)
+        if purse.waiting or not purse.held.spend(units, now_s):
+            return await self._wait_for(account.name, purse, units)
+        if purse.held.held(now_s) < purse.held.ahead(now_s) / 2:
+            await self._ask(account.name, purse)
+        return None
+
+    def give_back(self, account: ClientAccount | None, tokens: int | None) -> None:
+        """Take back the units of a call that was not run."""
+        if account is None or account.quota is None:
+            return
+        purse = self._purses.get(account.name)
+        if purse is not None:
+            purse.held.put(account.quota.cost(tokens), anyio.current_time())
+            self._serve(purse)
+
+    async def _wait_for(
+        self, account: str, purse: Purse, units: float
+    ) -> Refusal | None:
+        waiter = Waiter(units)
+        purse.waiting.append(waiter)
+        until_s = anyio.current_time() + TAKE_S
+        try:
+            while not waiter.done.is_set() and anyio.current_time() < until_s:
+                await self._ask(account, purse)
+                with anyio.move_on_after(ANSWER_S):
+                    await waiter.done.wait()
+        finally:
+            if waiter in purse.waiting:
+                purse.waiting.remove(waiter)
+        return None if waiter.has_units else self._refusal(account, purse, units)
+
+    def _refusal(self, account: str, purse: Purse, units: float) -> Refusal:
+        wait_s = purse.held.wait_s(anyio.current_time())
+        self._hub.measures.count("quota", "refused")
+        self._hub.log.info(
+            "quota.refused",
+            account=account,
+            units=units,
+            asked=purse.asked,
+            wait_s=round(wait_s, 3),
+        )
+        return Refusal(429, "over_quota", wait_s + random.uniform(*OVER_QUOTA_AFTER_S))
+
+    async def _ask(self, account: str, purse: Purse) -> None:
+        """Ask a keeper for what waits; refuse what waits where none has anything."""
+        now_s = anyio.current_time()
+        if purse.asked:
+            if now_s - purse.asked_s < ANSWER_S:
+                return
+            purse.held.unanswered(purse.asked, now_s)
+            self._hub.measures.count("quota", "unanswered")
+        keeper = purse.held.next_keeper(self._keepers(account), now_s)
+        purse.asked = keeper or ""
+        if keeper is None:
+            self._refuse_waiting(purse)
+            return
+        purse.asked_s = now_s
+        self._hub.measures.count("quota", "asked")
+        await self._send(keeper, self._question(account, purse, now_s))
+
+    @staticmethod
+    def _question(account: str, purse: Purse, now_s: float) -> ShareAsked:
+        held = purse.held.held(now_s)
+        units = [waiter.units for waiter in purse.waiting]
+        needed = max(0.0, units[0] - held) if units else 0.0
+        ahead = purse.held.ahead(now_s) - (0.0 if units else held)
+        return ShareAsked(account, needed, sum(units[1:]), max(0.0, ahead))
+
+    def _keepers(self, account: str) -> list[str]:
+        """Name the keepers of an account's quota, the one to ask first first."""
+        found, identity = self._all_keepers(account), self._hub.identity
+        daemons = self._hub.beliefs.daemons
+        places = {name: daemons[name].data_centre for name in found if name in daemons}
+        return nearest_first(identity.name, identity.data_centre, found, places)
+
+    def _all_keepers(self, account: str) -> list[str]:
+        quota = self._quota(account)
+        if quota is None:
+            return []
+        candidates = self._hub.beliefs.quota_keepers
+        most = sum(map(len, candidates.values()))
+        return keepers(
+            account, split(quota, self._hub.tolerance, most).parts, candidates
+        )
+
+    def _quota(self, account: str) -> Quota | None:
+        deployment = self._hub.beliefs.deployment
+        if deployment is None or deployment.accounts is None:
+            return None
+        found = deployment.accounts.named(account)
+        return found.quota if found else None
+
+    @staticmethod
+    def _refuse_waiting(purse: Purse) -> None:
+        for waiter in purse.waiting:
+            waiter.done.set()
+        purse.waiting.clear()
+
+    def _serve(self, purse: Purse) -> None:
+        now_s = anyio.current_time()
+        while purse.waiting and purse.held.spend(purse.waiting[0].units, now_s):
+            waiter = purse.waiting.popleft()
+            waiter.has_units = True
+            waiter.done.set()
+
+    async def heard(self, daemon: str, message: ShareAsked | ShareGiven) -> None:
+        """Take a daemon's question to a keeper, or a keeper's answer."""
+        if isinstance(message, ShareAsked):
+            await self._asked(daemon, message)
+        else:
+            await self._given(daemon, message)
+
+    async def _asked(self, daemon: str, message: ShareAsked) -> None:
+        given = self._give(message)
+        self._hub.measures.count("quota", "given" if given.units else "not_given")
+        answer = ShareGiven(message.account, given.units, given.wait_s)
+        await self._send(daemon, answer)
+
+    def _give(self, message: ShareAsked) -> Given:
+        account, now_s = message.account, anyio.current_time()
+        quota, name = self._quota(account), self._hub.identity.name
+        # After its lease a keeper may have a successor, which gives the same part.
+        is_listed = self._hub.lease.may_order(suspended_clock_s())
+        if quota is None or not is_listed or name not in self._all_keepers(account):
+            return Given(0.0, LEAST_WAIT_S)
+        candidates = self._hub.beliefs.quota_keepers
+        part = split(quota, self._hub.tolerance, sum(map(len, candidates.values())))
+        bucket = self._buckets.setdefault(account, PartBucket(self._started_s))
+        return bucket.give(part, message.needed, message.others, message.ahead, now_s)
+
+    async def _given(self, keeper: str, message: ShareGiven) -> None:
+        purse = self._purses.get(message.account)
+        if purse is None:
+            return
+        now_s = anyio.current_time()
+        purse.held.answered(keeper, Given(message.units, message.wait_s), now_s)
+        self._serve(purse)
+        if purse.asked == keeper:
+            purse.asked = ""
+            if purse.waiting:
+                await self._ask(message.account, purse)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/settings.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/settings.py
@@ -58,7 +58,7 @@
         },
     ),
     "limits": Section(
-        "Bounds on repeats and on stopping.",
+        "Bounds on repeats, on the use of client accounts and on stopping.",
         {
             "retry_ratio": Key(Number(0, 10), "0.2", "Repeats allowed a request."),
             "retry_slack": Key(
@@ -67,6 +67,21 @@
             "retry_window_s": Key(
                 Number(0.1, 600), "10", "Window that repeats are counted in, seconds."
             ),
+            "quota_window_s": Key(
+                Number(0.1, 3600),
+                "8",
+                "Window that the use of client accounts is counted in, seconds.",
+            ),
+            "quota_over": Key(
+                Number(0, 10),
+                "0.1",
+                "Share beyond an account's quota that is accepted in a window.",
+            ),
+            "quota_slack": Key(
+                Number(0, 1_000_000_000),
+                "0",
+                "Units beyond an account's quota that are accepted besides.",
+            ),
             "grace_s": Key(
                 Number(0.5, 600), "8", "Time from a stop signal to the end, seconds."
             ),
