A store that comes back from an older copy: eras, one owner an engine, nothing goes back

Callers would have seen: engines ordered by two daemons, or by none; calls of a route that the operator had named refused; calls sent to an endpoint that had said it leaves.

Cause: daemons compared revisions by number. After the store's return those are given out again, a record of before stood below what was believed, and a watch from a revision that another change had got answered as if nothing were missing.

Change: revisions are stamps, the store's era above its revision, made and taken apart in the dialect, so they only rise; fencing numbers are stamps as well. A daemon that sees a new era, itself or by its relay, ends its lease and all that hangs on it before it believes anything of that era. Daemons whose records went with their leases stay listed for 3 s: all of them would else take themselves for a small pool at once. A leaving that was heard holds over what the copy says for as long.

Found by the test while it failed: ids of leases are given out again too. A claim hung on another daemon's lease, and the engine had no owner for good; a lease is now of one era, and a record of ours that is not of the present lease is claimed anew.

Ruled out: comparing (era, revision) pairs at each place; one number needs no new code where numbers are compared, and travels as it is.

Tests: features/platform/eras.feature, four stories with daemons against the stand-in of the store, which learns to come back from a copy. The reading of items left believing.py for a module of its own. Open: the daemons' shared secret is not written again where the copy is older than it.

--- a/features/platform/standins.py
+++ b/features/platform/standins.py
@@ -50,6 +50,26 @@
     keys: set = field(default_factory=set)
 
 
+class EraResponder:
+    """Answers of a store, each with the store's era."""
+
+    def __init__(self, responder, era):
+        self._responder = responder
+        self._era = era
+
+    async def answer(self, status, headers, body):
+        told = [(b"Store-Era", b"%d" % self._era())]
+        await self._responder.answer(status, headers + told, body)
+
+
+@dataclass
+class Copy:
+    """An older copy of a store: items without a lease, and its revision."""
+
+    items: dict
+    revision: int
+
+
 class Store(Server):
     """The platform's store: items, leases, transactions, watches."""
 
@@ -63,6 +83,22 @@
         self.nonsense = False
         self.oldest = 0
         self.changed = anyio.Event()
+        self.era = 1
+
+    def copy(self):
+        """Copy what stands without a lease."""
+        items = {key: item for key, item in self.items.items() if not item[2]}
+        return Copy(items, self.revision)
+
+    def come_back(self, copy):
+        """Go on from an older copy: what was written since is gone, leases too."""
+        self.items = dict(copy.items)
+        self.revision = copy.revision
+        self.events = [event for event in self.events if event[2] <= copy.revision]
+        self.leases = {}
+        self.era += 1
+        self.changed.set()
+        self.changed = anyio.Event()
 
     def put(self, key, value, lease=0):
         """Write as the operator or a server would."""
@@ -98,6 +134,7 @@
 
     async def handle(self, request, responder):
         self._expire()
+        responder = EraResponder(responder, lambda: self.era)
         url = urlsplit(request.head.target.decode())
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
         self.calls.append(url.path)
@@ -152,11 +189,12 @@
 
     async def _watch(self, responder, query):
         prefix, after = query.get("path_prefix", ""), int(query["after"])
-        if after < self.oldest - 1:
+        if after < self.oldest - 1 or after > self.revision:
             await responder.answer(410, [], b"")
             return
         with anyio.move_on_after(int(query["wait_ms"]) / 1000):
-            while not self._since(prefix, after):
+            era = self.era
+            while era == self.era and not self._since(prefix, after):
                 await self.changed.wait()
         events = [
             {"key": key, "revision": revision, "deleted": True}
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -81,6 +81,7 @@
 )
 from knapweedbridge_core.serving.retry_budget import RetryBudget
 from knapweedbridge_core.serving.store_age import HearerMarks, StoreAge
+from knapweedbridge_core.serving.store_eras import era_of, revision_of, stamp
 
 __all__ = [
     "Accounts",
@@ -143,6 +144,7 @@
     "choose_plain",
     "claim_due_s",
     "claimants",
+    "era_of",
     "fingerprint",
     "first_byte_patience_s",
     "first_event_patience_s",
@@ -156,5 +158,7 @@
     "ranked",
     "relays",
     "resumes",
+    "revision_of",
     "split",
+    "stamp",
 ]
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -49,6 +49,17 @@
             )
         return endpoint
 
+    def still_leaving(self, record: EndpointRecord) -> EndpointRecord:
+        """Return a record of an older copy of the list, with a leaving that was heard.
+
+        The copy tells what the endpoint said before. Taken for new, it got calls again
+        that it was about to cut.
+        """
+        known = self.endpoints.get(record.endpoint)
+        if known is None or not known.record.leaving:
+            return record
+        return replace(record, leaving=record.start.may_be(known.start))
+
     def _begin(
         self, before: Endpoint | None, record: EndpointRecord, now_s: float
     ) -> Endpoint:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
@@ -6,18 +6,16 @@
 
 import anyio
 
+from knapweedbridge_core.serving import era_of
 from knapweedbridge_core.serving.beliefs import (
-    Belief,
     DeploymentNamed,
     EndpointGone,
     EndpointNamed,
-    EndpointUnreadable,
 )
 from knapweedbridge_core.serving.messages import StoreTold
 from knapweedbridge_daemon.errors import StoreError
-from knapweedbridge_daemon.serving.dialects import DialectError
 from knapweedbridge_daemon.serving.hub import Hub
-from knapweedbridge_daemon.serving.own_records import read_own
+from knapweedbridge_daemon.serving.item_reading import ItemReader
 from knapweedbridge_daemon.serving.store_telling import unpack_items
 from knapweedbridge_daemon.store import HistoryGoneError, StoreItem
 
@@ -38,6 +36,11 @@
 tell of their adapters some five times a second, in a large pool fifty times. The
 operators of a small pool allow 2 s, those of a large one 3 s."""
 
+LISTED_AGAIN_S = 3.0
+"""How long what a store lost that came back older counts as known: each daemon renews
+its lease within 1.2 s, finds it gone and writes its record again; endpoints say again
+what they said."""
+
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 1.0
 """Pauses between calls that fail: the store's return is seen within a second."""
@@ -81,7 +84,10 @@
         self._source = ""
         self._trouble = ""
         self._to_tell: set[str] = set()
-        self._unreadable: set[str] = set()
+        self._reader = ItemReader(hub)
+        self._era = 0
+        self._settled_s = 0.0
+        self._missing: set[str] = set()
 
     def watch_anew(self) -> None:
         """End the watch that waits: its connection may have gone silent."""
@@ -101,6 +107,8 @@
             return self._revision
         if message.mark_s:
             self._hub.store_age.proved(message.mark_s, relay)
+        if message.revision:
+            self._note_era(era_of(message.revision))
         if message.revision < self._revision:
             # Of one that is behind: it does not show that changes are heard of.
             return 0
@@ -126,6 +134,7 @@
         """Follow the store until cancelled."""
         prefix = self._hub.dialects.store_items.prefix
         while True:
+            self._drop_missing()
             try:
                 if not self._revision:
                     await self._read_all(prefix)
@@ -138,7 +147,8 @@
                     await self._on_gone(self._gone.pop())
             except HistoryGoneError:
                 self._hub.log.info("store.history_gone", revision=self._revision)
-                self._lost_revision, self._revision = self._revision, 0
+                self._lost_revision = self._lost_revision or self._revision
+                self._revision = 0
             except StoreError as error:
                 await self._failed(error)
 
@@ -215,7 +225,8 @@
         began_s = self._hub.steady_s()
         found = await self._hub.dialects.store.read_items(prefix)
         self._source = ""
-        keys = {item.key for item in found.items}
+        self._note_era(era_of(found.revision))
+        keys = {item.key for item in found.items} | self._missing
         removed = [StoreItem(key, None, found.revision) for key in self._known - keys]
         items = list(chain(found.items, removed))
         self._take(items)
@@ -231,6 +242,28 @@
         )
         self._answered(began_s)
 
+    def _note_era(self, era: int) -> None:
+        """Take the era of what is about to be believed.
+
+        Daemons whose records are gone with their leases stay listed for some seconds.
+        Without them each daemon took itself for one of a small pool: all of them read
+        the store, and told everything to everyone, at the moment of its return.
+        """
+        self._hub.note_store_era(era)
+        if era == self._era:
+            return
+        if self._hub.synced:
+            keys = self._hub.dialects.own_keys
+            self._settled_s = anyio.current_time() + LISTED_AGAIN_S
+            daemons = self._hub.beliefs.daemons
+            self._missing = {keys.daemon(name) for name in daemons}
+        self._era = era
+
+    def _drop_missing(self) -> None:
+        """Take that daemons which have not come back to the list are gone."""
+        if self._missing and anyio.current_time() >= self._settled_s:
+            self._take([StoreItem(key, None, self._revision) for key in self._missing])
+
     def _answered(self, began_s: float) -> None:
         self._hub.store_age.proved(began_s)
         if self._failures:
@@ -255,14 +288,6 @@
             self._hub.beliefs_changed.tell()
             self._hub.engines_changed.tell()
 
-    def _note_unreadable(self, item: StoreItem, cause: str) -> None:
-        # Another writer may repeat itself each second: one line tells it.
-        if item.key not in self._unreadable:
-            self._unreadable.add(item.key)
-            self._hub.log.error(
-                "store.unreadable", key=item.key, revision=item.revision, error=cause
-            )
-
     def _note_listing(self, key: str, endpoint: str, now_s: float) -> None:
         """Take that an engine's entry tells of its adapters alone.
 
@@ -273,34 +298,21 @@
         if known is not None and not known.is_heard(now_s):
             self._to_tell.add(key)
 
-    def _read(self, item: StoreItem) -> Belief | None:
-        dialects = self._hub.dialects
-        if item.key.startswith(dialects.own_keys.prefix):
-            return read_own(dialects.own_keys, item.key, item.value, item.revision)
-        return dialects.store_items.read(item.key, item.value, item.revision)
-
     def _take_one(self, item: StoreItem) -> bool:
         hub = self._hub
+        self._missing.discard(item.key)
         if item.value is None:
             self._known.discard(item.key)
         else:
             self._known.add(item.key)
-        try:
-            belief = self._read(item)
-        except DialectError as error:
-            # What was believed before stays in force.
-            self._note_unreadable(item, str(error))
-            return False
-        if isinstance(belief, EndpointUnreadable):
-            self._note_unreadable(item, belief.cause)
-        elif item.key in self._unreadable:
-            self._unreadable.discard(item.key)
-            hub.log.info("store.readable", key=item.key, revision=item.revision)
+        belief = self._reader.read(item)
         if belief is None:
             return False
         if isinstance(belief, EndpointGone):
             self._gone.append(belief.endpoint)
         now_s = anyio.current_time()
+        if isinstance(belief, EndpointNamed) and now_s < self._settled_s:
+            belief = EndpointNamed(hub.beliefs.fleet.still_leaving(belief.record))
         changed = hub.beliefs.take(belief, now_s, hub.is_store_disturbed)
         if isinstance(belief, EndpointNamed) and not changed:
             self._note_listing(item.key, belief.record.endpoint, now_s)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
@@ -1,5 +1,6 @@
 """What the tasks of one serving daemon share."""
 
+import sys
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -77,6 +78,8 @@
         How old what is known of the store is, by the clock `steady_s`.
     lease_revision : int
         The store's revision when the present lease began.
+    store_era : int
+        The newest era of the store that was heard of; see `store_eras`.
     ends_s : float or None
         When this daemon ends, where it takes no calls that may last longer.
     lease_s : float
@@ -103,6 +106,7 @@
     engines_changed: Changes = field(default_factory=Changes)
     beliefs_changed: Changes = field(default_factory=Changes)
     lease_revision: int = 0
+    store_era: int = 0
     draining: bool = False
     ends_s: float | None = None
     synced: bool = False
@@ -111,6 +115,23 @@
     disturbed_s: float = float("-inf")
     tolerance: QuotaTolerance = QuotaTolerance()
 
+    def note_store_era(self, era: int) -> None:
+        """Take the era of what the store said; a new one ends all that hung on it.
+
+        A store that came back from an older copy has lost the leases, so another daemon
+        may own what this one does. And it may show a record of before, by which this
+        daemon would take itself for the owner of what it lost long ago.
+        """
+        if era <= self.store_era:
+            return
+        if self.synced:
+            self.log.error("store.came_back_older", era=era, before=self.store_era)
+            self.measures.count("store_eras")
+            self.lease.lost()
+            self.lease_revision = sys.maxsize
+            self.store_disturbed()
+        self.store_era = era
+
     def store_disturbed(self) -> None:
         """Note that a call to the store failed."""
         self.disturbed_s = anyio.current_time()
--- a/packages/daemon/src/knapweedbridge_daemon/serving/lease_keeping.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/lease_keeping.py
@@ -52,6 +52,7 @@
         self._follower = follower
         self._lease_s = hub.lease_s
         self._lease = ""
+        self._lease_era = 0
         self._failing = False
         self._started_s = anyio.current_time()
         self._claimed_s: dict[str, float] = {}
@@ -71,15 +72,29 @@
                 pause_s = random.uniform(0.2, 0.5)
             await anyio.sleep(pause_s)
 
+    def _require_era(self) -> None:
+        """Raise LeaseGoneError where the lease is of an era of the store that is over.
+
+        A store that came back older gives ids of leases out again: claims hung on
+        another daemon's lease, and stayed when their own daemon was gone.
+        """
+        self._hub.note_store_era(self._hub.dialects.store.era)
+        if self._lease and self._lease_era != self._hub.store_era:
+            raise LeaseGoneError("the lease is of an earlier era")
+
     async def _hold(self) -> None:
         store = self._hub.dialects.store
         sent_s = suspended_clock_s()
+        self._require_era()
         if not self._lease:
             self._lease = await store.grant_lease(self._lease_s)
+            self._hub.note_store_era(store.era)
+            self._lease_era = store.era
             self._hub.lease_revision = sys.maxsize
             self._hub.log.info("lease.begun", lease=self._lease)
         else:
             left_s = await store.keep_lease(self._lease)
+            self._require_era()
             if not left_s:
                 raise LeaseGoneError("the lease has ended")
             self._hub.lease.renewed(sent_s, left_s)
@@ -141,7 +156,8 @@
             if self._hub.draining or not self._lease or not self._hub.synced:
                 continue
             for endpoint in self._due():
-                await self._claim(endpoint)
+                if self._lease_era == self._hub.store_era:
+                    await self._claim(endpoint)
 
     def _due(self) -> list[Endpoint]:
         hub, now_s = self._hub, anyio.current_time()
@@ -170,10 +186,21 @@
             return False
         if endpoint.record.leaving:
             return False
-        if not self._hub.beliefs.is_ownerless(endpoint.name):
+        ownerless = self._hub.beliefs.is_ownerless(endpoint.name)
+        if not ownerless and not self._is_left_over(endpoint.name):
             return False
         return now_s - self._claimed_s.get(endpoint.name, -10.0) > 1.0
 
+    def _is_left_over(self, endpoint: str) -> bool:
+        """Tell whether a record names this daemon that is not of its present lease.
+
+        Nobody else claims such an engine, as its owner is listed.
+        """
+        record = self._hub.beliefs.owners.get(endpoint)
+        if record is None or record.owner != self._hub.identity.name:
+            return False
+        return record.number < self._hub.lease_revision < sys.maxsize
+
     async def _claim(self, endpoint: Endpoint) -> None:
         hub, now_s = self._hub, anyio.current_time()
         self._claimed_s[endpoint.name] = now_s
--- a/packages/daemon/src/knapweedbridge_daemon/store.py
+++ b/packages/daemon/src/knapweedbridge_daemon/store.py
@@ -103,7 +103,19 @@
 
 
 class RevisionedStore(KeyValueStore):
-    """A key-value service that tells the revision with each answer."""
+    """A key-value service that tells the revision with each answer.
+
+    Revisions are stamps: they also bear the store's era, see
+    `knapweedbridge_core.serving.store_eras`.
+
+    Attributes
+    ----------
+    era : int
+        The newest era that an answer told; it rises when the store has come back from
+        an older copy, without what was written since, and without leases.
+    """
+
+    era: int = 0
 
     @abstractmethod
     async def read_items(self, prefix: str) -> StoreItems:
@@ -118,7 +130,7 @@
         Raises
         ------
         HistoryGoneError
-            If the changes since then are not known any more.
+            If the changes since then are not known any more, or are another era's.
         StoreError
             If there was no answer.
         """
