Two ways to bound an account's use, modelled: kept parts stay; units are whole numbers

Hypothesis: parts that keepers give out keep the bound under every story; counting with told use serves as well and costs no messages of its own.

Found by the model: units with fractions ran out of lots (an error in `spend`); parts in the number that overdrafts allow left small accounts nothing behind a large call, so a part has at least 20,000 tokens a second; rests held ahead lapsed on hosts that the account seldom calls, so less than a call's units are not held.

--- a/packages/core/src/knapweedbridge_core/serving/accounts.py
+++ b/packages/core/src/knapweedbridge_core/serving/accounts.py
@@ -24,20 +24,20 @@
         Units that it may use a second.
     burst : float
         Units that it may use at once besides.
-    plain_units : float
+    plain_units : int
         Units of a call that tells no tokens, where tokens are counted.
     """
 
     unit: QuotaUnit
     rate_per_s: float
     burst: float
-    plain_units: float = 0.0
+    plain_units: int = 0
 
-    def cost(self, tokens: int | None) -> float:
+    def cost(self, tokens: int | None) -> int:
         """Return the units of a call with so many tokens; None: it tells none."""
         if self.unit is QuotaUnit.CALLS:
-            return 1.0
-        return self.plain_units if tokens is None else float(tokens)
+            return 1
+        return self.plain_units if tokens is None else tokens
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/core/src/knapweedbridge_core/serving/messages.py
+++ b/packages/core/src/knapweedbridge_core/serving/messages.py
@@ -266,15 +266,15 @@
     ----------
     account : str
         The client account.
-    needed, others, ahead : float
+    needed, others, ahead : int
         Units of the first call that waits, of those behind it, and for calls that are
         still to come.
     """
 
     account: str
-    needed: float
-    others: float
-    ahead: float
+    needed: int
+    others: int
+    ahead: int
 
 
 @message
@@ -285,14 +285,14 @@
     ----------
     account : str
         The client account.
-    units : float
+    units : int
         What the asker may use.
     wait_s : float
         After how long more may be there; 0.0: all that was asked for was given.
     """
 
     account: str
-    units: float
+    units: int
     wait_s: float
 
 
--- a/packages/core/src/knapweedbridge_core/serving/quota_purse.py
+++ b/packages/core/src/knapweedbridge_core/serving/quota_purse.py
@@ -39,32 +39,34 @@
 class QuotaPurse:
     """Units of one account that one daemon holds; all times are of its own clock."""
 
-    __slots__ = ("_lots", "_passed_over", "_use_per_s", "_used_s")
+    __slots__ = ("_call_units", "_lots", "_passed_over", "_use_per_s", "_used_s")
 
     def __init__(self) -> None:
-        self._lots: deque[tuple[float, float]] = deque()
+        self._lots: deque[tuple[float, int]] = deque()
         self._use_per_s = 0.0
+        self._call_units = 0
         self._used_s = float("-inf")
         self._passed_over: dict[str, float] = {}
 
-    def held(self, now_s: float) -> float:
+    def held(self, now_s: float) -> int:
         """Return the units that are held."""
         while self._lots and self._lots[0][0] <= now_s:
             self._lots.popleft()
         return sum(units for _, units in self._lots)
 
-    def put(self, units: float, now_s: float) -> None:
+    def put(self, units: int, now_s: float) -> None:
         """Take units that a keeper gave, or that a call gave back."""
         if units > 0:
             self._lots.append((now_s + HELD_S, units))
 
-    def note_use(self, units: float, now_s: float) -> None:
+    def note_use(self, units: int, now_s: float) -> None:
         """Take that a call wants units, whether it gets them or not."""
         fading = math.exp(-(now_s - self._used_s) / USE_S)
         self._use_per_s = self._use_per_s * fading + units / USE_S
         self._used_s = now_s
+        self._call_units = max(units, self._call_units // 2)
 
-    def spend(self, units: float, now_s: float) -> bool:
+    def spend(self, units: int, now_s: float) -> bool:
         """Spend units on a call, those that lapse first first; False: too few."""
         if self.held(now_s) < units:
             return False
@@ -75,10 +77,15 @@
             units -= lot
         return True
 
-    def ahead(self, now_s: float) -> float:
-        """Return the units to ask for calls that are still to come."""
+    def ahead(self, now_s: float) -> int:
+        """Return the units to ask for calls that are still to come.
+
+        None where that is less than a call takes: held by many daemons, such rests
+        would lapse again and again, and a small account be refused for want of them.
+        """
         fading = math.exp(-(now_s - self._used_s) / USE_S)
-        return self._use_per_s * fading * AHEAD_S
+        units = int(self._use_per_s * fading * AHEAD_S)
+        return units if units >= self._call_units else 0
 
     def answered(self, keeper: str, given: Given, now_s: float) -> None:
         """Take a keeper's answer."""
--- a/packages/core/src/knapweedbridge_core/serving/quotas.py
+++ b/packages/core/src/knapweedbridge_core/serving/quotas.py
@@ -14,18 +14,22 @@
 MOST_PARTS = 6
 """Parts of one quota. While a keeper is gone the others give five sixths."""
 
-LARGEST_CALL_UNITS = {QuotaUnit.CALLS: 1.0, QuotaUnit.TOKENS: 5000.0}
+PART_UNITS_PER_S = {QuotaUnit.CALLS: 20.0, QuotaUnit.TOKENS: 20_000.0}
+"""Rate of the smallest part of a divided quota: in smaller ones a large call leaves
+nothing to the calls behind it for seconds."""
+
+LARGEST_CALL_UNITS = {QuotaUnit.CALLS: 1, QuotaUnit.TOKENS: 5000}
 """How far one call may overdraw a part: large calls would else never find enough in a
 part that small ones use."""
 
-BURST_SHARE = 0.5
-"""Share of the burst that parts save up; the rest covers what daemons hold ahead."""
+MARGIN_USED = 0.7
+"""Share of what is accepted beyond a quota's rate that its parts may use. The rest is
+for moments in which two daemons take themselves for the keeper of a part."""
 
 AHEAD_S = 0.4
 """Use that a daemon holds ahead, in seconds of its own use of late: a keeper that is
 gone for a moment is not noticed, and most calls wait for no answer."""
 
-
 LEAST_WAIT_S = 0.1
 """Shortest time for which a daemon asks a keeper no more that had too little: what an
 account sends beyond its quota would else be a question a call."""
@@ -50,11 +54,10 @@
     slack_units: float = 0.0
 
     def margin(self, quota: Quota) -> float:
-        """Return the units of a window that neither parts nor holdings use."""
-        quota_units = quota.rate_per_s * self.window_s + quota.burst
-        accepted = self.over * quota_units + self.slack_units
-        saved = (1.0 - BURST_SHARE) * quota.burst
-        return max(0.0, accepted + saved - AHEAD_S * quota.rate_per_s)
+        """Return the units of a window beyond its rate that parts may give."""
+        accepted = self.over * (quota.rate_per_s * self.window_s + quota.burst)
+        held = AHEAD_S * quota.rate_per_s
+        return max(0.0, accepted + self.slack_units + quota.burst - held)
 
 
 @dataclass(slots=True, frozen=True)
@@ -80,22 +83,18 @@
 
 
 def split(quota: Quota, tolerance: QuotaTolerance, candidates: int) -> QuotaPart:
-    """Divide a quota into so many parts that all their overdrafts are accepted.
+    """Divide a quota into parts that use no more than is accepted, all together.
 
     Parameters
     ----------
     candidates : int
         Daemons that may keep parts.
     """
-    margin = tolerance.margin(quota)
-    largest = LARGEST_CALL_UNITS[quota.unit]
-    parts = max(1, min(MOST_PARTS, candidates, int(margin / largest)))
-    return QuotaPart(
-        parts,
-        quota.rate_per_s / parts,
-        BURST_SHARE * quota.burst / parts,
-        min(largest, margin / parts),
-    )
+    most = min(MOST_PARTS, max(1, candidates))
+    parts = max(1, min(most, int(quota.rate_per_s / PART_UNITS_PER_S[quota.unit])))
+    usable = MARGIN_USED * tolerance.margin(quota) / parts
+    overdraft = min(usable, LARGEST_CALL_UNITS[quota.unit])
+    return QuotaPart(parts, quota.rate_per_s / parts, usable - overdraft, overdraft)
 
 
 def keepers(account: str, parts: int, candidates: dict[str, list[str]]) -> list[str]:
@@ -120,7 +119,7 @@
 class Given:
     """What a keeper gives: units, and after how long more may be there."""
 
-    units: float
+    units: int
     wait_s: float = 0.0
 
 
@@ -141,7 +140,7 @@
         self._filled_s = empty_s
 
     def give(
-        self, part: QuotaPart, needed: float, others: float, ahead: float, now_s: float
+        self, part: QuotaPart, needed: int, others: int, ahead: int, now_s: float
     ) -> Given:
         """Give units to a daemon that asks.
 
@@ -149,36 +148,38 @@
         ----------
         part : QuotaPart
             The terms in force now.
-        needed : float
+        needed : int
             Units of the first call that waits there: given whole or not at all.
-        others : float
+        others : int
             Units of the calls behind it.
-        ahead : float
+        ahead : int
             Units for calls that are still to come; given while much is there.
         """
         self._fill(part, now_s)
-        if needed > 0 and not self._covers(part, needed):
-            return Given(0.0, self._wait_s(part, needed))
-        given = needed
+        if needed and not self._covers(part, needed):
+            return Given(0, self._wait_s(part, needed))
         self._level -= needed
-        more = min(others, max(0.0, self._level))
-        self._level -= more
-        surplus = min(ahead, max(0.0, self._level - part.most / 2))
-        self._level -= surplus
-        short = others > more
-        return Given(given + more + surplus, self._wait_s(part, 0.0) if short else 0.0)
+        more = self._take(others, 0.0)
+        surplus = self._take(ahead, part.most / 2)
+        wait_s = self._wait_s(part, 0) if more < others else 0.0
+        return Given(needed + more + surplus, wait_s)
+
+    def _take(self, wanted: int, left: float) -> int:
+        """Take what is wanted, as far as so much is left."""
+        taken = min(wanted, max(0, int(self._level - left)))
+        self._level -= taken
+        return taken
 
     def _fill(self, part: QuotaPart, now_s: float) -> None:
         passed_s = max(0.0, now_s - self._filled_s)
         self._filled_s = now_s
         # Also cut where a new configuration lowers the limit.
-        self._level = min(part.most, self._level + part.rate_per_s * passed_s)
+        filled = self._level + part.rate_per_s * passed_s
+        self._level = min(max(part.most, 1.0), filled)
 
-    def _covers(self, part: QuotaPart, needed: float) -> bool:
-        if needed <= self._level:
-            return True
+    def _covers(self, part: QuotaPart, needed: int) -> bool:
         return self._level > 0 and needed <= self._level + part.overdraft
 
-    def _wait_s(self, part: QuotaPart, needed: float) -> float:
+    def _wait_s(self, part: QuotaPart, needed: int) -> float:
         missing = max(needed - part.overdraft, 0.0) - self._level
         return max(LEAST_WAIT_S, missing / part.rate_per_s)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/quota_shares.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/quota_shares.py
@@ -37,7 +37,7 @@
 class Waiter:
     """A call that waits for units."""
 
-    units: float
+    units: int
     done: anyio.Event = field(default_factory=anyio.Event)
     has_units: bool = False
 
@@ -94,9 +94,7 @@
             purse.held.put(account.quota.cost(tokens), anyio.current_time())
             self._serve(purse)
 
-    async def _wait_for(
-        self, account: str, purse: Purse, units: float
-    ) -> Refusal | None:
+    async def _wait_for(self, account: str, purse: Purse, units: int) -> Refusal | None:
         waiter = Waiter(units)
         purse.waiting.append(waiter)
         until_s = anyio.current_time() + TAKE_S
@@ -110,7 +108,7 @@
                 purse.waiting.remove(waiter)
         return None if waiter.has_units else self._refusal(account, purse, units)
 
-    def _refusal(self, account: str, purse: Purse, units: float) -> Refusal:
+    def _refusal(self, account: str, purse: Purse, units: int) -> Refusal:
         wait_s = purse.held.wait_s(anyio.current_time())
         self._hub.measures.count("quota", "refused")
         self._hub.log.info(
@@ -143,9 +141,9 @@
     def _question(account: str, purse: Purse, now_s: float) -> ShareAsked:
         held = purse.held.held(now_s)
         units = [waiter.units for waiter in purse.waiting]
-        needed = max(0.0, units[0] - held) if units else 0.0
-        ahead = purse.held.ahead(now_s) - (0.0 if units else held)
-        return ShareAsked(account, needed, sum(units[1:]), max(0.0, ahead))
+        needed = max(0, units[0] - held) if units else 0
+        ahead = purse.held.ahead(now_s) - (0 if units else held)
+        return ShareAsked(account, needed, sum(units[1:]), max(0, ahead))
 
     def _keepers(self, account: str) -> list[str]:
         """Name the keepers of an account's quota, the one to ask first first."""
@@ -203,7 +201,7 @@
         # After its lease a keeper may have a successor, which gives the same part.
         is_listed = self._hub.lease.may_order(suspended_clock_s())
         if quota is None or not is_listed or name not in self._all_keepers(account):
-            return Given(0.0, LEAST_WAIT_S)
+            return Given(0, LEAST_WAIT_S)
         candidates = self._hub.beliefs.quota_keepers
         part = split(quota, self._hub.tolerance, sum(map(len, candidates.values())))
         bucket = self._buckets.setdefault(account, PartBucket(self._started_s))
