--- a/packages/core/src/knapweedbridge_core/serving/engine_rates.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_rates.py
@@ -189,7 +189,10 @@
         self._level: dict[str, float] = {}
 
     def _fit(self, service: str) -> FirstEventFit:
-        return self._fits.setdefault(service, FirstEventFit())
+        fit = self._fits.get(service)
+        if fit is None:
+            fit = self._fits[service] = FirstEventFit()
+        return fit
 
     def first_event_s(
         self, endpoint: Endpoint, prompt_tokens: int, now_s: float
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -229,8 +229,10 @@
         """Return those that may take new work and are not backed off from."""
         return [
             endpoint
-            for endpoint in self.of_service(service)
+            for endpoint in self._by_service.get(service, {}).values()
             if endpoint.suspect_until_s <= now_s
+            and endpoint.usable
+            and not endpoint.record.leaving
         ]
 
     def guess_load(
@@ -259,12 +261,14 @@
         for as busy as those, idle engines made a third of the callers be refused. So
         the pool's calls are this daemon's own times the daemons, on all engines alike.
         """
-        share = daemons / max(1, len(engines))
+        unheard = [each for each in engines if not each.is_heard(now_s)]
+        if not unheard:
+            return
+        share = daemons / len(engines)
         calls = round(share * sum(each.own_calls for each in engines))
         tokens = round(share * sum(each.own_unread_tokens for each in engines))
-        for each in engines:
-            if not each.is_heard(now_s):
-                each.others_calls, each.others_unread_tokens = calls, tokens
+        for each in unheard:
+            each.others_calls, each.others_unread_tokens = calls, tokens
 
     def engines(self) -> Iterator[Endpoint]:
         """Iterate over all endpoints, those that leave too."""
--- a/packages/core/src/knapweedbridge_core/serving/placement.py
+++ b/packages/core/src/knapweedbridge_core/serving/placement.py
@@ -140,18 +140,17 @@
         self, ask: PlacementAsk, engines: list[Endpoint], now_s: float
     ) -> Choice:
         """See `EnginePlacement.choose`."""
-        fresh = [each for each in engines if each.name not in ask.tried] or engines
+        fresh = engines
+        if ask.tried:
+            fresh = [each for each in engines if each.name not in ask.tried] or engines
         with_base = [each for each in fresh if ask.model.base in each.bases]
         if not with_base:
             return NoEngine()
-        holders: list[Endpoint] = []
-        others: list[Endpoint] = []
-        for each in with_base:
-            (holders if _holds(each, ask) else others).append(each)
+        holders = [each for each in with_base if _holds(each, ask)]
         offers = [self._holder_offer(each, ask, now_s) for each in holders]
         loaders: list[Endpoint] = []
         if ask.model.adapter:
-            loaders = _ranked(ask, others, now_s)
+            loaders = _ranked(ask, with_base, holders, now_s)
             cold_s = self._cold_s(with_base, now_s)
             offers += [
                 self._loader_offer(each, ask, now_s, cold_s, rank)
@@ -203,7 +202,9 @@
         return SendTo(best, best.held[ask.model].version or None, copy_to)
 
     def _cold_s(self, engines: list[Endpoint], now_s: float) -> float:
-        coming = sum(each.coming(now_s) for each in engines)
+        coming = sum(
+            each.coming(now_s) for each in engines if each.coming_until_s > now_s
+        )
         return self._times.load_s(coming + 1, len(engines))
 
     def _load_s(self, endpoint: Endpoint) -> float:
@@ -281,15 +282,24 @@
     return FULL_S * taken * taken
 
 
-def _ranked(ask: PlacementAsk, engines: list[Endpoint], now_s: float) -> list[Endpoint]:
-    """Return the first engines that can get orders, in the adapter's own order."""
-    names = tuple(each.name for each in engines)
-    by_name = {each.name: each for each in engines}
+def _ranked(
+    ask: PlacementAsk, engines: list[Endpoint], holders: list[Endpoint], now_s: float
+) -> list[Endpoint]:
+    """Return the first engines that can load it, in the adapter's own order."""
+    # Of all engines, so that the order is remembered whichever of them hold it.
+    names = tuple([each.record.endpoint for each in engines])
+    by_name = dict(zip(names, engines, strict=True))
     # Without an owner that answers an engine gets no orders, for seconds.
     able = (by_name[name] for name in _order_of(str(ask.model), names))
     return list(
         islice(
-            (each for each in able if each.owner and not each.has_silent_owner(now_s)),
+            (
+                each
+                for each in able
+                if each.owner
+                and each not in holders
+                and not each.has_silent_owner(now_s)
+            ),
             RANKS,
         )
     )
--- a/packages/core/src/knapweedbridge_core/serving/quota_purse.py
+++ b/packages/core/src/knapweedbridge_core/serving/quota_purse.py
@@ -13,7 +13,7 @@
 USE_S = 1.5
 """Time over which a daemon's own use is averaged."""
 
-SILENT_S = 0.5
+SILENT_S = 0.15
 """How long a keeper that gave no answer is passed over."""
 
 
@@ -39,7 +39,14 @@
 class QuotaPurse:
     """Units of one account that one daemon holds; all times are of its own clock."""
 
-    __slots__ = ("_call_units", "_lots", "_passed_over", "_use_per_s", "_used_s")
+    __slots__ = (
+        "_call_units",
+        "_lots",
+        "_passed_over",
+        "_silent",
+        "_use_per_s",
+        "_used_s",
+    )
 
     def __init__(self) -> None:
         self._lots: deque[tuple[float, int]] = deque()
@@ -47,6 +54,7 @@
         self._call_units = 0
         self._used_s = float("-inf")
         self._passed_over: dict[str, float] = {}
+        self._silent: set[str] = set()
 
     def held(self, now_s: float) -> int:
         """Return the units that are held."""
@@ -90,12 +98,14 @@
     def answered(self, keeper: str, given: Given, now_s: float) -> None:
         """Take a keeper's answer."""
         self.put(given.units, now_s)
+        self._silent.discard(keeper)
         if given.wait_s:
             self._passed_over[keeper] = now_s + given.wait_s
 
     def unanswered(self, keeper: str, now_s: float) -> None:
         """Take that a keeper gave no answer."""
         self._passed_over[keeper] = now_s + SILENT_S
+        self._silent.add(keeper)
 
     def next_keeper(self, keepers: list[str], now_s: float) -> str | None:
         """Return whom to ask, or None while none has anything to give."""
@@ -107,6 +117,10 @@
         able = (name for name in keepers if name not in self._passed_over)
         return next(able, None)
 
+    def is_unsure(self, keepers: list[str]) -> bool:
+        """Tell whether a keeper is silent that may have something to give."""
+        return not self._silent.isdisjoint(keepers)
+
     def wait_s(self, now_s: float) -> float:
         """Return after how long a keeper may have something to give again."""
         return max(0.0, min(self._passed_over.values(), default=now_s) - now_s)
--- a/packages/core/src/knapweedbridge_core/serving/retry_budget.py
+++ b/packages/core/src/knapweedbridge_core/serving/retry_budget.py
@@ -1,6 +1,6 @@
 """A bound on repeated sends that all daemons keep without talking to each other."""
 
-from collections import deque
+from collections import defaultdict, deque
 from dataclasses import dataclass, field
 
 SHARE_USED = 0.85
@@ -42,7 +42,7 @@
         self.ratio = ratio
         self.slack = slack
         self.window_s = window_s
-        self._services: dict[str, ServiceWindow] = {}
+        self._services: dict[str, ServiceWindow] = defaultdict(ServiceWindow)
 
     def note_request(self, service: str, now_s: float) -> None:
         """Count a caller's request for a service."""
@@ -64,6 +64,6 @@
         return True
 
     def _window(self, service: str, now_s: float) -> ServiceWindow:
-        window = self._services.setdefault(service, ServiceWindow())
+        window = self._services[service]
         window.trim(now_s - self.window_s)
         return window
--- a/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
@@ -215,7 +215,7 @@
                 await anyio.sleep(JOIN_S if small else JOIN_FAR_S)
 
     def _age_s(self) -> float:
-        return round(self._hub.news_age_s, 3)
+        return round(self._hub.store_age.age_s(self._hub.steady_s()), 3)
 
     def _hand_on(self, since: int, items: list[StoreItem], began_s: float) -> None:
         told = [item for item in items if item.key in self._to_tell]
@@ -249,9 +249,9 @@
         Without them each daemon took itself for one of a small pool: all of them read
         the store, and told everything to everyone, at the moment of its return.
         """
-        self._hub.note_store_era(era)
         if era == self._era:
             return
+        self._hub.note_store_era(era)
         if self._hub.synced:
             keys = self._hub.dialects.own_keys
             self._settled_s = anyio.current_time() + LISTED_AGAIN_S
--- a/packages/daemon/src/knapweedbridge_daemon/serving/decision_log.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/decision_log.py
@@ -7,7 +7,7 @@
 import os
 import sys
 import time
-from collections import Counter, deque
+from collections import Counter, defaultdict, deque
 from dataclasses import dataclass
 from typing import Any
 
@@ -54,7 +54,7 @@
         self._lines_per_s = lines_per_s
         self._descriptor = sys.stdout.fileno() if descriptor is None else descriptor
         self._lines: deque[bytes] = deque()
-        self._kinds: dict[str, _Allowance] = {}
+        self._kinds: dict[str, _Allowance] = defaultdict(_Allowance)
         self._logger = Logger()
         self.dropped: Counter[str] = Counter()
         self._blocked = b""
@@ -97,7 +97,7 @@
         )
 
     def _allows(self, kind: str) -> bool:
-        allowance = self._kinds.setdefault(kind, _Allowance())
+        allowance = self._kinds[kind]
         second = int(anyio.current_time())
         if allowance.second != second:
             allowance.second, allowance.lines = second, 0
--- a/packages/daemon/src/knapweedbridge_daemon/serving/quota_shares.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/quota_shares.py
@@ -1,7 +1,7 @@
 """Units of client accounts' quotas: taken for calls, given of the parts kept here."""
 
 import random
-from collections import deque
+from collections import defaultdict, deque
 from dataclasses import dataclass, field
 
 import anyio
@@ -25,8 +25,12 @@
 """How long a keeper's answer is awaited, before another one is asked: ways take
 milliseconds."""
 
-TAKE_S = 0.2
-"""How long a call waits for its units in all."""
+TAKE_S = 0.5
+"""How long a call waits for its units while a keeper is silent: after a restart of all
+daemons those that are back first know nobody who could give them any."""
+
+SILENT_AFTER_S = 0.3
+"""When to come back after that: another daemon may reach a keeper."""
 
 OVER_QUOTA_AFTER_S = (0.3, 1.2)
 """Added to the time after which units may be there: callers who return together would
@@ -66,7 +70,7 @@
     def __init__(self, hub: Hub, send: Send) -> None:
         self._hub = hub
         self._send = send
-        self._purses: dict[str, Purse] = {}
+        self._purses: dict[str, Purse] = defaultdict(Purse)
         self._buckets: dict[str, PartBucket] = {}
         self._started_s = anyio.current_time()
 
@@ -77,7 +81,7 @@
         if account is None or account.quota is None:
             return None
         units, now_s = account.quota.cost(tokens), anyio.current_time()
-        purse = self._purses.setdefault(account.name, Purse())
+        purse = self._purses[account.name]
         purse.held.note_use(units, now_s)
         if purse.waiting or not purse.held.spend(units, now_s):
             return await self._wait_for(account.name, purse, units)
@@ -109,15 +113,18 @@
         return None if waiter.has_units else self._refusal(account, purse, units)
 
     def _refusal(self, account: str, purse: Purse, units: int) -> Refusal:
+        is_unsure = purse.held.is_unsure(self._keepers(account))
         wait_s = purse.held.wait_s(anyio.current_time())
-        self._hub.measures.count("quota", "refused")
+        self._hub.measures.count("quota", "silent" if is_unsure else "refused")
         self._hub.log.info(
             "quota.refused",
             account=account,
             units=units,
-            asked=purse.asked,
+            unsure=is_unsure,
             wait_s=round(wait_s, 3),
         )
+        if is_unsure:
+            return Refusal(503, "quota_unknown", SILENT_AFTER_S)
         return Refusal(429, "over_quota", wait_s + random.uniform(*OVER_QUOTA_AFTER_S))
 
     async def _ask(self, account: str, purse: Purse) -> None:
@@ -128,10 +135,12 @@
                 return
             purse.held.unanswered(purse.asked, now_s)
             self._hub.measures.count("quota", "unanswered")
-        keeper = purse.held.next_keeper(self._keepers(account), now_s)
+        able = self._keepers(account)
+        keeper = purse.held.next_keeper(able, now_s)
         purse.asked = keeper or ""
         if keeper is None:
-            self._refuse_waiting(purse)
+            if not purse.held.is_unsure(able):
+                self._refuse_waiting(purse)
             return
         purse.asked_s = now_s
         self._hub.measures.count("quota", "asked")
