--- a/features/accounts/steps/account_steps.py
+++ b/features/accounts/steps/account_steps.py
@@ -8,6 +8,8 @@
 from standins import header
 from whole_path import NO_TLS, configuration, whole_path
 
+from knapweedbridge_core.serving import revision_of
+
 
 def account(name, *keys, **fields):
     return {"name": name, "api_keys": list(keys), **fields}
@@ -57,7 +59,7 @@
         for line in path.lines()
         if line.get("belief") == "DeploymentNamed"
     ]
-    return named and named[-1] == path.store.items["op/config"][1]
+    return named and revision_of(named[-1]) == path.store.items["op/config"][1]
 
 
 @given(
--- a/packages/core/src/knapweedbridge_core/serving/accounts.py
+++ b/packages/core/src/knapweedbridge_core/serving/accounts.py
@@ -1,6 +1,6 @@
 """Client accounts: whose call it is, by the key that it shows."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 from enum import Enum
 
@@ -93,6 +93,9 @@
     def __len__(self) -> int:
         return len(self._by_name)
 
+    def __iter__(self) -> Iterator[ClientAccount]:
+        return iter(self._by_name.values())
+
     def named(self, name: str) -> ClientAccount | None:
         """Return the account of a name, or None."""
         return self._by_name.get(name)
--- a/packages/core/src/knapweedbridge_core/serving/beliefs.py
+++ b/packages/core/src/knapweedbridge_core/serving/beliefs.py
@@ -158,6 +158,11 @@
         """The daemons that may keep parts of quotas, by data centre."""
         return quota_keepers(self._rank())
 
+    @property
+    def ranks(self) -> dict[str, list[str]]:
+        """The daemons that duties fall to; another object with each change."""
+        return self._rank()
+
     def _rank(self) -> dict[str, list[str]]:
         if self._ranks is None:
             self._ranks = ranked(self.daemons.values())
--- a/packages/core/src/knapweedbridge_core/serving/quotas.py
+++ b/packages/core/src/knapweedbridge_core/serving/quotas.py
@@ -22,9 +22,17 @@
 """How far one call may overdraw a part: large calls would else never find enough in a
 part that small ones use."""
 
-MARGIN_USED = 0.7
-"""Share of what is accepted beyond a quota's rate that its parts may use. The rest is
-for moments in which two daemons take themselves for the keeper of a part."""
+FLOW_SHARE = 0.3
+BURST_SHARE = 0.6
+"""Shares of what is accepted beyond a quota's rate that come into its parts as a steady
+flow, and that parts give at once. The rest is for the moments in which two daemons take
+themselves for the keeper of a part."""
+
+OVERDRAFT_SHARE = 0.6
+"""Most of what a part gives at once that it gives beyond what is there."""
+
+TAKE_OVER_S = 1.0
+"""How long a new keeper gives nothing: the one before may not have heard of it yet."""
 
 AHEAD_S = 0.4
 """Use that a daemon holds ahead, in seconds of its own use of late: a keeper that is
@@ -92,9 +100,11 @@
     """
     most = min(MOST_PARTS, max(1, candidates))
     parts = max(1, min(most, int(quota.rate_per_s / PART_UNITS_PER_S[quota.unit])))
-    usable = MARGIN_USED * tolerance.margin(quota) / parts
-    overdraft = min(usable, LARGEST_CALL_UNITS[quota.unit])
-    return QuotaPart(parts, quota.rate_per_s / parts, usable - overdraft, overdraft)
+    margin = tolerance.margin(quota)
+    flow_per_s = quota.rate_per_s + FLOW_SHARE * margin / tolerance.window_s
+    at_once = BURST_SHARE * margin / parts
+    overdraft = min(OVERDRAFT_SHARE * at_once, LARGEST_CALL_UNITS[quota.unit])
+    return QuotaPart(parts, flow_per_s / parts, at_once - overdraft, overdraft)
 
 
 def keepers(account: str, parts: int, candidates: dict[str, list[str]]) -> list[str]:
@@ -129,8 +139,8 @@
     Parameters
     ----------
     empty_s : float
-        When there was nothing in it: the daemon's start, as what the one before gave
-        is not known.
+        When there was nothing in it. What the keeper before gave is not known, so a new
+        one begins with nothing, and later than it is one.
     """
 
     __slots__ = ("_filled_s", "_level")
--- a/packages/daemon/src/knapweedbridge_daemon/serving/quota_shares.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/quota_shares.py
@@ -17,7 +17,7 @@
     split,
 )
 from knapweedbridge_core.serving.messages import ShareAsked, ShareGiven
-from knapweedbridge_core.serving.quotas import LEAST_WAIT_S
+from knapweedbridge_core.serving.quotas import LEAST_WAIT_S, TAKE_OVER_S
 from knapweedbridge_daemon.serving.dialects import Refusal
 from knapweedbridge_daemon.serving.hub import Hub, Send, suspended_clock_s
 
@@ -72,7 +72,26 @@
         self._send = send
         self._purses: dict[str, Purse] = defaultdict(Purse)
         self._buckets: dict[str, PartBucket] = {}
-        self._started_s = anyio.current_time()
+        self._seen: tuple[object, object] = (None, None)
+
+    def refresh(self) -> None:
+        """Begin to keep the parts that have fallen to this daemon, and end others."""
+        beliefs = self._hub.beliefs
+        seen = beliefs.ranks, beliefs.deployment
+        if seen[0] is self._seen[0] and seen[1] is self._seen[1]:
+            return
+        self._seen = seen
+        accounts = beliefs.deployment.accounts if beliefs.deployment else None
+        name, now_s = self._hub.identity.name, anyio.current_time()
+        kept = [
+            each.name
+            for each in accounts or ()
+            if each.quota and name in self._all_keepers(each.name)
+        ]
+        self._buckets = {
+            account: self._buckets.get(account) or PartBucket(now_s + TAKE_OVER_S)
+            for account in kept
+        }
 
     async def take(
         self, account: ClientAccount | None, tokens: int | None
@@ -206,14 +225,14 @@
 
     def _give(self, message: ShareAsked) -> Given:
         account, now_s = message.account, anyio.current_time()
-        quota, name = self._quota(account), self._hub.identity.name
+        self.refresh()
+        quota, bucket = self._quota(account), self._buckets.get(account)
         # After its lease a keeper may have a successor, which gives the same part.
         is_listed = self._hub.lease.may_order(suspended_clock_s())
-        if quota is None or not is_listed or name not in self._all_keepers(account):
+        if quota is None or bucket is None or not is_listed:
             return Given(0, LEAST_WAIT_S)
         candidates = self._hub.beliefs.quota_keepers
         part = split(quota, self._hub.tolerance, sum(map(len, candidates.values())))
-        bucket = self._buckets.setdefault(account, PartBucket(self._started_s))
         return bucket.give(part, message.needed, message.others, message.ahead, now_s)
 
     async def _given(self, keeper: str, message: ShareGiven) -> None:
--- a/packages/standins/src/knapweedbridge_standins/quota_pool/ways.py
+++ b/packages/standins/src/knapweedbridge_standins/quota_pool/ways.py
@@ -16,6 +16,7 @@
     split,
 )
 from knapweedbridge_core.serving.pool import quota_keepers
+from knapweedbridge_core.serving.quotas import TAKE_OVER_S
 from knapweedbridge_standins.quota_pool.hosts import Host
 
 TOLD_AFTER_S = 0.5
@@ -88,7 +89,7 @@
             purse.unanswered(name, now_s)
             return True
         bucket = self._buckets.setdefault(
-            (name, keeper.started_s), PartBucket(keeper.started_s)
+            (name, keeper.started_s), PartBucket(keeper.started_s + TAKE_OVER_S)
         )
         held = purse.held(now_s)
         ahead = max(0, purse.ahead(now_s) - (0 if units else held))
