Quota parts have a module of their own, and are worked out once a change; a new account begins at once

Found by the features while the keeping was moved: an account that a configuration names for the first time was refused for a second, as its keepers waited for ones before them that never were. Who keeps what was hashed anew for each question; now it is worked out when the listed daemons or the configuration change.

--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -102,7 +102,7 @@
                 if starts.get(name, start) != start:
                     self.owners.forget_daemon(name)
             known = starts
-            self.shares.refresh()
+            self.shares.parts.refresh()
             await self._hub.beliefs_changed.wait(5.0)
 
     async def _submit(self, event: Any) -> None:
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/quota_parts.py
@@ -0,0 +1,110 @@
+"""Which daemons keep the parts of accounts' quotas, and what those kept here give."""
+
+from dataclasses import dataclass
+
+import anyio
+
+from knapweedbridge_core.serving import (
+    Given,
+    PartBucket,
+    Quota,
+    QuotaPart,
+    keepers,
+    nearest_first,
+    split,
+)
+from knapweedbridge_core.serving.messages import ShareAsked
+from knapweedbridge_core.serving.quotas import LEAST_WAIT_S, TAKE_OVER_S
+from knapweedbridge_daemon.serving.hub import Hub, suspended_clock_s
+
+
+@dataclass(slots=True, frozen=True)
+class SplitQuota:
+    """An account's quota, as it is split now.
+
+    Parameters
+    ----------
+    part : QuotaPart
+        One of its equal parts.
+    keepers : list of str
+        Who keeps the parts, the one that this daemon asks first first.
+    """
+
+    part: QuotaPart
+    keepers: list[str]
+
+
+class QuotaParts:
+    """The parts of accounts' quotas, those that this daemon keeps among them.
+
+    Parameters
+    ----------
+    hub : Hub
+        Beliefs, which say who keeps what.
+    """
+
+    def __init__(self, hub: Hub) -> None:
+        self._hub = hub
+        self._seen: tuple[object, object] = (None, None)
+        self._splits: dict[str, SplitQuota] = {}
+        self._buckets: dict[str, PartBucket] = {}
+
+    def refresh(self) -> None:
+        """Begin to keep the parts that have fallen to this daemon, and end others."""
+        beliefs = self._hub.beliefs
+        seen = beliefs.ranks, beliefs.deployment
+        if seen[0] is self._seen[0] and seen[1] is self._seen[1]:
+            return
+        had_deployment, before = self._seen[1] is not None, self._splits
+        self._seen = seen
+        accounts = beliefs.deployment.accounts if beliefs.deployment else None
+        self._splits = {
+            each.name: self._split(each.name, each.quota)
+            for each in accounts or ()
+            if each.quota
+        }
+        kept = [
+            account
+            for account, found in self._splits.items()
+            if self._hub.identity.name in found.keepers
+        ]
+        now_s = anyio.current_time()
+        for account in kept:
+            # Nobody kept a part of an account that is new before.
+            is_new = had_deployment and account not in before
+            empty_s = now_s if is_new else now_s + TAKE_OVER_S
+            self._buckets.setdefault(account, PartBucket(empty_s))
+        for account in self._buckets.keys() - set(kept):
+            del self._buckets[account]
+
+    def _split(self, account: str, quota: Quota) -> SplitQuota:
+        beliefs, identity = self._hub.beliefs, self._hub.identity
+        candidates = beliefs.quota_keepers
+        part = split(quota, self._hub.tolerance, sum(map(len, candidates.values())))
+        found = keepers(account, part.parts, candidates)
+        places = {name: beliefs.daemons[name].data_centre for name in found}
+        ordered = nearest_first(identity.name, identity.data_centre, found, places)
+        return SplitQuota(part, ordered)
+
+    def keepers(self, account: str) -> list[str]:
+        """Name the keepers of an account's quota, the one to ask first first."""
+        self.refresh()
+        found = self._splits.get(account)
+        return found.keepers if found else []
+
+    def give(self, message: ShareAsked) -> Given:
+        """Give units of the part that is kept here, if one is."""
+        self.refresh()
+        found = self._splits.get(message.account)
+        bucket = self._buckets.get(message.account)
+        # After its lease a keeper may have a successor, which gives the same part.
+        is_listed = self._hub.lease.may_order(suspended_clock_s())
+        if found is None or bucket is None or not is_listed:
+            return Given(0, LEAST_WAIT_S)
+        return bucket.give(
+            found.part,
+            message.needed,
+            message.others,
+            message.ahead,
+            anyio.current_time(),
+        )
--- a/packages/daemon/src/knapweedbridge_daemon/serving/quota_shares.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/quota_shares.py
@@ -1,4 +1,4 @@
-"""Units of client accounts' quotas: taken for calls, given of the parts kept here."""
+"""Takes units of client accounts' quotas for calls."""
 
 import random
 from collections import defaultdict, deque
@@ -6,20 +6,11 @@
 
 import anyio
 
-from knapweedbridge_core.serving import (
-    ClientAccount,
-    Given,
-    PartBucket,
-    Quota,
-    QuotaPurse,
-    keepers,
-    nearest_first,
-    split,
-)
+from knapweedbridge_core.serving import ClientAccount, Given, QuotaPurse
 from knapweedbridge_core.serving.messages import ShareAsked, ShareGiven
-from knapweedbridge_core.serving.quotas import LEAST_WAIT_S, TAKE_OVER_S
 from knapweedbridge_daemon.serving.dialects import Refusal
-from knapweedbridge_daemon.serving.hub import Hub, Send, suspended_clock_s
+from knapweedbridge_daemon.serving.hub import Hub, Send
+from knapweedbridge_daemon.serving.quota_parts import QuotaParts
 
 ANSWER_S = 0.05
 """How long a keeper's answer is awaited, before another one is asked: ways take
@@ -71,27 +62,7 @@
         self._hub = hub
         self._send = send
         self._purses: dict[str, Purse] = defaultdict(Purse)
-        self._buckets: dict[str, PartBucket] = {}
-        self._seen: tuple[object, object] = (None, None)
-
-    def refresh(self) -> None:
-        """Begin to keep the parts that have fallen to this daemon, and end others."""
-        beliefs = self._hub.beliefs
-        seen = beliefs.ranks, beliefs.deployment
-        if seen[0] is self._seen[0] and seen[1] is self._seen[1]:
-            return
-        self._seen = seen
-        accounts = beliefs.deployment.accounts if beliefs.deployment else None
-        name, now_s = self._hub.identity.name, anyio.current_time()
-        kept = [
-            each.name
-            for each in accounts or ()
-            if each.quota and name in self._all_keepers(each.name)
-        ]
-        self._buckets = {
-            account: self._buckets.get(account) or PartBucket(now_s + TAKE_OVER_S)
-            for account in kept
-        }
+        self.parts = QuotaParts(hub)
 
     async def take(
         self, account: ClientAccount | None, tokens: int | None
@@ -132,7 +103,7 @@
         return None if waiter.has_units else self._refusal(account, purse, units)
 
     def _refusal(self, account: str, purse: Purse, units: int) -> Refusal:
-        is_unsure = purse.held.is_unsure(self._keepers(account))
+        is_unsure = purse.held.is_unsure(self.parts.keepers(account))
         wait_s = purse.held.wait_s(anyio.current_time())
         self._hub.measures.count("quota", "silent" if is_unsure else "refused")
         self._hub.log.info(
@@ -154,7 +125,7 @@
                 return
             purse.held.unanswered(purse.asked, now_s)
             self._hub.measures.count("quota", "unanswered")
-        able = self._keepers(account)
+        able = self.parts.keepers(account)
         keeper = purse.held.next_keeper(able, now_s)
         purse.asked = keeper or ""
         if keeper is None:
@@ -173,30 +144,6 @@
         ahead = purse.held.ahead(now_s) - (0 if units else held)
         return ShareAsked(account, needed, sum(units[1:]), max(0, ahead))
 
-    def _keepers(self, account: str) -> list[str]:
-        """Name the keepers of an account's quota, the one to ask first first."""
-        found, identity = self._all_keepers(account), self._hub.identity
-        daemons = self._hub.beliefs.daemons
-        places = {name: daemons[name].data_centre for name in found if name in daemons}
-        return nearest_first(identity.name, identity.data_centre, found, places)
-
-    def _all_keepers(self, account: str) -> list[str]:
-        quota = self._quota(account)
-        if quota is None:
-            return []
-        candidates = self._hub.beliefs.quota_keepers
-        most = sum(map(len, candidates.values()))
-        return keepers(
-            account, split(quota, self._hub.tolerance, most).parts, candidates
-        )
-
-    def _quota(self, account: str) -> Quota | None:
-        deployment = self._hub.beliefs.deployment
-        if deployment is None or deployment.accounts is None:
-            return None
-        found = deployment.accounts.named(account)
-        return found.quota if found else None
-
     @staticmethod
     def _refuse_waiting(purse: Purse) -> None:
         for waiter in purse.waiting:
@@ -218,23 +165,11 @@
             await self._given(daemon, message)
 
     async def _asked(self, daemon: str, message: ShareAsked) -> None:
-        given = self._give(message)
+        given = self.parts.give(message)
         self._hub.measures.count("quota", "given" if given.units else "not_given")
         answer = ShareGiven(message.account, given.units, given.wait_s)
         await self._send(daemon, answer)
 
-    def _give(self, message: ShareAsked) -> Given:
-        account, now_s = message.account, anyio.current_time()
-        self.refresh()
-        quota, bucket = self._quota(account), self._buckets.get(account)
-        # After its lease a keeper may have a successor, which gives the same part.
-        is_listed = self._hub.lease.may_order(suspended_clock_s())
-        if quota is None or bucket is None or not is_listed:
-            return Given(0, LEAST_WAIT_S)
-        candidates = self._hub.beliefs.quota_keepers
-        part = split(quota, self._hub.tolerance, sum(map(len, candidates.values())))
-        return bucket.give(part, message.needed, message.others, message.ahead, now_s)
-
     async def _given(self, keeper: str, message: ShareGiven) -> None:
         purse = self._purses.get(message.account)
         if purse is None:
