--- a/bench/mutants_serving.py
+++ b/bench/mutants_serving.py
@@ -4,11 +4,20 @@
 
 from mutants_configuration import rewritten
 
-from knapweedbridge_core.serving import Beliefs, EngineKeeper, Fleet
+from knapweedbridge_core.serving import (
+    Beliefs,
+    Endpoint,
+    EngineKeeper,
+    Fleet,
+    PartBucket,
+)
 from knapweedbridge_core.serving import attempts as attempts_module
 from knapweedbridge_core.serving import ownership as ownership_module
+from knapweedbridge_core.serving import quotas as quotas_module
 from knapweedbridge_core.serving import store_age as store_age_module
+from knapweedbridge_core.serving import store_eras as store_eras_module
 from knapweedbridge_daemon.serving.told_items import ToldItems
+from knapweedbridge_standins.quota_pool import ways as ways_module
 from knapweedbridge_standins.serving_histories import repeats as repeats_module
 
 Patch = tuple[Any, str, Any]
@@ -25,6 +34,10 @@
     ("len(progress.runs) < route.max_attempts", "True"),
 )[2]
 
+WHOLE_QUOTA = rewritten(
+    quotas_module, "split", ("flow_per_s / parts", "flow_per_s * parts")
+)[2]
+
 SERVING_MUTANTS: dict[str, tuple[str, list[Patch]]] = {
     "orders until the lease's last moment and after": (
         "who orders an engine",
@@ -72,13 +85,7 @@
     ),
     "endpoints that leave get new work": (
         "who is leaving",
-        [
-            rewritten(
-                Fleet,
-                "of_service",
-                ("endpoint.usable and not endpoint.record.leaving", "endpoint.usable"),
-            )
-        ],
+        [(Endpoint, "takes_work", property(lambda self: self.usable))],
     ),
     "endpoints that fell out of the list are kept": (
         "who is leaving",
@@ -96,4 +103,20 @@
         "who knows of it in time",
         [(Beliefs, "substitutes", lambda self, name, data_centre: [])],
     ),
+    "a keeper forgets what it gave": (
+        "what an account uses",
+        [rewritten(PartBucket, "give", ("    self._level -= needed\n", ""))],
+    ),
+    "a part begins full": (
+        "what an account uses",
+        [rewritten(PartBucket, "__init__", ("self._level = 0.0", "self._level = 1e9"))],
+    ),
+    "each keeper gives the whole quota and more": (
+        "what an account uses",
+        [(ways_module, "split", WHOLE_QUOTA)],
+    ),
+    "revisions are compared across eras": (
+        "which era it is",
+        [(store_eras_module, "stamp", lambda era, revision: revision)],
+    ),
 }
--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -106,6 +106,8 @@
       | what is in force          |
       | at most once              |
       | who is leaving            |
+      | what an account uses      |
+      | which era it is           |
 
   Scenario: An adapter in use is not unloaded
     Users of the old adapter hold the engine for seconds: an unload waits for its
--- a/packages/core/src/knapweedbridge_core/serving/endpoint.py
+++ b/packages/core/src/knapweedbridge_core/serving/endpoint.py
@@ -127,6 +127,11 @@
         """Which start of which endpoint this is."""
         return self.record.start
 
+    @property
+    def takes_work(self) -> bool:
+        """Whether it may get new calls."""
+        return self.usable and not self.record.leaving
+
     @property
     def calls(self) -> int:
         """Calls that run there, of all daemons."""
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -222,7 +222,7 @@
         return [
             endpoint
             for endpoint in self._by_service.get(service, {}).values()
-            if endpoint.usable and not endpoint.record.leaving
+            if endpoint.takes_work
         ]
 
     def reachable(self, service: str, now_s: float) -> list[Endpoint]:
@@ -230,9 +230,7 @@
         return [
             endpoint
             for endpoint in self._by_service.get(service, {}).values()
-            if endpoint.suspect_until_s <= now_s
-            and endpoint.usable
-            and not endpoint.record.leaving
+            if endpoint.suspect_until_s <= now_s and endpoint.takes_work
         ]
 
     def guess_load(
--- a/packages/standins/src/knapweedbridge_standins/quota_pool/pool.py
+++ b/packages/standins/src/knapweedbridge_standins/quota_pool/pool.py
@@ -16,6 +16,10 @@
 CALL_TOKENS = (600, 1640, 1640, 5000)
 """Lengths of calls, one as frequent as another."""
 
+DOWN_S = 0.5
+KILLED_AGAIN_S = 2.0
+"""How long a killed host is down, and the pause between kills."""
+
 CALLERS_A_HOST = 1.6
 """Callers of the account a host, each of whom stays with his host."""
 
@@ -32,6 +36,8 @@
         Share of its limit that is left to it from then on.
     killed, cut : float
         Share of the hosts that are killed, or cut off from all other hosts.
+    kills : int
+        How often hosts are killed, `KILLED_AGAIN_S` apart.
     """
 
     at_s: float = 12.0
@@ -40,6 +46,7 @@
     lower_to: float = 1.0
     killed: float = 0.0
     cut: float = 0.0
+    kills: int = 1
 
 
 STORIES = {
@@ -84,10 +91,13 @@
         way = way_type(self.hosts, self.quota, tolerance)
         figures = QuotaFigures(tolerance)
         story, has_begun = self._story, False
+        kills = [story.at_s + n * KILLED_AGAIN_S for n in range(story.kills)]
         for now_s, host, units in self._calls():
             if now_s >= story.at_s and not has_begun:
                 has_begun = True
                 self._begin(way)
+            while kills and now_s >= kills[0]:
+                self._kill(kills.pop(0))
             if not host.runs(now_s):
                 host = next((h for h in self.hosts if h.runs(now_s)), host)
             if not host.runs(now_s):
@@ -103,11 +113,14 @@
         story = self._story
         limit = story.lower_to * self.quota.rate_per_s
         way.quota = replace(self.quota, rate_per_s=limit, burst=limit)
-        for host in self._luck.sample(self.hosts, int(story.killed * len(self.hosts))):
-            host.down_until_s = host.started_s = story.at_s + 1.5
         for host in self._luck.sample(self.hosts, int(story.cut * len(self.hosts))):
             host.cut_until_s = story.at_s + story.for_s
 
+    def _kill(self, at_s: float) -> None:
+        count = int(self._story.killed * len(self.hosts))
+        for host in self._luck.sample(self.hosts, count):
+            host.down_until_s = host.started_s = at_s + DOWN_S
+
     def _calls(self) -> Iterator[tuple[float, Host, int]]:
         mean = sum(CALL_TOKENS) / len(CALL_TOKENS)
         story, now_s = self._story, 0.0
--- a/packages/standins/src/knapweedbridge_standins/serving_histories/__init__.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_histories/__init__.py
@@ -5,10 +5,12 @@
 """
 
 from knapweedbridge_standins.serving_histories.beliefs import play_beliefs
+from knapweedbridge_standins.serving_histories.eras import play_eras
 from knapweedbridge_standins.serving_histories.late_news import play_late_news
 from knapweedbridge_standins.serving_histories.leaving import play_leaving
 from knapweedbridge_standins.serving_histories.orders import play_orders
 from knapweedbridge_standins.serving_histories.owners import play_owners
+from knapweedbridge_standins.serving_histories.quotas import play_quotas
 from knapweedbridge_standins.serving_histories.repeats import play_repeats
 
 HISTORIES = {
@@ -18,14 +20,18 @@
     "at most once": play_repeats,
     "who is leaving": play_leaving,
     "who knows of it in time": play_late_news,
+    "what an account uses": play_quotas,
+    "which era it is": play_eras,
 }
 
 __all__ = [
     "HISTORIES",
     "play_beliefs",
+    "play_eras",
     "play_late_news",
     "play_leaving",
     "play_orders",
     "play_owners",
+    "play_quotas",
     "play_repeats",
 ]
