A signal that comes while a daemon stops does not end it

Cause: the daemon left its receiver of signals with the first one to stop. The next signal, here of changed settings, had its default effect.

Change: signals are taken until the draining is done.

--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -2,6 +2,7 @@
 
 import signal
 import time
+from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
 
 import anyio
@@ -150,15 +151,34 @@
     async def _await_stop(
         self, hub: Hub, lease: LeaseKeeper, face: CallersFace, app: CallersApp
     ) -> None:
-        with anyio.open_signal_receiver(
-            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-        ) as signals:
+        """Wait for a stop signal, and finish what is in flight.
+
+        Signals are taken until that is done. Where nobody takes them any more the next
+        one, of changed settings or a second one to stop, ends the process at once, and
+        with it every answer that it is passing on.
+        """
+        stop = signal.SIGTERM, signal.SIGINT
+        with anyio.open_signal_receiver(*stop, signal.SIGHUP) as signals:
             async for number in signals:
-                if number != signal.SIGHUP:
+                if number in stop:
                     break
-                # All that can change at run time comes from the store.
-                hub.log.info("settings.reload_asked")
-        await self._drain(hub, lease, face, app)
+                self._note_signal(hub, number)
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._note_signals, hub, signals)
+                await self._drain(hub, lease, face, app)
+                tasks.cancel_scope.cancel()
+
+    async def _note_signals(
+        self, hub: Hub, signals: AsyncIterator[signal.Signals]
+    ) -> None:
+        async for number in signals:
+            self._note_signal(hub, number)
+
+    @staticmethod
+    def _note_signal(hub: Hub, number: signal.Signals) -> None:
+        # All that can change at run time comes from the store; and a daemon that stops
+        # has its time to the end already.
+        hub.log.info("signal.taken", signal=number.name, draining=hub.draining)
 
     async def _drain(
         self, hub: Hub, lease: LeaseKeeper, face: CallersFace, app: CallersApp
