--- a/packages/core/src/knapweedbridge_core/serving/quotas.py
+++ b/packages/core/src/knapweedbridge_core/serving/quotas.py
@@ -35,8 +35,8 @@
 """How long a new keeper gives nothing: the one before may not have heard of it yet."""
 
 AHEAD_S = 0.4
-"""Use that a daemon holds ahead, in seconds of its own use of late: a keeper that is
-gone for a moment is not noticed, and most calls wait for no answer."""
+"""Use that a daemon holds ahead, in seconds of its own use of late: where an account
+calls often its calls wait for no answer, and miss no keeper that is gone for a moment."""
 
 LEAST_WAIT_S = 0.1
 """Shortest time for which a daemon asks a keeper no more that had too little: what an
