--- a/packages/core/src/knapweedbridge_core/serving/quotas.py
+++ b/packages/core/src/knapweedbridge_core/serving/quotas.py
@@ -36,7 +36,7 @@
 
 AHEAD_S = 0.4
 """Use that a daemon holds ahead, in seconds of its own use of late: where an account
-calls often its calls wait for no answer, and miss no keeper that is gone for a moment."""
+calls often its calls wait for no answer, and no keeper is missed for a moment."""
 
 LEAST_WAIT_S = 0.1
 """Shortest time for which a daemon asks a keeper no more that had too little: what an
