--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -9,7 +9,7 @@
 from anyio.abc import TaskGroup
 
 from knapweedbridge_core.addresses import split_address
-from knapweedbridge_core.serving import Endpoint, QuotaTolerance, RetryBudget
+from knapweedbridge_core.serving import QuotaTolerance, RetryBudget
 from knapweedbridge_daemon.serving.believing import StoreFollower
 from knapweedbridge_daemon.serving.callers_app import CallersApp
 from knapweedbridge_daemon.serving.calls import CallRunner
@@ -23,12 +23,12 @@
 from knapweedbridge_daemon.serving.settings import ServingSettings
 from knapweedbridge_daemon.serving.side_faces import SideFaces
 from knapweedbridge_daemon.serving.store_marks import StoreMarks
+from knapweedbridge_daemon.serving.sweeping import EndpointSweep
 
 BACKLOG = 1024
 END_MARGIN_S = 0.6
 """Time before the end of the grace at which the daemon ends by itself."""
 
-SWEEP_S = 0.5
 LATE_CALLS_S = 2.6
 """How long after the stop signal calls are taken that may last: the balancer takes
 two questions, a second apart, to send callers elsewhere, and a call that is taken
@@ -126,7 +126,7 @@
             tasks.start_soon(link.running.run)
             tasks.start_soon(link.relaying.run)
             tasks.start_soon(StoreMarks(hub, link.send).run)
-            tasks.start_soon(self._sweep, hub, link)
+            tasks.start_soon(EndpointSweep(hub, link).run)
             await self._await_stop(hub, lease, face, app)
             tasks.cancel_scope.cancel()
 
@@ -198,31 +198,3 @@
                 return
             await anyio.sleep(0.1)
         hub.log.error("daemon.cut", running=app.running)
-
-    async def _sweep(self, hub: Hub, link: PeerLink) -> None:
-        while True:
-            await anyio.sleep(SWEEP_S)
-            now_s = anyio.current_time()
-            for name in hub.beliefs.fleet.forget_unlisted(now_s):
-                hub.log.info("endpoint.gone", endpoint=name, cause="not listed again")
-                hub.engines_changed.tell()
-            for before in hub.beliefs.fleet.take_restarted():
-                await self._end_start(hub, link, before)
-            wanted = {each.record.address for each in hub.beliefs.fleet.engines()}
-            await hub.pool.close_idle(wanted)
-
-    @staticmethod
-    async def _end_start(hub: Hub, link: PeerLink, before: Endpoint) -> None:
-        """Draw the conclusions of an endpoint's new start under its id.
-
-        Connections to the start before may be silent for good, as those to a host that
-        lost its power are: a call that is sent on one gets no answer.
-        """
-        hub.log.info(
-            "endpoint.restarted",
-            endpoint=before.name,
-            before_ms=before.record.started_ms,
-        )
-        await hub.pool.close_idle_to(before.record.address)
-        await link.endpoint_lost(before.name)
-        hub.engines_changed.tell()
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/sweeping.py
@@ -0,0 +1,58 @@
+"""Drops endpoints whose time is over, and what hung on them."""
+
+import anyio
+
+from knapweedbridge_core.serving import Endpoint
+from knapweedbridge_daemon.serving.hub import Hub
+from knapweedbridge_daemon.serving.peer_link import PeerLink
+
+SWEEP_S = 0.5
+"""Pause between looks."""
+
+
+class EndpointSweep:
+    """The task that forgets endpoints and closes connections that lead to none.
+
+    Parameters
+    ----------
+    hub : Hub
+        Beliefs and connections.
+    link : PeerLink
+        Is told which starts of endpoints are over.
+    """
+
+    def __init__(self, hub: Hub, link: PeerLink) -> None:
+        self._hub = hub
+        self._link = link
+
+    async def run(self) -> None:
+        """Look again and again until cancelled."""
+        while True:
+            await anyio.sleep(SWEEP_S)
+            self._forget_unlisted()
+            for before in self._hub.beliefs.fleet.take_restarted():
+                await self._end_start(before)
+            engines = self._hub.beliefs.fleet.engines()
+            await self._hub.pool.close_idle({each.record.address for each in engines})
+
+    def _forget_unlisted(self) -> None:
+        hub = self._hub
+        for name in hub.beliefs.fleet.forget_unlisted(anyio.current_time()):
+            hub.log.info("endpoint.gone", endpoint=name, cause="not listed again")
+            hub.engines_changed.tell()
+
+    async def _end_start(self, before: Endpoint) -> None:
+        """Draw the conclusions of an endpoint's new start under its id.
+
+        Connections to the start before may be silent for good, as those to a host that
+        lost its power are: a call that is sent on one gets no answer.
+        """
+        hub = self._hub
+        hub.log.info(
+            "endpoint.restarted",
+            endpoint=before.name,
+            before_ms=before.record.started_ms,
+        )
+        await hub.pool.close_idle_to(before.record.address)
+        await self._link.endpoint_lost(before.name)
+        hub.engines_changed.tell()
