Tell whether an endpoint whose entry was removed stays in use

On-call engineers could not tell from a call's lines that its endpoint was not listed, nor from a host's that a removed entry was taken for a lapsed one: the three hypotheses of the incident of late calls after an outage leave the same lines. The gauges are worked out in a function of their own, so that tests read them without HTTP.

Whether an endpoint is used is unchanged.

--- a/packages/core/src/knapweedbridge_core/serving/endpoint.py
+++ b/packages/core/src/knapweedbridge_core/serving/endpoint.py
@@ -137,6 +137,10 @@
         """Calls that run there, of all daemons."""
         return self.own_calls + self.others_calls
 
+    def unlisted_for_s(self, now_s: float) -> float | None:
+        """Return for how long its entry has been missing; None where it is listed."""
+        return None if self.unlisted_s is None else now_s - self.unlisted_s
+
     def note_asked(self, now_s: float) -> None:
         """Note that its owner was asked for something, and has not answered yet."""
         if self.asked_s is None:
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -201,6 +201,10 @@
             return
         self._drop(endpoint)
 
+    def unlisted_count(self) -> int:
+        """Return how many endpoints are in use that are not listed."""
+        return sum(each.unlisted_s is not None for each in self.endpoints.values())
+
     def forget_unlisted(self, now_s: float) -> list[str]:
         """Drop endpoints that did not come back to the list, and name them."""
         gone = [
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -51,6 +51,9 @@
         Forecast wait for a slot, and time to the first event in all.
     sent_s, first_s : float or None
         When it was sent, and when its first event came.
+    unlisted_for_s : float or None
+        How long the endpoint's entry had been missing when it was sent; None where it
+        was listed.
     """
 
     began_s: float
@@ -59,6 +62,7 @@
     expected_s: float = 0.0
     sent_s: float = 0.0
     first_s: float | None = None
+    unlisted_for_s: float | None = None
 
 
 class Attempting:
@@ -95,6 +99,7 @@
                 )
             forecast.sent_s = anyio.current_time()
             forecast.unread_tokens = endpoint.unread_tokens - call.unread_tokens
+            forecast.unlisted_for_s = endpoint.unlisted_for_s(forecast.sent_s)
             patience.deadline = self._patient_until_s(call, target)
             with patience:
                 end = await self._exchange(call, target, patience, forecast)
@@ -181,11 +186,12 @@
             endpoint=target.endpoint.name,
             version=target.version,
             calls_there=target.endpoint.calls,
+            unlisted_s=_rounded(forecast.unlisted_for_s),
             outcome=end.value,
             prompt_tokens=call.details.prompt_tokens,
             turn_s=round(max(0.0, forecast.sent_s - forecast.began_s), 4),
             forecast_s=round(forecast.expected_s, 4),
-            first_s=round(first_s - forecast.began_s, 4) if first_s else None,
+            first_s=_rounded(first_s - forecast.began_s if first_s else None),
             unread_tokens=forecast.unread_tokens,
             took_s=round(now_s - forecast.began_s, 4),
             left_s=round(call.deadline_s - now_s, 3),
@@ -355,3 +361,7 @@
             raise BrokenError("a stream without an event")
         await call.responder.end()
         return AttemptEnd.ANSWERED
+
+
+def _rounded(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 4)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
@@ -298,6 +298,16 @@
         if known is not None and not known.is_heard(now_s):
             self._to_tell.add(key)
 
+    def _note_unlisted(self, endpoint: str, revision: int) -> None:
+        """Tell whether an endpoint whose entry was removed stays in use."""
+        self._hub.log.info(
+            "endpoint.unlisted",
+            endpoint=endpoint,
+            revision=revision,
+            in_use=endpoint in self._hub.beliefs.fleet.endpoints,
+            disturbed_s=round(self._hub.disturbed_for_s, 3),
+        )
+
     def _take_one(self, item: StoreItem) -> bool:
         hub = self._hub
         self._missing.discard(item.key)
@@ -314,6 +324,8 @@
         if isinstance(belief, EndpointNamed) and now_s < self._settled_s:
             belief = EndpointNamed(hub.beliefs.fleet.still_leaving(belief.record))
         changed = hub.beliefs.take(belief, now_s, hub.is_store_disturbed)
+        if isinstance(belief, EndpointGone):
+            self._note_unlisted(belief.endpoint, item.revision)
         if isinstance(belief, EndpointNamed) and not changed:
             self._note_listing(item.key, belief.record.endpoint, now_s)
         if changed and isinstance(belief, DeploymentNamed):
--- a/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
@@ -139,7 +139,12 @@
     @property
     def is_store_disturbed(self) -> bool:
         """Whether a call to the store failed lately."""
-        return anyio.current_time() - self.disturbed_s < self.settle_s
+        return self.disturbed_for_s < self.settle_s
+
+    @property
+    def disturbed_for_s(self) -> float:
+        """How long ago a call to the store failed last, in seconds."""
+        return anyio.current_time() - self.disturbed_s
 
     @property
     def news_age_s(self) -> float:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/side_faces.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/side_faces.py
@@ -33,18 +33,23 @@
 
     async def metrics(self, request: ReceivedRequest, responder: Responder) -> None:
         """Serve all counters and histograms."""
-        hub = self._hub
-        hub.measures.gauges["endpoints"] = len(hub.beliefs.fleet.endpoints)
-        hub.measures.gauges["daemons"] = len(hub.beliefs.daemons)
-        deployment = hub.beliefs.deployment
-        hub.measures.gauges["configuration_version"] = (
-            deployment.version if deployment else 0
-        )
-        hub.measures.gauges["connections_opened"] = hub.pool.opened
-        hub.measures.gauges["connections_reused"] = hub.pool.reused
-        hub.measures.gauges["store_disturbed"] = float(hub.is_store_disturbed)
-        hub.measures.gauges["store_age_s"] = hub.news_age_s
-        hub.measures.gauges["log_lines_dropped"] = sum(hub.log.dropped.values())
+        self._hub.measures.gauges.update(self.gauges())
         kind = (b"Content-Type", b"text/plain; version=0.0.4")
-        body = await anyio.to_thread.run_sync(hub.measures.render)
+        body = await anyio.to_thread.run_sync(self._hub.measures.render)
         await responder.answer(200, [kind], body)
+
+    def gauges(self) -> dict[str, float]:
+        """Return the levels that are read when they are asked for, by name."""
+        hub = self._hub
+        deployment = hub.beliefs.deployment
+        return {
+            "endpoints": len(hub.beliefs.fleet.endpoints),
+            "endpoints_unlisted": hub.beliefs.fleet.unlisted_count(),
+            "daemons": len(hub.beliefs.daemons),
+            "configuration_version": deployment.version if deployment else 0,
+            "connections_opened": hub.pool.opened,
+            "connections_reused": hub.pool.reused,
+            "store_disturbed": float(hub.is_store_disturbed),
+            "store_age_s": hub.news_age_s,
+            "log_lines_dropped": sum(hub.log.dropped.values()),
+        }
--- a/packages/daemon/src/knapweedbridge_daemon/serving/sweeping.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/sweeping.py
@@ -37,7 +37,8 @@
 
     def _forget_unlisted(self) -> None:
         hub = self._hub
-        for name in hub.beliefs.fleet.forget_unlisted(anyio.current_time()):
+        now_s = anyio.current_time()
+        for name in hub.beliefs.fleet.forget_unlisted(now_s):
             hub.log.info("endpoint.gone", endpoint=name, cause="not listed again")
             hub.engines_changed.tell()
 
--- a/packages/standins/src/knapweedbridge_standins/relay_pool/pool.py
+++ b/packages/standins/src/knapweedbridge_standins/relay_pool/pool.py
@@ -11,11 +11,14 @@
 from knapweedbridge_daemon.serving.believing import StoreFollower
 from knapweedbridge_daemon.serving.dialects import OwnKeys
 from knapweedbridge_daemon.serving.hub import Hub, Identity
+from knapweedbridge_daemon.serving.lease_keeping import LeaseKeeper
 from knapweedbridge_daemon.serving.measures import Measures
 from knapweedbridge_daemon.serving.own_records import pack_daemon
 from knapweedbridge_daemon.serving.peer_link import PeerLink
 from knapweedbridge_daemon.serving.store_marks import StoreMarks
+from knapweedbridge_daemon.serving.sweeping import EndpointSweep
 from knapweedbridge_standins.relay_pool.store import (
+    SERVICE,
     ListedStore,
     PlainItems,
     ReachedStore,
@@ -83,14 +86,24 @@
     def start(self, tasks: TaskGroup) -> None:
         """Follow the store until the tasks are cancelled."""
         marks = StoreMarks(self.hub, self.link.send)
-        for work in (self.follower.run, self.link.relaying.run, marks.run):
+        sweep = EndpointSweep(self.hub, self.link)
+        for work in (self.follower.run, self.link.relaying.run, marks.run, sweep.run):
             tasks.start_soon(work)
 
+    def keep_lease(self, tasks: TaskGroup) -> None:
+        """Hold a lease until the tasks are cancelled."""
+        tasks.start_soon(LeaseKeeper(self.hub, self.follower).run)
+
     def knows_leaving(self, name: str) -> bool:
         """Tell whether it knows that an endpoint leaves."""
         endpoint = self.hub.beliefs.fleet.endpoints.get(name)
         return endpoint is not None and endpoint.record.leaving
 
+    def uses(self, name: str) -> bool:
+        """Tell whether it may send new calls to an endpoint."""
+        in_use = self.hub.beliefs.fleet.of_service(SERVICE)
+        return any(endpoint.name == name for endpoint in in_use)
+
 
 class RelayPool:
     """A pool of daemons before one store.
--- a/packages/standins/src/knapweedbridge_standins/relay_pool/store.py
+++ b/packages/standins/src/knapweedbridge_standins/relay_pool/store.py
@@ -9,7 +9,12 @@
 from knapweedbridge_core.serving import EndpointRecord
 from knapweedbridge_core.serving.beliefs import Belief, EndpointGone, EndpointNamed
 from knapweedbridge_daemon.errors import StoreError
-from knapweedbridge_daemon.store import StoreItem, StoreItems
+from knapweedbridge_daemon.store import (
+    Committed,
+    StoreItem,
+    StoreItems,
+    Transaction,
+)
 
 CALL_S = 0.004
 """Time from a call to its answer."""
@@ -17,10 +22,14 @@
 PATIENCE_S = 1.0
 """How long past its own wait a call is awaited that gets no answer."""
 
+CONNECT_S = 0.6
+"""How long a daemon that cannot reach the store tries to connect to it."""
+
 LOOK_S = 0.01
 """Pause between looks for what a watch waits for."""
 
 ENDPOINTS = "endpoints/"
+SERVICE = "desk"
 
 
 def endpoint_item(name: str, leaving: bool, revision: int) -> StoreItem:
@@ -41,7 +50,7 @@
         if value is None:
             return EndpointGone(name)
         (leaving,) = msgpack.unpackb(value)
-        record = EndpointRecord(name, "desk", "10.0.0.1:80", "d0", 8, leaving)
+        record = EndpointRecord(name, SERVICE, "10.0.0.1:80", "d0", 8, leaving)
         return EndpointNamed(record)
 
 
@@ -52,6 +61,8 @@
     ----------
     turned_away : set of str
         Daemons whose calls get no answer.
+    cut_off : set of str
+        Daemons that cannot connect to it, and get no answer to what they have sent.
     calls : Counter
         Calls by daemon.
     """
@@ -59,6 +70,7 @@
     def __init__(self) -> None:
         self.items: list[StoreItem] = []
         self.turned_away: set[str] = set()
+        self.cut_off: set[str] = set()
         self.calls: Counter[str] = Counter()
 
     @property
@@ -74,16 +86,23 @@
         """Write an endpoint's entry."""
         self.items.append(endpoint_item(name, leaving, self.revision + 1))
 
+    def unlist_endpoint(self, name: str) -> None:
+        """Remove an endpoint's entry."""
+        self.put(ENDPOINTS + name, None)
+
     async def answer(
         self, daemon: str, wait_s: float, has_news: Callable[[], bool]
     ) -> None:
         """Return once there is news or the wait is over; fail who is turned away."""
         self.calls[daemon] += 1
         begun_s = anyio.current_time()
+        if daemon in self.cut_off:
+            await anyio.sleep(CONNECT_S)
+            raise StoreError("not reached")
         await anyio.sleep(CALL_S)
         while not has_news() and anyio.current_time() < begun_s + wait_s:
             await anyio.sleep(LOOK_S)
-        if daemon in self.turned_away:
+        if daemon in self.turned_away or daemon in self.cut_off:
             await anyio.sleep(begun_s + wait_s + PATIENCE_S - anyio.current_time())
             raise StoreError("no answer", may_have_applied=True)
 
@@ -92,8 +111,10 @@
     """The store as one daemon reaches it."""
 
     def __init__(self, store: ListedStore, daemon: str) -> None:
+        self.era = 0
         self._store = store
         self._daemon = daemon
+        self._ttl_s = 0.0
 
     async def read_items(self, prefix: str) -> StoreItems:
         """See `RevisionedStore.read_items`."""
@@ -109,3 +130,21 @@
         store = self._store
         await store.answer(self._daemon, wait_s, lambda: store.revision > revision)
         return StoreItems(store.items[revision:], store.revision)
+
+    async def grant_lease(self, ttl_s: float) -> str:
+        """See `KeyValueStore.grant_lease`."""
+        await self._store.answer(self._daemon, 0.0, lambda: True)
+        self._ttl_s = ttl_s
+        return self._daemon
+
+    async def keep_lease(self, lease: str) -> float:
+        """See `KeyValueStore.keep_lease`."""
+        await self._store.answer(self._daemon, 0.0, lambda: True)
+        return self._ttl_s
+
+    async def commit(self, transaction: Transaction) -> Committed:
+        """See `RevisionedStore.commit`."""
+        await self._store.answer(self._daemon, 0.0, lambda: True)
+        for key, value in transaction.puts.items():
+            self._store.put(key, value)
+        return Committed(True, self._store.revision)
