Failing tests: an endpoint that left just after an outage of the store is used too long

What callers saw: a draft reached an engine 2.016 s after the store had acknowledged that it leaves; operators allow 2 s.

Two faults of the same place were found by the same stories. A daemon that was alone cut off from the store for 3 s uses an endpoint that left meanwhile up to 3.30 s after its cut is over; it counts as well again after 3 s. And endpoints that live, whose entries are back 2 s after an outage, are out of use for up to 0.7 s before that: the grace of 1.5 s counts from whenever the removal was heard, not from the store's return.

--- a/features/listing/removed_entries.feature
+++ b/features/listing/removed_entries.feature
@@ -12,3 +12,47 @@
       | when                                  | in_use | count |
       | while the store is well               | no     | 0     |
       | during an outage of the store of 6 s  | yes    | 1     |
+
+  Scenario Outline: An entry removed after an outage of the store is not a lapsed one: <story>
+    Guards against calls to an endpoint that left just after the store had come back.
+
+    Given a pool of <daemons> daemons that list 4 endpoints
+    When an entry is removed <after> s after an outage of <away> s, at each of 9 moments
+    Then no daemon uses that endpoint <bound> s after the removal
+
+    Examples:
+      | story                      | daemons | away | after | bound |
+      | the shortest that tells    | 9       | 2.4  | 3.0   | 2.0   |
+      | leases go on               | 9       | 6.4  | 3.0   | 2.0   |
+      | leases lapse               | 9       | 12.0 | 3.0   | 2.0   |
+      | a second later             | 9       | 6.4  | 4.0   | 2.0   |
+      | a large pool               | 40      | 6.4  | 4.0   | 3.0   |
+
+  Scenario Outline: A daemon that was cut off from the store drops what left meanwhile: <story>
+    Guards against calls to an endpoint that left while one daemon could not hear of it.
+
+    Given a pool of 9 daemons that list 4 endpoints
+    When an entry is removed <after> s into a cut of one daemon of <away> s, at each of 9 moments
+    Then that daemon does not use that endpoint 3 s after its cut is over
+
+    Examples:
+      | story            | away | after |
+      | at its begin     | 6.4  | 0.1   |
+      | just before      | 6.4  | 6.3   |
+      | in a short one   | 3.0  | 1.5   |
+
+  Scenario Outline: Endpoints whose entries lapse in an outage stay in use: <story>
+    Guards against refused callers while entries of endpoints that live are missing.
+
+    Given a pool of <daemons> daemons that list 4 endpoints
+    When all entries lapse in an outage of <away> s and are back <back> s after it
+    Then each daemon uses all endpoints throughout
+
+    Examples:
+      | story             | daemons | away | back |
+      | back at once      | 9       | 6.4  | 0.1  |
+      | back in a second  | 9       | 6.4  | 1.0  |
+      | back in two       | 9       | 6.4  | 2.0  |
+      | leases lapse too  | 9       | 12.0 | 2.0  |
+      | a short outage    | 9       | 3.6  | 2.0  |
+      | a large pool      | 40      | 6.4  | 2.0  |
--- a/features/listing/steps/removed_entry_steps.py
+++ b/features/listing/steps/removed_entry_steps.py
@@ -110,3 +110,133 @@
 @then("it counts {count:d} endpoints in use that are not listed")
 def counted(context, count):
     assert [each.count for each in context.found] == [count] * len(context.found)
+
+
+LOOK_S = 0.02
+WATCHED_S = 6.0
+
+
+def moments_s(count):
+    """Return moments of a daemon's cycle of calls to begin at."""
+    return [0.17 * n for n in range(count)]
+
+
+async def last_use_s(daemons, endpoint):
+    """Return when an endpoint was last in use, of what is seen for some seconds."""
+    last_s = float("-inf")
+    until_s = anyio.current_time() + WATCHED_S
+    while anyio.current_time() < until_s:
+        if any(daemon.uses(endpoint) for daemon in daemons):
+            last_s = anyio.current_time()
+        await anyio.sleep(LOOK_S)
+    return last_s
+
+
+async def use_after_outage_s(context, away_s, after_s, moment_s):
+    """Return for how long after its entry's removal an endpoint was in use."""
+    async with anyio.create_task_group() as tasks:
+        outage = Outage(tasks, context.daemons, context.endpoints)
+        await anyio.sleep(SETTLED_S + moment_s)
+        outage.begin()
+        await anyio.sleep(away_s)
+        outage.end()
+        await anyio.sleep(after_s)
+        outage.store.unlist_endpoint("e0")
+        removed_s = anyio.current_time()
+        used_s = await last_use_s(outage.daemons, "e0") - removed_s
+        tasks.cancel_scope.cancel()
+    return used_s
+
+
+async def use_after_cut_s(context, away_s, after_s, moment_s):
+    """Return for how long after a daemon's cut it used an endpoint that had left."""
+    async with anyio.create_task_group() as tasks:
+        outage = Outage(tasks, context.daemons, context.endpoints)
+        await anyio.sleep(SETTLED_S + moment_s)
+        cut = outage.daemons[0]
+        outage.store.cut_off.add(cut.name)
+        await anyio.sleep(after_s)
+        outage.store.unlist_endpoint("e0")
+        await anyio.sleep(away_s - after_s)
+        outage.end()
+        healed_s = anyio.current_time()
+        used_s = await last_use_s([cut], "e0") - healed_s
+        tasks.cancel_scope.cancel()
+    return used_s
+
+
+@when(
+    "an entry is removed {after_s:g} s after an outage of {away_s:g} s, at each of "
+    "{count:d} moments"
+)
+def removed_after_outage(context, after_s, away_s, count):
+    context.used_s = [
+        run_virtually(use_after_outage_s(context, away_s, after_s, each))
+        for each in moments_s(count)
+    ]
+
+
+@when(
+    "an entry is removed {after_s:g} s into a cut of one daemon of {away_s:g} s, at "
+    "each of {count:d} moments"
+)
+def removed_in_cut(context, after_s, away_s, count):
+    context.used_s = [
+        run_virtually(use_after_cut_s(context, away_s, after_s, each))
+        for each in moments_s(count)
+    ]
+
+
+@then("no daemon uses that endpoint {bound_s:g} s after the removal")
+@then("that daemon does not use that endpoint {bound_s:g} s after its cut is over")
+def not_used(context, bound_s):
+    assert max(context.used_s) < bound_s, [round(each, 2) for each in context.used_s]
+
+
+async def lapse(outage):
+    for name in outage.endpoints:
+        outage.store.unlist_endpoint(name)
+
+
+async def holes(context, away_s, back_s, moment_s):
+    """Return who did not use which endpoint, and when after the store's return."""
+    found = []
+    async with anyio.create_task_group() as tasks:
+        outage = Outage(tasks, context.daemons, context.endpoints)
+        await anyio.sleep(SETTLED_S + moment_s)
+        outage.begin()
+        await anyio.sleep(away_s - 0.1)
+        await lapse(outage)
+        await anyio.sleep(0.1)
+        outage.end()
+        returned_s = anyio.current_time()
+        while anyio.current_time() < returned_s + WATCHED_S:
+            since_s = anyio.current_time() - returned_s
+            if since_s >= back_s and outage.endpoints:
+                for name in outage.endpoints:
+                    outage.store.list_endpoint(name)
+                outage.endpoints = []
+            found += [
+                (daemon.name, round(since_s, 2))
+                for daemon in outage.daemons
+                if not all(daemon.uses(f"e{n}") for n in range(context.endpoints))
+            ]
+            await anyio.sleep(LOOK_S)
+        tasks.cancel_scope.cancel()
+    return found
+
+
+@when(
+    "all entries lapse in an outage of {away_s:g} s and are back {back_s:g} s after it"
+)
+def all_lapse(context, away_s, back_s):
+    context.holes = [
+        hole
+        for each in moments_s(9)
+        for hole in run_virtually(holes(context, away_s, back_s, each))
+    ]
+
+
+@then("each daemon uses all endpoints throughout")
+def no_hole(context):
+    assert not context.holes, (len(context.holes), context.holes[:5])
