An endpoint that left after an outage of the store is not taken for a lapsed one

Cause: for 3 s after a call to the store had failed, a removed entry was taken for one that had lapsed in the outage, and its endpoint stayed in use for 1.5 s from when the removal was heard, up to 0.3 s after it, and until the next look, up to 0.5 s later. The 3 s counted from when the failure showed, a second and more after the store was back. A grace was counted from the daemon's own events and not from the event that it is about, and three waits stood in a row.

Change: the grace ends a fixed time after the last failed call began. The store came back later than that, so the grace is over once a daemon is held to the bounds again; and it is over at that moment, not at a later look. Entries that are removed after that are gone at once.

The table of grace in decisions.feature was one row of 1.5 s after an outage; it is three rows with the exact end, so stricter.

Ruled out: a silent watch (no call to the store failed after its return in the run of the incident) and an older answer (calls end by themselves).

--- a/bench/mutants_serving.py
+++ b/bench/mutants_serving.py
@@ -8,8 +8,8 @@
     Beliefs,
     Endpoint,
     EngineKeeper,
-    Fleet,
     PartBucket,
+    StoreOutage,
 )
 from knapweedbridge_core.serving import attempts as attempts_module
 from knapweedbridge_core.serving import ownership as ownership_module
@@ -85,11 +85,15 @@
     ),
     "endpoints that leave get new work": (
         "who is leaving",
-        [(Endpoint, "takes_work", property(lambda self: self.usable))],
+        [(Endpoint, "takes_work", lambda self, now_s: self.usable)],
     ),
     "endpoints that fell out of the list are kept": (
         "who is leaving",
-        [(Fleet, "forget_unlisted", lambda self, now_s: [])],
+        [(Endpoint, "note_unlisted", lambda self, now_s, lapsed_until_s: None)],
+    ),
+    "an outage goes on until its failures show": (
+        "who is leaving",
+        [rewritten(StoreOutage, "failed", ("began_s)", "began_s + 1.0)"))],
     ),
     "any news of a relay is new": (
         "who knows of it in time",
--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -258,9 +258,11 @@
     Then it is used for <long> s
 
     Examples:
-      | when                         | long |
-      | while the store is well      | 0    |
-      | right after a store's outage | 1.5  |
+      | when                               | long |
+      | while the store is well            | 0    |
+      | 0.5 s after a failed call began    | 1.5  |
+      | 2 s after a failed call began      | 1    |
+      | 3 s after a failed call began      | 0    |
 
   Scenario Outline: A route is chosen by host and longest prefix: <host> <path>
     Given routes "one.example" "/a/" and "/a/b/", and "two.example" "/"
--- a/features/serving/steps/decision_steps.py
+++ b/features/serving/steps/decision_steps.py
@@ -28,6 +28,7 @@
     RetryBudget,
     Route,
     SendTo,
+    StoreOutage,
     TooLate,
     WaitFor,
     WeightedService,
@@ -604,15 +605,19 @@
 
 @when("its entry goes {when}")
 def entry_goes(context, when):
-    context.beliefs.fleet.unlisted("e1", NOW_S, "outage" in when)
+    outage = StoreOutage(3.0)
+    if when != "while the store is well":
+        outage.failed(NOW_S - float(when.split()[0]))
+    context.beliefs.fleet.unlisted("e1", NOW_S, outage.lapsed_until_s(NOW_S))
 
 
 @then("it is used for {seconds:g} s")
 def used_for(context, seconds):
     fleet = context.beliefs.fleet
-    assert bool(fleet.of_service("llm")) == (seconds > 0)
-    fleet.forget_unlisted(NOW_S + seconds + 0.01)
-    assert not fleet.of_service("llm")
+    last_s = NOW_S + seconds
+    assert bool(fleet.of_service("llm", last_s - 0.01)) == (seconds > 0)
+    assert not fleet.of_service("llm", last_s)
+    assert fleet.forget_unlisted(last_s) == (["e1"] if seconds else [])
 
 
 @given('routes "one.example" "/a/" and "/a/b/", and "two.example" "/"')
@@ -691,7 +696,7 @@
 
 def placed(context, tokens):
     ask = PlacementAsk(parse_model("m"), None, True, "d1", prompt_tokens=tokens)
-    engines = context.fleet.of_service("llm")
+    engines = context.fleet.of_service("llm", NOW_S)
     return PricedPlacement().choose(ask, engines, NOW_S)
 
 
--- a/features/serving/steps/restart_steps.py
+++ b/features/serving/steps/restart_steps.py
@@ -17,6 +17,7 @@
     ModelRef,
     OwnerRecord,
     StoreAge,
+    StoreOutage,
     parse_model,
 )
 from knapweedbridge_core.serving.beliefs import (
@@ -245,7 +246,7 @@
         dialects=SimpleNamespace(store_items=PlatformItems(), own_keys=OwnKeys()),
         beliefs=Beliefs(),
         log=context.lines,
-        is_store_disturbed=False,
+        outage=StoreOutage(3.0),
         store_age=StoreAge(),
         steady_s=anyio.current_time,
     )
@@ -262,7 +263,7 @@
 
 
 def names(context):
-    return [each.name for each in context.hub.beliefs.fleet.of_service("llm")]
+    return [each.name for each in context.hub.beliefs.fleet.of_service("llm", 0.0)]
 
 
 @when("the entry of a cannot be read, for {beats:d} heartbeats")
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -82,6 +82,7 @@
 from knapweedbridge_core.serving.retry_budget import RetryBudget
 from knapweedbridge_core.serving.store_age import HearerMarks, StoreAge
 from knapweedbridge_core.serving.store_eras import era_of, revision_of, stamp
+from knapweedbridge_core.serving.store_outage import StoreOutage
 
 __all__ = [
     "Accounts",
@@ -136,6 +137,7 @@
     "SendTo",
     "Service",
     "StoreAge",
+    "StoreOutage",
     "Telling",
     "TooLate",
     "WaitFor",
--- a/packages/core/src/knapweedbridge_core/serving/beliefs.py
+++ b/packages/core/src/knapweedbridge_core/serving/beliefs.py
@@ -1,5 +1,6 @@
 """What a daemon learns from the platform's store, kept whole and never set back."""
 
+import math
 from dataclasses import dataclass, field
 from itertools import chain
 
@@ -197,13 +198,15 @@
         far = choose(name, elsewhere)
         return [each for each in able if each != name] + ([far] if far else [])
 
-    def take(self, belief: Belief, now_s: float, in_outage: bool = False) -> bool:
+    def take(
+        self, belief: Belief, now_s: float, lapsed_until_s: float = -math.inf
+    ) -> bool:
         """Take one thing the store says; tell whether it changed anything.
 
         Parameters
         ----------
-        in_outage : bool
-            Whether the store was disturbed lately; see `Fleet.unlisted`.
+        lapsed_until_s : float
+            Until when a removed entry may be a lapsed one; see `Fleet.unlisted`.
         """
         match belief:
             case DeploymentNamed(deployment):
@@ -211,7 +214,7 @@
             case VersionNamed(model, version):
                 return self._take_version(model, version, now_s)
             case EndpointNamed() | EndpointUnreadable() | EndpointGone():
-                return self._take_listing(belief, now_s, in_outage)
+                return self._take_listing(belief, now_s, lapsed_until_s)
             case DaemonNamed(record):
                 self.daemons[record.name] = record
                 self._ranks = None
@@ -244,7 +247,7 @@
         self,
         listing: EndpointNamed | EndpointUnreadable | EndpointGone,
         now_s: float,
-        in_outage: bool,
+        lapsed_until_s: float,
     ) -> bool:
         match listing:
             case EndpointNamed(record):
@@ -252,7 +255,7 @@
             case EndpointUnreadable(endpoint):
                 return self.fleet.unusable(endpoint)
             case EndpointGone(endpoint):
-                self.fleet.unlisted(endpoint, now_s, in_outage)
+                self.fleet.unlisted(endpoint, now_s, lapsed_until_s)
         return True
 
     def _take_endpoint(self, record: EndpointRecord, now_s: float) -> bool:
--- a/packages/core/src/knapweedbridge_core/serving/endpoint.py
+++ b/packages/core/src/knapweedbridge_core/serving/endpoint.py
@@ -84,6 +84,10 @@
         seen last; see `engine_rates`.
     usable : bool
         Whether its entry in the list can be read; if not, it gets no new work.
+    unlisted_s : float or None
+        When its entry was removed; None where it is listed.
+    lapsed_until_s : float
+        Until when an entry that was removed is taken for one that lapsed.
     """
 
     record: EndpointRecord
@@ -97,6 +101,7 @@
     others_unread_tokens: int = 0
     usable: bool = True
     unlisted_s: float | None = None
+    lapsed_until_s: float = math.inf
     suspect_until_s: float = 0.0
     failures_in_row: int = 0
     failure_share: float = 0.0
@@ -127,10 +132,19 @@
         """Which start of which endpoint this is."""
         return self.record.start
 
-    @property
-    def takes_work(self) -> bool:
-        """Whether it may get new calls."""
-        return self.usable and not self.record.leaving
+    def takes_work(self, now_s: float) -> bool:
+        """Tell whether it may get new calls."""
+        is_listed = now_s < self.lapsed_until_s
+        return self.usable and not self.record.leaving and is_listed
+
+    def note_listed(self) -> None:
+        """Note that it has an entry."""
+        self.unlisted_s, self.lapsed_until_s = None, math.inf
+
+    def note_unlisted(self, now_s: float, lapsed_until_s: float) -> None:
+        """Note that its entry was removed, but may have lapsed."""
+        if self.unlisted_s is None:
+            self.unlisted_s, self.lapsed_until_s = now_s, lapsed_until_s
 
     @property
     def calls(self) -> int:
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -8,11 +8,6 @@
 from knapweedbridge_core.serving.messages import EngineChanged, EngineTold
 from knapweedbridge_core.serving.model_ref import ModelRef
 
-UNLISTED_USE_S = 1.5
-"""How long an endpoint that fell out of the list with the store's outage stays in
-use: the list is whole again about 2 s after the store's return, and an endpoint
-that has left may get no new work after 2 s."""
-
 
 class Fleet:
     """All endpoints that this daemon knows of."""
@@ -36,7 +31,7 @@
         started_ms = record.started_ms or endpoint.record.started_ms
         endpoint.record = replace(record, started_ms=started_ms)
         endpoint.usable = True
-        endpoint.unlisted_s = None
+        endpoint.note_listed()
         if not endpoint.is_heard(now_s):
             # An owner's word is newer: the list is up to 2 s old, and does not say
             # when a load is done. Without it the list is all there is.
@@ -184,20 +179,20 @@
         endpoint.take_load(message, now_s)
         return True
 
-    def unlisted(self, name: str, now_s: float, in_outage: bool) -> None:
+    def unlisted(self, name: str, now_s: float, lapsed_until_s: float) -> None:
         """Take that an endpoint is gone from the list.
 
         Parameters
         ----------
-        in_outage : bool
-            Whether the list's store was disturbed lately: entries then lapse that
-            belong to endpoints which live.
+        lapsed_until_s : float
+            Until when the entry may be one that lapsed in an outage of the store,
+            while its endpoint lives; in the past where it was surely removed.
         """
         endpoint = self.endpoints.get(name)
         if endpoint is None:
             return
-        if in_outage and not endpoint.record.leaving:
-            endpoint.unlisted_s = now_s
+        if now_s < lapsed_until_s and not endpoint.record.leaving:
+            endpoint.note_unlisted(now_s, lapsed_until_s)
             return
         self._drop(endpoint)
 
@@ -210,8 +205,7 @@
         gone = [
             endpoint
             for endpoint in self.endpoints.values()
-            if endpoint.unlisted_s is not None
-            and now_s - endpoint.unlisted_s > UNLISTED_USE_S
+            if endpoint.lapsed_until_s <= now_s
         ]
         for endpoint in gone:
             self._drop(endpoint)
@@ -221,12 +215,12 @@
         del self.endpoints[endpoint.name]
         del self._by_service[endpoint.record.service][endpoint.name]
 
-    def of_service(self, service: str) -> list[Endpoint]:
+    def of_service(self, service: str, now_s: float) -> list[Endpoint]:
         """Return the endpoints of a service that may take new work."""
         return [
             endpoint
             for endpoint in self._by_service.get(service, {}).values()
-            if endpoint.takes_work
+            if endpoint.takes_work(now_s)
         ]
 
     def reachable(self, service: str, now_s: float) -> list[Endpoint]:
@@ -234,7 +228,7 @@
         return [
             endpoint
             for endpoint in self._by_service.get(service, {}).values()
-            if endpoint.suspect_until_s <= now_s and endpoint.takes_work
+            if endpoint.suspect_until_s <= now_s and endpoint.takes_work(now_s)
         ]
 
     def guess_load(
--- a/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
@@ -75,6 +75,7 @@
         self._on_changes = on_changes
         self._gone: list[str] = []
         self._failures = 0
+        self._called_s = float("-inf")
         self._watch: anyio.CancelScope | None = None
         self._revision = 0
         self._lost_revision = 0
@@ -199,6 +200,7 @@
     async def _watch_once(self, prefix: str, wait_s: float) -> None:
         store = self._hub.dialects.store
         with anyio.CancelScope() as self._watch:
+            self._called_s = anyio.current_time()
             began_s = self._hub.steady_s()
             found = await store.read_changes(prefix, self._revision, wait_s)
             # A telling may have overtaken the answer: what is older than that would put
@@ -222,6 +224,7 @@
         self._on_changes(since, self._revision, told, began_s)
 
     async def _read_all(self, prefix: str) -> None:
+        self._called_s = anyio.current_time()
         began_s = self._hub.steady_s()
         found = await self._hub.dialects.store.read_items(prefix)
         self._source = ""
@@ -275,7 +278,7 @@
             self._hub.log.error("store.lost", error=str(error))
         self._failures += 1
         self._hub.measures.count("store_failures")
-        self._hub.store_disturbed()
+        self._hub.outage.failed(self._called_s)
         pause_s = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * 2**self._failures)
         # Spread: at the store's return all daemons would else call at once.
         await anyio.sleep(pause_s * random.uniform(0.5, 1.0))
@@ -298,14 +301,14 @@
         if known is not None and not known.is_heard(now_s):
             self._to_tell.add(key)
 
-    def _note_unlisted(self, endpoint: str, revision: int) -> None:
+    def _note_unlisted(self, endpoint: str, revision: int, now_s: float) -> None:
         """Tell whether an endpoint whose entry was removed stays in use."""
         self._hub.log.info(
             "endpoint.unlisted",
             endpoint=endpoint,
             revision=revision,
             in_use=endpoint in self._hub.beliefs.fleet.endpoints,
-            disturbed_s=round(self._hub.disturbed_for_s, 3),
+            store_failed_s=round(self._hub.outage.failed_for_s(now_s), 3),
         )
 
     def _take_one(self, item: StoreItem) -> bool:
@@ -323,9 +326,9 @@
         now_s = anyio.current_time()
         if isinstance(belief, EndpointNamed) and now_s < self._settled_s:
             belief = EndpointNamed(hub.beliefs.fleet.still_leaving(belief.record))
-        changed = hub.beliefs.take(belief, now_s, hub.is_store_disturbed)
+        changed = hub.beliefs.take(belief, now_s, hub.outage.lapsed_until_s(now_s))
         if isinstance(belief, EndpointGone):
-            self._note_unlisted(belief.endpoint, item.revision)
+            self._note_unlisted(belief.endpoint, item.revision, now_s)
         if isinstance(belief, EndpointNamed) and not changed:
             self._note_listing(item.key, belief.record.endpoint, now_s)
         if changed and isinstance(belief, DeploymentNamed):
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
@@ -305,7 +305,7 @@
     def _count_others(self) -> None:
         now_s = anyio.current_time()
         fleet = self._hub.beliefs.fleet
-        engines = fleet.of_service(self.endpoint.record.service)
+        engines = fleet.of_service(self.endpoint.record.service, now_s)
         self.keeper.engines = len(engines)
         self.keeper.coming_elsewhere = sum(
             each.coming(now_s) for each in engines if each is not self.endpoint
--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -9,7 +9,7 @@
 from anyio.abc import TaskGroup
 
 from knapweedbridge_core.addresses import split_address
-from knapweedbridge_core.serving import QuotaTolerance, RetryBudget
+from knapweedbridge_core.serving import QuotaTolerance, RetryBudget, StoreOutage
 from knapweedbridge_daemon.serving.believing import StoreFollower
 from knapweedbridge_daemon.serving.callers_app import CallersApp
 from knapweedbridge_daemon.serving.calls import CallRunner
@@ -96,7 +96,7 @@
             budget,
             log,
             Measures(),
-            settle_s=settle_s,
+            outage=StoreOutage(settle_s),
             tolerance=QuotaTolerance(
                 get("limits", "quota_window_s"),
                 get("limits", "quota_over"),
--- a/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
@@ -19,12 +19,15 @@
     QuotaTolerance,
     RetryBudget,
     StoreAge,
+    StoreOutage,
 )
 from knapweedbridge_daemon.serving.decision_log import DecisionLog
 from knapweedbridge_daemon.serving.dialects import Dialects
 from knapweedbridge_daemon.serving.http_client import ConnectionPool
 from knapweedbridge_daemon.serving.measures import Measures
 
+SETTLE_S = 3.0
+
 Send = Callable[[str, Any], Awaitable[None]]
 
 
@@ -76,6 +79,9 @@
         Where decisions are told.
     store_age : StoreAge
         How old what is known of the store is, by the clock `steady_s`.
+    outage : StoreOutage
+        Until when entries that are missing may have lapsed with the store, by the
+        event loop's clock.
     lease_revision : int
         The store's revision when the present lease began.
     store_era : int
@@ -84,8 +90,6 @@
         When this daemon ends, where it takes no calls that may last longer.
     lease_s : float
         Life of a daemon's lease, in seconds.
-    settle_s : float
-        How long after a failed call the store counts as disturbed, in seconds.
     tolerance : QuotaTolerance
         What the operators accept beyond the quotas of client accounts.
     """
@@ -102,6 +106,7 @@
     load_times: LoadTimes = field(default_factory=LoadTimes)
     rates: EngineRates = field(default_factory=LearntRates)
     store_age: StoreAge = field(default_factory=StoreAge)
+    outage: StoreOutage = field(default_factory=lambda: StoreOutage(SETTLE_S))
     steady_s: Callable[[], float] = suspended_clock_s
     engines_changed: Changes = field(default_factory=Changes)
     beliefs_changed: Changes = field(default_factory=Changes)
@@ -110,9 +115,7 @@
     draining: bool = False
     ends_s: float | None = None
     synced: bool = False
-    settle_s: float = 3.0
     lease_s: float = 3.0
-    disturbed_s: float = float("-inf")
     tolerance: QuotaTolerance = QuotaTolerance()
 
     def note_store_era(self, era: int) -> None:
@@ -129,23 +132,9 @@
             self.measures.count("store_eras")
             self.lease.lost()
             self.lease_revision = sys.maxsize
-            self.store_disturbed()
+            self.outage.failed(anyio.current_time())
         self.store_era = era
 
-    def store_disturbed(self) -> None:
-        """Note that a call to the store failed."""
-        self.disturbed_s = anyio.current_time()
-
-    @property
-    def is_store_disturbed(self) -> bool:
-        """Whether a call to the store failed lately."""
-        return self.disturbed_for_s < self.settle_s
-
-    @property
-    def disturbed_for_s(self) -> float:
-        """How long ago a call to the store failed last, in seconds."""
-        return anyio.current_time() - self.disturbed_s
-
     @property
     def news_age_s(self) -> float:
         """How old what is known of the store may be, in seconds."""
--- a/packages/daemon/src/knapweedbridge_daemon/serving/lease_keeping.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/lease_keeping.py
@@ -61,6 +61,7 @@
         """Hold the lease until cancelled."""
         while True:
             pause_s = min(RENEW_S, self._lease_s / RENEWALS_A_LEASE)
+            began_s = anyio.current_time()
             try:
                 await self._hold()
                 self._note_answer()
@@ -68,7 +69,7 @@
                 self._lose()
                 pause_s = 0.05
             except StoreError as error:
-                self._note_failure(error)
+                self._note_failure(error, began_s)
                 pause_s = random.uniform(0.2, 0.5)
             await anyio.sleep(pause_s)
 
@@ -143,11 +144,11 @@
             self._follower.watch_anew()
         self._failing = False
 
-    def _note_failure(self, error: StoreError) -> None:
+    def _note_failure(self, error: StoreError, began_s: float) -> None:
         if not self._failing:
             self._hub.log.error("lease.not_renewed", error=str(error))
         self._failing = True
-        self._hub.store_disturbed()
+        self._hub.outage.failed(began_s)
 
     async def claim(self) -> None:
         """Claim engines that have no owner, until cancelled."""
--- a/packages/daemon/src/knapweedbridge_daemon/serving/placing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/placing.py
@@ -204,7 +204,8 @@
         )
         fleet = self._hub.beliefs.fleet
         # One that is backed off from is better than none.
-        able = fleet.reachable(call.service, now_s) or fleet.of_service(call.service)
+        able = fleet.reachable(call.service, now_s)
+        able = able or fleet.of_service(call.service, now_s)
         endpoint = choose_plain(ask, able, now_s)
         if endpoint is None:
             return Refusal(503, "no_endpoint", NO_ENDPOINT_AFTER_S)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/turn_giving.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/turn_giving.py
@@ -106,7 +106,8 @@
         if isinstance(self._pacer, WindowPacing):
             service = self._endpoint.record.service
             self._pacer.token_s = self._hub.rates.token_s(service)
-            engines = self._hub.beliefs.fleet.of_service(service)
+            fleet, now_s = self._hub.beliefs.fleet, anyio.current_time()
+            engines = fleet.of_service(service, now_s)
             others = (each for each in engines if each is not self._endpoint)
             self._pacer.heard(each.pace_scale for each in others)
             self._long_prompts.pace_scale = self._pacer.seen_scale
--- a/packages/standins/src/knapweedbridge_standins/relay_pool/pool.py
+++ b/packages/standins/src/knapweedbridge_standins/relay_pool/pool.py
@@ -101,7 +101,7 @@
 
     def uses(self, name: str) -> bool:
         """Tell whether it may send new calls to an endpoint."""
-        in_use = self.hub.beliefs.fleet.of_service(SERVICE)
+        in_use = self.hub.beliefs.fleet.of_service(SERVICE, anyio.current_time())
         return any(endpoint.name == name for endpoint in in_use)
 
 
