Only a newer mark shows that the store answers a relay

A relay repeats a hearer's last covered mark with each message, also while the store does not answer it; a hearer took each for an answer of the store, so an outage would have begun for it as late as the relay fell silent. Found by reading; no test failed. An outage also has to be longer than the time between two answers of a watch in calm (1.8 s, was 1.5).

--- a/packages/core/src/knapweedbridge_core/serving/store_age.py
+++ b/packages/core/src/knapweedbridge_core/serving/store_age.py
@@ -32,19 +32,26 @@
         self._looked_s = float("-inf")
         self._relays: dict[str, float] = {}
 
-    def proved(self, moment_s: float, relay: str = "") -> None:
+    def proved(self, moment_s: float, relay: str = "") -> bool:
         """Take that all that the store had acknowledged by a moment is known.
 
         Parameters
         ----------
         relay : str
             Who proved it; empty where this daemon read the store itself.
+
+        Returns
+        -------
+        bool
+            Whether that is more than was known.
         """
+        is_more = moment_s > self._current_s
         self._current_s = max(self._current_s, moment_s)
         if not relay:
             self._looked_s = max(self._looked_s, moment_s)
         elif relay in self._relays:
             self._relays[relay] = max(self._relays[relay], moment_s)
+        return is_more
 
     def age_s(self, now_s: float) -> float:
         """Return for how long changes may be unknown; infinite before the first."""
--- a/packages/core/src/knapweedbridge_core/serving/store_outage.py
+++ b/packages/core/src/knapweedbridge_core/serving/store_outage.py
@@ -1,8 +1,8 @@
 """Whether an entry that was removed may have lapsed while the store was away."""
 
-SHORTEST_S = 1.5
-"""Time without an answer that makes an outage. In a shorter one no entry lapses, and
-the failure of a single call is none."""
+SHORTEST_S = 1.8
+"""Time without an answer that makes an outage. Watches are answered more often by a
+store that is well, and in a shorter outage no entry lapses."""
 
 
 class StoreOutage:
