--- a/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
@@ -1,6 +1,5 @@
 """Follows the platform's store, and keeps this daemon's beliefs up to it."""
 
-import random
 from collections.abc import Awaitable, Callable
 from itertools import chain
 
@@ -16,6 +15,7 @@
 from knapweedbridge_daemon.errors import StoreError
 from knapweedbridge_daemon.serving.hub import Hub
 from knapweedbridge_daemon.serving.item_reading import ItemReader
+from knapweedbridge_daemon.serving.store_calls import StoreCalls
 from knapweedbridge_daemon.serving.store_telling import unpack_items
 from knapweedbridge_daemon.store import HistoryGoneError, StoreItem
 
@@ -41,11 +41,6 @@
 its lease within 1.2 s, finds it gone and writes its record again; endpoints say again
 what they said."""
 
-FIRST_PAUSE_S = 0.1
-CALL_EVERY_S = 0.6
-"""Pause after a first call that fails, and the longest from one begin to the next: the
-last failed call tells when an outage was not over yet."""
-
 AskRelay = Callable[[str], Awaitable[None]]
 OnGone = Callable[[str], Awaitable[None]]
 OnChanges = Callable[[int, int, list[StoreItem], float], None]
@@ -75,8 +70,7 @@
         self._on_gone = on_gone
         self._on_changes = on_changes
         self._gone: list[str] = []
-        self._failures = 0
-        self._called_s = float("-inf")
+        self._calls = StoreCalls(hub)
         self._watch: anyio.CancelScope | None = None
         self._revision = 0
         self._lost_revision = 0
@@ -93,10 +87,8 @@
 
     def watch_anew(self) -> None:
         """End the watch that waits: its connection may have gone silent."""
-        if self._watch is None:
-            return
         # One that is still connecting ends by itself soon, and tells of the outage.
-        if anyio.current_time() - self._called_s > CALL_EVERY_S:
+        if self._watch is not None and not self._calls.is_connecting:
             self._watch.cancel()
 
     def heard(self, relay: str, message: StoreTold) -> int:
@@ -155,7 +147,7 @@
                 self._lost_revision = self._lost_revision or self._revision
                 self._revision = 0
             except StoreError as error:
-                await self._failed(error)
+                await anyio.sleep(self._calls.failed(error))
 
     def _relays(self) -> list[str]:
         identity = self._hub.identity
@@ -204,8 +196,7 @@
     async def _watch_once(self, prefix: str, wait_s: float) -> None:
         store = self._hub.dialects.store
         with anyio.CancelScope() as self._watch:
-            self._called_s = anyio.current_time()
-            began_s = self._hub.steady_s()
+            began_s = self._calls.begin()
             found = await store.read_changes(prefix, self._revision, wait_s)
             # A telling may have overtaken the answer: what is older than that would put
             # an endpoint back into use that has said since that it leaves.
@@ -214,7 +205,7 @@
             self._source = ""
             self._take(items)
             self._revision = max(self._revision, found.revision)
-            self._answered(began_s)
+            self._calls.answered(began_s)
             self._hand_on(since, items, began_s)
             if found.items:
                 small = self._hub.beliefs.is_small_pool
@@ -228,8 +219,7 @@
         self._on_changes(since, self._revision, told, began_s)
 
     async def _read_all(self, prefix: str) -> None:
-        self._called_s = anyio.current_time()
-        began_s = self._hub.steady_s()
+        began_s = self._calls.begin()
         found = await self._hub.dialects.store.read_items(prefix)
         self._source = ""
         self._note_era(era_of(found.revision))
@@ -247,7 +237,7 @@
         self._hub.log.info(
             "store.read", items=len(found.items), revision=found.revision
         )
-        self._answered(began_s)
+        self._calls.answered(began_s)
 
     def _note_era(self, era: int) -> None:
         """Take the era of what is about to be believed.
@@ -271,25 +261,6 @@
         if self._missing and anyio.current_time() >= self._settled_s:
             self._take([StoreItem(key, None, self._revision) for key in self._missing])
 
-    def _answered(self, began_s: float) -> None:
-        self._hub.store_age.proved(began_s)
-        self._hub.outage.answered(anyio.current_time())
-        if self._failures:
-            self._hub.log.info("store.regained", failures=self._failures)
-        self._failures = 0
-
-    async def _failed(self, error: StoreError) -> None:
-        if not self._failures:
-            self._hub.log.error("store.lost", error=str(error))
-        self._failures += 1
-        self._hub.measures.count("store_failures")
-        self._hub.outage.failed(self._called_s)
-        took_s = anyio.current_time() - self._called_s
-        longest_s = max(FIRST_PAUSE_S, CALL_EVERY_S - took_s)
-        pause_s = min(longest_s, FIRST_PAUSE_S * 2**self._failures)
-        # Spread: at the store's return all daemons would else call at once.
-        await anyio.sleep(pause_s * random.uniform(0.5, 1.0))
-
     def _take(self, items: list[StoreItem]) -> None:
         self._to_tell.clear()
         changed = [item for item in items if self._take_one(item)]
