Random histories of removed and lapsed entries; a second outage is a red row

A history plays nine daemons for a minute of virtual time: outages, cuts of some daemons, entries that lapse and come back, endpoints that leave without a word. A daemon that is well may use nothing 2 s after its removal, and must use what lives.

Found by reasoning on the fix and shown by two rows: where the store goes away again before endpoints are listed, those that live are dropped during the second outage. The stories of the area share one way to play them.

--- a/bench/mutants_serving.py
+++ b/bench/mutants_serving.py
@@ -106,6 +106,20 @@
         "who is leaving",
         [(store_outage_module, "SHORTEST_S", 0.0)],
     ),
+    "an entry counts as lapsed for twice the time": (
+        "which entries are gone",
+        [
+            (
+                StoreOutage,
+                "lapsed_until_s",
+                property(lambda self: self._away_s + 2 * self._settle_s),
+            )
+        ],
+    ),
+    "lapsed entries count as removed": (
+        "which entries are gone",
+        [(store_outage_module, "SHORTEST_S", 1e9)],
+    ),
     "any news of a relay is new": (
         "who knows of it in time",
         [(store_age_module, "OLD_S", 1e9)],
--- a/features/listing/removed_entries.feature
+++ b/features/listing/removed_entries.feature
@@ -56,3 +56,20 @@
       | leases lapse too  | 9       | 12.0 | 2.0  |
       | a short outage    | 9       | 3.6  | 2.0  |
       | a large pool      | 40      | 6.4  | 2.0  |
+
+  Scenario Outline: Endpoints whose entries lapsed stay in use through a second outage: <story>
+    Guards against refused callers while the store goes away again before it lists them.
+
+    Given a pool of 9 daemons that list 4 endpoints
+    When all entries lapse, and the store is away again <gap> s after its return for 6 s
+    Then each daemon uses all endpoints throughout
+
+    Examples:
+      | story                  | gap |
+      | almost at once         | 0.5 |
+      | just before the list   | 1.9 |
+
+  Scenario: Whatever comes, removed endpoints are dropped and lapsed ones stay
+    Guards against both faults at once: outages, cuts, lapses and leavings by luck.
+
+    Then 4 random histories of "which entries are gone" break nothing
--- a/features/listing/steps/removed_entry_steps.py
+++ b/features/listing/steps/removed_entry_steps.py
@@ -1,4 +1,5 @@
 import random
+from itertools import chain
 from types import SimpleNamespace
 
 import anyio
@@ -7,6 +8,7 @@
 from knapweedbridge_core.serving import DaemonRecord, StoreOutage
 from knapweedbridge_daemon.serving.side_faces import SideFaces
 from knapweedbridge_standins.relay_pool import RelayPool
+from knapweedbridge_standins.serving_histories import HISTORIES
 from knapweedbridge_standins.virtual_loop import run_virtually
 
 SETTLED_S = 4.0
@@ -119,9 +121,9 @@
 WATCHED_S = 6.0
 
 
-def moments_s(count):
-    """Return moments of a daemon's cycle of calls to begin at."""
-    return [0.17 * n for n in range(count)]
+def played(count, story, *details):
+    """Play a story from different moments of a daemon's cycle of calls."""
+    return [run_virtually(story(*details, 0.17 * n)) for n in range(count)]
 
 
 async def last_use_s(daemons, endpoint):
@@ -173,10 +175,7 @@
     "{count:d} moments"
 )
 def removed_after_outage(context, after_s, away_s, count):
-    context.used_s = [
-        run_virtually(use_after_outage_s(context, away_s, after_s, each))
-        for each in moments_s(count)
-    ]
+    context.used_s = played(count, use_after_outage_s, context, away_s, after_s)
 
 
 @when(
@@ -184,10 +183,7 @@
     "each of {count:d} moments"
 )
 def removed_in_cut(context, after_s, away_s, count):
-    context.used_s = [
-        run_virtually(use_after_cut_s(context, away_s, after_s, each))
-        for each in moments_s(count)
-    ]
+    context.used_s = played(count, use_after_cut_s, context, away_s, after_s)
 
 
 @then("no daemon uses that endpoint {bound_s:g} s after the removal")
@@ -196,6 +192,15 @@
     assert max(context.used_s) < bound_s, [round(each, 2) for each in context.used_s]
 
 
+def missing(outage, endpoints, since_s):
+    """Return the daemons that do not use all endpoints, with a moment."""
+    return [
+        (daemon.name, round(since_s, 2))
+        for daemon in outage.daemons
+        if not all(daemon.uses(f"e{n}") for n in range(endpoints))
+    ]
+
+
 async def lapse(outage):
     for name in outage.endpoints:
         outage.store.unlist_endpoint(name)
@@ -219,11 +224,7 @@
                 for name in outage.endpoints:
                     outage.store.list_endpoint(name)
                 outage.endpoints = []
-            found += [
-                (daemon.name, round(since_s, 2))
-                for daemon in outage.daemons
-                if not all(daemon.uses(f"e{n}") for n in range(context.endpoints))
-            ]
+            found += missing(outage, context.endpoints, since_s)
             await anyio.sleep(LOOK_S)
         tasks.cancel_scope.cancel()
     return found
@@ -233,13 +234,47 @@
     "all entries lapse in an outage of {away_s:g} s and are back {back_s:g} s after it"
 )
 def all_lapse(context, away_s, back_s):
-    context.holes = [
-        hole
-        for each in moments_s(9)
-        for hole in run_virtually(holes(context, away_s, back_s, each))
-    ]
+    found = played(9, holes, context, away_s, back_s)
+    context.holes = list(chain.from_iterable(found))
+
+
+async def holes_in_second(context, gap_s, away_s, moment_s):
+    """Return who did not use which endpoint, and when in a second outage."""
+    found = []
+    async with anyio.create_task_group() as tasks:
+        outage = Outage(tasks, context.daemons, context.endpoints)
+        await anyio.sleep(SETTLED_S + moment_s)
+        outage.begin()
+        await anyio.sleep(6.3)
+        await lapse(outage)
+        await anyio.sleep(0.1)
+        outage.end()
+        await anyio.sleep(gap_s)
+        outage.begin()
+        began_s = anyio.current_time()
+        while anyio.current_time() < began_s + away_s:
+            since_s = anyio.current_time() - began_s
+            found += missing(outage, context.endpoints, since_s)
+            await anyio.sleep(LOOK_S)
+        tasks.cancel_scope.cancel()
+    return found
+
+
+@when(
+    "all entries lapse, and the store is away again {gap_s:g} s after its return for "
+    "{away_s:g} s"
+)
+def away_again(context, gap_s, away_s):
+    found = played(3, holes_in_second, context, gap_s, away_s)
+    context.holes = list(chain.from_iterable(found))
 
 
 @then("each daemon uses all endpoints throughout")
 def no_hole(context):
     assert not context.holes, (len(context.holes), context.holes[:5])
+
+
+@then('{count:d} random histories of "{mechanism}" break nothing')
+def histories_hold(context, count, mechanism):
+    broken = {seed: HISTORIES[mechanism](seed) for seed in range(count)}
+    assert not any(broken.values()), {seed: b[:3] for seed, b in broken.items() if b}
--- a/packages/standins/src/knapweedbridge_standins/serving_histories/__init__.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_histories/__init__.py
@@ -11,6 +11,9 @@
 from knapweedbridge_standins.serving_histories.orders import play_orders
 from knapweedbridge_standins.serving_histories.owners import play_owners
 from knapweedbridge_standins.serving_histories.quotas import play_quotas
+from knapweedbridge_standins.serving_histories.removed_entries import (
+    play_removed_entries,
+)
 from knapweedbridge_standins.serving_histories.repeats import play_repeats
 
 HISTORIES = {
@@ -19,6 +22,7 @@
     "what is in force": play_beliefs,
     "at most once": play_repeats,
     "who is leaving": play_leaving,
+    "which entries are gone": play_removed_entries,
     "who knows of it in time": play_late_news,
     "what an account uses": play_quotas,
     "which era it is": play_eras,
@@ -33,5 +37,6 @@
     "play_orders",
     "play_owners",
     "play_quotas",
+    "play_removed_entries",
     "play_repeats",
 ]
