The large pool of the listing stories plays its relays

Only the first nine of forty daemons were played, none of them a relay, so each looked at the store itself. With the relays of both data centres the rows hold as before.

--- a/features/listing/steps/removed_entry_steps.py
+++ b/features/listing/steps/removed_entry_steps.py
@@ -5,7 +5,8 @@
 import anyio
 from behave import given, then, when
 
-from knapweedbridge_core.serving import DaemonRecord, StoreOutage
+from knapweedbridge_core.serving import Beliefs, DaemonRecord, StoreOutage
+from knapweedbridge_core.serving.beliefs import DaemonNamed
 from knapweedbridge_daemon.serving.side_faces import SideFaces
 from knapweedbridge_standins.relay_pool import RelayPool
 from knapweedbridge_standins.serving_histories import HISTORIES
@@ -16,6 +17,7 @@
 SETTLE_S = 3.0
 FAR_SETTLE_S = 4.0
 CHANGES_PER_S = 5.0
+PLAYED = 9
 
 
 class KeptLog:
@@ -31,6 +33,14 @@
     error = info
 
 
+def relays(records):
+    """Return the names of those that hand the store's changes on."""
+    beliefs = Beliefs()
+    for record in records:
+        beliefs.take(DaemonNamed(record), 0.0)
+    return set(chain.from_iterable(beliefs.relays.values()))
+
+
 class Outage:
     """A pool whose daemons, all or some, cannot reach the store for a while."""
 
@@ -38,8 +48,8 @@
         # Pauses between failed calls are spread by luck.
         random.seed(daemons)
         records = [DaemonRecord(f"h{n}", 1, "a:1", f"d{n % 2}") for n in range(daemons)]
-        played = {record.name for record in records[:9]}
-        self.pool = RelayPool(tasks, records, played)
+        played = {record.name for record in records[:PLAYED]}
+        self.pool = RelayPool(tasks, records, played | relays(records))
         self.store = self.pool.store
         self.endpoints = [f"e{n}" for n in range(endpoints)]
         for name in self.endpoints:
