--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
@@ -0,0 +1,122 @@
+"""What is expected of an attempt, what is learnt from it, and its line in the log."""
+
+from dataclasses import dataclass
+
+import anyio
+
+from knapweedbridge_core.serving import AttemptEnd, Endpoint
+from knapweedbridge_daemon.serving.call import Call, Target
+from knapweedbridge_daemon.serving.hub import Hub
+
+
+@dataclass(slots=True)
+class Forecast:
+    """What is expected of one attempt, and what came; times on the daemon's clock.
+
+    Parameters
+    ----------
+    began_s : float
+        When it began to wait for its turn.
+    unread_tokens : int
+        Tokens that the engine had yet to read when it was sent.
+    slot_wait_s, expected_s : float
+        Forecast wait for a slot, and time to the first event in all.
+    sent_s, first_s : float or None
+        When it was sent, and when its first event came.
+    unlisted_for_s : float or None
+        How long the endpoint's entry had been missing when it was sent; None where it
+        was listed.
+    """
+
+    began_s: float
+    unread_tokens: int = 0
+    slot_wait_s: float = 0.0
+    expected_s: float = 0.0
+    sent_s: float = 0.0
+    first_s: float | None = None
+    unlisted_for_s: float | None = None
+
+
+class AttemptRecords:
+    """Forecasts attempts, and keeps what came of them.
+
+    Parameters
+    ----------
+    hub : Hub
+        Rates of the engines, log and measures.
+    """
+
+    def __init__(self, hub: Hub) -> None:
+        self._hub = hub
+
+    def forecast(self, call: Call, endpoint: Endpoint, now_s: float) -> Forecast:
+        """Return what is expected of an attempt that begins now."""
+        if call.details.model is None:
+            return Forecast(now_s)
+        return Forecast(
+            now_s,
+            0,
+            self._hub.rates.slot_wait_s(endpoint),
+            self._hub.rates.first_event_s(endpoint, call.details.prompt_tokens, now_s),
+        )
+
+    def learn(
+        self, call: Call, endpoint: Endpoint, forecast: Forecast, end: AttemptEnd
+    ) -> None:
+        """Learn of the engine's speed by what came of an attempt."""
+        now_s = anyio.current_time()
+        if call.details.model is None or end is AttemptEnd.NOT_RUN:
+            return
+        if end is AttemptEnd.ANSWERED:
+            self._hub.rates.saw_end(endpoint, now_s - forecast.began_s)
+        first_s = forecast.first_s
+        if first_s is None and end is AttemptEnd.BROKEN:
+            # It did not come for as long: a lower bound, and the best that is known.
+            first_s = now_s
+        if first_s is None or forecast.slot_wait_s:
+            return
+        took_s = first_s - forecast.sent_s
+        self._hub.rates.saw_first_event(
+            endpoint, call.details.prompt_tokens, forecast.unread_tokens, took_s, now_s
+        )
+        self._hub.measures.time(
+            "forecast_error_seconds",
+            abs(first_s - forecast.began_s - forecast.expected_s),
+        )
+
+    def note(
+        self,
+        call: Call,
+        target: Target,
+        end: AttemptEnd,
+        forecast: Forecast,
+        detail: str,
+    ) -> None:
+        """Log how an attempt ended, and count it for and against its endpoint."""
+        now_s = anyio.current_time()
+        first_s = forecast.first_s
+        if end is not AttemptEnd.ABANDONED:
+            failed = end in (AttemptEnd.FAILED, AttemptEnd.BROKEN)
+            target.endpoint.note_result(failed, now_s)
+        self._hub.measures.count("attempts", end.value)
+        self._hub.log.info(
+            "attempt.ended",
+            request=call.details.call_id,
+            endpoint=target.endpoint.name,
+            version=target.version,
+            calls_there=target.endpoint.calls,
+            unlisted_s=_rounded(forecast.unlisted_for_s),
+            outcome=end.value,
+            prompt_tokens=call.details.prompt_tokens,
+            turn_s=round(max(0.0, forecast.sent_s - forecast.began_s), 4),
+            forecast_s=round(forecast.expected_s, 4),
+            first_s=_rounded(first_s - forecast.began_s if first_s else None),
+            unread_tokens=forecast.unread_tokens,
+            took_s=round(now_s - forecast.began_s, 4),
+            left_s=round(call.deadline_s - now_s, 3),
+            detail=detail,
+        )
+
+
+def _rounded(seconds: float | None) -> float | None:
+    return None if seconds is None else round(seconds, 4)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -1,7 +1,6 @@
 """Sends a call to one endpoint, and passes its answer on."""
 
 import math
-from dataclasses import dataclass
 
 import anyio
 
@@ -12,6 +11,7 @@
     resumes,
 )
 from knapweedbridge_core.serving.messages import AdapterMissed
+from knapweedbridge_daemon.serving.attempt_records import AttemptRecords, Forecast
 from knapweedbridge_daemon.serving.call import Call, KeptAnswer, Target
 from knapweedbridge_daemon.serving.dialects import AnswerHead, AttemptDetails
 from knapweedbridge_daemon.serving.event_stream import EventCutter
@@ -37,34 +37,6 @@
 """Wait after an engine refused a call as its adapter's load is not done."""
 
 
-@dataclass(slots=True)
-class Forecast:
-    """What is expected of one attempt, and what came; times on the daemon's clock.
-
-    Parameters
-    ----------
-    began_s : float
-        When it began to wait for its turn.
-    unread_tokens : int
-        Tokens that the engine had yet to read when it was sent.
-    slot_wait_s, expected_s : float
-        Forecast wait for a slot, and time to the first event in all.
-    sent_s, first_s : float or None
-        When it was sent, and when its first event came.
-    unlisted_for_s : float or None
-        How long the endpoint's entry had been missing when it was sent; None where it
-        was listed.
-    """
-
-    began_s: float
-    unread_tokens: int = 0
-    slot_wait_s: float = 0.0
-    expected_s: float = 0.0
-    sent_s: float = 0.0
-    first_s: float | None = None
-    unlisted_for_s: float | None = None
-
-
 class Attempting:
     """Makes attempts of calls.
 
@@ -79,6 +51,7 @@
     def __init__(self, hub: Hub, link: PeerLink) -> None:
         self._hub = hub
         self._link = link
+        self._records = AttemptRecords(hub)
 
     async def attempt(self, call: Call, target: Target) -> AttemptEnd:
         """Send a call to an endpoint, and tell how that ended."""
@@ -87,7 +60,7 @@
         began_s = anyio.current_time()
         call.progress.sends += 1
         call.unread_tokens = call.details.prompt_tokens
-        forecast = self._forecast(call, endpoint, began_s)
+        forecast = self._records.forecast(call, endpoint, began_s)
         self._link.running.begin(endpoint, model, call.unread_tokens)
         end = AttemptEnd.ABANDONED
         detail = ""
@@ -119,85 +92,18 @@
             if end is AttemptEnd.ABANDONED:
                 # Broken off by its caller or by a deadline, it may run all the same.
                 call.progress.runs.add(endpoint.name)
-            self._learn(call, endpoint, forecast, end)
+            self._records.learn(call, endpoint, forecast, end)
             self._note_read(call, endpoint)
             whole = end not in (AttemptEnd.BROKEN, AttemptEnd.ABANDONED)
             self._link.running.end(endpoint, model, whole)
-            self._note(call, target, end, forecast, detail)
+            self._records.note(call, target, end, forecast, detail)
         return end
 
-    def _forecast(self, call: Call, endpoint: Endpoint, now_s: float) -> Forecast:
-        """Return what is expected of an attempt that begins now."""
-        if call.details.model is None:
-            return Forecast(now_s)
-        return Forecast(
-            now_s,
-            0,
-            self._hub.rates.slot_wait_s(endpoint),
-            self._hub.rates.first_event_s(endpoint, call.details.prompt_tokens, now_s),
-        )
-
-    def _learn(
-        self, call: Call, endpoint: Endpoint, forecast: Forecast, end: AttemptEnd
-    ) -> None:
-        """Learn of the engine's speed by what came of an attempt."""
-        now_s = anyio.current_time()
-        if call.details.model is None or end is AttemptEnd.NOT_RUN:
-            return
-        if end is AttemptEnd.ANSWERED:
-            self._hub.rates.saw_end(endpoint, now_s - forecast.began_s)
-        first_s = forecast.first_s
-        if first_s is None and end is AttemptEnd.BROKEN:
-            # It did not come for as long: a lower bound, and the best that is known.
-            first_s = now_s
-        if first_s is None or forecast.slot_wait_s:
-            return
-        took_s = first_s - forecast.sent_s
-        self._hub.rates.saw_first_event(
-            endpoint, call.details.prompt_tokens, forecast.unread_tokens, took_s, now_s
-        )
-        self._hub.measures.time(
-            "forecast_error_seconds",
-            abs(first_s - forecast.began_s - forecast.expected_s),
-        )
-
     def _note_read(self, call: Call, endpoint: Endpoint) -> None:
         if call.unread_tokens:
             self._link.running.prompt_read(endpoint, call.unread_tokens)
             call.unread_tokens = 0
 
-    def _note(
-        self,
-        call: Call,
-        target: Target,
-        end: AttemptEnd,
-        forecast: Forecast,
-        detail: str,
-    ) -> None:
-        now_s = anyio.current_time()
-        first_s = forecast.first_s
-        if end is not AttemptEnd.ABANDONED:
-            failed = end in (AttemptEnd.FAILED, AttemptEnd.BROKEN)
-            target.endpoint.note_result(failed, now_s)
-        self._hub.measures.count("attempts", end.value)
-        self._hub.log.info(
-            "attempt.ended",
-            request=call.details.call_id,
-            endpoint=target.endpoint.name,
-            version=target.version,
-            calls_there=target.endpoint.calls,
-            unlisted_s=_rounded(forecast.unlisted_for_s),
-            outcome=end.value,
-            prompt_tokens=call.details.prompt_tokens,
-            turn_s=round(max(0.0, forecast.sent_s - forecast.began_s), 4),
-            forecast_s=round(forecast.expected_s, 4),
-            first_s=_rounded(first_s - forecast.began_s if first_s else None),
-            unread_tokens=forecast.unread_tokens,
-            took_s=round(now_s - forecast.began_s, 4),
-            left_s=round(call.deadline_s - now_s, 3),
-            detail=detail,
-        )
-
     def _patient_until_s(self, call: Call, target: Target) -> float:
         others_left = len(call.progress.runs) + 1 < call.route.max_attempts
         if not (call.route.repeatable and others_left):
@@ -361,7 +267,3 @@
             raise BrokenError("a stream without an event")
         await call.responder.end()
         return AttemptEnd.ANSWERED
-
-
-def _rounded(seconds: float | None) -> float | None:
-    return None if seconds is None else round(seconds, 4)
