Limits that endpoints name are read, logged and counted

A limit that an endpoint names in its answers could not be told from none: no line and no metric showed it. Now: line endpoint.limited (limit, and the one before), limit_per_s in attempt.ended (what was known when the call was sent), gauge endpoints_limited, counter endpoint_limits_total; a value that cannot be read is logged as answer.unreadable. Stand-in endpoints name limits in all their answers. Nothing is decided by it yet.

--- /dev/null
+++ b/features/backpressure/steps/limit_steps.py
@@ -0,0 +1,106 @@
+import anyio
+import httpx
+from behave import then, when
+from stories import played
+from whole_path import NO_TLS
+
+CONTACT_S = 3.0
+WINDOW_S = 4.0
+OVER = 1.5
+SLACK = 5
+MODELS = ("base/a1", "base/a2", "base/a3")
+
+
+def named(path, name):
+    return next(each for each in path.endpoints if each.name == name)
+
+
+async def call_service(path, endpoint, number, daemons, answers):
+    if endpoint in path.engines:
+        model = MODELS[number % len(MODELS)]
+        answers.append(await path.draft(model, number % daemons))
+    else:
+        answers.append(await path.call("GET", "/look/1", number % daemons))
+
+
+async def call_for(path, endpoint, per_s, seconds, daemons, answers):
+    async with anyio.create_task_group() as tasks:
+        for number in range(int(per_s * seconds)):
+            tasks.start_soon(call_service, path, endpoint, number, daemons, answers)
+            await anyio.sleep(1 / per_s)
+
+
+@when("{name} names a limit of {limit:g} a second, and calls come until it names none")
+@played()
+async def names_for_a_while(context, path, name, limit):
+    endpoint = named(path, name)
+    others = [each for each in path.endpoints if each.service == endpoint.service]
+    answers = []
+    for limit_per_s in (limit, None):
+        for each in others:
+            each.limit_per_s = limit_per_s
+        await call_for(path, endpoint, 5, 2, 1, answers)
+    async with httpx.AsyncClient(verify=NO_TLS) as client:
+        url = f"http://127.0.0.1:{path.metrics_ports[0]}/metrics"
+        context.metrics = (await client.get(url)).text
+
+
+@then("the log tells the limit, its end, and what was known when calls were sent")
+def log_tells(context):
+    lines = context.lines
+    limits = [each for each in lines if each["message_type"] == "endpoint.limited"]
+    changes = {(each["before_per_s"], each["limit_per_s"]) for each in limits}
+    assert changes == {(None, 2.5), (2.5, None)}, changes
+    sent = [each for each in lines if each["message_type"] == "attempt.ended"]
+    assert {each["limit_per_s"] for each in sent} == {None, 2.5}, sent
+
+
+@then("the metrics count limits that were named and ended")
+def metrics_count(context):
+    for kind in ("named", "ended"):
+        assert f'knapweedbridge_endpoint_limits_total{{kind="{kind}"}}' in (
+            context.metrics
+        )
+    assert "knapweedbridge_endpoints_limited 0.0" in context.metrics
+
+
+@when(
+    "{name} names a limit of {limit:g} a second, and {calls:d} calls a second come "
+    "for {seconds:g} s"
+)
+@played(lease_ms=3000)
+async def names_limit(context, path, name, limit, calls, seconds):
+    endpoint = named(path, name)
+    # Each daemon has had answers of all endpoints before.
+    await call_for(path, endpoint, 20, 1, context.daemons, [])
+    endpoint.limit_per_s, context.limit_per_s = limit, limit
+    context.named_s, context.answers = anyio.current_time(), []
+    await call_for(path, endpoint, calls, seconds, context.daemons, context.answers)
+    context.ended_s = anyio.current_time()
+    context.arrivals_s = endpoint.arrivals_s
+
+
+@then("from 3 s on it gets at most one and a half times that and 5 in any 4 s")
+def within_limit(context):
+    most = OVER * context.limit_per_s * WINDOW_S + SLACK
+    bound_s = context.named_s + CONTACT_S
+    bound = [each for each in context.arrivals_s if each >= bound_s]
+    worst = max(
+        (sum(end - WINDOW_S < each <= end for each in bound) for end in bound),
+        default=0,
+    )
+    assert worst <= most, f"{worst} in {WINDOW_S} s, accepted {most}"
+
+
+@then("it gets half of its limit at least")
+def gets_some(context):
+    bound_s = context.named_s + CONTACT_S
+    got = sum(each >= bound_s for each in context.arrivals_s)
+    owed = context.limit_per_s * (context.ended_s - bound_s) / 2
+    assert got >= owed, f"{got}, owed {owed}"
+
+
+@then("all calls are answered")
+def all_answered(context):
+    statuses = [each.status_code for each in context.answers]
+    assert set(statuses) == {200}, statuses
--- a/features/platform/standins.py
+++ b/features/platform/standins.py
@@ -248,6 +248,8 @@
         self.zone = zone
         self.requests = []
         self.behaviour = []
+        self.arrivals_s = []
+        self.limit_per_s = None
         self.born = 1_700_000_000_000
 
     def entry(self, **fields):
@@ -264,14 +266,25 @@
             **fields,
         }
 
+    def signs(self):
+        """Return the headers of all its answers that ask daemons for something."""
+        if self.limit_per_s is None:
+            return []
+        return [(b"Server-Limit", str(self.limit_per_s).encode())]
+
     def sealed(self, request):
         return [
+            *self.signs(),
             (b"Request-Id", (header(request, "Request-Id") or "").encode()),
             (b"Response-Seal", f"seal-of-{self.name}".encode()),
         ]
 
     async def refuse(self, responder, status):
-        headers = [(b"Not-Run", b"1"), (b"Instance-Id", self.name.encode())]
+        headers = [
+            *self.signs(),
+            (b"Not-Run", b"1"),
+            (b"Instance-Id", self.name.encode()),
+        ]
         await responder.answer(status, headers, b"")
 
     def write_at_once(self, responder, headers, body):
@@ -284,6 +297,7 @@
         os.write(raw.fileno(), packed)
 
     async def handle(self, request, responder):
+        self.arrivals_s.append(anyio.current_time())
         expected = header(request, "Expect-Instance")
         if expected not in (None, self.name):
             await self.refuse(responder, 421)
@@ -367,20 +381,21 @@
 
     async def _order(self, request, responder):
         order = json.loads(request.body)
+        self.arrivals_s.append(anyio.current_time())
         self.orders.append(order)
         if order.get("expected", self.sequence) != self.sequence:
-            await responder.answer(409, [], b"")
+            await responder.answer(409, self.signs(), b"")
             return
         self.sequence += 1
         name = order["adapter"]
         if order["operation"] == "unload":
             self.held.pop(name, None)
-            await responder.answer(200, [], b"")
+            await responder.answer(200, self.signs(), b"")
             return
         ready_s = anyio.current_time() + self.load_s
         self.held[name] = (order.get("version", 1), ready_s)
         self.crashed = self.crashed or len(self.held) > self.places
-        await responder.answer(202, [], b"")
+        await responder.answer(202, self.signs(), b"")
 
     def _holds(self, request):
         _, _, name = (header(request, "Model") or "").partition("/")
--- a/features/platform/whole_path.py
+++ b/features/platform/whole_path.py
@@ -125,6 +125,7 @@
         self.desks = [Endpoint(f"desk-{n}", "desk") for n in (1, 2)]
         self.engines = [Engine(f"engine-{n}", "llm") for n in (1, 2)]
         self.ports = []
+        self.metrics_ports = []
         self.logs = []
         self.lease_ms = 1000
 
@@ -145,7 +146,8 @@
         ports = [free_port() for _ in range(3)]
         fields = settings_fields(name, self.store.address, ports)
         text = fill(TEMPLATE.read_text(), fields)
-        text = text.replace("127.0.0.1:9464", f"127.0.0.1:{free_port()}")
+        self.metrics_ports.append(free_port())
+        text = text.replace("127.0.0.1:9464", f"127.0.0.1:{self.metrics_ports[-1]}")
         text = text.replace("[store]", f"[store]\nlease_ms = {self.lease_ms}")
         log = tempfile.TemporaryFile()  # noqa: SIM115
         self._stack.callback(log.close)
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -18,6 +18,7 @@
     may_send_again,
     resumes,
 )
+from knapweedbridge_core.serving.backpressure import Backpressure
 from knapweedbridge_core.serving.beliefs import Belief, Beliefs
 from knapweedbridge_core.serving.crashes import CrashLedger, fingerprint
 from knapweedbridge_core.serving.deployment import (
@@ -87,6 +88,7 @@
 __all__ = [
     "Accounts",
     "AttemptEnd",
+    "Backpressure",
     "BaseModel",
     "Belief",
     "Beliefs",
--- a/packages/core/src/knapweedbridge_core/serving/endpoint.py
+++ b/packages/core/src/knapweedbridge_core/serving/endpoint.py
@@ -4,6 +4,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from knapweedbridge_core.serving.backpressure import Backpressure
 from knapweedbridge_core.serving.endpoint_records import EndpointRecord, EndpointStart
 from knapweedbridge_core.serving.messages import EngineChanged, EngineTold
 from knapweedbridge_core.serving.model_ref import ModelRef
@@ -88,11 +89,14 @@
         When its entry was removed; None where it is listed.
     lapsed_until_s : float
         Until when an entry that was removed is taken for one that lapsed.
+    pressure : Backpressure
+        What it asks for in its answers.
     """
 
     record: EndpointRecord
     held: dict[ModelRef, HeldAdapter] = field(default_factory=dict)
     recent: RecentAdapters = field(default_factory=RecentAdapters)
+    pressure: Backpressure = field(default_factory=Backpressure)
     bases: set[str] = field(default_factory=set)
     owner: str = ""
     own_calls: int = 0
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -200,6 +200,11 @@
         """Return how many endpoints are in use that are not listed."""
         return sum(each.unlisted_s is not None for each in self.endpoints.values())
 
+    def limited_count(self) -> int:
+        """Return how many endpoints name a limit of calls a second."""
+        limits = (each.pressure.limit_per_s for each in self.endpoints.values())
+        return sum(limit_per_s is not None for limit_per_s in limits)
+
     def forget_unlisted(self, now_s: float) -> list[str]:
         """Drop endpoints that did not come back to the list, and name them."""
         gone = [
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/answer_signs.py
@@ -0,0 +1,43 @@
+"""Takes what endpoints ask for in their answers."""
+
+import anyio
+
+from knapweedbridge_core.serving import Endpoint
+from knapweedbridge_daemon.serving.dialects import AnswerHead
+from knapweedbridge_daemon.serving.hub import Hub
+
+
+class AnswerSigns:
+    """Reads backpressure from the answers of endpoints.
+
+    Parameters
+    ----------
+    hub : Hub
+        Log and measures.
+    """
+
+    def __init__(self, hub: Hub) -> None:
+        self._hub = hub
+
+    def take(self, endpoint: Endpoint, answer: AnswerHead) -> None:
+        """Take what an answer of an endpoint asks for."""
+        for name in answer.unreadable:
+            self._hub.log.info("answer.unreadable", endpoint=endpoint.name, field=name)
+        self._take_limit(endpoint, answer)
+
+    def _take_limit(self, endpoint: Endpoint, answer: AnswerHead) -> None:
+        if answer.limit_per_s is None and not answer.genuine:
+            # Only an answer that is surely the endpoint's own may end a limit.
+            return
+        before_per_s = endpoint.pressure.limit_per_s
+        if not endpoint.pressure.take_limit(answer.limit_per_s, anyio.current_time()):
+            return
+        self._hub.measures.count(
+            "endpoint_limits", "ended" if answer.limit_per_s is None else "named"
+        )
+        self._hub.log.info(
+            "endpoint.limited",
+            endpoint=endpoint.name,
+            limit_per_s=answer.limit_per_s,
+            before_per_s=before_per_s,
+        )
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
@@ -26,6 +26,8 @@
     unlisted_for_s : float or None
         How long the endpoint's entry had been missing when it was sent; None where it
         was listed.
+    limit_per_s : float or None
+        The endpoint's limit when it was sent, as far as was known.
     """
 
     began_s: float
@@ -35,6 +37,7 @@
     sent_s: float = 0.0
     first_s: float | None = None
     unlisted_for_s: float | None = None
+    limit_per_s: float | None = None
 
 
 class AttemptRecords:
@@ -106,6 +109,7 @@
             version=target.version,
             calls_there=target.endpoint.calls,
             unlisted_s=_rounded(forecast.unlisted_for_s),
+            limit_per_s=forecast.limit_per_s,
             outcome=end.value,
             prompt_tokens=call.details.prompt_tokens,
             turn_s=round(max(0.0, forecast.sent_s - forecast.began_s), 4),
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -11,6 +11,7 @@
     resumes,
 )
 from knapweedbridge_core.serving.messages import AdapterMissed
+from knapweedbridge_daemon.serving.answer_signs import AnswerSigns
 from knapweedbridge_daemon.serving.attempt_records import AttemptRecords, Forecast
 from knapweedbridge_daemon.serving.call import Call, KeptAnswer, Target
 from knapweedbridge_daemon.serving.dialects import AnswerHead, AttemptDetails
@@ -52,6 +53,7 @@
         self._hub = hub
         self._link = link
         self._records = AttemptRecords(hub)
+        self._signs = AnswerSigns(hub)
 
     async def attempt(self, call: Call, target: Target) -> AttemptEnd:
         """Send a call to an endpoint, and tell how that ended."""
@@ -73,6 +75,7 @@
             forecast.sent_s = anyio.current_time()
             forecast.unread_tokens = endpoint.unread_tokens - call.unread_tokens
             forecast.unlisted_for_s = endpoint.unlisted_for_s(forecast.sent_s)
+            forecast.limit_per_s = endpoint.pressure.limit_per_s
             patience.deadline = self._patient_until_s(call, target)
             with patience:
                 end = await self._exchange(call, target, patience, forecast)
@@ -134,6 +137,7 @@
             )
             target.endpoint.note_answer()
             proved = self._hub.dialects.endpoints.read_answer(answer)
+            self._signs.take(target.endpoint, proved)
             if proved.not_run:
                 async for _ in connection.read_body():
                     pass
--- a/packages/daemon/src/knapweedbridge_daemon/serving/dialects.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/dialects.py
@@ -114,6 +114,11 @@
         Another endpoint, or another version of the model, or none, stands there.
     endpoint : str or None
         Id of the endpoint that answered, where it is told.
+    limit_per_s : float or None
+        Calls a second that the endpoint takes from all daemons together; None: it
+        names no limit.
+    unreadable : tuple of str
+        What the answer tells in a form that cannot be read.
     """
 
     not_run: bool
@@ -121,6 +126,8 @@
     stream: bool
     wrong_endpoint: bool = False
     endpoint: str | None = None
+    limit_per_s: float | None = None
+    unreadable: tuple[str, ...] = ()
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/side_faces.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/side_faces.py
@@ -45,6 +45,7 @@
         return {
             "endpoints": len(hub.beliefs.fleet.endpoints),
             "endpoints_unlisted": hub.beliefs.fleet.unlisted_count(),
+            "endpoints_limited": hub.beliefs.fleet.limited_count(),
             "daemons": len(hub.beliefs.daemons),
             "configuration_version": deployment.version if deployment else 0,
             "connections_opened": hub.pool.opened,
