Failing tests: a limited endpoint gets more than it takes

Three daemons send a plain endpoint, and an engine with its orders, as much as if it had named no limit: 79 in 4 s where 11 are accepted, 154 for 41, 16 for 11, 39 for 29.

--- a/features/backpressure/limits.feature
+++ b/features/backpressure/limits.feature
@@ -12,3 +12,30 @@
       | endpoint |
       | desk-1   |
       | engine-1 |
+
+  Scenario Outline: No more reaches a limited endpoint than it takes: <endpoint>, <limit> a second
+    Guards against daemons that go on sending an endpoint more than it says that it takes.
+
+    Given the whole path with 3 daemons
+    When <endpoint> names a limit of <limit> a second, and <calls> calls a second come for 9 s
+    Then from 3 s on it gets at most one and a half times that and 5 in any 4 s
+    And it gets half of its limit at least
+    And all calls are answered
+
+    Examples:
+      | endpoint | limit | calls |
+      | desk-1   | 1     | 20    |
+      | desk-1   | 6     | 40    |
+
+  Scenario Outline: No more reaches a limited engine than it takes: <limit> a second
+    Guards against drafts and orders beyond what an engine says that it takes.
+
+    Given the whole path with 3 daemons
+    When engine-1 names a limit of <limit> a second, and <calls> calls a second come for 9 s
+    Then from 3 s on it gets at most one and a half times that and 5 in any 4 s
+    And all calls are answered
+
+    Examples:
+      | limit | calls |
+      | 1     | 16    |
+      | 4     | 40    |
--- a/features/backpressure/steps/limit_steps.py
+++ b/features/backpressure/steps/limit_steps.py
@@ -8,7 +8,7 @@
 WINDOW_S = 4.0
 OVER = 1.5
 SLACK = 5
-MODELS = ("base/a1", "base/a2", "base/a3")
+MODELS = ("base/a1", "base/a2", "base/a3", "base/a4")
 
 
 def named(path, name):
@@ -18,11 +18,19 @@
 async def call_service(path, endpoint, number, daemons, answers):
     if endpoint in path.engines:
         model = MODELS[number % len(MODELS)]
-        answers.append(await path.draft(model, number % daemons))
+        answers.append(await draft_until_taken(path, model, number % daemons))
     else:
         answers.append(await path.call("GET", "/look/1", number % daemons))
 
 
+async def draft_until_taken(path, model, daemon):
+    answer = await path.draft(model, daemon)
+    while answer.status_code == 503:
+        await anyio.sleep(float(answer.headers["Retry-After"]))
+        answer = await path.draft(model, daemon)
+    return answer
+
+
 async def call_for(path, endpoint, per_s, seconds, daemons, answers):
     async with anyio.create_task_group() as tasks:
         for number in range(int(per_s * seconds)):
