Endpoints that name a limit get no more than that, from all daemons together

What callers saw: an engine in need went on to be loaded like any other, and its calls were slow. What operators saw: 16 requests in 4 s at a limit of 1.4 a second (13 accepted), 18 at 1.

Cause: a promise that holds for all daemons together, on a figure that no daemon read. A share for each daemon would not do: with nine daemons and a limit of 1 a second, one call of each is nine at once; with 79 it is 79.

Change: one daemon an endpoint, by rendezvous among the few of its data centre that also keep quotas, gives permits at the limit's rate; each daemon takes one before it sends a call, or an order. The keeper tells all of a limit when it is named or ended, through relays in large pools, so that daemons need not be told one by one. A call that gets no permit is not sent, and placed again; engines that would have to load for it are left out where others can. Where all endpoints of a service are closed for longer than a call can wait, it is refused at once, with when one opens. An answer that surely is the endpoint's own and names no limit ends it.

--- a/bench/mutants_serving.py
+++ b/bench/mutants_serving.py
@@ -9,14 +9,17 @@
     Endpoint,
     EngineKeeper,
     PartBucket,
+    PermitPacer,
     StoreOutage,
 )
 from knapweedbridge_core.serving import attempts as attempts_module
 from knapweedbridge_core.serving import ownership as ownership_module
+from knapweedbridge_core.serving import permits as core_permits_module
 from knapweedbridge_core.serving import quotas as quotas_module
 from knapweedbridge_core.serving import store_age as store_age_module
 from knapweedbridge_core.serving import store_eras as store_eras_module
 from knapweedbridge_core.serving import store_outage as store_outage_module
+from knapweedbridge_daemon.serving import permits as permits_module
 from knapweedbridge_daemon.serving.told_items import ToldItems
 from knapweedbridge_standins.quota_pool import ways as ways_module
 from knapweedbridge_standins.serving_histories import repeats as repeats_module
@@ -144,6 +147,24 @@
         "what an account uses",
         [(ways_module, "split", WHOLE_QUOTA)],
     ),
+    "calls to limited endpoints need no permit": (
+        "what a limited endpoint gets",
+        [(PermitPacer, "take", lambda self, now_s, share=1.0: 0.0)],
+    ),
+    "each daemon gives itself permits": (
+        "what a limited endpoint gets",
+        [
+            (
+                permits_module.Permits,
+                "_keeper",
+                lambda self, endpoint: self._hub.identity.name,
+            )
+        ],
+    ),
+    "keepers save permits up for long": (
+        "what a limited endpoint gets",
+        [(core_permits_module, "BURST_S", 6.0)],
+    ),
     "revisions are compared across eras": (
         "which era it is",
         [(store_eras_module, "stamp", lambda era, revision: revision)],
--- a/features/backpressure/limits.feature
+++ b/features/backpressure/limits.feature
@@ -39,3 +39,39 @@
       | limit | calls |
       | 1     | 16    |
       | 4     | 40    |
+
+  Scenario Outline: A limit that an answer names is read: "<value>"
+    Guards against limits that are taken for none, and against nonsense taken for a limit.
+
+    When an endpoint's answer names the limit "<value>"
+    Then it is read as <limit>
+
+    Examples:
+      | value | limit      |
+      | 1.4   | 1.4        |
+      | 0     | 0.0        |
+      | 12    | 12.0       |
+      | -1    | unreadable |
+      | nan   | unreadable |
+      | many  | unreadable |
+      | inf   | unreadable |
+
+  Scenario Outline: All daemons hear of a limit soon, by few messages: <daemons> daemons
+    Guards against daemons that learn of a limit one by one, and against news that goes
+    round between relays for ever.
+
+    Given a pool of <daemons> daemons, of which relays hear each other
+    When one of them hears that an endpoint takes 1 call a second
+    Then all know it within 0.1 s, by at most <messages> messages
+
+    Examples:
+      | daemons | messages |
+      | 9       | 10       |
+      | 40      | 84       |
+
+  Scenario: A limited endpoint whose keeper is gone is left alone
+    Guards against calls without a permit while nobody gives any.
+
+    Given a pool of 9 daemons, of which relays hear each other
+    When an endpoint names a limit, and its keeper is cut off
+    Then no other daemon gets a permit, until the keeper is not listed any more
--- a/features/backpressure/steps/limit_steps.py
+++ b/features/backpressure/steps/limit_steps.py
@@ -8,6 +8,7 @@
 WINDOW_S = 4.0
 OVER = 1.5
 SLACK = 5
+NONE_LIMITED = "knapweedbridge_endpoints_limited 0.0"
 MODELS = ("base/a1", "base/a2", "base/a3", "base/a4")
 
 
@@ -43,14 +44,23 @@
 async def names_for_a_while(context, path, name, limit):
     endpoint = named(path, name)
     others = [each for each in path.endpoints if each.service == endpoint.service]
-    answers = []
     for limit_per_s in (limit, None):
         for each in others:
             each.limit_per_s = limit_per_s
-        await call_for(path, endpoint, 5, 2, 1, answers)
+        await call_for(path, endpoint, 5, 2, 1, [])
+    with anyio.move_on_after(8):
+        while NONE_LIMITED not in await metrics(path):
+            # Several at once, as one at a time would all go to one endpoint.
+            async with anyio.create_task_group() as tasks:
+                for number in range(4):
+                    tasks.start_soon(call_service, path, endpoint, number, 1, [])
+    context.metrics = await metrics(path)
+
+
+async def metrics(path):
     async with httpx.AsyncClient(verify=NO_TLS) as client:
         url = f"http://127.0.0.1:{path.metrics_ports[0]}/metrics"
-        context.metrics = (await client.get(url)).text
+        return (await client.get(url)).text
 
 
 @then("the log tells the limit, its end, and what was known when calls were sent")
@@ -69,7 +79,7 @@
         assert f'knapweedbridge_endpoint_limits_total{{kind="{kind}"}}' in (
             context.metrics
         )
-    assert "knapweedbridge_endpoints_limited 0.0" in context.metrics
+    assert NONE_LIMITED in context.metrics
 
 
 @when(
--- /dev/null
+++ b/features/backpressure/steps/pool_steps.py
@@ -0,0 +1,130 @@
+import math
+
+import anyio
+from behave import given, then, when
+
+from knapweedbridge_core.serving import DaemonRecord
+from knapweedbridge_core.serving.messages import RelayAsked
+from knapweedbridge_core.serving.permit_messages import LimitHeard, LimitTold
+from knapweedbridge_daemon.serving.dialects import AnswerHead
+from knapweedbridge_daemon.serving.wire import ResponseHead
+from knapweedbridge_platform.endpoints import PlatformEndpoints
+from knapweedbridge_standins.relay_pool import RelayPool
+from knapweedbridge_standins.virtual_loop import run_virtually
+
+SETTLED_S = 4.0
+HEARD_S = 0.1
+KEEPER_S = 2.5
+
+
+@when('an endpoint\'s answer names the limit "{value}"')
+def answer_names(context, value):
+    headers = [(b"Server-Limit", value.encode())]
+    context.answer = PlatformEndpoints().read_answer(ResponseHead(200, headers, b""))
+
+
+@then("it is read as {limit}")
+def read_as(context, limit):
+    answer = context.answer
+    if limit == "unreadable":
+        assert answer.limit_per_s is None and answer.unreadable, answer
+    else:
+        assert answer.limit_per_s == float(limit), answer
+        assert not answer.unreadable, answer
+
+
+@given("a pool of {daemons:d} daemons, of which relays hear each other")
+def relaying_pool(context, daemons):
+    context.daemons = daemons
+
+
+async def settled(context, tasks):
+    records = [
+        DaemonRecord(f"h{n}", 1, "a:1", f"d{n % 2}") for n in range(context.daemons)
+    ]
+    pool = RelayPool(tasks, records)
+    pool.store.list_endpoint("e0")
+    for daemon in pool.daemons.values():
+        daemon.hub.lease.ends_s = math.inf
+    await anyio.sleep(SETTLED_S)
+    for centre in pool.daemons["h0"].hub.beliefs.relays.values():
+        first, second = centre
+        await pool.daemons[first].link.send(second, RelayAsked())
+        await pool.daemons[second].link.send(first, RelayAsked())
+    await anyio.sleep(0.01)
+    return pool
+
+
+def endpoint_of(daemon):
+    return daemon.hub.beliefs.fleet.endpoints["e0"]
+
+
+async def hear_limit(daemon, limit_per_s):
+    answer = AnswerHead(False, True, False, limit_per_s=limit_per_s)
+    await daemon.link.signs.take(endpoint_of(daemon), answer)
+
+
+@when("one of them hears that an endpoint takes 1 call a second")
+def one_hears(context):
+    async def story():
+        async with anyio.create_task_group() as tasks:
+            pool = await settled(context, tasks)
+            carried, send = [], pool.wire.send
+
+            def counted(sender, hearer, message):
+                if isinstance(message, LimitHeard | LimitTold):
+                    carried.append(message)
+                send(sender, hearer, message)
+
+            pool.wire.send = counted
+            await hear_limit(pool.daemons["h3"], 1.0)
+            await anyio.sleep(HEARD_S)
+            known = [endpoint_of(each).pressure for each in pool.daemons.values()]
+            context.unaware = sum(each.limit_per_s != 1.0 for each in known)
+            await anyio.sleep(2.0)
+            context.messages = len(carried)
+            tasks.cancel_scope.cancel()
+
+    run_virtually(story())
+
+
+@then("all know it within 0.1 s, by at most {messages:d} messages")
+def all_know(context, messages):
+    assert not context.unaware, context.unaware
+    assert context.messages <= messages, context.messages
+
+
+@when("an endpoint names a limit, and its keeper is cut off")
+def keeper_cut_off(context):
+    async def story():
+        async with anyio.create_task_group() as tasks:
+            pool = await settled(context, tasks)
+            asker = pool.daemons["h3"]
+            await hear_limit(asker, 5.0)
+            await anyio.sleep(1.0)
+            keeper = asker.link.permits._keeper(endpoint_of(asker))
+            others = [each for each in pool.daemons.values() if each.name != keeper]
+            pool.wire.cut.add(keeper)
+            context.without = await permits(others)
+            pool.unlist_daemon(keeper)
+            await anyio.sleep(1.0)
+            context.after = await permits(others)
+            tasks.cancel_scope.cancel()
+
+    run_virtually(story())
+
+
+async def permits(daemons):
+    """Count the permits that daemons get within `KEEPER_S`."""
+    count, until_s = 0, anyio.current_time() + KEEPER_S
+    while anyio.current_time() < until_s:
+        for daemon in daemons:
+            count += await daemon.link.permits.take(endpoint_of(daemon))
+        await anyio.sleep(0.05)
+    return count
+
+
+@then("no other daemon gets a permit, until the keeper is not listed any more")
+def none_without(context):
+    assert context.without == 0, context.without
+    assert context.after > 0, context.after
--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -107,6 +107,7 @@
       | at most once              |
       | who is leaving            |
       | what an account uses      |
+      | what a limited endpoint gets |
       | which era it is           |
 
   Scenario: An adapter in use is not unloaded
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -54,6 +54,11 @@
     claimants,
     may_claim,
 )
+from knapweedbridge_core.serving.permits import (
+    PermitPacer,
+    permit_keeper,
+    without_limited,
+)
 from knapweedbridge_core.serving.placement import EnginePlacement, PricedPlacement
 from knapweedbridge_core.serving.placement_choices import (
     LoadOn,
@@ -124,6 +129,7 @@
     "OrderKind",
     "OwnerRecord",
     "PartBucket",
+    "PermitPacer",
     "PlacementAsk",
     "PlainAsk",
     "PricedPlacement",
@@ -159,10 +165,12 @@
     "may_send_again",
     "nearest_first",
     "parse_model",
+    "permit_keeper",
     "ranked",
     "relays",
     "resumes",
     "revision_of",
     "split",
     "stamp",
+    "without_limited",
 ]
--- a/packages/core/src/knapweedbridge_core/serving/attempts.py
+++ b/packages/core/src/knapweedbridge_core/serving/attempts.py
@@ -17,6 +17,7 @@
     ``BROKEN``: it may have run; no whole answer came.
     ``ABANDONED``: it was ended from here: the caller left, or its time was up. That
     says nothing of the endpoint.
+    ``WITHHELD``: it was not sent, as the endpoint takes no call now.
     """
 
     ANSWERED = "answered"
@@ -24,6 +25,7 @@
     FAILED = "failed"
     BROKEN = "broken"
     ABANDONED = "abandoned"
+    WITHHELD = "withheld"
 
 
 @dataclass(slots=True)
--- a/packages/core/src/knapweedbridge_core/serving/backpressure.py
+++ b/packages/core/src/knapweedbridge_core/serving/backpressure.py
@@ -14,10 +14,13 @@
         Calls a second that it takes from all daemons together; None: any number.
     limit_heard_s : float
         When the endpoint said that, on the daemon's clock.
+    permit_due_s : float
+        When a permit for a call may be had, where the last one asked for was not given.
     """
 
     limit_per_s: float | None = None
     limit_heard_s: float = -math.inf
+    permit_due_s: float = -math.inf
 
     def take_limit(self, limit_per_s: float | None, heard_s: float) -> bool:
         """Take the limit that an answer names, or that it names none.
@@ -33,3 +36,12 @@
         changed = limit_per_s != self.limit_per_s
         self.limit_per_s = limit_per_s
         return changed
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether it takes a limited number of calls a second."""
+        return self.limit_per_s is not None
+
+    def opens_s(self) -> float:
+        """Return from when on it may be sent calls, as far as is known."""
+        return self.permit_due_s if self.is_limited else -math.inf
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -202,8 +202,7 @@
 
     def limited_count(self) -> int:
         """Return how many endpoints name a limit of calls a second."""
-        limits = (each.pressure.limit_per_s for each in self.endpoints.values())
-        return sum(limit_per_s is not None for limit_per_s in limits)
+        return sum(each.pressure.is_limited for each in self.endpoints.values())
 
     def forget_unlisted(self, now_s: float) -> list[str]:
         """Drop endpoints that did not come back to the list, and name them."""
@@ -228,13 +227,29 @@
             if endpoint.takes_work(now_s)
         ]
 
+    def open_to(self, service: str, now_s: float) -> list[Endpoint]:
+        """Return those of them that may be sent a call now, by what they ask for."""
+        return [
+            endpoint
+            for endpoint in self.of_service(service, now_s)
+            if endpoint.pressure.opens_s() <= now_s
+        ]
+
     def reachable(self, service: str, now_s: float) -> list[Endpoint]:
-        """Return those that may take new work and are not backed off from."""
+        """Return those that may be sent a call and are not backed off from."""
         return [
             endpoint
-            for endpoint in self._by_service.get(service, {}).values()
-            if endpoint.suspect_until_s <= now_s and endpoint.takes_work(now_s)
+            for endpoint in self.open_to(service, now_s)
+            if endpoint.suspect_until_s <= now_s
+        ]
+
+    def opens_s(self, service: str, now_s: float) -> float | None:
+        """Return when one may be sent a call, where all ask for a pause; else None."""
+        opening = [
+            endpoint.pressure.opens_s() for endpoint in self.of_service(service, now_s)
         ]
+        first_s = min(opening, default=None)
+        return first_s if first_s is not None and first_s > now_s else None
 
     def guess_load(
         self, engines: list[Endpoint], daemons: int, small: bool, now_s: float
--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/serving/permit_messages.py
@@ -0,0 +1,71 @@
+"""What daemons tell each other of the limits that endpoints name, and of permits."""
+
+from knapweedbridge_core.codec import message
+
+
+@message
+class LimitHeard:
+    """A daemon tells an endpoint's keeper of the limit that an answer named.
+
+    Parameters
+    ----------
+    endpoint : str
+        The endpoint.
+    started_ms : int
+        Its start that this is about, as in `EndpointRecord`.
+    limit_per_s : float or None
+        Calls a second that it takes from all daemons; None: it names no limit any more.
+    age_s : float
+        How long ago that was heard.
+    """
+
+    endpoint: str
+    started_ms: int
+    limit_per_s: float | None
+    age_s: float
+
+
+@message
+class LimitTold:
+    """A keeper tells of a limit, or a relay hands it on; fields as in `LimitHeard`."""
+
+    endpoint: str
+    started_ms: int
+    limit_per_s: float | None
+    age_s: float
+
+
+@message
+class PermitAsked:
+    """A daemon asks an endpoint's keeper for a permit; fields as in `LimitHeard`.
+
+    Parameters
+    ----------
+    ticket : int
+        What the daemon knows its question by.
+    """
+
+    endpoint: str
+    started_ms: int
+    limit_per_s: float | None
+    age_s: float
+    ticket: int
+
+
+@message
+class PermitAnswered:
+    """A keeper answers a question for a permit.
+
+    Parameters
+    ----------
+    endpoint : str
+        The endpoint.
+    ticket : int
+        As in the question.
+    wait_s : float
+        0.0 where the permit is given, else when to ask again.
+    """
+
+    endpoint: str
+    ticket: int
+    wait_s: float
--- a/packages/daemon/src/knapweedbridge_daemon/serving/answer_signs.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/answer_signs.py
@@ -5,6 +5,7 @@
 from knapweedbridge_core.serving import Endpoint
 from knapweedbridge_daemon.serving.dialects import AnswerHead
 from knapweedbridge_daemon.serving.hub import Hub
+from knapweedbridge_daemon.serving.permits import Permits
 
 
 class AnswerSigns:
@@ -14,18 +15,21 @@
     ----------
     hub : Hub
         Log and measures.
+    permits : Permits
+        Is told of limits.
     """
 
-    def __init__(self, hub: Hub) -> None:
+    def __init__(self, hub: Hub, permits: Permits) -> None:
         self._hub = hub
+        self._permits = permits
 
-    def take(self, endpoint: Endpoint, answer: AnswerHead) -> None:
+    async def take(self, endpoint: Endpoint, answer: AnswerHead) -> None:
         """Take what an answer of an endpoint asks for."""
         for name in answer.unreadable:
             self._hub.log.info("answer.unreadable", endpoint=endpoint.name, field=name)
-        self._take_limit(endpoint, answer)
+        await self._take_limit(endpoint, answer)
 
-    def _take_limit(self, endpoint: Endpoint, answer: AnswerHead) -> None:
+    async def _take_limit(self, endpoint: Endpoint, answer: AnswerHead) -> None:
         if answer.limit_per_s is None and not answer.genuine:
             # Only an answer that is surely the endpoint's own may end a limit.
             return
@@ -40,4 +44,6 @@
             endpoint=endpoint.name,
             limit_per_s=answer.limit_per_s,
             before_per_s=before_per_s,
+            source="answer",
         )
+        await self._permits.limit_heard(endpoint)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
@@ -68,7 +68,8 @@
     ) -> None:
         """Learn of the engine's speed by what came of an attempt."""
         now_s = anyio.current_time()
-        if call.details.model is None or end is AttemptEnd.NOT_RUN:
+        is_sent = end not in (AttemptEnd.NOT_RUN, AttemptEnd.WITHHELD)
+        if call.details.model is None or not is_sent:
             return
         if end is AttemptEnd.ANSWERED:
             self._hub.rates.saw_end(endpoint, now_s - forecast.began_s)
@@ -98,7 +99,7 @@
         """Log how an attempt ended, and count it for and against its endpoint."""
         now_s = anyio.current_time()
         first_s = forecast.first_s
-        if end is not AttemptEnd.ABANDONED:
+        if end not in (AttemptEnd.ABANDONED, AttemptEnd.WITHHELD):
             failed = end in (AttemptEnd.FAILED, AttemptEnd.BROKEN)
             target.endpoint.note_result(failed, now_s)
         self._hub.measures.count("attempts", end.value)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -11,7 +11,6 @@
     resumes,
 )
 from knapweedbridge_core.serving.messages import AdapterMissed
-from knapweedbridge_daemon.serving.answer_signs import AnswerSigns
 from knapweedbridge_daemon.serving.attempt_records import AttemptRecords, Forecast
 from knapweedbridge_daemon.serving.call import Call, KeptAnswer, Target
 from knapweedbridge_daemon.serving.dialects import AnswerHead, AttemptDetails
@@ -53,14 +52,15 @@
         self._hub = hub
         self._link = link
         self._records = AttemptRecords(hub)
-        self._signs = AnswerSigns(hub)
 
     async def attempt(self, call: Call, target: Target) -> AttemptEnd:
-        """Send a call to an endpoint, and tell how that ended."""
+        """Send a call to an endpoint, and tell how that ended.
+
+        ``WITHHELD``: the endpoint takes no call now, and gets none for a while.
+        """
         endpoint = target.endpoint
         model = call.details.model
         began_s = anyio.current_time()
-        call.progress.sends += 1
         call.unread_tokens = call.details.prompt_tokens
         forecast = self._records.forecast(call, endpoint, began_s)
         self._link.running.begin(endpoint, model, call.unread_tokens)
@@ -72,6 +72,10 @@
                 await self._link.turns.take(
                     endpoint, call.unread_tokens, call.route.urgency
                 )
+            if not await self._link.permits.take(endpoint):
+                end = AttemptEnd.WITHHELD
+                return end
+            call.progress.sends += 1
             forecast.sent_s = anyio.current_time()
             forecast.unread_tokens = endpoint.unread_tokens - call.unread_tokens
             forecast.unlisted_for_s = endpoint.unlisted_for_s(forecast.sent_s)
@@ -137,7 +141,7 @@
             )
             target.endpoint.note_answer()
             proved = self._hub.dialects.endpoints.read_answer(answer)
-            self._signs.take(target.endpoint, proved)
+            await self._link.signs.take(target.endpoint, proved)
             if proved.not_run:
                 async for _ in connection.read_body():
                     pass
--- a/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
@@ -36,6 +36,8 @@
             end = await self._attempting.attempt(call, target)
             if end is AttemptEnd.ANSWERED:
                 return "answered"
+            if end is AttemptEnd.WITHHELD:
+                continue
             if not self._send_again(call, end):
                 return await self._fail(call, end)
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owners.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owners.py
@@ -14,12 +14,14 @@
     TurnAsked,
 )
 from knapweedbridge_core.serving.ownership import OwnerRecord
+from knapweedbridge_daemon.serving.answer_signs import AnswerSigns
 from knapweedbridge_daemon.serving.engine_owning import (
     ORDER_TIMEOUT_S,
     WORK_S,
     EngineOwner,
 )
 from knapweedbridge_daemon.serving.hub import Hub, Send
+from knapweedbridge_daemon.serving.permits import Permits
 
 ToOwner = (
     AdapterWanted
@@ -41,11 +43,19 @@
         Beliefs and dialects.
     send : callable
         Sends a message to a daemon, this one too.
+    permits : Permits
+        Lets orders go to limited engines.
+    signs : AnswerSigns
+        Takes what engines ask for in their answers to orders.
     """
 
-    def __init__(self, hub: Hub, send: Send) -> None:
+    def __init__(
+        self, hub: Hub, send: Send, permits: Permits, signs: AnswerSigns
+    ) -> None:
         self._hub = hub
         self._send = send
+        self._permits = permits
+        self._signs = signs
         self._owned: dict[str, EngineOwner] = {}
         self._given_up: dict[str, int] = {}
 
@@ -91,7 +101,15 @@
             limits = self._hub.engine_limits(endpoint.record.service)
             if limits is None:
                 continue
-            owner = EngineOwner(self._hub, endpoint, limits, record, self._send)
+            owner = EngineOwner(
+                self._hub,
+                endpoint,
+                limits,
+                record,
+                self._send,
+                self._permits,
+                self._signs,
+            )
             self._owned[name] = owner
             tasks.start_soon(owner.run)
             self._hub.log.info("owner.begun", engine=name, number=record.number)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
@@ -28,9 +28,11 @@
     OwnershipTaken,
 )
 from knapweedbridge_core.serving.ownership import OwnerRecord
+from knapweedbridge_daemon.serving.answer_signs import AnswerSigns
 from knapweedbridge_daemon.serving.dialects import DialectError
 from knapweedbridge_daemon.serving.http_client import BrokenError, NotSentError
 from knapweedbridge_daemon.serving.hub import Hub, Send, suspended_clock_s
+from knapweedbridge_daemon.serving.permits import Permits
 from knapweedbridge_daemon.serving.turn_giving import TurnGiver
 from knapweedbridge_daemon.serving.wire import ResponseHead, WireRequest
 
@@ -69,6 +71,10 @@
         Under which this daemon owns it.
     send : callable
         Sends a message to a daemon.
+    permits : Permits
+        Lets orders go to a limited engine.
+    signs : AnswerSigns
+        Takes what the engine asks for in its answers to orders.
     """
 
     def __init__(
@@ -78,7 +84,11 @@
         limits: EngineLimits,
         record: OwnerRecord,
         send: Send,
+        permits: Permits,
+        signs: AnswerSigns,
     ) -> None:
+        self._permits = permits
+        self._signs = signs
         self._hub = hub
         self.endpoint = endpoint
         self._record = record
@@ -217,10 +227,14 @@
         if self.keeper.needs_report and now_s - self._reported_s >= REPORT_PAUSE_S:
             self._reported_s = now_s
             await self._ask_report()
-        order = self.keeper.next_order(anyio.current_time())
-        while order is not None and self._hub.lease.may_order(suspended_clock_s()):
-            await self._order(order)
+        while self.keeper.next_order(anyio.current_time()) is not None:
+            if not await self._permits.take(self.endpoint):
+                break
+            # What is due may have changed while the permit was awaited.
             order = self.keeper.next_order(anyio.current_time())
+            if order is None or not self._hub.lease.may_order(suspended_clock_s()):
+                break
+            await self._order(order)
         stuck = self.keeper.stuck_wants(anyio.current_time())
         if stuck is not None:
             self._hub.log.info("engine.stuck", engine=self.endpoint.name, **stuck)
@@ -279,6 +293,7 @@
         try:
             head, body = await self._exchange(request, ORDER_ANSWER_S)
             answer, status = dialect.read_order_answer(head, body), head.status
+            await self._signs.take(self.endpoint, dialect.read_answer(head))
         except NotSentError:
             answer = OrderAnswer.REFUSED
         except (BrokenError, TimeoutError):
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -22,8 +22,10 @@
     TurnsGiven,
 )
 from knapweedbridge_daemon.peers import Peers
+from knapweedbridge_daemon.serving.answer_signs import AnswerSigns
 from knapweedbridge_daemon.serving.engine_owners import EngineOwners, ToOwner
 from knapweedbridge_daemon.serving.hub import Hub
+from knapweedbridge_daemon.serving.permits import OfPermits, Permits
 from knapweedbridge_daemon.serving.quota_shares import QuotaShares
 from knapweedbridge_daemon.serving.relaying import Relaying
 from knapweedbridge_daemon.serving.running_calls import RunningCalls
@@ -54,10 +56,12 @@
 
     def __init__(self, hub: Hub) -> None:
         self._hub = hub
-        self.owners = EngineOwners(hub, self.send)
         self.running = RunningCalls(hub, self.send)
         self.turns = Turns(hub, self.send, self.running.note_sent)
         self.relaying = Relaying(hub, self.send)
+        self.permits = Permits(hub, self.send, self.relaying)
+        self.signs = AnswerSigns(hub, self.permits)
+        self.owners = EngineOwners(hub, self.send, self.permits, self.signs)
         self.shares = QuotaShares(hub, self.send)
         self._relays_asked_s: dict[str, float] = {}
         self.on_store_told: Callable[[str, StoreTold], int] = lambda *told: 0
@@ -118,6 +122,8 @@
             self.turns.given(message)
         elif isinstance(message, ShareAsked | ShareGiven):
             await self.shares.heard(daemon, message)
+        elif isinstance(message, OfPermits):
+            await self.permits.heard(daemon, message)
         elif isinstance(message, StoreTold | StoreMarked | RelayAsked):
             await self._take_of_relay(daemon, message)
         elif isinstance(message, CallsBlamed):
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/permits.py
@@ -0,0 +1,210 @@
+"""Asks for permits to send calls to limited endpoints, and gives those kept here."""
+
+import itertools
+from dataclasses import dataclass, field
+from itertools import chain
+
+import anyio
+
+from knapweedbridge_core.serving import (
+    Endpoint,
+    EndpointStart,
+    PermitPacer,
+    permit_keeper,
+)
+from knapweedbridge_core.serving.permit_messages import (
+    LimitHeard,
+    LimitTold,
+    PermitAnswered,
+    PermitAsked,
+)
+from knapweedbridge_core.serving.permits import (
+    TAKE_OVER_S,
+    UNLEASED_SHARE,
+)
+from knapweedbridge_daemon.serving.hub import Hub, Send, suspended_clock_s
+from knapweedbridge_daemon.serving.relaying import Relaying
+
+ANSWER_S = 0.05
+"""How long a keeper's answer is awaited: ways take milliseconds."""
+
+SILENT_S = 0.2
+"""How long an endpoint is left alone whose keeper gave no answer."""
+
+OfPermits = LimitHeard | LimitTold | PermitAsked | PermitAnswered
+
+
+@dataclass(slots=True, eq=False)
+class Question:
+    """A permit that was asked for."""
+
+    answered: anyio.Event = field(default_factory=anyio.Event)
+    wait_s: float = SILENT_S
+
+
+class Permits:
+    """The permits of limited endpoints, as far as this daemon has to do with them.
+
+    Parameters
+    ----------
+    hub : Hub
+        Beliefs, which say who keeps what.
+    send : callable
+        Sends a message to a daemon, this one too.
+    relaying : Relaying
+        Knows whom a relay hands news on to.
+    """
+
+    def __init__(self, hub: Hub, send: Send, relaying: Relaying) -> None:
+        self._hub = hub
+        self._send = send
+        self._relaying = relaying
+        self._tickets = itertools.count(1)
+        self._questions: dict[int, Question] = {}
+        self._pacers: dict[str, PermitPacer] = {}
+
+    async def take(self, endpoint: Endpoint) -> bool:
+        """Tell whether a call may be sent to an endpoint now, and count it as sent.
+
+        Where it may not, the endpoint is closed to calls for a while.
+        """
+        pressure, now_s = endpoint.pressure, anyio.current_time()
+        if not pressure.is_limited:
+            return True
+        if pressure.opens_s() > now_s:
+            return False
+        wait_s = await self._ask(endpoint)
+        self._hub.measures.count("permits", "refused" if wait_s else "taken")
+        if wait_s:
+            pressure.permit_due_s = anyio.current_time() + wait_s
+        return not wait_s
+
+    async def _ask(self, endpoint: Endpoint) -> float:
+        """Ask for a permit; return 0.0 where it is given, else when to ask again."""
+        keeper = self._keeper(endpoint)
+        if keeper is None:
+            return SILENT_S
+        ticket, question = next(self._tickets), Question()
+        self._questions[ticket] = question
+        asked = PermitAsked(*self._limit_of(endpoint), ticket)
+        try:
+            await self._send(keeper, asked)
+            with anyio.move_on_after(ANSWER_S):
+                await question.answered.wait()
+        finally:
+            del self._questions[ticket]
+        if not question.answered.is_set():
+            self._hub.measures.count("permits", "unanswered")
+        return question.wait_s
+
+    def _keeper(self, endpoint: Endpoint) -> str | None:
+        candidates = self._hub.beliefs.quota_keepers
+        return permit_keeper(endpoint.name, endpoint.record.data_centre, candidates)
+
+    @staticmethod
+    def _limit_of(endpoint: Endpoint) -> tuple[str, int, float | None, float]:
+        """Return the fields of a message that tells an endpoint's limit."""
+        pressure = endpoint.pressure
+        age_s = anyio.current_time() - pressure.limit_heard_s
+        return endpoint.name, endpoint.record.started_ms, pressure.limit_per_s, age_s
+
+    async def limit_heard(self, endpoint: Endpoint) -> None:
+        """Tell an endpoint's keeper of the limit that an answer has just named."""
+        keeper = self._keeper(endpoint)
+        if keeper is not None:
+            await self._send(keeper, LimitHeard(*self._limit_of(endpoint)))
+
+    async def heard(self, daemon: str, message: OfPermits) -> None:
+        """Take a daemon's question or news, or a keeper's."""
+        if isinstance(message, PermitAnswered):
+            self._take_answer(message)
+            return
+        endpoint = self._endpoint_of(message)
+        if endpoint is None:
+            return
+        if isinstance(message, LimitTold):
+            self._take_limit(endpoint, message)
+            await self._hand_on(message)
+        elif self._keeper(endpoint) == self._hub.identity.name:
+            await self._take_as_keeper(daemon, endpoint, message)
+        elif isinstance(message, PermitAsked):
+            # The asker will have heard of the new keeper by then.
+            answer = PermitAnswered(endpoint.name, message.ticket, SILENT_S)
+            await self._send(daemon, answer)
+
+    def _take_answer(self, message: PermitAnswered) -> None:
+        question = self._questions.get(message.ticket)
+        if question is not None:
+            question.wait_s = message.wait_s
+            question.answered.set()
+
+    def _endpoint_of(
+        self, message: LimitHeard | LimitTold | PermitAsked
+    ) -> Endpoint | None:
+        endpoint = self._hub.beliefs.fleet.endpoints.get(message.endpoint)
+        start = EndpointStart(message.endpoint, message.started_ms)
+        return endpoint if endpoint and endpoint.start.may_be(start) else None
+
+    def _take_limit(self, endpoint: Endpoint, message: LimitTold) -> None:
+        before_per_s = endpoint.pressure.limit_per_s
+        heard_s = anyio.current_time() - message.age_s
+        if endpoint.pressure.take_limit(message.limit_per_s, heard_s):
+            self._hub.log.info(
+                "endpoint.limited",
+                endpoint=endpoint.name,
+                limit_per_s=message.limit_per_s,
+                before_per_s=before_per_s,
+                source="keeper",
+            )
+            self._hub.engines_changed.tell()
+
+    async def _hand_on(self, message: LimitTold) -> None:
+        for name in self._relaying.hearers_now():
+            await self._send(name, message)
+
+    async def _take_as_keeper(
+        self, daemon: str, endpoint: Endpoint, message: LimitHeard | PermitAsked
+    ) -> None:
+        now_s = anyio.current_time()
+        pacer = self._pacer(endpoint, now_s)
+        heard_s = now_s - message.age_s
+        if pacer.take_limit(message.limit_per_s, heard_s, now_s):
+            await self._tell_all(endpoint, pacer, now_s)
+        if isinstance(message, PermitAsked):
+            leased = self._hub.lease.may_order(suspended_clock_s())
+            wait_s = pacer.take(now_s, 1.0 if leased else UNLEASED_SHARE)
+            self._hub.measures.count("permits", "not_given" if wait_s else "given")
+            answer = PermitAnswered(endpoint.name, message.ticket, wait_s)
+            await self._send(daemon, answer)
+
+    def _pacer(self, endpoint: Endpoint, now_s: float) -> PermitPacer:
+        pacer = self._pacers.get(endpoint.name)
+        if pacer is None:
+            self._forget_others()
+            # Whoever kept the endpoint before may give permits for a moment yet.
+            pacer = self._pacers[endpoint.name] = PermitPacer(now_s + TAKE_OVER_S)
+        return pacer
+
+    def _forget_others(self) -> None:
+        """Drop the pacers of endpoints that are gone or have another keeper."""
+        fleet = self._hub.beliefs.fleet
+        for name in list(self._pacers):
+            endpoint = fleet.endpoints.get(name)
+            if endpoint is None or self._keeper(endpoint) != self._hub.identity.name:
+                del self._pacers[name]
+
+    async def _tell_all(
+        self, endpoint: Endpoint, pacer: PermitPacer, now_s: float
+    ) -> None:
+        """Tell all daemons of a limit, through the relays in a large pool."""
+        beliefs = self._hub.beliefs
+        told = LimitTold(
+            endpoint.name,
+            endpoint.record.started_ms,
+            pacer.limit_per_s,
+            pacer.heard_age_s(now_s),
+        )
+        small = beliefs.is_small_pool
+        names = beliefs.daemons if small else chain(*beliefs.relays.values())
+        for name in {*names, self._hub.identity.name}:
+            await self._send(name, told)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/placing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/placing.py
@@ -18,6 +18,7 @@
     WaitFor,
     choose_plain,
     first_event_patience_s,
+    without_limited,
 )
 from knapweedbridge_core.serving.messages import AdapterWanted
 from knapweedbridge_core.serving.placement_choices import Choice
@@ -60,6 +61,14 @@
 NO_ENDPOINT_AFTER_S = 0.6
 """When to come back where a service has no endpoint: one restarts in some seconds."""
 
+CLOSED_AFTER_S = (0.0, 1.0)
+"""Added to the time after which an endpoint takes calls again: callers who all came
+then would find it taken by the first."""
+
+PLAIN_PATIENCE = 0.5
+"""How long a call waits for a plain endpoint that asks for a pause, in objectives: its
+answer can then still come in time."""
+
 
 class Placing:
     """Places calls by what is believed of the endpoints.
@@ -80,7 +89,7 @@
     async def place(self, call: Call) -> Target | Refusal:
         """Return where a call goes next, or why it goes nowhere."""
         if call.details.model is None:
-            return self._place_plain(call)
+            return await self._place_plain(call)
         asked_s = float("-inf")
         known_by_s = anyio.current_time() + ANSWER_S
         while True:
@@ -95,10 +104,9 @@
                 if choice.copy_to is not None:
                     await self._want(call, choice.copy_to)
                 return Target(choice.endpoint, choice.version)
-            if isinstance(choice, TooLate):
-                self._note_too_late(call, choice, now_s)
-                after_s = random.uniform(*OVERLOAD_AFTER_S) + choice.over_s
-                return Refusal(503, "overloaded", after_s)
+            refusal = self._refuse_now(call, choice, now_s)
+            if refusal is not None:
+                return refusal
             call.accepted = not isinstance(choice, NoEngine)
             pause_s = LOOK_S
             if isinstance(choice, WaitFor):
@@ -110,6 +118,32 @@
                 return Refusal(503, "no_place", BUSY_AFTER_S)
             await self._hub.engines_changed.wait(max(0.001, pause_s))
 
+    def _refuse_now(self, call: Call, choice: Choice, now_s: float) -> Refusal | None:
+        """Refuse a call that is known not to be served while it would wait."""
+        if isinstance(choice, TooLate):
+            self._note_too_late(call, choice, now_s)
+            after_s = random.uniform(*OVERLOAD_AFTER_S) + choice.over_s
+            return Refusal(503, "overloaded", after_s)
+        if isinstance(choice, NoEngine):
+            return self._closed_beyond(call, self._patient_s(call), now_s)
+        return None
+
+    def _closed_beyond(
+        self, call: Call, until_s: float, now_s: float
+    ) -> Refusal | None:
+        """Refuse a call whose endpoints all ask for a pause that lasts too long."""
+        opens_s = self._hub.beliefs.fleet.opens_s(call.service, now_s)
+        if opens_s is None or opens_s <= until_s:
+            return None
+        self._hub.log.info(
+            "call.closed_out",
+            request=call.details.call_id,
+            service=call.service,
+            opens_in_s=round(opens_s - now_s, 3),
+        )
+        after_s = opens_s - now_s + random.uniform(*CLOSED_AFTER_S)
+        return Refusal(503, "closed", after_s)
+
     def _is_unknown(self, engine: Endpoint, now_s: float) -> bool:
         """Tell whether this daemon hears too little of an engine to send there."""
         if self._hub.beliefs.is_small_pool:
@@ -166,7 +200,7 @@
             call.details.prompt_tokens,
             self._patience_s(call, now_s),
         )
-        engines = beliefs.fleet.reachable(call.service, now_s)
+        engines = without_limited(beliefs.fleet.reachable(call.service, now_s), model)
         beliefs.fleet.guess_load(
             engines, self._hub.daemons, beliefs.is_small_pool, now_s
         )
@@ -196,8 +230,23 @@
             wanted = AdapterWanted(endpoint.name, model.base, model.adapter, version)
             await self._link.send(endpoint.owner, wanted)
 
-    def _place_plain(self, call: Call) -> Target | Refusal:
-        now_s = anyio.current_time()
+    async def _place_plain(self, call: Call) -> Target | Refusal:
+        wait_s = PLAIN_PATIENCE * call.route.objective_s
+        until_s = min(call.request.received_s + wait_s, call.deadline_s)
+        while True:
+            now_s = anyio.current_time()
+            endpoint = self._choose_plain(call, now_s)
+            if endpoint is not None:
+                return Target(endpoint, None)
+            opens_s = self._hub.beliefs.fleet.opens_s(call.service, now_s)
+            if opens_s is None:
+                return Refusal(503, "no_endpoint", NO_ENDPOINT_AFTER_S)
+            refusal = self._closed_beyond(call, until_s, now_s)
+            if refusal is not None:
+                return refusal
+            await self._hub.engines_changed.wait(opens_s - now_s)
+
+    def _choose_plain(self, call: Call, now_s: float) -> Endpoint | None:
         ask = PlainAsk(
             self._hub.identity.data_centre,
             frozenset(call.progress.runs | call.refused),
@@ -205,8 +254,5 @@
         fleet = self._hub.beliefs.fleet
         # One that is backed off from is better than none.
         able = fleet.reachable(call.service, now_s)
-        able = able or fleet.of_service(call.service, now_s)
-        endpoint = choose_plain(ask, able, now_s)
-        if endpoint is None:
-            return Refusal(503, "no_endpoint", NO_ENDPOINT_AFTER_S)
-        return Target(endpoint, None)
+        able = able or fleet.open_to(call.service, now_s)
+        return choose_plain(ask, able, now_s)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/relaying.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/relaying.py
@@ -197,6 +197,18 @@
             since, self._revision, pack_items(self._items), pack_engines(rows)
         )
 
+    def hearers_now(self) -> list[str]:
+        """Name those that this daemon hands news on to; none where it is no relay.
+
+        Other relays that hear it for a while are left out: they hand news on as well,
+        and it would go round between them.
+        """
+        if not self.is_relay:
+            return []
+        relays = set(chain(*self._hub.beliefs.relays.values()))
+        found = self._hearers(anyio.current_time())
+        return [name for name in found if name not in relays]
+
     def _hearers(self, now_s: float) -> list[str]:
         identity, beliefs = self._hub.identity, self._hub.beliefs
         all_relays = beliefs.relays.get(identity.data_centre, [])
--- a/packages/standins/src/knapweedbridge_standins/serving_histories/__init__.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_histories/__init__.py
@@ -8,6 +8,7 @@
 from knapweedbridge_standins.serving_histories.eras import play_eras
 from knapweedbridge_standins.serving_histories.late_news import play_late_news
 from knapweedbridge_standins.serving_histories.leaving import play_leaving
+from knapweedbridge_standins.serving_histories.limits import play_limits
 from knapweedbridge_standins.serving_histories.orders import play_orders
 from knapweedbridge_standins.serving_histories.owners import play_owners
 from knapweedbridge_standins.serving_histories.quotas import play_quotas
@@ -26,6 +27,7 @@
     "who knows of it in time": play_late_news,
     "what an account uses": play_quotas,
     "which era it is": play_eras,
+    "what a limited endpoint gets": play_limits,
 }
 
 __all__ = [
@@ -34,6 +36,7 @@
     "play_eras",
     "play_late_news",
     "play_leaving",
+    "play_limits",
     "play_orders",
     "play_owners",
     "play_quotas",
