What another endpoint at an address asks for is not taken for an endpoint's own

An address is given to another endpoint some seconds after one is gone; its answers name its own id, and its own limit. The test failed before (the limit was taken).

--- a/features/backpressure/limits.feature
+++ b/features/backpressure/limits.feature
@@ -75,3 +75,10 @@
     Given a pool of 9 daemons, of which relays hear each other
     When an endpoint names a limit, and its keeper is cut off
     Then no other daemon gets a permit, until the keeper is not listed any more
+
+  Scenario: What another endpoint at its address asks for is not taken for an endpoint's own
+    Guards against limits of an endpoint that got the address of one that is gone.
+
+    Given a pool of 9 daemons, of which relays hear each other
+    When an answer of another endpoint at its address names a limit
+    Then no daemon takes the endpoint for a limited one
--- a/features/backpressure/steps/pool_steps.py
+++ b/features/backpressure/steps/pool_steps.py
@@ -59,8 +59,8 @@
     return daemon.hub.beliefs.fleet.endpoints["e0"]
 
 
-async def hear_limit(daemon, limit_per_s):
-    answer = AnswerHead(False, True, False, limit_per_s=limit_per_s)
+async def hear_limit(daemon, limit_per_s, endpoint=None):
+    answer = AnswerHead(False, True, False, endpoint=endpoint, limit_per_s=limit_per_s)
     await daemon.link.signs.take(endpoint_of(daemon), answer)
 
 
@@ -128,3 +128,22 @@
 def none_without(context):
     assert context.without == 0, context.without
     assert context.after > 0, context.after
+
+
+@when("an answer of another endpoint at its address names a limit")
+def another_names(context):
+    async def story():
+        async with anyio.create_task_group() as tasks:
+            pool = await settled(context, tasks)
+            await hear_limit(pool.daemons["h3"], 1.0, endpoint="e1")
+            await anyio.sleep(HEARD_S)
+            known = [endpoint_of(each).pressure for each in pool.daemons.values()]
+            context.limited = [each for each in known if each.is_limited]
+            tasks.cancel_scope.cancel()
+
+    run_virtually(story())
+
+
+@then("no daemon takes the endpoint for a limited one")
+def none_limited(context):
+    assert not context.limited, context.limited
--- a/packages/daemon/src/knapweedbridge_daemon/serving/answer_signs.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/answer_signs.py
@@ -24,7 +24,9 @@
         self._permits = permits
 
     async def take(self, endpoint: Endpoint, answer: AnswerHead) -> None:
-        """Take what an answer of an endpoint asks for."""
+        """Take what an answer of an endpoint asks for, if it is that endpoint's."""
+        if answer.endpoint not in (None, endpoint.name):
+            return
         for name in answer.unreadable:
             self._hub.log.info("answer.unreadable", endpoint=endpoint.name, field=name)
         await self._take_limit(endpoint, answer)
