What endpoints say of leaving and of rest is read, logged and counted

No line and no metric showed that an answer told a leaving, or asked for rest. Now: lines endpoint.leaving and endpoint.resting, gauges endpoints_leaving and endpoints_resting, counters. Stand-in endpoints say both. Nothing is decided by it yet.

--- a/features/platform/standins.py
+++ b/features/platform/standins.py
@@ -250,6 +250,8 @@
         self.behaviour = []
         self.arrivals_s = []
         self.limit_per_s = None
+        self.leaves = False
+        self.rest_s = None
         self.born = 1_700_000_000_000
 
     def entry(self, **fields):
@@ -268,9 +270,10 @@
 
     def signs(self):
         """Return the headers of all its answers that ask daemons for something."""
-        if self.limit_per_s is None:
-            return []
-        return [(b"Server-Limit", str(self.limit_per_s).encode())]
+        signs = [(b"Server-Leaving", b"1")] if self.leaves else []
+        if self.limit_per_s is not None:
+            signs.append((b"Server-Limit", str(self.limit_per_s).encode()))
+        return signs
 
     def sealed(self, request):
         return [
@@ -285,6 +288,8 @@
             (b"Not-Run", b"1"),
             (b"Instance-Id", self.name.encode()),
         ]
+        if status == 503 and self.rest_s is not None:
+            headers.append((b"Retry-After", str(self.rest_s).encode()))
         await responder.answer(status, headers, b"")
 
     def write_at_once(self, responder, headers, body):
@@ -303,6 +308,9 @@
             await self.refuse(responder, 421)
             return
         self.requests.append(request)
+        if self.rest_s is not None:
+            await self.answer(request, responder, "shed")
+            return
         behaviour = self.behaviour.pop(0) if self.behaviour else "well"
         await self.answer(request, responder, behaviour)
 
--- a/packages/core/src/knapweedbridge_core/serving/backpressure.py
+++ b/packages/core/src/knapweedbridge_core/serving/backpressure.py
@@ -3,6 +3,9 @@
 import math
 from dataclasses import dataclass
 
+LONGEST_REST_S = 60.0
+"""Longest rest that is kept: one that asks for hours must come back into use."""
+
 
 @dataclass(slots=True)
 class Backpressure:
@@ -16,11 +19,17 @@
         When the endpoint said that, on the daemon's clock.
     permit_due_s : float
         When a permit for a call may be had, where the last one asked for was not given.
+    leaves : bool
+        Whether it has said that it leaves.
+    rests_until_s : float
+        Until when it wants nothing from this daemon.
     """
 
     limit_per_s: float | None = None
     limit_heard_s: float = -math.inf
     permit_due_s: float = -math.inf
+    leaves: bool = False
+    rests_until_s: float = -math.inf
 
     def take_limit(self, limit_per_s: float | None, heard_s: float) -> bool:
         """Take the limit that an answer names, or that it names none.
@@ -37,6 +46,17 @@
         self.limit_per_s = limit_per_s
         return changed
 
+    def take_leaving(self) -> bool:
+        """Take that an answer says that it leaves; tell whether that is news."""
+        is_new = not self.leaves
+        self.leaves = True
+        return is_new
+
+    def take_rest(self, rest_s: float, now_s: float) -> None:
+        """Take that it wants nothing from this daemon for some seconds."""
+        until_s = now_s + min(rest_s, LONGEST_REST_S)
+        self.rests_until_s = max(self.rests_until_s, until_s)
+
     @property
     def is_limited(self) -> bool:
         """Whether it takes a limited number of calls a second."""
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -204,6 +204,15 @@
         """Return how many endpoints name a limit of calls a second."""
         return sum(each.pressure.is_limited for each in self.endpoints.values())
 
+    def leaving_count(self) -> int:
+        """Return how many listed endpoints have said in an answer that they leave."""
+        return sum(each.pressure.leaves for each in self.endpoints.values())
+
+    def resting_count(self, now_s: float) -> int:
+        """Return how many endpoints want nothing from this daemon now."""
+        endings = (each.pressure.rests_until_s for each in self.endpoints.values())
+        return sum(until_s > now_s for until_s in endings)
+
     def forget_unlisted(self, now_s: float) -> list[str]:
         """Drop endpoints that did not come back to the list, and name them."""
         gone = [
--- a/packages/daemon/src/knapweedbridge_daemon/serving/answer_signs.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/answer_signs.py
@@ -29,8 +29,24 @@
             return
         for name in answer.unreadable:
             self._hub.log.info("answer.unreadable", endpoint=endpoint.name, field=name)
+        self._take_leaving(endpoint, answer)
+        self._take_rest(endpoint, answer)
         await self._take_limit(endpoint, answer)
 
+    def _take_leaving(self, endpoint: Endpoint, answer: AnswerHead) -> None:
+        if answer.leaves and endpoint.pressure.take_leaving():
+            self._hub.measures.count("endpoint_leavings")
+            self._hub.log.info("endpoint.leaving", endpoint=endpoint.name)
+
+    def _take_rest(self, endpoint: Endpoint, answer: AnswerHead) -> None:
+        if answer.rest_s is None:
+            return
+        endpoint.pressure.take_rest(answer.rest_s, anyio.current_time())
+        self._hub.measures.count("endpoint_rests")
+        self._hub.log.info(
+            "endpoint.resting", endpoint=endpoint.name, rest_s=answer.rest_s
+        )
+
     async def _take_limit(self, endpoint: Endpoint, answer: AnswerHead) -> None:
         if answer.limit_per_s is None and not answer.genuine:
             # Only an answer that is surely the endpoint's own may end a limit.
--- a/packages/daemon/src/knapweedbridge_daemon/serving/dialects.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/dialects.py
@@ -117,6 +117,10 @@
     limit_per_s : float or None
         Calls a second that the endpoint takes from all daemons together; None: it
         names no limit.
+    leaves : bool
+        The endpoint says that it leaves.
+    rest_s : float or None
+        For how long it wants nothing from this daemon; None: it asks for no rest.
     unreadable : tuple of str
         What the answer tells in a form that cannot be read.
     """
@@ -127,6 +131,8 @@
     wrong_endpoint: bool = False
     endpoint: str | None = None
     limit_per_s: float | None = None
+    leaves: bool = False
+    rest_s: float | None = None
     unreadable: tuple[str, ...] = ()
 
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/side_faces.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/side_faces.py
@@ -46,6 +46,8 @@
             "endpoints": len(hub.beliefs.fleet.endpoints),
             "endpoints_unlisted": hub.beliefs.fleet.unlisted_count(),
             "endpoints_limited": hub.beliefs.fleet.limited_count(),
+            "endpoints_leaving": hub.beliefs.fleet.leaving_count(),
+            "endpoints_resting": hub.beliefs.fleet.resting_count(anyio.current_time()),
             "daemons": len(hub.beliefs.daemons),
             "configuration_version": deployment.version if deployment else 0,
             "connections_opened": hub.pool.opened,
