An endpoint that says in an answer that it leaves gets no new calls

What callers saw: drafts went to an engine that was about to go, 4.8 s after a host had passed on its answer that said so.

Cause: leaving was known by the platform's list alone, which an outage of the store holds up for its whole length, though the endpoint's own answers tell it.

Change: what an answer told holds for that start of the endpoint, whatever the list says later: an entry may be older than the answer. It gets no calls, is not claimed for orders, and its missing entry is no lapse. Whether an endpoint takes a call is looked at again just before the call is sent, as it may have waited for its prompt's turn; if not, the call is placed again.

An endpoint that starts again under its id gets calls again.

--- a/packages/core/src/knapweedbridge_core/serving/endpoint.py
+++ b/packages/core/src/knapweedbridge_core/serving/endpoint.py
@@ -139,7 +139,12 @@
     def takes_work(self, now_s: float) -> bool:
         """Tell whether it may get new calls."""
         is_listed = now_s < self.lapsed_until_s
-        return self.usable and not self.record.leaving and is_listed
+        return self.usable and not self.leaves and is_listed
+
+    @property
+    def leaves(self) -> bool:
+        """Whether its entry or one of its answers has told that it leaves."""
+        return self.record.leaving or self.pressure.leaves
 
     def note_listed(self) -> None:
         """Note that it has an entry."""
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -191,7 +191,7 @@
         endpoint = self.endpoints.get(name)
         if endpoint is None:
             return
-        if now_s < lapsed_until_s and not endpoint.record.leaving:
+        if now_s < lapsed_until_s and not endpoint.leaves:
             endpoint.note_unlisted(now_s, lapsed_until_s)
             return
         self._drop(endpoint)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/answer_signs.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/answer_signs.py
@@ -37,6 +37,7 @@
         if answer.leaves and endpoint.pressure.take_leaving():
             self._hub.measures.count("endpoint_leavings")
             self._hub.log.info("endpoint.leaving", endpoint=endpoint.name)
+            self._hub.engines_changed.tell()
 
     def _take_rest(self, endpoint: Endpoint, answer: AnswerHead) -> None:
         if answer.rest_s is None:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -72,7 +72,7 @@
                 await self._link.turns.take(
                     endpoint, call.unread_tokens, call.route.urgency
                 )
-            if not await self._link.permits.take(endpoint):
+            if not await self._may_send(endpoint):
                 end = AttemptEnd.WITHHELD
                 return end
             call.progress.sends += 1
@@ -106,6 +106,12 @@
             self._records.note(call, target, end, forecast, detail)
         return end
 
+    async def _may_send(self, endpoint: Endpoint) -> bool:
+        """Tell whether an endpoint takes a call that has waited for its turn."""
+        if not endpoint.takes_work(anyio.current_time()):
+            return False
+        return await self._link.permits.take(endpoint)
+
     def _note_read(self, call: Call, endpoint: Endpoint) -> None:
         if call.unread_tokens:
             self._link.running.prompt_read(endpoint, call.unread_tokens)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/lease_keeping.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/lease_keeping.py
@@ -186,7 +186,7 @@
     def _is_free(self, endpoint: Endpoint, now_s: float) -> bool:
         if self._hub.engine_limits(endpoint.record.service) is None:
             return False
-        if endpoint.record.leaving:
+        if endpoint.leaves:
             return False
         ownerless = self._hub.beliefs.is_ownerless(endpoint.name)
         if not ownerless and not self._is_left_over(endpoint.name):
