An endpoint that turns calls away gets the rest that it asks for

What callers saw: three of nine engines turned all calls away for some seconds, and over a tenth of three kinds of drafts were refused: calls ran out of sends on engines that had said that they wanted nothing for 3 s.

Cause: the Retry-After of an endpoint's 503 was not read. "Not run" is no failure, and an engine that refuses all looks idle, so it was the first choice of each next call.

A call that waited for its turn meanwhile is placed again.

--- a/packages/core/src/knapweedbridge_core/serving/backpressure.py
+++ b/packages/core/src/knapweedbridge_core/serving/backpressure.py
@@ -64,4 +64,5 @@
 
     def opens_s(self) -> float:
         """Return from when on it may be sent calls, as far as is known."""
-        return self.permit_due_s if self.is_limited else -math.inf
+        permit_due_s = self.permit_due_s if self.is_limited else -math.inf
+        return max(permit_due_s, self.rests_until_s)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/answer_signs.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/answer_signs.py
@@ -47,6 +47,7 @@
         self._hub.log.info(
             "endpoint.resting", endpoint=endpoint.name, rest_s=answer.rest_s
         )
+        self._hub.engines_changed.tell()
 
     async def _take_limit(self, endpoint: Endpoint, answer: AnswerHead) -> None:
         if answer.limit_per_s is None and not answer.genuine:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/permits.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/permits.py
@@ -66,13 +66,14 @@
     async def take(self, endpoint: Endpoint) -> bool:
         """Tell whether a call may be sent to an endpoint now, and count it as sent.
 
-        Where it may not, the endpoint is closed to calls for a while.
+        Where it may not, the endpoint is closed to calls for a while: it rests, or its
+        keeper gave no permit.
         """
         pressure, now_s = endpoint.pressure, anyio.current_time()
-        if not pressure.is_limited:
-            return True
         if pressure.opens_s() > now_s:
             return False
+        if not pressure.is_limited:
+            return True
         wait_s = await self._ask(endpoint)
         self._hub.measures.count("permits", "refused" if wait_s else "taken")
         if wait_s:
