Hearers of a large pool are told of an engine that is listed again

Cause: a relay hands on an entry that changes what it believes. An engine that it keeps in use without an entry, and that is listed again, changed nothing, so its hearers were told of the removal and not of the return, and dropped it 3 s after the outage. Where an owner tells of an engine its entries are not handed on for their adapters either.

Change: that an entry is there again is a change.

--- a/features/listing/removed_entries.feature
+++ b/features/listing/removed_entries.feature
@@ -57,6 +57,18 @@
       | a short outage    | 9       | 3.6  | 2.0  |
       | a large pool      | 40      | 6.4  | 2.0  |
 
+  Scenario Outline: Hearers learn that an engine is listed again: <daemons> daemons
+    Guards against hearers that drop engines which their relays kept in use and see again.
+
+    Given a pool of <daemons> daemons that list 4 endpoints
+    When all entries lapse in an outage of 6.4 s and are back 2 s after it, with owners
+    Then each daemon uses all endpoints throughout
+
+    Examples:
+      | daemons |
+      | 9       |
+      | 40      |
+
   Scenario Outline: Endpoints whose entries lapsed stay in use through a second outage: <story>
     Guards against refused callers while the store goes away again before it lists them.
 
--- a/features/listing/steps/removed_entry_steps.py
+++ b/features/listing/steps/removed_entry_steps.py
@@ -1,11 +1,12 @@
 import random
 from itertools import chain
 from types import SimpleNamespace
+from unittest import mock
 
 import anyio
 from behave import given, then, when
 
-from knapweedbridge_core.serving import Beliefs, DaemonRecord, StoreOutage
+from knapweedbridge_core.serving import Beliefs, DaemonRecord, Endpoint, StoreOutage
 from knapweedbridge_core.serving.beliefs import DaemonNamed
 from knapweedbridge_daemon.serving.side_faces import SideFaces
 from knapweedbridge_standins.relay_pool import RelayPool
@@ -248,6 +249,16 @@
     context.holes = list(chain.from_iterable(found))
 
 
+@when(
+    "all entries lapse in an outage of {away_s:g} s "
+    "and are back {back_s:g} s after it, with owners"
+)
+def all_lapse_owned(context, away_s, back_s):
+    # Entries of engines that an owner tells of are not handed on for their adapters.
+    with mock.patch.object(Endpoint, "is_heard", lambda self, now_s: True):
+        all_lapse(context, away_s, back_s)
+
+
 async def holes_in_second(context, gap_s, away_s, moment_s):
     """Return who did not use which endpoint, and when in a second outage."""
     found = []
--- a/packages/core/src/knapweedbridge_core/serving/beliefs.py
+++ b/packages/core/src/knapweedbridge_core/serving/beliefs.py
@@ -260,13 +260,13 @@
 
     def _take_endpoint(self, record: EndpointRecord, now_s: float) -> bool:
         known = self.fleet.endpoints.get(record.endpoint)
-        before = known and (known.usable, known.record.leaving)
+        before = known and known.listing
         endpoint = self.fleet.listed(record, now_s)
         limits = self.deployment and self.deployment.engine_limits(record.service)
         if limits:
             endpoint.recent.most = limits.recent_adapters
         if endpoint is known:
-            return before != (endpoint.usable, endpoint.record.leaving)
+            return before != endpoint.listing
         # An engine that comes back under its id may have its owner already.
         owner = self.owners.get(record.endpoint)
         endpoint.owner = owner.owner if owner else ""
--- a/packages/core/src/knapweedbridge_core/serving/endpoint.py
+++ b/packages/core/src/knapweedbridge_core/serving/endpoint.py
@@ -146,6 +146,14 @@
         """Whether its entry or one of its answers has told that it leaves."""
         return self.record.leaving or self.pressure.leaves
 
+    @property
+    def listing(self) -> tuple[bool, bool, bool]:
+        """Whether its entry can be read, tells that it leaves, and is there at all.
+
+        A relay hands on an entry that changes this: hearers were told of the removal.
+        """
+        return self.usable, self.record.leaving, self.unlisted_s is None
+
     def note_listed(self) -> None:
         """Note that it has an entry."""
         self.unlisted_s, self.lapsed_until_s = None, math.inf
