--- a/packages/core/src/knapweedbridge_core/serving/backpressure.py
+++ b/packages/core/src/knapweedbridge_core/serving/backpressure.py
@@ -17,19 +17,19 @@
         Calls a second that it takes from all daemons together; None: any number.
     limit_heard_s : float
         When the endpoint said that, on the daemon's clock.
-    permit_due_s : float
-        When a permit for a call may be had, where the last one asked for was not given.
     leaves : bool
         Whether it has said that it leaves.
     rests_until_s : float
         Until when it wants nothing from this daemon.
+    closed_until_s : float
+        Until when it is sent nothing: it rests, or no permit can be had.
     """
 
     limit_per_s: float | None = None
     limit_heard_s: float = -math.inf
-    permit_due_s: float = -math.inf
     leaves: bool = False
     rests_until_s: float = -math.inf
+    closed_until_s: float = -math.inf
 
     def take_limit(self, limit_per_s: float | None, heard_s: float) -> bool:
         """Take the limit that an answer names, or that it names none.
@@ -44,8 +44,15 @@
         self.limit_heard_s = heard_s
         changed = limit_per_s != self.limit_per_s
         self.limit_per_s = limit_per_s
+        if changed:
+            self.closed_until_s = self.rests_until_s
         return changed
 
+    def note_no_permit(self, until_s: float) -> None:
+        """Note that no permit can be had before a moment."""
+        if self.is_limited:
+            self.closed_until_s = max(self.closed_until_s, until_s)
+
     def take_leaving(self) -> bool:
         """Take that an answer says that it leaves; tell whether that is news."""
         is_new = not self.leaves
@@ -56,13 +63,9 @@
         """Take that it wants nothing from this daemon for some seconds."""
         until_s = now_s + min(rest_s, LONGEST_REST_S)
         self.rests_until_s = max(self.rests_until_s, until_s)
+        self.closed_until_s = max(self.closed_until_s, until_s)
 
     @property
     def is_limited(self) -> bool:
         """Whether it takes a limited number of calls a second."""
         return self.limit_per_s is not None
-
-    def opens_s(self) -> float:
-        """Return from when on it may be sent calls, as far as is known."""
-        permit_due_s = self.permit_due_s if self.is_limited else -math.inf
-        return max(permit_due_s, self.rests_until_s)
--- a/packages/core/src/knapweedbridge_core/serving/endpoint.py
+++ b/packages/core/src/knapweedbridge_core/serving/endpoint.py
@@ -139,7 +139,8 @@
     def takes_work(self, now_s: float) -> bool:
         """Tell whether it may get new calls."""
         is_listed = now_s < self.lapsed_until_s
-        return self.usable and not self.leaves and is_listed
+        leaves = self.record.leaving or self.pressure.leaves
+        return self.usable and not leaves and is_listed
 
     @property
     def leaves(self) -> bool:
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -241,23 +241,25 @@
         return [
             endpoint
             for endpoint in self.of_service(service, now_s)
-            if endpoint.pressure.opens_s() <= now_s
+            if endpoint.pressure.closed_until_s <= now_s
         ]
 
     def reachable(self, service: str, now_s: float) -> list[Endpoint]:
         """Return those that may be sent a call and are not backed off from."""
         return [
             endpoint
-            for endpoint in self.open_to(service, now_s)
+            for endpoint in self._by_service.get(service, {}).values()
             if endpoint.suspect_until_s <= now_s
+            and endpoint.pressure.closed_until_s <= now_s
+            and endpoint.takes_work(now_s)
         ]
 
     def opens_s(self, service: str, now_s: float) -> float | None:
         """Return when one may be sent a call, where all ask for a pause; else None."""
-        opening = [
-            endpoint.pressure.opens_s() for endpoint in self.of_service(service, now_s)
-        ]
-        first_s = min(opening, default=None)
+        endpoints = self.of_service(service, now_s)
+        first_s = min(
+            (each.pressure.closed_until_s for each in endpoints), default=None
+        )
         return first_s if first_s is not None and first_s > now_s else None
 
     def guess_load(
--- a/packages/daemon/src/knapweedbridge_daemon/serving/permits.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/permits.py
@@ -70,14 +70,14 @@
         keeper gave no permit.
         """
         pressure, now_s = endpoint.pressure, anyio.current_time()
-        if pressure.opens_s() > now_s:
+        if pressure.closed_until_s > now_s:
             return False
         if not pressure.is_limited:
             return True
         wait_s = await self._ask(endpoint)
         self._hub.measures.count("permits", "refused" if wait_s else "taken")
         if wait_s:
-            pressure.permit_due_s = anyio.current_time() + wait_s
+            pressure.note_no_permit(anyio.current_time() + wait_s)
         return not wait_s
 
     async def _ask(self, endpoint: Endpoint) -> float:
