--- a/bench/mutants_serving.py
+++ b/bench/mutants_serving.py
@@ -5,9 +5,11 @@
 from mutants_configuration import rewritten
 
 from knapweedbridge_core.serving import (
+    Backpressure,
     Beliefs,
     Endpoint,
     EngineKeeper,
+    Fleet,
     PartBucket,
     PermitPacer,
     StoreOutage,
@@ -165,6 +167,43 @@
         "what a limited endpoint gets",
         [(core_permits_module, "BURST_S", 6.0)],
     ),
+    "an entry undoes a leaving that an answer told": (
+        "what answers ask for",
+        [
+            rewritten(
+                Fleet,
+                "listed",
+                (
+                    "endpoint.note_listed()",
+                    "endpoint.note_listed(); endpoint.pressure.leaves = False",
+                ),
+            )
+        ],
+    ),
+    "a rest ends with the next": (
+        "what answers ask for",
+        [
+            rewritten(
+                Backpressure,
+                "take_rest",
+                ("max(self.closed_until_s, until_s)", "now_s"),
+            )
+        ],
+    ),
+    "a new start rests on": (
+        "what answers ask for",
+        [
+            rewritten(
+                Fleet,
+                "_begin",
+                (
+                    "endpoint.owner = before.owner",
+                    "endpoint.owner = before.owner; "
+                    "endpoint.pressure = before.pressure",
+                ),
+            )
+        ],
+    ),
     "revisions are compared across eras": (
         "which era it is",
         [(store_eras_module, "stamp", lambda era, revision: revision)],
--- a/bench/soak_serving.py
+++ b/bench/soak_serving.py
@@ -66,9 +66,9 @@
         "if False:",
     ),
     "never sees who leaves": (
-        CORE + "fleet.py",
-        "if not endpoint.record.leaving",
-        "if endpoint",
+        CORE + "endpoint.py",
+        "return self.usable and not leaves and is_listed",
+        "return self.usable and is_listed",
     ),
 }
 """Faults put in on purpose: file, what stands there, and what is put in its place."""
--- a/features/backpressure/steps/pause_steps.py
+++ b/features/backpressure/steps/pause_steps.py
@@ -2,8 +2,8 @@
 
 import anyio
 from behave import then, when
-from limit_steps import call_for, named
 from path_steps import is_whole
+from pressure_calls import call_for, named
 from stories import played
 
 from knapweedbridge_daemon.serving.turns import Turns
--- a/features/backpressure/steps/sign_steps.py
+++ b/features/backpressure/steps/sign_steps.py
@@ -1,5 +1,5 @@
 from behave import then, when
-from limit_steps import metrics
+from pressure_calls import metrics
 from stories import played
 
 from knapweedbridge_daemon.serving.wire import ResponseHead
--- a/features/backpressure/steps/limit_steps.py
+++ b/features/limits/steps/limit_steps.py
@@ -1,42 +1,13 @@
 import anyio
-import httpx
 from behave import then, when
+from pressure_calls import call_for, call_service, metrics, named
 from stories import played
-from whole_path import NO_TLS
 
 CONTACT_S = 3.0
 WINDOW_S = 4.0
 OVER = 1.5
 SLACK = 5
 NONE_LIMITED = "knapweedbridge_endpoints_limited 0.0"
-MODELS = ("base/a1", "base/a2", "base/a3", "base/a4")
-
-
-def named(path, name):
-    return next(each for each in path.endpoints if each.name == name)
-
-
-async def call_service(path, endpoint, number, daemons, answers):
-    if endpoint in path.engines:
-        model = MODELS[number % len(MODELS)]
-        answers.append(await draft_until_taken(path, model, number % daemons))
-    else:
-        answers.append(await path.call("GET", "/look/1", number % daemons))
-
-
-async def draft_until_taken(path, model, daemon):
-    answer = await path.draft(model, daemon)
-    while answer.status_code == 503:
-        await anyio.sleep(float(answer.headers["Retry-After"]))
-        answer = await path.draft(model, daemon)
-    return answer
-
-
-async def call_for(path, endpoint, per_s, seconds, daemons, answers):
-    async with anyio.create_task_group() as tasks:
-        for number in range(int(per_s * seconds)):
-            tasks.start_soon(call_service, path, endpoint, number, daemons, answers)
-            await anyio.sleep(1 / per_s)
 
 
 @when("{name} names a limit of {limit:g} a second, and calls come until it names none")
@@ -57,12 +28,6 @@
     context.metrics = await metrics(path)
 
 
-async def metrics(path):
-    async with httpx.AsyncClient(verify=NO_TLS) as client:
-        url = f"http://127.0.0.1:{path.metrics_ports[0]}/metrics"
-        return (await client.get(url)).text
-
-
 @then("the log tells the limit, its end, and what was known when calls were sent")
 def log_tells(context):
     lines = context.lines
@@ -116,9 +81,3 @@
     got = sum(each >= bound_s for each in context.arrivals_s)
     owed = context.limit_per_s * (context.ended_s - bound_s) / 2
     assert got >= owed, f"{got}, owed {owed}"
-
-
-@then("all calls are answered")
-def all_answered(context):
-    statuses = [each.status_code for each in context.answers]
-    assert set(statuses) == {200}, statuses
--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -108,6 +108,7 @@
       | who is leaving            |
       | what an account uses      |
       | what a limited endpoint gets |
+      | what answers ask for      |
       | which era it is           |
 
   Scenario: An adapter in use is not unloaded
--- a/packages/standins/src/knapweedbridge_standins/serving_histories/__init__.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_histories/__init__.py
@@ -4,6 +4,7 @@
 returns what broke, in words.
 """
 
+from knapweedbridge_standins.serving_histories.answers import play_answers
 from knapweedbridge_standins.serving_histories.beliefs import play_beliefs
 from knapweedbridge_standins.serving_histories.eras import play_eras
 from knapweedbridge_standins.serving_histories.late_news import play_late_news
@@ -28,10 +29,12 @@
     "what an account uses": play_quotas,
     "which era it is": play_eras,
     "what a limited endpoint gets": play_limits,
+    "what answers ask for": play_answers,
 }
 
 __all__ = [
     "HISTORIES",
+    "play_answers",
     "play_beliefs",
     "play_eras",
     "play_late_news",
