An answer to a call of before does not end a limit

An answer that left its endpoint just before the limit was named may be read after the keeper's news of it, by milliseconds or more on a busy host. It would have freed all daemons until the next answer. Now only an answer to a call that was sent after the limit was heard ends it. Found by reading; the new test fails without it (0 of 9 daemons held to the limit, now 9).

--- a/features/limits/limits.feature
+++ b/features/limits/limits.feature
@@ -82,3 +82,10 @@
     Given a pool of 9 daemons, of which relays hear each other
     When an answer of another endpoint at its address names a limit
     Then no daemon takes the endpoint for a limited one
+
+  Scenario: An answer to a call of before does not end a limit
+    Guards against limits that end as answers of before they were named come later.
+
+    Given a pool of 9 daemons, of which relays hear each other
+    When a limit is named, and an answer to a call of before, without one, comes later
+    Then all 9 daemons take the endpoint for a limited one
--- a/features/limits/steps/pool_steps.py
+++ b/features/limits/steps/pool_steps.py
@@ -59,9 +59,9 @@
     return daemon.hub.beliefs.fleet.endpoints["e0"]
 
 
-async def hear_limit(daemon, limit_per_s, endpoint=None):
+async def hear_limit(daemon, limit_per_s, endpoint=None, sent_s=math.inf):
     answer = AnswerHead(False, True, False, endpoint=endpoint, limit_per_s=limit_per_s)
-    await daemon.link.signs.take(endpoint_of(daemon), answer)
+    await daemon.link.signs.take(endpoint_of(daemon), answer, sent_s)
 
 
 @when("one of them hears that an endpoint takes 1 call a second")
@@ -147,3 +147,26 @@
 @then("no daemon takes the endpoint for a limited one")
 def none_limited(context):
     assert not context.limited, context.limited
+
+
+@when("a limit is named, and an answer to a call of before, without one, comes later")
+def answer_of_before(context):
+    async def story():
+        async with anyio.create_task_group() as tasks:
+            pool = await settled(context, tasks)
+            sent_s = anyio.current_time()
+            await anyio.sleep(0.01)
+            await hear_limit(pool.daemons["h3"], 1.0)
+            await anyio.sleep(HEARD_S)
+            await hear_limit(pool.daemons["h5"], None, sent_s=sent_s)
+            await anyio.sleep(HEARD_S)
+            known = [endpoint_of(each).pressure for each in pool.daemons.values()]
+            context.limited = [each for each in known if each.is_limited]
+            tasks.cancel_scope.cancel()
+
+    run_virtually(story())
+
+
+@then("all {count:d} daemons take the endpoint for a limited one")
+def all_limited(context, count):
+    assert len(context.limited) == count, context.limited
--- a/packages/core/src/knapweedbridge_core/serving/endpoint.py
+++ b/packages/core/src/knapweedbridge_core/serving/endpoint.py
@@ -139,8 +139,7 @@
     def takes_work(self, now_s: float) -> bool:
         """Tell whether it may get new calls."""
         is_listed = now_s < self.lapsed_until_s
-        leaves = self.record.leaving or self.pressure.leaves
-        return self.usable and not leaves and is_listed
+        return self.usable and not self.leaves and is_listed
 
     @property
     def leaves(self) -> bool:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/answer_signs.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/answer_signs.py
@@ -23,15 +23,21 @@
         self._hub = hub
         self._permits = permits
 
-    async def take(self, endpoint: Endpoint, answer: AnswerHead) -> None:
-        """Take what an answer of an endpoint asks for, if it is that endpoint's."""
+    async def take(self, endpoint: Endpoint, answer: AnswerHead, sent_s: float) -> None:
+        """Take what an answer of an endpoint asks for, if it is that endpoint's.
+
+        Parameters
+        ----------
+        sent_s : float
+            When the call or order was sent.
+        """
         if answer.endpoint not in (None, endpoint.name):
             return
         for name in answer.unreadable:
             self._hub.log.info("answer.unreadable", endpoint=endpoint.name, field=name)
         self._take_leaving(endpoint, answer)
         self._take_rest(endpoint, answer)
-        await self._take_limit(endpoint, answer)
+        await self._take_limit(endpoint, answer, sent_s)
 
     def _take_leaving(self, endpoint: Endpoint, answer: AnswerHead) -> None:
         if answer.leaves and endpoint.pressure.take_leaving():
@@ -49,10 +55,15 @@
         )
         self._hub.engines_changed.tell()
 
-    async def _take_limit(self, endpoint: Endpoint, answer: AnswerHead) -> None:
-        if answer.limit_per_s is None and not answer.genuine:
-            # Only an answer that is surely the endpoint's own may end a limit.
-            return
+    async def _take_limit(
+        self, endpoint: Endpoint, answer: AnswerHead, sent_s: float
+    ) -> None:
+        if answer.limit_per_s is None:
+            # Only an answer that is surely the endpoint's own may end a limit, and only
+            # one to a later call: others may have been on their way as it was named.
+            is_later = sent_s > endpoint.pressure.limit_heard_s
+            if not endpoint.pressure.is_limited or not (answer.genuine and is_later):
+                return
         before_per_s = endpoint.pressure.limit_per_s
         if not endpoint.pressure.take_limit(answer.limit_per_s, anyio.current_time()):
             return
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -147,7 +147,7 @@
             )
             target.endpoint.note_answer()
             proved = self._hub.dialects.endpoints.read_answer(answer)
-            await self._link.signs.take(target.endpoint, proved)
+            await self._link.signs.take(target.endpoint, proved, forecast.sent_s)
             if proved.not_run:
                 async for _ in connection.read_body():
                     pass
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
@@ -290,10 +290,11 @@
             self.number,
         )
         answer, status = OrderAnswer.UNKNOWN, 0
+        sent_s = anyio.current_time()
         try:
             head, body = await self._exchange(request, ORDER_ANSWER_S)
             answer, status = dialect.read_order_answer(head, body), head.status
-            await self._signs.take(self.endpoint, dialect.read_answer(head))
+            await self._signs.take(self.endpoint, dialect.read_answer(head), sent_s)
         except NotSentError:
             answer = OrderAnswer.REFUSED
         except (BrokenError, TimeoutError):
