--- a/bench/soak_serving.py
+++ b/bench/soak_serving.py
@@ -67,7 +67,7 @@
     ),
     "never sees who leaves": (
         CORE + "endpoint.py",
-        "return self.usable and not leaves and is_listed",
+        "return self.usable and not self.leaves and is_listed",
         "return self.usable and is_listed",
     ),
 }
@@ -222,6 +222,9 @@
             self._drain_endpoint,
             self._spoil,
             self._spoil,
+            self._limit_endpoint,
+            self._rest_endpoint,
+            self._leave_in_answers,
         ]
         while anyio.current_time() < self.until_s:
             fault = self.luck.choice(faults)
@@ -294,6 +297,26 @@
         endpoint.scope.cancel()
         self.store.remove(f"servers/{endpoint.name}")
 
+    async def _limit_endpoint(self) -> None:
+        endpoint, _ = self.endpoints[self.luck.choice(sorted(self.endpoints))]
+        endpoint.limit_per_s = self.luck.choice([0.5, 2, 8])
+        await anyio.sleep(self.luck.uniform(1, 5))
+        endpoint.limit_per_s = None
+
+    async def _rest_endpoint(self) -> None:
+        endpoint, _ = self.endpoints[self.luck.choice(sorted(self.endpoints))]
+        endpoint.rest_s = self.luck.uniform(0.5, 2)
+        await anyio.sleep(self.luck.uniform(0.5, 2))
+        endpoint.rest_s = None
+
+    async def _leave_in_answers(self) -> None:
+        endpoint, _ = self.endpoints.pop(self.luck.choice(sorted(self.endpoints)))
+        await self._add_endpoint(endpoint.service)
+        endpoint.leaves = True
+        await anyio.sleep(6)
+        endpoint.scope.cancel()
+        self.store.remove(f"servers/{endpoint.name}")
+
     async def _spoil(self) -> None:
         endpoint, _ = self.endpoints[self.luck.choice(sorted(self.endpoints))]
         kinds = ["fail", "shed", "silent", "unsealed", "cut", "cut in an event"]
@@ -353,6 +376,7 @@
             proxy.heal()
         for endpoint, _ in self.endpoints.values():
             endpoint.behaviour.clear()
+            endpoint.limit_per_s = endpoint.rest_s = None
         luck, found = random.Random(0), Counter()
         async with httpx.AsyncClient(timeout=6) as http:
             for number in range(40):
