--- a/features/limits/limits.feature
+++ b/features/limits/limits.feature
@@ -89,3 +89,8 @@
     Given a pool of 9 daemons, of which relays hear each other
     When a limit is named, and an answer to a call of before, without one, comes later
     Then all 9 daemons take the endpoint for a limited one
+
+  Scenario: Whatever comes, a limited endpoint gets no more than it takes
+    Guards against permits given twice while daemons are killed and cut off.
+
+    Then 20 random histories of "what a limited endpoint gets" break nothing
--- a/features/limits/steps/pool_steps.py
+++ b/features/limits/steps/pool_steps.py
@@ -10,6 +10,7 @@
 from knapweedbridge_daemon.serving.wire import ResponseHead
 from knapweedbridge_platform.endpoints import PlatformEndpoints
 from knapweedbridge_standins.relay_pool import RelayPool
+from knapweedbridge_standins.serving_histories import HISTORIES
 from knapweedbridge_standins.virtual_loop import run_virtually
 
 SETTLED_S = 4.0
@@ -170,3 +171,9 @@
 @then("all {count:d} daemons take the endpoint for a limited one")
 def all_limited(context, count):
     assert len(context.limited) == count, context.limited
+
+
+@then('{count:d} random histories of "{mechanism}" break nothing')
+def histories_hold(context, count, mechanism):
+    broken = {seed: HISTORIES[mechanism](seed) for seed in range(count)}
+    assert not any(broken.values()), {seed: b[:3] for seed, b in broken.items() if b}
--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -107,7 +107,6 @@
       | at most once              |
       | who is leaving            |
       | what an account uses      |
-      | what a limited endpoint gets |
       | what answers ask for      |
       | which era it is           |
 
