Stories of the whole path pick ports that no outgoing connection can take

A port was asked of the kernel, freed, and taken by a connection of another area before the daemon listened there. Now each run has ports of its own below the kernel's range, and looks whether they are free.

--- a/features/platform/whole_path.py
+++ b/features/platform/whole_path.py
@@ -1,5 +1,6 @@
 """Daemons and stand-ins in one process, over real sockets on loopback."""
 
+import itertools
 import json
 import os
 import re
@@ -26,10 +27,26 @@
 came back some times held it for seconds, and the daemons' leases lapsed."""
 
 
+FIRST_PORT, PORTS_A_RUN = 10_000, 200
+# Below the ports of outgoing connections, and apart for areas that run side by side.
+PORTS = itertools.cycle(
+    range(
+        FIRST_PORT + os.getpid() % 50 * PORTS_A_RUN,
+        FIRST_PORT + (os.getpid() % 50 + 1) * PORTS_A_RUN,
+    )
+)
+
+
 def free_port():
-    with socket.socket() as found:
-        found.bind(("127.0.0.1", 0))
-        return found.getsockname()[1]
+    """Return a port that nobody listens on and that the kernel gives no connection."""
+    while True:
+        port = next(PORTS)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 def settings_fields(name, store, ports):
