Endpoints whose entries lapsed stay in use through a second outage

Callers were refused where the store went away again before endpoints that had lapsed in a first outage were listed again: those that live were out of use from 0.5 to 2.2 s into the second outage until its end.

Cause: how long a lapse lasts was settled when the removal was heard, and nothing that the store did later was weighed at its end. Ruled out: dropping at the store's first answer after the grace, which keeps what left during a cut of one daemon up to a second too long.

Change: 0.3 s before a lapse ends the store is asked once. While it does not answer, lapses are prolonged; an answer, or a relay's proof of that moment, ends them at their time or, after a further outage, at that one's.

--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -16,6 +16,7 @@
         self.endpoints: dict[str, Endpoint] = {}
         self._by_service: dict[str, dict[str, Endpoint]] = {}
         self._restarted: list[Endpoint] = []
+        self._lapsed: dict[str, Endpoint] = {}
 
     def listed(self, record: EndpointRecord, now_s: float) -> Endpoint:
         """Take what the platform says of an endpoint.
@@ -32,6 +33,7 @@
         endpoint.record = replace(record, started_ms=started_ms)
         endpoint.usable = True
         endpoint.note_listed()
+        self._lapsed.pop(endpoint.name, None)
         if not endpoint.is_heard(now_s):
             # An owner's word is newer: the list is up to 2 s old, and does not say
             # when a load is done. Without it the list is all there is.
@@ -193,12 +195,29 @@
             return
         if now_s < lapsed_until_s and not endpoint.leaves:
             endpoint.note_unlisted(now_s, lapsed_until_s)
+            self._lapsed[name] = endpoint
             return
         self._drop(endpoint)
 
+    def lapse_ends_s(self, now_s: float) -> float | None:
+        """Return when the next lapsed endpoint goes out of use; None without any."""
+        ends = (each.lapsed_until_s for each in self._lapsed.values())
+        return min((end_s for end_s in ends if end_s > now_s), default=None)
+
+    def prolong_lapses(self, until_s: float, now_s: float) -> None:
+        """Keep endpoints whose entries may have lapsed in use until a moment."""
+        for each in self._lapsed.values():
+            if each.lapsed_until_s > now_s:
+                each.lapsed_until_s = max(each.lapsed_until_s, until_s)
+
+    def end_lapses(self, at_s: float) -> None:
+        """Let no lapse last beyond a moment."""
+        for each in self._lapsed.values():
+            each.lapsed_until_s = min(each.lapsed_until_s, at_s)
+
     def unlisted_count(self) -> int:
         """Return how many endpoints are in use that are not listed."""
-        return sum(each.unlisted_s is not None for each in self.endpoints.values())
+        return len(self._lapsed)
 
     def limited_count(self) -> int:
         """Return how many endpoints name a limit of calls a second."""
@@ -217,7 +236,7 @@
         """Drop endpoints that did not come back to the list, and name them."""
         gone = [
             endpoint
-            for endpoint in self.endpoints.values()
+            for endpoint in self._lapsed.values()
             if endpoint.lapsed_until_s <= now_s
         ]
         for endpoint in gone:
@@ -226,6 +245,7 @@
 
     def _drop(self, endpoint: Endpoint) -> None:
         del self.endpoints[endpoint.name]
+        self._lapsed.pop(endpoint.name, None)
         del self._by_service[endpoint.record.service][endpoint.name]
 
     def of_service(self, service: str, now_s: float) -> list[Endpoint]:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -17,6 +17,7 @@
 from knapweedbridge_daemon.serving.dialects import load_dialects
 from knapweedbridge_daemon.serving.http_server import CallersFace
 from knapweedbridge_daemon.serving.hub import Hub, Identity
+from knapweedbridge_daemon.serving.lapse_check import LapseCheck
 from knapweedbridge_daemon.serving.lease_keeping import LeaseKeeper
 from knapweedbridge_daemon.serving.measures import Measures
 from knapweedbridge_daemon.serving.peer_link import PeerLink
@@ -127,6 +128,7 @@
             tasks.start_soon(link.relaying.run)
             tasks.start_soon(StoreMarks(hub, link.send).run)
             tasks.start_soon(EndpointSweep(hub, link).run)
+            tasks.start_soon(LapseCheck(hub).run)
             await self._await_stop(hub, lease, face, app)
             tasks.cancel_scope.cancel()
 
--- a/packages/standins/src/knapweedbridge_standins/relay_pool/pool.py
+++ b/packages/standins/src/knapweedbridge_standins/relay_pool/pool.py
@@ -11,6 +11,7 @@
 from knapweedbridge_daemon.serving.believing import StoreFollower
 from knapweedbridge_daemon.serving.dialects import OwnKeys
 from knapweedbridge_daemon.serving.hub import Hub, Identity
+from knapweedbridge_daemon.serving.lapse_check import LapseCheck
 from knapweedbridge_daemon.serving.lease_keeping import LeaseKeeper
 from knapweedbridge_daemon.serving.measures import Measures
 from knapweedbridge_daemon.serving.own_records import pack_daemon
@@ -87,8 +88,10 @@
         """Follow the store until the tasks are cancelled."""
         marks = StoreMarks(self.hub, self.link.send)
         sweep = EndpointSweep(self.hub, self.link)
+        check = LapseCheck(self.hub)
         for work in (self.follower.run, self.link.relaying.run, marks.run, sweep.run):
             tasks.start_soon(work)
+        tasks.start_soon(check.run)
 
     def keep_lease(self, tasks: TaskGroup) -> None:
         """Hold a lease until the tasks are cancelled."""
