A keeper that cannot tell what is left of a quota refuses nobody

Callers of an account below its quota got 429 where the daemon that keeps the quota had not heard of the account yet, could not be sure of its lease, or had taken the part over less than a second before.

Cause: such a keeper answered as one whose part is used up. Ruled out: the part itself, which a row with all used still refuses.

Change: the answer says whether the keeper can tell. One that cannot counts as silent: the call waits for up to 0.5 s and asks again, and is then told 503.

--- a/features/accounts/quotas.feature
+++ b/features/accounts/quotas.feature
@@ -22,3 +22,19 @@
     Given the whole path
     When 40 calls of "shop" with 1000 tokens a second find no endpoint, and then 4 find one
     Then those 4 are answered
+
+  Scenario Outline: A keeper that cannot tell what is left refuses nobody: <story>
+    Guards against 429 for an account below its quota whose keeper lags or lost its lease.
+
+    Given two daemons and an account with 4000 tokens a second that one of them keeps
+    When a call of 200 tokens comes while the keeper <state>
+    Then it is <answer>
+
+    Examples:
+      | story                       | state                                       | answer                   |
+      | it knows the account        | knows the account                           | run at once              |
+      | a configuration comes late  | hears of the account 0.2 s later            | run                      |
+      | it renews its lease late    | has no lease for 0.2 s                      | run                      |
+      | it took over just now       | has taken over from another 0.8 s before    | run                      |
+      | it never hears              | hears of the account 5 s later              | refused as quota_unknown |
+      | all is used                 | has given all that there is                 | refused as over_quota    |
--- /dev/null
+++ b/features/accounts/steps/keeper_steps.py
@@ -0,0 +1,137 @@
+from types import SimpleNamespace
+
+import anyio
+from behave import given, then, when
+
+from knapweedbridge_core.serving import (
+    Accounts,
+    ClientAccount,
+    DaemonRecord,
+    Deployment,
+    Quota,
+    QuotaUnit,
+    RetryBudget,
+)
+from knapweedbridge_core.serving.beliefs import DaemonNamed, DeploymentNamed
+from knapweedbridge_daemon.serving.hub import Hub, Identity
+from knapweedbridge_daemon.serving.measures import Measures
+from knapweedbridge_daemon.serving.quota_shares import QuotaShares
+from knapweedbridge_standins.virtual_loop import run_virtually
+
+RATE = 4000
+LEASE_S = 1000.0
+KEPT_FOR_S = 5.0
+RECORDS = [DaemonRecord(name, 1, "a:1", "d0") for name in ("h0", "h1")]
+
+
+class Peer:
+    """One of two daemons, as far as quotas go."""
+
+    def __init__(self, record, peers, account):
+        log = SimpleNamespace(info=lambda kind, **fields: None)
+        identity = Identity(record.name, 1, record.data_centre, record.address)
+        budget = RetryBudget(0.2, 50, 10)
+        self.hub = Hub(
+            identity, None, budget, log, Measures(), steady_s=anyio.current_time
+        )
+        for each in RECORDS:
+            self.hub.beliefs.take(DaemonNamed(each), 0.0)
+        self._peers = peers
+        self._account = account
+        self.shares = QuotaShares(self.hub, self._send)
+        self.name_accounts(1, ())
+        self.renew()
+
+    def name_accounts(self, version, accounts):
+        deployment = Deployment(version, (), {}, accounts=Accounts(accounts))
+        self.hub.beliefs.take(DeploymentNamed(deployment), 0.0)
+        self.shares.parts.refresh()
+
+    def hear(self, version=2):
+        self.name_accounts(version, (self._account,))
+
+    def renew(self):
+        self.hub.lease.renewed(1e9, LEASE_S)
+
+    async def _send(self, daemon, message):
+        peer = self._peers[daemon]
+        await peer.shares.heard(self.hub.identity.name, message)
+
+
+@given(
+    "two daemons and an account with {rate:d} tokens a second that one of them keeps"
+)
+def two_daemons(context, rate):
+    quota = Quota(QuotaUnit.TOKENS, rate, rate)
+    context.account = ClientAccount("shop", ("digest",), quota=quota)
+
+
+async def lag(keeper, state):
+    """Have the keeper be in a state that ends by itself after some time."""
+    if state == "hears of the account 0.2 s later":
+        await anyio.sleep(0.2)
+        keeper.hear()
+    elif state == "hears of the account 5 s later":
+        await anyio.sleep(5)
+        keeper.hear()
+    elif state == "has no lease for 0.2 s":
+        keeper.hub.lease.lost()
+        await anyio.sleep(0.2)
+        keeper.renew()
+
+
+def keeper_of(account):
+    """Return the daemon that keeps an account's only part."""
+    one = Peer(RECORDS[0], {}, account)
+    one.hear()
+    return one.shares.parts.keepers(account.name)[0]
+
+
+async def first_answer(account, state):
+    async with anyio.create_task_group() as tasks:
+        peers = {}
+        for record in RECORDS:
+            peers[record.name] = Peer(record, peers, account)
+        keeper = peers[keeper_of(account)]
+        asker = next(each for each in peers.values() if each is not keeper)
+        asker.hear()
+        if "hears" not in state and "taken over" not in state:
+            keeper.hear()
+            await anyio.sleep(KEPT_FOR_S)
+        if "taken over" in state:
+            keeper.hub.beliefs.deployment = None
+            keeper.shares.parts._seen = (None, None)
+            keeper.hear(3)
+            await anyio.sleep(0.8)
+        if "has given all" in state:
+            while await asker.shares.take(account, 2000) is None:
+                pass
+        tasks.start_soon(lag, keeper, state)
+        await anyio.sleep(0)
+        began_s = anyio.current_time()
+        refusal = await asker.shares.take(account, 200)
+        tasks.cancel_scope.cancel()
+    return refusal, anyio.current_time() - began_s
+
+
+@when("a call of 200 tokens comes while the keeper {state}")
+def call_comes(context, state):
+    context.refusal, context.took_s = run_virtually(
+        first_answer(context.account, state)
+    )
+
+
+@then("it is run")
+def is_run(context):
+    assert context.refusal is None, context.refusal
+
+
+@then("it is run at once")
+def is_run_at_once(context):
+    assert context.refusal is None, context.refusal
+    assert context.took_s < 0.01, context.took_s
+
+
+@then("it is refused as {reason}")
+def is_refused(context, reason):
+    assert context.refusal and context.refusal.reason == reason, context.refusal
--- a/packages/core/src/knapweedbridge_core/serving/messages.py
+++ b/packages/core/src/knapweedbridge_core/serving/messages.py
@@ -289,11 +289,14 @@
         What the asker may use.
     wait_s : float
         After how long more may be there; 0.0: all that was asked for was given.
+    is_known : bool
+        Whether the keeper can tell what is left of its part.
     """
 
     account: str
     units: int
     wait_s: float
+    is_known: bool = True
 
 
 @message
--- a/packages/core/src/knapweedbridge_core/serving/quotas.py
+++ b/packages/core/src/knapweedbridge_core/serving/quotas.py
@@ -127,10 +127,23 @@
 
 @dataclass(slots=True, frozen=True)
 class Given:
-    """What a keeper gives: units, and after how long more may be there."""
+    """What a keeper gives.
+
+    Parameters
+    ----------
+    units : int
+        What the asker may use.
+    wait_s : float
+        After how long more may be there; 0.0: all that was asked for was given.
+    is_known : bool
+        Whether the keeper can tell what is left. One that has not heard of the account
+        yet, or whose lease may have lapsed, cannot: the account may be far below its
+        quota.
+    """
 
     units: int
     wait_s: float = 0.0
+    is_known: bool = True
 
 
 class PartBucket:
@@ -165,6 +178,9 @@
         ahead : int
             Units for calls that are still to come; given while much is there.
         """
+        if now_s < self._filled_s:
+            # Still within the time of the keeper before.
+            return Given(0, self._filled_s - now_s, is_known=False)
         self._fill(part, now_s)
         if needed and not self._covers(part, needed):
             return Given(0, self._wait_s(part, needed))
@@ -181,7 +197,7 @@
         return taken
 
     def _fill(self, part: QuotaPart, now_s: float) -> None:
-        passed_s = max(0.0, now_s - self._filled_s)
+        passed_s = now_s - self._filled_s
         self._filled_s = now_s
         # Also cut where a new configuration lowers the limit.
         filled = self._level + part.rate_per_s * passed_s
--- a/packages/daemon/src/knapweedbridge_daemon/serving/quota_parts.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/quota_parts.py
@@ -100,7 +100,7 @@
         # After its lease a keeper may have a successor, which gives the same part.
         is_listed = self._hub.lease.may_order(suspended_clock_s())
         if found is None or bucket is None or not is_listed:
-            return Given(0, LEAST_WAIT_S)
+            return Given(0, LEAST_WAIT_S, is_known=False)
         return bucket.give(
             found.part,
             message.needed,
--- a/packages/daemon/src/knapweedbridge_daemon/serving/quota_shares.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/quota_shares.py
@@ -167,7 +167,7 @@
     async def _asked(self, daemon: str, message: ShareAsked) -> None:
         given = self.parts.give(message)
         self._hub.measures.count("quota", "given" if given.units else "not_given")
-        answer = ShareGiven(message.account, given.units, given.wait_s)
+        answer = ShareGiven(message.account, given.units, given.wait_s, given.is_known)
         await self._send(daemon, answer)
 
     async def _given(self, keeper: str, message: ShareGiven) -> None:
@@ -175,7 +175,11 @@
         if purse is None:
             return
         now_s = anyio.current_time()
-        purse.held.answered(keeper, Given(message.units, message.wait_s), now_s)
+        if message.is_known:
+            purse.held.answered(keeper, Given(message.units, message.wait_s), now_s)
+        else:
+            purse.held.unanswered(keeper, now_s)
+            self._hub.measures.count("quota", "unknown")
         self._serve(purse)
         if purse.asked == keeper:
             purse.asked = ""
