--- a/packages/core/src/knapweedbridge_core/serving/endpoint.py
+++ b/packages/core/src/knapweedbridge_core/serving/endpoint.py
@@ -58,6 +58,9 @@
     unread_tokens: int
 
 
+NOTHING_COUNTED = OwnCount(-math.inf, 0, 0)
+
+
 @dataclass(slots=True, eq=False)
 class Endpoint:
     """What is believed of one endpoint; two are equal only if they are the same one.
@@ -227,7 +230,7 @@
     def take_load(self, message: EngineTold | EngineChanged, now_s: float) -> None:
         """Take the calls of other daemons and what else every telling holds."""
         self.told_number, self.told_order = message.number, message.order
-        own = self._counted_in(now_s) if message.of_all else OwnCount(now_s, 0, 0)
+        own = self._counted_in(now_s) if message.of_all else NOTHING_COUNTED
         self.others_calls = max(0, message.others_calls - own.calls)
         self.others_unread_tokens = max(
             0, message.others_unread_tokens - own.unread_tokens
@@ -249,7 +252,7 @@
         for each in reversed(self.counted):
             if each.told_s <= now_s - COUNTED_AFTER_S:
                 return each
-        return OwnCount(now_s, 0, 0)
+        return NOTHING_COUNTED
 
     def is_heard(self, now_s: float) -> bool:
         """Tell whether its owner told of it lately."""
--- a/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
@@ -50,15 +50,19 @@
     """Wakes the tasks that wait for a change of what is believed."""
 
     def __init__(self) -> None:
-        self._event = anyio.Event()
+        # Made where something waits: most changes are told while nothing does.
+        self._event: anyio.Event | None = None
 
     def tell(self) -> None:
         """Wake all that wait."""
-        self._event.set()
-        self._event = anyio.Event()
+        if self._event is not None:
+            self._event.set()
+            self._event = None
 
     async def wait(self, longest_s: float) -> None:
         """Wait for a change, or for some seconds."""
+        if self._event is None:
+            self._event = anyio.Event()
         with anyio.move_on_after(longest_s):
             await self._event.wait()
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -1,7 +1,7 @@
 """Messages between serving daemons, over the product's peer streams."""
 
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Awaitable, Callable
+from typing import Any, get_args
 
 import anyio
 from anyio.abc import TaskGroup
@@ -66,6 +66,22 @@
         self._relays_asked_s: dict[str, float] = {}
         self.on_store_told: Callable[[str, StoreTold], int] = lambda *told: 0
         self._peers: Peers | None = None
+        self._takers = self._make_takers()
+
+    def _make_takers(self) -> dict[type, Callable[[str, Any], Awaitable[None]]]:
+        """Return what takes a message, by its class; others are passed over."""
+        takers: dict[type, Callable[[str, Any], Awaitable[None]]] = {
+            EngineTold: self._take_of_owner,
+            EngineChanged: self._take_of_owner,
+            TurnsGiven: self._take_turns,
+            CallsBlamed: self._take_blamed,
+            OwnerAnswered: self._take_answered,
+        }
+        takers |= dict.fromkeys((ShareAsked, ShareGiven), self.shares.heard)
+        takers |= dict.fromkeys(get_args(OfPermits), self.permits.heard)
+        of_relay = StoreTold, StoreMarked, RelayAsked
+        takers |= dict.fromkeys(of_relay, self._take_of_relay)
+        return takers | dict.fromkeys(get_args(ToOwner), self.owners.heard)
 
     async def send(self, daemon: str, message: Any) -> None:
         """Send a message to a daemon, which may be this one."""
@@ -116,30 +132,25 @@
             self._hub.log.info("peer.unlinked", peer=event.host)
 
     async def _take(self, daemon: str, message: Any) -> None:
-        if isinstance(message, EngineTold | EngineChanged):
-            await self._take_of_owner(message)
-        elif isinstance(message, TurnsGiven):
-            self.turns.given(message)
-        elif isinstance(message, ShareAsked | ShareGiven):
-            await self.shares.heard(daemon, message)
-        elif isinstance(message, OfPermits):
-            await self.permits.heard(daemon, message)
-        elif isinstance(message, StoreTold | StoreMarked | RelayAsked):
-            await self._take_of_relay(daemon, message)
-        elif isinstance(message, CallsBlamed):
-            now_s = anyio.current_time()
-            for mark in message.fingerprints:
-                self._hub.crashes.told(mark, message.endpoint, now_s)
-        elif isinstance(message, OwnerAnswered):
-            self._take_answered(message)
-        elif isinstance(message, ToOwner):
-            await self.owners.heard(daemon, message)
-
-    async def _take_of_owner(self, message: EngineTold | EngineChanged) -> None:
+        take = self._takers.get(type(message))
+        if take is not None:
+            await take(daemon, message)
+
+    async def _take_turns(self, daemon: str, message: TurnsGiven) -> None:
+        self.turns.given(message)
+
+    async def _take_blamed(self, daemon: str, message: CallsBlamed) -> None:
+        now_s = anyio.current_time()
+        for mark in message.fingerprints:
+            self._hub.crashes.told(mark, message.endpoint, now_s)
+
+    async def _take_of_owner(
+        self, daemon: str, message: EngineTold | EngineChanged
+    ) -> None:
         """Take what an owner tells this daemon itself of its engine."""
         if isinstance(message, EngineChanged):
             await self._take_changed(message)
-        elif self._take_told(message):
+        elif self._take_told(message, anyio.current_time()):
             self.relaying.engine_told(message)
 
     async def _take_of_relay(
@@ -158,11 +169,10 @@
         else:
             await self.relaying.asked(daemon, message)
 
-    def _take_told(self, message: EngineTold) -> bool:
+    def _take_told(self, message: EngineTold, now_s: float) -> bool:
         """Take all that is told of an engine; False where that is outdated."""
         self._hub.load_times.told(message.cold_s)
         self._hub.load_times.trial_held(message.loads_at_once)
-        now_s = anyio.current_time()
         known = self._hub.beliefs.fleet.endpoints.get(message.endpoint)
         before = known.told_number if known else 0
         endpoint = self._hub.beliefs.fleet.take_told(message, now_s)
@@ -176,19 +186,19 @@
 
     async def _take_changed(self, message: EngineChanged) -> None:
         fleet = self._hub.beliefs.fleet
-        if self._take_change(message):
+        if self._take_change(message, anyio.current_time()):
             self.relaying.engine_told(message)
         elif fleet.has_missed(message):
             endpoint = fleet.endpoints[message.endpoint]
             if endpoint.owner:
                 await self._ask(endpoint, endpoint.owner, ASK_ALL_S)
 
-    def _take_change(self, message: EngineChanged) -> bool:
+    def _take_change(self, message: EngineChanged, now_s: float) -> bool:
         """Take a change; False where it is outdated or one before it was missed."""
-        now_s = anyio.current_time()
-        endpoint = self._hub.beliefs.fleet.endpoints.get(message.endpoint)
+        fleet = self._hub.beliefs.fleet
+        endpoint = fleet.endpoints.get(message.endpoint)
         before = endpoint and (endpoint.places_free, endpoint.wants)
-        if not self._hub.beliefs.fleet.take_changed(message, now_s):
+        if not fleet.take_changed(message, now_s):
             return False
         # Calls that wait for an adapter are placed anew only where that may help:
         # loads are told some fifty times a second, and sixty calls that were placed
@@ -201,10 +211,11 @@
     async def _take_relayed(self, relay: str, message: StoreTold) -> None:
         """Take what a relay hands on of the engines."""
         missed = False
+        now_s = anyio.current_time()
         for row in unpack_engines(message):
             if isinstance(row, EngineTold):
-                self._take_told(row)
-            elif not self._take_change(row):
+                self._take_told(row, now_s)
+            elif not self._take_change(row, now_s):
                 missed = missed or self._hub.beliefs.fleet.has_missed(row)
         if missed:
             await self.ask_relay(relay)
@@ -246,7 +257,7 @@
             if daemon != self._hub.identity.name:
                 await self.send(daemon, CallsBlamed(endpoint, marks))
 
-    def _take_answered(self, message: OwnerAnswered) -> None:
+    async def _take_answered(self, daemon: str, message: OwnerAnswered) -> None:
         endpoint = self._hub.beliefs.fleet.endpoints.get(message.endpoint)
         if endpoint is not None:
             endpoint.asked_s = None
