An engine's owner is woken only by what may lead to something

Each CallsRunning message woke the task of its engine, which looked at all daemons' calls, and compared the pace of all engines once or twice. While no adapter is wanted, other calls lead to a telling only: the task now wakes when that is due. The users of an adapter are counted as messages come, silent daemons are looked for when one may be silent, and the fleet keeps the engines whose streams have shown a pause.

A telling is due when its pause has passed, where it was looked for each 0.15 s before, so news is told at most as late as before.

--- a/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
@@ -4,7 +4,7 @@
 engine proves it. Ordering more than an engine's places crashes it with all its runs.
 """
 
-from collections import OrderedDict
+from collections import Counter, OrderedDict
 from collections.abc import Collection, Iterable, Mapping
 
 from knapweedbridge_core.serving.deployment import EngineLimits
@@ -98,6 +98,8 @@
         self.engines = 1
         self._wants: OrderedDict[ModelRef, Want] = OrderedDict()
         self._calls: dict[str, DaemonCalls] = {}
+        self._users: Counter[ModelRef] = Counter()
+        self._silent_from_s = float("inf")
         self._recent = RecentAdapters(recent, limits.recent_adapters)
         self._base_due_s = 0.0
         self.long_prompts = LongPrompts()
@@ -162,7 +164,14 @@
         known = self._calls.get(daemon)
         before = known.calls if known else {}
         self._calls[daemon] = DaemonCalls(calls, unread_tokens, now_s)
+        self._silent_from_s = min(self._silent_from_s, now_s + CALLS_LIFE_S)
+        if before == calls:
+            return
+        self._users.subtract(before)
+        self._users.update(calls)
         for model in {*before, *calls}:
+            if not self._users[model]:
+                del self._users[model]
             if model in self.places and before.get(model) != calls.get(model):
                 self.places[model].used_s = now_s
                 self._note_trial(self.places[model], calls.get(model, 0), now_s)
@@ -174,17 +183,24 @@
 
     def forget_silent(self, now_s: float) -> None:
         """Drop the calls of daemons that tell of them no more."""
+        if now_s < self._silent_from_s:
+            return
         for daemon, known in list(self._calls.items()):
             if now_s - known.heard_s > CALLS_LIFE_S:
-                del self._calls[daemon]
+                self.forget_daemon(daemon)
+        oldest_s = min((each.heard_s for each in self._calls.values()), default=now_s)
+        self._silent_from_s = oldest_s + CALLS_LIFE_S
 
     def forget_daemon(self, daemon: str) -> None:
         """Drop the calls of a daemon that is gone."""
-        self._calls.pop(daemon, None)
+        known = self._calls.pop(daemon, None)
+        if known is not None:
+            self._users.subtract(known.calls)
+            self._users = +self._users
 
     def users(self, model: ModelRef) -> int:
         """Return the calls that run on an adapter."""
-        return sum(known.calls.get(model, 0) for known in self._calls.values())
+        return self._users[model]
 
     def load_by_daemon(self) -> dict[str, tuple[int, int]]:
         """Return calls and unread tokens, by daemon."""
--- a/packages/core/src/knapweedbridge_core/serving/engine_teller.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_teller.py
@@ -87,6 +87,12 @@
         """Whether something is to be told when its pause is over."""
         return self._held_changed or self._calls_changed
 
+    def due_s(self, small: bool) -> float:
+        """Return from when on news may be told to a small pool, or to a large one."""
+        if not small:
+            return self._told_s + TELL_FAR_S
+        return self._told_s + (0.0 if self._held_changed else TELL_LOAD_S)
+
     def tell(self, hearers: Iterable[str], small: bool, now_s: float) -> list[Telling]:
         """Return what is to be told now.
 
@@ -99,13 +105,9 @@
             Which of the two they are.
         """
         self._relays = set() if small else set(hearers)
-        since_s = now_s - self._told_s
-        held_due = since_s >= (0.0 if small else TELL_FAR_S)
-        load_due = since_s >= (TELL_LOAD_S if small else TELL_FAR_S)
-        still_due = not small and since_s >= TELL_STILL_S
-        held_due = held_due and self._held_changed
-        load_due = load_due and self._calls_changed
-        if held_due or load_due or still_due:
+        news_due = self.has_news and now_s >= self.due_s(small)
+        still_due = not small and now_s - self._told_s >= TELL_STILL_S
+        if news_due or still_due:
             return self._tell_changes(set(hearers), now_s)
         return self.tell_asked(now_s)
 
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -10,13 +10,21 @@
 
 
 class Fleet:
-    """All endpoints that this daemon knows of."""
+    """All endpoints that this daemon knows of.
+
+    Attributes
+    ----------
+    changes : int
+        Rises whenever `endpoints` holds another `Endpoint`, or one less.
+    """
 
     def __init__(self) -> None:
+        self.changes = 0
         self.endpoints: dict[str, Endpoint] = {}
         self._by_service: dict[str, dict[str, Endpoint]] = {}
         self._restarted: list[Endpoint] = []
         self._lapsed: dict[str, Endpoint] = {}
+        self._paced: dict[str, dict[str, Endpoint]] = {}
 
     def listed(self, record: EndpointRecord, now_s: float) -> Endpoint:
         """Take what the platform says of an endpoint.
@@ -71,6 +79,7 @@
             self._restarted.append(before)
             endpoint.owner = before.owner
         self.endpoints[record.endpoint] = endpoint
+        self.changes += 1
         self._by_service.setdefault(record.service, {})[record.endpoint] = endpoint
         return endpoint
 
@@ -110,6 +119,9 @@
         self, message: EngineTold | EngineChanged, now_s: float
     ) -> Endpoint | None:
         """Return the endpoint that a telling is about; None for an earlier start."""
+        known = self.endpoints.get(message.endpoint)
+        if known is not None and known.record.started_ms == message.started_ms:
+            return known
         start = EndpointStart(message.endpoint, message.started_ms)
         self.restarted(start, now_s)
         endpoint = self.endpoints.get(message.endpoint)
@@ -128,9 +140,36 @@
                 for base, adapter, version, ready_in_s, users, idle_s in message.held
             }
         )
-        endpoint.take_load(message, now_s)
+        self._take_load(endpoint, message, now_s)
         return endpoint
 
+    def _take_load(
+        self, endpoint: Endpoint, message: EngineTold | EngineChanged, now_s: float
+    ) -> None:
+        endpoint.take_load(message, now_s)
+        if endpoint.pace_scale:
+            paced = self._paced.setdefault(endpoint.record.service, {})
+            paced[endpoint.name] = endpoint
+        else:
+            self._forget_pace(endpoint)
+
+    def _forget_pace(self, endpoint: Endpoint) -> None:
+        paced = self._paced.get(endpoint.record.service)
+        if paced:
+            paced.pop(endpoint.name, None)
+
+    def pace_scales(self, but: Endpoint, now_s: float) -> list[float]:
+        """Return what pauses have shown of the other engines of an engine's service.
+
+        Those that may take new work and have shown any are listed; see
+        `WindowPacing.heard`.
+        """
+        return [
+            endpoint.pace_scale
+            for endpoint in self._paced.get(but.record.service, {}).values()
+            if endpoint is not but and endpoint.takes_work(now_s)
+        ]
+
     def tell_all(self, endpoint: Endpoint, now_s: float) -> EngineTold:
         """Return what an owner told of an engine, for those that have not heard it."""
         held = [
@@ -178,7 +217,7 @@
             endpoint.drop_held(ModelRef(base, adapter))
         for base, adapter, version, ready_in_s in message.added:
             endpoint.add_held(ModelRef(base, adapter), version, now_s, ready_in_s)
-        endpoint.take_load(message, now_s)
+        self._take_load(endpoint, message, now_s)
         return True
 
     def unlisted(self, name: str, now_s: float, lapsed_until_s: float) -> None:
@@ -245,7 +284,9 @@
 
     def _drop(self, endpoint: Endpoint) -> None:
         del self.endpoints[endpoint.name]
+        self.changes += 1
         self._lapsed.pop(endpoint.name, None)
+        self._forget_pace(endpoint)
         del self._by_service[endpoint.record.service][endpoint.name]
 
     def of_service(self, service: str, now_s: float) -> list[Endpoint]:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
@@ -17,11 +17,7 @@
     OrderKind,
     parse_model,
 )
-from knapweedbridge_core.serving.engine_teller import (
-    TELL_FAR_S,
-    TELL_LOAD_S,
-    TELL_STILL_S,
-)
+from knapweedbridge_core.serving.engine_teller import TELL_LOAD_S, TELL_STILL_S
 from knapweedbridge_core.serving.messages import (
     CallsRunning,
     OwnerAnswered,
@@ -94,6 +90,7 @@
         self._record = record
         self._send = send
         self._work = anyio.Event()
+        self._rest = anyio.CancelScope()
         self._alone = anyio.Event()
         self._reported_s = float("-inf")
         self._askers: set[str] = set()
@@ -140,7 +137,20 @@
         self.turns.saw_pause(message.pause_s)
         self.keeper.calls_running(daemon, found, message.unread_tokens, now_s)
         self._teller.calls_changed()
-        self._work.set()
+        self._note_calls()
+
+    def _note_calls(self) -> None:
+        """Have the task look at other calls when that may lead to something.
+
+        While no adapter is wanted they lead to no order, and are told of when a telling
+        is due: thirty messages a second each woke the task of an engine.
+        """
+        if self.keeper.wants:
+            self._work.set()
+            return
+        due_s = self._teller.due_s(self._hub.beliefs.is_small_pool)
+        if due_s < self._rest.deadline:
+            self._rest.deadline = due_s
 
     def forget_daemon(self, daemon: str) -> None:
         """Drop the calls of a daemon that is gone."""
@@ -201,23 +211,21 @@
         await anyio.sleep(LEARN_S)
 
     async def _wait(self) -> None:
-        pause_s = WORK_S if self._hub.beliefs.is_small_pool else TELL_STILL_S
-        if self.keeper.needs_report:
-            pause_s = REPORT_PAUSE_S
-        elif self._teller.has_news:
-            pause_s = self._tell_pause_s()
-        elif self.keeper.wants:
-            pause_s = 0.05
-        with anyio.move_on_after(pause_s):
+        now_s = anyio.current_time()
+        with anyio.CancelScope(deadline=now_s + self._pause_s(now_s)) as self._rest:
             await self._work.wait()
 
-    def _tell_pause_s(self) -> float:
-        """Return when to look again for what waits to be told, in seconds."""
+    def _pause_s(self, now_s: float) -> float:
+        """Return when to look again at what is due by time alone, in seconds."""
         small = self._hub.beliefs.is_small_pool
-        if small or self.keeper.wants:
-            return TELL_LOAD_S
-        # No telling is due sooner, and each look costs an owner a wake-up.
-        return TELL_FAR_S / 2
+        pause_s = WORK_S if small else TELL_STILL_S
+        if self.keeper.needs_report:
+            pause_s = REPORT_PAUSE_S
+        elif self.keeper.wants:
+            pause_s = TELL_LOAD_S if self._teller.has_news else 0.05
+        if self._teller.has_news:
+            pause_s = min(pause_s, self._teller.due_s(small) - now_s)
+        return pause_s
 
     async def _step(self) -> None:
         if not self._hub.lease.may_order(suspended_clock_s()):
@@ -227,7 +235,8 @@
         if self.keeper.needs_report and now_s - self._reported_s >= REPORT_PAUSE_S:
             self._reported_s = now_s
             await self._ask_report()
-        while self.keeper.next_order(anyio.current_time()) is not None:
+            now_s = anyio.current_time()
+        while self.keeper.next_order(now_s) is not None:
             if not await self._permits.take(self.endpoint):
                 break
             # What is due may have changed while the permit was awaited.
@@ -235,6 +244,7 @@
             if order is None or not self._hub.lease.may_order(suspended_clock_s()):
                 break
             await self._order(order)
+            now_s = anyio.current_time()
         stuck = self.keeper.stuck_wants(anyio.current_time())
         if stuck is not None:
             self._hub.log.info("engine.stuck", engine=self.endpoint.name, **stuck)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/turn_giving.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/turn_giving.py
@@ -71,17 +71,17 @@
             self._asked.set()
 
     def sent(self, tokens: int) -> None:
-        """Take a prompt that was sent without a turn."""
+        """Take a prompt that was sent without a turn; `saw_pause` must follow."""
         now_s = anyio.current_time()
         self._pacer.sent(tokens, now_s)
         self._long_prompts.note(tokens, now_s)
-        self._show_pace()
 
     def saw_pause(self, pause_s: float) -> None:
         """Take the longest pause of streams that ran on the engine just now."""
         before = self._pacer.budget_tokens
-        self._pacer.saw_pause(pause_s, anyio.current_time())
-        self._show_pace()
+        now_s = anyio.current_time()
+        self._pacer.saw_pause(pause_s, now_s)
+        self._show_pace(now_s)
         now = self._pacer.budget_tokens
         if now != before:
             self._hub.log.info(
@@ -101,21 +101,20 @@
                 await self._asked.wait()
             await self._give(anyio.current_time())
 
-    def _show_pace(self) -> None:
+    def _show_pace(self, now_s: float) -> None:
         """Put what daemons are told of the pace up to date."""
         if isinstance(self._pacer, WindowPacing):
             service = self._endpoint.record.service
             self._pacer.token_s = self._hub.rates.token_s(service)
-            fleet, now_s = self._hub.beliefs.fleet, anyio.current_time()
-            engines = fleet.of_service(service, now_s)
-            others = (each for each in engines if each is not self._endpoint)
-            self._pacer.heard(each.pace_scale for each in others)
+            if not self._pacer.seen_scale:
+                fleet = self._hub.beliefs.fleet
+                self._pacer.heard(fleet.pace_scales(self._endpoint, now_s))
             self._long_prompts.pace_scale = self._pacer.seen_scale
         self._long_prompts.pace_tokens = self._pacer.budget_tokens
 
     async def _give(self, now_s: float, asker: str = "") -> bool:
         """Give the turns that are due; tell whether the asker got one."""
-        self._show_pace()
+        self._show_pace(now_s)
         by_daemon: dict[str, list[int]] = {}
         for turn in self._pacer.due(now_s):
             self._long_prompts.note(turn.tokens, now_s)
