The claim task looks at the engines that may be free only

At each change of beliefs, and each 0.4 s, it looked up the owner of every engine. The engines that no other living daemon owns are now listed anew only when an owner, a daemon or an endpoint changed.

--- a/packages/core/src/knapweedbridge_core/serving/beliefs.py
+++ b/packages/core/src/knapweedbridge_core/serving/beliefs.py
@@ -135,6 +135,8 @@
         Newest configuration seen; None before the first.
     lost_owners : dict of str to OwnerRecord
         By engine, the last owner's record that went without a word.
+    owner_changes : int
+        Rises with each change of the daemons, or of the engines' owners.
     """
 
     fleet: Fleet = field(default_factory=Fleet)
@@ -145,6 +147,7 @@
     free_since_s: dict[str, float] = field(default_factory=dict)
     lost_owners: dict[str, OwnerRecord] = field(default_factory=dict)
     secret: bytes = b""
+    owner_changes: int = 0
     _ranks: dict[str, list[str]] | None = None
     _relays: dict[str, list[str]] = field(default_factory=dict)
 
@@ -217,10 +220,10 @@
                 return self._take_listing(belief, now_s, lapsed_until_s)
             case DaemonNamed(record):
                 self.daemons[record.name] = record
-                self._ranks = None
+                self._daemons_changed()
             case DaemonGone(name):
                 self.daemons.pop(name, None)
-                self._ranks = None
+                self._daemons_changed()
             case OwnerNamed(endpoint, record):
                 self._take_owner(endpoint, record, now_s)
             case OwnerGone(endpoint):
@@ -229,6 +232,10 @@
                 self.secret = secret
         return True
 
+    def _daemons_changed(self) -> None:
+        self._ranks = None
+        self.owner_changes += 1
+
     def _take_deployment(self, deployment: Deployment) -> bool:
         # A stale read, or an answer that was overtaken, must not set it back.
         if self.deployment and deployment.version <= self.deployment.version:
@@ -282,6 +289,7 @@
         if not record.owner:
             self.lost_owners.pop(endpoint, None)
         self.owners[endpoint] = record
+        self.owner_changes += 1
         if record.owner:
             self.free_since_s.pop(endpoint, None)
         else:
@@ -291,6 +299,7 @@
 
     def _owner_gone(self, endpoint: str, now_s: float) -> None:
         lost = self.owners.pop(endpoint, None)
+        self.owner_changes += 1
         if lost is not None:
             self.free_since_s[endpoint] = now_s
             self.lost_owners[endpoint] = lost
--- a/packages/daemon/src/knapweedbridge_daemon/serving/lease_keeping.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/lease_keeping.py
@@ -56,6 +56,8 @@
         self._failing = False
         self._started_s = anyio.current_time()
         self._claimed_s: dict[str, float] = {}
+        self._candidates: list[Endpoint] = []
+        self._candidates_of: tuple[int, int] | None = None
 
     async def run(self) -> None:
         """Hold the lease until cancelled."""
@@ -169,7 +171,7 @@
             # Those that are listed claim: a daemon that is not would come before none.
             return []
         due: list[Endpoint] = []
-        for endpoint in hub.beliefs.fleet.engines():
+        for endpoint in self._find_candidates():
             if not self._is_free(endpoint, now_s):
                 continue
             record = endpoint.record
@@ -183,6 +185,25 @@
                 due.append(endpoint)
         return due
 
+    def _find_candidates(self) -> list[Endpoint]:
+        """Return the engines that no other living daemon owns.
+
+        They are looked for anew only when owners, daemons or endpoints changed.
+        """
+        beliefs = self._hub.beliefs
+        state = beliefs.owner_changes, beliefs.fleet.changes
+        if state != self._candidates_of:
+            self._candidates_of = state
+            self._candidates = [
+                each for each in beliefs.fleet.engines() if self._may_be_free(each.name)
+            ]
+        return self._candidates
+
+    def _may_be_free(self, endpoint: str) -> bool:
+        record = self._hub.beliefs.owners.get(endpoint)
+        is_own = record is not None and record.owner == self._hub.identity.name
+        return is_own or self._hub.beliefs.is_ownerless(endpoint)
+
     def _is_free(self, endpoint: Endpoint, now_s: float) -> bool:
         if self._hub.engine_limits(endpoint.record.service) is None:
             return False
