A pool counts as large while its daemons restart

When all hosts of a large pool restarted at once, few daemons were listed at first. Each took the pool for a small one, read the store itself and sent all to everyone. A pool now also counts as large while the store lists more than 48 endpoints, or within 10 s after more than 16 daemons were listed. The change is logged as pool.changed.

--- a/packages/core/src/knapweedbridge_core/serving/beliefs.py
+++ b/packages/core/src/knapweedbridge_core/serving/beliefs.py
@@ -11,6 +11,7 @@
 from knapweedbridge_core.serving.model_ref import ModelRef
 from knapweedbridge_core.serving.ownership import DaemonRecord, OwnerRecord
 from knapweedbridge_core.serving.pool import (
+    LARGE_LISTED_S,
     is_small,
     quota_keepers,
     ranked,
@@ -149,6 +150,8 @@
     secret: bytes = b""
     owner_changes: int = 0
     _ranks: dict[str, list[str]] | None = None
+    _ranked_small: bool = True
+    _large_until_s: float = -math.inf
     _relays: dict[str, list[str]] = field(default_factory=dict)
 
     @property
@@ -168,15 +171,27 @@
         return self._rank()
 
     def _rank(self) -> dict[str, list[str]]:
-        if self._ranks is None:
+        small = self.is_small_pool
+        if self._ranks is None or small != self._ranked_small:
             self._ranks = ranked(self.daemons.values())
-            self._relays = {} if self.is_small_pool else relays(self._ranks)
+            self._relays = {} if small else relays(self._ranks)
+            self._ranked_small = small
         return self._ranks
 
     @property
     def is_small_pool(self) -> bool:
-        """Whether all daemons hear all."""
-        return is_small(self.daemons)
+        """Whether all daemons hear all.
+
+        When all hosts of a large pool restart at once, few daemons are listed at first.
+        Taken for a small pool, each reads the store itself and tells all to everyone.
+        """
+        was_large = self._large_until_s > -math.inf
+        return not was_large and is_small(self.daemons, self.fleet.endpoints)
+
+    def note_time(self, now_s: float) -> None:
+        """Take the time: a pool that was large long ago counts as small again."""
+        if now_s >= self._large_until_s:
+            self._large_until_s = -math.inf
 
     def relays_heard(self, name: str, data_centre: str) -> list[str]:
         """Name the relays that a daemon can hear, its own first.
@@ -220,10 +235,10 @@
                 return self._take_listing(belief, now_s, lapsed_until_s)
             case DaemonNamed(record):
                 self.daemons[record.name] = record
-                self._daemons_changed()
+                self._daemons_changed(now_s)
             case DaemonGone(name):
                 self.daemons.pop(name, None)
-                self._daemons_changed()
+                self._daemons_changed(now_s)
             case OwnerNamed(endpoint, record):
                 self._take_owner(endpoint, record, now_s)
             case OwnerGone(endpoint):
@@ -232,9 +247,13 @@
                 self.secret = secret
         return True
 
-    def _daemons_changed(self) -> None:
+    def _daemons_changed(self, now_s: float) -> None:
         self._ranks = None
         self.owner_changes += 1
+        if not is_small(self.daemons):
+            self._large_until_s = math.inf
+        elif self._large_until_s == math.inf:
+            self._large_until_s = now_s + LARGE_LISTED_S
 
     def _take_deployment(self, deployment: Deployment) -> bool:
         # A stale read, or an answer that was overtaken, must not set it back.
--- a/packages/core/src/knapweedbridge_core/serving/pool.py
+++ b/packages/core/src/knapweedbridge_core/serving/pool.py
@@ -15,6 +15,15 @@
 SMALL_POOL = 16
 """Daemons up to which all hear all: at nine, tellings take 0.1 MB/s in all."""
 
+SMALL_POOL_ENDPOINTS = 48
+"""Endpoints up to which all hear all, three for each daemon of the largest small pool.
+When all hosts of a large pool start at once its daemons are listed one after another,
+but its endpoints are listed before or soon after."""
+
+LARGE_LISTED_S = 10.0
+"""How long a pool counts as large after more daemons than those of a small pool were
+listed: a lease lapses and a host starts again within it."""
+
 RELAYS = 2
 """Relays a data centre: one may fail unseen for a second."""
 
@@ -22,9 +31,9 @@
 """Daemons a data centre that keep parts of client accounts' quotas."""
 
 
-def is_small(daemons: Sized) -> bool:
-    """Tell whether all daemons hear all."""
-    return len(daemons) <= SMALL_POOL
+def is_small(daemons: Sized, endpoints: Sized = ()) -> bool:
+    """Tell whether all daemons hear all, by what the store lists now."""
+    return len(daemons) <= SMALL_POOL and len(endpoints) <= SMALL_POOL_ENDPOINTS
 
 
 def ranked(daemons: Iterable[DaemonRecord]) -> dict[str, list[str]]:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
@@ -84,6 +84,7 @@
         self._era = 0
         self._settled_s = 0.0
         self._missing: set[str] = set()
+        self._small = True
 
     def watch_anew(self) -> None:
         """End the watch that waits: its connection may have gone silent."""
@@ -132,6 +133,7 @@
         prefix = self._hub.dialects.store_items.prefix
         while True:
             self._drop_missing()
+            self._note_pool()
             try:
                 if not self._revision:
                     await self._read_all(prefix)
@@ -149,6 +151,19 @@
             except StoreError as error:
                 await anyio.sleep(self._calls.failed(error))
 
+    def _note_pool(self) -> None:
+        """Note whether all daemons hear all, which also changes by time alone."""
+        beliefs = self._hub.beliefs
+        beliefs.note_time(anyio.current_time())
+        if beliefs.is_small_pool != self._small:
+            self._small = beliefs.is_small_pool
+            self._hub.log.info(
+                "pool.changed",
+                small=self._small,
+                daemons=len(beliefs.daemons),
+                endpoints=len(beliefs.fleet.endpoints),
+            )
+
     def _relays(self) -> list[str]:
         identity = self._hub.identity
         return self._hub.beliefs.relays_heard(identity.name, identity.data_centre)
