--- a/packages/standins/src/knapweedbridge_standins/serving_load/engine.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/engine.py
@@ -1,5 +1,6 @@
 """A model engine: slots, steps that read prompts and make tokens, adapters."""
 
+import random
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -56,10 +57,49 @@
     event_s: float = 0.0
 
 
+class SlowPeriods:
+    """Periods in which an engine takes longer for all that it does."""
+
+    def __init__(self, site: LoadSite, luck: random.Random) -> None:
+        self._site = site
+        self._luck = luck
+        self._ends_s = self._begins_s = 0.0
+        self._plan()
+
+    def _plan(self) -> None:
+        site = self._site
+        calm_s = site.slow_period_s * (1 / site.slow_share - 1)
+        self._begins_s = self._ends_s + self._luck.expovariate(1 / calm_s)
+        self._ends_s = self._begins_s + site.slow_period_s
+
+    def factor(self, now_s: float) -> float:
+        """Return how many times as long as usual its work takes now."""
+        while self._ends_s <= now_s:
+            self._plan()
+        return self._site.slow_factor if now_s >= self._begins_s else 1.0
+
+
 class ModelledEngine:
-    """One engine in virtual time."""
+    """One engine in virtual time.
+
+    Parameters
+    ----------
+    speed : float
+        Times that its steps and its reading take in times of the site's.
+    luck : random.Random
+        When its slow periods come.
+    """
 
-    def __init__(self, clock: VirtualClock, site: LoadSite, store: WeightStore) -> None:
+    def __init__(
+        self,
+        clock: VirtualClock,
+        site: LoadSite,
+        store: WeightStore,
+        speed: float,
+        luck: random.Random,
+    ) -> None:
+        self.speed = speed
+        self._slow = SlowPeriods(site, luck) if site.slow_share else None
         self._clock = clock
         self._site = site
         self._store = store
@@ -96,7 +136,13 @@
             read += part
         site = self._site
         took_s = site.step_s + site.slot_step_s * len(self._running)
-        self._clock.after(took_s + read / site.read_tokens_per_s, self._end_step)
+        took_s = (took_s + read / site.read_tokens_per_s) * self._times_usual()
+        self._clock.after(took_s, self._end_step)
+
+    def _times_usual(self) -> float:
+        if self._slow is None:
+            return self.speed
+        return self.speed * self._slow.factor(self._clock.now_s)
 
     def _end_step(self) -> None:
         ended = [call for call in self._running if self._advance(call)]
--- a/packages/standins/src/knapweedbridge_standins/serving_load/pool.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/pool.py
@@ -63,7 +63,7 @@
         self._centres = [f"d{n}" for n in range(site.data_centres)]
         self.store = WeightStore(site)
         self.engines = {
-            f"e{n}": ModelledEngine(self.clock, site, self.store)
+            f"e{n}": self._make_engine(n, seed)
             for n in range(site.engines)
         }
         self.daemons = {
@@ -97,6 +97,11 @@
         ranks = range(1, site.adapters + 1)
         self._popularity = list(itertools.accumulate(r**-site.skew for r in ranks))
 
+    def _make_engine(self, number: int, seed: int) -> ModelledEngine:
+        speed = self.site.speeds[number % len(self.site.speeds)]
+        luck = random.Random(f"{seed} {number}")
+        return ModelledEngine(self.clock, self.site, self.store, speed, luck)
+
     def _centre(self, number: int) -> str:
         return self._centres[number % len(self._centres)]
 
@@ -166,7 +171,7 @@
 
     def _arrive(self, mix: CallMix) -> None:
         prompt = self._spread(mix.prompt_tokens, mix.prompt_spread)
-        prompt = min(prompt, mix.longest_prompt)
+        prompt = min(prompt + mix.shared_tokens, mix.longest_prompt)
         call = LoadCall(
             mix,
             self._model(),
--- a/packages/standins/src/knapweedbridge_standins/serving_load/sites.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/sites.py
@@ -19,6 +19,8 @@
         Spread of the prompts' lengths, as the log-normal's sigma.
     longest_prompt : int
         Longest prompt, in tokens.
+    shared_tokens : int
+        Tokens that every prompt has besides.
     """
 
     name: str
@@ -30,6 +32,7 @@
     urgency: int
     prompt_spread: float = 0.6
     longest_prompt: int = 8000
+    shared_tokens: int = 0
 
 
 @dataclass(slots=True, frozen=True)
@@ -58,6 +61,12 @@
         Longest pause between two events that callers accept.
     clump : float
         Calls that come together, in the mean.
+    speeds : tuple of float
+        Times that the engines' steps and reading take in times of the usual, in turn.
+    slow_share : float
+        Part of its time that each engine is slower by `slow_factor`.
+    slow_factor, slow_period_s : float
+        By how much, and the length of each such period.
     """
 
     name: str
@@ -79,6 +88,10 @@
     clump: float = 1.0
     adapter_share: float = 0.95
     skew: float = 1.2
+    speeds: tuple[float, ...] = (1.0,)
+    slow_share: float = 0.0
+    slow_factor: float = 2.5
+    slow_period_s: float = 0.6
 
 
 Amounts = tuple[float, float, float, float]
@@ -182,6 +195,43 @@
     clump=2.0,
 )
 
+
+def _uneven_mix(
+    name: str, per_s: float, output_tokens: float, objective_s: float, urgency: int
+) -> CallMix:
+    return CallMix(
+        name,
+        per_s,
+        1110,
+        output_tokens,
+        objective_s,
+        12,
+        urgency,
+        prompt_spread=1.0,
+        shared_tokens=350,
+    )
+
+
+# The rates are in proportion to the calls of a peak day, by rank.
+_UNEVEN = replace(
+    _OKAVANGO_GROWN,
+    name="uneven",
+    daemons=71,
+    data_centres=4,
+    mixes=(
+        _uneven_mix("refill", 84, 172, 0.8, 1),
+        _uneven_mix("note", 51, 172, 0.8, 0),
+        _uneven_mix("history", 15, 68, 1.0, 2),
+    ),
+    step_s=0.0101,
+    read_tokens_per_s=20_400,
+    event_tokens=4,
+    chunk_tokens=2048,
+    gap_s=0.3,
+    speeds=(0.6, 1.0, 1.6),
+    slow_share=0.15,
+)
+
 SITES = {
     site.name: site
     for site in (
@@ -191,5 +241,6 @@
         _OKAVANGO_GROWN,
         _CHAOPHRAYA_GROWN,
         _OKAVANGO_SHIFTED,
+        _UNEVEN,
     )
 }
