Owners learn the speed of their engines, publish it, and forecasts use it

Engines of one service take 0.6 to 1.6 times the usual time, and one daemon of 71 sees too little of each to learn that. Daemons report first events and pauses to the owner; it keeps a median, and daemons use it in times of the service's median.

The daemon's own modules are not connected yet.

--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -41,6 +41,7 @@
     OrderKind,
 )
 from knapweedbridge_core.serving.engine_rates import EngineRates, LearntRates
+from knapweedbridge_core.serving.engine_speed import EngineSpeed
 from knapweedbridge_core.serving.engine_teller import EngineTeller, Telling
 from knapweedbridge_core.serving.fleet import Fleet
 from knapweedbridge_core.serving.late_admission import LateAdmission
@@ -86,6 +87,7 @@
     split,
 )
 from knapweedbridge_core.serving.retry_budget import RetryBudget
+from knapweedbridge_core.serving.speed_reports import SpeedReports
 from knapweedbridge_core.serving.store_age import HearerMarks, StoreAge
 from knapweedbridge_core.serving.store_eras import era_of, revision_of, stamp
 from knapweedbridge_core.serving.store_outage import StoreOutage
@@ -110,6 +112,7 @@
     "EngineLimits",
     "EnginePlacement",
     "EngineRates",
+    "EngineSpeed",
     "EngineReport",
     "EngineTeller",
     "FaceLimits",
@@ -144,6 +147,7 @@
     "Route",
     "SendTo",
     "Service",
+    "SpeedReports",
     "StoreAge",
     "StoreOutage",
     "Telling",
--- a/packages/core/src/knapweedbridge_core/serving/endpoint.py
+++ b/packages/core/src/knapweedbridge_core/serving/endpoint.py
@@ -83,6 +83,10 @@
     slowness, slowness_s : float
         Times as slow as the others' first events that its own came, and when that was
         seen last; see `engine_rates`.
+    speed : float
+        Times that it takes as long as its service's usual engine; 0.0: unknown.
+    published_speed : float
+        What its owner published of that; see `service_speeds`.
     usable : bool
         Whether its entry in the list can be read; if not, it gets no new work.
     unlisted_s : float or None
@@ -112,6 +116,8 @@
     failure_s: float = 0.0
     slowness: float = 1.0
     slowness_s: float = 0.0
+    speed: float = 0.0
+    published_speed: float = 0.0
     coming_until_s: float = 0.0
     places_free: int = 0
     long_prompts_per_s: float = 0.0
@@ -255,6 +261,11 @@
         """Tell whether its owner told of it lately."""
         return now_s - self.heard_s <= HEARD_LIFE_S
 
+    def forget_old_speed(self, now_s: float) -> None:
+        """Take the speed for unknown where its owner has not told of it lately."""
+        if self.published_speed and not self.is_heard(now_s):
+            self.speed = self.published_speed = 0.0
+
     def guess_others(self, daemons: int, now_s: float) -> None:
         """Take others to send as much as this daemon, where no owner tells.
 
--- a/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
@@ -15,6 +15,7 @@
     OrderKind,
 )
 from knapweedbridge_core.serving.engine_places import DaemonCalls, Place, Want
+from knapweedbridge_core.serving.engine_speed import EngineSpeed
 from knapweedbridge_core.serving.load_times import (
     TRIAL_SEEN_S,
     WARM_LOAD_S,
@@ -78,6 +79,8 @@
         Engines of the service, and adapters on their way to others of them.
     long_prompts : LongPrompts
         Counts the prompts that pause the engine's streams.
+    speed : EngineSpeed
+        How long the engine takes, in times of its service's usual one.
     """
 
     def __init__(
@@ -101,6 +104,7 @@
         self._recent = RecentAdapters(recent, limits.recent_adapters)
         self._base_due_s = 0.0
         self.long_prompts = LongPrompts()
+        self.speed = EngineSpeed()
 
     def want(self, model: ModelRef, version: int, now_s: float) -> None:
         """Take a daemon's wish for an adapter."""
--- a/packages/core/src/knapweedbridge_core/serving/engine_rates.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_rates.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 
 from knapweedbridge_core.serving.endpoint import Endpoint
+from knapweedbridge_core.serving.engine_speed import speed_factor
 from knapweedbridge_core.serving.prompt_pacing import turn_wait_s
 
 BASE_PRIOR_S = 0.05
@@ -57,6 +58,17 @@
 SLOW_HALF_LIFE_S = 2.0
 """Half-life of an engine's slowness where no call shows it: it is tried again."""
 
+FITTED_CALLS = 12
+"""Calls from which on a fit tells how long the usual engine takes: with fewer it is
+mostly priors, which differ from what daemons with more calls have learnt."""
+
+GAP_STEP = 0.05
+"""Weight of one pause between events in the usual one; a stream has some forty, of
+about the same length, so few of them count and each little."""
+
+PROMPT_STEP = 0.05
+"""Weight of one prompt in the mean length of prompts."""
+
 THOUSAND = 1000.0
 
 
@@ -88,6 +100,32 @@
     def token_s(self, service: str) -> float:
         """Return the time in which an engine reads one token of a prompt."""
 
+    @abstractmethod
+    def engine_token_s(self, endpoint: Endpoint) -> float:
+        """Return the time in which one engine reads one token of a prompt."""
+
+    @abstractmethod
+    def usual_first_event_s(
+        self, service: str, prompt_tokens: float, unread_tokens: float
+    ) -> float | None:
+        """Return the usual engine's time to a first event; None: too few calls."""
+
+    @abstractmethod
+    def usual_gap_s(self, service: str) -> float:
+        """Return the usual engine's pause between two events; 0.0: unknown."""
+
+    @abstractmethod
+    def accepted_gap_s(self, service: str) -> float:
+        """Return the longest pause that streams accept; 0.0: any."""
+
+    @abstractmethod
+    def usual_prompt_tokens(self, service: str) -> float:
+        """Return the mean length of prompts; 0.0: unknown."""
+
+    @abstractmethod
+    def saw_gap(self, endpoint: Endpoint, gap_s: float) -> None:
+        """Take a pause between two events of a stream."""
+
     @abstractmethod
     def saw_first_event(
         self,
@@ -120,11 +158,14 @@
     ----------
     base_s, prompt_s, unread_s : float
         The three parts as they are fitted now: a base, and for a token each.
+    calls : int
+        Calls that were seen.
     """
 
     base_s: float = BASE_PRIOR_S
     prompt_s: float = PROMPT_PRIOR_S
     unread_s: float = UNREAD_PRIOR_S
+    calls: int = 0
     _products: list[list[float]] = field(init=False)
     _targets: list[float] = field(init=False)
 
@@ -141,6 +182,7 @@
 
     def saw(self, prompt_tokens: int, unread_tokens: int, took_s: float) -> None:
         """Take one call's time."""
+        self.calls += 1
         took_s = min(took_s, OUTLIER * self.forecast_s(prompt_tokens, unread_tokens))
         row = (1.0, prompt_tokens / THOUSAND, unread_tokens / THOUSAND)
         for i in range(3):
@@ -187,6 +229,8 @@
         self._gap_s: dict[str, float] = {}
         self._hold_s: dict[str, float] = {}
         self._level: dict[str, float] = {}
+        self._usual_gap_s: dict[str, float] = {}
+        self._prompt_tokens: dict[str, float] = {}
 
     def _fit(self, service: str) -> FirstEventFit:
         fit = self._fits.get(service)
@@ -205,7 +249,7 @@
         # What waits for its turn is not before the engine yet.
         before = min(unread, pace_tokens) if turn_s else unread
         read_s = fit.forecast_s(prompt_tokens, before)
-        read_s *= slowness(endpoint, now_s)
+        read_s *= slowness(endpoint, now_s) * speed_factor(endpoint.speed)
         return turn_s + read_s + self.slot_wait_s(endpoint)
 
     def accept_pauses(self, longest_s: dict[str, float]) -> None:
@@ -225,12 +269,48 @@
         before = endpoint.calls + 1 - slots
         if before <= 0:
             return 0.0
-        return before * self.hold_s(endpoint.record.service) / slots
+        hold_s = self.hold_s(endpoint.record.service) * speed_factor(endpoint.speed)
+        return before * hold_s / slots
 
     def token_s(self, service: str) -> float:
         """See `EngineRates.token_s`."""
         return self._fit(service).prompt_s
 
+    def engine_token_s(self, endpoint: Endpoint) -> float:
+        """See `EngineRates.engine_token_s`."""
+        return self.token_s(endpoint.record.service) * speed_factor(endpoint.speed)
+
+    def usual_first_event_s(
+        self, service: str, prompt_tokens: float, unread_tokens: float
+    ) -> float | None:
+        """See `EngineRates.usual_first_event_s`."""
+        fit = self._fit(service)
+        if fit.calls < FITTED_CALLS:
+            return None
+        return fit.forecast_s(prompt_tokens, unread_tokens)
+
+    def usual_gap_s(self, service: str) -> float:
+        """See `EngineRates.usual_gap_s`."""
+        if self._fit(service).calls < FITTED_CALLS:
+            return 0.0
+        return self._usual_gap_s.get(service, 0.0)
+
+    def accepted_gap_s(self, service: str) -> float:
+        """See `EngineRates.accepted_gap_s`."""
+        return self._gap_s.get(service, 0.0)
+
+    def usual_prompt_tokens(self, service: str) -> float:
+        """See `EngineRates.usual_prompt_tokens`."""
+        return self._prompt_tokens.get(service, 0.0)
+
+    def saw_gap(self, endpoint: Endpoint, gap_s: float) -> None:
+        """See `EngineRates.saw_gap`."""
+        service = endpoint.record.service
+        gap_s /= speed_factor(endpoint.speed)
+        known_s = self._usual_gap_s.get(service, gap_s)
+        gap_s = min(gap_s, OUTLIER * known_s)
+        self._usual_gap_s[service] = known_s + GAP_STEP * (gap_s - known_s)
+
     def saw_first_event(
         self,
         endpoint: Endpoint,
@@ -242,6 +322,9 @@
         """See `EngineRates.saw_first_event`."""
         fit = self._fit(endpoint.record.service)
         service = endpoint.record.service
+        took_s /= speed_factor(endpoint.speed)
+        known = self._prompt_tokens.get(service, prompt_tokens)
+        self._prompt_tokens[service] = known + PROMPT_STEP * (prompt_tokens - known)
         times = took_s / fit.forecast_s(prompt_tokens, unread_tokens)
         # Where all engines are slower than forecast it is the forecast that is wrong.
         level = self._level.get(service, 1.0)
@@ -257,6 +340,7 @@
     def saw_end(self, endpoint: Endpoint, took_s: float) -> None:
         """See `EngineRates.saw_end`."""
         service = endpoint.record.service
+        took_s /= speed_factor(endpoint.speed)
         known_s = self.hold_s(service)
         self._hold_s[service] = known_s + HOLD_STEP * (took_s - known_s)
 
--- a/packages/core/src/knapweedbridge_core/serving/engine_teller.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_teller.py
@@ -204,6 +204,7 @@
             self._keeper.long_prompts.pace_tokens,
             self._keeper.long_prompts.pace_scale,
             keeper.times.at_once,
+            speed=keeper.speed.speed,
         )
 
     def _changes(self, now_s: float) -> EngineChanged:
@@ -227,4 +228,5 @@
             self._keeper.long_prompts.per_s(now_s),
             self._keeper.long_prompts.pace_tokens,
             self._keeper.long_prompts.pace_scale,
+            speed=self._keeper.speed.speed,
         )
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -7,12 +7,20 @@
 from knapweedbridge_core.serving.endpoint_records import EndpointRecord, EndpointStart
 from knapweedbridge_core.serving.messages import EngineChanged, EngineTold
 from knapweedbridge_core.serving.model_ref import ModelRef
+from knapweedbridge_core.serving.service_speeds import ServiceSpeeds
 
 
 class Fleet:
-    """All endpoints that this daemon knows of."""
+    """All endpoints that this daemon knows of.
+
+    Attributes
+    ----------
+    speeds : ServiceSpeeds
+        What owners publish of the speed of engines.
+    """
 
     def __init__(self) -> None:
+        self.speeds = ServiceSpeeds()
         self.endpoints: dict[str, Endpoint] = {}
         self._by_service: dict[str, dict[str, Endpoint]] = {}
         self._restarted: list[Endpoint] = []
@@ -128,9 +136,16 @@
                 for base, adapter, version, ready_in_s, users, idle_s in message.held
             }
         )
-        endpoint.take_load(message, now_s)
+        self._take_load(endpoint, message, now_s)
         return endpoint
 
+    def _take_load(
+        self, endpoint: Endpoint, message: EngineTold | EngineChanged, now_s: float
+    ) -> None:
+        endpoint.take_load(message, now_s)
+        engines = self._by_service[endpoint.record.service].values()
+        self.speeds.take(endpoint, message.speed, engines, now_s)
+
     def tell_all(self, endpoint: Endpoint, now_s: float) -> EngineTold:
         """Return what an owner told of an engine, for those that have not heard it."""
         held = [
@@ -159,6 +174,7 @@
             pace_tokens=endpoint.pace_tokens,
             pace_scale=endpoint.pace_scale,
             of_all=True,
+            speed=endpoint.published_speed,
         )
 
     def has_missed(self, message: EngineChanged) -> bool:
@@ -178,7 +194,7 @@
             endpoint.drop_held(ModelRef(base, adapter))
         for base, adapter, version, ready_in_s in message.added:
             endpoint.add_held(ModelRef(base, adapter), version, now_s, ready_in_s)
-        endpoint.take_load(message, now_s)
+        self._take_load(endpoint, message, now_s)
         return True
 
     def unlisted(self, name: str, now_s: float, lapsed_until_s: float) -> None:
@@ -292,6 +308,8 @@
         small : bool
             Whether this daemon hears of every engine that has an owner.
         """
+        for each in engines:
+            each.forget_old_speed(now_s)
         if small:
             for each in engines:
                 each.guess_others(daemons, now_s)
--- a/packages/core/src/knapweedbridge_core/serving/messages.py
+++ b/packages/core/src/knapweedbridge_core/serving/messages.py
@@ -52,6 +52,10 @@
         Longest pause between two events of a stream there since the last telling.
     sent_tokens : list of int
         Lengths of the prompts that were sent there without a turn since then.
+    first_events : list of [prompt_tokens, unread_tokens, took_s]
+        Times to first events since then, 8 at most.
+    gaps : list of float
+        Number and sum of the pauses between events since then; empty: none.
     """
 
     endpoint: str
@@ -60,6 +64,8 @@
     started_ms: int = 0
     pause_s: float = 0.0
     sent_tokens: list[int] = field(default_factory=list)
+    first_events: list[list] = field(default_factory=list)
+    gaps: list[float] = field(default_factory=list)
 
 
 @message
@@ -129,6 +135,9 @@
     of_all : bool
         Whether the calls and tokens are those of all daemons, the one that is told
         among them: so it is where one telling goes to many.
+    speed : float
+        Times that the engine takes as long as the usual one of its service, as its
+        owner has learnt; 0.0: unknown.
     """
 
     endpoint: str
@@ -147,6 +156,7 @@
     pace_scale: float = 0.0
     loads_at_once: float = 0.0
     of_all: bool = False
+    speed: float = 0.0
 
 
 @message
@@ -176,6 +186,7 @@
     pace_tokens: float = float("inf")
     pace_scale: float = 0.0
     of_all: bool = False
+    speed: float = 0.0
 
 
 @message
--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/serving/speed_reports.py
@@ -0,0 +1,54 @@
+"""What daemons report of one engine's responses, in times of the usual engine's."""
+
+import math
+from collections.abc import Sequence
+
+from knapweedbridge_core.serving.engine_rates import EngineRates
+from knapweedbridge_core.serving.engine_speed import EngineSpeed
+
+FIRST_EVENTS_MOST = 8
+"""First events in one report: an engine of 12 slots begins fewer in a second."""
+
+
+class SpeedReports:
+    """Feeds an engine's speed with what daemons report.
+
+    Parameters
+    ----------
+    rates : EngineRates
+        What the owner knows of the service's usual engine.
+    """
+
+    def __init__(self, rates: EngineRates, service: str, speed: EngineSpeed) -> None:
+        self._rates = rates
+        self._service = service
+        self._speed = speed
+
+    def take(
+        self,
+        daemon: str,
+        first_events: Sequence[Sequence[float]],
+        gaps: Sequence[float],
+        now_s: float,
+    ) -> None:
+        """Take one daemon's report.
+
+        Parameters
+        ----------
+        first_events : sequence of [prompt_tokens, unread_tokens, took_s]
+            Times from sending a prompt to its first event.
+        gaps : sequence of [count, total_s]
+            Number and sum of the pauses between events; it may be empty.
+        """
+        for prompt_tokens, unread_tokens, took_s in first_events[:FIRST_EVENTS_MOST]:
+            usual_s = self._rates.usual_first_event_s(
+                self._service, prompt_tokens, unread_tokens
+            )
+            if usual_s is not None:
+                self._speed.saw_first_event(daemon, took_s / usual_s, now_s)
+        if not gaps or gaps[0] < 1 or not math.isfinite(gaps[1]):
+            return
+        usual_s = self._rates.usual_gap_s(self._service)
+        if usual_s:
+            times = gaps[1] / gaps[0] / usual_s
+            self._speed.saw_gaps(daemon, times, int(gaps[0]), now_s)
--- a/packages/standins/src/knapweedbridge_standins/serving_load/attempt.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/attempt.py
@@ -26,7 +26,7 @@
         self._endpoint = endpoint
         self._began_s = self._sent_s = self._pool.clock.now_s
         self.unread = endpoint.unread_tokens - call.prompt_tokens
-        rates = self._pool.rates
+        rates = self._rates = daemon.rates
         self._slot_wait_s = rates.slot_wait_s(endpoint)
         # Its own prompt is among what is unread there.
         self._forecast_s = rates.first_event_s(endpoint, 0, self._began_s)
@@ -55,12 +55,12 @@
         error_s = abs(now_s - self._began_s - self._forecast_s)
         self._pool.figures.forecast_errors_s.append(error_s)
         if not self._slot_wait_s:
-            self._pool.rates.saw_first_event(
-                self._endpoint,
-                call.prompt_tokens,
-                self.unread,
-                now_s - self._sent_s,
-                now_s,
+            took_s = now_s - self._sent_s
+            self._rates.saw_first_event(
+                self._endpoint, call.prompt_tokens, self.unread, took_s, now_s
+            )
+            self._daemon.observed.saw_first_event(
+                self._endpoint.start, call.prompt_tokens, self.unread, took_s
             )
         self._daemon.read(call, self._endpoint)
         self._pool.first(call)
@@ -68,11 +68,13 @@
     def _end(self) -> None:
         took_s = self._pool.clock.now_s - self._sent_s
         self._daemon.left(self._call, self._endpoint)
-        self._pool.rates.saw_end(self._endpoint, took_s)
+        self._rates.saw_end(self._endpoint, took_s)
         self._pool.ended(self._call)
 
     def _pause(self, pause_s: float) -> None:
         self._pool.figures.pauses_s.append(pause_s)
+        self._rates.saw_gap(self._endpoint, pause_s)
+        self._daemon.observed.saw_gap(self._endpoint.start, pause_s)
         if pause_s > self._call.longest_pause_s:
             self._call.longest_pause_s = pause_s
             owner = self._pool.owners[self._endpoint.name]
--- a/packages/standins/src/knapweedbridge_standins/serving_load/daemon.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/daemon.py
@@ -21,6 +21,7 @@
 from knapweedbridge_core.serving.placement_choices import Choice
 from knapweedbridge_core.serving.prompt_pacing import passes_at_once
 from knapweedbridge_daemon.serving.attempting import NOT_READY_S
+from knapweedbridge_daemon.serving.engine_observations import EngineObservations
 from knapweedbridge_daemon.serving.placing import (
     LOOK_S,
     PLACE_PATIENCE,
@@ -46,11 +47,14 @@
         self.name = name
         self.data_centre = data_centre
         self.fleet = Fleet()
-        self._admission = LateAdmission(pool.policy)
+        self.fleet.speeds.enabled = pool.learn_speeds
+        policy, self.rates = pool.make_policy()
+        self._admission = LateAdmission(policy)
         self.load_times = LoadTimes()
         self._waiting: dict[int, LoadCall] = {}
         self._calls: dict[str, Counter[ModelRef]] = defaultdict(Counter)
         self._due: set[str] = set()
+        self.observed = EngineObservations()
         self._looking = False
 
     def list_engines(self) -> None:
@@ -220,4 +224,10 @@
         endpoint.note_counted(self.pool.clock.now_s)
         unread = endpoint.own_unread_tokens
         owner = self.pool.owners[engine]
-        self.pool.clock.after(WAY_S, lambda: owner.running(self.name, calls, unread))
+        seen = self.observed.take(endpoint.start)
+
+        def arrive() -> None:
+            owner.running(self.name, calls, unread)
+            owner.observed(self.name, *seen)
+
+        self.pool.clock.after(WAY_S, arrive)
--- a/packages/standins/src/knapweedbridge_standins/serving_load/owner.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/owner.py
@@ -14,6 +14,7 @@
     OrderAnswer,
     OrderKind,
     PromptTurn,
+    SpeedReports,
     WindowPacing,
 )
 from knapweedbridge_core.serving.engine_teller import TELL_LOAD_S, TELL_STILL_S
@@ -42,7 +43,9 @@
         self._tickets = itertools.count()
         self._go: dict[int, Callable[[], None]] = {}
         self._giving = False
-        self._pacer = pool.make_pacer()
+        self._rates = pool.daemons[daemon].rates
+        self._pacer = pool.make_pacer(self._rates)
+        self._reports = SpeedReports(self._rates, "llm", self.keeper.speed)
 
     def ask_turn(self, tokens: int, urgency: int, go: Callable[[], None]) -> None:
         """Let a prompt go to the engine when its turn has come."""
@@ -65,8 +68,8 @@
 
     def _show_pace(self) -> None:
         if isinstance(self._pacer, WindowPacing):
-            self._pacer.token_s = self._pool.rates.token_s("llm")
             engines = self._pool.daemons[self.daemon].fleet.endpoints
+            self._pacer.token_s = self._rates.engine_token_s(engines[self._name])
             others = (e.pace_scale for n, e in engines.items() if n != self._name)
             self._pacer.heard(others)
             self.keeper.long_prompts.pace_scale = self._pacer.seen_scale
@@ -102,6 +105,14 @@
         self._teller.calls_changed()
         self.work()
 
+    def observed(
+        self, daemon: str, first_events: list[list[float]], gaps: list[float]
+    ) -> None:
+        """Take what a daemon observed of the engine's responses."""
+        if self._pool.learn_speeds:
+            now_s = self._pool.clock.now_s
+            self._reports.take(daemon, first_events, gaps, now_s)
+
     def missed(self, model: ModelRef) -> None:
         """Take that the engine refused a call."""
         self.keeper.missed(model, self._pool.clock.now_s)
--- a/packages/standins/src/knapweedbridge_standins/serving_load/pool.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/pool.py
@@ -8,9 +8,11 @@
     CallKind,
     EndpointRecord,
     EnginePlacement,
+    EngineRates,
     LearntRates,
     ModelRef,
     NoPacing,
+    PricedPlacement,
     PromptPacer,
     Route,
     WindowPacing,
@@ -49,10 +51,13 @@
         seed: int,
         paced: bool = True,
         relayed: bool = True,
+        learn_speeds: bool | None = None,
     ) -> None:
         self.site = site
         self.policy = policy
         self._paced = paced
+        self.learn_speeds = bool(learn_speeds)
+        self._own_rates = learn_speeds is not None
         self.rates = getattr(policy, "rates", None) or LearntRates()
         if paced:
             self.rates.accept_pauses({"llm": site.gap_s})
@@ -63,8 +68,7 @@
         self._centres = [f"d{n}" for n in range(site.data_centres)]
         self.store = WeightStore(site)
         self.engines = {
-            f"e{n}": self._make_engine(n, seed)
-            for n in range(site.engines)
+            f"e{n}": self._make_engine(n, seed) for n in range(site.engines)
         }
         self.daemons = {
             f"h{n}": ModelledDaemon(self, f"h{n}", self._centre(n))
@@ -105,11 +109,20 @@
     def _centre(self, number: int) -> str:
         return self._centres[number % len(self._centres)]
 
-    def make_pacer(self) -> PromptPacer:
+    def make_policy(self) -> tuple[EnginePlacement, EngineRates]:
+        """Return the policy of one daemon, and what it learns of engines."""
+        if not self._own_rates:
+            return self.policy, self.rates
+        rates = LearntRates()
+        if self._paced:
+            rates.accept_pauses({"llm": self.site.gap_s})
+        return PricedPlacement(rates), rates
+
+    def make_pacer(self, rates: EngineRates) -> PromptPacer:
         """Make what gives the prompts for one engine their turns."""
         if not self._paced:
             return NoPacing()
-        return WindowPacing(self.site.gap_s, self.rates.token_s("llm"))
+        return WindowPacing(self.site.gap_s, rates.token_s("llm"))
 
     def records(self) -> list[EndpointRecord]:
         """Return what the platform lists of the engines."""
@@ -240,6 +253,7 @@
     seed: int = 1,
     paced: bool = True,
     relayed: bool = True,
+    learn_speeds: bool | None = None,
 ) -> Figures:
     """Play a load on a pool in virtual time.
 
@@ -254,5 +268,9 @@
     relayed : bool
         Whether a large pool has relays; if not, its daemons know of engines what the
         platform lists and what owners answer.
+    learn_speeds : bool, optional
+        Whether owners learn the speeds of engines. Where it is given, each daemon has a
+        priced placement of its own and learns by its own calls alone, as real ones do.
     """
-    return ModelledPool(site, policy, load, seed, paced, relayed).run(for_s)
+    pool = ModelledPool(site, policy, load, seed, paced, relayed, learn_speeds)
+    return pool.run(for_s)
