Daemons report first events and pauses; placement prices the pauses of slow engines

The daemon's modules send and take the reports, owners pace prompts by the reading time of the engine itself, also within a slow period, and placement adds the forecast pauses of an engine less those of the usual one.

--- a/packages/core/src/knapweedbridge_core/serving/engine_speed.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_speed.py
@@ -31,7 +31,7 @@
 """Observations that are kept; an engine of 12 slots gives about 60 in 8 s."""
 
 OBSERVED_LEAST = 8
-"""Observations that are kept however old: the speed of an idle engine does not change."""
+"""Observations that are kept however old: an idle engine keeps its speed."""
 
 FROM_ONE_MOST = 0.34
 """Largest share of the weight that one daemon has among several."""
@@ -68,20 +68,19 @@
 
 
 class EngineSpeed:
-    """The speed of one start of an engine, as its owner learns it.
+    """The speed of one start of an engine, as its owner learns it."""
 
-    Parameters
-    ----------
-    published : float
-        What the owner before published; 0.0: unknown.
-    """
-
-    def __init__(self, published: float = UNKNOWN) -> None:
+    def __init__(self) -> None:
         self._seen: deque[_Observed] = deque(maxlen=OBSERVED_MOST)
-        self._before = math.log(published) if published else 0.0
-        self._speed = published
+        self._before = 0.0
+        self._speed = UNKNOWN
         self._is_stale = False
 
+    def begin_at(self, published: float) -> None:
+        """Begin at what the owner before published."""
+        self._speed = min(SPEED_MOST, max(SPEED_LEAST, published))
+        self._before = math.log(self._speed)
+
     def saw_first_event(self, daemon: str, times: float, now_s: float) -> None:
         """Take the time to a first event, in times of the usual engine's forecast."""
         self._see(daemon, times, 1.0, now_s)
@@ -131,11 +130,16 @@
 
     def is_slow_spell(self, now_s: float) -> bool:
         """Tell whether the engine is in a slow period now."""
+        return self.spell_times(now_s) > 1.0
+
+    def spell_times(self, now_s: float) -> float:
+        """Return by what a slow period makes the engine slower now; 1.0: by nothing."""
         recent = [each for each in self._seen if now_s - each.seen_s <= SPELL_S]
         if len(recent) < SPELL_LEAST or not self.speed:
-            return False
+            return 1.0
         now_log = _median([(each.log_times, each.weight) for each in recent])
-        return now_log >= math.log(SPELL_TIMES * self.speed)
+        times = math.exp(now_log) / self.speed
+        return times if times >= SPELL_TIMES else 1.0
 
 
 def _bounded(seen: Iterable[_Observed]) -> list[tuple[float, float]]:
--- a/packages/core/src/knapweedbridge_core/serving/placement.py
+++ b/packages/core/src/knapweedbridge_core/serving/placement.py
@@ -16,8 +16,10 @@
 from knapweedbridge_core.rendezvous import score
 from knapweedbridge_core.serving.endpoint import Endpoint
 from knapweedbridge_core.serving.engine_rates import EngineRates, LearntRates
+from knapweedbridge_core.serving.engine_speed import speed_factor
 from knapweedbridge_core.serving.load_times import WARM_LOAD_S, LoadTimes
 from knapweedbridge_core.serving.model_ref import ModelRef
+from knapweedbridge_core.serving.pause_price import LATE_S, paused_s
 from knapweedbridge_core.serving.placement_choices import (
     Choice,
     LoadOn,
@@ -42,9 +44,6 @@
 REMOTE_S = 0.01
 """Another data centre: half a call ahead. The way takes 2 ms, its bytes are paid."""
 
-LATE_S = 0.3
-"""An answer that comes late: half the shortest objective of the users' kinds."""
-
 FAILING_S = 2.0
 """An engine that fails all its calls: more than any wait that is still in time, so
 that it gets calls only where nothing else is left."""
@@ -220,7 +219,8 @@
         remote = endpoint.record.data_centre != ask.data_centre
         failing_s = FAILING_S * endpoint.failing_share(now_s)
         spread_s = UNREAD_S * endpoint.unread_tokens + _batch_s(endpoint)
-        return REMOTE_S * remote + spread_s + failing_s + self._late_s(endpoint, ask)
+        late_s = self._late_s(endpoint, ask) + paused_s(endpoint, ask, self.rates)
+        return REMOTE_S * remote + spread_s + failing_s + late_s
 
     def _late_s(self, endpoint: Endpoint, ask: PlacementAsk) -> float:
         """Return what long prompts make late, in seconds of price.
@@ -279,7 +279,7 @@
 
 def _batch_s(endpoint: Endpoint) -> float:
     taken = endpoint.calls / max(1, endpoint.record.slots)
-    return FULL_S * taken * taken
+    return FULL_S * taken * taken * speed_factor(endpoint.speed)
 
 
 def _ranked(
--- a/packages/core/src/knapweedbridge_core/serving/service_speeds.py
+++ b/packages/core/src/knapweedbridge_core/serving/service_speeds.py
@@ -30,7 +30,7 @@
     Attributes
     ----------
     enabled : bool
-        Whether speeds are learnt; if not, all of them stay unknown.
+        Whether speeds are used; if not, `Endpoint.speed` stays unknown.
     """
 
     def __init__(self) -> None:
@@ -51,9 +51,10 @@
         engines : collection of Endpoint
             All engines of the service.
         """
+        # Kept in any case: a relay hands it on to daemons that use it.
+        endpoint.published_speed = published
         if not self.enabled:
             return
-        endpoint.published_speed = published
         usual = self._usual_of(endpoint.record.service, engines, now_s)
         endpoint.speed = relative_speed(published, usual)
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
@@ -6,6 +6,7 @@
 
 from knapweedbridge_core.serving import AttemptEnd, Endpoint
 from knapweedbridge_daemon.serving.call import Call, Target
+from knapweedbridge_daemon.serving.engine_observations import EngineObservations
 from knapweedbridge_daemon.serving.hub import Hub
 
 
@@ -47,10 +48,13 @@
     ----------
     hub : Hub
         Rates of the engines, log and measures.
+    observed : EngineObservations
+        Takes what the owners of engines are told.
     """
 
-    def __init__(self, hub: Hub) -> None:
+    def __init__(self, hub: Hub, observed: EngineObservations) -> None:
         self._hub = hub
+        self._observed = observed
 
     def forecast(self, call: Call, endpoint: Endpoint, now_s: float) -> Forecast:
         """Return what is expected of an attempt that begins now."""
@@ -63,6 +67,18 @@
             self._hub.rates.first_event_s(endpoint, call.details.prompt_tokens, now_s),
         )
 
+    def report_first(self, call: Call, endpoint: Endpoint, forecast: Forecast) -> None:
+        """Have the engine's owner told of a first event that has just come."""
+        if forecast.first_s is None or forecast.slot_wait_s:
+            return
+        if call.details.model is not None:
+            self._observed.saw_first_event(
+                endpoint.start,
+                call.details.prompt_tokens,
+                forecast.unread_tokens,
+                forecast.first_s - forecast.sent_s,
+            )
+
     def learn(
         self, call: Call, endpoint: Endpoint, forecast: Forecast, end: AttemptEnd
     ) -> None:
@@ -109,6 +125,7 @@
             endpoint=target.endpoint.name,
             version=target.version,
             calls_there=target.endpoint.calls,
+            speed=round(target.endpoint.speed, 2),
             unlisted_s=_rounded(forecast.unlisted_for_s),
             limit_per_s=forecast.limit_per_s,
             outcome=end.value,
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -51,7 +51,7 @@
     def __init__(self, hub: Hub, link: PeerLink) -> None:
         self._hub = hub
         self._link = link
-        self._records = AttemptRecords(hub)
+        self._records = AttemptRecords(hub, link.running.observed)
 
     async def attempt(self, call: Call, target: Target) -> AttemptEnd:
         """Send a call to an endpoint, and tell how that ended.
@@ -223,8 +223,10 @@
         now_s = anyio.current_time()
         if forecast.first_s is None:
             forecast.first_s = now_s
+            self._records.report_first(call, endpoint, forecast)
         elif call.event_s is not None:
             self._link.running.paused(endpoint, now_s - call.event_s)
+            self._hub.rates.saw_gap(endpoint, now_s - call.event_s)
         call.note_events(now_s)
 
     async def _take_whole(
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
@@ -30,6 +30,7 @@
 from knapweedbridge_core.serving.ownership import OwnerRecord
 from knapweedbridge_daemon.serving.answer_signs import AnswerSigns
 from knapweedbridge_daemon.serving.dialects import DialectError
+from knapweedbridge_daemon.serving.engine_speeds import SpeedKeeping
 from knapweedbridge_daemon.serving.http_client import BrokenError, NotSentError
 from knapweedbridge_daemon.serving.hub import Hub, Send, suspended_clock_s
 from knapweedbridge_daemon.serving.permits import Permits
@@ -103,10 +104,10 @@
             endpoint.recent,
             hub.load_times,
         )
+        self._speeds = SpeedKeeping(hub, endpoint, self.keeper)
         self._teller = EngineTeller(endpoint.start, record.number, self.keeper)
-        self.turns = TurnGiver(
-            hub, endpoint, record.number, self.keeper.long_prompts, send
-        )
+        long_prompts, speed = self.keeper.long_prompts, self.keeper.speed
+        self.turns = TurnGiver(hub, endpoint, record.number, long_prompts, send, speed)
         self.scope = anyio.CancelScope()
 
     @property
@@ -138,6 +139,7 @@
         for tokens in message.sent_tokens:
             self.turns.sent(tokens)
         self.turns.saw_pause(message.pause_s)
+        self._speeds.take(daemon, message, now_s)
         self.keeper.calls_running(daemon, found, message.unread_tokens, now_s)
         self._teller.calls_changed()
         self._work.set()
--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -91,7 +91,7 @@
         )
         settle_s = get("store", "settle_ms") / 1000
         lease_s = get("store", "lease_ms") / 1000
-        return Hub(
+        hub = Hub(
             identity,
             dialects,
             budget,
@@ -105,6 +105,8 @@
             ),
             lease_s=lease_s,
         )
+        hub.beliefs.fleet.speeds.enabled = get("engines", "learn_speeds") == "yes"
+        return hub
 
     async def _serve(self, hub: Hub) -> None:
         link = PeerLink(hub)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/running_calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/running_calls.py
@@ -7,6 +7,7 @@
 
 from knapweedbridge_core.serving import Endpoint, EndpointStart, ModelRef
 from knapweedbridge_core.serving.messages import CallsRunning
+from knapweedbridge_daemon.serving.engine_observations import EngineObservations
 from knapweedbridge_daemon.serving.hub import Hub, Send
 
 JOIN_S = 0.003
@@ -41,6 +42,11 @@
         Beliefs.
     send : callable
         Sends a message to a daemon.
+
+    Attributes
+    ----------
+    observed : EngineObservations
+        What responses showed of the speed of engines; owners are told with the calls.
     """
 
     def __init__(self, hub: Hub, send: Send) -> None:
@@ -52,6 +58,7 @@
         self._told_s: dict[EndpointStart, float] = {}
         self._pauses_s: dict[EndpointStart, float] = {}
         self._sent_tokens: dict[EndpointStart, list[int]] = defaultdict(list)
+        self.observed = EngineObservations()
         self._wake = anyio.Event()
 
     def begin(
@@ -76,6 +83,7 @@
 
     def paused(self, endpoint: Endpoint, pause_s: float) -> None:
         """Take the time between two events of a stream that runs there."""
+        self.observed.saw_gap(endpoint.start, pause_s)
         longest_s = self._pauses_s.get(endpoint.start, 0.0)
         if pause_s > longest_s:
             self._pauses_s[endpoint.start] = pause_s
@@ -159,6 +167,7 @@
                 self._told_s.pop(start, None)
                 self._pauses_s.pop(start, None)
             self._sent_tokens.pop(start, None)
+            self.observed.forget(start)
             return
         self._calls[start] = calls
         self._told_s[start] = anyio.current_time()
@@ -170,6 +179,7 @@
                 start.started_ms,
                 self._pauses_s.pop(start, 0.0),
                 self._sent_tokens.pop(start, []),
+                *self.observed.take(start),
             )
             await self._send(endpoint.owner, told)
             endpoint.note_counted(self._told_s[start])
--- a/packages/daemon/src/knapweedbridge_daemon/serving/settings.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/settings.py
@@ -87,6 +87,17 @@
             ),
         },
     ),
+    "engines": Section(
+        "What is learnt of engines.",
+        {
+            "learn_speeds": Key(
+                Choice("yes", "no"),
+                "yes",
+                "yes: owners learn how fast each engine is in times of its service's "
+                "usual one; no: all engines of a service are taken to be alike.",
+            ),
+        },
+    ),
     "logs": Section(
         "Logs.",
         {
--- a/packages/daemon/src/knapweedbridge_daemon/serving/turn_giving.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/turn_giving.py
@@ -6,6 +6,7 @@
 
 from knapweedbridge_core.serving import (
     Endpoint,
+    EngineSpeed,
     NoPacing,
     PromptPacer,
     PromptTurn,
@@ -35,6 +36,8 @@
         Counts the prompts that pause the engine's streams.
     send : callable
         Sends a message to a daemon.
+    speed : EngineSpeed
+        The engine's speed: in a slow period fewer tokens pass.
     """
 
     def __init__(
@@ -44,7 +47,9 @@
         number: int,
         long_prompts: LongPrompts,
         send: Send,
+        speed: EngineSpeed,
     ) -> None:
+        self._speed = speed
         self._long_prompts = long_prompts
         self._hub = hub
         self._endpoint = endpoint
@@ -105,8 +110,9 @@
         """Put what daemons are told of the pace up to date."""
         if isinstance(self._pacer, WindowPacing):
             service = self._endpoint.record.service
-            self._pacer.token_s = self._hub.rates.token_s(service)
             fleet, now_s = self._hub.beliefs.fleet, anyio.current_time()
+            token_s = self._hub.rates.engine_token_s(self._endpoint)
+            self._pacer.token_s = token_s * self._speed.spell_times(now_s)
             engines = fleet.of_service(service, now_s)
             others = (each for each in engines if each is not self._endpoint)
             self._pacer.heard(each.pace_scale for each in others)
--- a/packages/standins/src/knapweedbridge_standins/serving_load/owner.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/owner.py
@@ -69,7 +69,9 @@
     def _show_pace(self) -> None:
         if isinstance(self._pacer, WindowPacing):
             engines = self._pool.daemons[self.daemon].fleet.endpoints
-            self._pacer.token_s = self._rates.engine_token_s(engines[self._name])
+            token_s = self._rates.engine_token_s(engines[self._name])
+            times = self.keeper.speed.spell_times(self._pool.clock.now_s)
+            self._pacer.token_s = token_s * times
             others = (e.pace_scale for n, e in engines.items() if n != self._name)
             self._pacer.heard(others)
             self.keeper.long_prompts.pace_scale = self._pacer.seen_scale
