--- a/packages/core/src/knapweedbridge_core/serving/engine_rates.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_rates.py
@@ -3,45 +3,18 @@
 The load that this answers: engines of different makes. Constants that fit one make
 forecast 0.25 s of waiting on engines of another where none came: with 60 calls running,
 630 of 4,850 callers were refused, came back seconds later and were late by that.
-
-The time to a first event is taken to be a sum: a base, a part for each token of the
-call's prompt, and a part for each token that the engine had yet to read. Least squares
-with a decay fit the three. They begin at priors that weigh as much as ten calls,
-which a daemon sees within two seconds of usual traffic.
 """
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass, field
 
 from knapweedbridge_core.serving.endpoint import Endpoint
+from knapweedbridge_core.serving.engine_speed import speed_factor
+from knapweedbridge_core.serving.first_event_fit import OUTLIER, FirstEventFit
 from knapweedbridge_core.serving.prompt_pacing import turn_wait_s
 
-BASE_PRIOR_S = 0.05
-"""Time to the first event of a short prompt on an idle engine: one step, the ways
-between the hosts and what both ends do; 0.048 s fitted on one make of engines."""
-
-PROMPT_PRIOR_S = 5e-5
-"""Reading of one token of a call's own prompt; 2.6e-5 to 5.2e-5 s on three makes."""
-
-UNREAD_PRIOR_S = 5e-5
-"""Wait for one token that was unread when the call was sent, as long as its reading.
-Part of it has been read by then, so a third to a half of that is learnt."""
-
 HOLD_PRIOR_S = 1.2
 """How long a call holds its slot; streams of the users' kinds last 0.6 to 4 s."""
 
-KEPT = 0.97
-"""Weight that earlier calls keep with each new one: the last 33 calls count most, five
-seconds of a daemon's share of the usual load."""
-
-PRIOR_WEIGHT = 0.3
-"""Weight of the priors, renewed with each call: a third of what a call weighs, so that
-a direction in which calls do not differ stays sane."""
-
-OUTLIER = 3.0
-"""Times its forecast from which on a time counts no further: a lost packet or a frozen
-host would else be taken for a slow engine."""
-
 HOLD_STEP = 0.05
 """Weight of one call's time in the mean time that a slot is held."""
 
@@ -57,7 +30,16 @@
 SLOW_HALF_LIFE_S = 2.0
 """Half-life of an engine's slowness where no call shows it: it is tried again."""
 
-THOUSAND = 1000.0
+FITTED_CALLS = 12
+"""Calls from which on a fit tells how long the usual engine takes: with fewer it is
+mostly priors, which differ from what daemons with more calls have learnt."""
+
+GAP_STEP = 0.05
+"""Weight of one pause between events in the usual one; a stream has some forty, of
+about the same length, so few of them count and each little."""
+
+PROMPT_STEP = 0.05
+"""Weight of one prompt in the mean length of prompts."""
 
 
 class EngineRates(ABC):
@@ -88,6 +70,32 @@
     def token_s(self, service: str) -> float:
         """Return the time in which an engine reads one token of a prompt."""
 
+    @abstractmethod
+    def engine_token_s(self, endpoint: Endpoint) -> float:
+        """Return the time in which one engine reads one token of a prompt."""
+
+    @abstractmethod
+    def usual_first_event_s(
+        self, service: str, prompt_tokens: float, unread_tokens: float
+    ) -> float | None:
+        """Return the usual engine's time to a first event; None: too few calls."""
+
+    @abstractmethod
+    def usual_gap_s(self, service: str) -> float:
+        """Return the usual engine's pause between two events; 0.0: unknown."""
+
+    @abstractmethod
+    def accepted_gap_s(self, service: str) -> float:
+        """Return the longest pause that streams accept; 0.0: any."""
+
+    @abstractmethod
+    def usual_prompt_tokens(self, service: str) -> float:
+        """Return the mean length of prompts; 0.0: unknown."""
+
+    @abstractmethod
+    def saw_gap(self, endpoint: Endpoint, gap_s: float) -> None:
+        """Take a pause between two events of a stream."""
+
     @abstractmethod
     def saw_first_event(
         self,
@@ -112,73 +120,6 @@
         """Take how long a call that was answered held its slot."""
 
 
-@dataclass(slots=True)
-class FirstEventFit:
-    """Least squares of the time to a first event, with a decay.
-
-    Attributes
-    ----------
-    base_s, prompt_s, unread_s : float
-        The three parts as they are fitted now: a base, and for a token each.
-    """
-
-    base_s: float = BASE_PRIOR_S
-    prompt_s: float = PROMPT_PRIOR_S
-    unread_s: float = UNREAD_PRIOR_S
-    _products: list[list[float]] = field(init=False)
-    _targets: list[float] = field(init=False)
-
-    def __post_init__(self) -> None:
-        # As if many calls had shown the priors, so that the first one moves little.
-        steady = PRIOR_WEIGHT / (1 - KEPT)
-        self._products = [[steady * (i == j) for j in range(3)] for i in range(3)]
-        self._targets = [steady * prior for prior in _PRIORS]
-
-    def forecast_s(self, prompt_tokens: int, unread_tokens: float) -> float:
-        """Return the expected time to the first event, in seconds."""
-        own_s = self.prompt_s * prompt_tokens
-        return self.base_s + own_s + self.unread_s * unread_tokens
-
-    def saw(self, prompt_tokens: int, unread_tokens: int, took_s: float) -> None:
-        """Take one call's time."""
-        took_s = min(took_s, OUTLIER * self.forecast_s(prompt_tokens, unread_tokens))
-        row = (1.0, prompt_tokens / THOUSAND, unread_tokens / THOUSAND)
-        for i in range(3):
-            prior = PRIOR_WEIGHT * _PRIORS[i]
-            self._targets[i] = KEPT * self._targets[i] + row[i] * took_s + prior
-            for j in range(3):
-                kept = KEPT * self._products[i][j] + row[i] * row[j]
-                self._products[i][j] = kept + PRIOR_WEIGHT * (i == j)
-        base_s, prompt_s, unread_s = _solve(self._products, self._targets)
-        self.base_s = max(LEAST_BASE_S, base_s)
-        self.prompt_s = max(LEAST_TOKEN_S, prompt_s / THOUSAND)
-        self.unread_s = max(LEAST_TOKEN_S, unread_s / THOUSAND)
-
-
-_PRIORS = (BASE_PRIOR_S, PROMPT_PRIOR_S * THOUSAND, UNREAD_PRIOR_S * THOUSAND)
-
-LEAST_BASE_S = 0.002
-"""Shortest base that is believed: a way there and back."""
-
-LEAST_TOKEN_S = 1e-6
-"""Fastest reading that is believed, ten times as fast as any engine known."""
-
-
-def _solve(products: list[list[float]], targets: list[float]) -> list[float]:
-    """Solve a symmetric, positive system by elimination."""
-    rows = [[*row, target] for row, target in zip(products, targets, strict=True)]
-    size = len(rows)
-    for i in range(size):
-        for k in range(i + 1, size):
-            factor = rows[k][i] / rows[i][i]
-            rows[k] = [a - factor * b for a, b in zip(rows[k], rows[i], strict=True)]
-    found = [0.0] * size
-    for i in reversed(range(size)):
-        known = sum(rows[i][j] * found[j] for j in range(i + 1, size))
-        found[i] = (rows[i][size] - known) / rows[i][i]
-    return found
-
-
 class LearntRates(EngineRates):
     """Learns from the calls of one daemon, by service and by engine."""
 
@@ -187,6 +128,8 @@
         self._gap_s: dict[str, float] = {}
         self._hold_s: dict[str, float] = {}
         self._level: dict[str, float] = {}
+        self._usual_gap_s: dict[str, float] = {}
+        self._prompt_tokens: dict[str, float] = {}
 
     def _fit(self, service: str) -> FirstEventFit:
         fit = self._fits.get(service)
@@ -205,7 +148,7 @@
         # What waits for its turn is not before the engine yet.
         before = min(unread, pace_tokens) if turn_s else unread
         read_s = fit.forecast_s(prompt_tokens, before)
-        read_s *= slowness(endpoint, now_s)
+        read_s *= slowness(endpoint, now_s) * speed_factor(endpoint.speed)
         return turn_s + read_s + self.slot_wait_s(endpoint)
 
     def accept_pauses(self, longest_s: dict[str, float]) -> None:
@@ -225,12 +168,48 @@
         before = endpoint.calls + 1 - slots
         if before <= 0:
             return 0.0
-        return before * self.hold_s(endpoint.record.service) / slots
+        hold_s = self.hold_s(endpoint.record.service) * speed_factor(endpoint.speed)
+        return before * hold_s / slots
 
     def token_s(self, service: str) -> float:
         """See `EngineRates.token_s`."""
         return self._fit(service).prompt_s
 
+    def engine_token_s(self, endpoint: Endpoint) -> float:
+        """See `EngineRates.engine_token_s`."""
+        return self.token_s(endpoint.record.service) * speed_factor(endpoint.speed)
+
+    def usual_first_event_s(
+        self, service: str, prompt_tokens: float, unread_tokens: float
+    ) -> float | None:
+        """See `EngineRates.usual_first_event_s`."""
+        fit = self._fit(service)
+        if fit.calls < FITTED_CALLS:
+            return None
+        return fit.forecast_s(prompt_tokens, unread_tokens)
+
+    def usual_gap_s(self, service: str) -> float:
+        """See `EngineRates.usual_gap_s`."""
+        if self._fit(service).calls < FITTED_CALLS:
+            return 0.0
+        return self._usual_gap_s.get(service, 0.0)
+
+    def accepted_gap_s(self, service: str) -> float:
+        """See `EngineRates.accepted_gap_s`."""
+        return self._gap_s.get(service, 0.0)
+
+    def usual_prompt_tokens(self, service: str) -> float:
+        """See `EngineRates.usual_prompt_tokens`."""
+        return self._prompt_tokens.get(service, 0.0)
+
+    def saw_gap(self, endpoint: Endpoint, gap_s: float) -> None:
+        """See `EngineRates.saw_gap`."""
+        service = endpoint.record.service
+        gap_s /= speed_factor(endpoint.speed)
+        known_s = self._usual_gap_s.get(service, gap_s)
+        gap_s = min(gap_s, OUTLIER * known_s)
+        self._usual_gap_s[service] = known_s + GAP_STEP * (gap_s - known_s)
+
     def saw_first_event(
         self,
         endpoint: Endpoint,
@@ -242,6 +221,9 @@
         """See `EngineRates.saw_first_event`."""
         fit = self._fit(endpoint.record.service)
         service = endpoint.record.service
+        took_s /= speed_factor(endpoint.speed)
+        known = self._prompt_tokens.get(service, prompt_tokens)
+        self._prompt_tokens[service] = known + PROMPT_STEP * (prompt_tokens - known)
         times = took_s / fit.forecast_s(prompt_tokens, unread_tokens)
         # Where all engines are slower than forecast it is the forecast that is wrong.
         level = self._level.get(service, 1.0)
@@ -257,6 +239,7 @@
     def saw_end(self, endpoint: Endpoint, took_s: float) -> None:
         """See `EngineRates.saw_end`."""
         service = endpoint.record.service
+        took_s /= speed_factor(endpoint.speed)
         known_s = self.hold_s(service)
         self._hold_s[service] = known_s + HOLD_STEP * (took_s - known_s)
 
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -7,6 +7,7 @@
 from knapweedbridge_core.serving.endpoint_records import EndpointRecord, EndpointStart
 from knapweedbridge_core.serving.messages import EngineChanged, EngineTold
 from knapweedbridge_core.serving.model_ref import ModelRef
+from knapweedbridge_core.serving.service_speeds import ServiceSpeeds
 
 
 class Fleet:
@@ -16,10 +17,13 @@
     ----------
     changes : int
         Rises whenever `endpoints` holds another `Endpoint`, or one less.
+    speeds : ServiceSpeeds
+        What owners publish of the speed of engines.
     """
 
     def __init__(self) -> None:
         self.changes = 0
+        self.speeds = ServiceSpeeds()
         self.endpoints: dict[str, Endpoint] = {}
         self._by_service: dict[str, dict[str, Endpoint]] = {}
         self._restarted: list[Endpoint] = []
@@ -147,6 +151,8 @@
         self, endpoint: Endpoint, message: EngineTold | EngineChanged, now_s: float
     ) -> None:
         endpoint.take_load(message, now_s)
+        engines = self._by_service[endpoint.record.service].values()
+        self.speeds.take(endpoint, message.speed, engines, now_s)
         if endpoint.pace_scale:
             paced = self._paced.setdefault(endpoint.record.service, {})
             paced[endpoint.name] = endpoint
@@ -198,6 +204,7 @@
             pace_tokens=endpoint.pace_tokens,
             pace_scale=endpoint.pace_scale,
             of_all=True,
+            speed=endpoint.published_speed,
         )
 
     def has_missed(self, message: EngineChanged) -> bool:
@@ -333,6 +340,8 @@
         small : bool
             Whether this daemon hears of every engine that has an owner.
         """
+        for each in engines:
+            each.forget_old_speed(now_s)
         if small:
             for each in engines:
                 each.guess_others(daemons, now_s)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/turn_giving.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/turn_giving.py
@@ -6,6 +6,7 @@
 
 from knapweedbridge_core.serving import (
     Endpoint,
+    EngineSpeed,
     NoPacing,
     PromptPacer,
     PromptTurn,
@@ -35,6 +36,8 @@
         Counts the prompts that pause the engine's streams.
     send : callable
         Sends a message to a daemon.
+    speed : EngineSpeed
+        The engine's speed: in a slow period fewer tokens pass.
     """
 
     def __init__(
@@ -44,7 +47,9 @@
         number: int,
         long_prompts: LongPrompts,
         send: Send,
+        speed: EngineSpeed,
     ) -> None:
+        self._speed = speed
         self._long_prompts = long_prompts
         self._hub = hub
         self._endpoint = endpoint
@@ -104,8 +109,8 @@
     def _show_pace(self, now_s: float) -> None:
         """Put what daemons are told of the pace up to date."""
         if isinstance(self._pacer, WindowPacing):
-            service = self._endpoint.record.service
-            self._pacer.token_s = self._hub.rates.token_s(service)
+            token_s = self._hub.rates.engine_token_s(self._endpoint)
+            self._pacer.token_s = token_s * self._speed.spell_times(now_s)
             if not self._pacer.seen_scale:
                 fleet = self._hub.beliefs.fleet
                 self._pacer.heard(fleet.pace_scales(self._endpoint, now_s))
