Requests and streams are parsed by httptools over the event loop's transports

Cause: of a daemon's processor time 45% went into forwarding: h11's state machine, a pause and a resume of reading at each event, a task group and a task for each request, cancel scopes and checkpoints at each read and write.

Change: ByteStream, an asyncio protocol, takes and writes bytes without a turn of the event loop where none is needed, keeps one idle timer for all reads, and tells of a caller that leaves by a callback in place of a task. httptools reads heads; what it lets pass and h11 refused is checked around it (request lines, Host, other codings). Bodies are decoded with their exact end, so that bytes after it are known. A chunk of events is written at once. Chunks and events that come one by one take a short way.

Also: a response of unknown length to a caller of HTTP/1.0 that breaks off is reset, as its end looked complete; a call whose time is over is not written to an open connection; a refusal of a HEAD request is no fault any more; a head over its limit is answered 431 also where it came at once. Folded lines, control characters, line ends without a return and a length that is told twice are refused now.

--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -1,5 +1,6 @@
 """Sends a call to one endpoint, and passes its answer on."""
 
+import asyncio
 import math
 
 import anyio
@@ -219,8 +220,9 @@
             missed = AdapterMissed(endpoint.name, model.base, model.adapter)
             await self._link.send(endpoint.owner, missed)
 
-    def _note_events(self, call: Call, endpoint: Endpoint, forecast: Forecast) -> None:
-        now_s = anyio.current_time()
+    def _note_events(
+        self, call: Call, endpoint: Endpoint, forecast: Forecast, now_s: float
+    ) -> None:
         if forecast.first_s is None:
             forecast.first_s = now_s
         elif call.event_s is not None:
@@ -254,30 +256,41 @@
         patience: anyio.CancelScope,
         forecast: Forecast,
     ) -> AttemptEnd:
+        # The loop's own clock: finding the backend costs more at each event than the
+        # reading of the time.
+        clock_s = asyncio.get_running_loop().time
         resumed = call.progress.begun
         cutter = EventCutter(call.last_event if resumed else None)
+        send = call.responder.send
         async for chunk in connection.read_body():
             events = cutter.feed(chunk)
             if not events.count:
                 continue
-            self._end_patience(patience)
-            self._note_read(call, endpoint)
-            self._note_events(call, endpoint, forecast)
+            now_s = clock_s()
+            if patience.deadline != math.inf:
+                self._end_patience(patience)
+            if call.unread_tokens:
+                self._note_read(call, endpoint)
+            self._note_events(call, endpoint, forecast, now_s)
             if events.last_id is not None:
                 call.last_event = events.last_id
             if not call.progress.begun:
-                call.progress.begun = True
-                call.first_event_s = anyio.current_time()
-                headers = [
-                    pair
-                    for pair in end_to_end(answer.headers)
-                    if pair[0].lower() != b"content-length"
-                ]
-                await call.responder.start(ResponseHead(200, headers, answer.reason))
-            await call.responder.send(events.data)
+                await self._begin_stream(call, answer, now_s)
+            await send(events.data)
         if cutter.rest:
             raise BrokenError("ended in the middle of an event")
         if not call.progress.begun:
             raise BrokenError("a stream without an event")
         await call.responder.end()
         return AttemptEnd.ANSWERED
+
+    @staticmethod
+    async def _begin_stream(call: Call, answer: ResponseHead, now_s: float) -> None:
+        call.progress.begun = True
+        call.first_event_s = now_s
+        headers = [
+            pair
+            for pair in end_to_end(answer.headers)
+            if pair[0].lower() != b"content-length"
+        ]
+        await call.responder.start(ResponseHead(200, headers, answer.reason))
--- a/packages/daemon/src/knapweedbridge_daemon/serving/event_stream.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/event_stream.py
@@ -10,6 +10,8 @@
 from knapweedbridge_daemon.sse import END_OF_EVENT, MAX_EVENT_BYTES, BrokenEventsError
 
 _ID = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
+_PLAIN_END = b"\n\n"
+_RETURN = b"\r"
 
 
 @dataclass(slots=True, frozen=True)
@@ -31,6 +33,12 @@
     last_id: str | None
 
 
+def _is_one_event(chunk: bytes) -> bool:
+    """Tell at little cost whether a chunk is one event, as most are."""
+    end = chunk.find(_PLAIN_END)
+    return end == len(chunk) - len(_PLAIN_END) and end > 0 and _RETURN not in chunk
+
+
 class EventCutter:
     """Cuts the chunks of one answer into whole events.
 
@@ -57,6 +65,9 @@
         BrokenEventsError
             If an event is longer than `MAX_EVENT_BYTES`.
         """
+        if not self._held and self._after is None and _is_one_event(chunk):
+            found = _ID.search(chunk)
+            return WholeEvents(chunk, 1, found[1].decode("latin-1") if found else None)
         buffer = self._held + chunk
         events: list[bytes] = []
         start = 0
--- a/packages/daemon/src/knapweedbridge_daemon/serving/http_client.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/http_client.py
@@ -2,28 +2,39 @@
 
 A client library hides what decides here whether a call may be sent again: if any
 byte of it was written, whether an answer belongs to it, and whether a body without a
-length ended or was reset. So this speaks by h11 over the event loop's streams.
+length ended or was reset. So this speaks by httptools over the event loop's transports.
 """
 
+import asyncio
 import re
 import select
-import socket
 from collections import defaultdict, deque
 from collections.abc import AsyncGenerator, Callable
-from contextlib import asynccontextmanager, suppress
+from contextlib import asynccontextmanager
 
 import anyio
-import h11
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.lowlevel import checkpoint_if_cancelled
 
 from knapweedbridge_core.addresses import split_address
 from knapweedbridge_daemon.errors import DaemonError
+from knapweedbridge_daemon.serving.byte_stream import ByteStream
+from knapweedbridge_daemon.serving.http_bodies import (
+    BodyDecoder,
+    BodyError,
+    LengthBody,
+)
+from knapweedbridge_daemon.serving.http_heads import (
+    END_OF_HEAD,
+    HeadError,
+    pack_request,
+    read_response_head,
+    response_body,
+)
 from knapweedbridge_daemon.serving.wire import (
     Headers,
     RequestHead,
     ResponseHead,
     WireRequest,
-    connection_options,
     get_header,
 )
 
@@ -38,32 +49,15 @@
 """Share of the server's idle time-out that a connection is kept for: a request must
 not cross the server's close, after which nobody can tell whether it was run."""
 
-CHUNK_BYTES = 65536
 MOST_HEAD_BYTES = 65536
 BUFFERED_BYTES = 65536
 """What is written at once: the event loop buffers as much without waiting for the
 server. Only longer requests are written while their answer is read."""
 
-KEEPALIVE_IDLE_S = 1
-KEEPALIVE_PROBES = 2
-UNACKED_MS = 2500
-"""A connection that something between the two ends lost track of shows no error by
-itself: probes and this bound on unacknowledged bytes end it in about 3 s."""
+SWITCHING_STATUS = 101
 
 _TIMEOUT = re.compile(r"timeout=(\d+)")
 
-SOCKET_OPTIONS = (
-    (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS),
-)
-
-STREAM_ERRORS = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
-"""What a broken or closed connection shows."""
-
 Belongs = Callable[[Headers], bool]
 
 
@@ -75,31 +69,25 @@
     """The connection broke, or what came is no answer; the request may have run."""
 
 
-def set_socket_options(stream: SocketStream) -> None:
-    """Let dead connections show, and small writes go at once."""
-    raw = stream.extra(SocketAttribute.raw_socket)
-    for level, option, value in SOCKET_OPTIONS:
-        with suppress(OSError):
-            raw.setsockopt(level, option, value)
-
-
 class ClientConnection:
     """One connection to a server, for one request at a time.
 
     Parameters
     ----------
-    stream : SocketStream
+    stream : ByteStream
         The connection, which this owns.
     address : str
         Where it leads.
     """
 
-    def __init__(self, stream: SocketStream, address: str) -> None:
+    def __init__(self, stream: ByteStream, address: str) -> None:
         self.address = address
         self.requests = 0
         self.idle_until_s = 0.0
         self._stream = stream
-        self._protocol = h11.Connection(h11.CLIENT, MOST_HEAD_BYTES)
+        self._method = b""
+        self._unread = b""
+        self._body: BodyDecoder = LengthBody(0)
         self._keep_s = IDLE_DEFAULT_S
         self._sent_whole = False
         self._keeps = True
@@ -111,22 +99,29 @@
 
         Raises
         ------
+        NotSentError
+            If it cannot be written as a request.
         BrokenError
             If the connection broke without an answer; part of the request may have
             been written.
         """
+        try:
+            packed = pack_request(head, body)
+        except HeadError as error:
+            raise NotSentError(f"{self.address}: {error}") from error
+        # A write is not a turn of the event loop: a call whose time is over, or whose
+        # caller has left, must not be sent by it.
+        await checkpoint_if_cancelled()
         self.requests += 1
+        self._method = head.method
         self._sent_whole = False
-        packed = self._pack(head, body)
         if len(packed) > BUFFERED_BYTES:
-            return await self._exchange_long(packed, head, belongs)
+            return await self._exchange_long(packed, belongs)
         await self._write(packed)
         self._sent_whole = True
-        return await self._read_head(head, belongs)
+        return await self._read_head(belongs)
 
-    async def _exchange_long(
-        self, packed: bytes, head: RequestHead, belongs: Belongs
-    ) -> ResponseHead:
+    async def _exchange_long(self, packed: bytes, belongs: Belongs) -> ResponseHead:
         # A server may refuse a long body before it has read it, and close. The write
         # then breaks, and what was not read by then is lost: the answer that proves
         # that the call was not run. So it is read while the body is written. Where
@@ -136,7 +131,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._write_long, packed)
             try:
-                answer = await self._read_head(head, belongs)
+                answer = await self._read_head(belongs)
             except BrokenError as error:
                 broken = error
             if broken or not self._keeps:
@@ -166,22 +161,19 @@
         parts = [part async for part in self.read_body()]
         return head, b"".join(parts)
 
-    def _pack(self, head: RequestHead, body: bytes) -> bytes:
-        request = h11.Request(
-            method=head.method, target=head.target, headers=head.headers
-        )
-        packed = self._protocol.send(request) or b""
-        if body:
-            packed += self._protocol.send(h11.Data(data=body)) or b""
-        return packed + (self._protocol.send(h11.EndOfMessage()) or b"")
-
     async def _write(self, packed: bytes) -> None:
         try:
             await self._stream.send(packed)
-        except STREAM_ERRORS as error:
+        except OSError as error:
             raise BrokenError(f"{self.address}: {error!r}") from error
 
-    async def _read_head(self, request: RequestHead, belongs: Belongs) -> ResponseHead:
+    async def _receive(self) -> bytes:
+        try:
+            return await self._stream.receive()
+        except OSError as error:
+            raise BrokenError(f"{self.address}: {error!r}") from error
+
+    async def _read_head(self, belongs: Belongs) -> ResponseHead:
         """Read the head of the answer to the request that was sent.
 
         A server may answer an earlier request a second time, where this one's answer
@@ -193,30 +185,44 @@
                 return head
             async for _ in self.read_body():
                 pass
-            self._restart(request)
 
     async def _next_head(self) -> ResponseHead:
         while True:
-            event = await self._next_event()
-            if isinstance(event, h11.Response):
-                headers = [(key, value) for key, value in event.headers.raw_items()]
-                self._note_keeping(headers)
-                return ResponseHead(event.status_code, headers, event.reason)
-            if not isinstance(event, h11.InformationalResponse):
+            block = await self._head_block()
+            try:
+                head, framing = read_response_head(block)
+            except HeadError as error:
+                raise BrokenError(f"{self.address}: {error}") from error
+            if head.status == SWITCHING_STATUS:
+                raise BrokenError(f"{self.address}: changed its protocol")
+            if head.status < 200:
+                continue
+            self._keeps = self._keeps and not framing.closes
+            self._body = response_body(self._method, head.status, framing)
+            self._note_keeping(head.headers)
+            return head
+
+    async def _head_block(self) -> bytes:
+        searched = 0
+        while True:
+            end = self._unread.find(END_OF_HEAD, searched)
+            if end >= 0:
+                break
+            if len(self._unread) > MOST_HEAD_BYTES:
+                raise BrokenError(f"{self.address}: a head without an end")
+            searched = max(0, len(self._unread) - len(END_OF_HEAD) + 1)
+            chunk = await self._receive()
+            if not chunk:
                 raise BrokenError(f"{self.address}: closed before its answer")
+            self._unread += chunk
+        end += len(END_OF_HEAD)
+        block, self._unread = self._unread[:end], self._unread[end:]
+        return block
 
     def _note_keeping(self, headers: Headers) -> None:
-        if b"close" in connection_options(headers):
-            self._keeps = False
-        named = _TIMEOUT.search(get_header(headers, b"keep-alive") or "")
-        self._keep_s = float(named[1]) if named else IDLE_DEFAULT_S
-
-    def _restart(self, request: RequestHead) -> None:
-        rest, _ = self._protocol.trailing_data
-        self._protocol = h11.Connection(h11.CLIENT, MOST_HEAD_BYTES)
-        self._pack(request, b"")
-        if rest:
-            self._protocol.receive_data(rest)
+        named = get_header(headers, b"keep-alive")
+        found = _TIMEOUT.search(named) if named else None
+        self._keep_s = float(found[1]) if found else IDLE_DEFAULT_S
 
     async def read_body(self) -> AsyncGenerator[bytes, None]:
         """Yield the answer's body as it comes, to its proved end.
@@ -226,28 +232,34 @@
         BrokenError
             If it was cut before its end.
         """
-        while True:
-            event = await self._next_event()
-            if isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
+        body = self._body
+        while not body.is_complete:
+            data, self._unread = self._unread, b""
+            if not data:
+                data = await self._receive()
+            if not data:
+                self._end_body(body)
                 return
-            else:
-                raise BrokenError(f"{self.address}: cut in its answer")
+            part = self._decode(body, data)
+            if part:
+                yield part
 
-    async def _next_event(self) -> object:
+    def _decode(self, body: BodyDecoder, data: bytes) -> bytes:
         try:
-            while True:
-                event = self._protocol.next_event()
-                if event is not h11.NEED_DATA:
-                    return event
-                try:
-                    chunk = await self._stream.receive(CHUNK_BYTES)
-                except anyio.EndOfStream:
-                    chunk = b""
-                self._protocol.receive_data(chunk)
-        except (*STREAM_ERRORS, h11.ProtocolError) as error:
-            raise BrokenError(f"{self.address}: {error!r}") from error
+            part = body.feed(data)
+        except BodyError as error:
+            raise BrokenError(f"{self.address}: {error}") from error
+        if body.is_complete:
+            # Another answer, or bytes that belong to none.
+            self._unread = body.rest
+        return part
+
+    def _end_body(self, body: BodyDecoder) -> None:
+        try:
+            body.end()
+        except BodyError as error:
+            raise BrokenError(f"{self.address}: cut in its answer") from error
+        self._keeps = False
 
     def end_exchange(self, now_s: float) -> bool:
         """Make ready for the next request; False where it must be closed.
@@ -255,31 +267,27 @@
         Bytes that follow a whole answer belong to no request, so a connection with
         such bytes is not used again.
         """
-        whole = self._protocol.their_state is h11.DONE
-        clean = whole and not self._protocol.trailing_data[0]
-        if not (clean and self._keeps and self._sent_whole):
-            return False
-        try:
-            self._protocol.start_next_cycle()
-        except h11.ProtocolError:
+        clean = not (self._unread or self._stream.has_news)
+        whole = self._body.is_complete and self._sent_whole
+        if not (clean and whole and self._keeps):
             return False
         self.idle_until_s = now_s + IDLE_SHARE * self._keep_s
         return True
 
     def is_silent(self) -> bool:
         """Tell whether an idle connection has neither ended nor sent bytes."""
-        raw = self._stream.extra(SocketAttribute.raw_socket)
+        if self._stream.has_news:
+            return False
         poll = select.poll()
         try:
-            poll.register(raw.fileno(), select.POLLIN | select.POLLHUP)
+            poll.register(self._stream.fileno(), select.POLLIN | select.POLLHUP)
         except (OSError, ValueError):
             return False
         return not poll.poll(0)
 
     async def aclose(self) -> None:
         """Close the connection; what it still carried is lost."""
-        with anyio.CancelScope(shield=True):
-            await anyio.aclose_forcefully(self._stream)
+        self._stream.close()
 
 
 class ConnectionPool:
@@ -325,13 +333,13 @@
 
     async def _open(self, address: str) -> ClientConnection:
         ip, port = split_address(address)
+        loop = asyncio.get_running_loop()
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
-                stream = await anyio.connect_tcp(ip, port)
+                _, stream = await loop.create_connection(ByteStream, ip, port)
         except (OSError, TimeoutError) as error:
             raise NotSentError(f"{address}: {error!r}") from error
         self.opened += 1
-        set_socket_options(stream)
         return ClientConnection(stream, address)
 
     async def close_idle(self, wanted: set[str] | None = None) -> None:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/http_server.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/http_server.py
@@ -1,28 +1,38 @@
 """The callers' connections: reads whole requests, and sees when a caller leaves.
 
 A web server library does not tell when a caller left while a call runs, nor lets an
-answer that breaks off end without looking complete. So this speaks by h11.
+answer that breaks off end without looking complete. So this speaks by httptools over
+the event loop's transports.
 """
 
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 import anyio
-import h11
-from anyio.abc import SocketStream, TaskGroup
+from anyio.abc import SocketStream
+from anyio.lowlevel import checkpoint
 
 from knapweedbridge_core.serving import FaceLimits
-from knapweedbridge_daemon.serving.http_client import (
-    STREAM_ERRORS,
-    set_socket_options,
+from knapweedbridge_daemon.serving.byte_stream import ByteStream
+from knapweedbridge_daemon.serving.http_bodies import BodyError
+from knapweedbridge_daemon.serving.http_heads import (
+    END_OF_HEAD,
+    Framing,
+    HeadError,
+    read_request_head,
+    request_body,
 )
+from knapweedbridge_daemon.serving.response_writing import ResponsePacker
 from knapweedbridge_daemon.serving.wire import Headers, RequestHead, ResponseHead
 
-CHUNK_BYTES = 65536
 LINGER_S = 0.3
 """How long a closing connection is read on: closing it with unread bytes would reset
 it, and the caller could lose an answer that was just written."""
 
+FIRST_PRINTABLE = 0x21
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+
 
 class BadRequestError(Exception):
     """A request that cannot be read; it is answered and its connection closed.
@@ -76,9 +86,11 @@
         self._unsent = self._connection.pack_head(head)
 
     async def send(self, data: bytes) -> None:
-        """Write a part of the body."""
-        packed = self._unsent + self._connection.pack_data(data)
-        self._unsent = b""
+        """Write a part of the body; waits until the kernel has all of it."""
+        packed = self._connection.pack_data(data)
+        if self._unsent:
+            packed = self._unsent + packed
+            self._unsent = b""
         await self._connection.write(packed)
 
     async def end(self, data: bytes = b"") -> None:
@@ -118,9 +130,9 @@
     def __init__(self, face: "CallersFace", stream: SocketStream) -> None:
         self._face = face
         self._stream = stream
-        self._protocol = h11.Connection(h11.SERVER, face.limits().header_bytes)
-        self._early: list[bytes] = []
-        self._gone = False
+        self._wire = ByteStream.take_over(stream)
+        self._unread = b""
+        self._packer = ResponsePacker(b"", Framing())
 
     async def serve(self) -> None:
         """Answer requests until either side ends the connection."""
@@ -132,179 +144,173 @@
                 return
             if request is None:
                 return
-            if not await self._handle(request) or not self._next_cycle():
+            if not await self._handle(request) or not self._packer.keeps:
                 await self._linger()
                 return
+            if self._unread:
+                # A caller that sends many requests at once leaves other tasks a turn.
+                await checkpoint()
+
+    def close(self) -> None:
+        """Close the connection; an answer that broke off does not look complete."""
+        if self._packer.is_cut and self._packer.ends_by_close:
+            self._wire.reset()
+        else:
+            self._wire.close()
+
+    def close_idle(self) -> None:
+        """End the wait for a next request."""
+        self._wire.end_reading()
 
     async def _read_request(self) -> ReceivedRequest | None:
         limits = self._face.limits()
-        with anyio.move_on_after(limits.idle_timeout_s) as idle:
-            self._face.idle.add(idle)
-            first = await self._first_bytes()
-        self._face.idle.discard(idle)
-        if idle.cancelled_caught or not first:
+        self._packer = ResponsePacker(b"", Framing())
+        if not self._unread and not await self._await_first(limits):
             return None
-        with anyio.move_on_after(limits.header_timeout_s) as slow:
-            head = await self._read_head()
-        if slow.cancelled_caught:
-            raise BadRequestError(408, "the head took too long")
-        if head is None:
+        block = await self._head_block(limits)
+        if block is None:
             return None
+        try:
+            head, framing = read_request_head(block)
+        except HeadError as error:
+            raise BadRequestError(error.status, str(error)) from error
         received_s = anyio.current_time()
-        body = await self._read_body(limits)
+        self._packer = ResponsePacker(head.method, framing)
+        body = await self._read_body(framing, limits)
         if body is None:
             return None
         return ReceivedRequest(head, body, received_s)
 
-    async def _first_bytes(self) -> bool:
-        if self._early or self._protocol.trailing_data[0]:
-            return True
-        return await self._receive()
-
-    async def _receive(self) -> bool:
+    async def _await_first(self, limits: FaceLimits) -> bool:
+        """Wait for a request's first bytes; False where none come."""
+        self._face.idle.add(self)
         try:
-            chunk = await self._stream.receive(CHUNK_BYTES)
-        except (anyio.EndOfStream, *STREAM_ERRORS):
+            self._unread = await self._receive(limits.idle_timeout_s)
+        except TimeoutError:
             return False
-        self._protocol.receive_data(chunk)
-        return True
+        finally:
+            self._face.idle.discard(self)
+        return bool(self._unread)
 
-    async def _next_event(self) -> object:
+    async def _receive(self, within_s: float) -> bytes:
+        """Receive; nothing is returned where the connection ended in any way."""
         try:
-            while True:
-                event = self._protocol.next_event()
-                if event is not h11.NEED_DATA:
-                    return event
-                if self._early:
-                    self._protocol.receive_data(self._early.pop(0))
-                elif not await self._receive():
-                    return None
-        except h11.RemoteProtocolError as error:
-            raise BadRequestError(
-                error.error_status_hint or 400, "no request of HTTP/1.1"
-            ) from error
-
-    async def _read_head(self) -> RequestHead | None:
-        event = await self._next_event()
-        if not isinstance(event, h11.Request):
-            return None
-        headers = [(key, value) for key, value in event.headers.raw_items()]
-        _check_framing(headers)
-        return RequestHead(event.method, event.target, headers)
+            return await self._wire.receive_by(anyio.current_time() + within_s)
+        except ConnectionError:
+            return b""
 
-    async def _read_body(self, limits: FaceLimits) -> bytes | None:
+    async def _head_block(self, limits: FaceLimits) -> bytes | None:
+        due_s: float | None = None
+        searched = 0
+        while True:
+            if self._unread[0] < FIRST_PRINTABLE:
+                raise BadRequestError(400, "no request of HTTP/1.1")
+            end = self._unread.find(END_OF_HEAD, searched)
+            size = end if end >= 0 else len(self._unread)
+            if size > limits.header_bytes:
+                raise BadRequestError(431, "the head is too large")
+            if end >= 0:
+                break
+            if b"\n\n" in self._unread:
+                raise BadRequestError(400, "line ends without a carriage return")
+            searched = max(0, len(self._unread) - len(END_OF_HEAD) + 1)
+            now_s = anyio.current_time()
+            due_s = due_s or now_s + limits.header_timeout_s
+            try:
+                chunk = await self._receive(due_s - now_s)
+            except TimeoutError:
+                raise BadRequestError(408, "the head took too long") from None
+            if not chunk:
+                return None
+            self._unread += chunk
+        end += len(END_OF_HEAD)
+        block, self._unread = self._unread[:end], self._unread[end:]
+        return block
+
+    async def _read_body(self, framing: Framing, limits: FaceLimits) -> bytes | None:
+        if (framing.length or 0) > limits.body_bytes:
+            raise BadRequestError(413, "the body is too large")
+        if framing.expects_continue:
+            with suppress(CallerGoneError):
+                await self.write(CONTINUE)
+        body = request_body(framing)
         parts: list[bytes] = []
         size = 0
-        while True:
-            with anyio.move_on_after(limits.idle_timeout_s) as slow:
-                if self._protocol.they_are_waiting_for_100_continue:
-                    await self._send_continue()
-                event = await self._next_event()
-            if slow.cancelled_caught:
-                raise BadRequestError(408, "the body took too long")
-            if isinstance(event, h11.EndOfMessage):
-                return b"".join(parts)
-            if not isinstance(event, h11.Data):
+        while not body.is_complete:
+            data, self._unread = self._unread, b""
+            try:
+                data = data or await self._receive(limits.idle_timeout_s)
+                part = body.feed(data)
+            except TimeoutError:
+                raise BadRequestError(408, "the body took too long") from None
+            except BodyError as error:
+                raise BadRequestError(400, str(error)) from error
+            if not data:
                 return None
-            parts.append(bytes(event.data))
-            size += len(event.data)
+            parts.append(part)
+            size += len(part)
             if size > limits.body_bytes:
                 raise BadRequestError(413, "the body is too large")
-
-    async def _send_continue(self) -> None:
-        reply = h11.InformationalResponse(status_code=100, headers=[])
-        await self.write(self._protocol.send(reply) or b"")
+            if body.is_complete:
+                self._unread = body.rest
+        return parts[0] if len(parts) == 1 else b"".join(parts)
 
     async def _handle(self, request: ReceivedRequest) -> bool:
         """Run the handler; False where the connection must end."""
+        if self._wire.has_ended:
+            return False
         responder = Responder(self)
-        self._gone = False
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._watch_caller, tasks)
-            try:
-                await self._face.handler(request, responder)
-            except CallerGoneError:
-                self._gone = True
-            tasks.cancel_scope.cancel()
-        return responder.ended and not self._gone
-
-    async def _watch_caller(self, tasks: TaskGroup) -> None:
+        is_gone = False
         # What comes early is the next request; a caller that sends on without end
         # is not read further than one.
-        while sum(map(len, self._early)) < CHUNK_BYTES:
+        with anyio.CancelScope() as scope:
+            self._wire.on_end = scope.cancel
             try:
-                self._early.append(await self._stream.receive(CHUNK_BYTES))
-            except (anyio.EndOfStream, *STREAM_ERRORS):
-                self._gone = True
-                tasks.cancel_scope.cancel()
-                return
-        await anyio.sleep_forever()
-
-    def _next_cycle(self) -> bool:
-        if self._protocol.our_state is not h11.DONE:
-            return False
-        try:
-            self._protocol.start_next_cycle()
-        except h11.ProtocolError:
-            return False
-        return True
+                await self._face.handler(request, responder)
+            except CallerGoneError:
+                is_gone = True
+            finally:
+                self._wire.on_end = None
+        return responder.ended and not (is_gone or self._wire.has_ended)
 
     def pack_head(self, head: ResponseHead) -> bytes:
         """Encode the head of an answer."""
-        headers = list(head.headers)
-        if self._face.closing:
-            headers.append((b"Connection", b"close"))
-        response = h11.Response(
-            status_code=head.status, headers=headers, reason=head.reason
-        )
-        return self._protocol.send(response) or b""
+        return self._packer.head(head, self._face.closing)
 
     def pack_data(self, data: bytes) -> bytes:
         """Encode a part of a body."""
-        return self._protocol.send(h11.Data(data=data)) or b""
+        return self._packer.data(data)
 
     def pack_end(self) -> bytes:
         """Encode the end of an answer."""
-        return self._protocol.send(h11.EndOfMessage()) or b""
+        return self._packer.end()
 
     async def write(self, packed: bytes) -> None:
         """Write encoded bytes; raises CallerGoneError if nobody is there."""
         if not packed:
             return
         try:
-            await self._stream.send(packed)
-        except STREAM_ERRORS as error:
+            await self._wire.send(packed)
+        except OSError as error:
             raise CallerGoneError(repr(error)) from error
 
     async def _refuse(self, error: BadRequestError) -> None:
         self._face.count_bad(error)
-        if self._protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            return
         try:
             await Responder(self).answer(error.status, [], b"", close=True)
-        except (CallerGoneError, h11.ProtocolError):
+        except CallerGoneError:
             return
         await self._linger()
 
     async def _linger(self) -> None:
-        if self._protocol.our_state is h11.SEND_BODY:
+        if self._packer.is_cut:
             # Broken off midway: the end must not look like one.
             return
-        with anyio.move_on_after(LINGER_S):
-            try:
-                await self._stream.send_eof()
-                while True:
-                    await self._stream.receive(CHUNK_BYTES)
-            except (anyio.EndOfStream, *STREAM_ERRORS):
-                return
-
-
-def _check_framing(headers: Headers) -> None:
-    """Refuse a request whose end two readers could see at two places."""
-    lengths = {value for key, value in headers if key.lower() == b"content-length"}
-    chunked = any(key.lower() == b"transfer-encoding" for key, _ in headers)
-    if len(lengths) > 1 or (lengths and chunked):
-        raise BadRequestError(400, "two framings in one request")
+        self._wire.send_eof()
+        due_s = anyio.current_time() + LINGER_S
+        with suppress(ConnectionError, TimeoutError):
+            while await self._wire.receive_by(due_s):
+                pass
 
 
 class CallersFace:
@@ -335,23 +341,22 @@
         self.count_fault = count_fault
         self.closing = False
         self.open_connections = 0
-        self.idle: set[anyio.CancelScope] = set()
+        self.idle: set[CallerConnection] = set()
 
     def close_idle(self) -> None:
         """Close the connections on which no request is under way."""
-        for scope in list(self.idle):
-            scope.cancel()
+        for connection in list(self.idle):
+            connection.close_idle()
 
     async def serve(self, stream: SocketStream) -> None:
         """Serve one connection to its end."""
         self.open_connections += 1
+        connection = CallerConnection(self, stream)
         try:
-            set_socket_options(stream)
-            await CallerConnection(self, stream).serve()
+            await connection.serve()
         except Exception as error:
             # A fault of ours costs this caller its connection, and no other's.
             self.count_fault(error)
         finally:
             self.open_connections -= 1
-            with anyio.CancelScope(shield=True):
-                await anyio.aclose_forcefully(stream)
+            connection.close()
