Clock reads, headers and scopes of the request path cost less; small modules

Cause: after the change of the parser, anyio.current_time was read some thirty times a request, each time with a search for the backend; headers were put in lower case 57 times a request; a request that may not be sent again entered a cancel scope without a deadline.

Change: loop_time_s reads the event loop's clock in the modules of the request path; lookups compare lengths first; headers are stripped only where one needs it. The client's connection and the reading of requests are modules of their own, re-exported where they were. A fault in the making of a caller's connection costs only that one.

--- a/bench/forwarding.py
+++ b/bench/forwarding.py
@@ -56,6 +56,7 @@
     requests: int
     us_a_request: float
     requests_per_s: float
+    system_share: float
 
 
 class EventEngine(Engine):
@@ -76,6 +77,12 @@
     return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9
 
 
+def ticks(pid: int) -> tuple[int, int]:
+    """Return the ticks that a process has spent in its program and in the system."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return int(fields[11]), int(fields[12])
+
+
 async def call(stream, kind: str, events: int, number: int) -> None:
     """Send one request over a kept connection, and read its answer to the end."""
     model = b"Model: base\r\nToken-Counts: 100,43\r\n" if kind == "draft" else b""
@@ -173,14 +180,24 @@
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(load.run)
         await anyio.sleep(WARM_S)
+        before = ticks(pid)
         began_s, ran, answered = time.monotonic(), ran_s(pid), load.answered
         await anyio.sleep(RUN_S)
         span_s = time.monotonic() - began_s
         ran, answered = ran_s(pid) - ran, load.answered - answered
+        user, system = (
+            after - was for after, was in zip(ticks(pid), before, strict=True)
+        )
         tasks.cancel_scope.cancel()
     cost_us = (ran - idle * span_s) / answered * 1e6
     name = f"{kind}, {events} events" if kind == "draft" else "plain"
-    return Figures(name, answered, round(cost_us, 1), round(answered / span_s, 1))
+    return Figures(
+        name,
+        answered,
+        round(cost_us, 1),
+        round(answered / span_s, 1),
+        round(system / max(1, user + system), 2),
+    )
 
 
 async def run() -> dict:
--- a/features/wire/requests.feature
+++ b/features/wire/requests.feature
@@ -71,3 +71,21 @@
 
     When a caller reads nothing of a long answer, and then reads it
     Then meanwhile the answer's writer waits, and then it goes on
+
+  Scenario Outline: A caller that leaves while its request runs: it <leaves>
+    Guards against requests that go on for callers who are gone.
+
+    When a caller <leaves> while its request runs
+    Then the request is broken off within 0.3 s
+
+    Examples:
+      | leaves             |
+      | closes             |
+      | resets             |
+      | ends what it sends |
+
+  Scenario: Connections are closed while a daemon stops
+    Guards against a stop that waits for idle connections, or that cuts an answer.
+
+    When the face closes, with one idle connection and one request that runs
+    Then the idle one is closed at once, and the other after its answer
--- a/features/wire/responses.feature
+++ b/features/wire/responses.feature
@@ -56,3 +56,9 @@
 
     When a call is to be sent whose time is over, on an open connection
     Then it does not reach the endpoint
+
+  Scenario: A header that would end its line is not written
+    Guards against a value, of an event or of the store, that writes headers of its own.
+
+    When a request has a header value with a line end
+    Then it counts as not sent, and nothing reaches the endpoint
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -1,7 +1,7 @@
 """Sends a call to one endpoint, and passes its answer on."""
 
-import asyncio
 import math
+from contextlib import nullcontext
 
 import anyio
 
@@ -14,6 +14,7 @@
 from knapweedbridge_core.serving.messages import AdapterMissed
 from knapweedbridge_daemon.serving.attempt_records import AttemptRecords, Forecast
 from knapweedbridge_daemon.serving.call import Call, KeptAnswer, Target
+from knapweedbridge_daemon.serving.clock import loop_time_s
 from knapweedbridge_daemon.serving.dialects import AnswerHead, AttemptDetails
 from knapweedbridge_daemon.serving.event_stream import EventCutter
 from knapweedbridge_daemon.serving.http_client import (
@@ -61,7 +62,7 @@
         """
         endpoint = target.endpoint
         model = call.details.model
-        began_s = anyio.current_time()
+        began_s = loop_time_s()
         call.unread_tokens = call.details.prompt_tokens
         forecast = self._records.forecast(call, endpoint, began_s)
         self._link.running.begin(endpoint, model, call.unread_tokens)
@@ -77,25 +78,25 @@
                 end = AttemptEnd.WITHHELD
                 return end
             call.progress.sends += 1
-            forecast.sent_s = anyio.current_time()
+            forecast.sent_s = loop_time_s()
             forecast.unread_tokens = endpoint.unread_tokens - call.unread_tokens
             forecast.unlisted_for_s = endpoint.unlisted_for_s(forecast.sent_s)
             forecast.limit_per_s = endpoint.pressure.limit_per_s
             patience.deadline = self._patient_until_s(call, target)
-            with patience:
+            with patience if patience.deadline < math.inf else nullcontext():
                 end = await self._exchange(call, target, patience, forecast)
             if patience.cancelled_caught:
                 raise BrokenError("silent")
         except NotSentError as error:
             end, detail = AttemptEnd.NOT_RUN, str(error)
             call.refused.add(endpoint.name)
-            endpoint.note_unreachable(anyio.current_time())
+            endpoint.note_unreachable(loop_time_s())
             await self._link.endpoint_lost(endpoint.name)
         except (BrokenError, BrokenEventsError) as error:
             end, detail = AttemptEnd.BROKEN, str(error)
             call.progress.runs.add(endpoint.name)
             if not patience.cancelled_caught:
-                self._hub.crashes.broke(call.mark, endpoint.name, anyio.current_time())
+                self._hub.crashes.broke(call.mark, endpoint.name, loop_time_s())
         finally:
             if end is AttemptEnd.ABANDONED:
                 # Broken off by its caller or by a deadline, it may run all the same.
@@ -109,7 +110,7 @@
 
     async def _may_send(self, endpoint: Endpoint) -> bool:
         """Tell whether an endpoint takes a call that has waited for its turn."""
-        if not endpoint.takes_work(anyio.current_time()):
+        if not endpoint.takes_work(loop_time_s()):
             return False
         return await self._link.permits.take(endpoint)
 
@@ -122,7 +123,7 @@
         others_left = len(call.progress.runs) + 1 < call.route.max_attempts
         if not (call.route.repeatable and others_left):
             return math.inf
-        now_s = anyio.current_time()
+        now_s = loop_time_s()
         patience_s = first_byte_patience_s(
             call.route, self._hub.rates.first_event_s(target.endpoint, 0, now_s)
         )
@@ -204,7 +205,7 @@
             version=target.version,
             model=str(model or ""),
         )
-        now_s = anyio.current_time()
+        now_s = loop_time_s()
         if proved.endpoint not in (None, endpoint.name):
             # Its address went to another: the one that was believed in is gone.
             call.refused.add(endpoint.name)
@@ -256,9 +257,6 @@
         patience: anyio.CancelScope,
         forecast: Forecast,
     ) -> AttemptEnd:
-        # The loop's own clock: finding the backend costs more at each event than the
-        # reading of the time.
-        clock_s = asyncio.get_running_loop().time
         resumed = call.progress.begun
         cutter = EventCutter(call.last_event if resumed else None)
         send = call.responder.send
@@ -266,7 +264,7 @@
             events = cutter.feed(chunk)
             if not events.count:
                 continue
-            now_s = clock_s()
+            now_s = loop_time_s()
             if patience.deadline != math.inf:
                 self._end_patience(patience)
             if call.unread_tokens:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/call.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/call.py
@@ -2,9 +2,8 @@
 
 from dataclasses import dataclass, field
 
-import anyio
-
 from knapweedbridge_core.serving import CallProgress, ClientAccount, Endpoint, Route
+from knapweedbridge_daemon.serving.clock import loop_time_s
 from knapweedbridge_daemon.serving.dialects import CallDetails
 from knapweedbridge_daemon.serving.http_server import ReceivedRequest, Responder
 from knapweedbridge_daemon.serving.wire import ResponseHead, end_to_end
@@ -77,7 +76,7 @@
     @property
     def left_s(self) -> float:
         """Time that is left, in seconds."""
-        return self.deadline_s - anyio.current_time()
+        return self.deadline_s - loop_time_s()
 
     def note_events(self, now_s: float) -> None:
         """Take that events of its stream came."""
@@ -97,4 +96,4 @@
         )
         await self.responder.end(kept.body)
         if self.first_event_s is None:
-            self.first_event_s = anyio.current_time()
+            self.first_event_s = loop_time_s()
--- a/packages/daemon/src/knapweedbridge_daemon/serving/decision_log.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/decision_log.py
@@ -16,6 +16,7 @@
 from eliot import Logger, add_destinations, remove_destination
 
 from knapweedbridge_daemon.levels import Level
+from knapweedbridge_daemon.serving.clock import loop_time_s
 
 WAITING_LINES = 5000
 WRITE_PERIOD_S = 0.1
@@ -82,9 +83,11 @@
         self._write(Level.DEBUG, kind, fields)
 
     def _write(self, level: Level, kind: str, fields: dict[str, Any]) -> None:
-        if level < self._level or not self._allows(kind):
+        if level < self._level:
+            return
+        now_s = loop_time_s()
+        if not self._allows(kind, now_s):
             return
-        now_s = anyio.current_time()
         self._logger.write(
             {
                 "message_type": kind,
@@ -96,9 +99,9 @@
             }
         )
 
-    def _allows(self, kind: str) -> bool:
+    def _allows(self, kind: str, now_s: float) -> bool:
         allowance = self._kinds[kind]
-        second = int(anyio.current_time())
+        second = int(now_s)
         if allowance.second != second:
             allowance.second, allowance.lines = second, 0
         allowance.lines += 1
--- a/packages/daemon/src/knapweedbridge_daemon/serving/http_heads.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/http_heads.py
@@ -25,6 +25,7 @@
     rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+) ([\x21-\x7e]+) HTTP/1\.([01])\r\n"
 )
 _STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9]{2})(?: ([^\x00\r\n]*))?\r\n")
+_PADDED = re.compile(rb"[ \t]\r\n")
 _MARKED = frozenset(
     {b"content-length", b"transfer-encoding", b"connection", b"expect", b"host"}
 )
@@ -75,13 +76,12 @@
 class _HeaderList:
     """Takes the headers that httptools reads."""
 
-    __slots__ = ("headers",)
+    __slots__ = ("headers", "on_header")
 
     def __init__(self) -> None:
         self.headers: Headers = []
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        self.headers.append((name, value.rstrip(b" \t")))
+        append = self.headers.append
+        self.on_header = lambda name, value: append((name, value))
 
 
 def read_request_head(block: bytes) -> tuple[RequestHead, Framing]:
@@ -135,7 +135,9 @@
         raise
     except httptools.HttpParserError as error:
         raise HeadError(str(error)) from error
-    return taken.headers
+    if _PADDED.search(block) is None:
+        return taken.headers
+    return [(name, value.rstrip(b" \t")) for name, value in taken.headers]
 
 
 def _find_framing(headers: Headers, is_http10: bool) -> Framing:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/http_server.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/http_server.py
@@ -1,4 +1,4 @@
-"""The callers' connections: reads whole requests, and sees when a caller leaves.
+"""The callers' connections: answers requests, and sees when a caller leaves.
 
 A web server library does not tell when a caller left while a call runs, nor lets an
 answer that breaks off end without looking complete. So this speaks by httptools over
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
+from contextlib import closing, suppress
 from dataclasses import dataclass, field
 
 import anyio
@@ -15,62 +15,34 @@
 
 from knapweedbridge_core.serving import FaceLimits
 from knapweedbridge_daemon.serving.byte_stream import ByteStream
-from knapweedbridge_daemon.serving.http_bodies import BodyError
-from knapweedbridge_daemon.serving.http_heads import (
-    END_OF_HEAD,
-    Framing,
-    HeadError,
-    read_request_head,
-    request_body,
+from knapweedbridge_daemon.serving.clock import loop_time_s
+from knapweedbridge_daemon.serving.http_heads import Framing
+from knapweedbridge_daemon.serving.request_reading import (
+    BadRequestError,
+    ReceivedRequest,
+    RequestReader,
 )
 from knapweedbridge_daemon.serving.response_writing import ResponsePacker
-from knapweedbridge_daemon.serving.wire import Headers, RequestHead, ResponseHead
+from knapweedbridge_daemon.serving.wire import Headers, ResponseHead
+
+__all__ = [
+    "BadRequestError",
+    "CallerConnection",
+    "CallerGoneError",
+    "CallersFace",
+    "ReceivedRequest",
+    "Responder",
+]
 
 LINGER_S = 0.3
 """How long a closing connection is read on: closing it with unread bytes would reset
 it, and the caller could lose an answer that was just written."""
 
-FIRST_PRINTABLE = 0x21
-CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-
-
-class BadRequestError(Exception):
-    """A request that cannot be read; it is answered and its connection closed.
-
-    Parameters
-    ----------
-    status : int
-        HTTP status of the answer.
-    """
-
-    def __init__(self, status: int, message: str) -> None:
-        super().__init__(message)
-        self.status = status
-
 
 class CallerGoneError(Exception):
     """The caller's connection is gone."""
 
 
-@dataclass(slots=True, frozen=True)
-class ReceivedRequest:
-    """A request, whole.
-
-    Parameters
-    ----------
-    head : RequestHead
-        Its first part.
-    body : bytes
-        Its body.
-    received_s : float
-        When its head was read, on the daemon's clock.
-    """
-
-    head: RequestHead
-    body: bytes
-    received_s: float
-
-
 @dataclass(slots=True)
 class Responder:
     """Writes the answer to one request."""
@@ -131,23 +103,25 @@
         self._face = face
         self._stream = stream
         self._wire = ByteStream.take_over(stream)
-        self._unread = b""
+        self._reader = RequestReader(self._wire)
         self._packer = ResponsePacker(b"", Framing())
 
     async def serve(self) -> None:
         """Answer requests until either side ends the connection."""
         while True:
             try:
-                request = await self._read_request()
+                found = await self._read_request()
             except BadRequestError as error:
                 await self._refuse(error)
                 return
-            if request is None:
+            if found is None:
                 return
+            request, framing = found
+            self._packer = ResponsePacker(request.head.method, framing)
             if not await self._handle(request) or not self._packer.keeps:
                 await self._linger()
                 return
-            if self._unread:
+            if self._reader.has_unread:
                 # A caller that sends many requests at once leaves other tasks a turn.
                 await checkpoint()
 
@@ -162,98 +136,17 @@
         """End the wait for a next request."""
         self._wire.end_reading()
 
-    async def _read_request(self) -> ReceivedRequest | None:
+    async def _read_request(self) -> tuple[ReceivedRequest, Framing] | None:
         limits = self._face.limits()
         self._packer = ResponsePacker(b"", Framing())
-        if not self._unread and not await self._await_first(limits):
-            return None
-        block = await self._head_block(limits)
-        if block is None:
-            return None
-        try:
-            head, framing = read_request_head(block)
-        except HeadError as error:
-            raise BadRequestError(error.status, str(error)) from error
-        received_s = anyio.current_time()
-        self._packer = ResponsePacker(head.method, framing)
-        body = await self._read_body(framing, limits)
-        if body is None:
-            return None
-        return ReceivedRequest(head, body, received_s)
-
-    async def _await_first(self, limits: FaceLimits) -> bool:
-        """Wait for a request's first bytes; False where none come."""
-        self._face.idle.add(self)
-        try:
-            self._unread = await self._receive(limits.idle_timeout_s)
-        except TimeoutError:
-            return False
-        finally:
-            self._face.idle.discard(self)
-        return bool(self._unread)
-
-    async def _receive(self, within_s: float) -> bytes:
-        """Receive; nothing is returned where the connection ended in any way."""
-        try:
-            return await self._wire.receive_by(anyio.current_time() + within_s)
-        except ConnectionError:
-            return b""
-
-    async def _head_block(self, limits: FaceLimits) -> bytes | None:
-        due_s: float | None = None
-        searched = 0
-        while True:
-            if self._unread[0] < FIRST_PRINTABLE:
-                raise BadRequestError(400, "no request of HTTP/1.1")
-            end = self._unread.find(END_OF_HEAD, searched)
-            size = end if end >= 0 else len(self._unread)
-            if size > limits.header_bytes:
-                raise BadRequestError(431, "the head is too large")
-            if end >= 0:
-                break
-            if b"\n\n" in self._unread:
-                raise BadRequestError(400, "line ends without a carriage return")
-            searched = max(0, len(self._unread) - len(END_OF_HEAD) + 1)
-            now_s = anyio.current_time()
-            due_s = due_s or now_s + limits.header_timeout_s
-            try:
-                chunk = await self._receive(due_s - now_s)
-            except TimeoutError:
-                raise BadRequestError(408, "the head took too long") from None
-            if not chunk:
-                return None
-            self._unread += chunk
-        end += len(END_OF_HEAD)
-        block, self._unread = self._unread[:end], self._unread[end:]
-        return block
-
-    async def _read_body(self, framing: Framing, limits: FaceLimits) -> bytes | None:
-        if (framing.length or 0) > limits.body_bytes:
-            raise BadRequestError(413, "the body is too large")
-        if framing.expects_continue:
-            with suppress(CallerGoneError):
-                await self.write(CONTINUE)
-        body = request_body(framing)
-        parts: list[bytes] = []
-        size = 0
-        while not body.is_complete:
-            data, self._unread = self._unread, b""
+        if not self._reader.has_unread:
+            self._face.idle.add(self)
             try:
-                data = data or await self._receive(limits.idle_timeout_s)
-                part = body.feed(data)
-            except TimeoutError:
-                raise BadRequestError(408, "the body took too long") from None
-            except BodyError as error:
-                raise BadRequestError(400, str(error)) from error
-            if not data:
-                return None
-            parts.append(part)
-            size += len(part)
-            if size > limits.body_bytes:
-                raise BadRequestError(413, "the body is too large")
-            if body.is_complete:
-                self._unread = body.rest
-        return parts[0] if len(parts) == 1 else b"".join(parts)
+                if not await self._reader.await_first(limits):
+                    return None
+            finally:
+                self._face.idle.discard(self)
+        return await self._reader.read(limits)
 
     async def _handle(self, request: ReceivedRequest) -> bool:
         """Run the handler; False where the connection must end."""
@@ -307,7 +200,7 @@
             # Broken off midway: the end must not look like one.
             return
         self._wire.send_eof()
-        due_s = anyio.current_time() + LINGER_S
+        due_s = loop_time_s() + LINGER_S
         with suppress(ConnectionError, TimeoutError):
             while await self._wire.receive_by(due_s):
                 pass
@@ -351,12 +244,12 @@
     async def serve(self, stream: SocketStream) -> None:
         """Serve one connection to its end."""
         self.open_connections += 1
-        connection = CallerConnection(self, stream)
         try:
-            await connection.serve()
+            connection = CallerConnection(self, stream)
+            with closing(connection):
+                await connection.serve()
         except Exception as error:
             # A fault of ours costs this caller its connection, and no other's.
             self.count_fault(error)
         finally:
             self.open_connections -= 1
-            connection.close()
--- a/packages/daemon/src/knapweedbridge_daemon/serving/wire.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/wire.py
@@ -68,8 +68,9 @@
     name : bytes
         In lower case.
     """
+    size = len(name)
     for key, value in headers:
-        if key.lower() == name:
+        if len(key) == size and key.lower() == name:
             return value.decode("latin-1")
     return None
 
@@ -85,5 +86,9 @@
 
 def end_to_end(headers: Headers) -> Headers:
     """Return the headers that are forwarded."""
-    left_out = HOP_BY_HOP | connection_options(headers)
-    return [pair for pair in headers if pair[0].lower() not in left_out]
+    kept = [pair for pair in headers if pair[0].lower() not in HOP_BY_HOP]
+    if len(kept) == len(headers):
+        # There is no Connection header, which could name others.
+        return kept
+    named = connection_options(headers)
+    return [pair for pair in kept if pair[0].lower() not in named]
