--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -1,6 +1,7 @@
 """Sends a call to one endpoint, and passes its answer on."""
 
 import math
+from contextlib import nullcontext
 
 import anyio
 
@@ -13,6 +14,7 @@
 from knapweedbridge_core.serving.messages import AdapterMissed
 from knapweedbridge_daemon.serving.attempt_records import AttemptRecords, Forecast
 from knapweedbridge_daemon.serving.call import Call, KeptAnswer, Target
+from knapweedbridge_daemon.serving.clock import loop_time_s
 from knapweedbridge_daemon.serving.dialects import AnswerHead, AttemptDetails
 from knapweedbridge_daemon.serving.event_stream import EventCutter
 from knapweedbridge_daemon.serving.http_client import (
@@ -60,7 +62,7 @@
         """
         endpoint = target.endpoint
         model = call.details.model
-        began_s = anyio.current_time()
+        began_s = loop_time_s()
         call.unread_tokens = call.details.prompt_tokens
         forecast = self._records.forecast(call, endpoint, began_s)
         self._link.running.begin(endpoint, model, call.unread_tokens)
@@ -76,25 +78,25 @@
                 end = AttemptEnd.WITHHELD
                 return end
             call.progress.sends += 1
-            forecast.sent_s = anyio.current_time()
+            forecast.sent_s = loop_time_s()
             forecast.unread_tokens = endpoint.unread_tokens - call.unread_tokens
             forecast.unlisted_for_s = endpoint.unlisted_for_s(forecast.sent_s)
             forecast.limit_per_s = endpoint.pressure.limit_per_s
             patience.deadline = self._patient_until_s(call, target)
-            with patience:
+            with patience if patience.deadline < math.inf else nullcontext():
                 end = await self._exchange(call, target, patience, forecast)
             if patience.cancelled_caught:
                 raise BrokenError("silent")
         except NotSentError as error:
             end, detail = AttemptEnd.NOT_RUN, str(error)
             call.refused.add(endpoint.name)
-            endpoint.note_unreachable(anyio.current_time())
+            endpoint.note_unreachable(loop_time_s())
             await self._link.endpoint_lost(endpoint.name)
         except (BrokenError, BrokenEventsError) as error:
             end, detail = AttemptEnd.BROKEN, str(error)
             call.progress.runs.add(endpoint.name)
             if not patience.cancelled_caught:
-                self._hub.crashes.broke(call.mark, endpoint.name, anyio.current_time())
+                self._hub.crashes.broke(call.mark, endpoint.name, loop_time_s())
         finally:
             if end is AttemptEnd.ABANDONED:
                 # Broken off by its caller or by a deadline, it may run all the same.
@@ -108,7 +110,7 @@
 
     async def _may_send(self, endpoint: Endpoint) -> bool:
         """Tell whether an endpoint takes a call that has waited for its turn."""
-        if not endpoint.takes_work(anyio.current_time()):
+        if not endpoint.takes_work(loop_time_s()):
             return False
         return await self._link.permits.take(endpoint)
 
@@ -121,7 +123,7 @@
         others_left = len(call.progress.runs) + 1 < call.route.max_attempts
         if not (call.route.repeatable and others_left):
             return math.inf
-        now_s = anyio.current_time()
+        now_s = loop_time_s()
         patience_s = first_byte_patience_s(
             call.route, self._hub.rates.first_event_s(target.endpoint, 0, now_s)
         )
@@ -203,7 +205,7 @@
             version=target.version,
             model=str(model or ""),
         )
-        now_s = anyio.current_time()
+        now_s = loop_time_s()
         if proved.endpoint not in (None, endpoint.name):
             # Its address went to another: the one that was believed in is gone.
             call.refused.add(endpoint.name)
@@ -219,8 +221,9 @@
             missed = AdapterMissed(endpoint.name, model.base, model.adapter)
             await self._link.send(endpoint.owner, missed)
 
-    def _note_events(self, call: Call, endpoint: Endpoint, forecast: Forecast) -> None:
-        now_s = anyio.current_time()
+    def _note_events(
+        self, call: Call, endpoint: Endpoint, forecast: Forecast, now_s: float
+    ) -> None:
         if forecast.first_s is None:
             forecast.first_s = now_s
             self._records.report_first(call, endpoint, forecast)
@@ -258,28 +261,36 @@
     ) -> AttemptEnd:
         resumed = call.progress.begun
         cutter = EventCutter(call.last_event if resumed else None)
+        send = call.responder.send
         async for chunk in connection.read_body():
             events = cutter.feed(chunk)
             if not events.count:
                 continue
-            self._end_patience(patience)
-            self._note_read(call, endpoint)
-            self._note_events(call, endpoint, forecast)
+            now_s = loop_time_s()
+            if patience.deadline != math.inf:
+                self._end_patience(patience)
+            if call.unread_tokens:
+                self._note_read(call, endpoint)
+            self._note_events(call, endpoint, forecast, now_s)
             if events.last_id is not None:
                 call.last_event = events.last_id
             if not call.progress.begun:
-                call.progress.begun = True
-                call.first_event_s = anyio.current_time()
-                headers = [
-                    pair
-                    for pair in end_to_end(answer.headers)
-                    if pair[0].lower() != b"content-length"
-                ]
-                await call.responder.start(ResponseHead(200, headers, answer.reason))
-            await call.responder.send(events.data)
+                await self._begin_stream(call, answer, now_s)
+            await send(events.data)
         if cutter.rest:
             raise BrokenError("ended in the middle of an event")
         if not call.progress.begun:
             raise BrokenError("a stream without an event")
         await call.responder.end()
         return AttemptEnd.ANSWERED
+
+    @staticmethod
+    async def _begin_stream(call: Call, answer: ResponseHead, now_s: float) -> None:
+        call.progress.begun = True
+        call.first_event_s = now_s
+        headers = [
+            pair
+            for pair in end_to_end(answer.headers)
+            if pair[0].lower() != b"content-length"
+        ]
+        await call.responder.start(ResponseHead(200, headers, answer.reason))
