Serving daemons send no stamps of the time line to each other

Only the other kind of daemon has a time line; a serving daemon made and took a stamp for each batch, which nothing read. Stamps of daemons of before are still passed over.

--- a/packages/daemon/src/knapweedbridge_daemon/peers.py
+++ b/packages/daemon/src/knapweedbridge_daemon/peers.py
@@ -26,7 +26,7 @@
 from knapweedbridge_daemon.handshake import Handshake
 from knapweedbridge_daemon.peer_sockets import PeerSocket, connect_peer
 from knapweedbridge_daemon.peer_streams import HeardHost, LinkOut, PeerBytes, StreamIn
-from knapweedbridge_daemon.stamps import PeerClock
+from knapweedbridge_daemon.stamps import NoStamps, PeerClock, Stamping
 
 CHUNK_BYTES = 65536
 BATCH_BYTES = 262_144
@@ -73,7 +73,8 @@
     incarnation : int
         Number of this host's start.
     clock : HybridClock, optional
-        Stamps the time line's events; it travels with the messages.
+        Stamps the time line's events; it travels with the messages. Without one
+        messages go without stamps.
     """
 
     def __init__(
@@ -89,7 +90,7 @@
         self._handshake = Handshake(host, incarnation, secret)
         self._silence_s = silence_s
         self._submit = submit
-        self._clock = PeerClock(clock or HybridClock())
+        self._clock: Stamping = NoStamps() if clock is None else PeerClock(clock)
         self._tasks: TaskGroup | None = None
         self._addresses: dict[str, str] = {}
         self._links: dict[str, LinkOut] = {}
