Chunks and events that were joined on their way are read in few steps

Cause: under load several chunks come with one read; each then took five steps of the decoder, and each event two searches.

Change: whole chunks are read in one loop; a chunk of events whose last has an id is passed on as it is, with their number.

--- a/packages/daemon/src/knapweedbridge_daemon/serving/event_stream.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/event_stream.py
@@ -11,7 +11,6 @@
 
 _ID = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
 _PLAIN_END = b"\n\n"
-_RETURN = b"\r"
 
 
 @dataclass(slots=True, frozen=True)
@@ -33,10 +32,20 @@
     last_id: str | None
 
 
-def _is_one_event(chunk: bytes) -> bool:
-    """Tell at little cost whether a chunk is one event, as most are."""
-    end = chunk.find(_PLAIN_END)
-    return end == len(chunk) - len(_PLAIN_END) and end > 0 and _RETURN not in chunk
+def _plain_events(chunk: bytes) -> WholeEvents | None:
+    """Take a chunk of whole events whose last has an id, as most are, in few steps.
+
+    Returns None for any other chunk.
+    """
+    plain = chunk.endswith(_PLAIN_END) and not chunk.startswith(b"\n")
+    if not plain or b"\r" in chunk or b"\n\n\n" in chunk:
+        return None
+    last = chunk[chunk.rfind(_PLAIN_END, 0, -1) + len(_PLAIN_END) :]
+    count = chunk.count(_PLAIN_END)
+    found = _ID.search(chunk if count == 1 else last)
+    if found is None:
+        return None
+    return WholeEvents(chunk, count, found[1].decode("latin-1"))
 
 
 class EventCutter:
@@ -65,9 +74,10 @@
         BrokenEventsError
             If an event is longer than `MAX_EVENT_BYTES`.
         """
-        if not self._held and self._after is None and _is_one_event(chunk):
-            found = _ID.search(chunk)
-            return WholeEvents(chunk, 1, found[1].decode("latin-1") if found else None)
+        if not self._held and self._after is None:
+            plain = _plain_events(chunk)
+            if plain is not None:
+                return plain
         buffer = self._held + chunk
         events: list[bytes] = []
         start = 0
--- a/packages/daemon/src/knapweedbridge_daemon/serving/http_bodies.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/http_bodies.py
@@ -102,14 +102,12 @@
 
     def feed(self, data: bytes) -> bytes:
         """See `BodyDecoder.feed`."""
-        if not (self._held or self._left or self._wants_end or self._in_trailers):
-            part = self._sole_chunk(data)
-            if part:
-                return part
         buffer = self._held + data if self._held else data
         self._held = b""
         parts: list[bytes] = []
         start = 0
+        if not (self._left or self._wants_end or self._in_trailers):
+            start = self._whole_chunks(buffer, start, parts)
         while not self.is_complete:
             end = self._step(buffer, start, parts)
             if end == start:
@@ -122,15 +120,18 @@
         return parts[0] if len(parts) == 1 else b"".join(parts)
 
     @staticmethod
-    def _sole_chunk(data: bytes) -> bytes:
-        """Return the bytes of data that is one whole chunk, as most is, else none."""
-        end = data.find(b"\r\n", 0, MOST_DIGITS + 2)
-        if end < 1 or not _DIGITS.fullmatch(data, 0, end):
-            return b""
-        size = int(data[:end], 16)
-        if len(data) != size + end + 4 or not data.endswith(b"\r\n"):
-            return b""
-        return data[end + 2 : -2]
+    def _whole_chunks(buffer: bytes, start: int, parts: list[bytes]) -> int:
+        """Read whole chunks, as most come, in few steps; returns where they end."""
+        while True:
+            end = buffer.find(b"\r\n", start, start + MOST_DIGITS + 2)
+            if end < 0 or not _DIGITS.fullmatch(buffer, start, end):
+                return start
+            size = int(buffer[start:end], 16)
+            stop = end + 2 + size
+            if not size or buffer[stop : stop + 2] != b"\r\n":
+                return start
+            parts.append(buffer[end + 2 : stop])
+            start = stop + 2
 
     def _step(self, buffer: bytes, start: int, parts: list[bytes]) -> int:
         """Read one element of the framing; returns where the next one starts."""
