What is kept for an owner's looks stands in modules of its own

The calls by daemon and model, the engines whose streams have shown a pause and the wake of an owner's task are apart, so that no module is long. Other engines are counted after loads only, as only a load's time depends on them.

--- a/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_keeper.py
@@ -4,17 +4,18 @@
 engine proves it. Ordering more than an engine's places crashes it with all its runs.
 """
 
-from collections import Counter, OrderedDict
+from collections import OrderedDict
 from collections.abc import Collection, Iterable, Mapping
 
 from knapweedbridge_core.serving.deployment import EngineLimits
+from knapweedbridge_core.serving.engine_calls import EngineCalls
 from knapweedbridge_core.serving.engine_orders import (
     EngineReport,
     Order,
     OrderAnswer,
     OrderKind,
 )
-from knapweedbridge_core.serving.engine_places import DaemonCalls, Place, Want
+from knapweedbridge_core.serving.engine_places import Place, Want
 from knapweedbridge_core.serving.load_times import (
     TRIAL_SEEN_S,
     WARM_LOAD_S,
@@ -41,11 +42,6 @@
 """How long a wish for an adapter stands; daemons that still wait ask again each
 0.25 s, and those that went to another engine do not."""
 
-CALLS_LIFE_S = 2.5
-"""How long a daemon's word of its calls stands: it is repeated each second. One that
-is cut off from the store goes on serving, so its lapsed record says nothing of them.
-"""
-
 BASE_PATIENCE = 4.0
 """How long a base model's load may take before it is ordered again, in load times:
 several loads at once share the weight store's speed."""
@@ -97,9 +93,7 @@
         self.coming_elsewhere = 0
         self.engines = 1
         self._wants: OrderedDict[ModelRef, Want] = OrderedDict()
-        self._calls: dict[str, DaemonCalls] = {}
-        self._users: Counter[ModelRef] = Counter()
-        self._silent_from_s = float("inf")
+        self._calls = EngineCalls()
         self._recent = RecentAdapters(recent, limits.recent_adapters)
         self._base_due_s = 0.0
         self.long_prompts = LongPrompts()
@@ -161,18 +155,8 @@
         self, daemon: str, calls: dict[ModelRef, int], unread_tokens: int, now_s: float
     ) -> None:
         """Take all calls of one daemon on this engine."""
-        known = self._calls.get(daemon)
-        before = known.calls if known else {}
-        self._calls[daemon] = DaemonCalls(calls, unread_tokens, now_s)
-        self._silent_from_s = min(self._silent_from_s, now_s + CALLS_LIFE_S)
-        if before == calls:
-            return
-        self._users.subtract(before)
-        self._users.update(calls)
-        for model in {*before, *calls}:
-            if not self._users[model]:
-                del self._users[model]
-            if model in self.places and before.get(model) != calls.get(model):
+        for model in self._calls.take(daemon, calls, unread_tokens, now_s):
+            if model in self.places:
                 self.places[model].used_s = now_s
                 self._note_trial(self.places[model], calls.get(model, 0), now_s)
 
@@ -183,32 +167,19 @@
 
     def forget_silent(self, now_s: float) -> None:
         """Drop the calls of daemons that tell of them no more."""
-        if now_s < self._silent_from_s:
-            return
-        for daemon, known in list(self._calls.items()):
-            if now_s - known.heard_s > CALLS_LIFE_S:
-                self.forget_daemon(daemon)
-        oldest_s = min((each.heard_s for each in self._calls.values()), default=now_s)
-        self._silent_from_s = oldest_s + CALLS_LIFE_S
+        self._calls.forget_silent(now_s)
 
     def forget_daemon(self, daemon: str) -> None:
         """Drop the calls of a daemon that is gone."""
-        known = self._calls.pop(daemon, None)
-        if known is not None:
-            self._users.subtract(known.calls)
-            self._users = +self._users
+        self._calls.forget(daemon)
 
     def users(self, model: ModelRef) -> int:
         """Return the calls that run on an adapter."""
-        return self._users[model]
+        return self._calls.users(model)
 
     def load_by_daemon(self) -> dict[str, tuple[int, int]]:
         """Return calls and unread tokens, by daemon."""
-        return {
-            daemon: (sum(known.calls.values()), known.unread_tokens)
-            for daemon, known in self._calls.items()
-            if known.calls
-        }
+        return self._calls.load_by_daemon()
 
     def places_free(self, now_s: float) -> int:
         """Return the places that a new adapter could get at once."""
--- a/packages/core/src/knapweedbridge_core/serving/engine_teller.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_teller.py
@@ -89,9 +89,12 @@
 
     def due_s(self, small: bool) -> float:
         """Return from when on news may be told to a small pool, or to a large one."""
+        return self._told_s + self._pause_s(small)
+
+    def _pause_s(self, small: bool) -> float:
         if not small:
-            return self._told_s + TELL_FAR_S
-        return self._told_s + (0.0 if self._held_changed else TELL_LOAD_S)
+            return TELL_FAR_S
+        return 0.0 if self._held_changed else TELL_LOAD_S
 
     def tell(self, hearers: Iterable[str], small: bool, now_s: float) -> list[Telling]:
         """Return what is to be told now.
@@ -105,8 +108,9 @@
             Which of the two they are.
         """
         self._relays = set() if small else set(hearers)
-        news_due = self.has_news and now_s >= self.due_s(small)
-        still_due = not small and now_s - self._told_s >= TELL_STILL_S
+        since_s = now_s - self._told_s
+        news_due = self.has_news and since_s >= self._pause_s(small)
+        still_due = not small and since_s >= TELL_STILL_S
         if news_due or still_due:
             return self._tell_changes(set(hearers), now_s)
         return self.tell_asked(now_s)
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -7,6 +7,7 @@
 from knapweedbridge_core.serving.endpoint_records import EndpointRecord, EndpointStart
 from knapweedbridge_core.serving.messages import EngineChanged, EngineTold
 from knapweedbridge_core.serving.model_ref import ModelRef
+from knapweedbridge_core.serving.paced_engines import PacedEngines
 
 
 class Fleet:
@@ -16,6 +17,8 @@
     ----------
     changes : int
         Rises whenever `endpoints` holds another `Endpoint`, or one less.
+    paced : PacedEngines
+        Those whose streams have shown a pause.
     """
 
     def __init__(self) -> None:
@@ -24,7 +27,7 @@
         self._by_service: dict[str, dict[str, Endpoint]] = {}
         self._restarted: list[Endpoint] = []
         self._lapsed: dict[str, Endpoint] = {}
-        self._paced: dict[str, dict[str, Endpoint]] = {}
+        self.paced = PacedEngines()
 
     def listed(self, record: EndpointRecord, now_s: float) -> Endpoint:
         """Take what the platform says of an endpoint.
@@ -140,35 +143,9 @@
                 for base, adapter, version, ready_in_s, users, idle_s in message.held
             }
         )
-        self._take_load(endpoint, message, now_s)
-        return endpoint
-
-    def _take_load(
-        self, endpoint: Endpoint, message: EngineTold | EngineChanged, now_s: float
-    ) -> None:
         endpoint.take_load(message, now_s)
-        if endpoint.pace_scale:
-            paced = self._paced.setdefault(endpoint.record.service, {})
-            paced[endpoint.name] = endpoint
-        else:
-            self._forget_pace(endpoint)
-
-    def _forget_pace(self, endpoint: Endpoint) -> None:
-        paced = self._paced.get(endpoint.record.service)
-        if paced:
-            paced.pop(endpoint.name, None)
-
-    def pace_scales(self, but: Endpoint, now_s: float) -> list[float]:
-        """Return what pauses have shown of the other engines of an engine's service.
-
-        Those that may take new work and have shown any are listed; see
-        `WindowPacing.heard`.
-        """
-        return [
-            endpoint.pace_scale
-            for endpoint in self._paced.get(but.record.service, {}).values()
-            if endpoint is not but and endpoint.takes_work(now_s)
-        ]
+        self.paced.note(endpoint)
+        return endpoint
 
     def tell_all(self, endpoint: Endpoint, now_s: float) -> EngineTold:
         """Return what an owner told of an engine, for those that have not heard it."""
@@ -217,7 +194,8 @@
             endpoint.drop_held(ModelRef(base, adapter))
         for base, adapter, version, ready_in_s in message.added:
             endpoint.add_held(ModelRef(base, adapter), version, now_s, ready_in_s)
-        self._take_load(endpoint, message, now_s)
+        endpoint.take_load(message, now_s)
+        self.paced.note(endpoint)
         return True
 
     def unlisted(self, name: str, now_s: float, lapsed_until_s: float) -> None:
@@ -286,7 +264,7 @@
         del self.endpoints[endpoint.name]
         self.changes += 1
         self._lapsed.pop(endpoint.name, None)
-        self._forget_pace(endpoint)
+        self.paced.forget(endpoint)
         del self._by_service[endpoint.record.service][endpoint.name]
 
     def of_service(self, service: str, now_s: float) -> list[Endpoint]:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
@@ -24,12 +24,14 @@
     OwnershipTaken,
 )
 from knapweedbridge_core.serving.ownership import OwnerRecord
+from knapweedbridge_core.serving.prompt_pacing import LEAST_PAUSE_S
 from knapweedbridge_daemon.serving.answer_signs import AnswerSigns
 from knapweedbridge_daemon.serving.dialects import DialectError
 from knapweedbridge_daemon.serving.http_client import BrokenError, NotSentError
 from knapweedbridge_daemon.serving.hub import Hub, Send, suspended_clock_s
 from knapweedbridge_daemon.serving.permits import Permits
 from knapweedbridge_daemon.serving.turn_giving import TurnGiver
+from knapweedbridge_daemon.serving.wake import Wake
 from knapweedbridge_daemon.serving.wire import ResponseHead, WireRequest
 
 ORDER_TIMEOUT_S = 0.12
@@ -89,8 +91,7 @@
         self.endpoint = endpoint
         self._record = record
         self._send = send
-        self._work = anyio.Event()
-        self._rest = anyio.CancelScope()
+        self._work = Wake()
         self._alone = anyio.Event()
         self._reported_s = float("-inf")
         self._askers: set[str] = set()
@@ -140,17 +141,11 @@
         self._note_calls()
 
     def _note_calls(self) -> None:
-        """Have the task look at other calls when that may lead to something.
-
-        While no adapter is wanted they lead to no order, and are told of when a telling
-        is due: thirty messages a second each woke the task of an engine.
-        """
+        """Have other calls looked at; at once where an order may depend on them."""
         if self.keeper.wants:
             self._work.set()
-            return
-        due_s = self._teller.due_s(self._hub.beliefs.is_small_pool)
-        if due_s < self._rest.deadline:
-            self._rest.deadline = due_s
+        else:
+            self._work.set_by(self._teller.due_s(self._hub.beliefs.is_small_pool))
 
     def forget_daemon(self, daemon: str) -> None:
         """Drop the calls of a daemon that is gone."""
@@ -174,11 +169,11 @@
 
     async def _work_on(self) -> None:
         while True:
-            self._work = anyio.Event()
+            self._work.clear()
             await self._step()
             await self._tell()
-            if not self._work.is_set():
-                await self._wait()
+            now_s = anyio.current_time()
+            await self._work.wait_until(now_s + self._pause_s(now_s))
 
     def predecessor_ended(self, number: int) -> None:
         """Take that the owner before gives no more orders."""
@@ -210,11 +205,6 @@
         await self._tell()
         await anyio.sleep(LEARN_S)
 
-    async def _wait(self) -> None:
-        now_s = anyio.current_time()
-        with anyio.CancelScope(deadline=now_s + self._pause_s(now_s)) as self._rest:
-            await self._work.wait()
-
     def _pause_s(self, now_s: float) -> float:
         """Return when to look again at what is due by time alone, in seconds."""
         small = self._hub.beliefs.is_small_pool
@@ -225,7 +215,7 @@
             pause_s = TELL_LOAD_S if self._teller.has_news else 0.05
         if self._teller.has_news:
             pause_s = min(pause_s, self._teller.due_s(small) - now_s)
-        return pause_s
+        return max(LEAST_PAUSE_S, pause_s)
 
     async def _step(self) -> None:
         if not self._hub.lease.may_order(suspended_clock_s()):
@@ -310,7 +300,9 @@
         except (BrokenError, TimeoutError):
             # Whether it is carried out, now or later, only a later order shows.
             answer = OrderAnswer.UNKNOWN
-        self._count_others()
+        if order.kind is OrderKind.LOAD:
+            # Only the time of a load depends on them.
+            self._count_others()
         self.keeper.answered(order, answer, anyio.current_time())
         self._teller.held_changed()
         if order.kind is OrderKind.LOAD and answer is not OrderAnswer.UNKNOWN:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/turn_giving.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/turn_giving.py
@@ -107,8 +107,8 @@
             service = self._endpoint.record.service
             self._pacer.token_s = self._hub.rates.token_s(service)
             if not self._pacer.seen_scale:
-                fleet = self._hub.beliefs.fleet
-                self._pacer.heard(fleet.pace_scales(self._endpoint, now_s))
+                paced = self._hub.beliefs.fleet.paced
+                self._pacer.heard(paced.scales(self._endpoint, now_s))
             self._long_prompts.pace_scale = self._pacer.seen_scale
         self._long_prompts.pace_tokens = self._pacer.budget_tokens
 
