A peer's connection that closes is not read on

Reading on in a transport that is closing is an error of uvloop, which would end the task of the stream as a fault where another task closes it while a part of what it holds is taken.

--- a/packages/daemon/src/knapweedbridge_daemon/peer_sockets.py
+++ b/packages/daemon/src/knapweedbridge_daemon/peer_sockets.py
@@ -114,10 +114,14 @@
             self._chunks.appendleft(chunk[max_bytes:])
             chunk = chunk[:max_bytes]
         self._unread_bytes -= len(chunk)
-        if not self._reads and not self._chunks and self._transport and not self._lost:
+        if not self._reads and not self._chunks:
+            self._read_on()
+        return chunk
+
+    def _read_on(self) -> None:
+        if self._transport is not None and not self._transport.is_closing():
             self._reads = True
             self._transport.resume_reading()
-        return chunk
 
     @property
     def takes_more(self) -> bool:
