--- a/features/speeds/learning.feature
+++ b/features/speeds/learning.feature
@@ -61,3 +61,12 @@
     When a daemon sees 20 first events and 40 pauses of 0.05 s before it reports
     Then the report names the last 8 first events, and 40 pauses of 2 s in all
     And the next report names none
+
+  Scenario Outline: What daemons see reaches the engine's owner: learn_speeds <learn>
+    When daemons' streams begin after 0.2 s with events each 0.1 s, and speeds are learnt: <learn>
+    Then their owner holds a speed from <least> to <most>, and logs it <lines> times
+
+    Examples:
+      | learn | least | most | lines |
+      | yes   | 1.5   | 2.2  | 2     |
+      | no    | 0     | 0    | 0     |
--- a/features/speeds/steps/learning_steps.py
+++ b/features/speeds/steps/learning_steps.py
@@ -1,5 +1,7 @@
 import random
+from types import SimpleNamespace
 
+import anyio
 from behave import given, then, when
 
 from knapweedbridge_core.serving import (
@@ -14,6 +16,9 @@
     SpeedReports,
 )
 from knapweedbridge_daemon.serving.engine_observations import EngineObservations
+from knapweedbridge_daemon.serving.engine_speeds import SpeedKeeping
+from knapweedbridge_daemon.serving.measures import Measures
+from knapweedbridge_daemon.serving.running_calls import RunningCalls
 
 NOW_S = 100.0
 
@@ -114,6 +119,9 @@
     for number in range(daemons):
         first_events = [[1000, 0, s]] * 2
         context.reports.take(f"h{number}", first_events, [20.0, 20 * gap], NOW_S)
+    for wrong in (float("nan"), float("inf"), -1.0):
+        context.reports.take("h9", [[wrong, 0, wrong]], [wrong, wrong], NOW_S)
+        context.reports.take("h9", [], [20.0, wrong], NOW_S)
 
 
 @then("what it tells of the engine names a speed from {least:g} to {most:g}")
@@ -152,3 +160,69 @@
 @then("the next report names none")
 def no_report(context):
     assert context.observed.take(context.start) == ([], [])
+
+
+def make_hub(learn):
+    """Return what the two sides of a report need of a daemon."""
+    fleet, lines = Fleet(), []
+    fleet.speeds.enabled = learn
+    record = EndpointRecord("e1", "llm", "127.0.0.1:1", "d1", 12, False, ("m",))
+    endpoint = fleet.listed(record, NOW_S)
+    endpoint.owner = "h1"
+    rates = LearntRates()
+    for number in range(100):
+        rates.saw_first_event(endpoint, 1000, 0, 0.1, NOW_S + number)
+        rates.saw_gap(endpoint, 0.05)
+    log = SimpleNamespace(info=lambda kind, **fields: lines.append((kind, fields)))
+    return SimpleNamespace(
+        beliefs=SimpleNamespace(fleet=fleet, is_small_pool=False),
+        rates=rates,
+        log=log,
+        lines=lines,
+        measures=Measures(),
+    )
+
+
+async def reported(hub, s, gap):
+    """Return the message of a daemon whose streams on e1 took so long."""
+    sent = []
+
+    async def send(daemon, message):
+        sent.append((daemon, message))
+
+    endpoint = hub.beliefs.fleet.endpoints["e1"]
+    running = RunningCalls(hub, send)
+    for _ in range(4):
+        running.observed.saw_first_event(endpoint.start, 1000, 0, s)
+    for _ in range(40):
+        running.paused(endpoint, gap)
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(running.run)
+        running.tell(endpoint.start)
+        await anyio.sleep(0.05)
+        tasks.cancel_scope.cancel()
+    return sent
+
+
+@when(
+    "daemons' streams begin after {s:g} s with events each {gap:g} s, "
+    "and speeds are learnt: {learn}"
+)
+def streams_seen(context, s, gap, learn):
+    context.hub = make_hub(learn == "yes")
+    endpoint = context.hub.beliefs.fleet.endpoints["e1"]
+    context.keeper = EngineKeeper(EngineLimits(12, 10**6, 8, 1e5, 10.0))
+    speeds = SpeedKeeping(context.hub, endpoint, context.keeper)
+    sent = anyio.run(reported, context.hub, s, gap)
+    assert [daemon for daemon, _ in sent] == ["h1"], sent
+    for number in range(6):
+        speeds.take(f"h{number}", sent[0][1], NOW_S + number)
+
+
+@then(
+    "their owner holds a speed from {least:g} to {most:g}, and logs it {lines:d} times"
+)
+def owner_holds(context, least, most, lines):
+    assert least <= context.keeper.speed.speed <= most, context.keeper.speed.speed
+    assert len(context.hub.lines) == lines, context.hub.lines
+    assert all(kind == "engine.speed" for kind, _ in context.hub.lines)
--- a/packages/core/src/knapweedbridge_core/serving/engine_speed.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_speed.py
@@ -133,12 +133,18 @@
         return self.spell_times(now_s) > 1.0
 
     def spell_times(self, now_s: float) -> float:
-        """Return by what a slow period makes the engine slower now; 1.0: by nothing."""
-        recent = [each for each in self._seen if now_s - each.seen_s <= SPELL_S]
-        if len(recent) < SPELL_LEAST or not self.speed:
+        """Return by what a slow period makes the engine slower now; 1.0: by nothing.
+
+        It is in times of the speed that was last read.
+        """
+        recent: list[tuple[float, float]] = []
+        for each in reversed(self._seen):
+            if now_s - each.seen_s > SPELL_S:
+                break
+            recent.append((each.log_times, each.weight))
+        if len(recent) < SPELL_LEAST or not self._speed:
             return 1.0
-        now_log = _median([(each.log_times, each.weight) for each in recent])
-        times = math.exp(now_log) / self.speed
+        times = math.exp(_median(recent)) / self._speed
         return times if times >= SPELL_TIMES else 1.0
 
 
--- a/packages/core/src/knapweedbridge_core/serving/speed_reports.py
+++ b/packages/core/src/knapweedbridge_core/serving/speed_reports.py
@@ -46,7 +46,7 @@
             )
             if usual_s is not None:
                 self._speed.saw_first_event(daemon, took_s / usual_s, now_s)
-        if not gaps or gaps[0] < 1 or not math.isfinite(gaps[1]):
+        if not gaps or not math.isfinite(gaps[0]) or gaps[0] < 1:
             return
         usual_s = self._rates.usual_gap_s(self._service)
         if usual_s:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_speeds.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_speeds.py
@@ -7,6 +7,9 @@
 CHANGE = 1.2
 """Times by which a speed differs from the one that was logged last to be logged."""
 
+LOOK_S = 1.0
+"""Pause between looks at the speed for the log: an estimate takes 50 us."""
+
 
 class SpeedKeeping:
     """Feeds an engine's speed with what daemons report, if speeds are learnt.
@@ -31,6 +34,7 @@
         service = endpoint.record.service
         self._reports = SpeedReports(hub.rates, service, keeper.speed)
         self._logged = endpoint.published_speed or 1.0
+        self._looked_s = float("-inf")
         self._in_spell = False
 
     def take(self, daemon: str, message: CallsRunning, now_s: float) -> None:
@@ -39,7 +43,9 @@
             return
         self._reports.take(daemon, message.first_events, message.gaps, now_s)
         self._hub.measures.count("engine_observations")
-        self._log_change()
+        if now_s - self._looked_s >= LOOK_S:
+            self._looked_s = now_s
+            self._log_change()
         self._count_spell(now_s)
 
     def _log_change(self) -> None:
