--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -20,6 +20,7 @@
 )
 from knapweedbridge_core.serving.backpressure import Backpressure
 from knapweedbridge_core.serving.beliefs import Belief, Beliefs
+from knapweedbridge_core.serving.caller_wait import CallerCase, UsualDeadlines
 from knapweedbridge_core.serving.crashes import CrashLedger, fingerprint
 from knapweedbridge_core.serving.deployment import (
     BaseModel,
@@ -46,6 +47,16 @@
 from knapweedbridge_core.serving.late_admission import LateAdmission
 from knapweedbridge_core.serving.load_times import LoadTimes
 from knapweedbridge_core.serving.model_ref import ModelRef, parse_model
+from knapweedbridge_core.serving.overload import (
+    Admit,
+    AdmitAll,
+    OverdueLast,
+    OverloadPolicy,
+    Reject,
+    Verdict,
+    Wait,
+    has_spare,
+)
 from knapweedbridge_core.serving.ownership import (
     DaemonRecord,
     LeaseClock,
@@ -92,6 +103,8 @@
 
 __all__ = [
     "Accounts",
+    "Admit",
+    "AdmitAll",
     "AttemptEnd",
     "Backpressure",
     "BaseModel",
@@ -99,6 +112,7 @@
     "Beliefs",
     "CallKind",
     "CallProgress",
+    "CallerCase",
     "ClientAccount",
     "CrashLedger",
     "DaemonRecord",
@@ -127,6 +141,8 @@
     "Order",
     "OrderAnswer",
     "OrderKind",
+    "OverdueLast",
+    "OverloadPolicy",
     "OwnerRecord",
     "PartBucket",
     "PermitPacer",
@@ -140,6 +156,7 @@
     "QuotaPurse",
     "QuotaTolerance",
     "QuotaUnit",
+    "Reject",
     "RetryBudget",
     "Route",
     "SendTo",
@@ -148,6 +165,9 @@
     "StoreOutage",
     "Telling",
     "TooLate",
+    "UsualDeadlines",
+    "Verdict",
+    "Wait",
     "WaitFor",
     "WeightedService",
     "WindowPacing",
@@ -158,6 +178,7 @@
     "fingerprint",
     "first_byte_patience_s",
     "first_event_patience_s",
+    "has_spare",
     "hearers",
     "is_small",
     "keepers",
--- a/packages/standins/src/knapweedbridge_standins/serving_load/attempt.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/attempt.py
@@ -38,7 +38,13 @@
 
     def _arrive(self) -> None:
         call, engine = self._call, self._endpoint.name
-        sent = EngineCall(
+        if not self._pool.engines[engine].send(self._make_call()):
+            refused = self._daemon.not_run
+            self._pool.clock.after(WAY_S, lambda: refused(call, engine))
+
+    def _make_call(self) -> EngineCall:
+        call = self._call
+        return EngineCall(
             call.model,
             call.prompt_tokens,
             call.output_tokens,
@@ -46,9 +52,6 @@
             self._end,
             self._pause,
         )
-        if not self._pool.engines[engine].send(sent):
-            refused = self._daemon.not_run
-            self._pool.clock.after(WAY_S, lambda: refused(call, engine))
 
     def _first(self) -> None:
         now_s, call = self._pool.clock.now_s, self._call
--- a/packages/standins/src/knapweedbridge_standins/serving_load/daemon.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/daemon.py
@@ -167,15 +167,21 @@
         endpoint.own_unread_tokens += call.prompt_tokens
         self._calls[engine][call.model] += 1
         self._tell(engine, soon=True)
-        attempt = ModelledAttempt(self, call, endpoint)
+        attempt = self._make_attempt(call, endpoint)
         clock = self.pool.clock
         if passes_at_once(attempt.unread, call.prompt_tokens, endpoint.pace_tokens):
             attempt.go()
             clock.after(WAY_S, lambda: owner.sent(call.prompt_tokens))
         else:
-            tokens, urgency = call.prompt_tokens, call.mix.urgency
+            tokens, urgency = call.prompt_tokens, self._urgency(call)
             clock.after(WAY_S, lambda: owner.ask_turn(tokens, urgency, attempt.go))
 
+    def _make_attempt(self, call: LoadCall, endpoint: Endpoint) -> ModelledAttempt:
+        return ModelledAttempt(self, call, endpoint)
+
+    def _urgency(self, call: LoadCall) -> int:
+        return call.mix.urgency
+
     def read(self, call: LoadCall, endpoint: Endpoint) -> None:
         """Take that an engine has read a call's prompt."""
         endpoint.own_unread_tokens -= call.prompt_tokens
--- a/packages/standins/src/knapweedbridge_standins/serving_load/pool.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/pool.py
@@ -18,10 +18,8 @@
     is_small,
 )
 from knapweedbridge_core.serving.messages import EngineChanged, EngineTold
+from knapweedbridge_core.serving.overload import OVERLOAD_AFTER_S
 from knapweedbridge_core.serving.ownership import DaemonRecord
-from knapweedbridge_daemon.serving.placing import (
-    OVERLOAD_AFTER_S,
-)
 from knapweedbridge_standins.serving_load.call import WAY_S, LoadCall
 from knapweedbridge_standins.serving_load.daemon import ModelledDaemon
 from knapweedbridge_standins.serving_load.engine import (
@@ -62,12 +60,9 @@
         self._luck = random.Random(seed)
         self._centres = [f"d{n}" for n in range(site.data_centres)]
         self.store = WeightStore(site)
-        self.engines = {
-            f"e{n}": ModelledEngine(self.clock, site, self.store)
-            for n in range(site.engines)
-        }
+        self.engines = {f"e{n}": self._make_engine() for n in range(site.engines)}
         self.daemons = {
-            f"h{n}": ModelledDaemon(self, f"h{n}", self._centre(n))
+            f"h{n}": self._make_daemon(f"h{n}", self._centre(n))
             for n in range(site.daemons)
         }
         listed = [
@@ -97,6 +92,12 @@
         ranks = range(1, site.adapters + 1)
         self._popularity = list(itertools.accumulate(r**-site.skew for r in ranks))
 
+    def _make_engine(self) -> ModelledEngine:
+        return ModelledEngine(self.clock, self.site, self.store)
+
+    def _make_daemon(self, name: str, data_centre: str) -> ModelledDaemon:
+        return ModelledDaemon(self, name, data_centre)
+
     def _centre(self, number: int) -> str:
         return self._centres[number % len(self._centres)]
 
