--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/admission_records.py
@@ -0,0 +1,104 @@
+"""What is logged and counted of calls that engines cannot answer in time."""
+
+from knapweedbridge_core.serving import (
+    CallerCase,
+    Reject,
+    TooLate,
+    Verdict,
+    Wait,
+)
+from knapweedbridge_daemon.serving.call import Call
+from knapweedbridge_daemon.serving.hub import Hub
+
+RANKS = 9
+"""Highest rank that is counted apart."""
+
+LONGEST_AGE_S = 999.0
+
+
+class AdmissionRecords:
+    """Logs and counts what is decided on overdue calls.
+
+    Parameters
+    ----------
+    hub : Hub
+        Log and measures.
+    """
+
+    def __init__(self, hub: Hub) -> None:
+        self._hub = hub
+
+    def judged(
+        self, call: Call, case: CallerCase, verdict: Verdict, now_s: float
+    ) -> None:
+        """Note a verdict that makes a call wait, or that refuses it.
+
+        The refusals of `AdmitAll` are told by `too_late` alone.
+        """
+        if isinstance(verdict, Wait) and not call.waits_overdue:
+            call.waits_overdue = True
+            self._note(call, case, "waits", now_s)
+        elif isinstance(verdict, Reject) and verdict.is_overdue:
+            self._note(call, case, "refused", now_s, verdict.retry_after_s)
+
+    def sent(self, call: Call, case: CallerCase, now_s: float) -> None:
+        """Note that a call that had waited, or that is overdue, is sent."""
+        if call.overdue_rank is not None:
+            self._note(call, case, "sent_last", now_s)
+        elif call.waits_overdue:
+            self._note(call, case, "sent_in_time", now_s)
+
+    def _note(
+        self,
+        call: Call,
+        case: CallerCase,
+        decision: str,
+        now_s: float,
+        retry_after_s: float | None = None,
+    ) -> None:
+        rank = min(RANKS, call.route.urgency)
+        self._hub.measures.count("overdue_calls", f"{decision}_{rank}")
+        if retry_after_s is not None:
+            retry_after_s = round(retry_after_s, 3)
+        self._hub.log.info(
+            "call.overdue",
+            request=call.details.call_id,
+            spent_s=round(case.spent_s, 3),
+            waited_s=round(case.waited_s(now_s), 3),
+            rank=call.route.urgency,
+            queue=self._hub.overload.queued(),
+            decision=decision,
+            retry_after_s=retry_after_s,
+        )
+
+    def too_late(
+        self,
+        call: Call,
+        choice: TooLate,
+        patience_s: float,
+        late_share: float,
+        now_s: float,
+    ) -> None:
+        """Note a call that is refused, as no engine would answer it in time."""
+        best, model = choice.best, call.details.model
+        held = best.held.get(model) if model else None
+        self._hub.log.info(
+            "call.too_late",
+            request=call.details.call_id,
+            model=str(model),
+            over_s=round(choice.over_s, 3),
+            load_s=round(choice.load_s, 3),
+            prompt_tokens=call.details.prompt_tokens,
+            patience_s=round(patience_s, 3),
+            engine=best.name,
+            held=held is not None,
+            ready_in_s=round(max(0.0, held.ready_s - now_s), 3) if held else None,
+            own_calls=best.own_calls,
+            others_calls=best.others_calls,
+            unread_tokens=best.unread_tokens,
+            places_free=best.places_free,
+            wants=best.wants,
+            failing_share=round(best.failing_share(now_s), 3),
+            heard_age_s=round(min(LONGEST_AGE_S, now_s - best.heard_s), 3),
+            late_share=round(late_share, 3),
+        )
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -69,9 +69,7 @@
         patience = anyio.CancelScope()
         try:
             if model is not None:
-                await self._link.turns.take(
-                    endpoint, call.unread_tokens, call.route.urgency
-                )
+                await self._link.turns.take(endpoint, call.unread_tokens, call.urgency)
             if not await self._may_send(endpoint):
                 end = AttemptEnd.WITHHELD
                 return end
@@ -179,7 +177,7 @@
             target.endpoint.name,
             target.version,
             call.left_s,
-            min(9, call.route.urgency),
+            min(9, call.urgency),
             call.last_event if resumes(call.route, call.progress) else None,
             call.account.name if call.account else "",
             call.is_keyed,
--- a/packages/daemon/src/knapweedbridge_daemon/serving/call.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/call.py
@@ -48,6 +48,12 @@
         When its answer is due at the latest, on the daemon's clock.
     mark : str
         What it is known by when it comes again.
+    spent_s : float
+        Time that its caller had spent on earlier attempts, in seconds.
+    overdue_rank : int or None
+        Rank that an overdue call has at an engine; None: that of its route.
+    waits_overdue : bool
+        Whether it has waited for capacity that no timely call wants.
     longest_pause_s, paused_s : float
         Longest time between two events of its stream, and when that pause ended.
     """
@@ -72,6 +78,9 @@
     placed: bool = False
     mark: str = ""
     account: ClientAccount | None = None
+    spent_s: float = 0.0
+    overdue_rank: int | None = None
+    waits_overdue: bool = False
     is_keyed: bool = False
 
     @property
@@ -79,6 +88,11 @@
         """Time that is left, in seconds."""
         return self.deadline_s - anyio.current_time()
 
+    @property
+    def urgency(self) -> int:
+        """Rank of its attempts; 0 goes first."""
+        return self.route.urgency if self.overdue_rank is None else self.overdue_rank
+
     def note_events(self, now_s: float) -> None:
         """Take that events of its stream came."""
         if self.event_s is not None and now_s - self.event_s > self.longest_pause_s:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
@@ -137,6 +137,9 @@
             details,
             request.received_s + allowed_s,
             mark=fingerprint(request.head.target, request.body),
+            spent_s=self._hub.deadlines.spent_s(
+                route.name, details.deadline_s, request.received_s
+            ),
             account=terms.account,
             is_keyed=terms.deployment.accounts is not None,
         )
--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -9,7 +9,14 @@
 from anyio.abc import TaskGroup
 
 from knapweedbridge_core.addresses import split_address
-from knapweedbridge_core.serving import QuotaTolerance, RetryBudget, StoreOutage
+from knapweedbridge_core.serving import (
+    AdmitAll,
+    OverdueLast,
+    OverloadPolicy,
+    QuotaTolerance,
+    RetryBudget,
+    StoreOutage,
+)
 from knapweedbridge_daemon.serving.believing import StoreFollower
 from knapweedbridge_daemon.serving.callers_app import CallersApp
 from knapweedbridge_daemon.serving.calls import CallRunner
@@ -26,6 +33,12 @@
 from knapweedbridge_daemon.serving.store_marks import StoreMarks
 from knapweedbridge_daemon.serving.sweeping import EndpointSweep
 
+OVERLOAD_POLICIES: dict[str, type[OverloadPolicy]] = {
+    "as_others": AdmitAll,
+    "last": OverdueLast,
+}
+"""By the setting ``[admission] overdue_calls``."""
+
 BACKLOG = 1024
 END_MARGIN_S = 0.6
 """Time before the end of the grace at which the daemon ends by itself."""
@@ -104,6 +117,7 @@
                 get("limits", "quota_slack"),
             ),
             lease_s=lease_s,
+            overload=OVERLOAD_POLICIES[get("admission", "overdue_calls")](),
         )
 
     async def _serve(self, hub: Hub) -> None:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
@@ -9,6 +9,7 @@
 import anyio
 
 from knapweedbridge_core.serving import (
+    AdmitAll,
     Beliefs,
     CrashLedger,
     EngineLimits,
@@ -16,10 +17,12 @@
     LearntRates,
     LeaseClock,
     LoadTimes,
+    OverloadPolicy,
     QuotaTolerance,
     RetryBudget,
     StoreAge,
     StoreOutage,
+    UsualDeadlines,
 )
 from knapweedbridge_daemon.serving.decision_log import DecisionLog
 from knapweedbridge_daemon.serving.dialects import Dialects
@@ -92,6 +95,10 @@
         Life of a daemon's lease, in seconds.
     tolerance : QuotaTolerance
         What the operators accept beyond the quotas of client accounts.
+    deadlines : UsualDeadlines
+        Tells what callers have spent on earlier attempts.
+    overload : OverloadPolicy
+        What becomes of calls that engines cannot answer in time.
     """
 
     identity: Identity
@@ -117,6 +124,8 @@
     synced: bool = False
     lease_s: float = 3.0
     tolerance: QuotaTolerance = QuotaTolerance()
+    deadlines: UsualDeadlines = field(default_factory=UsualDeadlines)
+    overload: OverloadPolicy = field(default_factory=AdmitAll)
 
     def note_store_era(self, era: int) -> None:
         """Take the era of what the store said; a new one ends all that hung on it.
--- a/packages/daemon/src/knapweedbridge_daemon/serving/placing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/placing.py
@@ -5,6 +5,8 @@
 import anyio
 
 from knapweedbridge_core.serving import (
+    Admit,
+    CallerCase,
     Endpoint,
     LateAdmission,
     LoadOn,
@@ -13,15 +15,18 @@
     PlacementAsk,
     PlainAsk,
     PricedPlacement,
+    Reject,
     SendTo,
     TooLate,
+    Verdict,
+    Wait,
     WaitFor,
     choose_plain,
-    first_event_patience_s,
     without_limited,
 )
 from knapweedbridge_core.serving.messages import AdapterWanted
 from knapweedbridge_core.serving.placement_choices import Choice
+from knapweedbridge_daemon.serving.admission_records import AdmissionRecords
 from knapweedbridge_daemon.serving.call import Call, Target
 from knapweedbridge_daemon.serving.dialects import Refusal
 from knapweedbridge_daemon.serving.hub import Hub
@@ -40,10 +45,6 @@
 WANT_AGAIN_S = 0.25
 """Pause after which an owner is asked again for an adapter that is not coming."""
 
-RESUME_PATIENCE_S = 2.0
-"""Longest wait for the next event of a stream that is continued elsewhere: callers
-leave after a gap of two seconds."""
-
 UNKNOWN_AFTER_S = 0.02
 """Age of what is known of an engine's load in a large pool past which its owner is
 asked before a call goes there. What relays tell is up to half a second old, and all
@@ -54,10 +55,6 @@
 owner answers in 3 ms; one that is gone or frozen must not keep calls from its engine.
 """
 
-OVERLOAD_AFTER_S = (1.0, 3.0)
-"""When callers should come back that no engine can serve in time: peaks last about
-two seconds, and those who return together would make the next one."""
-
 NO_ENDPOINT_AFTER_S = 0.6
 """When to come back where a service has no endpoint: one restarts in some seconds."""
 
@@ -85,17 +82,43 @@
         self._hub = hub
         self._link = link
         self._admission = LateAdmission(PricedPlacement(hub.rates, hub.load_times))
+        self._records = AdmissionRecords(hub)
 
     async def place(self, call: Call) -> Target | Refusal:
         """Return where a call goes next, or why it goes nowhere."""
         if call.details.model is None:
             return await self._place_plain(call)
+        case = self._case(call)
+        placed: Target | Refusal | None = None
+        try:
+            placed = await self._place_on_engine(call, call.details.model, case)
+        finally:
+            # A caller that disconnects ends this as well, and gives its place up.
+            sent = isinstance(placed, Target)
+            self._hub.overload.left(case, anyio.current_time(), sent)
+        return placed
+
+    async def _place_on_engine(
+        self, call: Call, model: ModelRef, case: CallerCase
+    ) -> Target | Refusal:
         asked_s = float("-inf")
         known_by_s = anyio.current_time() + ANSWER_S
         while True:
             now_s = anyio.current_time()
-            choice = self._choose(call, call.details.model, now_s)
+            choice = self._choose(call, model, case, now_s)
             call.last_choice = type(choice).__name__
+            verdict = self._hub.overload.judge(case, choice, now_s)
+            refusal = self._refuse_now(call, case, choice, verdict, now_s)
+            if refusal is not None:
+                return refusal
+            if isinstance(verdict, Wait):
+                await self._hub.engines_changed.wait(
+                    max(0.001, verdict.until_s - now_s)
+                )
+                known_by_s = anyio.current_time() + ANSWER_S
+                continue
+            assert isinstance(verdict, Admit)
+            choice, call.overdue_rank = verdict.choice, verdict.rank
             if isinstance(choice, SendTo):
                 if now_s < known_by_s and self._is_unknown(choice.endpoint, now_s):
                     await self._link.ask_load(choice.endpoint)
@@ -103,10 +126,8 @@
                     continue
                 if choice.copy_to is not None:
                     await self._want(call, choice.copy_to)
+                self._records.sent(call, case, now_s)
                 return Target(choice.endpoint, choice.version)
-            refusal = self._refuse_now(call, choice, now_s)
-            if refusal is not None:
-                return refusal
             call.accepted = not isinstance(choice, NoEngine)
             pause_s = LOOK_S
             if isinstance(choice, WaitFor):
@@ -114,16 +135,39 @@
             elif isinstance(choice, LoadOn) and now_s - asked_s > WANT_AGAIN_S:
                 asked_s = now_s
                 await self._want(call, choice.endpoint)
-            if now_s > self._patient_s(call):
+            if verdict.rank is None and now_s > self._patient_s(call):
                 return Refusal(503, "no_place", BUSY_AFTER_S)
             await self._hub.engines_changed.wait(max(0.001, pause_s))
 
-    def _refuse_now(self, call: Call, choice: Choice, now_s: float) -> Refusal | None:
+    def _case(self, call: Call) -> CallerCase:
+        return CallerCase(
+            id(call),
+            call.route,
+            call.request.received_s,
+            call.deadline_s,
+            call.spent_s,
+            self._hub.longest_pause_s(call.service) or 0.0,
+            call.mark,
+            call.progress.begun,
+            call.progress.may_have_run,
+        )
+
+    def _refuse_now(
+        self,
+        call: Call,
+        case: CallerCase,
+        choice: Choice,
+        verdict: Verdict,
+        now_s: float,
+    ) -> Refusal | None:
         """Refuse a call that is known not to be served while it would wait."""
-        if isinstance(choice, TooLate):
-            self._note_too_late(call, choice, now_s)
-            after_s = random.uniform(*OVERLOAD_AFTER_S) + choice.over_s
-            return Refusal(503, "overloaded", after_s)
+        self._records.judged(call, case, verdict, now_s)
+        if isinstance(verdict, Reject):
+            if isinstance(choice, TooLate):
+                patience_s = self._hub.overload.patience_s(case, call.accepted, now_s)
+                late_share = self._admission.late_share
+                self._records.too_late(call, choice, patience_s, late_share, now_s)
+            return Refusal(503, verdict.reason, verdict.retry_after_s)
         if isinstance(choice, NoEngine):
             return self._closed_beyond(call, self._patient_s(call), now_s)
         return None
@@ -150,37 +194,6 @@
             return False
         return engine.owner != "" and now_s - engine.heard_s > UNKNOWN_AFTER_S
 
-    def _note_too_late(self, call: Call, choice: TooLate, now_s: float) -> None:
-        best, model = choice.best, call.details.model
-        held = best.held.get(model) if model else None
-        self._hub.log.info(
-            "call.too_late",
-            request=call.details.call_id,
-            model=str(model),
-            over_s=round(choice.over_s, 3),
-            load_s=round(choice.load_s, 3),
-            prompt_tokens=call.details.prompt_tokens,
-            patience_s=round(self._patience_s(call, now_s), 3),
-            engine=best.name,
-            held=held is not None,
-            ready_in_s=round(max(0.0, held.ready_s - now_s), 3) if held else None,
-            own_calls=best.own_calls,
-            others_calls=best.others_calls,
-            unread_tokens=best.unread_tokens,
-            places_free=best.places_free,
-            wants=best.wants,
-            failing_share=round(best.failing_share(now_s), 3),
-            heard_age_s=round(min(999.0, now_s - best.heard_s), 3),
-            late_share=round(self._admission.late_share, 3),
-        )
-
-    @staticmethod
-    def _patience_s(call: Call, now_s: float) -> float:
-        if call.progress.begun:
-            return RESUME_PATIENCE_S
-        waited_s = now_s - call.request.received_s
-        return first_event_patience_s(call.route, waited_s, call.accepted)
-
     @staticmethod
     def _patient_s(call: Call) -> float:
         """Return until when a call waits for an engine, on the daemon's clock."""
@@ -189,8 +202,10 @@
         wait_s = max(0.5, PLACE_PATIENCE * call.route.objective_s)
         return min(call.request.received_s + wait_s, call.deadline_s - 0.05)
 
-    def _choose(self, call: Call, model: ModelRef, now_s: float) -> Choice:
-        beliefs = self._hub.beliefs
+    def _choose(
+        self, call: Call, model: ModelRef, case: CallerCase, now_s: float
+    ) -> Choice:
+        beliefs, policy = self._hub.beliefs, self._hub.overload
         ask = PlacementAsk(
             model,
             beliefs.wanted_version(model) if model.adapter else None,
@@ -198,20 +213,17 @@
             self._hub.identity.data_centre,
             frozenset(call.progress.runs | call.refused),
             call.details.prompt_tokens,
-            self._patience_s(call, now_s),
+            policy.patience_s(case, call.accepted, now_s),
         )
         engines = without_limited(beliefs.fleet.reachable(call.service, now_s), model)
         beliefs.fleet.guess_load(
             engines, self._hub.daemons, beliefs.is_small_pool, now_s
         )
+        engines = policy.engines_for(case, engines, now_s)
         objective_s = 0.0 if call.progress.begun else call.route.objective_s
-        is_new, call.placed = not call.placed, True
-        choice = self._admission.choose(ask, engines, objective_s, is_new, now_s)
-        if isinstance(choice, TooLate) and call.progress.may_have_run:
-            # It cannot be told that it was not run: to refuse it would fail it, and a
-            # late answer is better than none.
-            return choice.instead
-        return choice
+        is_new = not call.placed and not policy.is_overdue(case, now_s)
+        call.placed = True
+        return self._admission.choose(ask, engines, objective_s, is_new, now_s)
 
     async def _want(self, call: Call, endpoint: Endpoint) -> None:
         model = call.details.model
--- a/packages/daemon/src/knapweedbridge_daemon/serving/settings.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/settings.py
@@ -87,6 +87,17 @@
             ),
         },
     ),
+    "admission": Section(
+        "Which calls engines take while they cannot answer all in time.",
+        {
+            "overdue_calls": Key(
+                Choice("as_others", "last"),
+                "as_others",
+                "Calls whose response is late whatever is done compete with all others "
+                "(as_others), or get the capacity that others leave (last).",
+            ),
+        },
+    ),
     "logs": Section(
         "Logs.",
         {
