An immediate retry stays last while it waits

Cause: once it had a place in the queue it was judged as a first attempt. Change: whether a request was refused before it came is asked of its time of arrival. The table judges it again after a wait; 32 rows of judgements pass.

--- a/features/admission/steps/judgement_steps.py
+++ b/features/admission/steps/judgement_steps.py
@@ -187,7 +187,9 @@
     refused = make_case(1, spent_s=0.0, here_s=after, mark="same")
     verdict = policy.judge(refused, CHOICES["late"], NOW_S - after)
     assert isinstance(verdict, Reject), verdict
+    policy.left(make_case(10), NOW_S, sent=False)
     again = make_case(2, spent_s=spent, mark="same")
+    policy.judge(again, NoEngine(), NOW_S)
     context.verdict = policy.judge(again, SEND, NOW_S)
 
 
--- a/packages/core/src/knapweedbridge_core/serving/overload.py
+++ b/packages/core/src/knapweedbridge_core/serving/overload.py
@@ -218,7 +218,7 @@
             return False
         if call.waited_s(now_s) > call.route.objective_s:
             return True
-        return call.key not in self._waiting and self._is_hasty(call, now_s)
+        return self._is_hasty(call)
 
     def patience_s(self, call: CallerCase, accepted: bool, now_s: float) -> float:
         """See `OverloadPolicy.patience_s`."""
@@ -301,9 +301,11 @@
         if len(self._refused) > REFUSED_MOST:
             self._refused.popitem(last=False)
 
-    def _is_hasty(self, call: CallerCase, now_s: float) -> bool:
+    def _is_hasty(self, call: CallerCase) -> bool:
+        # What is refused while a request waits says nothing of that request.
         refused_s = self._refused.get(call.mark, -math.inf)
-        return call.spent_s < SOON_S and now_s - refused_s < REFUSED_KEPT_S
+        since_s = call.received_s - refused_s
+        return call.spent_s < SOON_S and 0.0 < since_s < REFUSED_KEPT_S
 
     def _rate_per_s(self, now_s: float) -> float:
         age_s = max(0.0, now_s - self._sent_s)
