--- a/packages/standins/src/knapweedbridge_standins/serving_load/pool.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/pool.py
@@ -20,10 +20,8 @@
     is_small,
 )
 from knapweedbridge_core.serving.messages import EngineChanged, EngineTold
+from knapweedbridge_core.serving.overload import OVERLOAD_AFTER_S
 from knapweedbridge_core.serving.ownership import DaemonRecord
-from knapweedbridge_daemon.serving.placing import (
-    OVERLOAD_AFTER_S,
-)
 from knapweedbridge_standins.serving_load.call import WAY_S, LoadCall
 from knapweedbridge_standins.serving_load.daemon import ModelledDaemon
 from knapweedbridge_standins.serving_load.engine import (
@@ -43,6 +41,8 @@
 class ModelledPool:
     """All of one deployment."""
 
+    engine_class = ModelledEngine
+
     def __init__(
         self,
         site: LoadSite,
@@ -71,7 +71,7 @@
             f"e{n}": self._make_engine(n, seed) for n in range(site.engines)
         }
         self.daemons = {
-            f"h{n}": ModelledDaemon(self, f"h{n}", self._centre(n))
+            f"h{n}": self._make_daemon(f"h{n}", self._centre(n))
             for n in range(site.daemons)
         }
         listed = [
@@ -104,7 +104,10 @@
     def _make_engine(self, number: int, seed: int) -> ModelledEngine:
         speed = self.site.speeds[number % len(self.site.speeds)]
         luck = random.Random(f"{seed} {number}")
-        return ModelledEngine(self.clock, self.site, self.store, speed, luck)
+        return self.engine_class(self.clock, self.site, self.store, speed, luck)
+
+    def _make_daemon(self, name: str, data_centre: str) -> ModelledDaemon:
+        return ModelledDaemon(self, name, data_centre)
 
     def _centre(self, number: int) -> str:
         return self._centres[number % len(self._centres)]
