Plain requests of a large pool go by what all daemons run at an endpoint

Cause: each daemon of 71 counted only its own requests, mostly none, so it chose the endpoint of its data centre even when that one was full or slow.

Change: one daemon for each endpoint, hashed as the keepers of permits are, counts the requests of all, and tells how long one takes now and usually. A daemon asks it first; only where another endpoint could answer sooner are up to three others asked. Own counts are used in pools of up to 16, after 30 ms without an answer, and with daemons of older versions, which are greeted by a message that they ignore: a message of an unknown class would end their streams.

--- /dev/null
+++ b/features/plain/steps/choice_steps.py
@@ -0,0 +1,108 @@
+import heapq
+
+from behave import given, then, when
+
+from knapweedbridge_core.serving import (
+    Endpoint,
+    EndpointRecord,
+    PlainAsk,
+    PlainCounter,
+    PlainState,
+    choose_counted,
+    suffices,
+)
+
+LISTED = {"h1", "h2", "h9"}
+RATE_PER_S = 20.0
+WORK_S = 0.09
+
+
+@given("endpoints of {slots:d} slots with {answers}")
+def endpoints_with(context, slots, answers):
+    context.endpoints, context.states = [], {}
+    for number, answer in enumerate(answers.split()):
+        name, _, told = answer.partition("=")
+        record = EndpointRecord(name, "s", "10.0.0.1:80", f"d{number}", slots, False)
+        endpoint = Endpoint(record)
+        context.endpoints.append(endpoint)
+        if told.endswith("!"):
+            endpoint.failure_share = 1.0
+        if told != "?":
+            running, work_ms, usual_ms = map(int, told.rstrip("!").split("/"))
+            state = PlainState(running, work_ms / 1000, usual_ms / 1000)
+            context.states[name] = state
+
+
+@when(
+    "a request of data centre {centre} with an objective of {objective:g} s is "
+    "placed, {tried} tried"
+)
+def placed(context, centre, objective, tried):
+    names = frozenset() if tried == "none" else frozenset(tried.split())
+    ask = PlainAsk(centre, names, objective)
+    fresh = [each for each in context.endpoints if each.name not in names]
+    context.enough = suffices(ask, fresh[0], context.endpoints, context.states, 0.0)
+    context.chosen = choose_counted(ask, context.endpoints, context.states, 0.0)
+
+
+@then("it goes to {chosen}, and the first answer suffices: {enough}")
+def goes_to(context, chosen, enough):
+    assert context.chosen.name == chosen, context.chosen.name
+    assert context.enough == (enough == "yes"), context.enough
+
+
+def play(context, seconds, factor):
+    """Run requests that come evenly, each as long as at its begin."""
+    until_s = context.now_s + seconds
+    while context.now_s < until_s:
+        context.now_s += 1 / RATE_PER_S
+        while context.ends_s and context.ends_s[0] <= context.now_s:
+            end_s = heapq.heappop(context.ends_s)
+            context.counter.take("h1", len(context.ends_s), end_s, ended=1)
+        heapq.heappush(context.ends_s, context.now_s + WORK_S * factor)
+        context.counter.take("h1", len(context.ends_s), context.now_s)
+
+
+@given(
+    "a counter of an endpoint with {slots:d} slots, 20 requests a second of 90 ms "
+    "for {seconds:g} s"
+)
+def counter_at_work(context, slots, seconds):
+    context.counter, context.now_s, context.ends_s = PlainCounter(slots), 0.0, []
+    play(context, seconds, 1.0)
+
+
+@when(
+    "for {lasts:g} s they take {factor:g} times as long, and {since:g} s pass as before"
+)
+def slower(context, lasts, factor, since):
+    play(context, lasts, factor)
+    play(context, since, 1.0)
+
+
+@then("a request is expected to take {work} ms, usually {usual} ms")
+def expected(context, work, usual):
+    state = context.counter.state(context.now_s)
+    for took_s, bounds in ((state.work_s, work), (state.usual_s, usual)):
+        least_ms, most_ms = map(int, bounds.split("-"))
+        assert least_ms <= took_s * 1000 <= most_ms, state
+
+
+@given("a counter of an endpoint with {slots:d} slots")
+def counter_of(context, slots):
+    context.counter = PlainCounter(slots)
+
+
+@when("daemons tell {told}, and {after:g} s later it is asked by {asker}")
+def daemons_tell(context, told, after, asker):
+    for word in told.split() if told != "nothing" else ():
+        name, _, calls = word.partition("=")
+        refused = int(calls.endswith("!"))
+        context.counter.take(name, int(calls.rstrip("!")), 0.0, refused=refused)
+    context.counter.forget_missing(LISTED)
+    context.state = context.counter.state(after, asker)
+
+
+@then("{running:d} requests run there")
+def run_there(context, running):
+    assert context.state.running == running, context.state
--- /dev/null
+++ b/features/plain/steps/counting_steps.py
@@ -0,0 +1,204 @@
+import anyio
+from behave import given, then, when
+
+from knapweedbridge_core.serving import (
+    AttemptEnd,
+    DaemonRecord,
+    EndpointRecord,
+    PlainAsk,
+)
+from knapweedbridge_core.serving.beliefs import EndpointNamed
+from knapweedbridge_core.serving.permit_messages import PermitAnswered
+from knapweedbridge_daemon.serving.plain_counters import counting_daemon
+from knapweedbridge_daemon.serving.plain_greeting import is_of_plain
+from knapweedbridge_standins.relay_pool import RelayPool
+from knapweedbridge_standins.virtual_loop import run_virtually
+
+SETTLED_S = 4.0
+OBJECTIVE_S = 0.4
+
+
+@given("a pool of {daemons:d} daemons before {endpoints:d} plain endpoints of 6 slots")
+def pool_before(context, daemons, endpoints):
+    context.daemons, context.plain = daemons, endpoints
+
+
+def played(context, story):
+    """Play a story in a pool whose daemons know each other and the endpoints."""
+
+    async def whole():
+        async with anyio.create_task_group() as tasks:
+            records = [
+                DaemonRecord(f"h{n}", 1, "a:1", f"d{n % 2}")
+                for n in range(context.daemons)
+            ]
+            pool = RelayPool(tasks, records)
+            await anyio.sleep(SETTLED_S)
+            for daemon in pool.daemons.values():
+                list_plain(daemon, context.plain)
+            context.sent = 0
+            count_messages(context, pool)
+            await greet_all(pool)
+            await story(pool)
+            tasks.cancel_scope.cancel()
+
+    run_virtually(whole())
+
+
+def list_plain(daemon, count):
+    for number in range(count):
+        record = EndpointRecord(
+            f"p{number}", "files", "10.0.0.1:80", f"d{number}", 6, False
+        )
+        daemon.hub.beliefs.take(EndpointNamed(record), anyio.current_time())
+
+
+def count_messages(context, pool):
+    send = pool.wire.send
+
+    def counted(sender, hearer, message):
+        context.sent += is_of_plain(message)
+        send(sender, hearer, message)
+
+    pool.wire.send = counted
+
+
+async def greet_all(pool):
+    """Have each daemon know which of the others count, as after its first requests."""
+    for daemon in pool.daemons.values():
+        for endpoint in endpoints_of(daemon):
+            keeper = counting_daemon(daemon.hub, endpoint)
+            if not daemon.hub.beliefs.is_small_pool:
+                await daemon.link.plain._asking._may_ask(keeper)
+    await anyio.sleep(0.01)
+
+
+def endpoints_of(daemon):
+    return daemon.hub.beliefs.fleet.of_service("files", anyio.current_time())
+
+
+async def place(daemon, data_centre="d0"):
+    """Place a request as `Placing` does; return its endpoint and how long it took."""
+    ask = PlainAsk(data_centre, frozenset(), OBJECTIVE_S)
+    began_s = anyio.current_time()
+    endpoint = await daemon.link.plain.choose(ask, endpoints_of(daemon))
+    endpoint.own_calls += 1
+    return endpoint, (anyio.current_time() - began_s) * 1000
+
+
+def near_daemons(pool):
+    return [each for each in pool.daemons.values() if int(each.name[1:]) % 2 == 0]
+
+
+@when("{requests:d} daemons of one data centre place a request each, {gap:d} ms apart")
+def place_each(context, requests, gap):
+    async def story(pool):
+        context.chosen = []
+        near = near_daemons(pool)
+        for number in range(requests):
+            daemon = near[number % len(near)]
+            endpoint, _ = await place(daemon)
+            context.chosen.append(endpoint.name)
+            await anyio.sleep(gap / 1000)
+
+    played(context, story)
+
+
+@then(
+    "the endpoints run {running}, and {messages} messages of plain requests were sent"
+)
+def endpoints_run(context, running, messages):
+    counts = [context.chosen.count(f"p{n}") for n in range(context.plain)]
+    assert counts == list(map(int, running.split())), counts
+    assert (context.sent > 0) == (messages == "some"), context.sent
+
+
+@when("the counting daemon of the near endpoint is {trouble}, and a request is placed")
+def in_trouble(context, trouble):
+    async def story(pool):
+        keeper = counting_daemon(
+            near_daemons(pool)[0].hub, endpoints_of(near_daemons(pool)[0])[0]
+        )
+        asker = next(each for each in near_daemons(pool) if each.name != keeper)
+        if trouble.startswith("cut"):
+            pool.wire.cut.add(keeper)
+        elif trouble == "older":
+            make_older(pool, keeper)
+        first, context.first_ms = await place(asker)
+        second, context.next_ms = await place(asker)
+        context.names = first.name, second.name
+        if "unlisted" in trouble:
+            pool.unlist_daemon(keeper)
+        context.asker, context.pool = asker, pool
+        context.later = []
+        for _ in range(2):
+            # The first one greets a counting daemon that is new.
+            await anyio.sleep(1.2)
+            placed_s = anyio.current_time()
+            await place(asker)
+            known = asker.link.plain._asking._known.get("p0")
+            context.later.append(known is not None and known.heard_s >= placed_s)
+
+    played(context, story)
+
+
+def make_older(pool, keeper):
+    """Have a daemon take no message that older versions do not know."""
+    daemon, take = pool.daemons[keeper], pool.daemons[keeper].link._take
+    for each in pool.daemons.values():
+        each.link.plain._asking._understanding.pop(keeper, None)
+        each.link.plain._asking._asked_not_before_s.pop(keeper, None)
+
+    async def take_older(sender, message):
+        if isinstance(message, PermitAnswered):
+            await daemon.link.permits.heard(sender, message)
+            return
+        assert not is_of_plain(message), "its stream would end"
+        await take(sender, message)
+
+    pool.wire.hear(keeper, take_older)
+
+
+@then("it goes to the near endpoint after {least:d} to {most:d} ms")
+def goes_near(context, least, most):
+    assert context.names == ("p0", "p0"), context.names
+    assert least - 0.1 <= context.first_ms <= most, context.first_ms
+
+
+@then("the next one goes there after 0 to {most:d} ms")
+def next_goes(context, most):
+    assert context.next_ms <= most, context.next_ms
+
+
+@then("a request that is placed {after:g} s later is counted: {counted}")
+def later_counted(context, after, counted):
+    found = context.later[-1]
+    assert found == (counted == "yes"), context.later
+
+
+@when("6 requests are placed at the near endpoint, and each of them {story}")
+def placed_then(context, story):
+    ends = {"is answered": AttemptEnd.ANSWERED, "is broken off": AttemptEnd.ABANDONED}
+
+    async def whole(pool):
+        for daemon in near_daemons(pool)[:6]:
+            if story.startswith("is cancelled"):
+                with anyio.move_on_after(0.001):
+                    await place(daemon)
+                continue
+            endpoint, _ = await place(daemon)
+            if story in ends:
+                await daemon.link.plain.ended(endpoint, ends[story])
+        await anyio.sleep(0.05)
+        asker = near_daemons(pool)[0]
+        endpoint = endpoints_of(asker)[0]
+        keeper = pool.daemons[counting_daemon(asker.hub, endpoint)]
+        counter = keeper.link.plain._counters._counters[endpoint.start]
+        context.count = counter.state(anyio.current_time()).running
+
+    played(context, whole)
+
+
+@then("its counting daemon counts {count:d} requests there")
+def counts(context, count):
+    assert context.count == count, context.count
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -68,7 +68,13 @@
     TooLate,
     WaitFor,
 )
-from knapweedbridge_core.serving.plain_choice import PlainAsk, choose_plain
+from knapweedbridge_core.serving.plain_choice import (
+    PlainAsk,
+    choose_counted,
+    choose_plain,
+    suffices,
+)
+from knapweedbridge_core.serving.plain_load import PlainCounter, PlainState
 from knapweedbridge_core.serving.pool import hearers, is_small, ranked, relays
 from knapweedbridge_core.serving.prompt_pacing import (
     NoPacing,
@@ -132,6 +138,8 @@
     "PermitPacer",
     "PlacementAsk",
     "PlainAsk",
+    "PlainCounter",
+    "PlainState",
     "PricedPlacement",
     "PromptPacer",
     "PromptTurn",
@@ -151,6 +159,7 @@
     "WaitFor",
     "WeightedService",
     "WindowPacing",
+    "choose_counted",
     "choose_plain",
     "claim_due_s",
     "claimants",
@@ -172,5 +181,6 @@
     "revision_of",
     "split",
     "stamp",
+    "suffices",
     "without_limited",
 ]
--- a/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
@@ -4,7 +4,7 @@
 
 from knapweedbridge_core.serving import AttemptEnd, may_send_again
 from knapweedbridge_daemon.serving.attempting import Attempting
-from knapweedbridge_daemon.serving.call import Call
+from knapweedbridge_daemon.serving.call import Call, Target
 from knapweedbridge_daemon.serving.dialects import Refusal
 from knapweedbridge_daemon.serving.hub import Hub
 from knapweedbridge_daemon.serving.peer_link import PeerLink
@@ -24,6 +24,7 @@
 
     def __init__(self, hub: Hub, link: PeerLink) -> None:
         self._hub = hub
+        self._link = link
         self._placing = Placing(hub, link)
         self._attempting = Attempting(hub, link)
 
@@ -33,7 +34,7 @@
             target = await self._placing.place(call)
             if isinstance(target, Refusal):
                 return await self._unplaced(call, target)
-            end = await self._attempting.attempt(call, target)
+            end = await self._attempt(call, target)
             if end is AttemptEnd.ANSWERED:
                 return "answered"
             if end is AttemptEnd.WITHHELD:
@@ -41,6 +42,15 @@
             if not self._send_again(call, end):
                 return await self._fail(call, end)
 
+    async def _attempt(self, call: Call, target: Target) -> AttemptEnd:
+        end = AttemptEnd.ABANDONED
+        try:
+            end = await self._attempting.attempt(call, target)
+        finally:
+            if call.details.model is None:
+                await self._link.plain.ended(target.endpoint, end)
+        return end
+
     def _send_again(self, call: Call, end: AttemptEnd) -> bool:
         if not may_send_again(call.route, call.progress, end):
             return False
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -26,6 +26,8 @@
 from knapweedbridge_daemon.serving.engine_owners import EngineOwners, ToOwner
 from knapweedbridge_daemon.serving.hub import Hub
 from knapweedbridge_daemon.serving.permits import OfPermits, Permits
+from knapweedbridge_daemon.serving.plain_counting import PlainCounts
+from knapweedbridge_daemon.serving.plain_greeting import OfPlain, is_of_plain
 from knapweedbridge_daemon.serving.quota_shares import QuotaShares
 from knapweedbridge_daemon.serving.relaying import Relaying
 from knapweedbridge_daemon.serving.running_calls import RunningCalls
@@ -60,6 +62,7 @@
         self.turns = Turns(hub, self.send, self.running.note_sent)
         self.relaying = Relaying(hub, self.send)
         self.permits = Permits(hub, self.send, self.relaying)
+        self.plain = PlainCounts(hub, self.send)
         self.signs = AnswerSigns(hub, self.permits)
         self.owners = EngineOwners(hub, self.send, self.permits, self.signs)
         self.shares = QuotaShares(hub, self.send)
@@ -122,8 +125,8 @@
             self.turns.given(message)
         elif isinstance(message, ShareAsked | ShareGiven):
             await self.shares.heard(daemon, message)
-        elif isinstance(message, OfPermits):
-            await self.permits.heard(daemon, message)
+        elif is_of_plain(message) or isinstance(message, OfPermits):
+            await self._take_of_calls(daemon, message)
         elif isinstance(message, StoreTold | StoreMarked | RelayAsked):
             await self._take_of_relay(daemon, message)
         elif isinstance(message, CallsBlamed):
@@ -198,6 +201,12 @@
             self._hub.engines_changed.tell()
         return True
 
+    async def _take_of_calls(self, daemon: str, message: OfPlain | OfPermits) -> None:
+        if is_of_plain(message):
+            await self.plain.heard(daemon, message)
+        elif isinstance(message, OfPermits):
+            await self.permits.heard(daemon, message)
+
     async def _take_relayed(self, relay: str, message: StoreTold) -> None:
         """Take what a relay hands on of the engines."""
         missed = False
--- a/packages/daemon/src/knapweedbridge_daemon/serving/placing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/placing.py
@@ -16,7 +16,6 @@
     SendTo,
     TooLate,
     WaitFor,
-    choose_plain,
     first_event_patience_s,
     without_limited,
 )
@@ -235,7 +234,7 @@
         until_s = min(call.request.received_s + wait_s, call.deadline_s)
         while True:
             now_s = anyio.current_time()
-            endpoint = self._choose_plain(call, now_s)
+            endpoint = await self._choose_plain(call, now_s)
             if endpoint is not None:
                 return Target(endpoint, None)
             opens_s = self._hub.beliefs.fleet.opens_s(call.service, now_s)
@@ -246,13 +245,14 @@
                 return refusal
             await self._hub.engines_changed.wait(opens_s - now_s)
 
-    def _choose_plain(self, call: Call, now_s: float) -> Endpoint | None:
+    async def _choose_plain(self, call: Call, now_s: float) -> Endpoint | None:
         ask = PlainAsk(
             self._hub.identity.data_centre,
             frozenset(call.progress.runs | call.refused),
+            call.route.objective_s,
         )
         fleet = self._hub.beliefs.fleet
         # One that is backed off from is better than none.
         able = fleet.reachable(call.service, now_s)
         able = able or fleet.open_to(call.service, now_s)
-        return choose_plain(ask, able, now_s)
+        return await self._link.plain.choose(ask, able)
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/plain_counters.py
@@ -0,0 +1,95 @@
+"""Counts the requests at those plain endpoints that fall to this daemon."""
+
+import anyio
+
+from knapweedbridge_core.serving import (
+    Endpoint,
+    EndpointStart,
+    PlainCounter,
+    permit_keeper,
+)
+from knapweedbridge_core.serving.plain_messages import (
+    PlainAnswered,
+    PlainAsked,
+    PlainRunning,
+)
+from knapweedbridge_daemon.serving.hub import Hub, Send
+from knapweedbridge_daemon.serving.plain_greeting import GREETING, UNDERSTOOD, OfPlain
+
+
+def counting_daemon(hub: Hub, endpoint: Endpoint) -> str | None:
+    """Name the daemon that counts an endpoint's requests; None where none is known."""
+    candidates = hub.beliefs.quota_keepers
+    return permit_keeper(endpoint.name, endpoint.record.data_centre, candidates)
+
+
+class PlainCounters:
+    """The counters of a few endpoints, and answers by them.
+
+    Parameters
+    ----------
+    hub : Hub
+        Beliefs, which say what is counted here.
+    send : callable
+        Sends a message to a daemon, this one too.
+    """
+
+    def __init__(self, hub: Hub, send: Send) -> None:
+        self._hub = hub
+        self._send = send
+        self._counters: dict[EndpointStart, PlainCounter] = {}
+
+    async def heard(self, daemon: str, message: OfPlain) -> None:
+        """Take a daemon's greeting, question or word of what it runs."""
+        if message == GREETING:
+            await self._send(daemon, UNDERSTOOD)
+        elif isinstance(message, PlainAsked | PlainRunning):
+            endpoint = self._endpoint_of(message)
+            if endpoint is not None:
+                await self._take(daemon, endpoint, message)
+
+    def _endpoint_of(self, message: PlainAsked | PlainRunning) -> Endpoint | None:
+        """Return the endpoint of a message; None where another daemon counts there."""
+        endpoint = self._hub.beliefs.fleet.endpoints.get(message.endpoint)
+        start = EndpointStart(message.endpoint, message.started_ms)
+        if endpoint is None or not endpoint.start.may_be(start):
+            return None
+        is_ours = counting_daemon(self._hub, endpoint) == self._hub.identity.name
+        return endpoint if is_ours else None
+
+    async def _take(
+        self, daemon: str, endpoint: Endpoint, message: PlainAsked | PlainRunning
+    ) -> None:
+        now_s = anyio.current_time()
+        counter = self._counter(endpoint)
+        if isinstance(message, PlainRunning):
+            counter.take(daemon, message.calls, now_s, message.ended, message.refused)
+            return
+        counter.take(daemon, message.calls, now_s)
+        state = counter.state(now_s, asker=daemon)
+        self._hub.measures.count("plain_questions", "given")
+        answer = PlainAnswered(
+            endpoint.name, message.ticket, state.running, state.work_s, state.usual_s
+        )
+        await self._send(daemon, answer)
+
+    def _counter(self, endpoint: Endpoint) -> PlainCounter:
+        counter = self._counters.get(endpoint.start)
+        if counter is None:
+            self._forget_others()
+            counter = PlainCounter(endpoint.record.slots)
+            self._counters[endpoint.start] = counter
+        counter.forget_missing(self._hub.beliefs.daemons)
+        return counter
+
+    def _forget_others(self) -> None:
+        """Drop the counters of endpoints that are gone or fall to another daemon."""
+        fleet, own_name = self._hub.beliefs.fleet, self._hub.identity.name
+        for start in list(self._counters):
+            endpoint = fleet.endpoints.get(start.endpoint)
+            if (
+                endpoint is None
+                or endpoint.start != start
+                or counting_daemon(self._hub, endpoint) != own_name
+            ):
+                del self._counters[start]
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/plain_greeting.py
@@ -0,0 +1,31 @@
+"""Tells daemons that count plain requests from those of an older version.
+
+A message of an unknown class ends the stream of a daemon that does not know it. So a
+daemon is greeted first, by a message that older ones take and ignore: the answer to a
+question for a permit that was never asked.
+"""
+
+from typing import TypeGuard
+
+from knapweedbridge_core.serving.permit_messages import PermitAnswered
+from knapweedbridge_core.serving.plain_messages import (
+    PlainAnswered,
+    PlainAsked,
+    PlainRunning,
+)
+
+NO_TICKET = 0
+"""Questions for permits are numbered from 1."""
+
+GREETING = PermitAnswered("", NO_TICKET, 0.0)
+
+UNDERSTOOD = PlainAnswered("", NO_TICKET, 0, 0.0, 0.0)
+"""Answer to the greeting."""
+
+OfPlain = PlainAsked | PlainAnswered | PlainRunning | PermitAnswered
+
+
+def is_of_plain(message: object) -> TypeGuard[OfPlain]:
+    """Tell whether a message is about plain requests, or a greeting."""
+    is_new = isinstance(message, PlainAsked | PlainAnswered | PlainRunning)
+    return is_new or message == GREETING
