One budget of memory for what is held for callers

Cause: nothing bounded what a daemon holds for callers together: a host of 160 MB could hold a body or an answer of megabytes for each caller that does not read.

Change: [limits] held_mb (0: none, as before) bounds request bodies and what callers have yet to read of their answers. The callers' handler is wrapped for it, so http_server.py is unchanged; without a budget the handler stays the same one.

--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -45,6 +45,7 @@
 from knapweedbridge_core.serving.fleet import Fleet
 from knapweedbridge_core.serving.late_admission import LateAdmission
 from knapweedbridge_core.serving.load_times import LoadTimes
+from knapweedbridge_core.serving.memory_budget import HeldKind, MemoryBudget
 from knapweedbridge_core.serving.model_ref import ModelRef, parse_model
 from knapweedbridge_core.serving.ownership import (
     DaemonRecord,
@@ -122,11 +123,13 @@
     "Fleet",
     "Given",
     "HearerMarks",
+    "HeldKind",
     "LateAdmission",
     "LearntRates",
     "LeaseClock",
     "LoadOn",
     "LoadTimes",
+    "MemoryBudget",
     "ModelRef",
     "NoEngine",
     "NoPacing",
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/held_memory.py
@@ -0,0 +1,192 @@
+"""Keeps what is held for callers within one budget of memory."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import cast
+
+import anyio
+
+from knapweedbridge_core.serving import HeldKind, MemoryBudget
+from knapweedbridge_core.serving.memory_budget import RETRY_AFTER_S
+from knapweedbridge_daemon.serving.dialects import Refusal
+from knapweedbridge_daemon.serving.http_server import (
+    CallerGoneError,
+    Handler,
+    ReceivedRequest,
+    Responder,
+)
+from knapweedbridge_daemon.serving.hub import Hub
+from knapweedbridge_daemon.serving.wire import Headers, ResponseHead
+
+PIECE_BYTES = 65536
+"""Part of a long answer that is written at once: that a caller reads shows by it."""
+
+LOOK_S = 0.5
+"""Pause between looks for callers that read nothing."""
+
+
+class HeldMemory:
+    """Refuses requests, and disconnects callers, where too much is held.
+
+    Parameters
+    ----------
+    hub : Hub
+        The budget, the log and the measures.
+    """
+
+    def __init__(self, hub: Hub) -> None:
+        self._hub = hub
+        self._budget: MemoryBudget = hub.memory
+        self._disconnects: dict[int, Callable[[], None]] = {}
+
+    def guard(self, handler: Handler) -> Handler:
+        """Return a handler that keeps within the budget; the same one without any."""
+        if not self._budget.limit_bytes:
+            return handler
+
+        async def guarded(request: ReceivedRequest, responder: Responder) -> None:
+            refusal = self.refusal(len(request.body))
+            if refusal is None:
+                await self._handle(handler, request, responder)
+                return
+            headers, body = self._hub.dialects.callers.refusal(refusal)
+            await responder.answer(refusal.status, headers, body)
+
+        return guarded
+
+    def refusal(self, body_bytes: int) -> Refusal | None:
+        """Return why a request with such a body is not taken; None where it is.
+
+        The reader of requests may ask this when it has read a head, so that the body of
+        a refused request is never held.
+        """
+        if not self._budget.refuses(body_bytes):
+            return None
+        self._hub.measures.count("requests", "no_memory")
+        self._hub.log.info(
+            "request.no_memory",
+            body_bytes=body_bytes,
+            held_bytes=self._budget.held_bytes,
+            limit_bytes=self._budget.limit_bytes,
+        )
+        return Refusal(503, "no_memory", RETRY_AFTER_S)
+
+    async def _handle(
+        self, handler: Handler, request: ReceivedRequest, responder: Responder
+    ) -> None:
+        with self.holding(HeldKind.BODIES, len(request.body)):
+            with anyio.CancelScope() as scope:
+                watched = WatchedResponder(responder, self, scope)
+                await handler(request, cast(Responder, watched))
+        if scope.cancelled_caught:
+            raise CallerGoneError("read nothing while memory was scarce")
+
+    @contextmanager
+    def holding(self, kind: HeldKind, size_bytes: int) -> Iterator[None]:
+        """Count bytes as held while in the context."""
+        self._budget.hold(kind, size_bytes)
+        try:
+            yield
+        finally:
+            self._budget.hold(kind, -size_bytes)
+
+    def begin_write(self, size_bytes: int, disconnect: Callable[[], None]) -> int:
+        """Take that a caller has yet to read some bytes; return its number."""
+        reader = self._budget.begin_write(size_bytes, anyio.current_time())
+        self._disconnects[reader] = disconnect
+        return reader
+
+    def note_read(self, reader: int, size_bytes: int) -> None:
+        """Take that a caller has read some of them."""
+        self._budget.note_read(reader, size_bytes, anyio.current_time())
+
+    def end_write(self, reader: int) -> None:
+        """Take that the caller has read all, or is gone."""
+        del self._disconnects[reader]
+        self._budget.end_write(reader)
+
+    async def run(self) -> None:
+        """Disconnect callers that read nothing until cancelled."""
+        while self._budget.limit_bytes:
+            await anyio.sleep(LOOK_S)
+            readers = self._budget.silent_readers(anyio.current_time())
+            if not readers:
+                continue
+            self._hub.measures.count("silent_readers", "disconnected", len(readers))
+            self._hub.log.info(
+                "callers.read_nothing",
+                callers=len(readers),
+                held_bytes=self._budget.held_bytes,
+                limit_bytes=self._budget.limit_bytes,
+            )
+            for reader in readers:
+                self._disconnects[reader]()
+
+
+class WatchedResponder:
+    """Writes the answer to one request, and sees whether its caller reads it.
+
+    Parameters
+    ----------
+    responder : Responder
+        Writes it; it awaits each write.
+    held : HeldMemory
+        Counts what is not read yet.
+    scope : CancelScope
+        Ends the request where its caller is disconnected.
+    """
+
+    def __init__(
+        self, responder: Responder, held: HeldMemory, scope: anyio.CancelScope
+    ) -> None:
+        self._responder = responder
+        self._held = held
+        self._scope = scope
+
+    @property
+    def begun(self) -> bool:
+        """Whether the answer has begun."""
+        return self._responder.begun
+
+    @property
+    def ended(self) -> bool:
+        """Whether the answer is whole."""
+        return self._responder.ended
+
+    async def start(self, head: ResponseHead) -> None:
+        """See `Responder.start`."""
+        await self._responder.start(head)
+
+    async def flush(self) -> None:
+        """See `Responder.flush`."""
+        await self._responder.flush()
+
+    async def send(self, data: bytes) -> None:
+        """See `Responder.send`."""
+        reader = self._held.begin_write(len(data), self._scope.cancel)
+        try:
+            await self._send_pieces(reader, data)
+        finally:
+            self._held.end_write(reader)
+
+    async def end(self, data: bytes = b"") -> None:
+        """See `Responder.end`."""
+        reader = self._held.begin_write(len(data), self._scope.cancel)
+        try:
+            last = max(0, len(data) - 1) // PIECE_BYTES * PIECE_BYTES
+            await self._send_pieces(reader, data[:last])
+            await self._responder.end(data[last:])
+        finally:
+            self._held.end_write(reader)
+
+    async def _send_pieces(self, reader: int, data: bytes) -> None:
+        for begin in range(0, len(data), PIECE_BYTES):
+            piece = data[begin : begin + PIECE_BYTES]
+            await self._responder.send(piece)
+            self._held.note_read(reader, len(piece))
+
+    async def answer(
+        self, status: int, headers: Headers, body: bytes, close: bool = False
+    ) -> None:
+        """See `Responder.answer`."""
+        await self._responder.answer(status, headers, body, close)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -9,12 +9,18 @@
 from anyio.abc import TaskGroup
 
 from knapweedbridge_core.addresses import split_address
-from knapweedbridge_core.serving import QuotaTolerance, RetryBudget, StoreOutage
+from knapweedbridge_core.serving import (
+    MemoryBudget,
+    QuotaTolerance,
+    RetryBudget,
+    StoreOutage,
+)
 from knapweedbridge_daemon.serving.believing import StoreFollower
 from knapweedbridge_daemon.serving.callers_app import CallersApp
 from knapweedbridge_daemon.serving.calls import CallRunner
 from knapweedbridge_daemon.serving.decision_log import DecisionLog
 from knapweedbridge_daemon.serving.dialects import load_dialects
+from knapweedbridge_daemon.serving.held_memory import HeldMemory
 from knapweedbridge_daemon.serving.http_server import CallersFace
 from knapweedbridge_daemon.serving.hub import Hub, Identity
 from knapweedbridge_daemon.serving.lapse_check import LapseCheck
@@ -104,6 +110,7 @@
                 get("limits", "quota_slack"),
             ),
             lease_s=lease_s,
+            memory=MemoryBudget(round(get("limits", "held_mb") * 1_000_000)),
         )
 
     async def _serve(self, hub: Hub) -> None:
@@ -114,7 +121,9 @@
         link.on_store_told = follower.heard
         lease = LeaseKeeper(hub, follower)
         app = CallersApp(hub, CallRunner(hub, link), link.shares)
-        face = CallersFace(app.handle, app.limits, app.count_bad, app.count_fault)
+        held = HeldMemory(hub)
+        handle = held.guard(app.handle)
+        face = CallersFace(handle, app.limits, app.count_bad, app.count_fault)
         async with anyio.create_task_group() as tasks:
             await self._listen(tasks, hub, face, app)
             tasks.start_soon(hub.log.run)
@@ -129,6 +138,7 @@
             tasks.start_soon(StoreMarks(hub, link.send).run)
             tasks.start_soon(EndpointSweep(hub, link).run)
             tasks.start_soon(LapseCheck(hub).run)
+            tasks.start_soon(held.run)
             await self._await_stop(hub, lease, face, app)
             tasks.cancel_scope.cancel()
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
@@ -16,6 +16,7 @@
     LearntRates,
     LeaseClock,
     LoadTimes,
+    MemoryBudget,
     QuotaTolerance,
     RetryBudget,
     StoreAge,
@@ -92,6 +93,8 @@
         Life of a daemon's lease, in seconds.
     tolerance : QuotaTolerance
         What the operators accept beyond the quotas of client accounts.
+    memory : MemoryBudget
+        Bound on what is held for callers.
     """
 
     identity: Identity
@@ -117,6 +120,7 @@
     synced: bool = False
     lease_s: float = 3.0
     tolerance: QuotaTolerance = QuotaTolerance()
+    memory: MemoryBudget = field(default_factory=MemoryBudget)
 
     def note_store_era(self, era: int) -> None:
         """Take the era of what the store said; a new one ends all that hung on it.
--- a/packages/daemon/src/knapweedbridge_daemon/serving/settings.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/settings.py
@@ -82,6 +82,12 @@
                 "0",
                 "Units beyond an account's quota that are accepted besides.",
             ),
+            "held_mb": Key(
+                Number(0, 1_000_000),
+                "0",
+                "Most that is held for callers before requests with bodies are "
+                "refused, MB; 0: any amount.",
+            ),
             "grace_s": Key(
                 Number(0.5, 600), "8", "Time from a stop signal to the end, seconds."
             ),
--- a/packages/daemon/src/knapweedbridge_daemon/serving/side_faces.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/side_faces.py
@@ -54,5 +54,6 @@
             "connections_reused": hub.pool.reused,
             "store_disturbed": float(anyio.current_time() < hub.outage.lapsed_until_s),
             "store_age_s": hub.news_age_s,
+            "held_bytes": hub.memory.held_bytes,
             "log_lines_dropped": sum(hub.log.dropped.values()),
         }
