--- a/packages/daemon/src/knapweedbridge_daemon/serving/placing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/placing.py
@@ -255,4 +255,4 @@
         # One that is backed off from is better than none.
         able = fleet.reachable(call.service, now_s)
         able = able or fleet.open_to(call.service, now_s)
-        return await self._link.plain.choose(ask, able)
+        return await self._link.plain.choose(ask, able, call.details.call_id)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/plain_counting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/plain_counting.py
@@ -53,10 +53,17 @@
         self._asking = PlainAsking(hub, send, self._calls)
         self._counters = PlainCounters(hub, send)
 
-    async def choose(self, ask: PlainAsk, endpoints: list[Endpoint]) -> Endpoint | None:
+    async def choose(
+        self, ask: PlainAsk, endpoints: list[Endpoint], call_id: str = ""
+    ) -> Endpoint | None:
         """Return the endpoint of a request, which counts there until `ended`.
 
         Own counts are used in a small pool, and where nobody answers.
+
+        Parameters
+        ----------
+        call_id : str
+            Id of the request, for the log.
         """
         first = choose_plain(ask, endpoints, anyio.current_time())
         if first is None or self._hub.beliefs.is_small_pool:
@@ -64,7 +71,7 @@
         self._calls[first.start] += 1
         chosen = None
         try:
-            chosen = await self._choose(ask, first, endpoints)
+            chosen = await self._choose(ask, first, endpoints, call_id)
         finally:
             if chosen is not first:
                 await self._leave(first)
@@ -74,7 +81,11 @@
         return chosen
 
     async def _choose(
-        self, ask: PlainAsk, first: Endpoint, endpoints: list[Endpoint]
+        self,
+        ask: PlainAsk,
+        first: Endpoint,
+        endpoints: list[Endpoint],
+        call_id: str,
     ) -> Endpoint:
         now_s = anyio.current_time()
         until_s = now_s + ANSWER_S
@@ -91,7 +102,11 @@
         found |= await self._asking.ask(others, until_s)
         now_s = anyio.current_time()
         chosen = choose_counted(ask, [first, *others], found, now_s) or first
-        self._note_choice(first, chosen, found)
+        self._hub.measures.count(
+            "plain_choices", "first" if chosen is first else "another"
+        )
+        if chosen is not first:
+            self._note_moved(call_id, first, chosen, found)
         return chosen
 
     @staticmethod
@@ -115,15 +130,16 @@
         others.sort(key=lambda each: each.own_calls)
         return others[: MOST_ASKED - 1]
 
-    def _note_choice(
-        self, first: Endpoint, chosen: Endpoint, found: dict[str, PlainState]
+    def _note_moved(
+        self,
+        call_id: str,
+        first: Endpoint,
+        chosen: Endpoint,
+        found: dict[str, PlainState],
     ) -> None:
-        kind = "first" if chosen is first else "another"
-        self._hub.measures.count("plain_choices", kind)
-        if chosen is first:
-            return
         self._hub.log.info(
             "plain.moved",
+            request=call_id,
             endpoint=chosen.name,
             instead_of=first.name,
             known={
