--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -47,6 +47,7 @@
 from knapweedbridge_core.serving.fleet import Fleet
 from knapweedbridge_core.serving.late_admission import LateAdmission
 from knapweedbridge_core.serving.load_times import LoadTimes
+from knapweedbridge_core.serving.memory_budget import HeldKind, MemoryBudget
 from knapweedbridge_core.serving.model_ref import ModelRef, parse_model
 from knapweedbridge_core.serving.overload import (
     Admit,
@@ -80,7 +81,13 @@
     TooLate,
     WaitFor,
 )
-from knapweedbridge_core.serving.plain_choice import PlainAsk, choose_plain
+from knapweedbridge_core.serving.plain_choice import (
+    PlainAsk,
+    choose_counted,
+    choose_plain,
+    suffices,
+)
+from knapweedbridge_core.serving.plain_load import PlainCounter, PlainState
 from knapweedbridge_core.serving.pool import hearers, is_small, ranked, relays
 from knapweedbridge_core.serving.prompt_pacing import (
     NoPacing,
@@ -133,11 +140,13 @@
     "Fleet",
     "Given",
     "HearerMarks",
+    "HeldKind",
     "LateAdmission",
     "LearntRates",
     "LeaseClock",
     "LoadOn",
     "LoadTimes",
+    "MemoryBudget",
     "ModelRef",
     "NoEngine",
     "NoPacing",
@@ -151,6 +160,8 @@
     "PermitPacer",
     "PlacementAsk",
     "PlainAsk",
+    "PlainCounter",
+    "PlainState",
     "PricedPlacement",
     "PromptPacer",
     "PromptTurn",
@@ -175,6 +186,7 @@
     "WaitFor",
     "WeightedService",
     "WindowPacing",
+    "choose_counted",
     "choose_plain",
     "claim_due_s",
     "claimants",
@@ -197,5 +209,6 @@
     "revision_of",
     "split",
     "stamp",
+    "suffices",
     "without_limited",
 ]
--- a/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
@@ -17,6 +17,7 @@
     LearntRates,
     LeaseClock,
     LoadTimes,
+    MemoryBudget,
     OverloadPolicy,
     QuotaTolerance,
     RetryBudget,
@@ -103,6 +104,8 @@
         Tells what callers have spent on earlier attempts.
     overload : OverloadPolicy
         What becomes of calls that engines cannot answer in time.
+    memory : MemoryBudget
+        Bound on what is held for callers.
     """
 
     identity: Identity
@@ -130,6 +133,7 @@
     tolerance: QuotaTolerance = QuotaTolerance()
     deadlines: UsualDeadlines = field(default_factory=UsualDeadlines)
     overload: OverloadPolicy = field(default_factory=AdmitAll)
+    memory: MemoryBudget = field(default_factory=MemoryBudget)
 
     def note_store_era(self, era: int) -> None:
         """Take the era of what the store said; a new one ends all that hung on it.
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -27,6 +27,8 @@
 from knapweedbridge_daemon.serving.engine_owners import EngineOwners, ToOwner
 from knapweedbridge_daemon.serving.hub import Hub
 from knapweedbridge_daemon.serving.permits import OfPermits, Permits
+from knapweedbridge_daemon.serving.plain_counting import PlainCounts
+from knapweedbridge_daemon.serving.plain_greeting import OfPlain, is_of_plain
 from knapweedbridge_daemon.serving.quota_shares import QuotaShares
 from knapweedbridge_daemon.serving.relaying import Relaying
 from knapweedbridge_daemon.serving.running_calls import RunningCalls
@@ -61,6 +63,7 @@
         self.turns = Turns(hub, self.send, self.running.note_sent)
         self.relaying = Relaying(hub, self.send)
         self.permits = Permits(hub, self.send, self.relaying)
+        self.plain = PlainCounts(hub, self.send)
         self.signs = AnswerSigns(hub, self.permits)
         self.owners = EngineOwners(hub, self.send, self.permits, self.signs)
         self.shares = QuotaShares(hub, self.send)
@@ -79,7 +82,8 @@
             OwnerAnswered: self._take_answered,
         }
         takers |= dict.fromkeys((ShareAsked, ShareGiven), self.shares.heard)
-        takers |= dict.fromkeys(get_args(OfPermits), self.permits.heard)
+        of_calls = get_args(OfPlain) + get_args(OfPermits)
+        takers |= dict.fromkeys(of_calls, self._take_of_calls)
         of_relay = StoreTold, StoreMarked, RelayAsked
         takers |= dict.fromkeys(of_relay, self._take_of_relay)
         return takers | dict.fromkeys(get_args(ToOwner), self.owners.heard)
@@ -208,6 +212,12 @@
             self._hub.engines_changed.tell()
         return True
 
+    async def _take_of_calls(self, daemon: str, message: OfPlain | OfPermits) -> None:
+        if is_of_plain(message):
+            await self.plain.heard(daemon, message)
+        elif isinstance(message, OfPermits):
+            await self.permits.heard(daemon, message)
+
     async def _take_relayed(self, relay: str, message: StoreTold) -> None:
         """Take what a relay hands on of the engines."""
         missed = False
