--- a/packages/standins/src/knapweedbridge_standins/serving_load/pool.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/pool.py
@@ -58,6 +58,7 @@
         self._paced = paced
         self.learn_speeds = bool(learn_speeds)
         self._own_rates = learn_speeds is not None
+        self._counted_from_s = 0.0
         self.rates = getattr(policy, "rates", None) or LearntRates()
         if paced:
             self.rates.accept_pauses({"llm": site.gap_s})
@@ -148,8 +149,9 @@
         told = self._relay.told if daemon == RELAY else self.daemons[daemon].told
         self.clock.after(WAY_S, lambda: told(owner, message))
 
-    def run(self, for_s: float) -> Figures:
+    def run(self, for_s: float, warm_s: float = 0.0) -> Figures:
         """Play the load, and return what callers got."""
+        self._counted_from_s = self.clock.now_s + warm_s
         self._list()
         for owner in self.owners.values():
             owner.work()
@@ -216,6 +218,8 @@
 
     def ended(self, call: LoadCall) -> None:
         """Take a call's end: it is late by its first event or by a pause."""
+        if call.arrived_s < self._counted_from_s:
+            return
         figures = self.figures
         begun_in_time = call.first_s <= call.mix.objective_s
         smooth = call.longest_pause_s <= self.site.gap_s
@@ -230,6 +234,8 @@
         self.figures.refusals += 1
         back_s = self._luck.uniform(*OVERLOAD_AFTER_S) + over_s
         if call.returned:
+            if call.arrived_s < self._counted_from_s:
+                return
             self.figures.count(self.figures.refused, call.mix.name)
             self.figures.big += call.big
             return
@@ -254,6 +260,7 @@
     paced: bool = True,
     relayed: bool = True,
     learn_speeds: bool | None = None,
+    warm_s: float = 0.0,
 ) -> Figures:
     """Play a load on a pool in virtual time.
 
@@ -271,6 +278,8 @@
     learn_speeds : bool, optional
         Whether owners learn the speeds of engines. Where it is given, each daemon has a
         priced placement of its own and learns by its own calls alone, as real ones do.
+    warm_s : float
+        Requests that arrive before this are not counted by how they ended.
     """
     pool = ModelledPool(site, policy, load, seed, paced, relayed, learn_speeds)
-    return pool.run(for_s)
+    return pool.run(for_s, warm_s)
