Connections from peers are served from a task, also in asyncio's own loop

The listener started the task of a connection in the callback of the event loop. In uvloop that runs in the context of who listens; in asyncio's own loop it does not, anyio finds no event loop there, and daemons that run in it heard no peer: features/operators hung. The listener's own task now starts them. The rows of sockets.feature run in both loops.

--- a/features/members/steps/socket_steps.py
+++ b/features/members/steps/socket_steps.py
@@ -39,7 +39,9 @@
                 tasks.cancel_scope.cancel()
 
     def run(self):
-        anyio.run(self._run, backend_options={"use_uvloop": True})
+        # Serving daemons run in uvloop, the others in either.
+        for use_uvloop in (True, False):
+            anyio.run(self._run, backend_options={"use_uvloop": use_uvloop})
 
 
 async def close(ends, tasks):
--- a/packages/daemon/src/knapweedbridge_daemon/peer_sockets.py
+++ b/packages/daemon/src/knapweedbridge_daemon/peer_sockets.py
@@ -186,7 +186,7 @@
     def __init__(self) -> None:
         self._server: asyncio.Server | None = None
         self._made: deque[PeerSocket] = deque()
-        self._begin: Callable[[PeerSocket], None] = self._made.append
+        self._arrived = asyncio.Event()
         self.address = ""
 
     async def listen(self, ip: str, port: int) -> None:
@@ -199,20 +199,19 @@
         self.address = f"{ip}:{port}"
 
     def _take(self, made: PeerSocket) -> None:
-        self._begin(made)
+        # Called by the event loop outside of any task, where none can be started.
+        self._made.append(made)
+        self._arrived.set()
 
     async def serve(self, serve: Serve) -> None:
         """Serve each connection in a task of its own until cancelled."""
         try:
             async with anyio.create_task_group() as tasks:
-
-                def begin(made: PeerSocket) -> None:
-                    tasks.start_soon(serve, made)
-
-                self._begin = begin
-                while self._made:
-                    self._begin(self._made.popleft())
-                await anyio.sleep_forever()
+                while True:
+                    self._arrived.clear()
+                    while self._made:
+                        tasks.start_soon(serve, self._made.popleft())
+                    await self._arrived.wait()
         finally:
             await self.aclose()
 
