Many endpoints make a pool large only while a daemon starts

A pool of 9 daemons and 64 endpoints counted as large for good by the rule for restarts of all hosts: its daemons heard relays and settled 3 s after an outage, which is the small pool's time, so two rows of features/listing dropped endpoints that live. Endpoints count for 3 s from a daemon's start now; the rule for more than 16 daemons listed within 10 s stays.

--- a/features/serving/pool_size.feature
+++ b/features/serving/pool_size.feature
@@ -24,3 +24,16 @@
     Given 17 daemons were listed 10.1 s ago, and 3 still are
     When a daemon follows a store that tells of nothing
     Then it takes the pool to be small, and logs that
+
+  Scenario Outline: Many endpoints make a pool large only while a daemon starts: <seconds> s
+    Guards against few daemons that hear relays for good, and settle too soon after an
+    outage, as they serve many endpoints.
+
+    Given 9 daemons and 64 endpoints listed at a daemon's start
+    Then <seconds> s after its start the pool counts as <size>
+
+    Examples:
+      | seconds | size  |
+      | 0       | large |
+      | 2.9     | large |
+      | 3.1     | small |
--- a/features/serving/steps/pool_size_steps.py
+++ b/features/serving/steps/pool_size_steps.py
@@ -83,3 +83,21 @@
     assert context.beliefs.is_small_pool
     assert [kind for kind, _ in context.log.lines] == ["pool.changed"]
     assert context.log.lines[0][1]["small"]
+
+
+@given("{daemons:d} daemons and {endpoints:d} endpoints listed at a daemon's start")
+def listed_at_start(context, daemons, endpoints):
+    context.beliefs = Beliefs()
+    context.beliefs.note_time(NOW_S)
+    for n in range(daemons):
+        record = DaemonRecord(f"h{n}", 1, "a", "d0")
+        context.beliefs.take(DaemonNamed(record), NOW_S)
+    for n in range(endpoints):
+        record = EndpointRecord(f"e{n}", "llm", "a", "d0", 8, False)
+        context.beliefs.take(EndpointNamed(record), NOW_S)
+
+
+@then("{seconds:g} s after its start the pool counts as {size}")
+def counts_after_start(context, seconds, size):
+    context.beliefs.note_time(NOW_S + seconds)
+    assert context.beliefs.is_small_pool == (size == "small")
--- a/packages/core/src/knapweedbridge_core/serving/beliefs.py
+++ b/packages/core/src/knapweedbridge_core/serving/beliefs.py
@@ -25,6 +25,7 @@
 from knapweedbridge_core.serving.ownership import DaemonRecord, OwnerRecord
 from knapweedbridge_core.serving.pool import (
     LARGE_LISTED_S,
+    STARTING_S,
     is_small,
     quota_keepers,
     ranked,
@@ -88,6 +89,8 @@
     _ranks: dict[str, list[str]] | None = None
     _ranked_small: bool = True
     _large_until_s: float = -math.inf
+    _first_s: float = math.inf
+    _starting: bool = True
     _relays: dict[str, list[str]] = field(default_factory=dict)
 
     @property
@@ -122,10 +125,13 @@
         Taken for a small pool, each reads the store itself and tells all to everyone.
         """
         was_large = self._large_until_s > -math.inf
-        return not was_large and is_small(self.daemons, self.fleet.endpoints)
+        endpoints = self.fleet.endpoints if self._starting else ()
+        return not was_large and is_small(self.daemons, endpoints)
 
     def note_time(self, now_s: float) -> None:
         """Take the time: a pool that was large long ago counts as small again."""
+        self._first_s = min(self._first_s, now_s)
+        self._starting = now_s < self._first_s + STARTING_S
         if now_s >= self._large_until_s:
             self._large_until_s = -math.inf
 
--- a/packages/core/src/knapweedbridge_core/serving/pool.py
+++ b/packages/core/src/knapweedbridge_core/serving/pool.py
@@ -16,9 +16,14 @@
 """Daemons up to which all hear all: at nine, tellings take 0.1 MB/s in all."""
 
 SMALL_POOL_ENDPOINTS = 48
-"""Endpoints up to which all hear all, three for each daemon of the largest small pool.
-When all hosts of a large pool start at once its daemons are listed one after another,
-but its endpoints are listed before or soon after."""
+"""Endpoints up to which all hear all while a daemon starts, three for each daemon of
+the largest small pool. When all hosts of a large pool start at once its daemons are
+listed one after another, but its endpoints are listed before or soon after."""
+
+STARTING_S = 3.0
+"""How long after a daemon's start the endpoints count: by then the daemons that started
+with it are listed, and a pool of few daemons counts as small however many endpoints
+it has."""
 
 LARGE_LISTED_S = 10.0
 """How long a pool counts as large after more daemons than those of a small pool were
