A chunk of one event is cut in fewer steps; a story of wire no longer races

Cause: the short way for joined events took 0.7 us longer for a single one. The story of the closing face failed once (load average 16): it closed the face after 50 ms, whether or not both connections had been accepted, and compared with 0.2 s of a clock that counts in milliseconds.

Change: a single event is told by the first end that is found. The story waits until one connection is idle and the other's request runs, and requires that the idle one is closed first; its wait alone would end later than the answer.

--- a/features/wire/steps/caller_steps.py
+++ b/features/wire/steps/caller_steps.py
@@ -6,6 +6,8 @@
 from knapweedbridge_daemon.serving.http_client import ConnectionPool, NotSentError
 from knapweedbridge_daemon.serving.wire import RequestHead, ResponseHead
 
+ACCEPTED_S = 3.0
+
 
 @when("a caller of HTTP/1.0 asks for a stream that breaks off")
 def cut_stream(context):
@@ -145,7 +147,9 @@
             port = await face.start(tasks)
             tasks.start_soon(read_to_end, context, port, "idle", b"")
             tasks.start_soon(read_to_end, context, port, "runs", REQUESTS["a request"])
-            await anyio.sleep(SETTLE_S)
+            with anyio.fail_after(ACCEPTED_S):
+                while not (face.face.idle and face.requests):
+                    await anyio.sleep(0.001)
             face.face.closing = True
             face.face.close_idle()
             await anyio.sleep(QUIET_S * 2)
@@ -166,7 +170,7 @@
 @then("the idle one is closed at once, and the other after its answer")
 def closed_in_order(context):
     (idle_s, nothing), (ran_s, got) = context.ends_s["idle"], context.ends_s["runs"]
-    assert nothing == b"" and idle_s < QUIET_S / 2 <= ran_s, (idle_s, ran_s)
+    assert nothing == b"" and idle_s < ran_s, (idle_s, ran_s)
     assert statuses_of(got) == "200" and b"Connection: close" in got, got
 
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/event_stream.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/event_stream.py
@@ -37,12 +37,16 @@
 
     Returns None for any other chunk.
     """
-    plain = chunk.endswith(_PLAIN_END) and not chunk.startswith(b"\n")
-    if not plain or b"\r" in chunk or b"\n\n\n" in chunk:
+    first = chunk.find(_PLAIN_END)
+    if first < 1 or b"\r" in chunk:
         return None
-    last = chunk[chunk.rfind(_PLAIN_END, 0, -1) + len(_PLAIN_END) :]
-    count = chunk.count(_PLAIN_END)
-    found = _ID.search(chunk if count == 1 else last)
+    count, last = 1, chunk
+    if first != len(chunk) - len(_PLAIN_END):
+        if not chunk.endswith(_PLAIN_END) or b"\n\n\n" in chunk:
+            return None
+        count = chunk.count(_PLAIN_END)
+        last = chunk[chunk.rfind(_PLAIN_END, 0, -1) + len(_PLAIN_END) :]
+    found = _ID.search(last)
     if found is None:
         return None
     return WholeEvents(chunk, count, found[1].decode("latin-1"))
