--- a/docs/make_settings.py
+++ b/docs/make_settings.py
@@ -5,6 +5,7 @@
 from knapweedbridge_core.configuration import SECTION_KINDS
 from knapweedbridge_core.schema import Key, Section
 from knapweedbridge_core.settings import SECTIONS
+from knapweedbridge_daemon.serving.settings import SECTIONS as SERVING_SECTIONS
 
 PAGE = Path(__file__).parent / "settings.md"
 
@@ -22,6 +23,13 @@
 `--check` only checks it, and the files that it names. Exit code 2: faults.
 """
 
+SERVING = """
+## The settings of a daemon that serves on a platform
+
+A settings file with a section `[serving]`: see
+[serving on the users' platform](design/platform.md).
+"""
+
 FOLDER = """
 ## The operators' folder
 
@@ -65,6 +73,9 @@
     lines = [HEAD.rstrip()]
     for title, section in SECTIONS.items():
         lines += _section(title, section)
+    lines += ["", SERVING.strip()]
+    for title, section in SERVING_SECTIONS.items():
+        lines += _section(title, section)
     lines += ["", FOLDER.strip()]
     for kind, section in SECTION_KINDS.items():
         lines += _section(_title(kind), section)
