An owner's task wakes when a telling is due, not just before

Cause: timers of the event loop end up to a millisecond early, so the task of an owned engine woke, found nothing due, and woke again: 23 to 27 passes where 20 are allowed (features/serving, 'An owner's task works no more often than it must').

Change: a millisecond is added to that time. The story's stand-in of a hub gets the rates and measures that owners ask for since speeds are learnt; its checks are unchanged.

--- a/features/serving/steps/kept_view_steps.py
+++ b/features/serving/steps/kept_view_steps.py
@@ -13,6 +13,7 @@
     EngineLimits,
     EngineReport,
     Fleet,
+    LearntRates,
     LeaseClock,
     LoadTimes,
     ModelRef,
@@ -30,6 +31,7 @@
 from knapweedbridge_core.serving.messages import CallsRunning, EngineTold
 from knapweedbridge_daemon.serving.engine_owning import EngineOwner
 from knapweedbridge_daemon.serving.lease_keeping import LeaseKeeper
+from knapweedbridge_daemon.serving.measures import Measures
 
 LIMITS = EngineLimits(8, 10_000, 4, 1000.0, 1.0)
 DEPLOYMENT = Deployment(1, (), {"llm": Service("llm", "/", 10, LIMITS)})
@@ -62,6 +64,8 @@
         lease_revision=5,
         lease=LeaseClock(float("inf")),
         load_times=LoadTimes(),
+        rates=LearntRates(),
+        measures=Measures(),
         log=Log(),
         engine_limits=DEPLOYMENT.engine_limits,
         longest_pause_s=lambda service: None,
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
@@ -51,6 +51,10 @@
 WORK_S = 1.0
 """Longest wait for work; what is due by time alone is seen within it."""
 
+TIMER_S = 0.001
+"""Added to the time of a telling. Timers of the event loop end up to a millisecond
+early, and a pass that found nothing due was followed by a second one."""
+
 LEARN_S = 0.05
 """Time in which daemons tell a new owner of their calls: ways take milliseconds."""
 
@@ -147,7 +151,8 @@
         if self.keeper.wants:
             self._work.set()
         else:
-            self._work.set_by(self._teller.due_s(self._hub.beliefs.is_small_pool))
+            small = self._hub.beliefs.is_small_pool
+            self._work.set_by(self._teller.due_s(small) + TIMER_S)
 
     def forget_daemon(self, daemon: str) -> None:
         """Drop the calls of a daemon that is gone."""
@@ -216,7 +221,7 @@
         elif self.keeper.wants:
             pause_s = TELL_LOAD_S if self._teller.has_news else 0.05
         if self._teller.has_news:
-            pause_s = min(pause_s, self._teller.due_s(small) - now_s)
+            pause_s = min(pause_s, self._teller.due_s(small) + TIMER_S - now_s)
         return max(LEAST_PAUSE_S, pause_s)
 
     async def _step(self) -> None:
