Overdue calls make no adapter give way, and stay off by default

Cause, by the logs: an overdue call was placed among the engines with capacity left, and its adapter loaded there, in the place of one that timely calls use. The model has no such effect: its adapters have room.

Change: an overdue call goes to engines that hold its adapter, or, where none does, to one with a free place.

Measured: features/admission 60 passed, five rows new.

--- a/features/admission/judgements.feature
+++ b/features/admission/judgements.feature
@@ -92,6 +92,22 @@
       | it waited          | 0.7   | 0.7   | admitted      |
       | much later         | 6     | 0     | admitted      |
 
+  Scenario Outline: An overdue request makes no adapter give way: <story>
+    Guards against adapters of timely requests that are unloaded for requests which are
+    late already.
+
+    Given overdue calls go "last"
+    When one comes whose adapter "<held>" hold, of engines a, b and c; "<idle>" are idle, "<free>" have free places
+    Then it may go to "<engines>"
+
+    Examples:
+      | story                           | held | idle | free | engines |
+      | a holder is idle                | a    | abc  | abc  | a       |
+      | its holders are busy            | ab   | c    | c    | -       |
+      | one of its holders is idle      | ab   | bc   | c    | b       |
+      | none holds it, one has a place  | -    | ab   | bc   | b       |
+      | none holds it, none has a place | -    | abc  | -    | -       |
+
   Scenario: A judgement takes little time
     Guards against judgements that cost a daemon more than a placement.
 
--- a/features/admission/steps/judgement_steps.py
+++ b/features/admission/steps/judgement_steps.py
@@ -11,6 +11,7 @@
     Endpoint,
     EndpointRecord,
     LoadOn,
+    ModelRef,
     NoEngine,
     OverdueLast,
     Reject,
@@ -20,9 +21,11 @@
     Wait,
     has_spare,
 )
+from knapweedbridge_core.serving.endpoint import HeldAdapter
 
 NOW_S = 100.0
 SLOTS, PACE_TOKENS = 8, 8000
+ADAPTER = ModelRef("m", "a1")
 POLICIES = {"as_others": AdmitAll, "last": OverdueLast}
 
 
@@ -210,3 +213,28 @@
     took_ms = (time.process_time() - began_s) / rounds * 1000
     print(f"{took_ms * 1000:.0f} us a judgement")
     assert took_ms <= most, took_ms
+
+
+def make_named(name, held, idle, free):
+    record = EndpointRecord(name, "llm", "", "d0", SLOTS, False, ("m",), {})
+    engine = Endpoint(record, pace_tokens=PACE_TOKENS, places_free=int(name in free))
+    engine.own_calls = 0 if name in idle else SLOTS
+    if name in held:
+        engine.held[ADAPTER] = HeldAdapter(1, 0.0)
+    return engine
+
+
+@when(
+    'one comes whose adapter "{held}" hold, of engines a, b and c; "{idle}" are idle, '
+    '"{free}" have free places'
+)
+def overdue_of_adapter(context, held, idle, free):
+    engines = [make_named(name, held, idle, free) for name in "abc"]
+    case = make_case(model=ADAPTER)
+    context.found = context.policy.engines_for(case, engines, NOW_S)
+
+
+@then('it may go to "{names}"')
+def may_go_to(context, names):
+    found = "".join(each.name for each in context.found) or "-"
+    assert found == names, found
--- a/packages/core/src/knapweedbridge_core/serving/caller_wait.py
+++ b/packages/core/src/knapweedbridge_core/serving/caller_wait.py
@@ -12,6 +12,7 @@
 
 from knapweedbridge_core.serving.attempts import first_event_patience_s
 from knapweedbridge_core.serving.deployment import Route
+from knapweedbridge_core.serving.model_ref import ModelRef
 
 SAME_S = 0.1
 """Difference of two deadlines that counts as none: clients round, and take some
@@ -145,6 +146,8 @@
         Whether its caller has had a part of the response.
     may_have_run : bool
         Whether it can no longer be refused as one that was not run.
+    model : ModelRef or None
+        What it is run on; None: not known.
     """
 
     key: int
@@ -156,6 +159,7 @@
     mark: str = ""
     begun: bool = False
     may_have_run: bool = False
+    model: ModelRef | None = None
 
     def waited_s(self, now_s: float) -> float:
         """Return how long its caller has waited, from its first attempt on."""
--- a/packages/core/src/knapweedbridge_core/serving/overload.py
+++ b/packages/core/src/knapweedbridge_core/serving/overload.py
@@ -232,7 +232,7 @@
         """See `OverloadPolicy.engines_for`."""
         if not self.is_overdue(call, now_s) or now_s >= call.wait_ends_s:
             return engines
-        spare = [each for each in engines if has_spare(each)]
+        spare = [each for each in _without_moves(call, engines) if has_spare(each)]
         free = sum(_spare_places(each) for each in spare)
         return spare if free > self._before(call) else []
 
@@ -328,6 +328,18 @@
         return min(ends_s, now_s + LOOK_S) if ends_s > now_s else now_s + LOOK_S
 
 
+def _without_moves(call: CallerCase, engines: list[Endpoint]) -> list[Endpoint]:
+    """Return the engines that a request can use without an adapter giving way.
+
+    Placed on any engine with capacity left, overdue requests had their adapters loaded
+    there, in the places of those that timely requests use.
+    """
+    if call.model is None or not call.model.adapter:
+        return engines
+    holders = [each for each in engines if call.model in each.held]
+    return holders or [each for each in engines if each.places_free > 0]
+
+
 def _admit_late(choice: Choice) -> Admit:
     # It cannot be told that it was not run: to refuse it would fail it, and a late
     # answer is better than none.
--- a/packages/daemon/src/knapweedbridge_daemon/serving/placing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/placing.py
@@ -149,6 +149,7 @@
             call.mark,
             call.progress.begun,
             call.progress.may_have_run,
+            call.details.model,
         )
 
     def _refuse_now(
--- a/packages/standins/src/knapweedbridge_standins/serving_load/overload_pool.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/overload_pool.py
@@ -171,6 +171,7 @@
             call.spent_s,
             self.pool.site.gap_s,
             str(id(call)),
+            model=call.model,
         )
 
     def place(self, call: OverloadCall) -> None:  # type: ignore[override]
