--- a/features/admission/steps/daemon_steps.py
+++ b/features/admission/steps/daemon_steps.py
@@ -16,21 +16,25 @@
 """What a busy machine adds to a time."""
 
 
-@given("a pool that serves accounts with quotas: {quotas}")
-def pool_with_quotas(context, quotas):
+@given(
+    "a pool that serves accounts with quotas: {quotas}, with overdue calls {setting}"
+)
+def pool_with_quotas(context, quotas, setting):
     context.bounds = QUOTA_BOUNDS if quotas == "yes" else {}
+    context.settings = ""
+    if setting != "by the template":
+        context.settings = f"\n[admission]\noverdue_calls = {setting}\n"
 
 
-def told_bounds(context):
-    """Fill the platform's template with the pool's bounds."""
-    plain = whole_path.settings_fields
+def told_settings(context):
+    """Fill the platform's template with the pool's bounds, and add its settings."""
+    plain = whole_path.fill
 
-    def fields(*given):
-        found = plain(*given)
-        found["bounds"].update(context.bounds)
-        return found
+    def fill(template, fields):
+        fields["bounds"].update(context.bounds)
+        return plain(template, fields) + context.settings
 
-    return mock.patch.object(whole_path, "settings_fields", fields)
+    return mock.patch.object(whole_path, "fill", fill)
 
 
 def played(work):
@@ -51,7 +55,7 @@
                     each for engine in path.engines for each in engine.requests
                 ]
 
-        with told_bounds(context):
+        with told_settings(context):
             anyio.run(story)
 
     return step
