--- a/features/speeds/using.feature
+++ b/features/speeds/using.feature
@@ -8,6 +8,8 @@
       | story                     | published            | speed |
       | alike                     | 1.0 1.05 0.95 1.0    | 1.0   |
       | noise is no difference    | 1.0 1.0 1.0 1.12     | 1.0   |
+      | as much as in a crowd     | 1.0 1.0 1.0 1.29     | 1.0   |
+      | more than in a crowd      | 1.0 1.0 1.0 1.31     | 1.31  |
       | slow                      | 0.6 1.0 1.0 1.6      | 1.6   |
       | fast                      | 1.6 1.0 1.0 0.6      | 0.6   |
       | all forecasts too short   | 2.0 2.0 2.0 2.0      | 1.0   |
--- a/packages/core/src/knapweedbridge_core/serving/engine_speed.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_speed.py
@@ -16,9 +16,10 @@
 SPEED_MOST = 6.0
 """Bounds of what is believed."""
 
-ALIKE = 0.15
-"""Distance from 1.0 within which a speed counts as usual: noise of an estimate, and
-engines that are alike are served without regard to it."""
+ALIKE = 0.3
+"""Distance from 1.0 within which a speed counts as usual. In a crowd estimates of
+engines that are alike differ by as much, and calls that are moved for it are served
+without their adapters: 2,435 were brought from the store where 2,168 were needed."""
 
 UNKNOWN = 0.0
 """Speed of an engine that is not known."""
