--- a/packages/core/src/knapweedbridge_core/serving/engine_speed.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_speed.py
@@ -18,8 +18,8 @@
 
 ALIKE = 0.3
 """Distance from 1.0 within which a speed counts as usual. In a crowd estimates of
-engines that are alike differ by as much, and calls that are moved for it are served
-without their adapters: 2,435 were brought from the store where 2,168 were needed."""
+engines that are alike differ by as much, and a call that is moved for that leaves the
+engine that holds its adapter."""
 
 UNKNOWN = 0.0
 """Speed of an engine that is not known."""
