--- a/packages/core/src/knapweedbridge_core/serving/overload.py
+++ b/packages/core/src/knapweedbridge_core/serving/overload.py
@@ -38,7 +38,8 @@
 QUEUE_LEAST = 2
 QUEUE_MOST = 64
 """Bounds on the overdue requests that one daemon holds. The least of all daemons adds
-up: in a pool of 76 there are 152 before 30 engines, and callers leave silent streams."""
+up: in a pool of 76 there are 152 before 30 engines, whose callers leave silent streams.
+"""
 
 LEAST_PER_S = 1.0
 """Least rate of sends that a time to come back is reckoned with."""
