Attempts log which version an engine was believed to hold, and for how long it was superseded

- attempt.ended: held_version, superseded_s, first_superseded_s.
- histogram superseded_seconds, of first events under an older version.
- NamedVersions keeps when each version of a model may have been named: the last moment before it was heard of at which all that the store had acknowledged was known here.

No decision uses it yet. Two fakes of features/serving got the field and the argument.

--- a/features/platform/standins.py
+++ b/features/platform/standins.py
@@ -351,6 +351,9 @@
         self.orders = []
         self.crashed = False
         self.pause_s = 0.005
+        self.queue_s = 0.0
+        self.newest = {}
+        self.begun = []
 
     def start_again(self):
         """Lose all that it held, under the id that it has."""
@@ -401,7 +404,8 @@
             await responder.answer(200, self.signs(), b"")
             return
         ready_s = anyio.current_time() + self.load_s
-        self.held[name] = (order.get("version", 1), ready_s)
+        version = order.get("version", self.newest.get(name, 1))
+        self.held[name] = (version, ready_s)
         self.crashed = self.crashed or len(self.held) > self.places
         await responder.answer(202, self.signs(), b"")
 
@@ -429,6 +433,11 @@
 
         first = int(header(request, "Last-Event-Id") or 0) + 1
         kind = [(b"Content-Type", b"text/event-stream")]
+        await anyio.sleep(self.queue_s)
+        _, _, name = (header(request, "Model") or "").partition("/")
+        if name:
+            version, _ = self.held[name]
+            self.begun.append((anyio.current_time(), name, version))
         await responder.start(ResponseHead(200, self.sealed(request) + kind))
         for number in range(first, 11):
             event = f"id: {number}\ndata: t{number}\n\n".encode()
--- a/features/platform/whole_path.py
+++ b/features/platform/whole_path.py
@@ -217,6 +217,14 @@
         async with httpx.AsyncClient(timeout=8, verify=NO_TLS) as client:
             return await client.request(method, url, headers=sent, **more)
 
+    def name_version(self, adapter, version):
+        """Name a version as the operator does; return when it was acknowledged."""
+        for engine in self.engines:
+            engine.newest[adapter] = version
+        entry = {"model": "base", "adapter": adapter, "version": version}
+        self.store.put(f"op/version/base.{adapter}", entry)
+        return anyio.current_time()
+
     async def draft(self, model, daemon=0, path="/draft/1", **headers):
         named = {"Model": model, "Token-Counts": "100,30", **headers}
         return await self.call("POST", path, daemon, named, content=b"prompt")
--- a/features/serving/steps/restart_steps.py
+++ b/features/serving/steps/restart_steps.py
@@ -259,7 +259,8 @@
 
 def put(context, name, value, revision):
     async def take():
-        context.follower._take_one(StoreItem(f"servers/{name}", value, revision))
+        item = StoreItem(f"servers/{name}", value, revision)
+        context.follower._take_one(item, 0.0)
 
     anyio.run(take)
 
--- a/features/serving/steps/store_steps.py
+++ b/features/serving/steps/store_steps.py
@@ -4,6 +4,7 @@
 from behave import then, when
 
 from knapweedbridge_core.codec import encode
+from knapweedbridge_core.serving import StoreAge
 from knapweedbridge_core.serving.messages import StoreTold
 from knapweedbridge_daemon.serving.believing import StoreFollower
 from knapweedbridge_daemon.serving.store_telling import pack_items, unpack_items
@@ -52,7 +53,7 @@
 
 @when("a daemon at revision 5 is told of changes after {since:d} up to {revision:d}")
 def told_of(context, since, revision):
-    hub = SimpleNamespace()
+    hub = SimpleNamespace(store_age=StoreAge())
     follower = StoreFollower(hub, None, None, lambda *changes: None)
     follower._revision = 5
     follower.heard("relay", StoreTold(since, revision, pack_items([])))
--- /dev/null
+++ b/features/versions/observed.feature
@@ -0,0 +1,14 @@
+Feature: The log tells for how long a version has been superseded
+
+  Scenario Outline: An attempt's line names the version and its age: <story>
+    Guards against work on an older version that no log line explains.
+
+    Given the whole path
+    When a call runs on a new adapter <when> a version of it is named
+    Then its line says held version <held>, superseded: <superseded>
+    And the histogram of first events under older versions counts <count>
+
+    Examples:
+      | story         | when              | held | superseded | count |
+      | none is named | before            | 0    | no         | 0     |
+      | one is named  | 0.5 s after       | 0    | yes        | 1     |
--- a/packages/core/src/knapweedbridge_core/serving/beliefs.py
+++ b/packages/core/src/knapweedbridge_core/serving/beliefs.py
@@ -22,6 +22,7 @@
 from knapweedbridge_core.serving.endpoint_records import EndpointRecord
 from knapweedbridge_core.serving.fleet import Fleet
 from knapweedbridge_core.serving.model_ref import ModelRef
+from knapweedbridge_core.serving.named_versions import NamedVersions
 from knapweedbridge_core.serving.ownership import DaemonRecord, OwnerRecord
 from knapweedbridge_core.serving.pool import (
     LARGE_LISTED_S,
@@ -80,6 +81,7 @@
     fleet: Fleet = field(default_factory=Fleet)
     deployment: Deployment | None = None
     versions: dict[ModelRef, NamedVersion] = field(default_factory=dict)
+    namings: dict[ModelRef, NamedVersions] = field(default_factory=dict)
     daemons: dict[str, DaemonRecord] = field(default_factory=dict)
     owners: dict[str, OwnerRecord] = field(default_factory=dict)
     free_since_s: dict[str, float] = field(default_factory=dict)
@@ -159,7 +161,11 @@
         return [each for each in able if each != name] + ([far] if far else [])
 
     def take(
-        self, belief: Belief, now_s: float, lapsed_until_s: float = -math.inf
+        self,
+        belief: Belief,
+        now_s: float,
+        lapsed_until_s: float = -math.inf,
+        known_s: float = -math.inf,
     ) -> bool:
         """Take one thing the store says; tell whether it changed anything.
 
@@ -167,12 +173,15 @@
         ----------
         lapsed_until_s : float
             Until when a removed entry may be a lapsed one; see `Fleet.unlisted`.
+        known_s : float
+            Last moment before at which all that the store had acknowledged was known,
+            by a clock that also counts while the host is suspended.
         """
         match belief:
             case DeploymentNamed(deployment):
                 return self._take_deployment(deployment)
             case VersionNamed(model, version):
-                return self._take_version(model, version, now_s)
+                return self._take_version(model, version, now_s, known_s)
             case EndpointNamed() | EndpointUnreadable() | EndpointGone():
                 return self._take_listing(belief, now_s, lapsed_until_s)
             case DaemonNamed(record):
@@ -204,9 +213,10 @@
         self.deployment = deployment
         return True
 
-    def _take_version(self, model: ModelRef, version: int, now_s: float) -> bool:
-        known = self.versions.get(model)
-        if known is not None and version <= known.version:
+    def _take_version(
+        self, model: ModelRef, version: int, now_s: float, known_s: float
+    ) -> bool:
+        if not self.namings.setdefault(model, NamedVersions()).take(version, known_s):
             return False
         self.versions[model] = NamedVersion(version, now_s)
         return True
@@ -291,6 +301,20 @@
         named = self.versions.get(model)
         return named.version if named else None
 
+    def superseded_for_s(
+        self, model: ModelRef, version: int, now_s: float
+    ) -> float | None:
+        """Return for how long a newer version may have been named; None: there is none.
+
+        Parameters
+        ----------
+        now_s : float
+            By the clock of ``known_s`` in `take`.
+        """
+        namings = self.namings.get(model)
+        since_s = namings.superseded_s(version) if namings else None
+        return None if since_s is None else now_s - since_s
+
     def older_allowed(self, model: ModelRef, now_s: float) -> bool:
         """Tell whether an older version may still serve a call."""
         named = self.versions.get(model)
--- a/packages/core/src/knapweedbridge_core/serving/store_age.py
+++ b/packages/core/src/knapweedbridge_core/serving/store_age.py
@@ -53,6 +53,11 @@
             self._relays[relay] = max(self._relays[relay], moment_s)
         return is_more
 
+    @property
+    def known_s(self) -> float:
+        """Moment up to which all that the store had acknowledged is known."""
+        return self._current_s
+
     def age_s(self, now_s: float) -> float:
         """Return for how long changes may be unknown; infinite before the first."""
         return now_s - self._current_s
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
@@ -6,9 +6,13 @@
 
 from knapweedbridge_core.serving import AttemptEnd, Endpoint
 from knapweedbridge_daemon.serving.call import Call, Target
+from knapweedbridge_daemon.serving.clock import loop_time_s
 from knapweedbridge_daemon.serving.engine_observations import EngineObservations
 from knapweedbridge_daemon.serving.hub import Hub
 
+LONGEST_TOLD_S = 3600.0
+"""Told where a version was superseded before this daemon knew of the store."""
+
 
 @dataclass(slots=True)
 class Forecast:
@@ -29,6 +33,11 @@
         was listed.
     limit_per_s : float or None
         The endpoint's limit when it was sent, as far as was known.
+    held_version : int or None
+        Version of the adapter that the engine was believed to hold when it was sent.
+    superseded_s, first_superseded_s : float or None
+        For how long a newer one may have been named when it was sent, and when its
+        first event came; None: there was none.
     """
 
     began_s: float
@@ -39,6 +48,9 @@
     first_s: float | None = None
     unlisted_for_s: float | None = None
     limit_per_s: float | None = None
+    held_version: int | None = None
+    superseded_s: float | None = None
+    first_superseded_s: float | None = None
 
 
 class AttemptRecords:
@@ -67,8 +79,28 @@
             self._hub.rates.first_event_s(endpoint, call.details.prompt_tokens, now_s),
         )
 
-    def report_first(self, call: Call, endpoint: Endpoint, forecast: Forecast) -> None:
-        """Have the engine's owner told of a first event that has just come."""
+    def sent(self, call: Call, endpoint: Endpoint, forecast: Forecast) -> None:
+        """Note what is known of the endpoint as an attempt is sent."""
+        forecast.sent_s = loop_time_s()
+        forecast.unread_tokens = endpoint.unread_tokens - call.unread_tokens
+        forecast.unlisted_for_s = endpoint.unlisted_for_s(forecast.sent_s)
+        forecast.limit_per_s = endpoint.pressure.limit_per_s
+        held = endpoint.held.get(call.details.model) if call.details.model else None
+        forecast.held_version = held.version if held else None
+        forecast.superseded_s = self._superseded_for_s(call, forecast)
+
+    def _superseded_for_s(self, call: Call, forecast: Forecast) -> float | None:
+        model, version = call.details.model, forecast.held_version
+        if model is None or version is None:
+            return None
+        for_s = self._hub.beliefs.superseded_for_s(model, version, self._hub.steady_s())
+        return None if for_s is None else min(for_s, LONGEST_TOLD_S)
+
+    def first_event(self, call: Call, endpoint: Endpoint, forecast: Forecast) -> None:
+        """Note that the first event has just come, and have the engine's owner told."""
+        forecast.first_superseded_s = self._superseded_for_s(call, forecast)
+        if forecast.first_superseded_s is not None:
+            self._hub.measures.time("superseded_seconds", forecast.first_superseded_s)
         if forecast.first_s is None or forecast.slot_wait_s:
             return
         if call.details.model is not None:
@@ -124,6 +156,9 @@
             request=call.details.call_id,
             endpoint=target.endpoint.name,
             version=target.version,
+            held_version=forecast.held_version,
+            superseded_s=_rounded(forecast.superseded_s),
+            first_superseded_s=_rounded(forecast.first_superseded_s),
             calls_there=target.endpoint.calls,
             speed=round(target.endpoint.speed, 2),
             unlisted_s=_rounded(forecast.unlisted_for_s),
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -76,10 +76,7 @@
                 end = AttemptEnd.WITHHELD
                 return end
             call.progress.sends += 1
-            forecast.sent_s = loop_time_s()
-            forecast.unread_tokens = endpoint.unread_tokens - call.unread_tokens
-            forecast.unlisted_for_s = endpoint.unlisted_for_s(forecast.sent_s)
-            forecast.limit_per_s = endpoint.pressure.limit_per_s
+            self._records.sent(call, endpoint, forecast)
             patience.deadline = self._patient_until_s(call, target)
             with patience if patience.deadline < math.inf else nullcontext():
                 end = await self._exchange(call, target, patience, forecast)
@@ -224,7 +221,7 @@
     ) -> None:
         if forecast.first_s is None:
             forecast.first_s = now_s
-            self._records.report_first(call, endpoint, forecast)
+            self._records.first_event(call, endpoint, forecast)
         elif call.event_s is not None:
             self._link.running.paused(endpoint, now_s - call.event_s)
             self._hub.rates.saw_gap(endpoint, now_s - call.event_s)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
@@ -104,6 +104,7 @@
         """
         if not self._revision or message.since > self._revision:
             return self._revision
+        known_s = self._hub.store_age.known_s
         if message.mark_s and self._hub.store_age.proved(message.mark_s, relay):
             self._hub.outage.answered(anyio.current_time())
         if message.revision:
@@ -114,7 +115,7 @@
         self._source = relay
         items = [each for each in unpack_items(message) if self._is_new(each)]
         since = self._revision
-        self._take(items)
+        self._take(items, known_s)
         self._revision = message.revision
         # Handed on by a relay that hears another one, as the store turns it away. What
         # its mark proves holds for its own hearers as a call to the store would.
@@ -219,7 +220,7 @@
             items = [item for item in found.items if self._is_new(item)]
             since = self._revision
             self._source = ""
-            self._take(items)
+            self._take(items, self._hub.store_age.known_s)
             self._revision = max(self._revision, found.revision)
             self._calls.answered(began_s)
             self._hand_on(since, items, began_s)
@@ -242,7 +243,7 @@
         keys = {item.key for item in found.items} | self._missing
         removed = [StoreItem(key, None, found.revision) for key in self._known - keys]
         items = list(chain(found.items, removed))
-        self._take(items)
+        self._take(items, self._hub.store_age.known_s)
         self._revision = found.revision
         if self._lost_revision:
             # Hearers go on from what they knew. Without this each of them read all of
@@ -278,11 +279,13 @@
     def _drop_missing(self) -> None:
         """Take that daemons which have not come back to the list are gone."""
         if self._missing and anyio.current_time() >= self._settled_s:
-            self._take([StoreItem(key, None, self._revision) for key in self._missing])
+            gone = [StoreItem(key, None, self._revision) for key in self._missing]
+            self._take(gone, self._hub.store_age.known_s)
 
-    def _take(self, items: list[StoreItem]) -> None:
+    def _take(self, items: list[StoreItem], known_s: float) -> None:
+        """Take items of which none had been acknowledged at ``known_s``."""
         self._to_tell.clear()
-        changed = [item for item in items if self._take_one(item)]
+        changed = [item for item in items if self._take_one(item, known_s)]
         self._to_tell.update(item.key for item in changed)
         if changed:
             self._hub.beliefs_changed.tell()
@@ -308,7 +311,7 @@
             outage_over_s=round(self._hub.outage.over_for_s(now_s), 3),
         )
 
-    def _take_one(self, item: StoreItem) -> bool:
+    def _take_one(self, item: StoreItem, known_s: float) -> bool:
         hub = self._hub
         self._missing.discard(item.key)
         if item.value is None:
@@ -323,7 +326,7 @@
         now_s = anyio.current_time()
         if isinstance(belief, EndpointNamed) and now_s < self._settled_s:
             belief = EndpointNamed(hub.beliefs.fleet.still_leaving(belief.record))
-        changed = hub.beliefs.take(belief, now_s, hub.outage.lapsed_until_s)
+        changed = hub.beliefs.take(belief, now_s, hub.outage.lapsed_until_s, known_s)
         if isinstance(belief, EndpointGone):
             self._note_unlisted(belief.endpoint, item.revision, now_s)
         if isinstance(belief, EndpointNamed) and not changed:
