Four stories of work that begins on an older version too late, red

Real sockets, one or two daemons, the platform's wire. On the current code, each as the hypothesis of its name predicts:

- series: version 3 is named 5.2 s after version 2; calls begin on version 1 until 6.0 s after version 2;
- queue: a call is sent in time, or before any version was named, waits 4 or 7 s in its engine and begins on version 1 6.5 s after version 2.
Only calls that may run once: the others are given up sooner, as silent, and sent elsewhere;
- start: a daemon that starts 4 s after version 2 begins calls on version 1 until 5.5 s.

--- /dev/null
+++ b/features/versions/versions.feature
@@ -0,0 +1,30 @@
+Feature: Work begins on a named version within 5 s
+
+  Scenario: A further version lets no version serve again that was superseded before
+    Guards against work on a version whose successor was named long before the newest.
+
+    Given the whole path
+    When version 2 of an adapter is named, and version 3 once that is in use for 5.2 s
+    Then no call begins on an older version later than 5 s after its successor was named
+
+  Scenario Outline: A call that waits in its engine does not begin on an older version: <story>
+    Guards against work that was sent in time and began too late.
+
+    Given the whole path
+    When a call on "<route>" is sent <after> s after version 2 was named, and waits <queue> s there
+    Then no call begins on an older version later than 5 s after its successor was named
+    And the caller gets status <status>
+
+    Examples:
+      | story                          | route | after | queue | status |
+      | it is sent to an older version | draft | 2.5   | 4     | 200    |
+      | it was sent before the naming  | draft | -0.5  | 7     | 200    |
+      | it may run once only           | note  | 2.5   | 4     | 502    |
+      | once only, before the naming   | note  | -0.5  | 7     | 502    |
+
+  Scenario: A daemon that starts does not take a version for new that was named before
+    Guards against work on an older version by each host that is restarted or replaced.
+
+    Given the whole path
+    When a daemon starts 4 s after version 2 was named, and is called until 7 s after it
+    Then no call begins on an older version later than 5 s after its successor was named
