An older version serves for a time after its own successor, whatever is named later

What callers saw: work on a version of an adapter whose successor had been acknowledged 5.7 to 10.3 s before, where the operators allow 5 s.

Cause: a daemon kept one moment an adapter, when it heard of the newest version, and let any older one serve for 3 s from then. Each further naming so renewed the time of all older versions, and a daemon that started, or heard late, took what had been named long before for new.

Now each version counts as named from the last moment at which all that the store had acknowledged was known here (StoreAge proves it, through relays too), and an older one is superseded by its own first successor. What was named before this daemon knew of the store supersedes at once. A call may be sent to an older version until 1 s before the operators' bound, which is left for its turn and the engine's forecast.

Why it works: the moment is never later than the acknowledgement, so nothing adds to it.

The table of the decision has series; its two old rows hold.

--- a/bench/mutants_serving.py
+++ b/bench/mutants_serving.py
@@ -10,11 +10,13 @@
     Endpoint,
     EngineKeeper,
     Fleet,
+    NamedVersions,
     PartBucket,
     PermitPacer,
     StoreOutage,
 )
 from knapweedbridge_core.serving import attempts as attempts_module
+from knapweedbridge_core.serving import named_versions as named_versions_module
 from knapweedbridge_core.serving import ownership as ownership_module
 from knapweedbridge_core.serving import permits as core_permits_module
 from knapweedbridge_core.serving import quotas as quotas_module
@@ -75,7 +77,27 @@
     ),
     "an older version of an adapter is taken": (
         "what is in force",
-        [rewritten(Beliefs, "_take_version", ("version <= known.version", "False"))],
+        [rewritten(NamedVersions, "take", ("version <= self.newest", "False"))],
+    ),
+    "a further version renews the time of all older ones": (
+        "which version work begins on",
+        [
+            (
+                NamedVersions,
+                "superseded_s",
+                lambda self, version: (
+                    None if version >= self.newest else self._namings[-1][1]
+                ),
+            )
+        ],
+    ),
+    "a version counts from when it was heard of": (
+        "which version work begins on",
+        [rewritten(Beliefs, "take", ("version, known_s)", "version, now_s)"))],
+    ),
+    "a call may be placed in the last moment in which it may begin": (
+        "which version work begins on",
+        [(named_versions_module, "BEGIN_MARGIN_S", 0.0)],
     ),
     "an older owner's record is taken": (
         "what is in force",
--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -75,13 +75,17 @@
 
     Given engines a, b and c that hold base "m"
     And b holds "m/x" at version 1
-    When a call for "m/x" at version 2 is placed, <when>
+    When a call for "m/x" is placed, of which <named>
     Then it is <choice>
 
     Examples:
-      | story                 | when                   | choice                |
-      | just named            | an older one may serve | sent to b, version 1  |
-      | named some time ago   | no older one may serve | loaded elsewhere      |
+      | story                  | named                                    | choice               |
+      | just named             | 2 was named 0.5 s ago                    | sent to b, version 1 |
+      | named some time ago    | 2 was named 9 s ago                      | loaded elsewhere     |
+      | another is named after | 2 was named 9 s ago and 3 0.5 s ago      | loaded elsewhere     |
+      | a series               | 2 was named 4.5 s ago and 3 2 s ago      | loaded elsewhere     |
+      | a young series         | 2 was named 2 s ago and 3 0.5 s ago      | sent to b, version 1 |
+      | before the start       | 2 was named inf s ago                    | loaded elsewhere     |
 
   Scenario: A hot adapter gets a copy, a cold one does not
     One engine's line grows while another idles: all calls of a hot adapter went to
@@ -108,6 +112,7 @@
       | who is leaving            |
       | what an account uses      |
       | what answers ask for      |
+      | which version work begins on |
       | which era it is           |
 
   Scenario: An adapter in use is not unloaded
--- a/features/serving/steps/decision_steps.py
+++ b/features/serving/steps/decision_steps.py
@@ -9,6 +9,7 @@
     CrashLedger,
     Fleet,
     LoadOn,
+    NamedVersions,
     NoEngine,
     OrderAnswer,
     PlacementAsk,
@@ -16,6 +17,7 @@
     RetryBudget,
     SendTo,
     TooLate,
+    VersionsNow,
     WaitFor,
     fingerprint,
     may_send_again,
@@ -26,6 +28,8 @@
 from knapweedbridge_core.serving.messages import EngineTold
 from knapweedbridge_standins.serving_histories import HISTORIES
 
+BOUND_S = 5.0
+
 
 @given('engines a, b and c that hold base "{base}"')
 def engines(context, base):
@@ -156,8 +160,8 @@
         engine(context, name).others_unread_tokens = tokens
 
 
-def place(context, model, version=None, older=True, patience_s=math.inf):
-    ask = PlacementAsk(parse_model(model), version, older, "d1", patience_s=patience_s)
+def place(context, model, versions=None, patience_s=math.inf):
+    ask = PlacementAsk(parse_model(model), versions, "d1", patience_s=patience_s)
     engines_now = context.fleet.reachable("llm", NOW_S)
     context.choice = PricedPlacement().choose(ask, engines_now, NOW_S)
     return context.choice
@@ -173,9 +177,13 @@
     place(context, model, patience_s=patience)
 
 
-@when('a call for "m/x" at version 2 is placed, {older} older one may serve')
-def placed_at_version(context, older):
-    place(context, "m/x", 2, older == "an")
+@when('a call for "m/x" is placed, of which {namings}')
+def placed_at_version(context, namings):
+    named = NamedVersions()
+    for naming in namings.split(" and "):
+        version, ago_s = naming.replace(" was named", "").removesuffix(" s ago").split()
+        named.take(int(version), NOW_S - float(ago_s))
+    place(context, "m/x", VersionsNow(named, NOW_S, BOUND_S))
 
 
 @then("it is sent to {name}")
@@ -299,7 +307,7 @@
 
 
 def placed(context, tokens):
-    ask = PlacementAsk(parse_model("m"), None, True, "d1", prompt_tokens=tokens)
+    ask = PlacementAsk(parse_model("m"), None, "d1", prompt_tokens=tokens)
     engines = context.fleet.of_service("llm", NOW_S)
     return PricedPlacement().choose(ask, engines, NOW_S)
 
--- a/features/speeds/steps/using_steps.py
+++ b/features/speeds/steps/using_steps.py
@@ -173,7 +173,7 @@
     if others == "about to read 4000 tokens":
         for each in context.engines[:2]:
             each.others_unread_tokens = 4000
-    ask = PlacementAsk(ModelRef("m"), None, True, "d1", frozenset(), tokens, 2.0)
+    ask = PlacementAsk(ModelRef("m"), None, "d1", frozenset(), tokens, 2.0)
     placement = PricedPlacement(context.rates)
     context.choice = placement.choose(ask, context.engines, context.now_s)
 
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -49,6 +49,7 @@
 from knapweedbridge_core.serving.load_times import LoadTimes
 from knapweedbridge_core.serving.memory_budget import HeldKind, MemoryBudget
 from knapweedbridge_core.serving.model_ref import ModelRef, parse_model
+from knapweedbridge_core.serving.named_versions import NamedVersions, VersionsNow
 from knapweedbridge_core.serving.overload import (
     Admit,
     AdmitAll,
@@ -149,6 +150,7 @@
     "MemoryBudget",
     "ModelRef",
     "NoEngine",
+    "NamedVersions",
     "NoPacing",
     "Order",
     "OrderAnswer",
@@ -182,6 +184,7 @@
     "TooLate",
     "UsualDeadlines",
     "Verdict",
+    "VersionsNow",
     "Wait",
     "WaitFor",
     "WeightedService",
--- a/packages/core/src/knapweedbridge_core/serving/beliefs.py
+++ b/packages/core/src/knapweedbridge_core/serving/beliefs.py
@@ -22,7 +22,7 @@
 from knapweedbridge_core.serving.endpoint_records import EndpointRecord
 from knapweedbridge_core.serving.fleet import Fleet
 from knapweedbridge_core.serving.model_ref import ModelRef
-from knapweedbridge_core.serving.named_versions import NamedVersions
+from knapweedbridge_core.serving.named_versions import NamedVersions, VersionsNow
 from knapweedbridge_core.serving.ownership import DaemonRecord, OwnerRecord
 from knapweedbridge_core.serving.pool import (
     LARGE_LISTED_S,
@@ -42,25 +42,12 @@
     "EndpointGone",
     "EndpointNamed",
     "EndpointUnreadable",
-    "NamedVersion",
     "OwnerGone",
     "OwnerNamed",
     "SecretNamed",
     "VersionNamed",
 ]
 
-OLDER_VERSION_S = 3.0
-"""How long after a new version was heard of an older one may serve, where the new one
-is loaded nowhere: the operators allow 5 s from their acknowledgement."""
-
-
-@dataclass(slots=True)
-class NamedVersion:
-    """The newest version of a model that is known, and when it was heard of."""
-
-    version: int
-    heard_s: float
-
 
 @dataclass(slots=True)
 class Beliefs:
@@ -76,18 +63,20 @@
         By engine, the last owner's record that went without a word.
     owner_changes : int
         Rises with each change of the daemons, or of the engines' owners.
+    older_version_s : float
+        How long after a version was acknowledged work may begin on an older one.
     """
 
     fleet: Fleet = field(default_factory=Fleet)
     deployment: Deployment | None = None
-    versions: dict[ModelRef, NamedVersion] = field(default_factory=dict)
-    namings: dict[ModelRef, NamedVersions] = field(default_factory=dict)
+    versions: dict[ModelRef, NamedVersions] = field(default_factory=dict)
     daemons: dict[str, DaemonRecord] = field(default_factory=dict)
     owners: dict[str, OwnerRecord] = field(default_factory=dict)
     free_since_s: dict[str, float] = field(default_factory=dict)
     lost_owners: dict[str, OwnerRecord] = field(default_factory=dict)
     secret: bytes = b""
     owner_changes: int = 0
+    older_version_s: float = 5.0
     _ranks: dict[str, list[str]] | None = None
     _ranked_small: bool = True
     _large_until_s: float = -math.inf
@@ -181,7 +170,7 @@
             case DeploymentNamed(deployment):
                 return self._take_deployment(deployment)
             case VersionNamed(model, version):
-                return self._take_version(model, version, now_s, known_s)
+                return self._take_version(model, version, known_s)
             case EndpointNamed() | EndpointUnreadable() | EndpointGone():
                 return self._take_listing(belief, now_s, lapsed_until_s)
             case DaemonNamed(record):
@@ -213,13 +202,9 @@
         self.deployment = deployment
         return True
 
-    def _take_version(
-        self, model: ModelRef, version: int, now_s: float, known_s: float
-    ) -> bool:
-        if not self.namings.setdefault(model, NamedVersions()).take(version, known_s):
-            return False
-        self.versions[model] = NamedVersion(version, now_s)
-        return True
+    def _take_version(self, model: ModelRef, version: int, known_s: float) -> bool:
+        named = self.versions.setdefault(model, NamedVersions())
+        return named.take(version, known_s)
 
     def _take_listing(
         self,
@@ -299,7 +284,18 @@
     def wanted_version(self, model: ModelRef) -> int | None:
         """Return the newest version named, or None where none was."""
         named = self.versions.get(model)
-        return named.version if named else None
+        return named.newest if named else None
+
+    def versions_now(self, model: ModelRef, now_s: float) -> VersionsNow | None:
+        """Return which versions may serve a call; None where none was named.
+
+        Parameters
+        ----------
+        now_s : float
+            By the clock of ``known_s`` in `take`.
+        """
+        named = self.versions.get(model)
+        return VersionsNow(named, now_s, self.older_version_s) if named else None
 
     def superseded_for_s(
         self, model: ModelRef, version: int, now_s: float
@@ -311,11 +307,6 @@
         now_s : float
             By the clock of ``known_s`` in `take`.
         """
-        namings = self.namings.get(model)
-        since_s = namings.superseded_s(version) if namings else None
-        return None if since_s is None else now_s - since_s
-
-    def older_allowed(self, model: ModelRef, now_s: float) -> bool:
-        """Tell whether an older version may still serve a call."""
         named = self.versions.get(model)
-        return named is None or now_s - named.heard_s < OLDER_VERSION_S
+        since_s = named.superseded_s(version) if named else None
+        return None if since_s is None else now_s - since_s
--- a/packages/core/src/knapweedbridge_core/serving/named_versions.py
+++ b/packages/core/src/knapweedbridge_core/serving/named_versions.py
@@ -6,10 +6,15 @@
 """
 
 from collections import deque
+from dataclasses import dataclass
 
 MOST_KEPT = 16
 """Versions of one model that are told apart; those before count as one."""
 
+BEGIN_MARGIN_S = 1.0
+"""Time from a placement to the first token: a prompt waits for its turn for 0.53 s at
+most, and an engine's forecast is exceeded by some tenths."""
+
 
 class NamedVersions:
     """The versions of one model, by when each may have been named.
@@ -47,3 +52,34 @@
     def superseded_s(self, version: int) -> float | None:
         """Return when the first newer version than one may have been named, or None."""
         return next((at_s for newer, at_s in self._namings if newer > version), None)
+
+
+@dataclass(slots=True, frozen=True)
+class VersionsNow:
+    """The versions of an adapter that may serve a call which is placed now.
+
+    Parameters
+    ----------
+    named : NamedVersions
+        Those that were named.
+    now_s : float
+        By the clock of ``named``.
+    bound_s : float
+        How long after a version was acknowledged work may begin on an older one.
+    """
+
+    named: NamedVersions
+    now_s: float
+    bound_s: float
+
+    @property
+    def newest(self) -> int:
+        """The newest version."""
+        return self.named.newest
+
+    def serves(self, version: int) -> bool:
+        """Tell whether a call may be sent to run on a version."""
+        since_s = self.named.superseded_s(version)
+        if since_s is None:
+            return True
+        return self.now_s + BEGIN_MARGIN_S < since_s + self.bound_s
--- a/packages/core/src/knapweedbridge_core/serving/placement.py
+++ b/packages/core/src/knapweedbridge_core/serving/placement.py
@@ -18,7 +18,6 @@
 from knapweedbridge_core.serving.engine_rates import EngineRates, LearntRates
 from knapweedbridge_core.serving.engine_speed import speed_factor
 from knapweedbridge_core.serving.load_times import WARM_LOAD_S, LoadTimes
-from knapweedbridge_core.serving.model_ref import ModelRef
 from knapweedbridge_core.serving.pause_price import LATE_S, paused_s
 from knapweedbridge_core.serving.placement_choices import (
     Choice,
@@ -179,7 +178,7 @@
             return SendTo(endpoint, None)
         if held.ready_s > now_s:
             return WaitFor(endpoint, held.ready_s)
-        version = held.version if ask.version is not None else None
+        version = held.version if ask.versions is not None else None
         copy_to = None
         if held.users >= COPY_USERS and loaders:
             calmest = min(loaders, key=self._load_s)
@@ -190,9 +189,7 @@
     def _older(
         self, ask: PlacementAsk, engines: list[Endpoint], loader: Endpoint, now_s: float
     ) -> SendTo | None:
-        if ask.version is None or not ask.older_allowed:
-            return None
-        older = [each for each in engines if _is_ready(each, ask.model, now_s)]
+        older = [each for each in engines if _serves_older(each, ask, now_s)]
         if not older:
             return None
         best = min(older, key=lambda each: self._running_s(each, ask, now_s))
@@ -269,12 +266,15 @@
     if not ask.model.adapter:
         return True
     held = endpoint.held.get(ask.model)
-    return held is not None and (ask.version is None or held.version >= ask.version)
+    newest = ask.versions.newest if ask.versions else 0
+    return held is not None and held.version >= newest
 
 
-def _is_ready(endpoint: Endpoint, model: ModelRef, now_s: float) -> bool:
-    held = endpoint.held.get(model)
-    return held is not None and held.ready_s <= now_s
+def _serves_older(endpoint: Endpoint, ask: PlacementAsk, now_s: float) -> bool:
+    held = endpoint.held.get(ask.model)
+    if held is None or held.ready_s > now_s or ask.versions is None:
+        return False
+    return ask.versions.serves(held.version)
 
 
 def _batch_s(endpoint: Endpoint) -> float:
--- a/packages/core/src/knapweedbridge_core/serving/placement_choices.py
+++ b/packages/core/src/knapweedbridge_core/serving/placement_choices.py
@@ -5,6 +5,7 @@
 
 from knapweedbridge_core.serving.endpoint import Endpoint
 from knapweedbridge_core.serving.model_ref import ModelRef
+from knapweedbridge_core.serving.named_versions import VersionsNow
 
 
 @dataclass(slots=True, frozen=True)
@@ -15,10 +16,8 @@
     ----------
     model : ModelRef
         Base model, or an adapter of it.
-    version : int or None
-        Newest version named for the adapter; None: any.
-    older_allowed : bool
-        Whether an older version may still serve it.
+    versions : VersionsNow or None
+        Versions of the adapter that may serve it; None: any.
     data_centre : str
         Where the daemon stands.
     tried : frozenset of str
@@ -30,8 +29,7 @@
     """
 
     model: ModelRef
-    version: int | None
-    older_allowed: bool
+    versions: VersionsNow | None
     data_centre: str
     tried: frozenset[str] = frozenset()
     prompt_tokens: int = 0
--- a/packages/daemon/src/knapweedbridge_daemon/serving/placing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/placing.py
@@ -19,6 +19,7 @@
     SendTo,
     TooLate,
     Verdict,
+    VersionsNow,
     Wait,
     WaitFor,
     without_limited,
@@ -208,8 +209,7 @@
         beliefs, policy = self._hub.beliefs, self._hub.overload
         ask = PlacementAsk(
             model,
-            beliefs.wanted_version(model) if model.adapter else None,
-            beliefs.older_allowed(model, now_s),
+            self._versions_now(model),
             self._hub.identity.data_centre,
             frozenset(call.progress.runs | call.refused),
             call.details.prompt_tokens,
@@ -225,6 +225,11 @@
         call.placed = True
         return self._admission.choose(ask, engines, objective_s, is_new, now_s)
 
+    def _versions_now(self, model: ModelRef) -> VersionsNow | None:
+        if not model.adapter:
+            return None
+        return self._hub.beliefs.versions_now(model, self._hub.steady_s())
+
     async def _want(self, call: Call, endpoint: Endpoint) -> None:
         model = call.details.model
         assert model is not None
--- a/packages/standins/src/knapweedbridge_standins/serving_histories/__init__.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_histories/__init__.py
@@ -17,6 +17,7 @@
     play_removed_entries,
 )
 from knapweedbridge_standins.serving_histories.repeats import play_repeats
+from knapweedbridge_standins.serving_histories.versions import play_versions
 
 HISTORIES = {
     "who orders an engine": play_owners,
@@ -30,6 +31,7 @@
     "which era it is": play_eras,
     "what a limited endpoint gets": play_limits,
     "what answers ask for": play_answers,
+    "which version work begins on": play_versions,
 }
 
 __all__ = [
@@ -45,4 +47,5 @@
     "play_quotas",
     "play_removed_entries",
     "play_repeats",
+    "play_versions",
 ]
--- a/packages/standins/src/knapweedbridge_standins/serving_load/daemon.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/daemon.py
@@ -150,7 +150,6 @@
         ask = PlacementAsk(
             call.model,
             None,
-            True,
             self.data_centre,
             frozenset(call.refused),
             call.prompt_tokens,
--- a/packages/standins/src/knapweedbridge_standins/serving_load/overload_pool.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_load/overload_pool.py
@@ -241,7 +241,6 @@
         ask = PlacementAsk(
             call.model,
             None,
-            True,
             self.data_centre,
             frozenset(call.refused),
             call.prompt_tokens,
