An attempt that has not begun is given up while work may still begin on its version

What callers saw: work that began on an older version 6.5 s after its successor had been acknowledged, sent 2.5 s after it, or before any version was named.

- An engine with an older version is chosen only if its forecast of the first event, and 1.25 s, fit before the bound.
- What has waited for its turn is looked at again just before it is sent.
- Patience ends 0.25 s before the bound for every attempt without a first event, also where the version is named while it waits (detail superseded).
It goes elsewhere if the route allows that, else its caller gets 502, which promises nothing.

Weighed: to let calls that may run once wait. Their answers would be late anyhow (the bound is 5 s, objectives 1 s), and come from a version that operators have replaced.

An attempt given up in the moment of its answer is no longer blamed on the endpoint as a loss.

--- a/bench/mutants_serving.py
+++ b/bench/mutants_serving.py
@@ -14,6 +14,7 @@
     PartBucket,
     PermitPacer,
     StoreOutage,
+    VersionsNow,
 )
 from knapweedbridge_core.serving import attempts as attempts_module
 from knapweedbridge_core.serving import named_versions as named_versions_module
@@ -99,6 +100,10 @@
         "which version work begins on",
         [(named_versions_module, "BEGIN_MARGIN_S", 0.0)],
     ),
+    "an engine's queue is not looked at for an older version": (
+        "which version work begins on",
+        [rewritten(VersionsNow, "serves", ("+ begins_in_s +", "+"))],
+    ),
     "an older owner's record is taken": (
         "what is in force",
         [rewritten(Beliefs, "_take_owner", ("record.number < known.number", "False"))],
--- a/packages/core/src/knapweedbridge_core/serving/beliefs.py
+++ b/packages/core/src/knapweedbridge_core/serving/beliefs.py
@@ -297,6 +297,13 @@
         named = self.versions.get(model)
         return VersionsNow(named, now_s, self.older_version_s) if named else None
 
+    def begins_until_s(self, model: ModelRef, version: int) -> float:
+        """Return until when work may begin on a version; infinite for the newest."""
+        named = self.versions.get(model)
+        return (
+            named.begins_until_s(version, self.older_version_s) if named else math.inf
+        )
+
     def superseded_for_s(
         self, model: ModelRef, version: int, now_s: float
     ) -> float | None:
--- a/packages/core/src/knapweedbridge_core/serving/named_versions.py
+++ b/packages/core/src/knapweedbridge_core/serving/named_versions.py
@@ -5,15 +5,17 @@
 all that the store had acknowledged was known.
 """
 
+import math
 from collections import deque
 from dataclasses import dataclass
 
 MOST_KEPT = 16
 """Versions of one model that are told apart; those before count as one."""
 
-BEGIN_MARGIN_S = 1.0
-"""Time from a placement to the first token: a prompt waits for its turn for 0.53 s at
-most, and an engine's forecast is exceeded by some tenths."""
+BEGIN_MARGIN_S = 1.25
+"""Time left beside the forecast of a first token: a prompt waits for its turn for
+0.53 s at most, forecasts are exceeded by some tenths, and an attempt that has not begun
+is given up 0.25 s before the bound."""
 
 
 class NamedVersions:
@@ -53,6 +55,11 @@
         """Return when the first newer version than one may have been named, or None."""
         return next((at_s for newer, at_s in self._namings if newer > version), None)
 
+    def begins_until_s(self, version: int, bound_s: float) -> float:
+        """Return until when work may begin on a version; infinite for the newest."""
+        since_s = self.superseded_s(version)
+        return math.inf if since_s is None else since_s + bound_s
+
 
 @dataclass(slots=True, frozen=True)
 class VersionsNow:
@@ -77,9 +84,13 @@
         """The newest version."""
         return self.named.newest
 
-    def serves(self, version: int) -> bool:
-        """Tell whether a call may be sent to run on a version."""
-        since_s = self.named.superseded_s(version)
-        if since_s is None:
-            return True
-        return self.now_s + BEGIN_MARGIN_S < since_s + self.bound_s
+    def serves(self, version: int, begins_in_s: float) -> bool:
+        """Tell whether a call may be sent to run on a version.
+
+        Parameters
+        ----------
+        begins_in_s : float
+            Forecast of the time to its first token.
+        """
+        until_s = self.named.begins_until_s(version, self.bound_s)
+        return self.now_s + begins_in_s + BEGIN_MARGIN_S < until_s
--- a/packages/core/src/knapweedbridge_core/serving/placement.py
+++ b/packages/core/src/knapweedbridge_core/serving/placement.py
@@ -189,7 +189,7 @@
     def _older(
         self, ask: PlacementAsk, engines: list[Endpoint], loader: Endpoint, now_s: float
     ) -> SendTo | None:
-        older = [each for each in engines if _serves_older(each, ask, now_s)]
+        older = [each for each in engines if self._serves_older(each, ask, now_s)]
         if not older:
             return None
         best = min(older, key=lambda each: self._running_s(each, ask, now_s))
@@ -197,6 +197,15 @@
         copy_to = loader if loader is not best else None
         return SendTo(best, best.held[ask.model].version or None, copy_to)
 
+    def _serves_older(
+        self, endpoint: Endpoint, ask: PlacementAsk, now_s: float
+    ) -> bool:
+        held = endpoint.held.get(ask.model)
+        if held is None or held.ready_s > now_s or ask.versions is None:
+            return False
+        first_s = self.rates.first_event_s(endpoint, ask.prompt_tokens, now_s)
+        return ask.versions.serves(held.version, first_s)
+
     def _cold_s(self, engines: list[Endpoint], now_s: float) -> float:
         coming = sum(
             each.coming(now_s) for each in engines if each.coming_until_s > now_s
@@ -270,13 +279,6 @@
     return held is not None and held.version >= newest
 
 
-def _serves_older(endpoint: Endpoint, ask: PlacementAsk, now_s: float) -> bool:
-    held = endpoint.held.get(ask.model)
-    if held is None or held.ready_s > now_s or ask.versions is None:
-        return False
-    return ask.versions.serves(held.version)
-
-
 def _batch_s(endpoint: Endpoint) -> float:
     taken = endpoint.calls / max(1, endpoint.record.slots)
     return FULL_S * taken * taken * speed_factor(endpoint.speed)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
@@ -34,7 +34,8 @@
     limit_per_s : float or None
         The endpoint's limit when it was sent, as far as was known.
     held_version : int or None
-        Version of the adapter that the engine was believed to hold when it was sent.
+        Version of the adapter that the engine was believed to hold when it was sent;
+        None: it was sent without an adapter.
     superseded_s, first_superseded_s : float or None
         For how long a newer one may have been named when it was sent, and when its
         first event came; None: there was none.
@@ -79,14 +80,14 @@
             self._hub.rates.first_event_s(endpoint, call.details.prompt_tokens, now_s),
         )
 
-    def sent(self, call: Call, endpoint: Endpoint, forecast: Forecast) -> None:
+    def sent(self, call: Call, target: Target, forecast: Forecast) -> None:
         """Note what is known of the endpoint as an attempt is sent."""
+        endpoint = target.endpoint
         forecast.sent_s = loop_time_s()
         forecast.unread_tokens = endpoint.unread_tokens - call.unread_tokens
         forecast.unlisted_for_s = endpoint.unlisted_for_s(forecast.sent_s)
         forecast.limit_per_s = endpoint.pressure.limit_per_s
-        held = endpoint.held.get(call.details.model) if call.details.model else None
-        forecast.held_version = held.version if held else None
+        forecast.held_version = version_there(call, target)
         forecast.superseded_s = self._superseded_for_s(call, forecast)
 
     def _superseded_for_s(self, call: Call, forecast: Forecast) -> float | None:
@@ -175,5 +176,20 @@
         )
 
 
+def version_there(call: Call, target: Target) -> int | None:
+    """Return the version that an attempt runs on, as far as is known; None: no adapter.
+
+    An engine that must have a version runs no other. Without one it runs what it holds,
+    which was the newest when it was loaded, before any was named.
+    """
+    model = call.details.model
+    if model is None or not model.adapter:
+        return None
+    if target.version is not None:
+        return target.version
+    held = target.endpoint.held.get(model)
+    return held.version if held else 0
+
+
 def _rounded(seconds: float | None) -> float | None:
     return None if seconds is None else round(seconds, 4)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -1,9 +1,6 @@
 """Sends a call to one endpoint, and passes its answer on."""
 
 import math
-from contextlib import nullcontext
-
-import anyio
 
 from knapweedbridge_core.serving import (
     AttemptEnd,
@@ -12,7 +9,11 @@
     resumes,
 )
 from knapweedbridge_core.serving.messages import AdapterMissed
-from knapweedbridge_daemon.serving.attempt_records import AttemptRecords, Forecast
+from knapweedbridge_daemon.serving.attempt_records import (
+    AttemptRecords,
+    Forecast,
+    version_there,
+)
 from knapweedbridge_daemon.serving.call import Call, KeptAnswer, Target
 from knapweedbridge_daemon.serving.clock import loop_time_s
 from knapweedbridge_daemon.serving.dialects import AnswerHead, AttemptDetails
@@ -23,6 +24,7 @@
     NotSentError,
 )
 from knapweedbridge_daemon.serving.hub import Hub
+from knapweedbridge_daemon.serving.patience import NotBegunError, Patience
 from knapweedbridge_daemon.serving.peer_link import PeerLink
 from knapweedbridge_daemon.serving.wire import (
     RequestHead,
@@ -68,20 +70,17 @@
         self._link.running.begin(endpoint, model, call.unread_tokens)
         end = AttemptEnd.ABANDONED
         detail = ""
-        patience = anyio.CancelScope()
         try:
             if model is not None:
                 await self._link.turns.take(endpoint, call.unread_tokens, call.urgency)
-            if not await self._may_send(endpoint):
+            if not await self._may_send(call, target):
                 end = AttemptEnd.WITHHELD
                 return end
             call.progress.sends += 1
-            self._records.sent(call, endpoint, forecast)
-            patience.deadline = self._patient_until_s(call, target)
-            with patience if patience.deadline < math.inf else nullcontext():
+            self._records.sent(call, target, forecast)
+            patience = self._patience(call, target, forecast)
+            with self._hub.patience.waiting(patience):
                 end = await self._exchange(call, target, patience, forecast)
-            if patience.cancelled_caught:
-                raise BrokenError("silent")
         except NotSentError as error:
             end, detail = AttemptEnd.NOT_RUN, str(error)
             call.refused.add(endpoint.name)
@@ -90,7 +89,7 @@
         except (BrokenError, BrokenEventsError) as error:
             end, detail = AttemptEnd.BROKEN, str(error)
             call.progress.runs.add(endpoint.name)
-            if not patience.cancelled_caught:
+            if not isinstance(error, NotBegunError):
                 self._hub.crashes.broke(call.mark, endpoint.name, loop_time_s())
         finally:
             if end is AttemptEnd.ABANDONED:
@@ -103,17 +102,38 @@
             self._records.note(call, target, end, forecast, detail)
         return end
 
-    async def _may_send(self, endpoint: Endpoint) -> bool:
+    async def _may_send(self, call: Call, target: Target) -> bool:
         """Tell whether an endpoint takes a call that has waited for its turn."""
-        if not endpoint.takes_work(loop_time_s()):
+        if not target.endpoint.takes_work(loop_time_s()):
+            return False
+        if not await self._link.permits.take(target.endpoint):
             return False
-        return await self._link.permits.take(endpoint)
+        return self._may_begin(call, target)
+
+    def _may_begin(self, call: Call, target: Target) -> bool:
+        """Tell whether work may still begin on the version that a call was placed for.
+
+        The engine's own version may have been superseded while the call waited.
+        """
+        version = version_there(call, target)
+        if version is None or call.details.model is None:
+            return True
+        now_s = self._hub.steady_s()
+        versions = self._hub.beliefs.versions_now(call.details.model, now_s)
+        # Without the forecast that placement goes by, so that a call which was placed
+        # at this moment is not withheld.
+        return versions is None or versions.serves(version, 0.0)
 
     def _note_read(self, call: Call, endpoint: Endpoint) -> None:
         if call.unread_tokens:
             self._link.running.prompt_read(endpoint, call.unread_tokens)
             call.unread_tokens = 0
 
+    def _patience(self, call: Call, target: Target, forecast: Forecast) -> Patience:
+        version = forecast.held_version
+        model = None if version is None else call.details.model
+        return Patience(model, version or 0, self._patient_until_s(call, target))
+
     def _patient_until_s(self, call: Call, target: Target) -> float:
         others_left = len(call.progress.runs) + 1 < call.route.max_attempts
         if not (call.route.repeatable and others_left):
@@ -128,7 +148,7 @@
         self,
         call: Call,
         target: Target,
-        patience: anyio.CancelScope,
+        patience: Patience,
         forecast: Forecast,
     ) -> AttemptEnd:
         head = self._attempt_head(call, target)
@@ -152,7 +172,7 @@
                 return AttemptEnd.NOT_RUN
             call.progress.runs.add(target.endpoint.name)
             if not proved.stream:
-                self._end_patience(patience)
+                self._hub.patience.begun(patience)
             if not proved.genuine:
                 raise BrokenError(f"status {answer.status} without a signature")
             if proved.stream and answer.status == 200:
@@ -161,15 +181,6 @@
                 )
             return await self._take_whole(call, connection, answer)
 
-    @staticmethod
-    def _end_patience(patience: anyio.CancelScope) -> None:
-        if patience.cancel_called:
-            # The answer came as patience ended. The next wait is cancelled, which
-            # would leave the caller's answer begun and unwritten: its connection is
-            # then closed without one. So this answer counts as one that did not come.
-            raise BrokenError("silent")
-        patience.deadline = math.inf
-
     def _attempt_head(self, call: Call, target: Target) -> RequestHead:
         head = call.request.head
         details = AttemptDetails(
@@ -251,7 +262,7 @@
         endpoint: Endpoint,
         connection: ClientConnection,
         answer: ResponseHead,
-        patience: anyio.CancelScope,
+        patience: Patience,
         forecast: Forecast,
     ) -> AttemptEnd:
         resumed = call.progress.begun
@@ -262,8 +273,8 @@
             if not events.count:
                 continue
             now_s = loop_time_s()
-            if patience.deadline != math.inf:
-                self._end_patience(patience)
+            if forecast.first_s is None:
+                self._hub.patience.begun(patience)
             if call.unread_tokens:
                 self._note_read(call, endpoint)
             self._note_events(call, endpoint, forecast, now_s)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
@@ -11,6 +11,7 @@
     DeploymentNamed,
     EndpointGone,
     EndpointNamed,
+    VersionNamed,
 )
 from knapweedbridge_core.serving.messages import StoreTold
 from knapweedbridge_daemon.errors import StoreError
@@ -331,6 +332,8 @@
             self._note_unlisted(belief.endpoint, item.revision, now_s)
         if isinstance(belief, EndpointNamed) and not changed:
             self._note_listing(item.key, belief.record.endpoint, now_s)
+        if changed and isinstance(belief, VersionNamed):
+            hub.patience.named(belief.model)
         if changed and isinstance(belief, DeploymentNamed):
             hub.rates.accept_pauses(belief.deployment.longest_pauses_s())
         if changed:
--- a/packages/standins/src/knapweedbridge_standins/serving_histories/versions.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_histories/versions.py
@@ -2,9 +2,11 @@
 
 import random
 from collections import deque
+from dataclasses import dataclass
 
 from knapweedbridge_core.serving import (
     Beliefs,
+    Endpoint,
     EndpointRecord,
     Fleet,
     LoadOn,
@@ -16,6 +18,7 @@
 )
 from knapweedbridge_core.serving.beliefs import VersionNamed
 from knapweedbridge_core.serving.endpoint import HeldAdapter
+from knapweedbridge_daemon.serving.patience import WITHDRAWN_S
 
 DAEMONS = 4
 ENGINES = 5
@@ -28,6 +31,9 @@
 LATE_NEWS_S = 2.5
 """The longest that a daemon in touch with the store may hear nothing of it."""
 
+QUEUED_TOKENS = 80_000
+"""The most that an engine has yet to read before a call."""
+
 LATE_BEGIN_S = 0.9
 """The longest from a placement to the first token, beside what is forecast."""
 
@@ -52,6 +58,16 @@
         self.heard = 0
 
 
+@dataclass(slots=True)
+class _Run:
+    """A call that waits in its engine."""
+
+    daemon: _Daemon
+    version: int
+    begins_s: float
+    is_older: bool
+
+
 class _History:
     """One seeded run."""
 
@@ -63,6 +79,7 @@
         self._daemons = [_Daemon() for _ in range(DAEMONS)]
         self._placement = PricedPlacement()
         self._next_s: deque[float] = deque()
+        self._runs: list[_Run] = []
         self.broken: list[str] = []
         self.served = 0
 
@@ -77,6 +94,7 @@
                 self._hear(place)
                 if self._luck.random() < 0.5:
                     self._call(self._daemons[place])
+            self._begin_due()
 
     def _name(self) -> None:
         """Name versions now and then, in series whose gaps are of one kind each."""
@@ -121,6 +139,8 @@
             record = EndpointRecord(engine.name, "s", "a:1", "d", 64, False, ("m",))
             endpoint = fleet.listed(record, self._now_s)
             endpoint.owner, endpoint.places_free = "h", 1
+            if self._luck.random() < 0.5:
+                endpoint.others_unread_tokens = self._luck.randrange(QUEUED_TOKENS)
             held = HeldAdapter(engine.version, self._now_s, 1)
             if engine.loading:
                 held = HeldAdapter(engine.loading[1], engine.loading[0])
@@ -138,8 +158,7 @@
         elif isinstance(choice, SendTo):
             if choice.copy_to is not None:
                 self._order(choice.copy_to.name, daemon)
-            held = choice.endpoint.held[MODEL]
-            self._begin(held.version)
+            self._send(daemon, choice.endpoint)
         else:
             assert isinstance(choice, WaitFor), choice
 
@@ -149,18 +168,43 @@
             newest = daemon.beliefs.wanted_version(MODEL) or 1
             engine.loading = self._now_s + self._luck.uniform(0.05, 1.5), newest
 
-    def _begin(self, version: int) -> None:
-        self.served += 1
-        begins_s = self._now_s + self._luck.uniform(0.0, LATE_BEGIN_S)
+    def _send(self, daemon: _Daemon, endpoint: Endpoint) -> None:
+        version = endpoint.held[MODEL].version
+        first_s = self._placement.rates.first_event_s(endpoint, 0, self._now_s)
+        begins_s = self._now_s + first_s + self._luck.uniform(0.0, LATE_BEGIN_S)
+        is_older = version < (daemon.beliefs.wanted_version(MODEL) or 0)
+        self._runs.append(_Run(daemon, version, begins_s, is_older))
+
+    def _begin_due(self) -> None:
+        """Begin what is due, but for what its daemon has given up."""
+        for run in self._runs:
+            until_s = run.daemon.beliefs.begins_until_s(MODEL, run.version)
+            if run.daemon not in self._daemons:
+                # Its connections were closed as the daemon ended.
+                continue
+            if until_s - WITHDRAWN_S <= min(run.begins_s, self._now_s):
+                if run.is_older:
+                    self._break(run, "sent to an older version, is given up")
+            elif run.begins_s <= self._now_s:
+                self.served += 1
+                self._check(run)
+        self._runs = [each for each in self._runs if self._waits(each)]
+
+    def _waits(self, run: _Run) -> bool:
+        until_s = run.daemon.beliefs.begins_until_s(MODEL, run.version)
+        ends_s = min(run.begins_s, until_s - WITHDRAWN_S)
+        return run.daemon in self._daemons and ends_s > self._now_s
+
+    def _check(self, run: _Run) -> None:
         for acknowledged_s, newer in self._named:
-            since_s = begins_s - acknowledged_s
-            if newer > version and since_s > BOUND_S:
-                self.broken.append(
-                    f"{begins_s:.2f} s: a call begins on version {version}, "
-                    f"{since_s:.2f} s after version {newer}"
-                )
+            since_s = run.begins_s - acknowledged_s
+            if newer > run.version and since_s > BOUND_S:
+                self._break(run, f"begins {since_s:.2f} s after version {newer}")
                 return
 
+    def _break(self, run: _Run, what: str) -> None:
+        self.broken.append(f"{run.begins_s:.2f} s: version {run.version}: {what}")
+
 
 def play_versions(seed: int) -> list[str]:
     """Return what began on a version whose successor was acknowledged too long ago."""
