Operators say for how long older versions of an adapter may serve

Setting [engines] older_version_ms, filled from the platform's bounds where it names one; 5000 by default.

Two rows on the whole path: with 2000 a call 1 s after a naming waits for the new version, with 5000 it begins on the old one.

--- a/features/accounts/stories.py
+++ b/features/accounts/stories.py
@@ -16,7 +16,8 @@
         @functools.wraps(work)
         def step(context, **values):
             async def story():
-                async with whole_path(context.daemons, lease_ms=lease_ms) as path:
+                bounds = getattr(context, "bounds", {})
+                async with whole_path(context.daemons, lease_ms, bounds) as path:
                     context.path = path
                     if begin is not None:
                         await begin(path)
--- a/features/platform/whole_path.py
+++ b/features/platform/whole_path.py
@@ -145,6 +145,7 @@
         self.metrics_ports = []
         self.logs = []
         self.lease_ms = 1000
+        self.bounds = {}
 
     @property
     def endpoints(self):
@@ -162,6 +163,7 @@
     def start_daemon(self, name):
         ports = [free_port() for _ in range(3)]
         fields = settings_fields(name, self.store.address, ports)
+        fields["bounds"].update(self.bounds)
         text = fill(TEMPLATE.read_text(), fields)
         self.metrics_ports.append(free_port())
         text = text.replace("127.0.0.1:9464", f"127.0.0.1:{self.metrics_ports[-1]}")
@@ -231,11 +233,12 @@
 
 
 @asynccontextmanager
-async def whole_path(daemons=1, lease_ms=1000):
+async def whole_path(daemons=1, lease_ms=1000, bounds=None):
     async with AsyncExitStack() as stack:
         tasks = await stack.enter_async_context(anyio.create_task_group())
         path = WholePath(stack, tasks)
         path.lease_ms = lease_ms
+        path.bounds = bounds or {}
         try:
             await path.start(daemons)
             for daemon in range(daemons):
--- a/features/versions/steps/version_steps.py
+++ b/features/versions/steps/version_steps.py
@@ -1,5 +1,5 @@
 import anyio
-from behave import then, when
+from behave import given, then, when
 from pressure_calls import draft_until_taken
 from stories import played
 from whole_path import configuration
@@ -94,6 +94,27 @@
     context.engines = path.engines
 
 
+@given("the whole path, on a platform that allows older versions for {bound:d} ms")
+def platform_allows(context, bound):
+    context.daemons, context.bounds = 1, {"version_ms": bound}
+
+
+@when("a call comes {after:g} s after version 2 of an adapter was named")
+@played()
+async def comes_after(context, path, after):
+    holder, _ = await load_first(path)
+    path.name_version(ADAPTER, 2)
+    await anyio.sleep(after)
+    await draft_until_taken(path, MODEL, 0)
+    begun = sorted(each for engine in path.engines for each in engine.begun)
+    context.version = begun[-1][2]
+
+
+@then("it begins on version {version:d}")
+def begins_on(context, version):
+    assert context.version == version, context.version
+
+
 @then(
     "no call begins on an older version later than {bound:g} s after its successor "
     "was named"
--- a/features/versions/versions.feature
+++ b/features/versions/versions.feature
@@ -22,6 +22,18 @@
       | it may run once only           | note  | 2.5   | 4     | 502    |
       | once only, before the naming   | note  | -0.5  | 7     | 502    |
 
+  Scenario Outline: Operators say for how long older versions may serve: <bound> ms
+    Guards against a bound that is written into the program.
+
+    Given the whole path, on a platform that allows older versions for <bound> ms
+    When a call comes 1 s after version 2 of an adapter was named
+    Then it begins on version <version>
+
+    Examples:
+      | bound | version |
+      | 5000  | 1       |
+      | 2000  | 2       |
+
   Scenario: A daemon that starts does not take a version for new that was named before
     Guards against work on an older version by each host that is restarted or replaced.
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/settings.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/settings.py
@@ -94,8 +94,14 @@
         },
     ),
     "engines": Section(
-        "What is learnt of engines.",
+        "What is learnt of engines, and which versions of adapters they may serve.",
         {
+            "older_version_ms": Key(
+                Number(0, 600_000),
+                "5000",
+                "How long after a version of an adapter was acknowledged work may "
+                "begin on an older one, ms.",
+            ),
             "learn_speeds": Key(
                 Choice("yes", "no"),
                 "yes",
