The newest version is loaded elsewhere while the engine that would load it serves an older one

What callers saw: after a naming, calls for an adapter ran on its older version for all of the time that this is allowed, and then waited for the newest, which nobody had loaded.

Cause: where the best engine to load the newest was also the best of those with an older version, calls were sent there and nobody was asked for the newest: an engine replaces a version only when none runs on it, so asking it would have been in vain.

Now the newest is asked for on the best other engine. Evidence: a, b and c hold version 1, the call's own data centre has b: the row failed before (no engine was asked).

--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -87,6 +87,23 @@
       | a young series         | 2 was named 2 s ago and 3 0.5 s ago      | sent to b, version 1 |
       | before the start       | 2 was named inf s ago                    | loaded elsewhere     |
 
+  Scenario Outline: The newest version is loaded while older ones serve: <holders>
+    Guards against an adapter in use whose older versions keep the newest from loading.
+
+    Given engines a, b and c that hold base "m"
+    And <far> are in another data centre
+    And <holders> hold "m/x" at version 1 with a call each
+    When a call for "m/x" is placed, of which 2 was named 0.5 s ago
+    Then it is sent to version 1, and the newest is loaded on another engine
+
+    Examples:
+      | holders | far  |
+      | a       | b, c |
+      | a, b    | a, c |
+      | a, b, c | b, c |
+      | a, b, c | a, c |
+      | a, b, c | a, b |
+
   Scenario: A hot adapter gets a copy, a cold one does not
     One engine's line grows while another idles: all calls of a hot adapter went to
     the one that has it. For a cold adapter a copy would cost more than it helps.
--- a/features/serving/steps/decision_steps.py
+++ b/features/serving/steps/decision_steps.py
@@ -53,6 +53,18 @@
     hold(context, "b", "m/x")
 
 
+@given("{names} are in another data centre")
+def are_far(context, names):
+    for name in names.split(", "):
+        engine(context, name).record = record(name, data_centre="d2")
+
+
+@given('{names} hold "m/x" at version 1 with a call each')
+def hold_version(context, names):
+    for name in names.split(", "):
+        hold(context, name, "m/x")
+
+
 @given('b holds "m/x" at version 1')
 def b_holds_version(context):
     hold(context, "b", "m/x")
@@ -186,6 +198,13 @@
     place(context, "m/x", VersionsNow(named, NOW_S, BOUND_S))
 
 
+@then("it is sent to version 1, and the newest is loaded on another engine")
+def loaded_meanwhile(context):
+    choice = context.choice
+    assert isinstance(choice, SendTo) and choice.version == 1, choice
+    assert choice.copy_to not in (None, choice.endpoint), choice
+
+
 @then("it is sent to {name}")
 def sent_to(context, name):
     name, _, version = name.partition(", version ")
--- a/packages/core/src/knapweedbridge_core/serving/placement.py
+++ b/packages/core/src/knapweedbridge_core/serving/placement.py
@@ -162,7 +162,8 @@
                 ask, best, loaders, now_s
             )
         else:
-            older = self._older(ask, with_base, best.endpoint, now_s)
+            able = [offer for offer in offers if offer.endpoint not in holders]
+            older = self._older(ask, with_base, able, now_s)
             choice = older or LoadOn(best.endpoint)
         if best.expected_s > ask.patience_s:
             over_s = best.expected_s - ask.patience_s
@@ -187,14 +188,22 @@
         return SendTo(endpoint, version, copy_to)
 
     def _older(
-        self, ask: PlacementAsk, engines: list[Endpoint], loader: Endpoint, now_s: float
+        self,
+        ask: PlacementAsk,
+        engines: list[Endpoint],
+        loaders: list[_Offer],
+        now_s: float,
     ) -> SendTo | None:
+        """Send a call to an older version while another engine loads the newest."""
         older = [each for each in engines if self._serves_older(each, ask, now_s)]
         if not older:
             return None
         best = min(older, key=lambda each: self._running_s(each, ask, now_s))
         # The engine with the old version would replace it only when none runs.
-        copy_to = loader if loader is not best else None
+        others = [offer for offer in loaders if offer.endpoint is not best]
+        copy_to = (
+            min(others, key=lambda offer: offer.price).endpoint if others else None
+        )
         return SendTo(best, best.held[ask.model].version or None, copy_to)
 
     def _serves_older(
