A call is not refused for a load that it need not wait for

What callers saw: in the moments after a version was named, calls were refused as too late (503 overloaded) while an engine with the older version, which may serve for some seconds yet, would have answered them in time.

Cause: whether a call is too late was judged by the best engine that would load the newest, also where the call goes to an older version at once. Now an older version is chosen if its own forecast is in time, and only then; else the load decides, as before.

--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -104,6 +104,20 @@
       | a, b, c | a, c |
       | a, b, c | a, b |
 
+  Scenario Outline: A call is not refused for a load that it need not wait for: <patience> s
+    Guards against callers refused after a naming while an older version may serve them.
+
+    Given engines a, b and c that hold base "m"
+    And b holds "m/x" at version 1
+    When a call for "m/x" with <patience> s of patience is placed, of which 2 was named 0.5 s ago
+    Then it is <choice>
+
+    Examples:
+      | patience | choice                          |
+      | 9        | sent to b, version 1            |
+      | 0.25     | sent to b, version 1            |
+      | 0.01     | refused as 0.1 s or more too late |
+
   Scenario: A hot adapter gets a copy, a cold one does not
     One engine's line grows while another idles: all calls of a hot adapter went to
     the one that has it. For a cold adapter a copy would cost more than it helps.
--- a/features/serving/steps/decision_steps.py
+++ b/features/serving/steps/decision_steps.py
@@ -191,11 +191,20 @@
 
 @when('a call for "m/x" is placed, of which {namings}')
 def placed_at_version(context, namings):
+    place_named(context, namings, math.inf)
+
+
+@when('a call for "m/x" with {patience:g} s of patience is placed, of which {namings}')
+def placed_patiently_at_version(context, patience, namings):
+    place_named(context, namings, patience)
+
+
+def place_named(context, namings, patience_s):
     named = NamedVersions()
     for naming in namings.split(" and "):
         version, ago_s = naming.replace(" was named", "").removesuffix(" s ago").split()
         named.take(int(version), NOW_S - float(ago_s))
-    place(context, "m/x", VersionsNow(named, NOW_S, BOUND_S))
+    place(context, "m/x", VersionsNow(named, NOW_S, BOUND_S), patience_s)
 
 
 @then("it is sent to version 1, and the newest is loaded on another engine")
--- a/packages/core/src/knapweedbridge_core/serving/placement.py
+++ b/packages/core/src/knapweedbridge_core/serving/placement.py
@@ -164,7 +164,9 @@
         else:
             able = [offer for offer in offers if offer.endpoint not in holders]
             older = self._older(ask, with_base, able, now_s)
-            choice = older or LoadOn(best.endpoint)
+            if older is not None:
+                return older
+            choice = LoadOn(best.endpoint)
         if best.expected_s > ask.patience_s:
             over_s = best.expected_s - ask.patience_s
             return TooLate(over_s, best.endpoint, choice, best.load_s)
@@ -213,7 +215,8 @@
         if held is None or held.ready_s > now_s or ask.versions is None:
             return False
         first_s = self.rates.first_event_s(endpoint, ask.prompt_tokens, now_s)
-        return ask.versions.serves(held.version, first_s)
+        in_time = first_s <= ask.patience_s
+        return in_time and ask.versions.serves(held.version, first_s)
 
     def _cold_s(self, engines: list[Endpoint], now_s: float) -> float:
         coming = sum(
