--- a/Makefile
+++ b/Makefile
@@ -68,7 +68,7 @@
 bench-load: install
 	PYTHONHASHSEED=0 $(BIN)/python bench/serving_load.py
 
-# BENCH, SITE, ENGINES, PLAIN, DAYS and JOBS: see bench/kinds_days.py.
+# BENCH, SITE, ENGINES, PLAIN, DAYS, JOBS and BESIDE: see bench/kinds_days.py.
 .PHONY: kinds-days
 kinds-days: install
 	$(BIN)/python bench/kinds_days.py
