The serving soak names versions in series, and checks what work begins on

Series of one to five namings of the three busiest adapters, 0.1 to 5.2 s apart, overlap with all other faults. The check is the operators' rule: no run begins on a version 5 s after its successor was named, where the store, the daemon that took the call and the engine had no trouble in that time.

--- a/bench/soak_serving.py
+++ b/bench/soak_serving.py
@@ -14,6 +14,9 @@
 import sys
 import tempfile
 from collections import Counter, defaultdict
+from collections.abc import Iterator
+from contextlib import contextmanager
+from math import inf
 from pathlib import Path
 
 import anyio
@@ -35,8 +38,14 @@
 """Longest time from an endpoint's word that it leaves to its last new request: 2 s,
 and 3.5 s for a daemon that is paused or hears nothing of the store for so long."""
 
+VERSION_S = 5.0
+"""Longest time, without trouble, from a version's naming to the last begin on an older
+one."""
+
 CLIENTS = 12
 ADAPTERS = 16
+NAMED_ADAPTERS = 3
+SERIES_GAPS_S = (0.1, 0.8, 2.4, 5.2)
 FAULT_EVERY_S = 0.5
 FIRST_PORT, PORTS_A_RUN = 20_000, 40
 SETTLE_S = 8.0
@@ -65,6 +74,11 @@
         "if not proved.genuine:",
         "if False:",
     ),
+    "older versions serve on": (
+        CORE + "named_versions.py",
+        "return math.inf if since_s is None else since_s + bound_s",
+        "return math.inf",
+    ),
     "never sees who leaves": (
         CORE + "endpoint.py",
         "return self.usable and not self.leaves and is_listed",
@@ -83,6 +97,11 @@
         self.refused: set[str] = set()
         self.fences: dict[str, tuple[int, str]] = {}
         self.left_s: dict[str, float] = {}
+        self.named_s: dict[str, dict[int, float]] = defaultdict(dict)
+        self.calm_since_s: dict[str, float] = {}
+        self.troubles: Counter[str] = Counter()
+        self.taken_by: dict[str, str] = {}
+        self.begun: Counter[str] = Counter()
 
     def broken(self, what: str) -> None:
         """Note a broken promise."""
@@ -100,6 +119,33 @@
         if left_s is not None and anyio.current_time() - left_s > DRAIN_S:
             self.broken(f"{call} came to {endpoint.name} long after it left")
 
+    @contextmanager
+    def troubled(self, name: str) -> Iterator[None]:
+        """Count a daemon, an endpoint or the store as in trouble for a while."""
+        self.troubles[name] += 1
+        self.calm_since_s[name] = inf
+        try:
+            yield
+        finally:
+            self.troubles[name] -= 1
+            if not self.troubles[name]:
+                self.calm_since_s[name] = anyio.current_time()
+
+    def began(self, engine: Engine, request, adapter: str, version: int) -> None:
+        """Check under which version of its adapter a run begins.
+
+        The time counts in which the store, the daemon that took the call and the engine
+        had no trouble.
+        """
+        call = header(request, "Request-Id") or ""
+        parties = "store", engine.name, self.taken_by.get(call, "")
+        calm_s = max(self.calm_since_s.get(name, 0.0) for name in parties)
+        newer = [s for v, s in self.named_s[adapter].items() if v > version]
+        self.begun["older" if newer else "newest"] += 1
+        if newer and anyio.current_time() - max(min(newer), calm_s) > VERSION_S:
+            late_s = anyio.current_time() - min(newer)
+            self.broken(f"{call} began on {adapter}@{version} {late_s:.2f} s too old")
+
     def ordered(self, engine: Engine, order: dict) -> None:
         """Check one order to an engine."""
         number, holder = order["fencing_token"], order["holder"]
@@ -122,6 +168,9 @@
                 watched.ran(self, request)
             await super().answer(request, responder, behaviour)
 
+        def note_begun(self, request, adapter, version):
+            watched.began(self, request, adapter, version)
+
         async def _order(self, request, responder):
             await super()._order(request, responder)
             watched.ordered(self, json.loads(request.body))
@@ -138,6 +187,7 @@
         self.watched = Watched()
         self.store = Store()
         self.made = 0
+        self.newest: dict[str, int] = {}
         self.outcomes: Counter[str] = Counter()
         self.faults: Counter[str] = Counter()
         self.folder = Path(tempfile.mkdtemp(prefix="soak-", dir=ROOT))
@@ -188,6 +238,7 @@
         self.made += 1
         kind = watched_by(Engine if service == "llm" else Endpoint, self.watched)
         endpoint = kind(f"{service}-{self.made}", service)
+        endpoint.newest = self.newest
         await self.tasks.start(endpoint.run)
         proxy = Proxy(lambda: endpoint.address)
         await self.tasks.start(proxy.run)
@@ -225,6 +276,8 @@
             self._limit_endpoint,
             self._rest_endpoint,
             self._leave_in_answers,
+            self._name_versions,
+            self._name_versions,
         ]
         while anyio.current_time() < self.until_s:
             fault = self.luck.choice(faults)
@@ -241,6 +294,12 @@
     async def _end_daemon(self, number: signal.Signals) -> None:
         name = self.luck.choice(sorted(self.daemons))
         process = self.daemons[name]
+        with self.watched.troubled(name):
+            await self._end_process(name, process, number)
+
+    async def _end_process(
+        self, name: str, process: subprocess.Popen, number: signal.Signals
+    ) -> None:
         process.send_signal(signal.SIGCONT)
         process.send_signal(number)
         with anyio.move_on_after(5):
@@ -251,14 +310,32 @@
             process.wait()
             self._start_daemon(name)
 
+    async def _name_versions(self) -> None:
+        """Name versions of one busy adapter in a series, beside other series."""
+        adapter = f"a{self.luck.randrange(NAMED_ADAPTERS)}"
+        gap_s = self.luck.choice(SERIES_GAPS_S)
+        for _ in range(self.luck.randint(1, 5)):
+            version = self.newest.get(adapter, 1) + 1
+            self.newest[adapter] = version
+            entry = {"model": "base", "adapter": adapter, "version": version}
+            self.store.put(f"op/version/base.{adapter}", entry)
+            self.watched.named_s[adapter][version] = anyio.current_time()
+            await anyio.sleep(gap_s * self.luck.uniform(0.7, 1.3))
+
     async def _pause(self) -> None:
-        process = self.daemons[self.luck.choice(sorted(self.daemons))]
-        process.send_signal(signal.SIGSTOP)
-        await anyio.sleep(self.luck.uniform(0.5, 4))
-        if process.poll() is None:
-            process.send_signal(signal.SIGCONT)
+        name = self.luck.choice(sorted(self.daemons))
+        process = self.daemons[name]
+        with self.watched.troubled(name):
+            process.send_signal(signal.SIGSTOP)
+            await anyio.sleep(self.luck.uniform(0.5, 4))
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+
+    async def _spoil_link(self, name: str, proxy: Proxy) -> None:
+        with self.watched.troubled(name):
+            await self._spoil_proxy(proxy)
 
-    async def _spoil_link(self, proxy: Proxy) -> None:
+    async def _spoil_proxy(self, proxy: Proxy) -> None:
         kind = self.luck.choice(["delay", "reset", "deaf", "mute", "both"])
         proxy.delay_s = 0.3 if kind == "delay" else 0.0
         proxy.deaf, proxy.mute = kind in ("deaf", "both"), kind in ("mute", "both")
@@ -269,16 +346,17 @@
 
     async def _store_link(self) -> None:
         name = self.luck.choice(sorted(self.store_proxies))
-        await self._spoil_link(self.store_proxies[name])
+        await self._spoil_link(name, self.store_proxies[name])
 
     async def _endpoint_link(self) -> None:
         name = self.luck.choice(sorted(self.endpoints))
-        await self._spoil_link(self.endpoints[name][1])
+        await self._spoil_link(name, self.endpoints[name][1])
 
     async def _store_down(self) -> None:
-        self.store.down = True
-        await anyio.sleep(self.luck.uniform(0.5, 3))
-        self.store.down = False
+        with self.watched.troubled("store"):
+            self.store.down = True
+            await anyio.sleep(self.luck.uniform(0.5, 3))
+            self.store.down = False
 
     async def _crash_endpoint(self) -> None:
         endpoint, proxy = self.endpoints.pop(self.luck.choice(sorted(self.endpoints)))
@@ -335,7 +413,9 @@
                 await anyio.sleep(luck.uniform(0, 0.1))
 
     async def _one_call(self, http, luck, kind: str, call: str) -> str:
-        port = self.ports[luck.choice(sorted(self.ports))][0]
+        name = luck.choice(sorted(self.ports))
+        port = self.ports[name][0]
+        self.watched.taken_by[call] = name
         headers = {
             "Host": "shop.example",
             "Request-Id": call,
@@ -427,6 +507,7 @@
         print(
             f"seed {seed}: {sum(soak.outcomes.values())} requests"
             f" {dict(soak.outcomes)}, faults {dict(soak.faults)},"
+            f" begun {dict(soak.watched.begun)},"
             f" {len(soak.watched.violations)} violations",
             flush=True,
         )
--- a/features/platform/standins.py
+++ b/features/platform/standins.py
@@ -428,16 +428,21 @@
             return
         await self._stream(request, responder, behaviour)
 
+    def note_begun(self, request, adapter, version):
+        """Note under which version of an adapter a run begins."""
+        self.begun.append((anyio.current_time(), adapter, version))
+
     async def _stream(self, request, responder, behaviour):
         from knapweedbridge_daemon.serving.wire import ResponseHead
 
         first = int(header(request, "Last-Event-Id") or 0) + 1
         kind = [(b"Content-Type", b"text/event-stream")]
-        await anyio.sleep(self.queue_s)
         _, _, name = (header(request, "Model") or "").partition("/")
-        if name:
-            version, _ = self.held[name]
-            self.begun.append((anyio.current_time(), name, version))
+        held = self.held.get(name)
+        if self.queue_s:
+            await anyio.sleep(self.queue_s)
+        if held is not None:
+            self.note_begun(request, name, self.held.get(name, held)[0])
         await responder.start(ResponseHead(200, self.sealed(request) + kind))
         for number in range(first, 11):
             event = f"id: {number}\ndata: t{number}\n\n".encode()
