A successor waits for every owner of before that may still order, not the last one alone

What would be seen: two daemons order one engine. The store takes the keys of owner A away, which does not hear of it and orders on until its lease is over (10 s); B claims, and waits for A; B is lost, starts anew or hands over meanwhile; C claims. C asked B at most, and began at once, while A still gave orders.

Now each owner that went without a word is kept until its lease is over, it has started anew, or it hands over itself, and a successor waits for all of them. It waits from when each was lost; before, from its own claim, as the moment was dropped with that.

Left: a successor that was started after A was lost knows nothing of A.

--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -259,6 +259,11 @@
       | handed over            | the record is handed over                 | yes  | no  |
       | started anew           | h1 is listed at start 6                   | yes  | no  |
       | gone, and started anew | the record goes and h1 is listed at start 6 | yes  | no  |
+      | a second is lost too   | the record goes and h2 claims and the record goes | yes | yes |
+      | a second restarts      | the record goes and h2 claims and h2 is listed at start 2 and h3 claims | no | yes |
+      | a second hands over    | the record goes and h2 claims and h2 hands over | yes | yes |
+      | the first again        | the record goes and h1 claims and h1 hands over | yes | no |
+      | 11 s ago               | the record goes and 11 s pass             | yes  | no  |
 
   Scenario Outline: An owner stops before its lease can have lapsed: <story>
     Two owners ordered one engine: the first was cut off from the store, and did not
--- a/features/serving/steps/belief_steps.py
+++ b/features/serving/steps/belief_steps.py
@@ -73,20 +73,31 @@
     "the record goes": [OwnerGone("e1")],
     "the record is handed over": [OwnerNamed("e1", OwnerRecord("", 5, 50))],
     "h1 is listed at start 6": [DaemonNamed(DaemonRecord("h1", 6, "a", "d1"))],
+    "h1 claims": [OwnerNamed("e1", OwnerRecord("h1", 5, 50))],
+    "h1 hands over": [OwnerNamed("e1", OwnerRecord("", 5, 60))],
+    "h2 claims": [OwnerNamed("e1", OwnerRecord("h2", 1, 50))],
+    "h3 claims": [OwnerNamed("e1", OwnerRecord("h3", 1, 60))],
+    "h2 is listed at start 2": [DaemonNamed(DaemonRecord("h2", 2, "a", "d1"))],
+    "h2 hands over": [OwnerNamed("e1", OwnerRecord("", 1, 60))],
+    "11 s pass": [],
 }
+LEASE_S = 10.0
 
 
 @when("of the owner, {changes}")
 def beliefs_change(context, changes):
+    context.now_s = NOW_S
     for change in changes.split(" and "):
+        context.now_s += 11 if change == "11 s pass" else 0
         for belief in CHANGES[change]:
-            context.beliefs.take(belief, NOW_S)
+            context.beliefs.take(belief, context.now_s)
 
 
 @then("e1 is ownerless: {free}, and may still be ordered by h1: {may}")
 def is_ownerless(context, free, may):
     assert context.beliefs.is_ownerless("e1") == (free == "yes")
-    assert bool(context.beliefs.silent_predecessor("e1")) == (may == "yes")
+    lost = context.beliefs.silent_predecessors("e1", context.now_s, LEASE_S)
+    assert ("h1" in {each.record.owner for each in lost}) == (may == "yes"), lost
 
 
 @when("a lease of {ttl:g} s was renewed {ago:g} s ago")
--- a/packages/core/src/knapweedbridge_core/serving/beliefs.py
+++ b/packages/core/src/knapweedbridge_core/serving/beliefs.py
@@ -23,7 +23,11 @@
 from knapweedbridge_core.serving.fleet import Fleet
 from knapweedbridge_core.serving.model_ref import ModelRef
 from knapweedbridge_core.serving.named_versions import NamedVersions, VersionsNow
-from knapweedbridge_core.serving.ownership import DaemonRecord, OwnerRecord
+from knapweedbridge_core.serving.ownership import (
+    DaemonRecord,
+    LostOwner,
+    OwnerRecord,
+)
 from knapweedbridge_core.serving.pool import (
     LARGE_LISTED_S,
     STARTING_S,
@@ -59,8 +63,8 @@
         The endpoints.
     deployment : Deployment or None
         Newest configuration seen; None before the first.
-    lost_owners : dict of str to OwnerRecord
-        By engine, the last owner's record that went without a word.
+    lost_owners : dict of str to dict
+        By engine and owner, those whose record went without a word.
     owner_changes : int
         Rises with each change of the daemons, or of the engines' owners.
     older_version_s : float
@@ -73,7 +77,7 @@
     daemons: dict[str, DaemonRecord] = field(default_factory=dict)
     owners: dict[str, OwnerRecord] = field(default_factory=dict)
     free_since_s: dict[str, float] = field(default_factory=dict)
-    lost_owners: dict[str, OwnerRecord] = field(default_factory=dict)
+    lost_owners: dict[str, dict[str, LostOwner]] = field(default_factory=dict)
     secret: bytes = b""
     owner_changes: int = 0
     older_version_s: float = 5.0
@@ -240,10 +244,11 @@
         if known is not None and record.number < known.number:
             return
         if known is not None and known.owner and known.owner != record.owner:
-            # Claimed over a record that was not given up: its owner was dead.
-            self.lost_owners[endpoint] = known
-        if not record.owner:
-            self.lost_owners.pop(endpoint, None)
+            if record.owner:
+                # Claimed over a record that was not given up: its owner was dead.
+                self._note_lost(endpoint, known, now_s)
+            else:
+                self.lost_owners.get(endpoint, {}).pop(known.owner, None)
         self.owners[endpoint] = record
         self.owner_changes += 1
         if record.owner:
@@ -258,10 +263,15 @@
         self.owner_changes += 1
         if lost is not None:
             self.free_since_s[endpoint] = now_s
-            self.lost_owners[endpoint] = lost
+            if lost.owner:
+                self._note_lost(endpoint, lost, now_s)
         if endpoint in self.fleet.endpoints:
             self.fleet.endpoints[endpoint].owner = ""
 
+    def _note_lost(self, endpoint: str, record: OwnerRecord, now_s: float) -> None:
+        lost = LostOwner(record, now_s)
+        self.lost_owners.setdefault(endpoint, {})[record.owner] = lost
+
     def is_dead(self, record: OwnerRecord) -> bool:
         """Tell whether an owner's process has surely ended: its host started anew."""
         daemon = self.daemons.get(record.owner)
@@ -272,14 +282,29 @@
         record = self.owners.get(endpoint)
         return record is None or not record.owner or self.is_dead(record)
 
-    def silent_predecessor(self, endpoint: str) -> OwnerRecord | None:
-        """Return the last owner that may still give orders, or None.
+    def silent_predecessors(
+        self, endpoint: str, now_s: float, lease_s: float
+    ) -> list[LostOwner]:
+        """Return the owners of before that may still give orders.
 
         An owner whose record lapsed has stopped by its own clock. But a store that
-        takes keys away at once tells it nothing, while its lease runs on.
+        takes keys away at once tells it nothing, while its lease runs on; and its
+        successor may be lost, or hand over, before that has ended.
+
+        Parameters
+        ----------
+        lease_s : float
+            Life of a daemon's lease, in seconds.
         """
-        lost = self.lost_owners.get(endpoint)
-        return None if lost is None or self.is_dead(lost) else lost
+        lost = self.lost_owners.pop(endpoint, {})
+        able = {
+            owner: each
+            for owner, each in lost.items()
+            if now_s < each.lost_s + lease_s and not self.is_dead(each.record)
+        }
+        if able:
+            self.lost_owners[endpoint] = able
+        return list(able.values())
 
     def wanted_version(self, model: ModelRef) -> int | None:
         """Return the newest version named, or None where none was."""
--- a/packages/core/src/knapweedbridge_core/serving/ownership.py
+++ b/packages/core/src/knapweedbridge_core/serving/ownership.py
@@ -64,6 +64,22 @@
     number: int
 
 
+@dataclass(slots=True, frozen=True)
+class LostOwner:
+    """An owner whose record went without a word of its own.
+
+    Parameters
+    ----------
+    record : OwnerRecord
+        The record that went.
+    lost_s : float
+        When that was heard; its lease was renewed before.
+    """
+
+    record: OwnerRecord
+    lost_s: float
+
+
 @dataclass(slots=True)
 class LeaseClock:
     """How long this daemon may act on its lease.
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owners.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owners.py
@@ -123,7 +123,7 @@
         if owner is None:
             return
         if isinstance(message, OwnershipEnded):
-            owner.predecessor_ended(message.number)
+            owner.predecessor_ended(daemon, message.number)
             return
         if isinstance(message, AdapterWanted):
             model = ModelRef(message.base, message.adapter)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
@@ -98,6 +98,7 @@
         self._send = send
         self._work = Wake()
         self._alone = anyio.Event()
+        self._predecessors: set[str] = set()
         self._reported_s = float("-inf")
         self._askers: set[str] = set()
         self.keeper = EngineKeeper(
@@ -182,30 +183,41 @@
             now_s = anyio.current_time()
             await self._work.wait_until(now_s + self._pause_s(now_s))
 
-    def predecessor_ended(self, number: int) -> None:
-        """Take that the owner before gives no more orders."""
-        if number == self.number:
+    def predecessor_ended(self, daemon: str, number: int) -> None:
+        """Take that an owner of before gives no more orders."""
+        if number != self.number:
+            return
+        self._predecessors.discard(daemon)
+        if not self._predecessors:
             self._alone.set()
 
-    async def _await_predecessor(self) -> None:
-        beliefs = self._hub.beliefs
-        lost = beliefs.silent_predecessor(self.endpoint.name)
-        if lost is None or lost.owner == self._hub.identity.name:
+    async def _await_predecessors(self) -> None:
+        hub, name = self._hub, self.endpoint.name
+        lost = [
+            each
+            for each in hub.beliefs.silent_predecessors(
+                name, anyio.current_time(), hub.lease_s
+            )
+            if each.record.owner != hub.identity.name
+        ]
+        if not lost:
             return
-        free_s = beliefs.free_since_s.get(self.endpoint.name, anyio.current_time())
-        await self._send(lost.owner, OwnershipTaken(self.endpoint.name, self.number))
-        with anyio.move_on_at(free_s + self._hub.lease_s):
+        self._predecessors = {each.record.owner for each in lost}
+        predecessors = sorted(self._predecessors)
+        for owner in predecessors:
+            await self._send(owner, OwnershipTaken(name, self.number))
+        with anyio.move_on_at(max(each.lost_s for each in lost) + hub.lease_s):
             await self._alone.wait()
         self._hub.log.info(
             "owner.succeeded",
             engine=self.endpoint.name,
             number=self.number,
-            predecessor=lost.owner,
+            predecessors=predecessors,
             answered=self._alone.is_set(),
         )
 
     async def _learn(self) -> None:
-        await self._await_predecessor()
+        await self._await_predecessors()
         # An adapter that is unloaded while calls run on it blocks the engine for all
         # other orders until they end: so daemons are asked for their calls first.
         await self._ask_report()
