--- a/features/plain/steps/entry_steps.py
+++ b/features/plain/steps/entry_steps.py
@@ -138,8 +138,8 @@
 
 async def take_all(context, key, value):
     hub, follower = make_follower()
-    follower._take([StoreItem(VICTIM, good(), 1), StoreItem(OTHER, good(), 2)])
-    follower._take([StoreItem(key, value, 3)])
+    follower._take([StoreItem(VICTIM, good(), 1), StoreItem(OTHER, good(), 2)], 0.0)
+    follower._take([StoreItem(key, value, 3)], 0.0)
     context.hub, found = hub, in_use(hub)
     if "other" not in found and key != OTHER:
         context.hidden.append(value)
@@ -147,7 +147,7 @@
         if not can_be_carried(hub, endpoint):
             context.uncarried.append((key, value))
     again = good(born=GOOD["born"] + 1)
-    follower._take([StoreItem(VICTIM, again, 4), StoreItem(OTHER, good(), 5)])
+    follower._take([StoreItem(VICTIM, again, 4), StoreItem(OTHER, good(), 5)], 0.0)
     victim = in_use(hub).get("victim")
     if victim is None or victim.record.address != GOOD["address"]:
         context.lost.append(value)
@@ -209,10 +209,10 @@
 
     async def taken():
         context.hub, follower = make_follower()
-        follower._take([StoreItem(VICTIM, good(), 1)])
+        follower._take([StoreItem(VICTIM, good(), 1)], 0.0)
         for revision in (2, 3):
             value = json.dumps(entry).encode()
-            follower._take([StoreItem(VICTIM, value, revision)])
+            follower._take([StoreItem(VICTIM, value, revision)], 0.0)
         context.names = set(in_use(context.hub))
 
     run_virtually(taken())
