--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
@@ -10,8 +10,8 @@
 from knapweedbridge_daemon.serving.engine_observations import EngineObservations
 from knapweedbridge_daemon.serving.hub import Hub
 
-LONGEST_TOLD_S = 3600.0
-"""Told where a version was superseded before this daemon knew of the store."""
+LONGEST_LOGGED_S = 3600.0
+"""Logged where a version was superseded before this daemon knew of the store."""
 
 
 @dataclass(slots=True)
@@ -95,7 +95,7 @@
         if model is None or version is None:
             return None
         for_s = self._hub.beliefs.superseded_for_s(model, version, self._hub.steady_s())
-        return None if for_s is None else min(for_s, LONGEST_TOLD_S)
+        return None if for_s is None else min(for_s, LONGEST_LOGGED_S)
 
     def first_event(self, call: Call, endpoint: Endpoint, forecast: Forecast) -> None:
         """Note that the first event has just come, and have the engine's owner told."""
