Log and gauge tell a host without links from an endpoint that is gone

attempt.ended told that a connection failed, but not whether other endpoints fail at the same time, which tells the incident's first hypothesis (the host has lost its links) from a lost endpoint. Line endpoint.unreachable with how many endpoints this host backs off from, of how many; gauge endpoints_unreachable. No decision is changed.

--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -261,6 +261,10 @@
         endings = (each.pressure.rests_until_s for each in self.endpoints.values())
         return sum(until_s > now_s for until_s in endings)
 
+    def unreachable_count(self, now_s: float) -> int:
+        """Return how many endpoints this daemon backs off from now."""
+        return sum(each.suspect_until_s > now_s for each in self.endpoints.values())
+
     def forget_unlisted(self, now_s: float) -> list[str]:
         """Drop endpoints that did not come back to the list, and name them."""
         gone = [
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
@@ -8,6 +8,7 @@
 from knapweedbridge_daemon.serving.call import Call, Target
 from knapweedbridge_daemon.serving.clock import loop_time_s
 from knapweedbridge_daemon.serving.engine_observations import EngineObservations
+from knapweedbridge_daemon.serving.http_client import NotSentError
 from knapweedbridge_daemon.serving.hub import Hub
 
 LONGEST_LOGGED_S = 3600.0
@@ -137,6 +138,18 @@
             abs(first_s - forecast.began_s - forecast.expected_s),
         )
 
+    def unreachable(self, endpoint: Endpoint, error: NotSentError) -> None:
+        """Log that no connection to an endpoint could be made."""
+        fleet = self._hub.beliefs.fleet
+        self._hub.log.info(
+            "endpoint.unreachable",
+            endpoint=endpoint.name,
+            in_row=endpoint.failures_in_row,
+            unreachable=fleet.unreachable_count(loop_time_s()),
+            endpoints=len(fleet.endpoints),
+            error=str(error),
+        )
+
     def note(
         self,
         call: Call,
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -85,6 +85,7 @@
             end, detail = AttemptEnd.NOT_RUN, str(error)
             call.refused.add(endpoint.name)
             endpoint.note_unreachable(loop_time_s())
+            self._records.unreachable(endpoint, error)
             await self._link.endpoint_lost(endpoint.name)
         except (BrokenError, BrokenEventsError) as error:
             end, detail = AttemptEnd.BROKEN, str(error)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/side_faces.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/side_faces.py
@@ -48,6 +48,9 @@
             "endpoints_limited": hub.beliefs.fleet.limited_count(),
             "endpoints_leaving": hub.beliefs.fleet.leaving_count(),
             "endpoints_resting": hub.beliefs.fleet.resting_count(anyio.current_time()),
+            "endpoints_unreachable": hub.beliefs.fleet.unreachable_count(
+                anyio.current_time()
+            ),
             "calls_overdue": hub.overload.queued(),
             "daemons": len(hub.beliefs.daemons),
             "configuration_version": deployment.version if deployment else 0,
