--- /dev/null
+++ b/features/paths/environment.py
@@ -0,0 +1,8 @@
+import sys
+from pathlib import Path
+
+AREAS = Path(__file__).parent.parent
+
+for folder in ("platform", "platform/steps", "accounts", "backpressure", "paths"):
+    sys.path.insert(0, str(AREAS / folder))
+sys.path.insert(0, str(AREAS.parent / "bench"))
--- a/features/platform/whole_path.py
+++ b/features/platform/whole_path.py
@@ -1,5 +1,6 @@
 """Daemons and stand-ins in one process, over real sockets on loopback."""
 
+import contextvars
 import itertools
 import json
 import os
@@ -18,6 +19,9 @@
 from knapweedbridge_daemon.serving.settings import read_serving_settings
 
 TEMPLATE = Path(__file__).parents[2] / "platform/settings.ini"
+HOST = contextvars.ContextVar("host", default="")
+"""Name of the host whose daemon runs the present task."""
+
 PLACEHOLDER = re.compile(r"{{([a-z_.0-9]+)}}")
 SECTION = re.compile(r"{{#([a-z_.0-9]+)}}\n(.*?){{/\1}}\n", re.DOTALL)
 
@@ -132,12 +136,16 @@
     }
 
 
+async def nothing(path):
+    pass
+
+
 class WholePath:
     """The whole path: a store, two plain endpoints, two engines and daemons."""
 
     def __init__(self, stack, tasks):
         self._stack = stack
-        self._tasks = tasks
+        self.tasks = tasks
         self.store = Store()
         self.desks = [Endpoint(f"desk-{n}", "desk") for n in (1, 2)]
         self.engines = [Engine(f"engine-{n}", "llm") for n in (1, 2)]
@@ -146,6 +154,7 @@
         self.logs = []
         self.lease_ms = 1000
         self.bounds = {}
+        self.prepare = nothing
 
     @property
     def endpoints(self):
@@ -153,10 +162,11 @@
 
     async def start(self, daemons=1):
         for server in [self.store, *self.endpoints]:
-            await self._tasks.start(server.run)
+            await self.tasks.start(server.run)
         self.store.put("op/config", configuration())
         for endpoint in self.endpoints:
             self.store.put(f"servers/{endpoint.name}", endpoint.entry())
+        await self.prepare(self)
         for number in range(daemons):
             self.start_daemon(f"host-{number}")
 
@@ -173,7 +183,12 @@
         self.logs.append(log)
         host = ServingHost(read_serving_settings(name, text), os.dup(log.fileno()))
         self.ports.append(ports)
-        self._tasks.start_soon(host.run)
+        self.tasks.start_soon(self._run, name, host)
+
+    @staticmethod
+    async def _run(name, host):
+        HOST.set(name)
+        await host.run()
 
     def lines(self, daemon=0):
         self.logs[daemon].seek(0)
@@ -233,12 +248,13 @@
 
 
 @asynccontextmanager
-async def whole_path(daemons=1, lease_ms=1000, bounds=None):
+async def whole_path(daemons=1, lease_ms=1000, bounds=None, prepare=nothing):
     async with AsyncExitStack() as stack:
         tasks = await stack.enter_async_context(anyio.create_task_group())
         path = WholePath(stack, tasks)
         path.lease_ms = lease_ms
         path.bounds = bounds or {}
+        path.prepare = prepare
         try:
             await path.start(daemons)
             for daemon in range(daemons):
