Hosts without links reach the endpoints through hosts that have them

Cause: a host had one way to an endpoint, and took what it could not reach for gone. The class: a failure seen from one host alone is taken for a fact about the other end.

A connection that does not stand within 0.1 s is now sought through another host as well (a tunnel, over the streams between daemons). Where that stands and the own one fails, the path is cut: connections to that endpoint go through other hosts until a direct one stands again, which is looked for twice a second. All that decides on a call stays where it came in: the tunnel carries bytes, so once at most, "not run", cancels, deadlines, permits and budgets are as over an own connection; an end is marked, so that a forwarder that dies leaves no answer that looks complete. Orders go directly only, as those of two hosts count as those of two owners. A forwarder carries a bounded number of tunnels ([limits] tunnels), only to endpoints that it knows, and says at once where it has no links itself. A daemon of an older version ends the stream that asks for a tunnel, and is not asked again for a while.

Ruled out: reporting not ready, which takes callers only of new connections and is overruled where half of a data centre's hosts do so; passing whole calls on to another host, which would have to share quotas, budgets and proofs of what has run.

--- a/features/platform/steps/path_steps.py
+++ b/features/platform/steps/path_steps.py
@@ -12,7 +12,10 @@
 
 from knapweedbridge_core.errors import CheckError
 from knapweedbridge_daemon.serving import attempting
-from knapweedbridge_daemon.serving.http_client import ConnectionPool
+from knapweedbridge_daemon.serving.http_client import (
+    ConnectionPool,
+    Destination,
+)
 from knapweedbridge_daemon.serving.settings import read_serving_settings
 from knapweedbridge_daemon.serving.wire import RequestHead, WireRequest
 
@@ -471,7 +474,9 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(listener.serve, server.serve)
             for _ in range(1 if server._closes else 2):
-                async with pool.connection(f"127.0.0.1:{port}") as connection:
+                async with pool.connection(
+                    Destination(f"127.0.0.1:{port}")
+                ) as connection:
                     request = WireRequest(head, b"x" * LONG_BODY_BYTES)
                     context.early_head, _ = await connection.call(request)
             context.reused = pool.reused
--- a/features/wire/steps/caller_steps.py
+++ b/features/wire/steps/caller_steps.py
@@ -3,7 +3,11 @@
 from wire_cases import REQUESTS
 from wire_play import QUIET_S, SETTLE_S, Face, read_all, reset, run, statuses_of
 
-from knapweedbridge_daemon.serving.http_client import ConnectionPool, NotSentError
+from knapweedbridge_daemon.serving.http_client import (
+    ConnectionPool,
+    Destination,
+    NotSentError,
+)
 from knapweedbridge_daemon.serving.wire import RequestHead, ResponseHead
 
 ACCEPTED_S = 3.0
@@ -48,7 +52,7 @@
             head = RequestHead(b"GET", b"/", [(b"Host", b"h")])
             for deadline_s in (5.0, 0.0):
                 with anyio.move_on_after(deadline_s):
-                    async with pool.connection(address) as connection:
+                    async with pool.connection(Destination(address)) as connection:
                         await connection.exchange(head, b"", lambda headers: True)
                         async for _ in connection.read_body():
                             pass
@@ -183,7 +187,7 @@
             headers = [(b"Host", b"h"), (b"Last-Event-Id", b"1\r\nTenant: b")]
             head, context.outcome = RequestHead(b"GET", b"/", headers), "sent"
             try:
-                async with pool.connection(address) as connection:
+                async with pool.connection(Destination(address)) as connection:
                     await connection.exchange(head, b"", lambda found: True)
             except NotSentError:
                 context.outcome = "not sent"
--- a/features/wire/steps/wire_steps.py
+++ b/features/wire/steps/wire_steps.py
@@ -16,7 +16,11 @@
     statuses_of,
 )
 
-from knapweedbridge_daemon.serving.http_client import BrokenError, ConnectionPool
+from knapweedbridge_daemon.serving.http_client import (
+    BrokenError,
+    ConnectionPool,
+    Destination,
+)
 from knapweedbridge_daemon.serving.wire import RequestHead, get_header
 
 ANSWER_S = 1.0
@@ -99,7 +103,7 @@
     body = b""
     try:
         with anyio.fail_after(ANSWER_S):
-            async with pool.connection(address) as connection:
+            async with pool.connection(Destination(address)) as connection:
                 await connection.exchange(head, b"", is_mine)
                 async for part in connection.read_body():
                     body += part
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -33,6 +33,7 @@
     WeightedService,
 )
 from knapweedbridge_core.serving.endpoint import Endpoint
+from knapweedbridge_core.serving.endpoint_paths import EndpointPaths
 from knapweedbridge_core.serving.endpoint_records import EndpointRecord, EndpointStart
 from knapweedbridge_core.serving.engine_keeper import EngineKeeper
 from knapweedbridge_core.serving.engine_orders import (
@@ -45,6 +46,7 @@
 from knapweedbridge_core.serving.engine_speed import EngineSpeed
 from knapweedbridge_core.serving.engine_teller import EngineTeller, Telling
 from knapweedbridge_core.serving.fleet import Fleet
+from knapweedbridge_core.serving.forwarders import Forwarders
 from knapweedbridge_core.serving.late_admission import LateAdmission
 from knapweedbridge_core.serving.load_times import LoadTimes
 from knapweedbridge_core.serving.memory_budget import HeldKind, MemoryBudget
@@ -128,6 +130,7 @@
     "DaemonRecord",
     "Deployment",
     "Endpoint",
+    "EndpointPaths",
     "EndpointRecord",
     "EndpointStart",
     "EngineKeeper",
@@ -139,6 +142,7 @@
     "EngineTeller",
     "FaceLimits",
     "Fleet",
+    "Forwarders",
     "Given",
     "HearerMarks",
     "HeldKind",
--- a/packages/core/src/knapweedbridge_core/serving/belief_records.py
+++ b/packages/core/src/knapweedbridge_core/serving/belief_records.py
@@ -64,6 +64,21 @@
     name: str
 
 
+@record
+class LinksLost:
+    """A daemon says that its host reaches no endpoint."""
+
+    name: str
+    incarnation: int
+
+
+@record
+class LinksBack:
+    """A daemon says so no more."""
+
+    name: str
+
+
 @record
 class OwnerNamed:
     """The store names an engine's owner."""
@@ -94,6 +109,8 @@
     | EndpointGone
     | DaemonNamed
     | DaemonGone
+    | LinksLost
+    | LinksBack
     | OwnerNamed
     | OwnerGone
     | SecretNamed
--- a/packages/core/src/knapweedbridge_core/serving/beliefs.py
+++ b/packages/core/src/knapweedbridge_core/serving/beliefs.py
@@ -13,6 +13,8 @@
     EndpointGone,
     EndpointNamed,
     EndpointUnreadable,
+    LinksBack,
+    LinksLost,
     OwnerGone,
     OwnerNamed,
     SecretNamed,
@@ -46,6 +48,8 @@
     "EndpointGone",
     "EndpointNamed",
     "EndpointUnreadable",
+    "LinksBack",
+    "LinksLost",
     "OwnerGone",
     "OwnerNamed",
     "SecretNamed",
@@ -87,6 +91,16 @@
     _first_s: float = math.inf
     _starting: bool = True
     _relays: dict[str, list[str]] = field(default_factory=dict)
+    _links_lost: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def without_links(self) -> set[str]:
+        """Daemons that have said since their start that they reach no endpoint."""
+        return {
+            name
+            for name, incarnation in self._links_lost.items()
+            if name in self.daemons and self.daemons[name].incarnation == incarnation
+        }
 
     @property
     def relays(self) -> dict[str, list[str]]:
@@ -183,6 +197,8 @@
             case DaemonGone(name):
                 self.daemons.pop(name, None)
                 self._daemons_changed(now_s)
+            case LinksLost() | LinksBack():
+                self._take_links(belief)
             case OwnerNamed(endpoint, record):
                 self._take_owner(endpoint, record, now_s)
             case OwnerGone(endpoint):
@@ -199,6 +215,13 @@
         elif self._large_until_s == math.inf:
             self._large_until_s = now_s + LARGE_LISTED_S
 
+    def _take_links(self, belief: LinksLost | LinksBack) -> None:
+        self.owner_changes += 1
+        if isinstance(belief, LinksLost):
+            self._links_lost[belief.name] = belief.incarnation
+        else:
+            self._links_lost.pop(belief.name, None)
+
     def _take_deployment(self, deployment: Deployment) -> bool:
         # A stale read, or an answer that was overtaken, must not set it back.
         if self.deployment and deployment.version <= self.deployment.version:
--- a/packages/daemon/src/knapweedbridge_daemon/peer_sockets.py
+++ b/packages/daemon/src/knapweedbridge_daemon/peer_sockets.py
@@ -123,6 +123,17 @@
             self._reads = True
             self._transport.resume_reading()
 
+    @property
+    def has_news(self) -> bool:
+        """Whether bytes or an end wait to be read."""
+        return bool(self._chunks) or self._ended or self._lost
+
+    @property
+    def raw(self) -> Any:
+        """The socket, for its options and its descriptor."""
+        assert self._transport is not None
+        return self._transport.get_extra_info("socket")
+
     @property
     def takes_more(self) -> bool:
         """Whether what is sent now would not wait for the peer."""
@@ -158,6 +169,10 @@
 
     async def aclose(self) -> None:
         """Close the connection at once; what was not sent yet is dropped."""
+        self.abort()
+
+    def abort(self) -> None:
+        """Close as `aclose` does."""
         self._closed = True
         self._wake_reader()
         if self._transport is not None:
--- a/packages/daemon/src/knapweedbridge_daemon/peers.py
+++ b/packages/daemon/src/knapweedbridge_daemon/peers.py
@@ -21,6 +21,7 @@
 from knapweedbridge_core.codec import decode, encode, unpacker
 from knapweedbridge_core.errors import MessageError
 from knapweedbridge_core.peer_events import PeerHeard, PeerLinked, PeerUnlinked
+from knapweedbridge_core.serving.tunnel_messages import TunnelAsked
 from knapweedbridge_core.timeline import HybridClock
 from knapweedbridge_daemon.errors import PeerError
 from knapweedbridge_daemon.handshake import Handshake
@@ -49,6 +50,7 @@
 )
 
 Submit = Callable[[Any], Awaitable[None]]
+ServeTunnel = Callable[[str, PeerSocket, TunnelAsked], Awaitable[None]]
 
 
 def _now_s() -> float:
@@ -75,6 +77,8 @@
     clock : HybridClock, optional
         Stamps the time line's events; it travels with the messages. Without one
         messages go without stamps.
+    serve_tunnel : callable, optional
+        Takes a stream whose first message asks for a tunnel.
     """
 
     def __init__(
@@ -85,8 +89,10 @@
         submit: Submit,
         incarnation: int = 0,
         clock: HybridClock | None = None,
+        serve_tunnel: ServeTunnel | None = None,
     ) -> None:
         self._host = host
+        self._serve_tunnel = serve_tunnel
         self._handshake = Handshake(host, incarnation, secret)
         self._silence_s = silence_s
         self._submit = submit
@@ -270,11 +276,14 @@
                 heard = self._admit(greeting.host, greeting.incarnation)
                 each = StreamIn(stream, _now_s())
                 heard.streams.append(each)
+                asked: TunnelAsked | None = None
                 try:
                     with each.scope:
-                        await self._hear(greeting.host, each)
+                        asked = await self._hear(greeting.host, each)
                 finally:
                     heard.streams.remove(each)
+                if asked is not None and self._serve_tunnel is not None:
+                    await self._serve_tunnel(greeting.host, stream, asked)
 
     def _admit(self, host: str, incarnation: int) -> HeardHost:
         """Let a host's newest start speak, and no older one.
@@ -291,7 +300,8 @@
             raise PeerError(f"{host} was started anew since")
         return heard
 
-    async def _hear(self, host: str, each: StreamIn) -> None:
+    async def _hear(self, host: str, each: StreamIn) -> TunnelAsked:
+        """Take a peer's messages, and return the one that asks for a tunnel."""
         reader = unpacker()
         while True:
             chunk = await each.stream.receive(CHUNK_BYTES)
@@ -302,7 +312,10 @@
                 for value in reader:
                     if self._clock.take(value):
                         continue
-                    await self._submit(PeerHeard(host, decode(value)))
+                    message = decode(value)
+                    if isinstance(message, TunnelAsked):
+                        return message
+                    await self._submit(PeerHeard(host, message))
             except (MessageError, msgpack.UnpackException, ValueError) as error:
                 raise PeerError(f"{host} sent no message of ours") from error
             each.owes_answer = True
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
@@ -40,6 +40,8 @@
     superseded_s, first_superseded_s : float or None
         For how long a newer one may have been named when it was sent, and when its
         first event came; None: there was none.
+    forwarder : str
+        Host that carried it; empty: it went over this host's own link.
     """
 
     began_s: float
@@ -52,6 +54,7 @@
     limit_per_s: float | None = None
     held_version: int | None = None
     superseded_s: float | None = None
+    forwarder: str = ""
     first_superseded_s: float | None = None
 
 
@@ -177,6 +180,7 @@
             speed=round(target.endpoint.speed, 2),
             unlisted_s=_rounded(forecast.unlisted_for_s),
             limit_per_s=forecast.limit_per_s,
+            forwarder=forecast.forwarder,
             outcome=end.value,
             prompt_tokens=call.details.prompt_tokens,
             turn_s=round(max(0.0, forecast.sent_s - forecast.began_s), 4),
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -21,6 +21,7 @@
 from knapweedbridge_daemon.serving.http_client import (
     BrokenError,
     ClientConnection,
+    Destination,
     NotSentError,
 )
 from knapweedbridge_daemon.serving.hub import Hub
@@ -153,9 +154,11 @@
         forecast: Forecast,
     ) -> AttemptEnd:
         head = self._attempt_head(call, target)
+        endpoint = target.endpoint
         async with self._hub.pool.connection(
-            target.endpoint.record.address
+            Destination(endpoint.record.address, endpoint.name)
         ) as connection:
+            forecast.forwarder = connection.forwarder
             answer = await connection.exchange(
                 head,
                 call.request.body,
@@ -163,7 +166,9 @@
                     call.details.call_id, headers
                 ),
             )
-            target.endpoint.note_answer()
+            endpoint.note_answer()
+            if not connection.forwarder:
+                self._hub.paths.linked_s = loop_time_s()
             proved = self._hub.dialects.endpoints.read_answer(answer)
             await self._link.signs.take(target.endpoint, proved, forecast.sent_s)
             if proved.not_run:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/byte_stream.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/byte_stream.py
@@ -15,6 +15,8 @@
 
 from anyio.abc import SocketStream
 
+from knapweedbridge_daemon.serving.client_streams import ClientStream
+
 HELD_BYTES = 65536
 """Bytes that wait to be read, beyond which the connection is not read further."""
 
@@ -33,10 +35,18 @@
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS),
 )
 
+
+def set_options(raw: Any) -> None:
+    """Have the system end a connection that something between its ends has lost."""
+    for level, option, value in SOCKET_OPTIONS:
+        with suppress(OSError):
+            raw.setsockopt(level, option, value)
+
+
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
-class ByteStream(asyncio.Protocol):
+class ByteStream(asyncio.Protocol, ClientStream):
     """One TCP connection, read by one task and written by one task."""
 
     def __init__(self) -> None:
@@ -80,10 +90,7 @@
         # Writers wait until the kernel has all bytes: what a slow reader does not
         # take is held once, and its source is not read further.
         self._transport.set_write_buffer_limits(0)
-        raw = self._transport.get_extra_info("socket")
-        for level, option, value in SOCKET_OPTIONS:
-            with suppress(OSError):
-                raw.setsockopt(level, option, value)
+        set_options(self._transport.get_extra_info("socket"))
 
     def data_received(self, data: bytes) -> None:
         """See `asyncio.Protocol`."""
--- a/packages/daemon/src/knapweedbridge_daemon/serving/client_connection.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/client_connection.py
@@ -13,7 +13,7 @@
 from anyio.lowlevel import checkpoint_if_cancelled
 
 from knapweedbridge_daemon.errors import DaemonError
-from knapweedbridge_daemon.serving.byte_stream import ByteStream
+from knapweedbridge_daemon.serving.client_streams import ClientStream
 from knapweedbridge_daemon.serving.http_bodies import (
     BodyDecoder,
     BodyError,
@@ -54,7 +54,17 @@
 
 
 class NotSentError(DaemonError):
-    """No byte of the request was written: it cannot have run."""
+    """No byte of the request was written: it cannot have run.
+
+    Attributes
+    ----------
+    is_lost : bool
+        Whether the endpoint is gone, as far as can be told from this host.
+    """
+
+    def __init__(self, message: str, is_lost: bool = True) -> None:
+        super().__init__(message)
+        self.is_lost = is_lost
 
 
 class BrokenError(DaemonError):
@@ -66,14 +76,15 @@
 
     Parameters
     ----------
-    stream : ByteStream
+    stream : ClientStream
         The connection, which this owns.
     address : str
         Where it leads.
     """
 
-    def __init__(self, stream: ByteStream, address: str) -> None:
+    def __init__(self, stream: ClientStream, address: str) -> None:
         self.address = address
+        self.forwarder = stream.forwarder
         self.requests = 0
         self.idle_until_s = 0.0
         self._stream = stream
@@ -266,6 +277,10 @@
         self.idle_until_s = now_s + IDLE_SHARE * self._keep_s
         return True
 
+    def note_unused(self, now_s: float) -> None:
+        """Make ready for the first request later than now."""
+        self.idle_until_s = now_s + IDLE_SHARE * self._keep_s
+
     def is_silent(self) -> bool:
         """Tell whether an idle connection has neither ended nor sent bytes."""
         if self._stream.has_news:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/dialects.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/dialects.py
@@ -247,6 +247,10 @@
         """Key of an engine's owner record."""
         return f"{self.prefix}owners/{endpoint}"
 
+    def links(self, name: str) -> str:
+        """Key under which a daemon says that its host reaches no endpoint."""
+        return f"{self.prefix}links/{name}"
+
     @property
     def secret(self) -> str:
         """Key of the secret that daemons share."""
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
@@ -28,7 +28,11 @@
 from knapweedbridge_daemon.serving.answer_signs import AnswerSigns
 from knapweedbridge_daemon.serving.dialects import DialectError
 from knapweedbridge_daemon.serving.engine_speeds import SpeedKeeping
-from knapweedbridge_daemon.serving.http_client import BrokenError, NotSentError
+from knapweedbridge_daemon.serving.http_client import (
+    BrokenError,
+    Destination,
+    NotSentError,
+)
 from knapweedbridge_daemon.serving.hub import Hub, Send, suspended_clock_s
 from knapweedbridge_daemon.serving.permits import Permits
 from knapweedbridge_daemon.serving.turn_giving import TurnGiver
@@ -239,6 +243,8 @@
     async def _step(self) -> None:
         if not self._hub.lease.may_order(suspended_clock_s()):
             return
+        if self._hub.paths.is_cut(self.endpoint.record.address):
+            return
         now_s = anyio.current_time()
         self.keeper.forget_silent(now_s)
         if self.keeper.needs_report and now_s - self._reported_s >= REPORT_PAUSE_S:
@@ -293,9 +299,12 @@
     async def _exchange(
         self, request: WireRequest, timeout_s: float
     ) -> tuple[ResponseHead, bytes]:
-        address = self.endpoint.record.address
+        # Orders from two hosts count as those of two owners, whoever has sent them.
+        destination = Destination(
+            self.endpoint.record.address, self.endpoint.name, is_direct=True
+        )
         with anyio.fail_after(timeout_s):
-            async with self._hub.pool.connection(address) as connection:
+            async with self._hub.pool.connection(destination) as connection:
                 return await connection.call(request)
 
     async def _order(self, order: Order) -> None:
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/forwarding.py
@@ -0,0 +1,145 @@
+"""Carries connections to endpoints for hosts that have lost their links."""
+
+import asyncio
+import contextlib
+
+import anyio
+import msgpack
+
+from knapweedbridge_core.addresses import split_address
+from knapweedbridge_core.codec import encode
+from knapweedbridge_core.serving.tunnel_messages import (
+    TunnelAsked,
+    TunnelOpened,
+    TunnelRefused,
+)
+from knapweedbridge_daemon.peer_sockets import PeerSocket
+from knapweedbridge_daemon.peers import STREAM_ERRORS
+from knapweedbridge_daemon.serving.byte_stream import ByteStream, set_options
+from knapweedbridge_daemon.serving.hub import Hub
+from knapweedbridge_daemon.serving.tunnels import CHUNK_BYTES, END
+
+CONNECT_S = 0.3
+"""How long an endpoint is tried: the host that asks waits beside its own attempt."""
+
+CLOSE_S = 2.0
+"""How long the asking host may take to read the last bytes of a tunnel."""
+
+
+class Forwarding:
+    """The tunnels that this host carries.
+
+    Parameters
+    ----------
+    hub : Hub
+        Beliefs, which say what may be reached, and the paths of this host.
+    most : int
+        Tunnels that are carried at once.
+
+    Attributes
+    ----------
+    tunnels : int
+        Those that are carried now.
+    """
+
+    def __init__(self, hub: Hub, most: int) -> None:
+        self._hub = hub
+        self._most = most
+        self.tunnels = 0
+
+    async def serve(self, host: str, stream: PeerSocket, asked: TunnelAsked) -> None:
+        """Answer a host's question for a tunnel, and carry it to its end."""
+        reason = self._refusal(asked)
+        if reason:
+            await self._refuse(host, stream, asked, reason)
+            return
+        self.tunnels += 1
+        try:
+            await self._connect_and_carry(host, stream, asked)
+        finally:
+            self.tunnels -= 1
+
+    def _refusal(self, asked: TunnelAsked) -> str:
+        hub = self._hub
+        endpoint = hub.beliefs.fleet.endpoints.get(asked.endpoint)
+        if hub.draining:
+            return "draining"
+        if hub.paths.has_lost_links:
+            return "no_links"
+        if self.tunnels >= self._most:
+            return "busy"
+        if endpoint is None or endpoint.record.address != asked.address:
+            return "unknown"
+        return "cut" if hub.paths.is_cut(asked.address) else ""
+
+    async def _refuse(
+        self, host: str, stream: PeerSocket, asked: TunnelAsked, reason: str
+    ) -> None:
+        self._hub.measures.count("tunnels_asked", reason)
+        self._hub.log.info(
+            "tunnel.not_carried", host=host, endpoint=asked.endpoint, reason=reason
+        )
+        await stream.send(encode(TunnelRefused(reason)))
+        await self._await_close(stream)
+
+    async def _connect_and_carry(
+        self, host: str, stream: PeerSocket, asked: TunnelAsked
+    ) -> None:
+        ip, port = split_address(asked.address)
+        loop = asyncio.get_running_loop()
+        try:
+            with anyio.fail_after(CONNECT_S):
+                _, upstream = await loop.create_connection(ByteStream, ip, port)
+        except (OSError, TimeoutError):
+            is_linked = self._hub.paths.is_linked(loop.time())
+            reason = "unreachable" if is_linked else "unsure"
+            await self._refuse(host, stream, asked, reason)
+            return
+        with contextlib.closing(upstream):
+            set_options(stream.raw)
+            self._hub.paths.note_direct(asked.address, loop.time())
+            self._hub.measures.count("tunnels_asked", "carried")
+            await stream.send(encode(TunnelOpened(self.tunnels)))
+            await self._carry(stream, upstream)
+
+    async def _carry(self, stream: PeerSocket, upstream: ByteStream) -> None:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._carry_up, stream, upstream, tasks.cancel_scope)
+            if await self._carry_down(stream, upstream):
+                await self._await_close(stream, tasks.cancel_scope)
+            tasks.cancel_scope.cancel()
+
+    @staticmethod
+    async def _carry_up(
+        stream: PeerSocket, upstream: ByteStream, scope: anyio.CancelScope
+    ) -> None:
+        """Carry bytes to the endpoint until the asking host closes."""
+        with contextlib.suppress(*STREAM_ERRORS):
+            while True:
+                await upstream.send(await stream.receive(CHUNK_BYTES))
+        scope.cancel()
+
+    @staticmethod
+    async def _carry_down(stream: PeerSocket, upstream: ByteStream) -> bool:
+        """Carry bytes from the endpoint; return whether it ended in order."""
+        with contextlib.suppress(*STREAM_ERRORS):
+            while True:
+                data = await upstream.receive()
+                await stream.send(msgpack.packb(data) if data else END)
+                if not data:
+                    return True
+        return False
+
+    @staticmethod
+    async def _await_close(
+        stream: PeerSocket, carried_by: anyio.CancelScope | None = None
+    ) -> None:
+        """Give the asking host time to read what was written last."""
+        await stream.send_eof()
+        with anyio.move_on_after(CLOSE_S):
+            if carried_by is not None:
+                # The task that reads the stream ends this one when it closes.
+                await anyio.sleep_forever()
+            with contextlib.suppress(*STREAM_ERRORS):
+                while True:
+                    await stream.receive(CHUNK_BYTES)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -23,6 +23,8 @@
 from knapweedbridge_daemon.serving.calls import CallRunner
 from knapweedbridge_daemon.serving.decision_log import DecisionLog
 from knapweedbridge_daemon.serving.dialects import load_dialects
+from knapweedbridge_daemon.serving.endpoint_connector import EndpointConnector
+from knapweedbridge_daemon.serving.forwarding import Forwarding
 from knapweedbridge_daemon.serving.held_memory import HeldMemory
 from knapweedbridge_daemon.serving.http_server import CallersFace
 from knapweedbridge_daemon.serving.hub import Hub, Identity
@@ -34,6 +36,7 @@
 from knapweedbridge_daemon.serving.side_faces import SideFaces
 from knapweedbridge_daemon.serving.store_marks import StoreMarks
 from knapweedbridge_daemon.serving.sweeping import EndpointSweep
+from knapweedbridge_daemon.serving.tunnels import Tunnels
 
 OVERLOAD_POLICIES: dict[str, type[OverloadPolicy]] = {
     "as_others": AdmitAll,
@@ -131,7 +134,7 @@
         return hub
 
     async def _serve(self, hub: Hub) -> None:
-        link = PeerLink(hub)
+        link = PeerLink(hub, round(self._settings.get("limits", "tunnels")))
         follower = StoreFollower(
             hub, link.ask_relay, link.endpoint_lost, link.relaying.store_changed
         )
@@ -142,6 +145,9 @@
         handle = held.guard(app.handle)
         face = CallersFace(handle, app.limits, app.count_bad, app.count_fault)
         async with anyio.create_task_group() as tasks:
+            connector = EndpointConnector(hub, Tunnels(hub), tasks)
+            hub.pool.connector = connector
+            tasks.start_soon(connector.run)
             await self._listen(tasks, hub, face, app)
             tasks.start_soon(hub.log.run)
             tasks.start_soon(follower.run)
@@ -156,7 +162,7 @@
             tasks.start_soon(EndpointSweep(hub, link).run)
             tasks.start_soon(LapseCheck(hub).run)
             tasks.start_soon(held.run)
-            await self._await_stop(hub, lease, face, app)
+            await self._await_stop(hub, lease, face, app, link.forwarding)
             tasks.cancel_scope.cancel()
 
     def _address(self, name: str) -> tuple[str, int]:
@@ -178,7 +184,12 @@
             tasks.start_soon(listener.serve, served.serve)
 
     async def _await_stop(
-        self, hub: Hub, lease: LeaseKeeper, face: CallersFace, app: CallersApp
+        self,
+        hub: Hub,
+        lease: LeaseKeeper,
+        face: CallersFace,
+        app: CallersApp,
+        forwarding: Forwarding,
     ) -> None:
         """Wait for a stop signal, and finish what is in flight.
 
@@ -194,7 +205,7 @@
                 self._note_signal(hub, number)
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._note_signals, hub, signals)
-                await self._drain(hub, lease, face, app)
+                await self._drain(hub, lease, face, app, forwarding)
                 tasks.cancel_scope.cancel()
 
     async def _note_signals(
@@ -210,7 +221,12 @@
         hub.log.info("signal.taken", signal=number.name, draining=hub.draining)
 
     async def _drain(
-        self, hub: Hub, lease: LeaseKeeper, face: CallersFace, app: CallersApp
+        self,
+        hub: Hub,
+        lease: LeaseKeeper,
+        face: CallersFace,
+        app: CallersApp,
+        forwarding: Forwarding,
     ) -> None:
         began_s = anyio.current_time()
         ends_s = began_s + self._settings.get("limits", "grace_s") - END_MARGIN_S
@@ -223,7 +239,7 @@
         hub.ends_s = ends_s
         while anyio.current_time() < ends_s:
             face.close_idle()
-            if not app.running and not face.open_connections:
+            if not (app.running or face.open_connections or forwarding.tunnels):
                 return
             await anyio.sleep(0.1)
         hub.log.error("daemon.cut", running=app.running)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/http_client.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/http_client.py
@@ -1,9 +1,11 @@
 """Connections to HTTP/1.1 servers: opened, kept while they are idle, lent."""
 
 import asyncio
+from abc import ABC, abstractmethod
 from collections import defaultdict, deque
 from collections.abc import AsyncGenerator
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 
 import anyio
 
@@ -14,25 +16,89 @@
     ClientConnection,
     NotSentError,
 )
+from knapweedbridge_daemon.serving.client_streams import ClientStream
 from knapweedbridge_daemon.serving.clock import loop_time_s
 
-__all__ = ["BrokenError", "ClientConnection", "ConnectionPool", "NotSentError"]
+__all__ = [
+    "BrokenError",
+    "ClientConnection",
+    "ConnectionPool",
+    "Connector",
+    "Destination",
+    "DirectConnector",
+    "NotSentError",
+]
 
 CONNECT_TIMEOUT_S = 0.6
 """Bound on a new connection: way and handshake take a few ms, and a lost opening
 packet is sent again after a second, when another endpoint has long answered."""
 
 
+@dataclass(slots=True, frozen=True)
+class Destination:
+    """Where a connection leads.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port.
+    endpoint : str
+        The endpoint that listens there; empty for other servers.
+    is_direct : bool
+        Whether no other host may carry the connection.
+    """
+
+    address: str
+    endpoint: str = ""
+    is_direct: bool = False
+
+
+class Connector(ABC):
+    """Opens the connections of a pool."""
+
+    @abstractmethod
+    async def connect(self, destination: Destination) -> ClientStream:
+        """Open a connection; raises NotSentError if none can be made."""
+
+    def is_carried_by(self, forwarder: str, address: str) -> bool:
+        """Return whether a connection that another host carries is used again."""
+        return False
+
+
+class DirectConnector(Connector):
+    """Opens connections of this host alone."""
+
+    async def connect(self, destination: Destination) -> ByteStream:
+        """See `Connector.connect`."""
+        ip, port = split_address(destination.address)
+        loop = asyncio.get_running_loop()
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                _, stream = await loop.create_connection(ByteStream, ip, port)
+        except (OSError, TimeoutError) as error:
+            raise NotSentError(f"{destination.address}: {error!r}") from error
+        return stream
+
+
 class ConnectionPool:
-    """Keeps idle connections by address."""
+    """Keeps idle connections by address.
+
+    Attributes
+    ----------
+    connector : Connector
+        Opens new ones.
+    """
 
     def __init__(self) -> None:
         self._idle: dict[str, deque[ClientConnection]] = defaultdict(deque)
+        self.connector: Connector = DirectConnector()
         self.opened = 0
         self.reused = 0
 
     @asynccontextmanager
-    async def connection(self, address: str) -> AsyncGenerator[ClientConnection, None]:
+    async def connection(
+        self, destination: Destination
+    ) -> AsyncGenerator[ClientConnection, None]:
         """Lend a connection; it is kept if its last answer ended cleanly.
 
         Raises
@@ -40,9 +106,11 @@
         NotSentError
             If none can be made.
         """
-        connection = await self._take(address)
+        connection = await self._take(destination)
         if connection is None:
-            connection = await self._open(address)
+            stream = await self.connector.connect(destination)
+            self.opened += 1
+            connection = ClientConnection(stream, destination.address)
         else:
             self.reused += 1
         kept = False
@@ -51,40 +119,48 @@
             kept = connection.end_exchange(loop_time_s())
         finally:
             if kept:
-                self._idle[address].append(connection)
+                self._idle[destination.address].append(connection)
             else:
                 await connection.aclose()
 
-    async def _take(self, address: str) -> ClientConnection | None:
-        while self._idle[address]:
-            connection = self._idle[address].pop()
-            fresh = connection.idle_until_s > loop_time_s()
-            if fresh and connection.is_silent():
+    def adopt(self, stream: ClientStream, address: str) -> None:
+        """Keep a connection on which nothing was sent yet."""
+        self.opened += 1
+        connection = ClientConnection(stream, address)
+        connection.note_unused(loop_time_s())
+        self._idle[address].append(connection)
+
+    async def _take(self, destination: Destination) -> ClientConnection | None:
+        idle = self._idle[destination.address]
+        for connection in reversed(list(idle)):
+            if destination.is_direct and connection.forwarder:
+                continue
+            idle.remove(connection)
+            if self._is_usable(connection):
                 return connection
             await connection.aclose()
         return None
 
-    async def _open(self, address: str) -> ClientConnection:
-        ip, port = split_address(address)
-        loop = asyncio.get_running_loop()
-        try:
-            with anyio.fail_after(CONNECT_TIMEOUT_S):
-                _, stream = await loop.create_connection(ByteStream, ip, port)
-        except (OSError, TimeoutError) as error:
-            raise NotSentError(f"{address}: {error!r}") from error
-        self.opened += 1
-        return ClientConnection(stream, address)
+    def _is_usable(self, connection: ClientConnection) -> bool:
+        is_fresh = connection.idle_until_s > loop_time_s()
+        return is_fresh and self._is_carried(connection) and connection.is_silent()
+
+    def _is_carried(self, connection: ClientConnection) -> bool:
+        forwarder = connection.forwarder
+        if not forwarder:
+            return True
+        return self.connector.is_carried_by(forwarder, connection.address)
 
     async def close_idle(self, wanted: set[str] | None = None) -> None:
         """Close connections whose idle life is over, or that lead elsewhere."""
         now_s = loop_time_s()
         over: list[ClientConnection] = []
         for address, connections in list(self._idle.items()):
-            unwanted = wanted is not None and address not in wanted
+            is_wanted = wanted is None or address in wanted
             kept = [
                 each
                 for each in connections
-                if not unwanted and each.idle_until_s > now_s
+                if is_wanted and each.idle_until_s > now_s and self._is_carried(each)
             ]
             over += [each for each in connections if each not in kept]
             self._idle[address] = deque(kept)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
@@ -12,6 +12,7 @@
     AdmitAll,
     Beliefs,
     CrashLedger,
+    EndpointPaths,
     EngineLimits,
     EngineRates,
     LearntRates,
@@ -86,6 +87,8 @@
         Bounds repeated sends.
     log, measures
         Where decisions are told.
+    paths : EndpointPaths
+        Which endpoints this host cannot reach itself.
     store_age : StoreAge
         How old what is known of the store is, by the clock `steady_s`.
     outage : StoreOutage
@@ -117,6 +120,7 @@
     log: DecisionLog
     measures: Measures
     pool: ConnectionPool = field(default_factory=ConnectionPool)
+    paths: EndpointPaths = field(default_factory=EndpointPaths)
     beliefs: Beliefs = field(default_factory=Beliefs)
     crashes: CrashLedger = field(default_factory=CrashLedger)
     lease: LeaseClock = field(default_factory=LeaseClock)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/own_records.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/own_records.py
@@ -7,6 +7,8 @@
     Belief,
     DaemonGone,
     DaemonNamed,
+    LinksBack,
+    LinksLost,
     OwnerGone,
     OwnerNamed,
     SecretNamed,
@@ -30,6 +32,11 @@
     return msgpack.packb([owner, incarnation])
 
 
+def pack_links_lost(incarnation: int) -> bytes:
+    """Encode that the host of a daemon's start reaches no endpoint."""
+    return msgpack.packb([incarnation])
+
+
 def read_own(
     keys: OwnKeys, key: str, value: bytes | None, revision: int
 ) -> Belief | None:
@@ -42,6 +49,8 @@
             return _read_daemon(name, value)
         if kind == "owners":
             return _read_owner(name, value, revision)
+        if kind == "links":
+            return _read_links(name, value)
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         raise DialectError(f"{key}: no record of ours") from error
     return None
@@ -68,6 +77,14 @@
     return OwnerNamed(name, OwnerRecord(owner, incarnation, revision))
 
 
+def _read_links(name: str, value: bytes | None) -> Belief:
+    if value is None:
+        return LinksBack(name)
+    (incarnation,) = msgpack.unpackb(value)
+    _check(incarnation, int)
+    return LinksLost(name, incarnation)
+
+
 def _check(value: object, kind: type) -> None:
     if not isinstance(value, kind):
         raise TypeError(f"{value!r:.50} is no {kind.__name__}")
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -25,6 +25,7 @@
 from knapweedbridge_daemon.peers import Peers
 from knapweedbridge_daemon.serving.answer_signs import AnswerSigns
 from knapweedbridge_daemon.serving.engine_owners import EngineOwners, ToOwner
+from knapweedbridge_daemon.serving.forwarding import Forwarding
 from knapweedbridge_daemon.serving.hub import Hub
 from knapweedbridge_daemon.serving.permits import OfPermits, Permits
 from knapweedbridge_daemon.serving.plain_counting import PlainCounts
@@ -55,9 +56,11 @@
     ----------
     hub : Hub
         Beliefs, which messages change.
+    tunnels : int
+        Connections to endpoints that are carried for other hosts at once.
     """
 
-    def __init__(self, hub: Hub) -> None:
+    def __init__(self, hub: Hub, tunnels: int = 0) -> None:
         self._hub = hub
         self.running = RunningCalls(hub, self.send)
         self.turns = Turns(hub, self.send, self.running.note_sent)
@@ -65,6 +68,7 @@
         self.permits = Permits(hub, self.send, self.relaying)
         self.plain = PlainCounts(hub, self.send)
         self.signs = AnswerSigns(hub, self.permits)
+        self.forwarding = Forwarding(hub, tunnels)
         self.owners = EngineOwners(hub, self.send, self.permits, self.signs)
         self.shares = QuotaShares(hub, self.send)
         self._relays_asked_s: dict[str, float] = {}
@@ -106,6 +110,7 @@
             SILENCE_S,
             self._submit,
             identity.incarnation,
+            serve_tunnel=self.forwarding.serve,
         )
         listener = PeerListener()
         await listener.listen(*address)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/settings.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/settings.py
@@ -88,6 +88,12 @@
                 "Most that is held for callers before requests with bodies are "
                 "refused, MB; 0: any amount.",
             ),
+            "tunnels": Key(
+                Number(0, 100_000),
+                "400",
+                "Connections to endpoints that this host carries at once for hosts "
+                "that have lost their links.",
+            ),
             "grace_s": Key(
                 Number(0.5, 600), "8", "Time from a stop signal to the end, seconds."
             ),
--- a/packages/daemon/src/knapweedbridge_daemon/serving/side_faces.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/side_faces.py
@@ -51,6 +51,8 @@
             "endpoints_unreachable": hub.beliefs.fleet.unreachable_count(
                 anyio.current_time()
             ),
+            "paths_cut": len(hub.paths),
+            "links_lost": float(hub.paths.has_lost_links),
             "calls_overdue": hub.overload.queued(),
             "daemons": len(hub.beliefs.daemons),
             "configuration_version": deployment.version if deployment else 0,
--- a/packages/daemon/src/knapweedbridge_daemon/serving/sweeping.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/sweeping.py
@@ -33,7 +33,9 @@
             for before in self._hub.beliefs.fleet.take_restarted():
                 await self._end_start(before)
             engines = self._hub.beliefs.fleet.engines()
-            await self._hub.pool.close_idle({each.record.address for each in engines})
+            addresses = {each.record.address for each in engines}
+            self._hub.paths.keep_only(addresses)
+            await self._hub.pool.close_idle(addresses)
 
     def _forget_unlisted(self) -> None:
         hub = self._hub
