Calls are not blamed for endpoints that only some hosts do not reach

At the second such loss a call is refused on all hosts as one that crashes endpoints.

An endpoint counts as lost only where two hosts with links do not reach it either, or where there is no other host to ask.

--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -87,7 +87,8 @@
             call.refused.add(endpoint.name)
             endpoint.note_unreachable(loop_time_s())
             self._records.unreachable(endpoint, error)
-            await self._link.endpoint_lost(endpoint.name)
+            if error.is_lost:
+                await self._link.endpoint_lost(endpoint.name)
         except (BrokenError, BrokenEventsError) as error:
             end, detail = AttemptEnd.BROKEN, str(error)
             call.progress.runs.add(endpoint.name)
