Owners that do not reach their engines give them up to hosts that do

Cause: an owner's lease shows that it reaches the store, not that it reaches its engine. An owner whose path is cut, by two failures while another host reaches the engine, stops its orders, waits until one on its way has arrived, and hands the record over; it takes that engine back after a lease at the earliest, so that owners do not take turns. Who handed a record over does not come before others in the order of claims, so they need not wait for its turn. A host that reaches no endpoint says so in the store: it claims nothing and is asked for no tunnels.

--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owners.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owners.py
@@ -98,6 +98,8 @@
                 continue
             if record.number < self._given_up.get(name, 0):
                 continue
+            if self._hub.paths.is_confirmed(endpoint.record.address):
+                continue
             limits = self._hub.engine_limits(endpoint.record.service)
             if limits is None:
                 continue
@@ -150,6 +152,15 @@
             )
         await self._send(daemon, OwnershipEnded(message.endpoint, message.number))
 
+    async def stop(self, engine: str) -> None:
+        """Give no more orders to an engine, whose record is about to be given up."""
+        owner = self._owned.pop(engine, None)
+        if owner is not None:
+            owner.scope.cancel()
+            # An order that is on its way must arrive before the successor's first.
+            await anyio.sleep(ORDER_TIMEOUT_S)
+            self._hub.log.info("owner.ended", engine=engine, number=owner.number)
+
     def forget_daemon(self, daemon: str) -> None:
         """Drop the calls of a daemon that is gone."""
         for owner in self._owned.values():
--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -139,7 +139,7 @@
             hub, link.ask_relay, link.endpoint_lost, link.relaying.store_changed
         )
         link.on_store_told = follower.heard
-        lease = LeaseKeeper(hub, follower)
+        lease = LeaseKeeper(hub, follower, link.owners.stop)
         app = CallersApp(hub, CallRunner(hub, link), link.shares)
         held = HeldMemory(hub)
         handle = held.guard(app.handle)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/lease_keeping.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/lease_keeping.py
@@ -1,21 +1,28 @@
 """Keeps this daemon's lease and record in the store, and claims engines under it."""
 
+import math
 import random
 import secrets
 import sys
+from collections.abc import Awaitable, Callable, Iterable
 
 import anyio
 
 from knapweedbridge_core.serving import (
     DaemonRecord,
     Endpoint,
+    OwnerRecord,
     may_claim,
 )
 from knapweedbridge_daemon.errors import StoreError
 from knapweedbridge_daemon.serving.believing import StoreFollower
 from knapweedbridge_daemon.serving.engine_owning import ORDER_TIMEOUT_S
 from knapweedbridge_daemon.serving.hub import Hub, suspended_clock_s
-from knapweedbridge_daemon.serving.own_records import pack_daemon, pack_owner
+from knapweedbridge_daemon.serving.own_records import (
+    pack_daemon,
+    pack_links_lost,
+    pack_owner,
+)
 from knapweedbridge_daemon.store import LeaseGoneError, Transaction
 
 RENEWALS_A_LEASE = 3
@@ -36,6 +43,9 @@
 SECRET_BYTES = 32
 
 
+StopOwning = Callable[[str], Awaitable[None]]
+
+
 class LeaseKeeper:
     """The task that holds the lease and what hangs on it.
 
@@ -45,10 +55,20 @@
         Beliefs and dialects.
     follower : StoreFollower
         Told when the store answers again.
+    stop_owning : callable, optional
+        Ends the orders to an engine that is given up.
     """
 
-    def __init__(self, hub: Hub, follower: StoreFollower) -> None:
+    def __init__(
+        self,
+        hub: Hub,
+        follower: StoreFollower,
+        stop_owning: StopOwning | None = None,
+    ) -> None:
         self._hub = hub
+        self._stop_owning = stop_owning
+        self._released_s: dict[str, float] = {}
+        self._says_links_lost = False
         self._follower = follower
         self._lease_s = hub.lease_s
         self._lease = ""
@@ -159,6 +179,8 @@
             await self._hub.beliefs_changed.wait(LOOK_S)
             if self._hub.draining or not self._lease or not self._hub.synced:
                 continue
+            await self._say_links()
+            await self._release_unreached()
             for endpoint in self._due():
                 if self._lease_era == self._hub.store_era:
                     await self._claim(endpoint)
@@ -171,6 +193,8 @@
             # Those that are listed claim: a daemon that is not would come before none.
             return []
         due: list[Endpoint] = []
+        if hub.paths.has_lost_links:
+            return []
         for endpoint in self._find_candidates():
             if not self._is_free(endpoint, now_s):
                 continue
@@ -179,12 +203,29 @@
             if free_s is None:
                 free_s = max(endpoint.first_listed_s, self._started_s + FIRST_CLAIM_S)
             free_for_s = now_s - free_s
-            if may_claim(
-                own, record.endpoint, record.data_centre, daemons.values(), free_for_s
-            ):
+            able = self._able_to_own(record.endpoint)
+            if may_claim(own, record.endpoint, record.data_centre, able, free_for_s):
                 due.append(endpoint)
         return due
 
+    def _able_to_own(self, engine: str) -> Iterable[DaemonRecord]:
+        """Return the daemons that may claim a free engine.
+
+        One that has given it up does not reach it, and others need not wait for its
+        turn to pass.
+        """
+        beliefs = self._hub.beliefs
+        without_links = beliefs.without_links
+        released = beliefs.owners.get(engine)
+        if released is None and not without_links:
+            return beliefs.daemons.values()
+        given_up_by = released.incarnation if released else None
+        return [
+            each
+            for each in beliefs.daemons.values()
+            if each.name not in without_links and each.incarnation != given_up_by
+        ]
+
     def _find_candidates(self) -> list[Endpoint]:
         """Return the engines that no other living daemon owns.
 
@@ -207,7 +248,10 @@
     def _is_free(self, endpoint: Endpoint, now_s: float) -> bool:
         if self._hub.engine_limits(endpoint.record.service) is None:
             return False
-        if endpoint.leaves:
+        if endpoint.leaves or self._hub.paths.is_cut(endpoint.record.address):
+            return False
+        if now_s - self._released_s.get(endpoint.name, -math.inf) < self._lease_s:
+            # Owners that take turns would each mistake the other for a former one.
             return False
         ownerless = self._hub.beliefs.is_ownerless(endpoint.name)
         if not ownerless and not self._is_left_over(endpoint.name):
@@ -249,6 +293,54 @@
             number=done.revision,
         )
 
+    async def _say_links(self) -> None:
+        """Say in the store whether this host has links to endpoints."""
+        hub = self._hub
+        has_lost_links = hub.paths.has_lost_links
+        if has_lost_links == self._says_links_lost:
+            return
+        key = hub.dialects.own_keys.links(hub.identity.name)
+        write = Transaction(deletes=(key,))
+        if has_lost_links:
+            value = pack_links_lost(hub.identity.incarnation)
+            write = Transaction(puts={key: value}, lease=self._lease)
+        try:
+            await hub.dialects.store.commit(write)
+        except StoreError as error:
+            hub.log.info("links.not_told", error=str(error))
+            return
+        self._says_links_lost = has_lost_links
+        hub.log.info("links.lost" if has_lost_links else "links.back")
+
+    async def _release_unreached(self) -> None:
+        """Give up the engines that this host cannot reach, though others do."""
+        hub = self._hub
+        if not len(hub.paths) or self._stop_owning is None:
+            return
+        for name, record in list(hub.beliefs.owners.items()):
+            endpoint = hub.beliefs.fleet.endpoints.get(name)
+            if record.owner != hub.identity.name or endpoint is None:
+                continue
+            if hub.paths.is_confirmed(endpoint.record.address):
+                await self._stop_owning(name)
+                await self._release(name, record)
+
+    async def _release(self, engine: str, record: OwnerRecord) -> None:
+        self._released_s[engine] = anyio.current_time()
+        try:
+            await self._give_up(engine, record)
+        except StoreError as error:
+            self._hub.log.error("owner.hand_over_failed", error=str(error))
+            return
+        self._hub.log.info("owner.unreached", engine=engine, number=record.number)
+
+    async def _give_up(self, engine: str, record: OwnerRecord) -> None:
+        key = self._hub.dialects.own_keys.owner(engine)
+        value = pack_owner("", self._hub.identity.incarnation)
+        await self._hub.dialects.store.commit(
+            Transaction({key: record.number}, {key: value}, lease=self._lease)
+        )
+
     async def hand_over(self) -> None:
         """Give up all engines, and tell that this daemon ends."""
         hub = self._hub
@@ -265,14 +357,7 @@
         try:
             await self._put_record()
             for endpoint, record in owned.items():
-                key = hub.dialects.own_keys.owner(endpoint)
-                await hub.dialects.store.commit(
-                    Transaction(
-                        {key: record.number},
-                        {key: pack_owner("", hub.identity.incarnation)},
-                        lease=self._lease,
-                    )
-                )
+                await self._give_up(endpoint, record)
         except StoreError as error:
             # The lease lapses by itself; successors wait that long.
             hub.log.error("owner.hand_over_failed", error=str(error))
