--- a/features/platform/steps/signal_steps.py
+++ b/features/platform/steps/signal_steps.py
@@ -29,7 +29,7 @@
 
     async def start(self):
         for server in (self.store, self.engine):
-            await self._tasks.start(server.run)
+            await self.tasks.start(server.run)
         self.store.put("op/config", configuration())
         self.store.put(f"servers/{self.engine.name}", self.engine.entry())
         ports = [free_port() for _ in range(3)]
--- a/features/serving/steps/kept_view_steps.py
+++ b/features/serving/steps/kept_view_steps.py
@@ -9,6 +9,7 @@
     Beliefs,
     DaemonRecord,
     Deployment,
+    EndpointPaths,
     EndpointRecord,
     EngineLimits,
     EngineReport,
@@ -60,6 +61,7 @@
     return SimpleNamespace(
         identity=SimpleNamespace(name="h0", data_centre="d0"),
         beliefs=beliefs,
+        paths=EndpointPaths(),
         lease_s=3.0,
         lease_revision=5,
         lease=LeaseClock(float("inf")),
