Brittle endpoints are not made to turn away more calls than they bear

Endpoints may say in their answers that they are brittle (Server-Brittle: N): one that turns away more than N calls in a second for want of room falls over. Nothing read that: hosts went on trying endpoints that had no room, up to 53 calls turned away in a second by an endpoint that bears 2, 54 where it bears 6, and 22 by an engine that bears 3.

One daemon an endpoint (the one that keeps its permits) counts the calls that may still be turned away, those sent in the last 0.08 s, and those turned away in the last second; daemons ask it before each call, and it permits none that could be one too many. An endpoint without a permit is closed for as long, and calls go elsewhere or are refused with when to come back. Orders need no room. What was weighed: a share of N for each daemon (nine daemons and N = 2 leave none), and a rest after each call turned away (a call of each daemon at once is already too many).

Evidence: the rows of features/backpressure/brittle.feature failed before.

--- a/features/platform/standins.py
+++ b/features/platform/standins.py
@@ -252,6 +252,11 @@
         self.limit_per_s = None
         self.leaves = False
         self.rest_s = None
+        self.brittle_per_s = None
+        self.room = None
+        self.work_s = 0.0
+        self.busy = 0
+        self.turned_away_s = []
         self.born = 1_700_000_000_000
 
     def entry(self, **fields):
@@ -273,8 +278,18 @@
         signs = [(b"Server-Leaving", b"1")] if self.leaves else []
         if self.limit_per_s is not None:
             signs.append((b"Server-Limit", str(self.limit_per_s).encode()))
+        if self.brittle_per_s is not None:
+            signs.append((b"Server-Brittle", str(self.brittle_per_s).encode()))
         return signs
 
+    def turned_away_at_most(self, seconds):
+        """Return the most calls that were turned away for want of room in a time."""
+        times = self.turned_away_s
+        return max(
+            (sum(0 <= other - each < seconds for other in times) for each in times),
+            default=0,
+        )
+
     def sealed(self, request):
         return [
             *self.signs(),
@@ -311,8 +326,17 @@
         if self.rest_s is not None:
             await self.answer(request, responder, "shed")
             return
+        if self.room is not None and self.busy >= self.room:
+            self.turned_away_s.append(anyio.current_time())
+            await self.answer(request, responder, "shed")
+            return
         behaviour = self.behaviour.pop(0) if self.behaviour else "well"
-        await self.answer(request, responder, behaviour)
+        self.busy += 1
+        try:
+            await anyio.sleep(self.work_s)
+            await self.answer(request, responder, behaviour)
+        finally:
+            self.busy -= 1
 
     async def answer(self, request, responder, behaviour):
         if behaviour == "silent":
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -20,6 +20,7 @@
 )
 from knapweedbridge_core.serving.backpressure import Backpressure
 from knapweedbridge_core.serving.beliefs import Belief, Beliefs
+from knapweedbridge_core.serving.brittle import RoomBudget
 from knapweedbridge_core.serving.caller_wait import CallerCase, UsualDeadlines
 from knapweedbridge_core.serving.crashes import CrashLedger, fingerprint
 from knapweedbridge_core.serving.deployment import (
@@ -178,6 +179,7 @@
     "QuotaUnit",
     "Reject",
     "RetryBudget",
+    "RoomBudget",
     "Route",
     "SendTo",
     "Service",
--- a/packages/core/src/knapweedbridge_core/serving/backpressure.py
+++ b/packages/core/src/knapweedbridge_core/serving/backpressure.py
@@ -15,6 +15,10 @@
     ----------
     limit_per_s : float or None
         Calls a second that it takes from all daemons together; None: any number.
+    brittle_per_s : float or None
+        Calls a second that it can turn away before it falls over; None: any number.
+    brittle_heard_s : float
+        When an answer last told that, or told nothing of it.
     limit_heard_s : float
         When the endpoint said that, on the daemon's clock.
     leaves : bool
@@ -27,6 +31,8 @@
 
     limit_per_s: float | None = None
     limit_heard_s: float = -math.inf
+    brittle_per_s: float | None = None
+    brittle_heard_s: float = -math.inf
     leaves: bool = False
     rests_until_s: float = -math.inf
     closed_until_s: float = -math.inf
@@ -50,9 +56,25 @@
 
     def note_no_permit(self, until_s: float) -> None:
         """Note that no permit can be had before a moment."""
-        if self.is_limited:
+        if self.is_limited or self.is_brittle:
             self.closed_until_s = max(self.closed_until_s, until_s)
 
+    def take_brittle(self, brittle_per_s: float | None, heard_s: float) -> bool:
+        """Take what an answer tells of brittleness; return whether that is news."""
+        if heard_s < self.brittle_heard_s:
+            return False
+        self.brittle_heard_s = heard_s
+        changed = brittle_per_s != self.brittle_per_s
+        self.brittle_per_s = brittle_per_s
+        if changed and brittle_per_s is None:
+            self.closed_until_s = self.rests_until_s
+        return changed
+
+    @property
+    def is_brittle(self) -> bool:
+        """Whether it falls over when it turns away too many calls."""
+        return self.brittle_per_s is not None
+
     def take_leaving(self) -> bool:
         """Take that an answer says that it leaves; tell whether that is news."""
         is_new = not self.leaves
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -252,6 +252,10 @@
         """Return how many endpoints name a limit of calls a second."""
         return sum(each.pressure.is_limited for each in self.endpoints.values())
 
+    def brittle_count(self) -> int:
+        """Return how many endpoints say that they are brittle."""
+        return sum(each.pressure.is_brittle for each in self.endpoints.values())
+
     def leaving_count(self) -> int:
         """Return how many listed endpoints have said in an answer that they leave."""
         return sum(each.pressure.leaves for each in self.endpoints.values())
--- a/packages/core/src/knapweedbridge_core/serving/permit_messages.py
+++ b/packages/core/src/knapweedbridge_core/serving/permit_messages.py
@@ -69,3 +69,35 @@
     endpoint: str
     ticket: int
     wait_s: float
+
+
+@message
+class RoomAsked:
+    """A daemon asks a brittle endpoint's keeper whether it may send a call.
+
+    The answer is a `PermitAnswered`.
+
+    Parameters
+    ----------
+    endpoint : str
+        The endpoint.
+    started_ms : int
+        Its start that this is about, as in `EndpointRecord`.
+    turned_away_per_s : float
+        Calls a second that it can turn away, of all daemons together.
+    ticket : int
+        What the daemon knows the question by.
+    """
+
+    endpoint: str
+    started_ms: int
+    turned_away_per_s: float
+    ticket: int
+
+
+@message
+class TurnedAway:
+    """A daemon tells a brittle endpoint's keeper that it had no room for a call."""
+
+    endpoint: str
+    started_ms: int
--- a/packages/daemon/src/knapweedbridge_daemon/serving/answer_signs.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/answer_signs.py
@@ -38,6 +38,7 @@
         self._take_leaving(endpoint, answer)
         self._take_rest(endpoint, answer)
         await self._take_limit(endpoint, answer, sent_s)
+        await self._take_brittle(endpoint, answer, sent_s)
 
     def _take_leaving(self, endpoint: Endpoint, answer: AnswerHead) -> None:
         if answer.leaves and endpoint.pressure.take_leaving():
@@ -78,3 +79,20 @@
             source="answer",
         )
         await self._permits.limit_heard(endpoint)
+
+    async def _take_brittle(
+        self, endpoint: Endpoint, answer: AnswerHead, sent_s: float
+    ) -> None:
+        pressure, told = endpoint.pressure, answer.brittle_per_s
+        if told is not None:
+            is_news = pressure.take_brittle(told, anyio.current_time())
+        else:
+            is_later = answer.genuine and sent_s > pressure.brittle_heard_s
+            is_news = is_later and pressure.take_brittle(None, anyio.current_time())
+        if is_news:
+            self._hub.log.info(
+                "endpoint.brittle", endpoint=endpoint.name, turned_away_per_s=told
+            )
+            self._hub.engines_changed.tell()
+        if answer.turned_away and pressure.is_brittle:
+            await self._permits.turned_away(endpoint)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/dialects.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/dialects.py
@@ -121,6 +121,11 @@
         The endpoint says that it leaves.
     rest_s : float or None
         For how long it wants nothing from this daemon; None: it asks for no rest.
+    turned_away : bool
+        The endpoint had no room for the call.
+    brittle_per_s : float or None
+        Calls a second that the endpoint can turn away, of all daemons together, before
+        it falls over; None: it says nothing of that.
     unreadable : tuple of str
         What the answer tells in a form that cannot be read.
     """
@@ -133,6 +138,8 @@
     limit_per_s: float | None = None
     leaves: bool = False
     rest_s: float | None = None
+    turned_away: bool = False
+    brittle_per_s: float | None = None
     unreadable: tuple[str, ...] = ()
 
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owning.py
@@ -252,7 +252,7 @@
             await self._ask_report()
             now_s = anyio.current_time()
         while self.keeper.next_order(now_s) is not None:
-            if not await self._permits.take(self.endpoint):
+            if not await self._permits.take(self.endpoint, is_order=True):
                 break
             # What is due may have changed while the permit was awaited.
             order = self.keeper.next_order(anyio.current_time())
--- a/packages/daemon/src/knapweedbridge_daemon/serving/permits.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/permits.py
@@ -1,4 +1,4 @@
-"""Asks for permits to send calls to limited endpoints, and gives those kept here."""
+"""Asks for permits to send calls to limited and brittle endpoints, and gives them."""
 
 import itertools
 from dataclasses import dataclass, field
@@ -10,6 +10,7 @@
     Endpoint,
     EndpointStart,
     PermitPacer,
+    RoomBudget,
     permit_keeper,
 )
 from knapweedbridge_core.serving.permit_messages import (
@@ -17,6 +18,8 @@
     LimitTold,
     PermitAnswered,
     PermitAsked,
+    RoomAsked,
+    TurnedAway,
 )
 from knapweedbridge_core.serving.permits import (
     TAKE_OVER_S,
@@ -31,7 +34,9 @@
 SILENT_S = 0.2
 """How long an endpoint is left alone whose keeper gave no answer."""
 
-OfPermits = LimitHeard | LimitTold | PermitAsked | PermitAnswered
+OfPermits = (
+    LimitHeard | LimitTold | PermitAsked | PermitAnswered | RoomAsked | TurnedAway
+)
 
 
 @dataclass(slots=True, eq=False)
@@ -62,32 +67,56 @@
         self._tickets = itertools.count(1)
         self._questions: dict[int, Question] = {}
         self._pacers: dict[str, PermitPacer] = {}
+        self._rooms: dict[str, RoomBudget] = {}
 
-    async def take(self, endpoint: Endpoint) -> bool:
+    async def take(self, endpoint: Endpoint, is_order: bool = False) -> bool:
         """Tell whether a call may be sent to an endpoint now, and count it as sent.
 
         Where it may not, the endpoint is closed to calls for a while: it rests, or its
         keeper gave no permit.
+
+        Parameters
+        ----------
+        is_order : bool
+            Whether it is an order, for which no room is needed.
         """
         pressure, now_s = endpoint.pressure, anyio.current_time()
         if pressure.closed_until_s > now_s:
             return False
+        if pressure.is_brittle and not is_order and not await self._has_room(endpoint):
+            return False
         if not pressure.is_limited:
             return True
-        wait_s = await self._ask(endpoint)
+        ticket = next(self._tickets)
+        asked = PermitAsked(*self._limit_of(endpoint), ticket)
+        return await self._is_permitted(endpoint, ticket, asked)
+
+    async def _has_room(self, endpoint: Endpoint) -> bool:
+        """Return whether a brittle endpoint bears it if it turns a call away."""
+        per_s = endpoint.pressure.brittle_per_s
+        assert per_s is not None
+        ticket = next(self._tickets)
+        asked = RoomAsked(endpoint.name, endpoint.record.started_ms, per_s, ticket)
+        return await self._is_permitted(endpoint, ticket, asked)
+
+    async def _is_permitted(
+        self, endpoint: Endpoint, ticket: int, asked: PermitAsked | RoomAsked
+    ) -> bool:
+        wait_s = await self._ask(endpoint, ticket, asked)
         self._hub.measures.count("permits", "refused" if wait_s else "taken")
         if wait_s:
-            pressure.note_no_permit(anyio.current_time() + wait_s)
+            until_s = anyio.current_time() + wait_s
+            endpoint.pressure.note_no_permit(until_s)
         return not wait_s
 
-    async def _ask(self, endpoint: Endpoint) -> float:
+    async def _ask(
+        self, endpoint: Endpoint, ticket: int, asked: PermitAsked | RoomAsked
+    ) -> float:
         """Ask for a permit; return 0.0 where it is given, else when to ask again."""
         keeper = self._keeper(endpoint)
         if keeper is None:
             return SILENT_S
-        ticket, question = next(self._tickets), Question()
-        self._questions[ticket] = question
-        asked = PermitAsked(*self._limit_of(endpoint), ticket)
+        question = self._questions[ticket] = Question()
         try:
             await self._send(keeper, asked)
             with anyio.move_on_after(ANSWER_S):
@@ -109,6 +138,13 @@
         age_s = anyio.current_time() - pressure.limit_heard_s
         return endpoint.name, endpoint.record.started_ms, pressure.limit_per_s, age_s
 
+    async def turned_away(self, endpoint: Endpoint) -> None:
+        """Tell a brittle endpoint's keeper that it had no room for a call."""
+        keeper = self._keeper(endpoint)
+        if keeper is not None:
+            told = TurnedAway(endpoint.name, endpoint.record.started_ms)
+            await self._send(keeper, told)
+
     async def limit_heard(self, endpoint: Endpoint) -> None:
         """Tell an endpoint's keeper of the limit that an answer has just named."""
         keeper = self._keeper(endpoint)
@@ -128,7 +164,7 @@
             await self._hand_on(message)
         elif self._keeper(endpoint) == self._hub.identity.name:
             await self._take_as_keeper(daemon, endpoint, message)
-        elif isinstance(message, PermitAsked):
+        elif isinstance(message, PermitAsked | RoomAsked):
             # The asker will have heard of the new keeper by then.
             answer = PermitAnswered(endpoint.name, message.ticket, SILENT_S)
             await self._send(daemon, answer)
@@ -140,7 +176,7 @@
             question.answered.set()
 
     def _endpoint_of(
-        self, message: LimitHeard | LimitTold | PermitAsked
+        self, message: LimitHeard | LimitTold | PermitAsked | RoomAsked | TurnedAway
     ) -> Endpoint | None:
         endpoint = self._hub.beliefs.fleet.endpoints.get(message.endpoint)
         start = EndpointStart(message.endpoint, message.started_ms)
@@ -164,6 +200,35 @@
             await self._send(name, message)
 
     async def _take_as_keeper(
+        self,
+        daemon: str,
+        endpoint: Endpoint,
+        message: LimitHeard | PermitAsked | RoomAsked | TurnedAway,
+    ) -> None:
+        if isinstance(message, TurnedAway):
+            self._room(endpoint).turned_away(anyio.current_time())
+        elif isinstance(message, RoomAsked):
+            await self._answer_room(daemon, endpoint, message)
+        else:
+            await self._take_limit_as_keeper(daemon, endpoint, message)
+
+    async def _answer_room(
+        self, daemon: str, endpoint: Endpoint, message: RoomAsked
+    ) -> None:
+        most = int(message.turned_away_per_s)
+        wait_s = self._room(endpoint).take(most, anyio.current_time())
+        self._hub.measures.count("permits", "not_given" if wait_s else "given")
+        answer = PermitAnswered(endpoint.name, message.ticket, wait_s)
+        await self._send(daemon, answer)
+
+    def _room(self, endpoint: Endpoint) -> RoomBudget:
+        room = self._rooms.get(endpoint.name)
+        if room is None:
+            self._forget_others()
+            room = self._rooms[endpoint.name] = RoomBudget()
+        return room
+
+    async def _take_limit_as_keeper(
         self, daemon: str, endpoint: Endpoint, message: LimitHeard | PermitAsked
     ) -> None:
         now_s = anyio.current_time()
@@ -189,10 +254,11 @@
     def _forget_others(self) -> None:
         """Drop the pacers of endpoints that are gone or have another keeper."""
         fleet = self._hub.beliefs.fleet
-        for name in list(self._pacers):
+        for name in {*self._pacers, *self._rooms}:
             endpoint = fleet.endpoints.get(name)
             if endpoint is None or self._keeper(endpoint) != self._hub.identity.name:
-                del self._pacers[name]
+                self._pacers.pop(name, None)
+                self._rooms.pop(name, None)
 
     async def _tell_all(
         self, endpoint: Endpoint, pacer: PermitPacer, now_s: float
--- a/packages/daemon/src/knapweedbridge_daemon/serving/side_faces.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/side_faces.py
@@ -46,6 +46,7 @@
             "endpoints": len(hub.beliefs.fleet.endpoints),
             "endpoints_unlisted": hub.beliefs.fleet.unlisted_count(),
             "endpoints_limited": hub.beliefs.fleet.limited_count(),
+            "endpoints_brittle": hub.beliefs.fleet.brittle_count(),
             "endpoints_leaving": hub.beliefs.fleet.leaving_count(),
             "endpoints_resting": hub.beliefs.fleet.resting_count(anyio.current_time()),
             "endpoints_unreachable": hub.beliefs.fleet.unreachable_count(
