Stories of tunnels, of cut paths, and of endpoints silent for a second

The first row of garbled bytes found that those come as an error in one go with what stands before them, which is allowed: the stand-in sends them apart.

--- a/features/paths/host_links.py
+++ b/features/paths/host_links.py
@@ -25,7 +25,7 @@
         self._tasks = path.tasks
         self._proxies = {}
         self._cuts = {}
-        self.opened = []
+        self._silent = {}
         loop = asyncio.get_running_loop()
         self._connect = loop.create_connection
         loop.create_connection = self._create_connection
@@ -34,12 +34,13 @@
         address, host = f"{ip}:{port}", HOST.get()
         if (host, address) not in self._proxies:
             return await self._connect(protocol, ip, port, **more)
+        if address in self._silent:
+            await self._silent[address].wait()
         how = self._cuts.get(host)
         if how == "hang":
             await anyio.sleep_forever()
         elif how is not None:
             raise ConnectionRefusedError(address)
-        self.opened.append((anyio.current_time(), host, address))
         proxy = self._proxies[host, address]
         ip, _, port = proxy.address.rpartition(":")
         return await self._connect(protocol, ip, int(port), **more)
@@ -76,9 +77,20 @@
             if name == host:
                 proxy.heal()
 
-    def opened_by(self, host, since_s):
-        """Return how many connections a host has opened since a moment."""
-        return sum(at_s >= since_s and name == host for at_s, name, _ in self.opened)
+    def silence(self, address):
+        """Have an endpoint answer nobody for a while; nothing is lost by that."""
+        self._silent[address] = anyio.Event()
+        self._set_silent(address, True)
+
+    def end_silence(self, address):
+        """Have an endpoint go on with all that it got."""
+        self._silent.pop(address).set()
+        self._set_silent(address, False)
+
+    def _set_silent(self, address, is_silent):
+        for (_, each), proxy in self._proxies.items():
+            if each == address:
+                proxy.deaf = proxy.mute = is_silent
 
 
 @asynccontextmanager
--- /dev/null
+++ b/features/paths/steps/silence_steps.py
@@ -0,0 +1,52 @@
+import anyio
+import httpx
+from behave import then, when
+from cut_steps import FirstTries, linked
+from pressure_calls import named
+from stories import WRITTEN_S
+
+SILENT_S = 1.2
+EVENTS = [f"id: {number}" for number in range(1, 11)]
+
+
+@when("{name} is silent for 1.2 s while drafts run and calls come")
+@linked
+async def falls_silent(context, path, links, name):
+    endpoint = named(path, name)
+    context.tries, context.drafts, context.endpoint = FirstTries(), [], endpoint
+    await context.tries.call_for(path, context.daemons, 1.0)
+    for engine in path.engines:
+        engine.pause_s = 0.2
+    async with anyio.create_task_group() as tasks:
+        for number in range(6):
+            model = f"base/a{number % 2 + 1}"
+            tasks.start_soon(draft, path, model, number % 3, context.drafts)
+        await anyio.sleep(0.4)
+        links.silence(endpoint.address)
+        tasks.start_soon(context.tries.call_for, path, context.daemons, SILENT_S)
+        await anyio.sleep(SILENT_S)
+        links.end_silence(endpoint.address)
+    await anyio.sleep(WRITTEN_S)
+    context.lines = [
+        line for daemon in range(context.daemons) for line in path.lines(daemon)
+    ]
+
+
+async def draft(path, model, daemon, found):
+    try:
+        answer = await path.draft(model, daemon, "/note/1")
+    except httpx.HTTPError as error:
+        found.append(repr(error))
+        return
+    found.append([row for row in answer.text.splitlines() if row.startswith("id:")])
+
+
+@then("all drafts that ran there are answered whole")
+def drafts_whole(context):
+    assert all(each == EVENTS for each in context.drafts), context.drafts
+
+
+@then('no log tells of "{kinds}"')
+def no_log_tells(context, kinds):
+    told = {line["message_type"] for line in context.lines}
+    assert not told & set(kinds.split(", ")), told & set(kinds.split(", "))
--- /dev/null
+++ b/features/paths/steps/tunnel_steps.py
@@ -0,0 +1,317 @@
+import socket
+from collections import Counter
+from contextlib import AsyncExitStack
+from types import SimpleNamespace
+
+import anyio
+import httpx
+import msgpack
+from anyio.abc import SocketAttribute
+from behave import given, then, when
+from cut_steps import CONTACT_S, FirstTries, linked
+from whole_path import NO_TLS
+
+from knapweedbridge_core.codec import encode
+from knapweedbridge_core.serving import (
+    Beliefs,
+    DaemonRecord,
+    EndpointPaths,
+    Forwarders,
+)
+from knapweedbridge_core.serving.tunnel_messages import TunnelOpened
+from knapweedbridge_daemon.peer_sockets import PeerListener, connect_peer
+from knapweedbridge_daemon.peers import Peers
+from knapweedbridge_daemon.serving.byte_stream import ByteStream
+from knapweedbridge_daemon.serving.forwarding import Forwarding
+from knapweedbridge_daemon.serving.http_client import (
+    Destination,
+    DirectConnector,
+    NotSentError,
+)
+from knapweedbridge_daemon.serving.measures import Measures
+from knapweedbridge_daemon.serving.tunnels import END, Tunnels, TunnelStream
+
+SECRET = b"secret of the features"
+ENDS = {
+    "the endpoint ends in order": END,
+    "the forwarder is killed": b"",
+    "bytes that are no message come": b"\xc1",
+}
+
+
+@when("a forwarder hands on 5 bytes and then {end}")
+def hands_on(context, end):
+    async def serve(stream):
+        await stream.receive()
+        await stream.send(encode(TunnelOpened(1)) + msgpack.packb(b"12345"))
+        await anyio.sleep(0.05)
+        await stream.send(ENDS[end])
+        await stream.send_eof()
+        await anyio.sleep_forever()
+
+    async def story():
+        async with anyio.create_task_group() as tasks:
+            listener = PeerListener()
+            await listener.listen("127.0.0.1", 0)
+            tasks.start_soon(listener.serve, serve)
+            ip, _, port = listener.address.rpartition(":")
+            stream = TunnelStream(await connect_peer(ip, int(port)), "h1")
+            await stream.ask(Destination("127.0.0.1:1", "e"))
+            context.read = [await stream.receive()]
+            try:
+                context.read.append(await stream.receive())
+            except ConnectionError as error:
+                context.read.append(error)
+            stream.close()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(story)
+
+
+@then("the host that asked gets 5 bytes and then {what}")
+def got(context, what):
+    data, last = context.read
+    assert data == b"12345", context.read
+    assert (last == b"") == (what == "an end"), context.read
+
+
+class Log:
+    def info(self, kind, **fields):
+        pass
+
+
+def hub_of(name, address, paths, draining=False):
+    """Return the hub of a daemon that knows host-0, host-1 and an endpoint."""
+    beliefs = Beliefs(secret=SECRET)
+    for host in ("host-0", "host-1"):
+        beliefs.daemons[host] = DaemonRecord(host, 1, address, "d0")
+    record = SimpleNamespace(address="127.0.0.1:1")
+    beliefs.fleet.endpoints["e"] = SimpleNamespace(record=record)
+    return SimpleNamespace(
+        identity=SimpleNamespace(name=name, incarnation=1),
+        beliefs=beliefs,
+        paths=paths,
+        draining=draining,
+        log=Log(),
+        measures=Measures(),
+    )
+
+
+def paths_of(what):
+    """Return the paths of a forwarder that cannot carry a tunnel."""
+    return SimpleNamespace(
+        has_lost_links=what.endswith("has no links"),
+        is_cut=lambda address: False,
+        is_linked=lambda now_s: "with links" in what,
+    )
+
+
+@when("a daemon {what} is asked for a tunnel")
+def asked_for_tunnel(context, what):
+    hub = hub_of("host-1", "", paths_of(what), draining=what == "that drains")
+    if "know the endpoint" in what:
+        hub.beliefs.fleet.endpoints.clear()
+    forwarding = Forwarding(hub, 0 if "too many" in what else 10)
+    serve_tunnel = None if "no tunnels" in what else forwarding.serve
+
+    async def story():
+        async with anyio.create_task_group() as tasks:
+            peers = Peers("host-1", SECRET, 1.0, None, 1, serve_tunnel=serve_tunnel)
+            listener = PeerListener()
+            await listener.listen("127.0.0.1", 0)
+            tasks.start_soon(listener.serve, peers.serve)
+            asking = hub_of("host-0", listener.address, None)
+            try:
+                await Tunnels(asking).open(Destination("127.0.0.1:1", "e"))
+            except NotSentError as error:
+                context.error = error
+            tasks.cancel_scope.cancel()
+
+    context.error = None
+    anyio.run(story)
+
+
+@then("none is opened, and the endpoint counts as {state}")
+def none_opened(context, state):
+    assert context.error is not None
+    assert context.error.is_lost == (state == "lost"), context.error
+
+
+@when("a caller of a host without links leaves in the middle of a draft")
+@linked
+async def caller_leaves(context, path, links):
+    await path.draft("base/a1", 0)
+    for engine in path.engines:
+        engine.pause_s = 0.5
+    links.cut("host-0", "hang")
+    await anyio.sleep(CONTACT_S)
+    with anyio.move_on_after(1.5):
+        await path.draft("base/a1", 0)
+    await anyio.sleep(0.5)
+    context.runs = sum(engine.busy for engine in path.engines)
+    context.forwarded = [
+        line["forwarder"]
+        for line in path.lines(0)
+        if line["message_type"] == "attempt.ended" and line["outcome"] == "abandoned"
+    ]
+
+
+@then("no endpoint holds a connection for it 0.5 s later")
+def no_connection(context):
+    assert context.forwarded and all(context.forwarded), context.forwarded
+    assert context.runs == 0, context.runs
+
+
+@when("a host loses its links for 3 s while calls come, and calls go on for 4 s")
+@linked
+async def links_come_back(context, path, links):
+    tries = FirstTries()
+    await tries.call_for(path, context.daemons, 1.0)
+    links.cut("host-0", "hang")
+    await tries.call_for(path, context.daemons, 3.0)
+    links.heal("host-0")
+    await tries.call_for(path, context.daemons, 2.0)
+    await anyio.sleep(0.2)
+    before = len(path.lines(0))
+    context.served = len(tries.answers)
+    await tries.call_for(path, context.daemons, 2.0)
+    await anyio.sleep(0.2)
+    context.ended = [
+        line
+        for line in path.lines(0)[before:]
+        if line["message_type"] == "attempt.ended"
+    ]
+
+
+@then("from 2 s after the links are back its calls go over them alone")
+def goes_directly(context):
+    assert context.ended
+    around = [line for line in context.ended if line["forwarder"]]
+    assert not around, around
+
+
+@when("calls come for 3 s")
+@linked
+async def calls_come(context, path, links):
+    await FirstTries().call_for(path, context.daemons, 3.0)
+    context.pages = []
+    async with httpx.AsyncClient(verify=NO_TLS) as client:
+        for port in path.metrics_ports:
+            page = await client.get(f"http://127.0.0.1:{port}/metrics")
+            context.pages.append(page.text)
+
+
+@then("no host has asked another for a tunnel")
+def no_tunnels(context):
+    asked = [page for page in context.pages if "knapweedbridge_tunnels" in page]
+    assert not asked, len(asked)
+
+
+@given("a pool of 79 hosts of which 26, a data centre, have lost their links")
+def large_pool(context):
+    context.daemons = [DaemonRecord(f"h{n}", 1, "a", f"d{n // 26}") for n in range(79)]
+    context.without = {each.name for each in context.daemons[:26]}
+
+
+@when("each of those opens 40 tunnels")
+def opens_tunnels(context):
+    context.carried, context.asked = Counter(), {}
+    askers = {name: Forwarders(name) for name in context.without}
+    for asker in askers.values():
+        asker.know(context.daemons, context.without)
+    for _ in range(40):
+        for name, asker in askers.items():
+            order = asker.in_order(0.0)
+            context.asked[name] = len(order)
+            context.carried[order[0]] += 1
+            asker.note_opened(order[0], context.carried[order[0]])
+
+
+@then("no host carries more than three times the mean of those that have links")
+def carries_its_share(context):
+    mean = context.carried.total() / (len(context.daemons) - len(context.without))
+    assert max(context.carried.values()) <= 3 * mean, (context.carried, mean)
+
+
+@then("each host asks {most:d} others at most")
+def asks_few(context, most):
+    assert max(context.asked.values()) <= most, context.asked
+
+
+OPTIONS = ("TCP_KEEPIDLE", "TCP_KEEPINTVL", "TCP_KEEPCNT", "TCP_USER_TIMEOUT")
+
+
+async def sockets():
+    """Open one connection of each kind, and return its socket by its end's name."""
+    found = {}
+    made = anyio.Event()
+    async with AsyncExitStack() as stack:
+        tasks = await stack.enter_async_context(anyio.create_task_group())
+        endpoint = await listening(tasks, lambda stream: anyio.sleep_forever())
+        forwarding = Forwarding(forwarder_of(endpoint), 10)
+
+        async def serve_tunnel(host, stream, asked):
+            found["a forwarder to the host that asked"] = stream.raw
+            await forwarding.serve(host, stream, asked)
+
+        peers = Peers("host-1", SECRET, 1.0, None, 1, serve_tunnel=serve_tunnel)
+        forwarder = await listening(tasks, peers.serve)
+        tunnels = Tunnels(hub_of("host-0", forwarder, None))
+        tunnel = await tunnels.open(Destination(endpoint, "e"))
+        found["a host to its forwarder"] = tunnel._stream.raw
+        direct = await DirectConnector().connect(Destination(endpoint))
+        found["a host to an endpoint"] = direct._transport.get_extra_info("socket")
+
+        async def take(stream):
+            own = ByteStream.take_over(stream)
+            found["a caller to a host"] = own._transport.get_extra_info("socket")
+            made.set()
+            await anyio.sleep_forever()
+
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        tasks.start_soon(listener.serve, take)
+        port = listener.extra(SocketAttribute.local_port)
+        await stack.enter_async_context(await anyio.connect_tcp("127.0.0.1", port))
+        await made.wait()
+        options = {end: read_options(raw) for end, raw in found.items()}
+        tunnel.close()
+        direct.close()
+        tasks.cancel_scope.cancel()
+    return options
+
+
+async def listening(tasks, serve):
+    listener = PeerListener()
+    await listener.listen("127.0.0.1", 0)
+    tasks.start_soon(listener.serve, serve)
+    return listener.address
+
+
+def forwarder_of(endpoint):
+    hub = hub_of("host-1", "", EndpointPaths())
+    hub.beliefs.fleet.endpoints["e"].record.address = endpoint
+    return hub
+
+
+def read_options(raw):
+    assert raw.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+    return {
+        name: raw.getsockopt(socket.IPPROTO_TCP, getattr(socket, name))
+        for name in OPTIONS
+    }
+
+
+@when("a connection of {end} is looked at")
+def looked_at(context, end):
+    context.options = anyio.run(sockets)[end]
+
+
+@then(
+    "its probes and its bound on unanswered bytes end it after 2 to 3 s, whichever "
+    "decides"
+)
+def ends_in_time(context):
+    found = context.options
+    probes_s = found["TCP_KEEPIDLE"] + found["TCP_KEEPINTVL"] * found["TCP_KEEPCNT"]
+    bound_s = found["TCP_USER_TIMEOUT"] / 1000
+    assert 2 <= bound_s <= 3 and 2 <= probes_s <= 3, found
