Daemons of two versions serve one pool while it is upgraded host by host

Daemons say in the store, with their record, which protocol they speak; one that says none speaks the first. Kinds of messages that a daemon's protocol lacks (the questions for room at brittle endpoints) are not sent to it, and where a keeper lacks them calls are sent without asking. From this version on, unknown kinds and fields added at the end are passed over and the stream goes on. Two rows of features/members/streams.feature asked for the opposite: they now ask that the stream goes on and the next message on it is heard; two others, a tag that is no name and too few fields, take their place among what ends a stream.

--- a/features/members/steps/stream_steps.py
+++ b/features/members/steps/stream_steps.py
@@ -21,6 +21,8 @@
 BAD_BYTES = {
     "an unknown tag": msgpack.packb(["Nothing", 1]),
     "a tag with too many fields": msgpack.packb(["ProbeAsk", 1, 2, 3]),
+    "a tag that is no name": msgpack.packb([None, 1, 2]),
+    "a tag with too few fields": msgpack.packb(["LimitHeard", "e"]),
     "bytes that are no msgpack": b"\xc1" * 20,
     "a message over the size limit": b"\xc6\x7f\xff\xff\xff"
     + b"x" * (MAX_MESSAGE_BYTES + 70_000),
@@ -255,6 +257,26 @@
     context.scene.story.append(step)
 
 
+@when('a host that knows the secret sends {kind} to "{receiver}", and then a message')
+def sends_more(context, kind, receiver):
+    sends_bad(context, kind, receiver)
+
+    async def step(scene):
+        await scene.bad.send(msgpack.packb(["ProbeAsk"]))
+
+    context.scene.story.append(step)
+
+
+@then('"{receiver}" hears that message on the same stream')
+def hears_after(context, receiver):
+    async def step(scene):
+        heard = scene.sides[receiver].heard
+        await until(lambda: "host-9" in {event.host for event in heard})
+        await scene.bad.aclose()
+
+    context.scene.story.append(step)
+
+
 @then('"{receiver}" closes that stream')
 def closes_bad(context, receiver):
     async def step(scene):
--- a/features/members/streams.feature
+++ b/features/members/streams.feature
@@ -47,11 +47,24 @@
 
     Examples:
       | bytes                         |
-      | an unknown tag                |
-      | a tag with too many fields    |
+      | a tag that is no name         |
+      | a tag with too few fields     |
       | bytes that are no msgpack     |
       | a message over the size limit |
 
+  Scenario Outline: What a later version adds is passed over, and the stream goes on: <bytes>
+    Guards against hosts that do not hear each other while a pool is upgraded host by host.
+
+    Given daemons "host-0,host-1"
+    When a host that knows the secret sends <bytes> to "host-1", and then a message
+    Then "host-1" hears that message on the same stream
+    And "host-1" still hears "host-0"
+
+    Examples:
+      | bytes                      |
+      | an unknown tag             |
+      | a tag with too many fields |
+
   Scenario: Streams are few: opened by a message, closed when idle
     Given daemons "host-0,host-1" whose streams are idle after 0.2 s
     When "host-0" sends to "host-1" once
--- a/packages/core/src/knapweedbridge_core/codec.py
+++ b/packages/core/src/knapweedbridge_core/codec.py
@@ -8,9 +8,9 @@
 
 import msgpack
 
-from knapweedbridge_core.errors import MessageError
+from knapweedbridge_core.errors import MessageError, UnknownMessageError
 from knapweedbridge_core.names import AdapterVersion
-from knapweedbridge_core.records import record, values_of
+from knapweedbridge_core.records import field_count, record, values_of
 
 _CLASSES: dict[str, type] = {}
 _MODEL_EXTENSION = 1
@@ -58,13 +58,20 @@
 def decode(packed: Any) -> Any:
     """Turn one unpacked list into its message.
 
+    Fields that a later version has added at the end are dropped.
+
     Raises
     ------
+    UnknownMessageError
+        If the tag is none of this version's.
     MessageError
-        If the tag is unknown or the fields do not fit.
+        If the fields do not fit.
     """
     try:
         tag, *values = packed
-        return _CLASSES[tag](*values)
+        known = _CLASSES.get(tag)
+        if known is None and isinstance(tag, str):
+            raise UnknownMessageError(f"no message of this version: {tag:.50}")
+        return _CLASSES[tag](*values[: field_count(_CLASSES[tag])])
     except (TypeError, ValueError, KeyError) as error:
         raise MessageError(f"no message of ours: {packed!r:.200}") from error
--- a/packages/core/src/knapweedbridge_core/errors.py
+++ b/packages/core/src/knapweedbridge_core/errors.py
@@ -27,5 +27,9 @@
     """A peer sent bytes that are no message of ours."""
 
 
+class UnknownMessageError(MessageError):
+    """A message of a kind that a later version has."""
+
+
 class ContentError(CoreError):
     """A part of the configuration is not what its name says."""
--- a/packages/core/src/knapweedbridge_core/records.py
+++ b/packages/core/src/knapweedbridge_core/records.py
@@ -14,6 +14,7 @@
 T = TypeVar("T")
 
 _READERS: dict[type, Callable[[Any], tuple]] = {}
+_COUNTS: dict[type, int] = {}
 
 
 @dataclass_transform(frozen_default=True)
@@ -22,6 +23,7 @@
     made: Any = dataclass(slots=True, eq=False, repr=False)(cls)
     made.__eq__, made.__hash__, made.__repr__ = _equals, _hash, _show
     _READERS[made] = _reader([each.name for each in fields(made)])
+    _COUNTS[made] = len(fields(made))
     return made
 
 
@@ -31,6 +33,11 @@
     return lambda one: tuple(getattr(one, name) for name in names)
 
 
+def field_count(kind: type) -> int:
+    """Return how many fields a class of records has."""
+    return _COUNTS[kind]
+
+
 def values_of(one: Any) -> tuple:
     """Return the fields of a record, in their order."""
     return _READERS[type(one)](one)
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -99,6 +99,7 @@
     PromptTurn,
     WindowPacing,
 )
+from knapweedbridge_core.serving.protocols import PROTOCOL, understands
 from knapweedbridge_core.serving.quota_purse import QuotaPurse, nearest_first
 from knapweedbridge_core.serving.quotas import (
     Given,
@@ -157,6 +158,7 @@
     "NoEngine",
     "NamedVersions",
     "NoPacing",
+    "PROTOCOL",
     "Order",
     "OrderAnswer",
     "OrderKind",
@@ -219,5 +221,6 @@
     "split",
     "stamp",
     "suffices",
+    "understands",
     "without_limited",
 ]
--- a/packages/core/src/knapweedbridge_core/serving/belief_records.py
+++ b/packages/core/src/knapweedbridge_core/serving/belief_records.py
@@ -64,6 +64,15 @@
     name: str
 
 
+@record
+class ProtocolNamed:
+    """A daemon says which protocol its present start speaks."""
+
+    name: str
+    incarnation: int
+    protocol: int
+
+
 @record
 class LinksLost:
     """A daemon says that its host reaches no endpoint."""
@@ -109,6 +118,7 @@
     | EndpointGone
     | DaemonNamed
     | DaemonGone
+    | ProtocolNamed
     | LinksLost
     | LinksBack
     | OwnerNamed
--- a/packages/core/src/knapweedbridge_core/serving/beliefs.py
+++ b/packages/core/src/knapweedbridge_core/serving/beliefs.py
@@ -17,6 +17,7 @@
     LinksLost,
     OwnerGone,
     OwnerNamed,
+    ProtocolNamed,
     SecretNamed,
     VersionNamed,
 )
@@ -38,6 +39,7 @@
     ranked,
     relays,
 )
+from knapweedbridge_core.serving.protocols import FIRST_PROTOCOL
 
 __all__ = [
     "Belief",
@@ -52,6 +54,7 @@
     "LinksLost",
     "OwnerGone",
     "OwnerNamed",
+    "ProtocolNamed",
     "SecretNamed",
     "VersionNamed",
 ]
@@ -92,6 +95,7 @@
     _starting: bool = True
     _relays: dict[str, list[str]] = field(default_factory=dict)
     _links_lost: dict[str, int] = field(default_factory=dict)
+    _protocols: dict[str, ProtocolNamed] = field(default_factory=dict)
 
     @property
     def without_links(self) -> set[str]:
@@ -196,9 +200,10 @@
                 self._daemons_changed(now_s)
             case DaemonGone(name):
                 self.daemons.pop(name, None)
+                self._protocols.pop(name, None)
                 self._daemons_changed(now_s)
-            case LinksLost() | LinksBack():
-                self._take_links(belief)
+            case LinksLost() | LinksBack() | ProtocolNamed():
+                self._take_of_daemon(belief)
             case OwnerNamed(endpoint, record):
                 self._take_owner(endpoint, record, now_s)
             case OwnerGone(endpoint):
@@ -215,13 +220,23 @@
         elif self._large_until_s == math.inf:
             self._large_until_s = now_s + LARGE_LISTED_S
 
-    def _take_links(self, belief: LinksLost | LinksBack) -> None:
+    def _take_of_daemon(self, belief: LinksLost | LinksBack | ProtocolNamed) -> None:
+        if isinstance(belief, ProtocolNamed):
+            self._protocols[belief.name] = belief
+            return
         self.owner_changes += 1
         if isinstance(belief, LinksLost):
             self._links_lost[belief.name] = belief.incarnation
         else:
             self._links_lost.pop(belief.name, None)
 
+    def protocol_of(self, name: str) -> int:
+        """Return which protocol a daemon speaks, as far as it has said."""
+        daemon, said = self.daemons.get(name), self._protocols.get(name)
+        if daemon is None or said is None or said.incarnation != daemon.incarnation:
+            return FIRST_PROTOCOL
+        return said.protocol
+
     def _take_deployment(self, deployment: Deployment) -> bool:
         # A stale read, or an answer that was overtaken, must not set it back.
         if self.deployment and deployment.version <= self.deployment.version:
--- /dev/null
+++ b/packages/core/src/knapweedbridge_core/serving/protocols.py
@@ -0,0 +1,21 @@
+"""What daemons of other versions understand, while a pool is upgraded host by host.
+
+A daemon says in the store which protocol it speaks; one that says none speaks the
+first. From the second on, messages of unknown kinds and fields that were added at the
+end of known ones are passed over, so only the kinds that the first does not know are
+kept from daemons that speak it.
+"""
+
+from knapweedbridge_core.serving.permit_messages import RoomAsked, TurnedAway
+
+FIRST_PROTOCOL = 1
+PROTOCOL = 2
+"""Rises with each kind of message, or meaning of one, that earlier versions lack."""
+
+SINCE: dict[type, int] = {RoomAsked: 2, TurnedAway: 2}
+"""The protocols that brought kinds of messages; others are of the first."""
+
+
+def understands(protocol: int, message: object) -> bool:
+    """Return whether a daemon that speaks a protocol understands a message."""
+    return protocol >= SINCE.get(type(message), FIRST_PROTOCOL)
--- a/packages/daemon/src/knapweedbridge_daemon/peer_streams.py
+++ b/packages/daemon/src/knapweedbridge_daemon/peer_streams.py
@@ -19,6 +19,7 @@
     sent_bytes: int = 0
     heard_bytes: int = 0
     dropped_messages: int = 0
+    unknown_messages: int = 0
 
 
 class Outbox:
--- a/packages/daemon/src/knapweedbridge_daemon/peers.py
+++ b/packages/daemon/src/knapweedbridge_daemon/peers.py
@@ -19,7 +19,7 @@
 
 from knapweedbridge_core.addresses import split_address
 from knapweedbridge_core.codec import decode, encode, unpacker
-from knapweedbridge_core.errors import MessageError
+from knapweedbridge_core.errors import MessageError, UnknownMessageError
 from knapweedbridge_core.peer_events import PeerHeard, PeerLinked, PeerUnlinked
 from knapweedbridge_core.serving.tunnel_messages import TunnelAsked
 from knapweedbridge_core.timeline import HybridClock
@@ -312,7 +312,12 @@
                 for value in reader:
                     if self._clock.take(value):
                         continue
-                    message = decode(value)
+                    try:
+                        message = decode(value)
+                    except UnknownMessageError:
+                        # A host that was upgraded first says more than this one knows.
+                        self.bytes.unknown_messages += 1
+                        continue
                     if isinstance(message, TunnelAsked):
                         return message
                     await self._submit(PeerHeard(host, message))
--- a/packages/daemon/src/knapweedbridge_daemon/serving/dialects.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/dialects.py
@@ -254,6 +254,10 @@
         """Key of an engine's owner record."""
         return f"{self.prefix}owners/{endpoint}"
 
+    def protocol(self, name: str) -> str:
+        """Key under which a daemon says which protocol it speaks."""
+        return f"{self.prefix}protocols/{name}"
+
     def links(self, name: str) -> str:
         """Key under which a daemon says that its host reaches no endpoint."""
         return f"{self.prefix}links/{name}"
--- a/packages/daemon/src/knapweedbridge_daemon/serving/lease_keeping.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/lease_keeping.py
@@ -9,6 +9,7 @@
 import anyio
 
 from knapweedbridge_core.serving import (
+    PROTOCOL,
     DaemonRecord,
     Endpoint,
     OwnerRecord,
@@ -22,6 +23,7 @@
     pack_daemon,
     pack_links_lost,
     pack_owner,
+    pack_protocol,
 )
 from knapweedbridge_daemon.store import LeaseGoneError, Transaction
 
@@ -148,9 +150,13 @@
             identity.data_centre,
             self._hub.draining,
         )
-        key = self._hub.dialects.own_keys.daemon(identity.name)
+        keys = self._hub.dialects.own_keys
+        puts = {
+            keys.daemon(identity.name): pack_daemon(record),
+            keys.protocol(identity.name): pack_protocol(identity.incarnation, PROTOCOL),
+        }
         done = await self._hub.dialects.store.commit(
-            Transaction(puts={key: pack_daemon(record)}, lease=self._lease)
+            Transaction(puts=puts, lease=self._lease)
         )
         return done.revision
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/own_records.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/own_records.py
@@ -11,6 +11,7 @@
     LinksLost,
     OwnerGone,
     OwnerNamed,
+    ProtocolNamed,
     SecretNamed,
 )
 from knapweedbridge_daemon.serving.dialects import DialectError, OwnKeys
@@ -32,6 +33,11 @@
     return msgpack.packb([owner, incarnation])
 
 
+def pack_protocol(incarnation: int, protocol: int) -> bytes:
+    """Encode which protocol a daemon's start speaks."""
+    return msgpack.packb([incarnation, protocol])
+
+
 def pack_links_lost(incarnation: int) -> bytes:
     """Encode that the host of a daemon's start reaches no endpoint."""
     return msgpack.packb([incarnation])
@@ -51,6 +57,8 @@
             return _read_owner(name, value, revision)
         if kind == "links":
             return _read_links(name, value)
+        if kind == "protocols" and value is not None:
+            return _read_protocol(name, value)
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         raise DialectError(f"{key}: no record of ours") from error
     return None
@@ -85,6 +93,13 @@
     return LinksLost(name, incarnation)
 
 
+def _read_protocol(name: str, value: bytes) -> Belief:
+    incarnation, protocol = msgpack.unpackb(value)
+    _check(incarnation, int)
+    _check(protocol, int)
+    return ProtocolNamed(name, incarnation, protocol)
+
+
 def _check(value: object, kind: type) -> None:
     if not isinstance(value, kind):
         raise TypeError(f"{value!r:.50} is no {kind.__name__}")
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -7,7 +7,7 @@
 from anyio.abc import TaskGroup
 
 from knapweedbridge_core.peer_events import PeerHeard, PeerUnlinked
-from knapweedbridge_core.serving import Endpoint
+from knapweedbridge_core.serving import Endpoint, understands
 from knapweedbridge_core.serving.messages import (
     CallsBlamed,
     EngineAsked,
@@ -93,9 +93,14 @@
         return takers | dict.fromkeys(get_args(ToOwner), self.owners.heard)
 
     async def send(self, daemon: str, message: Any) -> None:
-        """Send a message to a daemon, which may be this one."""
+        """Send a message to a daemon, which may be this one.
+
+        One whose version does not understand it is sent nothing.
+        """
         if daemon == self._hub.identity.name:
             await self._take(daemon, message)
+        elif not understands(self._hub.beliefs.protocol_of(daemon), message):
+            self._hub.measures.count("messages_withheld")
         elif self._peers is not None:
             self._peers.send(daemon, message)
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/permits.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/permits.py
@@ -12,6 +12,7 @@
     PermitPacer,
     RoomBudget,
     permit_keeper,
+    understands,
 )
 from knapweedbridge_core.serving.permit_messages import (
     LimitHeard,
@@ -97,6 +98,9 @@
         assert per_s is not None
         ticket = next(self._tickets)
         asked = RoomAsked(endpoint.name, endpoint.record.started_ms, per_s, ticket)
+        keeper = self._keeper(endpoint)
+        if keeper and not understands(self._hub.beliefs.protocol_of(keeper), asked):
+            return True
         return await self._is_permitted(endpoint, ticket, asked)
 
     async def _is_permitted(
