The soak cuts hosts off from all endpoints

Beside the other faults some hosts, never all, lose their links to all endpoints for 2 to 8 s: connections hang, are reset, or live on while new ones are refused. A daemon of the soak is started by a script that holds its connections to endpoints behind a file. First tries from 3 s after a cut, at hosts and with a store that have no other trouble, must be served two thirds as often there as at hosts with links, unless no more than 10 and one in 50 fail.

--- a/bench/soak_serving.py
+++ b/bench/soak_serving.py
@@ -22,7 +22,8 @@
 import anyio
 import httpx
 
-ROOT = Path(__file__).parent.parent
+HERE = Path(__file__).parent
+ROOT = HERE.parent
 sys.path.insert(0, str(ROOT / "features/platform"))
 
 from soak_proxy import Proxy  # noqa: E402
@@ -42,6 +43,9 @@
 """Longest time, without trouble, from a version's naming to the last begin on an older
 one."""
 
+CONTACT_S = 3.0
+"""Time after which disturbance of a host or of the store is over for its callers."""
+
 CLIENTS = 12
 ADAPTERS = 16
 NAMED_ADAPTERS = 3
@@ -79,6 +83,11 @@
         "return math.inf if since_s is None else since_s + bound_s",
         "return math.inf",
     ),
+    "asks no other hosts": (
+        DAEMON + "tunnels.py",
+        "names = self.forwarders.in_order(loop_time_s())[:MOST_ASKED]",
+        "names: list[str] = []",
+    ),
     "never sees who leaves": (
         CORE + "endpoint.py",
         "return self.usable and not self.leaves and is_listed",
@@ -157,6 +166,48 @@
             self.broken(f"{engine.name} was ordered beyond its places")
 
 
+class CutHosts:
+    """First tries at hosts that are cut off from all endpoints, and at the others.
+
+    They count from 3 s after the cut, at hosts without other trouble, while the store
+    has none. Callers come back elsewhere, so each call is a first try.
+    """
+
+    def __init__(self, watched: Watched) -> None:
+        self.since_s: dict[str, float] = {}
+        self._watched = watched
+        self._served: Counter[str] = Counter()
+        self._failed: Counter[str] = Counter()
+
+    def side_of(self, name: str) -> str:
+        """Return with which hosts a call at a host counts; empty: with none."""
+        now_s, calm_s = anyio.current_time(), self._watched.calm_since_s
+        if not self.since_s or now_s - min(self.since_s.values()) < CONTACT_S:
+            return ""
+        if any(now_s - calm_s.get(each, 0.0) < CONTACT_S for each in (name, "store")):
+            return ""
+        if name not in self.since_s:
+            return "linked"
+        return "cut" if now_s - self.since_s[name] >= CONTACT_S else ""
+
+    def count(self, side: str, outcome: str) -> None:
+        """Count what became of a call."""
+        counted = self._served if outcome == "200" else self._failed
+        counted[side] += 1
+
+    def check(self) -> None:
+        """Check that callers of cut hosts were served about as often as the others."""
+        tries = {
+            side: self._served[side] + self._failed[side] for side in ("cut", "linked")
+        }
+        if not all(tries.values()):
+            return
+        share = {side: self._served[side] / tries[side] for side in tries}
+        most_failed = 10 + tries["cut"] / 50
+        if share["cut"] < 2 / 3 * share["linked"] and self._failed["cut"] > most_failed:
+            self._watched.broken(f"served at cut and linked hosts: {share} of {tries}")
+
+
 def watched_by(kind, watched: Watched):
     """Return a kind of stand-in whose requests and orders are checked."""
 
@@ -199,6 +250,7 @@
             f"host-{n}": list(range(port + 4 * n, port + 4 * n + 4))
             for n in range(daemons)
         }
+        self.cuts = CutHosts(self.watched)
         self.store_proxies: dict[str, Proxy] = {}
         self.endpoints: dict[str, tuple[Endpoint, Proxy]] = {}
         self.until_s = 0.0
@@ -256,11 +308,33 @@
         file = self.folder / f"{name}.ini"
         file.write_text(text.replace("127.0.0.1:9464", f"127.0.0.1:{ports[3]}"))
         self.daemons[name] = subprocess.Popen(
-            [sys.executable, str(self.root / "platform/start.py")],
-            env={**os.environ, "KNAPWEEDBRIDGE_NODE_FILE": str(file)},
+            [sys.executable, str(HERE / "soak_start.py"), str(self.root)],
+            env={
+                **os.environ,
+                "KNAPWEEDBRIDGE_NODE_FILE": str(file),
+                "SOAK_LINKS": str(self._links_file(name)),
+                "SOAK_STORE": self.store_proxies[name].address,
+            },
             stdout=(self.folder / f"{name}.log").open("ab"),
         )
 
+    def _links_file(self, name: str) -> Path:
+        return self.folder / f"{name}.links"
+
+    async def _cut_links(self) -> None:
+        """Cut some hosts off from all endpoints; one at least keeps its links."""
+        linked = sorted(set(self.daemons) - set(self.cuts.since_s))
+        most = len(linked) - 1
+        how = self.luck.choice(["hang", "reset", "refuse"])
+        names = self.luck.sample(linked, self.luck.randint(1, most) if most else 0)
+        for name in names:
+            self.cuts.since_s[name] = anyio.current_time()
+            self._links_file(name).write_text(how)
+        await anyio.sleep(self.luck.uniform(2, 8))
+        for name in names:
+            self._links_file(name).unlink()
+            del self.cuts.since_s[name]
+
     async def _disturb(self) -> None:
         faults = [
             self._kill,
@@ -278,6 +352,8 @@
             self._leave_in_answers,
             self._name_versions,
             self._name_versions,
+            self._cut_links,
+            self._cut_links,
         ]
         while anyio.current_time() < self.until_s:
             fault = self.luck.choice(faults)
@@ -415,6 +491,7 @@
     async def _one_call(self, http, luck, kind: str, call: str) -> str:
         name = luck.choice(sorted(self.ports))
         port = self.ports[name][0]
+        side = self.cuts.side_of(name)
         self.watched.taken_by[call] = name
         headers = {
             "Host": "shop.example",
@@ -434,6 +511,7 @@
             outcome = str(response.status_code)
             self._check_answer(kind, call, response)
         self.outcomes[outcome] += 1
+        self.cuts.count(side, outcome)
         return outcome
 
     def _check_answer(self, kind: str, call: str, response) -> None:
@@ -451,6 +529,7 @@
                 self.watched.broken(f"{call}: events {ids}")
 
     async def _recover(self) -> None:
+        self.cuts.check()
         await anyio.sleep(SETTLE_S)
         for _, proxy in self.endpoints.values():
             proxy.heal()
--- a/packages/daemon/src/knapweedbridge_daemon/serving/byte_stream.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/byte_stream.py
@@ -264,3 +264,10 @@
         with suppress(OSError):
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         self.close()
+
+
+async def connect_stream(ip: str, port: int) -> ByteStream:
+    """Open a connection; raises OSError where that fails."""
+    loop = asyncio.get_running_loop()
+    _, stream = await loop.create_connection(ByteStream, ip, port)
+    return stream
--- a/packages/daemon/src/knapweedbridge_daemon/serving/forwarding.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/forwarding.py
@@ -1,6 +1,5 @@
 """Carries connections to endpoints for hosts that have lost their links."""
 
-import asyncio
 import contextlib
 
 import anyio
@@ -15,7 +14,9 @@
 )
 from knapweedbridge_daemon.peer_sockets import PeerSocket
 from knapweedbridge_daemon.peers import STREAM_ERRORS
+from knapweedbridge_daemon.serving import byte_stream
 from knapweedbridge_daemon.serving.byte_stream import ByteStream, set_options
+from knapweedbridge_daemon.serving.clock import loop_time_s
 from knapweedbridge_daemon.serving.hub import Hub
 from knapweedbridge_daemon.serving.tunnels import CHUNK_BYTES, END
 
@@ -85,19 +86,19 @@
     async def _connect_and_carry(
         self, host: str, stream: PeerSocket, asked: TunnelAsked
     ) -> None:
-        ip, port = split_address(asked.address)
-        loop = asyncio.get_running_loop()
         try:
             with anyio.fail_after(CONNECT_S):
-                _, upstream = await loop.create_connection(ByteStream, ip, port)
+                upstream = await byte_stream.connect_stream(
+                    *split_address(asked.address)
+                )
         except (OSError, TimeoutError):
-            is_linked = self._hub.paths.is_linked(loop.time())
+            is_linked = self._hub.paths.is_linked(loop_time_s())
             reason = "unreachable" if is_linked else "unsure"
             await self._refuse(host, stream, asked, reason)
             return
         with contextlib.closing(upstream):
             set_options(stream.raw)
-            self._hub.paths.note_direct(asked.address, loop.time())
+            self._hub.paths.note_direct(asked.address, loop_time_s())
             self._hub.measures.count("tunnels_asked", "carried")
             await stream.send(encode(TunnelOpened(self.tunnels)))
             await self._carry(stream, upstream)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/http_client.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/http_client.py
@@ -1,6 +1,5 @@
 """Connections to HTTP/1.1 servers: opened, kept while they are idle, lent."""
 
-import asyncio
 from abc import ABC, abstractmethod
 from collections import defaultdict, deque
 from collections.abc import AsyncGenerator
@@ -10,6 +9,7 @@
 import anyio
 
 from knapweedbridge_core.addresses import split_address
+from knapweedbridge_daemon.serving import byte_stream
 from knapweedbridge_daemon.serving.byte_stream import ByteStream
 from knapweedbridge_daemon.serving.client_connection import (
     BrokenError,
@@ -70,14 +70,13 @@
 
     async def connect(self, destination: Destination) -> ByteStream:
         """See `Connector.connect`."""
-        ip, port = split_address(destination.address)
-        loop = asyncio.get_running_loop()
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
-                _, stream = await loop.create_connection(ByteStream, ip, port)
+                return await byte_stream.connect_stream(
+                    *split_address(destination.address)
+                )
         except (OSError, TimeoutError) as error:
             raise NotSentError(f"{destination.address}: {error!r}") from error
-        return stream
 
 
 class ConnectionPool:
