--- a/bench/soak_start.py
+++ b/bench/soak_start.py
@@ -2,9 +2,9 @@
 
     python soak_start.py ROOT
 
-``SOAK_LINKS`` names the file, ``SOAK_STORE`` the store's address. While the file holds
-``hang``, ``reset`` or ``refuse``, new connections to endpoints hang or are refused; open
-ones fall silent and are ended as the kernel does, are reset, or live on.
+``SOAK_LINKS`` names the file, ``SOAK_STORE`` the store. While the file holds
+``hang``, ``reset`` or ``refuse``, new connections to endpoints hang or are refused;
+open ones fall silent and are ended as the kernel does, are reset, or live on.
 """
 
 import asyncio
