Paths found cut are not tried by calls, and probes ask no host for a nameless endpoint

Looks for paths that are back name no endpoint, and one that failed after its path had been taken off the list asked other hosts for it. Such a look asks nobody now.

A call for an endpoint whose path is cut, and that no other host carries, waited 0.6 s for a direct connection though that is looked for beside it twice a second; it goes to another endpoint, or is refused, at once.

--- a/packages/daemon/src/knapweedbridge_daemon/serving/endpoint_connector.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/endpoint_connector.py
@@ -43,8 +43,6 @@
         Whether the one that began it still waits.
     is_reached : bool
         Whether another host reached the endpoint meanwhile.
-    is_checked : bool
-        Whether another host was asked.
     """
 
     destination: Destination
@@ -53,7 +51,6 @@
     error: NotSentError | None = None
     is_awaited: bool = True
     is_reached: bool = False
-    is_checked: bool = False
 
 
 class EndpointConnector(Connector):
@@ -86,7 +83,8 @@
         if destination.is_direct:
             return await self._connect_directly(destination)
         if self._hub.paths.is_cut(destination.address):
-            return await self._connect_around(destination)
+            # Whether the own path is back is looked for beside the calls.
+            return await self._tunnels.open(destination)
         return await self._connect_either_way(destination)
 
     async def _connect_directly(self, destination: Destination) -> ClientStream:
@@ -100,15 +98,6 @@
             attempt.is_awaited = False
             self._release(attempt)
 
-    async def _connect_around(self, destination: Destination) -> ClientStream:
-        try:
-            return await self._tunnels.open(destination)
-        except NotSentError as failure:
-            try:
-                return await self._connect_directly(destination)
-            except NotSentError as error:
-                raise NotSentError(f"{error}; {failure}", failure.is_lost) from error
-
     async def _connect_either_way(self, destination: Destination) -> ClientStream:
         attempt = self._begin(destination)
         try:
@@ -180,7 +169,7 @@
         elif self._hub.paths.is_cut(address):
             self._hub.paths.note_failed(address, now_s)
             self._tell_changes()
-        elif attempt.destination.is_direct and not attempt.is_checked:
+        elif attempt.destination.is_direct and attempt.destination.endpoint:
             self._tasks.start_soon(self._check, attempt)
 
     async def _check_slow(self, attempt: DirectAttempt) -> None:
@@ -196,7 +185,6 @@
 
     async def _check(self, attempt: DirectAttempt) -> None:
         """See whether another host reaches what this one does not."""
-        attempt.is_checked = True
         address = attempt.destination.address
         if address in self._checked or not self._may_ask(attempt.destination):
             return
