Forwarders are asked even where all of them rest; lost links have a module of their own

Traced with fourteen busy processes beside the story: the one host with links did not answer a question within 0.5 s, as the three daemons and all stand-ins share a processor; it then rested for up to 4 s, and nobody was asked meanwhile: "no host reaches it". A host that was slow once is better than none: where all rest, those whose rest ends first are asked. The new row of the table of decisions fails without it.

--- a/features/paths/decisions.feature
+++ b/features/paths/decisions.feature
@@ -44,3 +44,10 @@
       | those that carry least go first  | h1 carries 5, h2 carries 1, h3 carries 3    | h2,h3,h1 | h8,h9 |
       | one that refused rests           | h1 carries 5, h2 carries 1, h3 carries 3, h2 refuses | untried | h2,h8,h9 |
       | few are proven                   | h1 carries 5                                | untried | h8,h9 |
+
+  Scenario: Where all hosts rest, those whose rest ends first are asked
+    Guards against a host that asks nobody, as the few hosts with links were slow once.
+
+    Given a host that knows the daemons h1 to h9, of which h9 has no links and h8 drains
+    When these come: h3 refuses, h1 refuses, h2 refuses, h4 refuses, h5 refuses, h6 refuses, h7 refuses
+    Then h3, h1 and h2 are asked
--- a/features/paths/steps/decision_steps.py
+++ b/features/paths/steps/decision_steps.py
@@ -14,7 +14,7 @@
         self.forwarders = Forwarders("h0")
 
     def take(self, event):
-        self.now_s += 0.1
+        self.now_s += 0.05
         who, _, what = event.partition(" ")
         done = {
             "is cut": lambda: self.paths.note_cut(who, self.now_s),
@@ -78,3 +78,9 @@
         assert order[1] == "h1" or len(order) < 7 or order[1] == "h3", order
     else:
         assert order[: len(names(first))] == first.split(","), order
+
+
+@then("{first}, {second} and {third} are asked")
+def are_asked(context, first, second, third):
+    order = context.host.forwarders.in_order(context.host.now_s)
+    assert order == [first, second, third], order
--- a/packages/core/src/knapweedbridge_core/serving/backpressure.py
+++ b/packages/core/src/knapweedbridge_core/serving/backpressure.py
@@ -18,7 +18,7 @@
     brittle_per_s : float or None
         Calls a second that it can turn away before it falls over; None: any number.
     brittle_heard_s : float
-        When an answer last told that, or told nothing of it.
+        When an answer last said that, or left it out.
     limit_heard_s : float
         When the endpoint said that, on the daemon's clock.
     leaves : bool
@@ -60,7 +60,7 @@
             self.closed_until_s = max(self.closed_until_s, until_s)
 
     def take_brittle(self, brittle_per_s: float | None, heard_s: float) -> bool:
-        """Take what an answer tells of brittleness; return whether that is news."""
+        """Record what an answer says of brittleness; return whether it changed."""
         if heard_s < self.brittle_heard_s:
             return False
         self.brittle_heard_s = heard_s
--- a/packages/core/src/knapweedbridge_core/serving/forwarders.py
+++ b/packages/core/src/knapweedbridge_core/serving/forwarders.py
@@ -1,5 +1,6 @@
 """Which hosts carry connections to endpoints for a host that has lost its links."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -68,9 +69,12 @@
         """Return the hosts to ask, the first first.
 
         Those that carry connections go by how many; while they are few, one that has
-        not been tried goes before them.
+        not been tried goes before them. Where all rest, some are asked all the same.
         """
         able = [name for name in self._able if self._may_ask(name, now_s)]
+        if not able:
+            # Few may have links, and be slow for what they carry.
+            return sorted(self._able, key=self._rests_until_s)[:PROVEN_ENOUGH]
         proven = [name for name in able if name in self._carries]
         proven.sort(key=lambda name: self._carries[name])
         untried = [name for name in able if name not in self._carries]
@@ -78,8 +82,11 @@
         return first + proven + untried[len(first) :]
 
     def _may_ask(self, name: str, now_s: float) -> bool:
+        return self._rests_until_s(name) <= now_s
+
+    def _rests_until_s(self, name: str) -> float:
         refusals = self._refusals.get(name)
-        return refusals is None or refusals.until_s <= now_s
+        return refusals.until_s if refusals else -math.inf
 
     def note_opened(self, name: str, connections: int) -> None:
         """Record how many connections a host carries, with the one just opened."""
--- a/packages/core/src/knapweedbridge_core/serving/permit_messages.py
+++ b/packages/core/src/knapweedbridge_core/serving/permit_messages.py
@@ -97,7 +97,7 @@
 
 @message
 class TurnedAway:
-    """A daemon tells a brittle endpoint's keeper that it had no room for a call."""
+    """A daemon notifies a brittle endpoint's keeper that it had no room for a call."""
 
     endpoint: str
     started_ms: int
--- a/packages/daemon/src/knapweedbridge_daemon/serving/answer_signs.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/answer_signs.py
@@ -83,15 +83,13 @@
     async def _take_brittle(
         self, endpoint: Endpoint, answer: AnswerHead, sent_s: float
     ) -> None:
-        pressure, told = endpoint.pressure, answer.brittle_per_s
-        if told is not None:
-            is_news = pressure.take_brittle(told, anyio.current_time())
-        else:
-            is_later = answer.genuine and sent_s > pressure.brittle_heard_s
-            is_news = is_later and pressure.take_brittle(None, anyio.current_time())
-        if is_news:
+        pressure, per_s = endpoint.pressure, answer.brittle_per_s
+        # As with a limit: only a later answer that is surely its own may end it.
+        is_later = answer.genuine and sent_s > pressure.brittle_heard_s
+        counts = per_s is not None or is_later
+        if counts and pressure.take_brittle(per_s, anyio.current_time()):
             self._hub.log.info(
-                "endpoint.brittle", endpoint=endpoint.name, turned_away_per_s=told
+                "endpoint.brittle", endpoint=endpoint.name, turned_away_per_s=per_s
             )
             self._hub.engines_changed.tell()
         if answer.turned_away and pressure.is_brittle:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/endpoint_connector.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/endpoint_connector.py
@@ -168,7 +168,7 @@
             self._note_cut(attempt)
         elif self._hub.paths.is_cut(address):
             self._hub.paths.note_failed(address, now_s)
-            self._tell_changes()
+            self._notify_changes()
         elif attempt.destination.is_direct and attempt.destination.endpoint:
             self._tasks.start_soon(self._check, attempt)
 
@@ -224,7 +224,7 @@
             self._hub.log.info(
                 "path.restored", address=address, still_cut=len(self._hub.paths)
             )
-            self._tell_changes()
+            self._notify_changes()
 
     def _note_cut(self, attempt: DirectAttempt) -> None:
         destination = attempt.destination
@@ -237,9 +237,9 @@
                 cut=len(self._hub.paths),
                 error=str(attempt.error),
             )
-        self._tell_changes()
+        self._notify_changes()
 
-    def _tell_changes(self) -> None:
+    def _notify_changes(self) -> None:
         self._hub.beliefs_changed.tell()
         self._wake.set()
 
@@ -274,7 +274,7 @@
                 tasks.start_soon(self._look_for, destination, found)
         if not any(found):
             paths.note_others_failed(len(some))
-            self._tell_changes()
+            self._notify_changes()
 
     async def _look_for(self, destination: Destination, found: list[bool]) -> None:
         found.append(await self._look(destination))
--- a/packages/daemon/src/knapweedbridge_daemon/serving/lease_keeping.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/lease_keeping.py
@@ -1,10 +1,9 @@
 """Keeps this daemon's lease and record in the store, and claims engines under it."""
 
-import math
 import random
 import secrets
 import sys
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Iterable
 
 import anyio
 
@@ -12,16 +11,19 @@
     PROTOCOL,
     DaemonRecord,
     Endpoint,
-    OwnerRecord,
     may_claim,
 )
 from knapweedbridge_daemon.errors import StoreError
 from knapweedbridge_daemon.serving.believing import StoreFollower
 from knapweedbridge_daemon.serving.engine_owning import ORDER_TIMEOUT_S
 from knapweedbridge_daemon.serving.hub import Hub, suspended_clock_s
+from knapweedbridge_daemon.serving.lost_links import (
+    LostLinks,
+    StopOwning,
+    give_up_engine,
+)
 from knapweedbridge_daemon.serving.own_records import (
     pack_daemon,
-    pack_links_lost,
     pack_owner,
     pack_protocol,
 )
@@ -45,9 +47,6 @@
 SECRET_BYTES = 32
 
 
-StopOwning = Callable[[str], Awaitable[None]]
-
-
 class LeaseKeeper:
     """The task that holds the lease and what hangs on it.
 
@@ -68,9 +67,7 @@
         stop_owning: StopOwning | None = None,
     ) -> None:
         self._hub = hub
-        self._stop_owning = stop_owning
-        self._released_s: dict[str, float] = {}
-        self._says_links_lost = False
+        self._links = LostLinks(hub, stop_owning)
         self._follower = follower
         self._lease_s = hub.lease_s
         self._lease = ""
@@ -185,8 +182,8 @@
             await self._hub.beliefs_changed.wait(LOOK_S)
             if self._hub.draining or not self._lease or not self._hub.synced:
                 continue
-            await self._say_links()
-            await self._release_unreached()
+            await self._links.publish(self._lease)
+            await self._links.release_unreached(self._lease)
             for endpoint in self._due():
                 if self._lease_era == self._hub.store_era:
                     await self._claim(endpoint)
@@ -254,10 +251,7 @@
     def _is_free(self, endpoint: Endpoint, now_s: float) -> bool:
         if self._hub.engine_limits(endpoint.record.service) is None:
             return False
-        if endpoint.leaves or self._hub.paths.is_cut(endpoint.record.address):
-            return False
-        if now_s - self._released_s.get(endpoint.name, -math.inf) < self._lease_s:
-            # Owners that take turns would each mistake the other for a former one.
+        if endpoint.leaves or not self._links.may_own(endpoint, now_s):
             return False
         ownerless = self._hub.beliefs.is_ownerless(endpoint.name)
         if not ownerless and not self._is_left_over(endpoint.name):
@@ -299,54 +293,6 @@
             number=done.revision,
         )
 
-    async def _say_links(self) -> None:
-        """Say in the store whether this host has links to endpoints."""
-        hub = self._hub
-        has_lost_links = hub.paths.has_lost_links
-        if has_lost_links == self._says_links_lost:
-            return
-        key = hub.dialects.own_keys.links(hub.identity.name)
-        write = Transaction(deletes=(key,))
-        if has_lost_links:
-            value = pack_links_lost(hub.identity.incarnation)
-            write = Transaction(puts={key: value}, lease=self._lease)
-        try:
-            await hub.dialects.store.commit(write)
-        except StoreError as error:
-            hub.log.info("links.not_told", error=str(error))
-            return
-        self._says_links_lost = has_lost_links
-        hub.log.info("links.lost" if has_lost_links else "links.back")
-
-    async def _release_unreached(self) -> None:
-        """Give up the engines that this host cannot reach, though others do."""
-        hub = self._hub
-        if not len(hub.paths) or self._stop_owning is None:
-            return
-        for name, record in list(hub.beliefs.owners.items()):
-            endpoint = hub.beliefs.fleet.endpoints.get(name)
-            if record.owner != hub.identity.name or endpoint is None:
-                continue
-            if hub.paths.is_confirmed(endpoint.record.address):
-                await self._stop_owning(name)
-                await self._release(name, record)
-
-    async def _release(self, engine: str, record: OwnerRecord) -> None:
-        self._released_s[engine] = anyio.current_time()
-        try:
-            await self._give_up(engine, record)
-        except StoreError as error:
-            self._hub.log.error("owner.hand_over_failed", error=str(error))
-            return
-        self._hub.log.info("owner.unreached", engine=engine, number=record.number)
-
-    async def _give_up(self, engine: str, record: OwnerRecord) -> None:
-        key = self._hub.dialects.own_keys.owner(engine)
-        value = pack_owner("", self._hub.identity.incarnation)
-        await self._hub.dialects.store.commit(
-            Transaction({key: record.number}, {key: value}, lease=self._lease)
-        )
-
     async def hand_over(self) -> None:
         """Give up all engines, and tell that this daemon ends."""
         hub = self._hub
@@ -363,7 +309,7 @@
         try:
             await self._put_record()
             for endpoint, record in owned.items():
-                await self._give_up(endpoint, record)
+                await give_up_engine(hub, endpoint, record, self._lease)
         except StoreError as error:
             # The lease lapses by itself; successors wait that long.
             hub.log.error("owner.hand_over_failed", error=str(error))
--- a/packages/daemon/src/knapweedbridge_daemon/serving/permits.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/permits.py
@@ -143,11 +143,11 @@
         return endpoint.name, endpoint.record.started_ms, pressure.limit_per_s, age_s
 
     async def turned_away(self, endpoint: Endpoint) -> None:
-        """Tell a brittle endpoint's keeper that it had no room for a call."""
+        """Notify a brittle endpoint's keeper that it had no room for a call."""
         keeper = self._keeper(endpoint)
         if keeper is not None:
-            told = TurnedAway(endpoint.name, endpoint.record.started_ms)
-            await self._send(keeper, told)
+            message = TurnedAway(endpoint.name, endpoint.record.started_ms)
+            await self._send(keeper, message)
 
     async def limit_heard(self, endpoint: Endpoint) -> None:
         """Tell an endpoint's keeper of the limit that an answer has just named."""
