Three quarters of what brittle endpoints bear are permitted

A call counts as uncertain for 0.08 s after its permit; hosts that share a processor with twenty others send it later, so that it is counted nowhere as it arrives. A quarter of the budget is left for such calls.

--- a/features/backpressure/brittle.feature
+++ b/features/backpressure/brittle.feature
@@ -24,13 +24,13 @@
   Scenario Outline: The budget of a brittle endpoint: <story>
     Guards against permits for calls that could be one too many to turn away.
 
-    Given a budget of <most> calls
+    Given an endpoint that bears <bears> calls a second
     When at <asked> ms calls ask for room, and at <turned_away> ms calls are turned away
     Then room is given at <given> ms
 
     Examples:
-      | story                         | most | asked             | turned_away | given       |
-      | calls that arrive free it     | 2    | 0,10,20,90        | none        | 0,10,90     |
-      | those turned away stay counted | 2   | 0,10,160,900,1010 | 5           | 0,10,160,900,1010 |
-      | all turned away               | 2    | 0,10,200,1006     | 5,15        | 0,10,1006   |
-      | it bears none                 | 0    | 0,10,90           | none        | 0,90        |
+      | story                         | bears | asked             | turned_away | given       |
+      | calls that arrive free it     | 3     | 0,10,20,90        | none        | 0,10,90     |
+      | those turned away stay counted | 3    | 0,10,160,900,1010 | 5           | 0,10,160,900,1010 |
+      | all turned away               | 3     | 0,10,200,1006     | 5,15        | 0,10,1006   |
+      | it bears none                 | 0     | 0,10,90           | none        | 0,90        |
--- a/features/backpressure/steps/brittle_steps.py
+++ b/features/backpressure/steps/brittle_steps.py
@@ -84,7 +84,7 @@
     assert context.asked == [4, 0], context.asked
 
 
-@given("a budget of {most:d} calls")
+@given("an endpoint that bears {most:d} calls a second")
 def budget(context, most):
     context.room, context.most = RoomBudget(), most
 
--- a/packages/core/src/knapweedbridge_core/serving/brittle.py
+++ b/packages/core/src/knapweedbridge_core/serving/brittle.py
@@ -15,6 +15,10 @@
 COUNTED_S = 1.0
 """Time over which a brittle endpoint counts."""
 
+BUDGET_SHARE = 0.75
+"""Part of what it bears that is permitted: calls of a slow host arrive late, and then
+count as uncertain no more."""
+
 
 class RoomBudget:
     """What one endpoint may still turn away; times are of the keeper's clock."""
@@ -25,13 +29,13 @@
         self._sent_s: deque[float] = deque()
         self._turned_away_s: deque[float] = deque()
 
-    def take(self, most: int, now_s: float) -> float:
+    def take(self, turned_away_per_s: float, now_s: float) -> float:
         """Take a permit for one call.
 
         Parameters
         ----------
-        most : int
-            Calls that the endpoint may turn away in a second.
+        turned_away_per_s : float
+            Calls that the endpoint bears to turn away in a second.
 
         Returns
         -------
@@ -39,7 +43,8 @@
             0.0 where one is given, else seconds after which one may be.
         """
         self._forget(now_s)
-        if len(self._sent_s) + len(self._turned_away_s) < max(1, most):
+        most = max(1, int(BUDGET_SHARE * turned_away_per_s))
+        if len(self._sent_s) + len(self._turned_away_s) < most:
             self._sent_s.append(now_s)
             return 0.0
         ends_s = [each + ARRIVES_S for each in list(self._sent_s)[:1]]
--- a/packages/daemon/src/knapweedbridge_daemon/serving/permits.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/permits.py
@@ -219,8 +219,8 @@
     async def _answer_room(
         self, daemon: str, endpoint: Endpoint, message: RoomAsked
     ) -> None:
-        most = int(message.turned_away_per_s)
-        wait_s = self._room(endpoint).take(most, anyio.current_time())
+        room, now_s = self._room(endpoint), anyio.current_time()
+        wait_s = room.take(message.turned_away_per_s, now_s)
         self._hub.measures.count("permits", "not_given" if wait_s else "given")
         answer = PermitAnswered(endpoint.name, message.ticket, wait_s)
         await self._send(daemon, answer)
