Other hosts are asked for endpoints only where two fail, and two answers are enough

Where one endpoint alone fails, its calls go to others, and nobody is asked, unless a call has broken off there, for whose blame it must be known whether the endpoint is gone. With two that fail within 2 s the links of this host may be lost, and others are asked; two hosts with links that do not reach the endpoint are proof enough, and the rest is not waited for. Owners ask for their own engine, as before.

--- a/packages/core/src/knapweedbridge_core/serving/crashes.py
+++ b/packages/core/src/knapweedbridge_core/serving/crashes.py
@@ -50,6 +50,13 @@
         if mark:
             self._broke.append(Broke(mark, endpoint, now_s))
 
+    def has_broken(self, endpoint: str, now_s: float) -> bool:
+        """Return whether a call has broken off at an endpoint of late."""
+        return any(
+            each.endpoint == endpoint and now_s - each.at_s <= PROOF_S
+            for each in self._broke
+        )
+
     def lost(self, endpoint: str, now_s: float) -> list[str]:
         """Take that an endpoint is lost; return the calls that are to be blamed."""
         found = [
--- a/packages/core/src/knapweedbridge_core/serving/endpoint_paths.py
+++ b/packages/core/src/knapweedbridge_core/serving/endpoint_paths.py
@@ -17,6 +17,11 @@
 OTHERS_TRIED = 2
 """Endpoints not found cut that must fail too before a host counts as without links."""
 
+DOUBTED_S = 2.0
+DOUBTED_ENDPOINTS = 2
+"""Endpoints that must fail within this time before other hosts are asked for them.
+Where one alone fails calls go to others; all hosts would ask for one that is gone."""
+
 ASK_AGAIN_S = 0.5
 """Pause after which other hosts are asked again for an endpoint that they do not reach
 either; calls go elsewhere meanwhile."""
@@ -57,11 +62,19 @@
         When an endpoint last answered over a link of this host, on the daemon's clock.
     """
 
-    __slots__ = ("_cut", "_others_failed", "_unreached_s", "has_lost_links", "linked_s")
+    __slots__ = (
+        "_cut",
+        "_doubted_s",
+        "_others_failed",
+        "_unreached_s",
+        "has_lost_links",
+        "linked_s",
+    )
 
     def __init__(self) -> None:
         self._cut: dict[str, CutPath] = {}
         self._unreached_s: dict[str, float] = {}
+        self._doubted_s: dict[str, float] = {}
         self._others_failed = 0
         self.has_lost_links = False
         self.linked_s = -math.inf
@@ -130,6 +143,7 @@
         """
         self.linked_s = now_s
         self._others_failed = 0
+        self._doubted_s.pop(address, None)
         was_cut = self._cut.pop(address, None) is not None
         if self.has_lost_links:
             self._cut.clear()
@@ -152,6 +166,15 @@
         """Whether all paths found cut are confirmed."""
         return all(path.is_confirmed for path in self._cut.values())
 
+    def note_doubted(self, address: str, now_s: float) -> None:
+        """Record that a direct connection failed, or does not stand soon."""
+        self._doubted_s[address] = now_s
+
+    def are_doubted(self, now_s: float) -> bool:
+        """Return whether it may be this host whose links are lost."""
+        recent = (now_s - at_s <= DOUBTED_S for at_s in self._doubted_s.values())
+        return len(self._cut) + sum(recent) >= DOUBTED_ENDPOINTS
+
     def note_unreached(self, address: str, now_s: float) -> None:
         """Record that another host does not reach an endpoint either."""
         self._unreached_s[address] = now_s
@@ -162,7 +185,7 @@
 
     def keep_only(self, addresses: set[str]) -> None:
         """Forget the paths to endpoints that are gone."""
-        for known in (self._cut, self._unreached_s):
+        for known in (self._cut, self._unreached_s, self._doubted_s):
             for address in known.keys() - addresses:
                 del known[address]
         self.has_lost_links = self.has_lost_links and bool(self._cut)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/endpoint_connector.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/endpoint_connector.py
@@ -103,7 +103,9 @@
         try:
             with anyio.move_on_after(HEDGE_S):
                 await attempt.done.wait()
-            if attempt.stream is not None or not self._may_ask(destination):
+            if attempt.stream is None:
+                self._hub.paths.note_doubted(destination.address, loop_time_s())
+            if attempt.stream is not None or not self._must_ask(destination):
                 await attempt.done.wait()
                 return self._take(attempt)
             return await self._race(attempt)
@@ -111,6 +113,14 @@
             attempt.is_awaited = False
             self._release(attempt)
 
+    def _must_ask(self, destination: Destination) -> bool:
+        """Return whether other hosts are asked for what a call does not reach."""
+        hub, now_s = self._hub, loop_time_s()
+        is_blamed = hub.crashes.has_broken(destination.endpoint, now_s)
+        return self._may_ask(destination) and (
+            is_blamed or hub.paths.are_doubted(now_s)
+        )
+
     def _may_ask(self, destination: Destination) -> bool:
         return self._hub.paths.may_ask(destination.address, loop_time_s())
 
@@ -209,7 +219,8 @@
     def _take(attempt: DirectAttempt) -> ClientStream:
         if attempt.stream is None:
             assert attempt.error is not None
-            raise attempt.error
+            # Nobody was asked, so it is not known whether the endpoint is gone.
+            raise NotSentError(str(attempt.error), is_lost=False)
         stream, attempt.stream = attempt.stream, None
         return stream
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/tunnels.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/tunnels.py
@@ -154,6 +154,11 @@
         self.stream: TunnelStream | None = None
         self._changed = anyio.Event()
 
+    @property
+    def is_decided(self) -> bool:
+        """Whether there is a tunnel, or proof that there can be none."""
+        return self.stream is not None or self.unreachable >= UNREACHABLE_PROOF
+
     async def wait(self, longest_s: float) -> None:
         """Wait for an answer, or for some seconds."""
         with anyio.move_on_after(longest_s):
@@ -232,9 +237,9 @@
                     race.asked += 1
                     tasks.start_soon(self._run, name, destination, race)
                     await race.wait(STAGGER_S)
-                    if race.stream is not None:
+                    if race.is_decided:
                         break
-                while race.stream is None and race.asked:
+                while race.asked and not race.is_decided:
                     await race.wait(ASK_ALL_S)
                 tasks.cancel_scope.cancel()
             if race.stream is not None:
