Four rows of calls without an answer when a stopping daemon's time is up, red

A daemon that has been asked to stop ends 0.6 s before its grace does. Calls that still run then end with it. A call that has been passed on and has no answer yet, on a connection that its caller keeps, finds that connection closed without one ("Server disconnected without sending a response").

Real sockets, the daemon a process of its own; four kinds of calls, plain ones and streams, of which all four fail.

--- a/features/platform/signals.feature
+++ b/features/platform/signals.feature
@@ -18,3 +18,18 @@
       | SIGHUP  |
       | SIGTERM |
       | SIGINT  |
+
+  Scenario Outline: A call that has no answer when the time to stop is up gets one: <kind>
+    Guards against kept connections that a stopping daemon closes without an answer.
+
+    Given a daemon in a process of its own that has 4 s to stop
+    When it is asked to stop while a "<kind>" call on a kept connection waits for its endpoint
+    Then the call is answered with <status> before the daemon ends
+    And the daemon ends by itself, without an error
+
+    Examples:
+      | kind  | status |
+      | look  | 504    |
+      | order | 504    |
+      | draft | 504    |
+      | note  | 504    |
--- a/features/platform/steps/signal_steps.py
+++ b/features/platform/steps/signal_steps.py
@@ -6,10 +6,11 @@
 from pathlib import Path
 
 import anyio
+import httpx
 from behave import given, then, when
 from path_steps import ROOT
-from standins import Engine, Store
-from whole_path import TEMPLATE, WholePath, configuration, fill, free_port
+from standins import Endpoint, Engine, Store, header
+from whole_path import NO_TLS, TEMPLATE, WholePath, configuration, fill, free_port
 from whole_path import settings_fields as fields_of
 
 GRACE_S = 6
@@ -17,25 +18,28 @@
 
 
 class SeparateDaemon(WholePath):
-    """A store, an engine and one daemon in a process of its own."""
+    """A store, two endpoints and one daemon in a process of its own."""
 
-    def __init__(self, tasks, folder):
+    def __init__(self, tasks, folder, grace_s=GRACE_S):
         super().__init__(None, tasks)
         self.store = Store()
         self.engine = Engine("engine-1", "llm")
         self.engine.held = {"a1": (1, 0.0)}
+        self.desk = Endpoint("desk-1", "desk")
+        self.grace_s = grace_s
         self._folder = folder
         self.process = None
 
     async def start(self):
-        for server in (self.store, self.engine):
+        for server in (self.store, self.engine, self.desk):
             await self.tasks.start(server.run)
         self.store.put("op/config", configuration())
-        self.store.put(f"servers/{self.engine.name}", self.engine.entry())
+        for endpoint in (self.engine, self.desk):
+            self.store.put(f"servers/{endpoint.name}", endpoint.entry())
         ports = [free_port() for _ in range(3)]
         self.ports.append(ports)
         fields = fields_of("host-0", self.store.address, ports)
-        fields["bounds"]["grace_s"] = GRACE_S
+        fields["bounds"]["grace_s"] = self.grace_s
         text = fill(TEMPLATE.read_text(), fields)
         file = Path(self._folder) / "settings.ini"
         file.write_text(text.replace("127.0.0.1:9464", f"127.0.0.1:{free_port()}"))
@@ -46,46 +50,65 @@
         )
         await self.until_ready()
 
+    def kept_connection(self):
+        """Return a client whose calls share one connection."""
+        return httpx.AsyncClient(
+            base_url=f"http://127.0.0.1:{self.ports[0][0]}",
+            headers={"Host": "shop.example", "Deadline-Ms": "9000"},
+            limits=httpx.Limits(max_connections=1),
+            timeout=9,
+            verify=NO_TLS,
+        )
+
     async def ended(self):
-        with anyio.fail_after(GRACE_S + 3):
+        with anyio.fail_after(self.grace_s + 3):
             while self.process.poll() is None:
                 await anyio.sleep(0.05)
         return self.process.returncode
 
 
-@given("a daemon in a process of its own, and a draft of {seconds:d} s")
-def separate_daemon(context, seconds):
-    context.pause_s = seconds / EVENTS
-
+def play_separately(story, grace_s=GRACE_S):
+    """Run a story with a daemon in a process of its own, which ends with it."""
 
-@when("it is asked to stop in the middle of the draft, and then gets {name}")
-def stopped_and_signalled(context, name):
-    async def story(folder):
+    async def play(folder):
         async with anyio.create_task_group() as tasks:
-            path = SeparateDaemon(tasks, folder)
+            path = SeparateDaemon(tasks, folder, grace_s)
             try:
                 await path.start()
-                path.engine.pause_s = context.pause_s
-                async with anyio.create_task_group() as calls:
-                    calls.start_soon(call, path)
-                    await anyio.sleep(3 * context.pause_s)
-                    path.process.send_signal(signal.SIGTERM)
-                    await anyio.sleep(0.3)
-                    if name != "nothing":
-                        path.process.send_signal(signal.Signals[name])
-                context.code = await path.ended()
+                await story(path)
             finally:
                 if path.process and path.process.poll() is None:
                     path.process.kill()
                     path.process.wait()
                 tasks.cancel_scope.cancel()
 
+    with tempfile.TemporaryDirectory() as folder:
+        anyio.run(play, folder)
+
+
+@given("a daemon in a process of its own, and a draft of {seconds:d} s")
+def separate_daemon(context, seconds):
+    context.pause_s = seconds / EVENTS
+
+
+@when("it is asked to stop in the middle of the draft, and then gets {name}")
+def stopped_and_signalled(context, name):
+    async def story(path):
+        path.engine.pause_s = context.pause_s
+        async with anyio.create_task_group() as calls:
+            calls.start_soon(call, path)
+            await anyio.sleep(3 * context.pause_s)
+            path.process.send_signal(signal.SIGTERM)
+            await anyio.sleep(0.3)
+            if name != "nothing":
+                path.process.send_signal(signal.Signals[name])
+        context.code = await path.ended()
+
     async def call(path):
         context.response = None
         context.response = await path.draft("base/a1")
 
-    with tempfile.TemporaryDirectory() as folder:
-        anyio.run(story, folder)
+    play_separately(story)
 
 
 @then("the caller has all ten events")
@@ -98,3 +121,49 @@
 @then("the daemon ends by itself, without an error")
 def ends_well(context):
     assert context.code == 0, context.code
+
+
+@given("a daemon in a process of its own that has {seconds:d} s to stop")
+def separate_daemon_with_grace(context, seconds):
+    context.grace_s = seconds
+
+
+@when(
+    'it is asked to stop while a "{kind}" call on a kept connection waits for its '
+    "endpoint"
+)
+def stopped_while_waiting(context, kind):
+    async def story(path):
+        async with path.kept_connection() as client:
+            opened = await client.get("/look/1", headers={"Request-Id": "first"})
+            assert opened.status_code == 200, opened
+            path.desk.behaviour = ["silent"] * 2
+            path.engine.queue_s = 30.0
+            async with anyio.create_task_group() as calls:
+                calls.start_soon(call, client)
+                await anyio.sleep(0.3)
+                path.process.send_signal(signal.SIGTERM)
+            context.code = await path.ended()
+        waiting = path.desk if kind in ("look", "order") else path.engine
+        context.arrived = [header(each, "Request-Id") for each in waiting.requests]
+
+    async def call(client):
+        named = {"Request-Id": "second"}
+        if kind in ("draft", "note"):
+            named |= {"Model": "base/a1", "Token-Counts": "100,30"}
+        method = "GET" if kind == "look" else "POST"
+        try:
+            context.response = await client.request(
+                method, f"/{kind}/1", headers=named, content=b""
+            )
+        except httpx.HTTPError as error:
+            context.response = error
+
+    play_separately(story, context.grace_s)
+
+
+@then("the call is answered with {status:d} before the daemon ends")
+def answered_before_the_end(context, status):
+    assert "second" in context.arrived, context.arrived
+    assert isinstance(context.response, httpx.Response), repr(context.response)
+    assert context.response.status_code == status, context.response
