Calls that still run when the time to stop is up are answered

Callers saw: a call that had been passed on, on a connection that they keep, and was still waiting for its endpoint when a daemon's time to stop was up, ended with a closed connection and no answer, as if the daemon had crashed. Nothing told whether the call may have run.

Cause: the end of the grace was the end of the task group, and so of every handler. Its cancellation is not told from a caller's leaving (`caller_left`), which needs no answer. Class: an end of a handler that is not the caller's is handled as if it were.

Calls have a bound already, their deadline, and an answer for it. Ending the calls uses the same: a call whose answer has not begun gets 504, which promises nothing, or 503 with when to come back if it was never sent. A stream that has begun is cut as before and does not look complete. Callers have 0.3 of the 0.6 s that were kept for the end.

Evidence: four rows of features/platform/signals.feature failed before ("Server disconnected without sending a response") and pass; the rows on signals pass as before.

--- a/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
@@ -1,6 +1,8 @@
 """What is done with each request of a caller."""
 
 import traceback
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 import anyio
 
@@ -50,6 +52,8 @@
         self._runner = runner
         self._shares = shares
         self._terms = TermsFinder(hub)
+        self._scopes: set[anyio.CancelScope] = set()
+        self._is_ending = False
         self.running = 0
 
     def limits(self) -> FaceLimits:
@@ -68,6 +72,12 @@
         places = "".join(traceback.format_exception(error)[-LAST_PLACES:])
         self._hub.log.error("daemon.fault", error=repr(error), places=places)
 
+    def end_calls(self) -> None:
+        """End all calls; those whose answer has not begun are answered at once."""
+        self._is_ending = True
+        for scope in self._scopes:
+            scope.cancel()
+
     async def handle(self, request: ReceivedRequest, responder: Responder) -> None:
         """Answer one request."""
         self.running += 1
@@ -155,24 +165,44 @@
             await self._refuse(request, responder, over_quota, details)
             return
         try:
-            with anyio.move_on_at(call.deadline_s) as bound:
+            with self._bounded(call.deadline_s) as bound:
                 outcome = await self._runner.run(call)
             if bound.cancelled_caught:
-                outcome = await self._time_out(call)
+                outcome = await self._break_off(call)
         finally:
             if not call.progress.may_have_run:
                 self._shares.give_back(call.account, details.tokens)
             self._note(call, outcome, terms.deployment.version)
 
-    async def _time_out(self, call: Call) -> str:
+    @contextmanager
+    def _bounded(self, deadline_s: float) -> Iterator[anyio.CancelScope]:
+        """Bound a call by its deadline, and by the end of all calls."""
+        with anyio.CancelScope(deadline=deadline_s) as scope:
+            self._scopes.add(scope)
+            if self._is_ending:
+                scope.cancel()
+            try:
+                yield scope
+            finally:
+                self._scopes.discard(scope)
+
+    async def _break_off(self, call: Call) -> str:
+        """Answer a call that has reached its bound."""
         if call.responder.begun:
-            return "cut_at_timeout"
-        ran = call.progress.sends > 0
-        refusal = Refusal(504, "timeout") if ran else Refusal(503, "no_place", 0.5)
+            return "cut_at_stop" if self._is_ending else "cut_at_timeout"
+        refusal = self._unfinished(call.progress.sends > 0)
         headers, body = self._hub.dialects.callers.refusal(refusal)
         await call.responder.answer(refusal.status, headers, body)
         return refusal.reason
 
+    def _unfinished(self, was_sent: bool) -> Refusal:
+        if self._is_ending:
+            # What was sent may have run: only a call that was not is sent elsewhere.
+            if was_sent:
+                return Refusal(504, "stopping")
+            return Refusal(503, "stopping", STOPPING_AFTER_S)
+        return Refusal(504, "timeout") if was_sent else Refusal(503, "no_place", 0.5)
+
     def _note(self, call: Call, outcome: str, version: int) -> None:
         now_s = anyio.current_time()
         self._hub.measures.count("requests", outcome)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -48,6 +48,9 @@
 END_MARGIN_S = 0.6
 """Time before the end of the grace at which the daemon ends by itself."""
 
+LAST_ANSWERS_S = 0.3
+"""Part of that time in which callers read the answers of calls that were ended."""
+
 LATE_CALLS_S = 2.6
 """How long after the stop signal calls are taken that may last: the balancer takes
 two questions, a second apart, to send callers elsewhere, and a call that is taken
@@ -243,3 +246,8 @@
                 return
             await anyio.sleep(0.1)
         hub.log.error("daemon.cut", running=app.running)
+        app.end_calls()
+        with anyio.move_on_after(LAST_ANSWERS_S):
+            while face.open_connections:
+                face.close_idle()
+                await anyio.sleep(0.02)
