Four rows of calls that meet an error of the daemon's own, red

An error of ours in the handling of a call, before or after the call has been passed on, closes its caller's kept connection without an answer ("Server disconnected without sending a response"). The rows plant one where a call is placed, sent, and where a plain answer and a stream are taken.

--- a/features/platform/steps/path_steps.py
+++ b/features/platform/steps/path_steps.py
@@ -11,7 +11,7 @@
 from whole_path import configuration, free_port, settings_fields, whole_path
 
 from knapweedbridge_core.errors import CheckError
-from knapweedbridge_daemon.serving import attempting
+from knapweedbridge_daemon.serving import attempting, placing
 from knapweedbridge_daemon.serving.http_client import (
     ConnectionPool,
     Destination,
@@ -81,6 +81,55 @@
     assert [len(desk.requests) for desk in context.path.desks] == [1, 1]
 
 
+FAULTY = {
+    "Placing.place": (placing.Placing, "place"),
+    "Attempting._exchange": (attempting.Attempting, "_exchange"),
+    "Attempting._relay": (attempting.Attempting, "_relay"),
+    "Attempting._take_whole": (attempting.Attempting, "_take_whole"),
+}
+
+
+@when('a "{kind}" call on a kept connection meets an error in "{where}"')
+@played
+async def own_error(context, path, kind, where):
+    if kind == "draft":
+        assert (await path.draft("base/a1")).status_code == 200
+    method = "POST" if kind in ("draft", "order") else "GET"
+    async with path.kept_connection() as client:
+        opened = await client.get("/look/1", headers={"Request-Id": "first"})
+        assert opened.status_code == 200, opened
+        with mock.patch.object(*FAULTY[where], side_effect=RuntimeError("planted")):
+            named = {"Request-Id": "second"}
+            if kind == "draft":
+                named |= {"Model": "base/a1", "Token-Counts": "100,30"}
+            try:
+                context.response = await client.request(
+                    method, f"/{kind}/1", headers=named
+                )
+            except httpx.HTTPError as error:
+                context.response = error
+        context.next = await client.get("/look/1", headers={"Request-Id": "third"})
+
+    def faults():
+        return [line for line in path.lines() if line["message_type"] == "daemon.fault"]
+
+    await path.until(faults, "the error is logged")
+    context.faults = faults()
+
+
+@then("it is answered with {status:d}, and the connection ends after that")
+def own_error_answered(context, status):
+    assert isinstance(context.response, httpx.Response), repr(context.response)
+    assert context.response.status_code == status, context.response
+    assert context.response.headers["Connection"] == "close"
+
+
+@then("the daemon counts the error, and goes on to serve")
+def own_error_counted(context):
+    assert ["planted" in line["error"] for line in context.faults] == [True]
+    assert context.next.status_code == 200, context.next
+
+
 @when('"{method}" "{path_}" is called with body "{body}"')
 @played
 async def called_with(context, path, method, path_, body):
--- a/features/platform/steps/signal_steps.py
+++ b/features/platform/steps/signal_steps.py
@@ -10,7 +10,7 @@
 from behave import given, then, when
 from path_steps import ROOT
 from standins import Endpoint, Engine, Store, header
-from whole_path import NO_TLS, TEMPLATE, WholePath, configuration, fill, free_port
+from whole_path import TEMPLATE, WholePath, configuration, fill, free_port
 from whole_path import settings_fields as fields_of
 
 GRACE_S = 6
@@ -50,16 +50,6 @@
         )
         await self.until_ready()
 
-    def kept_connection(self):
-        """Return a client whose calls share one connection."""
-        return httpx.AsyncClient(
-            base_url=f"http://127.0.0.1:{self.ports[0][0]}",
-            headers={"Host": "shop.example", "Deadline-Ms": "9000"},
-            limits=httpx.Limits(max_connections=1),
-            timeout=9,
-            verify=NO_TLS,
-        )
-
     async def ended(self):
         with anyio.fail_after(self.grace_s + 3):
             while self.process.poll() is None:
@@ -134,7 +124,7 @@
 )
 def stopped_while_waiting(context, kind):
     async def story(path):
-        async with path.kept_connection() as client:
+        async with path.kept_connection(deadline_ms=9000) as client:
             opened = await client.get("/look/1", headers={"Request-Id": "first"})
             assert opened.status_code == 200, opened
             path.desk.behaviour = ["silent"] * 2
--- a/features/platform/whole_path.feature
+++ b/features/platform/whole_path.feature
@@ -31,6 +31,21 @@
     When the first endpoint's answer to a look-up comes just as patience with it ends
     Then the look-up is answered with 200, by the second endpoint
 
+  Scenario Outline: A call that meets an error of the daemon's own is answered: <kind>, <where>
+    Guards against kept connections that an error of ours closes without an answer.
+
+    Given the whole path
+    When a "<kind>" call on a kept connection meets an error in "<where>"
+    Then it is answered with 500, and the connection ends after that
+    And the daemon counts the error, and goes on to serve
+
+    Examples:
+      | kind  | where                  |
+      | look  | Placing.place          |
+      | look  | Attempting._exchange   |
+      | order | Attempting._take_whole |
+      | draft | Attempting._relay      |
+
   Scenario: Method, path, query and body reach the endpoint unchanged
     Given the whole path
     When "POST" "/order/a%20b?x=1&y=%2F" is called with body "abc"
--- a/features/platform/whole_path.py
+++ b/features/platform/whole_path.py
@@ -223,6 +223,16 @@
                 await anyio.sleep(0.02)
         assert holds(), what
 
+    def kept_connection(self, deadline_ms=4000):
+        """Return a client whose calls share one connection."""
+        return httpx.AsyncClient(
+            base_url=f"http://127.0.0.1:{self.ports[0][0]}",
+            headers={"Host": "shop.example", "Deadline-Ms": str(deadline_ms)},
+            limits=httpx.Limits(max_connections=1),
+            timeout=9,
+            verify=NO_TLS,
+        )
+
     async def call(self, method, path, daemon=0, headers=None, **more):
         url = f"http://127.0.0.1:{self.ports[daemon][0]}{path}"
         sent = {
