Calls that meet an error of the daemon's own are answered

Callers would see: an error of ours in the handling of a call, also after the call had been passed on, closed the connection that its caller keeps, without an answer. Other connections were not touched, and daemon.fault was logged.

Cause: the error was caught where a connection ends, not where its request is answered. It is now counted and answered there: 500, which promises nothing, and the connection ends in order, so that the answer is not lost to a reset. An answer that had begun is cut as before and does not look complete.

Evidence: four rows of features/platform/whole_path.feature, with an error planted where a call is placed, sent, and where its answer is taken, failed before ("Server disconnected without sending a response") and pass.

--- a/packages/daemon/src/knapweedbridge_daemon/serving/http_server.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/http_server.py
@@ -38,6 +38,9 @@
 """How long a closing connection is read on: closing it with unread bytes would reset
 it, and the caller could lose an answer that was just written."""
 
+FAULT_STATUS = 500
+"""Answer to a request that met an error of ours: it may have run."""
+
 
 class CallerGoneError(Exception):
     """The caller's connection is gone."""
@@ -162,10 +165,20 @@
                 await self._face.handler(request, responder)
             except CallerGoneError:
                 is_gone = True
+            except Exception as error:
+                self._face.count_fault(error)
+                await self._answer_fault(responder)
             finally:
                 self._wire.on_end = None
         return responder.ended and not (is_gone or self._wire.has_ended)
 
+    @staticmethod
+    async def _answer_fault(responder: Responder) -> None:
+        """Answer a request that met an error of ours, unless its answer has begun."""
+        if not responder.begun:
+            with suppress(CallerGoneError):
+                await responder.answer(FAULT_STATUS, [], b"", close=True)
+
     def pack_head(self, head: ResponseHead) -> bytes:
         """Encode the head of an answer."""
         return self._packer.head(head, self._face.closing)
@@ -249,7 +262,7 @@
             with closing(connection):
                 await connection.serve()
         except Exception as error:
-            # A fault of ours costs this caller its connection, and no other's.
+            # An error outside any request costs this caller its connection only.
             self.count_fault(error)
         finally:
             self.open_connections -= 1
