Logs and a gauge tell which software version an endpoint runs, and what a request resumes

The version of an endpoint's software, so far only checked to be there, is kept in its record; an entry that names another version is of another start. attempt.ended names it, request.ended names the attempt that a request resumes and the last event that its caller has, and the gauge software_versions tells whether a release is under way. No decision changes.

--- a/packages/core/src/knapweedbridge_core/serving/endpoint_records.py
+++ b/packages/core/src/knapweedbridge_core/serving/endpoint_records.py
@@ -54,6 +54,8 @@
     started_ms : int
         Unix time of its start in milliseconds, which tells starts under one id apart;
         0 where it is not told.
+    software : str
+        Version of its software. Events of two versions do not fit into one stream.
     """
 
     endpoint: str
@@ -65,6 +67,7 @@
     bases: tuple[str, ...] = ()
     adapters: dict[ModelRef, int] = field(default_factory=dict)
     started_ms: int = 0
+    software: str = ""
 
     @property
     def start(self) -> EndpointStart:
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -9,6 +9,7 @@
 from knapweedbridge_core.serving.model_ref import ModelRef
 from knapweedbridge_core.serving.paced_engines import PacedEngines
 from knapweedbridge_core.serving.service_speeds import ServiceSpeeds
+from knapweedbridge_core.serving.software_versions import SoftwareVersions
 
 
 class Fleet:
@@ -22,6 +23,8 @@
         What owners publish of the speed of engines.
     paced : PacedEngines
         Those whose streams have shown a pause.
+    software : SoftwareVersions
+        Versions of their software that the endpoints of each service run.
     """
 
     def __init__(self) -> None:
@@ -32,6 +35,7 @@
         self._restarted: list[Endpoint] = []
         self._lapsed: dict[str, Endpoint] = {}
         self.paced = PacedEngines()
+        self.software = SoftwareVersions()
 
     def listed(self, record: EndpointRecord, now_s: float) -> Endpoint:
         """Take what the platform says of an endpoint.
@@ -81,8 +85,9 @@
         counts do not touch the new one, which holds and runs nothing yet.
         """
         endpoint = Endpoint(record, first_listed_s=now_s)
+        self.software.listed(record.service, record.software)
         if before is not None:
-            self._drop(before)
+            self._drop(before, now_s)
             self._restarted.append(before)
             endpoint.owner = before.owner
         self.endpoints[record.endpoint] = endpoint
@@ -226,7 +231,7 @@
             endpoint.note_unlisted(now_s, lapsed_until_s)
             self._lapsed[name] = endpoint
             return
-        self._drop(endpoint)
+        self._drop(endpoint, now_s)
 
     def lapse_ends_s(self, now_s: float) -> float | None:
         """Return when the next lapsed endpoint goes out of use; None without any."""
@@ -277,10 +282,12 @@
             if endpoint.lapsed_until_s <= now_s
         ]
         for endpoint in gone:
-            self._drop(endpoint)
+            self._drop(endpoint, now_s)
         return [endpoint.name for endpoint in gone]
 
-    def _drop(self, endpoint: Endpoint) -> None:
+    def _drop(self, endpoint: Endpoint, now_s: float) -> None:
+        record = endpoint.record
+        self.software.dropped(record.service, record.software, now_s)
         del self.endpoints[endpoint.name]
         self.changes += 1
         self._lapsed.pop(endpoint.name, None)
@@ -364,5 +371,7 @@
 
 
 def _is_another(known: EndpointRecord, record: EndpointRecord) -> bool:
-    """Tell whether a record is of another start, or of another service's endpoint."""
-    return known.start.is_before(record.start) or record.service != known.service
+    """Return whether a record is of another start, service or software version."""
+    before = known.service, known.software
+    after = record.service, record.software
+    return known.start.is_before(record.start) or before != after
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
@@ -172,6 +172,7 @@
             "attempt.ended",
             request=call.details.call_id,
             endpoint=target.endpoint.name,
+            software=target.endpoint.record.software,
             version=target.version,
             held_version=forecast.held_version,
             superseded_s=_rounded(forecast.superseded_s),
--- a/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
@@ -220,6 +220,8 @@
             service=call.service,
             model=str(call.details.model or ""),
             configuration=version,
+            resumes=call.details.resumes,
+            after_event=call.details.after_event,
             outcome=outcome,
             sends=call.progress.sends,
             placed=call.last_choice,
--- a/packages/daemon/src/knapweedbridge_daemon/serving/dialects.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/dialects.py
@@ -50,6 +50,11 @@
         Digest of the key that it shows; empty where it shows none that can be read.
     counts_told : bool
         Whether it tells how many tokens it asks for.
+    resumes : str
+        Id of the caller's attempt that brought the first event of the stream that this
+        one resumes; empty where it names none.
+    after_event : str or None
+        Id of the last event that the caller has of a stream; None: it has none.
     """
 
     call_id: str = ""
@@ -60,6 +65,18 @@
     prompt_parts: tuple[tuple[str, int], ...] = ()
     key_digest: str = ""
     counts_told: bool = False
+    resumes: str = ""
+    after_event: str | None = None
+
+    @property
+    def is_resumed(self) -> bool:
+        """Whether its caller has had events of its stream by an earlier attempt."""
+        return bool(self.resumes) or self.after_event is not None
+
+    @property
+    def stream_id(self) -> str:
+        """What its stream is known by over all attempts of its caller."""
+        return self.resumes or self.call_id
 
     @property
     def tokens(self) -> int | None:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/side_faces.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/side_faces.py
@@ -49,6 +49,7 @@
             "endpoints_brittle": hub.beliefs.fleet.brittle_count(),
             "endpoints_leaving": hub.beliefs.fleet.leaving_count(),
             "endpoints_resting": hub.beliefs.fleet.resting_count(anyio.current_time()),
+            "software_versions": hub.beliefs.fleet.software.most(),
             "endpoints_unreachable": hub.beliefs.fleet.unreachable_count(
                 anyio.current_time()
             ),
