Stand-ins: endpoints of several software versions, which come, go and crash

Callers saw streams of two software versions joined, and no story could show it: all stand-ins wrote one version into their entries, and the same bytes into their streams.

An endpoint has its software in its entry and in each event. Engines can be added to a running whole path, say that they leave, and crash: their listener is closed, so that new connections are refused (it was left to the collector before). Daemons can be killed and started again under their name and ports, and a host's store address can lead through a proxy. Links of hosts cover endpoints and hosts that are added later.

--- a/features/paths/host_links.py
+++ b/features/paths/host_links.py
@@ -26,6 +26,8 @@
         self._proxies = {}
         self._cuts = {}
         self._silent = {}
+        self._hosts = []
+        path.before_listing = self.add_endpoint
         loop = asyncio.get_running_loop()
         self._connect = loop.create_connection
         loop.create_connection = self._create_connection
@@ -48,8 +50,18 @@
     async def start(self, hosts):
         """Run the proxies of some hosts, which must be there before their daemons."""
         for host in range(hosts):
-            for endpoint in self._path.endpoints:
-                await self._start_proxy(f"host-{host}", endpoint.address)
+            await self.add_host(f"host-{host}")
+
+    async def add_host(self, host):
+        """Run the proxies of a host, which must be there before its daemon."""
+        self._hosts.append(host)
+        for endpoint in self._path.endpoints:
+            await self._start_proxy(host, endpoint.address)
+
+    async def add_endpoint(self, endpoint):
+        """Run the proxies that lead to an endpoint that the store doesn't list yet."""
+        for host in self._hosts:
+            await self._start_proxy(host, endpoint.address)
 
     async def _start_proxy(self, host, address):
         proxy = self._proxies[host, address] = Proxy(lambda: address)
--- a/features/platform/standins.py
+++ b/features/platform/standins.py
@@ -32,8 +32,13 @@
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         self.address = f"127.0.0.1:{port}"
         with self.scope:
-            task_status.started()
-            await listener.serve(face.serve)
+            async with listener:
+                task_status.started()
+                await listener.serve(face.serve)
+
+    def crash(self):
+        """End at once: all connections break, and new ones are refused."""
+        self.scope.cancel()
 
     async def handle(self, request, responder):
         raise NotImplementedError
@@ -241,6 +246,8 @@
 class Endpoint(Server):
     """A server of a service, with an id and a seal."""
 
+    software = "v1"
+
     def __init__(self, name, service, zone="hall-a"):
         super().__init__()
         self.name = name
@@ -264,7 +271,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.software,
             "slots": 8,
             "state": "ready",
             "cold_left_ms": 0,
@@ -469,7 +476,7 @@
             self.note_begun(request, name, self.held.get(name, held)[0])
         await responder.start(ResponseHead(200, self.sealed(request) + kind))
         for number in range(first, 11):
-            event = f"id: {number}\ndata: t{number}\n\n".encode()
+            event = f"id: {number}\ndata: t{number} of {self.software}\n\n".encode()
             if behaviour != "well" and number == first + 4:
                 if behaviour == "cut in an event":
                     await responder.send(event[:7])
--- a/features/platform/whole_path.py
+++ b/features/platform/whole_path.py
@@ -1,6 +1,7 @@
 """Daemons and stand-ins in one process, over real sockets on loopback."""
 
 import contextvars
+import gc
 import itertools
 import json
 import os
@@ -15,6 +16,7 @@
 import httpx
 from standins import Endpoint, Engine, Store
 
+from knapweedbridge_core.serving.store_eras import revision_of
 from knapweedbridge_daemon.serving.host import ServingHost
 from knapweedbridge_daemon.serving.settings import read_serving_settings
 
@@ -140,6 +142,31 @@
     pass
 
 
+class RunningHost:
+    """One run of a daemon, from its start to its end."""
+
+    def __init__(self, name, settings, log):
+        self._name = name
+        self._settings = settings
+        self._log = log
+        self.scope = anyio.CancelScope()
+        self.ended = anyio.Event()
+
+    def again(self):
+        """Return a new run with the same settings and log."""
+        return RunningHost(self._name, self._settings, self._log)
+
+    async def run(self):
+        HOST.set(self._name)
+        settings = read_serving_settings(self._name, self._settings)
+        host = ServingHost(settings, os.dup(self._log.fileno()))
+        try:
+            with self.scope:
+                await host.run()
+        finally:
+            self.ended.set()
+
+
 class WholePath:
     """The whole path: a store, two plain endpoints, two engines and daemons."""
 
@@ -155,6 +182,9 @@
         self.lease_ms = 1000
         self.bounds = {}
         self.prepare = nothing
+        self.before_listing = nothing
+        self.store_addresses = {}
+        self._hosts = {}
 
     @property
     def endpoints(self):
@@ -170,9 +200,60 @@
         for number in range(daemons):
             self.start_daemon(f"host-{number}")
 
+    async def add_engine(self, software="v1"):
+        """Run one more engine, under an id that none had before, and list it."""
+        engine = await self.run_engine(software)
+        self.write_entry(engine)
+        return engine
+
+    async def run_engine(self, software="v1"):
+        """Run one more engine that the store doesn't list yet."""
+        engine = Engine(f"engine-{len(self.engines) + 1}", "llm")
+        engine.software = software
+        engine.pause_s = self.engines[0].pause_s
+        self.engines.append(engine)
+        await self.tasks.start(engine.run)
+        await self.before_listing(engine)
+        return engine
+
+    def write_entry(self, endpoint, **fields):
+        """Write an endpoint's entry, as it does itself."""
+        self.store.put(f"servers/{endpoint.name}", endpoint.entry(**fields))
+
+    def crash(self, endpoint):
+        """End an endpoint at once; the store no longer lists it."""
+        endpoint.crash()
+        self.store.remove(f"servers/{endpoint.name}")
+
+    async def leave(self, endpoint, drain_s):
+        """End an endpoint that says so, and serves on for a while."""
+        self.write_entry(endpoint, state="draining")
+        await anyio.sleep(drain_s)
+        self.crash(endpoint)
+
+    async def until_known(self, endpoint, daemons):
+        """Wait until some daemons believe what the store says of an endpoint."""
+        key = f"servers/{endpoint.name}"
+        revision = max(event[2] for event in self.store.events if event[0] == key)
+
+        def knows(daemon):
+            return any(
+                line["host"] == f"host-{daemon}"
+                and line["message_type"] == "belief.changed"
+                and line["key"] == key
+                and revision_of(line["revision"]) >= revision
+                for line in self.lines(daemon)
+            )
+
+        await self.until(
+            lambda: all(knows(daemon) for daemon in daemons),
+            f"{endpoint.name} is known",
+        )
+
     def start_daemon(self, name):
         ports = [free_port() for _ in range(3)]
-        fields = settings_fields(name, self.store.address, ports)
+        store = self.store_addresses.get(name, self.store.address)
+        fields = settings_fields(name, store, ports)
         fields["bounds"].update(self.bounds)
         text = fill(TEMPLATE.read_text(), fields)
         self.metrics_ports.append(free_port())
@@ -181,14 +262,22 @@
         log = tempfile.TemporaryFile()  # noqa: SIM115
         self._stack.callback(log.close)
         self.logs.append(log)
-        host = ServingHost(read_serving_settings(name, text), os.dup(log.fileno()))
         self.ports.append(ports)
-        self.tasks.start_soon(self._run, name, host)
-
-    @staticmethod
-    async def _run(name, host):
-        HOST.set(name)
-        await host.run()
+        self._hosts[name] = RunningHost(name, text, log)
+        self.tasks.start_soon(self._hosts[name].run)
+
+    async def kill_daemon(self, name):
+        """End a daemon with no time to finish anything."""
+        self._hosts[name].scope.cancel()
+        await self._hosts[name].ended.wait()
+        # Its listeners close with the last reference, as with a process.
+        gc.collect()
+
+    async def restart_daemon(self, name):
+        """Kill a daemon, and start it again with the settings that it had."""
+        await self.kill_daemon(name)
+        self._hosts[name] = self._hosts[name].again()
+        self.tasks.start_soon(self._hosts[name].run)
 
     def lines(self, daemon=0):
         self.logs[daemon].seek(0)
