Red stories: streams joined from two software versions of a service

What callers see: a stream that one version began goes on at a server of another, within one answer after its engine cut it, crashed or left, and over a caller's tries at any host. Where the version that began it has no server left, or nobody can tell which it was, the stream is served by the other version instead of refused.

The new area software_versions plays this on daemons of the whole path: callers name the last event and the first try, and each event tells which software wrote it. Stories cover answers that break, two and three tries, hosts that are killed, restarted, started later, cut off from the store or from all endpoints, versions that are gone, and a release and its undoing with one engine replaced at a time.

--- /dev/null
+++ b/features/software_versions/environment.py
@@ -0,0 +1,9 @@
+import sys
+from pathlib import Path
+
+AREA = Path(__file__).parent
+
+for folder in ("platform", "platform/steps", "accounts", "backpressure", "paths"):
+    sys.path.insert(0, str(AREA.parent / folder))
+sys.path.insert(0, str(AREA.parents[1] / "bench"))
+sys.path.insert(0, str(AREA))
--- /dev/null
+++ b/features/software_versions/steps/release_steps.py
@@ -0,0 +1,130 @@
+"""Steps on releases, and on what versions cost and bring in the whole."""
+
+import itertools
+import re
+
+import anyio
+import httpx
+from behave import then, when
+from stream_callers import EVENTS, StreamCaller, describe, went_on
+from versions_path import played
+from whole_path import NO_TLS
+
+TAKEN_UP = 16
+BEGUN = 3
+SERVED_SHARE = 0.5
+STREAM_EVERY_S = 0.08
+BROKEN_OFF_EVERY = 2
+MOST_TRIES = 4
+PAUSE_S = 0.08
+OLD_DRAINS_S = 0.4
+"""Less than a stream takes, so that streams break as their engine ends."""
+
+RECORDED = re.compile(
+    r"^knapweedbridge_stream_origins_recorded_total\b.* (\S+)$", re.MULTILINE
+)
+
+
+async def recorded(path):
+    """Return how many records of streams all hosts have sent to other hosts."""
+    total = 0.0
+    async with httpx.AsyncClient(verify=NO_TLS) as client:
+        for port in path.metrics_ports:
+            page = (await client.get(f"http://127.0.0.1:{port}/metrics")).text
+            total += sum(float(value) for value in RECORDED.findall(page))
+    return total
+
+
+async def stream_to_its_end(scene, number):
+    """Ask for a stream, and take it up at the next host as often as a client does."""
+    caller = StreamCaller(scene.path)
+    scene.callers.append(caller)
+    breaks_off = number % BROKEN_OFF_EVERY == 0
+    for each in range(MOST_TRIES):
+        host = scene.hosts[(number + each) % len(scene.hosts)]
+        last = await caller.ask(host, BEGUN if breaks_off and not each else None)
+        if caller.is_whole or caller.has_events(EVENTS):
+            return
+        await anyio.sleep(min(last.retry_after_s, caller.left_s / 3))
+
+
+async def streams_all_the_while(scene, change):
+    """Begin streams while a change goes on, and wait for their ends."""
+    async with anyio.create_task_group() as tasks:
+
+        async def begin_on():
+            for number in itertools.count():
+                tasks.start_soon(stream_to_its_end, scene, number)
+                await anyio.sleep(STREAM_EVERY_S)
+
+        async with anyio.create_task_group() as beginning:
+            beginning.start_soon(begin_on)
+            await change()
+            beginning.cancel_scope.cancel()
+
+
+async def release(scene, engines, software):
+    """Replace engines one at a time; return those that serve then."""
+    new = []
+    for old in engines:
+        new += await scene.add_engines(software, 1)
+        await scene.path.leave(old, OLD_DRAINS_S)
+    return new
+
+
+@when("v2 replaces v1 one engine at a time while streams run, {then_}")
+@played
+async def released(context, scene, then_):
+    async def change():
+        for engine in scene.path.engines:
+            engine.pause_s = PAUSE_S
+        await scene.add_engines("v1", 1)
+        serving = await release(scene, list(scene.path.engines), "v2")
+        if then_ == "and v1 replaces v2 again":
+            await release(scene, serving, "v1")
+
+    await streams_all_the_while(scene, change)
+
+
+@then("at least {count:d} streams were taken up, and half of all are whole")
+def half_whole(context, count):
+    taken_up = [each for each in context.callers if len(each.tries) > 1]
+    assert len(taken_up) >= count, len(taken_up)
+    bad = [each for each in context.callers if not each.is_whole]
+    assert len(bad) <= SERVED_SHARE * len(context.callers), describe(bad)
+
+
+@when("streams break off and are taken up while others begin")
+@played
+async def taken_up_beside_new(context, scene):
+    await scene.begin(TAKEN_UP, 0, BEGUN)
+    context.taken_up = list(scene.callers)
+    context.new = [StreamCaller(scene.path) for _ in range(TAKEN_UP)]
+    async with anyio.create_task_group() as tasks:
+        for caller in context.new:
+            tasks.start_soon(caller.ask, 1)
+        tasks.start_soon(scene.take_up, 1)
+    context.callers = [*context.taken_up, *context.new]
+
+
+@then("the share of them that goes on is at least half of the share that begins")
+def share_goes_on(context):
+    on = len(went_on(context.taken_up)) / len(context.taken_up)
+    begun = sum(bool(each.events) for each in context.new) / len(context.new)
+    assert begun > 0, describe(context.new)
+    assert on >= begun / 2, f"{on} go on, {begun} begin: {describe(context.taken_up)}"
+
+
+@when("streams run to their end on three hosts")
+@played
+async def cost(context, scene):
+    async with anyio.create_task_group() as tasks:
+        for host in scene.hosts:
+            tasks.start_soon(scene.begin, 4, host)
+    context.recorded = await recorded(scene.path)
+
+
+@then("hosts have told each other {what} of the streams")
+def told(context, what):
+    assert all(each.is_whole for each in context.callers), describe(context.callers)
+    assert (context.recorded > 0) == (what == "something"), context.recorded
