A stream that breaks off goes on at the version that began it

What callers saw: events of two software versions in one answer, which do not fit together.

Cause, the first hypothesis: the version of an endpoint's software was not known where a call is placed. Where a stream broke off, any engine was as good as the one before.

A call remembers the version of the endpoint that made its first event, and is placed only on endpoints of that version; its adapter is loaded only there.

--- a/packages/daemon/src/knapweedbridge_daemon/serving/call.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/call.py
@@ -53,6 +53,9 @@
         Rank that an overdue call has at an engine; None: that of its route.
     waits_overdue : bool
         Whether it has waited for capacity that no timely call wants.
+    software : str or None
+        Version of endpoint software that began its stream, at which alone it goes on;
+        None: any may serve it.
     longest_pause_s, paused_s : float
         Longest time between two events of its stream, and when that pause ended.
     """
@@ -65,6 +68,7 @@
     deadline_s: float
     progress: CallProgress = field(default_factory=CallProgress)
     last_event: str | None = None
+    software: str | None = None
     failure: KeptAnswer | None = None
     refused: set[str] = field(default_factory=set)
     first_event_s: float | None = None
@@ -87,6 +91,10 @@
         """Time that is left, in seconds."""
         return self.deadline_s - loop_time_s()
 
+    def may_go_to(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint's events fit those that its caller has."""
+        return self.software in (None, endpoint.record.software)
+
     @property
     def urgency(self) -> int:
         """Rank of its attempts; 0 goes first."""
--- a/packages/daemon/src/knapweedbridge_daemon/serving/placing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/placing.py
@@ -58,6 +58,10 @@
 NO_ENDPOINT_AFTER_S = 0.6
 """When to come back where a service has no endpoint: one restarts in some seconds."""
 
+GONE_AFTER_S = 0.6
+"""When to come back with a stream whose version has no endpoint: a crashed one restarts
+in some seconds, and an entry that lapsed is back in two."""
+
 CLOSED_AFTER_S = (0.0, 1.0)
 """Added to the time after which an endpoint takes calls again: callers who all came
 then would find it taken by the first."""
@@ -86,6 +90,8 @@
 
     async def place(self, call: Call) -> Target | Refusal:
         """Return where a call goes next, or why it goes nowhere."""
+        if self._is_version_gone(call):
+            return Refusal(503, "software_gone", GONE_AFTER_S)
         if call.details.model is None:
             return await self._place_plain(call)
         case = self._case(call)
@@ -98,6 +104,13 @@
             self._hub.overload.left(case, anyio.current_time(), sent)
         return placed
 
+    def _is_version_gone(self, call: Call) -> bool:
+        """Return whether no endpoint is left that a begun stream may go on at."""
+        if call.software is None:
+            return False
+        fleet, now_s = self._hub.beliefs.fleet, anyio.current_time()
+        return not any(map(call.may_go_to, fleet.of_service(call.service, now_s)))
+
     async def _place_on_engine(
         self, call: Call, model: ModelRef, case: CallerCase
     ) -> Target | Refusal:
@@ -215,7 +228,8 @@
             call.details.prompt_tokens,
             policy.patience_s(case, call.accepted, now_s),
         )
-        engines = without_limited(beliefs.fleet.reachable(call.service, now_s), model)
+        able = filter(call.may_go_to, beliefs.fleet.reachable(call.service, now_s))
+        engines = without_limited(list(able), model)
         beliefs.fleet.guess_load(
             engines, self._hub.daemons, beliefs.is_small_pool, now_s
         )
@@ -273,4 +287,5 @@
         # One that is backed off from is better than none.
         able = fleet.reachable(call.service, now_s)
         able = able or fleet.open_to(call.service, now_s)
+        able = list(filter(call.may_go_to, able))
         return await self._link.plain.choose(ask, able, call.details.call_id)
