Hosts find the version that began a stream which its caller resumes

Class: what must fit together is decided by who made it, and that was not kept with what was made.

While endpoints of several versions serve, the host that begins a stream records its origin at three others, one a data centre, and a host that resumes one asks those. Where a second version appears, or a keeper of origins starts anew, hosts record what they have under way. Without a record the version is told only where all who answer know a single one; else the stream is refused at once (503). The store holds which versions of a service serve side by side, until 60 s after only one is left: a host that has just started does not know which ones are gone.

On the whole path a host asked by callers in its first moment lost its questions, as it was not linked yet: it asks again until it is answered.

--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -110,10 +110,18 @@
     split,
 )
 from knapweedbridge_core.serving.retry_budget import RetryBudget
+from knapweedbridge_core.serving.software_versions import SoftwareVersions
 from knapweedbridge_core.serving.speed_reports import SpeedReports
 from knapweedbridge_core.serving.store_age import HearerMarks, StoreAge
 from knapweedbridge_core.serving.store_eras import era_of, revision_of, stamp
 from knapweedbridge_core.serving.store_outage import StoreOutage
+from knapweedbridge_core.serving.stream_origins import (
+    OriginQuestion,
+    OriginTable,
+    StreamOrigin,
+    VersionView,
+    origin_keepers,
+)
 
 __all__ = [
     "Accounts",
@@ -139,8 +147,8 @@
     "EngineLimits",
     "EnginePlacement",
     "EngineRates",
-    "EngineSpeed",
     "EngineReport",
+    "EngineSpeed",
     "EngineTeller",
     "FaceLimits",
     "Fleet",
@@ -155,16 +163,18 @@
     "LoadTimes",
     "MemoryBudget",
     "ModelRef",
-    "NoEngine",
     "NamedVersions",
+    "NoEngine",
     "NoPacing",
-    "PROTOCOL",
     "Order",
     "OrderAnswer",
     "OrderKind",
+    "OriginQuestion",
+    "OriginTable",
     "OverdueLast",
     "OverloadPolicy",
     "OwnerRecord",
+    "PROTOCOL",
     "PartBucket",
     "PermitPacer",
     "PlacementAsk",
@@ -185,13 +195,16 @@
     "Route",
     "SendTo",
     "Service",
+    "SoftwareVersions",
     "SpeedReports",
     "StoreAge",
     "StoreOutage",
+    "StreamOrigin",
     "Telling",
     "TooLate",
     "UsualDeadlines",
     "Verdict",
+    "VersionView",
     "VersionsNow",
     "Wait",
     "WaitFor",
@@ -212,6 +225,7 @@
     "may_claim",
     "may_send_again",
     "nearest_first",
+    "origin_keepers",
     "parse_model",
     "permit_keeper",
     "ranked",
--- a/packages/core/src/knapweedbridge_core/serving/belief_records.py
+++ b/packages/core/src/knapweedbridge_core/serving/belief_records.py
@@ -73,6 +73,20 @@
     protocol: int
 
 
+@record
+class SoftwareRecorded:
+    """Versions of endpoint software that have served side by side in a service.
+
+    Parameters
+    ----------
+    versions : tuple of str
+        The versions; empty: there is no record any more.
+    """
+
+    service: str
+    versions: tuple[str, ...]
+
+
 @record
 class LinksLost:
     """A daemon says that its host reaches no endpoint."""
@@ -119,6 +133,7 @@
     | DaemonNamed
     | DaemonGone
     | ProtocolNamed
+    | SoftwareRecorded
     | LinksLost
     | LinksBack
     | OwnerNamed
--- a/packages/core/src/knapweedbridge_core/serving/beliefs.py
+++ b/packages/core/src/knapweedbridge_core/serving/beliefs.py
@@ -19,6 +19,7 @@
     OwnerNamed,
     ProtocolNamed,
     SecretNamed,
+    SoftwareRecorded,
     VersionNamed,
 )
 from knapweedbridge_core.serving.deployment import Deployment
@@ -56,6 +57,7 @@
     "OwnerNamed",
     "ProtocolNamed",
     "SecretNamed",
+    "SoftwareRecorded",
     "VersionNamed",
 ]
 
@@ -202,12 +204,12 @@
                 self.daemons.pop(name, None)
                 self._protocols.pop(name, None)
                 self._daemons_changed(now_s)
+            case SoftwareRecorded(service, versions):
+                self.fleet.software.recorded(service, versions, now_s)
             case LinksLost() | LinksBack() | ProtocolNamed():
                 self._take_of_daemon(belief)
-            case OwnerNamed(endpoint, record):
-                self._take_owner(endpoint, record, now_s)
-            case OwnerGone(endpoint):
-                self._owner_gone(endpoint, now_s)
+            case OwnerNamed() | OwnerGone():
+                self._take_ownership(belief, now_s)
             case SecretNamed(secret):
                 self.secret = secret
         return True
@@ -277,6 +279,12 @@
         endpoint.owner = owner.owner if owner else ""
         return True
 
+    def _take_ownership(self, belief: OwnerNamed | OwnerGone, now_s: float) -> None:
+        if isinstance(belief, OwnerNamed):
+            self._take_owner(belief.endpoint, belief.record, now_s)
+        else:
+            self._owner_gone(belief.endpoint, now_s)
+
     def _take_owner(self, endpoint: str, record: OwnerRecord, now_s: float) -> None:
         known = self.owners.get(endpoint)
         if known is not None and record.number < known.number:
--- a/packages/core/src/knapweedbridge_core/serving/overload.py
+++ b/packages/core/src/knapweedbridge_core/serving/overload.py
@@ -214,7 +214,7 @@
 
         One that waits here but may still be in time is placed as others are.
         """
-        if call.may_have_run:
+        if call.may_have_run or call.begun:
             return False
         if call.waited_s(now_s) > call.route.objective_s:
             return True
--- a/packages/core/src/knapweedbridge_core/serving/protocols.py
+++ b/packages/core/src/knapweedbridge_core/serving/protocols.py
@@ -6,13 +6,24 @@
 kept from daemons that speak it.
 """
 
+from knapweedbridge_core.serving.origin_messages import (
+    OriginAnswered,
+    OriginAsked,
+    OriginsRecorded,
+)
 from knapweedbridge_core.serving.permit_messages import RoomAsked, TurnedAway
 
 FIRST_PROTOCOL = 1
-PROTOCOL = 2
+PROTOCOL = 3
 """Rises with each kind of message, or meaning of one, that earlier versions lack."""
 
-SINCE: dict[type, int] = {RoomAsked: 2, TurnedAway: 2}
+SINCE: dict[type, int] = {
+    RoomAsked: 2,
+    TurnedAway: 2,
+    OriginsRecorded: 3,
+    OriginAsked: 3,
+    OriginAnswered: 3,
+}
 """The protocols that brought kinds of messages; others are of the first."""
 
 
--- a/packages/core/src/knapweedbridge_core/serving/software_versions.py
+++ b/packages/core/src/knapweedbridge_core/serving/software_versions.py
@@ -1,24 +1,29 @@
 """Which versions of their software the endpoints of each service run."""
 
 from collections import Counter, defaultdict
+from collections.abc import Iterable
 
 STREAM_LIFE_S = 60.0
-"""Longest time over which the caller of one stream may take it up again: deadlines are
-some tens of seconds."""
+"""Longest time over which the caller of one stream may resume it: deadlines are some
+tens of seconds."""
 
 
 class SoftwareVersions:
     """The software versions of each service that streams may have begun on.
 
     A version counts while an endpoint of it is listed, and for `STREAM_LIFE_S` after.
-    Times are of one steady clock, in seconds.
+    A host that was started since knows of it by the platform's store, in which hosts
+    record the versions of a service that serve side by side. Times are of one steady
+    clock, in seconds.
     """
 
-    __slots__ = ("_gone_s", "_listed")
+    __slots__ = ("_gone_s", "_listed", "_recorded", "_recorded_s")
 
     def __init__(self) -> None:
         self._listed: dict[str, Counter[str]] = defaultdict(Counter)
         self._gone_s: dict[str, dict[str, float]] = {}
+        self._recorded: dict[str, frozenset[str]] = {}
+        self._recorded_s: dict[str, float] = {}
 
     def listed(self, service: str, software: str) -> None:
         """Record that one more endpoint of a service runs a version."""
@@ -32,8 +37,25 @@
             del counts[software]
             self._gone_s.setdefault(service, {})[software] = now_s
 
+    def recorded(self, service: str, versions: Iterable[str], now_s: float) -> None:
+        """Record which versions the store holds for a service; none: no record."""
+        found = frozenset(versions)
+        if found:
+            self._recorded[service] = found
+            self._recorded_s.setdefault(service, now_s)
+        else:
+            self._recorded.pop(service, None)
+            self._recorded_s.pop(service, None)
+
+    def services(self) -> list[str]:
+        """Return the services that have had an endpoint."""
+        return list(self._listed)
+
     def of(self, service: str, now_s: float) -> set[str]:
         """Return the versions of a service that streams may have begun on."""
+        return self._seen(service, now_s) | self._recorded.get(service, frozenset())
+
+    def _seen(self, service: str, now_s: float) -> set[str]:
         found = set(self._listed.get(service, ()))
         gone_s = self._gone_s.get(service)
         if gone_s is None:
@@ -47,10 +69,27 @@
 
     def has_several(self, service: str, now_s: float) -> bool:
         """Return whether streams of a service may have begun on several versions."""
-        if service not in self._gone_s:
+        if service not in self._gone_s and service not in self._recorded:
             return len(self._listed.get(service, ())) > 1
         return len(self.of(service, now_s)) > 1
 
+    def to_record(self, service: str, now_s: float) -> set[str] | None:
+        """Return what the store should hold for a service.
+
+        Returns
+        -------
+        set of str or None
+            The versions to write; empty: the record is to be removed; None: what the
+            store holds is right.
+        """
+        seen, held = self._seen(service, now_s), self._recorded.get(service)
+        if held is None:
+            return seen if len(seen) > 1 else None
+        if not seen <= held:
+            return seen | held
+        is_old = now_s - self._recorded_s[service] > STREAM_LIFE_S
+        return set() if is_old and len(seen) <= 1 else None
+
     def most(self) -> int:
         """Return the most versions of one service that are listed side by side."""
         return max(map(len, self._listed.values()), default=0)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -288,7 +288,7 @@
             if events.last_id is not None:
                 call.last_event = events.last_id
             if not call.progress.begun:
-                call.software = endpoint.record.software
+                await self._link.resuming.begun(call, endpoint)
                 await self._begin_stream(call, answer, now_s)
             await send(events.data)
         if cutter.rest:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/call.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/call.py
@@ -91,6 +91,17 @@
         """Time that is left, in seconds."""
         return self.deadline_s - loop_time_s()
 
+    @property
+    def caller_until_s(self) -> float:
+        """When its caller's last attempt is over, on the daemon's clock."""
+        stated_s = self.details.deadline_s
+        return self.request.received_s + (stated_s or self.route.timeout_s)
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether its caller has had events of its stream, by any attempt."""
+        return self.progress.begun or self.details.is_resumed
+
     def may_go_to(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint's events fit those that its caller has."""
         return self.software in (None, endpoint.record.software)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
@@ -143,7 +143,7 @@
             request,
             responder,
             route,
-            route.service_of(details.call_id),
+            route.service_of(details.stream_id),
             details,
             request.received_s + allowed_s,
             mark=fingerprint(request.head.target, request.body),
--- a/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
@@ -30,12 +30,17 @@
 
     async def run(self, call: Call) -> str:
         """Run a call, and answer it; return a word for how it ended."""
+        if call.details.is_resumed:
+            refusal = await self._link.resuming.resume(call)
+            if refusal is not None:
+                return await self._give_up(call, refusal)
         while True:
             target = await self._placing.place(call)
             if isinstance(target, Refusal):
                 return await self._unplaced(call, target)
             end = await self._attempt(call, target)
             if end is AttemptEnd.ANSWERED:
+                self._link.resuming.ended(call)
                 return "answered"
             if end is AttemptEnd.WITHHELD:
                 continue
--- a/packages/daemon/src/knapweedbridge_daemon/serving/dialects.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/dialects.py
@@ -275,6 +275,10 @@
         """Key under which a daemon says which protocol it speaks."""
         return f"{self.prefix}protocols/{name}"
 
+    def software(self, service: str) -> str:
+        """Key of the software versions of a service that serve side by side."""
+        return f"{self.prefix}software/{service}"
+
     def links(self, name: str) -> str:
         """Key under which a daemon says that its host reaches no endpoint."""
         return f"{self.prefix}links/{name}"
--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -34,6 +34,7 @@
 from knapweedbridge_daemon.serving.peer_link import PeerLink
 from knapweedbridge_daemon.serving.settings import ServingSettings
 from knapweedbridge_daemon.serving.side_faces import SideFaces
+from knapweedbridge_daemon.serving.software_records import SoftwareRecords
 from knapweedbridge_daemon.serving.store_marks import StoreMarks
 from knapweedbridge_daemon.serving.sweeping import EndpointSweep
 from knapweedbridge_daemon.serving.tunnels import Tunnels
@@ -164,6 +165,7 @@
             tasks.start_soon(StoreMarks(hub, link.send).run)
             tasks.start_soon(EndpointSweep(hub, link).run)
             tasks.start_soon(LapseCheck(hub).run)
+            tasks.start_soon(SoftwareRecords(hub).run)
             tasks.start_soon(held.run)
             await self._await_stop(hub, lease, face, app, link.forwarding)
             tasks.cancel_scope.cancel()
--- a/packages/daemon/src/knapweedbridge_daemon/serving/own_records.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/own_records.py
@@ -13,6 +13,7 @@
     OwnerNamed,
     ProtocolNamed,
     SecretNamed,
+    SoftwareRecorded,
 )
 from knapweedbridge_daemon.serving.dialects import DialectError, OwnKeys
 
@@ -43,6 +44,11 @@
     return msgpack.packb([incarnation])
 
 
+def pack_software(versions: set[str]) -> bytes:
+    """Encode which software versions of a service have served side by side."""
+    return msgpack.packb(sorted(versions))
+
+
 def read_own(
     keys: OwnKeys, key: str, value: bytes | None, revision: int
 ) -> Belief | None:
@@ -57,6 +63,8 @@
             return _read_owner(name, value, revision)
         if kind == "links":
             return _read_links(name, value)
+        if kind == "software":
+            return _read_software(name, value)
         if kind == "protocols" and value is not None:
             return _read_protocol(name, value)
     except (ValueError, TypeError, msgpack.UnpackException) as error:
@@ -93,6 +101,14 @@
     return LinksLost(name, incarnation)
 
 
+def _read_software(service: str, value: bytes | None) -> Belief:
+    versions = msgpack.unpackb(value) if value is not None else []
+    _check(versions, list)
+    for each in versions:
+        _check(each, str)
+    return SoftwareRecorded(service, tuple(versions))
+
+
 def _read_protocol(name: str, value: bytes) -> Belief:
     incarnation, protocol = msgpack.unpackb(value)
     _check(incarnation, int)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -34,6 +34,7 @@
 from knapweedbridge_daemon.serving.relaying import Relaying
 from knapweedbridge_daemon.serving.running_calls import RunningCalls
 from knapweedbridge_daemon.serving.store_telling import unpack_engines
+from knapweedbridge_daemon.serving.stream_resuming import OfOrigins, StreamResuming
 from knapweedbridge_daemon.serving.turns import Turns
 
 SILENCE_S = 1.5
@@ -71,6 +72,7 @@
         self.forwarding = Forwarding(hub, tunnels)
         self.owners = EngineOwners(hub, self.send, self.permits, self.signs)
         self.shares = QuotaShares(hub, self.send)
+        self.resuming = StreamResuming(hub, self.send)
         self._relays_asked_s: dict[str, float] = {}
         self.on_store_told: Callable[[str, StoreTold], int] = lambda *told: 0
         self._peers: Peers | None = None
@@ -88,6 +90,7 @@
         takers |= dict.fromkeys((ShareAsked, ShareGiven), self.shares.heard)
         of_calls = get_args(OfPlain) + get_args(OfPermits)
         takers |= dict.fromkeys(of_calls, self._take_of_calls)
+        takers |= dict.fromkeys(get_args(OfOrigins), self.resuming.heard)
         of_relay = StoreTold, StoreMarked, RelayAsked
         takers |= dict.fromkeys(of_relay, self._take_of_relay)
         return takers | dict.fromkeys(get_args(ToOwner), self.owners.heard)
@@ -137,6 +140,7 @@
                     self.owners.forget_daemon(name)
             known = starts
             self.shares.parts.refresh()
+            await self.resuming.refresh()
             await self._hub.beliefs_changed.wait(5.0)
 
     async def _submit(self, event: Any) -> None:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/placing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/placing.py
@@ -161,7 +161,7 @@
             call.spent_s,
             self._hub.longest_pause_s(call.service) or 0.0,
             call.mark,
-            call.progress.begun,
+            call.has_begun,
             call.progress.may_have_run,
             call.details.model,
         )
@@ -234,7 +234,7 @@
             engines, self._hub.daemons, beliefs.is_small_pool, now_s
         )
         engines = policy.engines_for(case, engines, now_s)
-        objective_s = 0.0 if call.progress.begun else call.route.objective_s
+        objective_s = 0.0 if call.has_begun else call.route.objective_s
         is_new = not call.placed and not policy.is_overdue(case, now_s)
         call.placed = True
         return self._admission.choose(ask, engines, objective_s, is_new, now_s)
