Random histories and decision tables of what a resumed stream goes on at

Nine hosts in three data centres (and a row of 79) run the product's own recorder over a bus with delays, losses and cut links, beside kills, restarts, freezes, hosts without the store and daemons of the previous protocol; versions appear, go and come back. Nothing may ever go on at another version; hosts in touch find half at least; while one version serves nothing is recorded and nothing refused, but at hosts that have just started among daemons of the previous protocol, which record no versions: those cannot know.

Hosts repeat their questions only in their first five seconds: repeated by all, keepers that had died were asked up to fifteen times a stream.

--- a/bench/mutants_serving.py
+++ b/bench/mutants_serving.py
@@ -11,8 +11,10 @@
     EngineKeeper,
     Fleet,
     NamedVersions,
+    OriginQuestion,
     PartBucket,
     PermitPacer,
+    SoftwareVersions,
     StoreOutage,
     VersionsNow,
 )
@@ -25,6 +27,8 @@
 from knapweedbridge_core.serving import store_eras as store_eras_module
 from knapweedbridge_core.serving import store_outage as store_outage_module
 from knapweedbridge_daemon.serving import permits as permits_module
+from knapweedbridge_daemon.serving import stream_resuming as stream_resuming_module
+from knapweedbridge_daemon.serving.stream_resuming import StreamResuming
 from knapweedbridge_daemon.serving.told_items import ToldItems
 from knapweedbridge_standins.quota_pool import ways as ways_module
 from knapweedbridge_standins.serving_histories import repeats as repeats_module
@@ -235,4 +239,59 @@
         "which era it is",
         [(store_eras_module, "stamp", lambda era, revision: revision)],
     ),
+    "a resumed stream goes on at any version": (
+        "which version began a stream",
+        [
+            rewritten(
+                OriginQuestion,
+                "software",
+                (
+                    "if len(self._versions) != 1 or not self._is_current:",
+                    "if not self._versions:",
+                ),
+            )
+        ],
+    ),
+    "a version is forgotten with its last endpoint": (
+        "which version began a stream",
+        [
+            rewritten(
+                SoftwareVersions,
+                "of",
+                ("now_s - at_s > STREAM_LIFE_S", "True"),
+            )
+        ],
+    ),
+    "origins are not recorded at other hosts": (
+        "which version began a stream",
+        [rewritten(StreamResuming, "_publish", ("if not streams:", "if True:"))],
+    ),
+    "a host's own view alone tells which versions serve": (
+        "which version began a stream",
+        [
+            rewritten(
+                OriginQuestion,
+                "answer",
+                ("self._versions.update(versions)", "pass"),
+            ),
+            (stream_resuming_module, "CURRENT_S", 1e9),
+        ],
+    ),
+    "origins are recorded though one version serves": (
+        "which version began a stream",
+        [
+            rewritten(
+                StreamResuming,
+                "begun",
+                (
+                    "self._hub.beliefs.fleet.software.has_several(call.service, now_s)",
+                    "True",
+                ),
+            )
+        ],
+    ),
+    "hosts of the previous protocol keep origins": (
+        "which version began a stream",
+        [(stream_resuming_module, "understands", lambda protocol, message: True)],
+    ),
 }
--- a/packages/daemon/src/knapweedbridge_daemon/serving/stream_resuming.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/stream_resuming.py
@@ -280,21 +280,27 @@
         self, call: Call, inquiry: Inquiry, asked: OriginAsked
     ) -> None:
         question = inquiry.question
-        # A host that has just started hears of the others, and is linked with them, a
-        # moment after it gets calls: what it sends before that is lost.
-        is_starting = loop_time_s() - self._began_s < STARTING_S
-        while True:
-            keepers = origin_keepers(call.details.stream_id, self._candidates())
-            others = [name for name in keepers if name != self._hub.identity.name]
-            for name in question.ask(others):
-                await self._send(name, asked)
-            if not is_starting and question.is_decided:
-                return
+        await self._ask(call, question, asked)
+        if loop_time_s() - self._began_s >= STARTING_S:
+            if not question.is_decided:
+                await inquiry.decided.wait()
+            return
+        # A host that has just started knows the others, and is known to them, a moment
+        # after it gets calls: until then questions and answers are lost.
+        while not (question.is_decided and question.software()):
             with anyio.move_on_after(ASK_AGAIN_S):
                 await inquiry.decided.wait()
-            if question.is_decided and (not is_starting or question.software()):
-                return
             inquiry.decided = anyio.Event()
+            await self._ask(call, question, asked)
+
+    async def _ask(
+        self, call: Call, question: OriginQuestion, asked: OriginAsked
+    ) -> None:
+        """Ask the keepers of a call's stream that have not answered yet."""
+        keepers = origin_keepers(call.details.stream_id, self._candidates())
+        others = [name for name in keepers if name != self._hub.identity.name]
+        for name in question.ask(others):
+            await self._send(name, asked)
 
     async def heard(self, daemon: str, message: OfOrigins) -> None:
         """Receive a record, a question or an answer."""
--- a/packages/standins/src/knapweedbridge_standins/serving_histories/__init__.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_histories/__init__.py
@@ -17,6 +17,9 @@
     play_removed_entries,
 )
 from knapweedbridge_standins.serving_histories.repeats import play_repeats
+from knapweedbridge_standins.serving_histories.stream_origins import (
+    play_stream_origins,
+)
 from knapweedbridge_standins.serving_histories.versions import play_versions
 
 HISTORIES = {
@@ -32,6 +35,7 @@
     "what a limited endpoint gets": play_limits,
     "what answers ask for": play_answers,
     "which version work begins on": play_versions,
+    "which version began a stream": play_stream_origins,
 }
 
 __all__ = [
@@ -47,5 +51,6 @@
     "play_quotas",
     "play_removed_entries",
     "play_repeats",
+    "play_stream_origins",
     "play_versions",
 ]
