Soak: releases of endpoints' software, and callers who take streams up

The soak's engines all had one software version, and callers never came back to a stream that broke off, so that nothing could show a stream with events of two versions.

--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 soak: install
 	$(BIN)/python bench/soak.py
 
-# SOAK_SEEDS, SOAK_S, SOAK_DAEMONS and SOAK_PLANT: see bench/soak_serving.py.
+# SOAK_SEEDS, SOAK_S, SOAK_DAEMONS, SOAK_RELEASES and SOAK_PLANT: see bench/soak_serving.py.
 .PHONY: soak-serving
 soak-serving: install
 	$(BIN)/python bench/soak_serving.py
--- a/features/platform/steps/path_steps.py
+++ b/features/platform/steps/path_steps.py
@@ -649,7 +649,20 @@
 
 @when("the soak plays seed {seed:d} for {seconds:d} s")
 def soak(context, seed, seconds):
-    named = {"SOAK_SEEDS": str(seed), "SOAK_S": str(seconds)}
+    play_soak(context, seed, seconds, releases=False)
+
+
+@when("the soak plays seed {seed:d} with releases for {seconds:d} s")
+def soak_of_releases(context, seed, seconds):
+    play_soak(context, seed, seconds, releases=True)
+
+
+def play_soak(context, seed, seconds, releases):
+    named = {
+        "SOAK_SEEDS": str(seed),
+        "SOAK_S": str(seconds),
+        "SOAK_RELEASES": str(int(releases)),
+    }
     context.found = subprocess.run(
         [sys.executable, str(ROOT / "bench/soak_serving.py")],
         env={**os.environ, **named},
--- a/features/platform/whole_path.feature
+++ b/features/platform/whole_path.feature
@@ -236,3 +236,10 @@
 
     When the soak plays seed 1 for 6 s
     Then it finds no broken promise
+
+  Scenario: A short soak of releases and of streams that are taken up
+    Events of one stream that engines of two software versions wrote, in one answer or
+    over its caller's tries.
+
+    When the soak plays seed 1 with releases for 10 s
+    Then it finds no broken promise
