--- a/features/platform/steps/upgrade_steps.py
+++ b/features/platform/steps/upgrade_steps.py
@@ -23,9 +23,6 @@
 from knapweedbridge_core.serving.beliefs import DaemonNamed, ProtocolNamed
 from knapweedbridge_core.serving.permit_messages import PermitAsked, RoomAsked
 
-BEFORE = "d8d599f"
-"""The last landed version that publishes no protocol."""
-
 GRACE_S = 3
 CALL_EVERY_S = 0.05
 SETTLE_S = 1.5
@@ -33,20 +30,21 @@
 MODELS = ("base/a1", "base/a2", "base/a3")
 
 
-def earlier_version():
-    """Return the version before, or the present one where the history is not there."""
-    found = subprocess.run(["git", "cat-file", "-e", BEFORE], cwd=ROOT)
+def earlier_version(version):
+    """Return a landed version, or the present one where the history is not there."""
+    found = subprocess.run(["git", "cat-file", "-e", version], cwd=ROOT)
     if found.returncode == 0:
-        return BEFORE
-    print(f"{BEFORE} is not in the history: HEAD is replaced by itself")
+        return version
+    print(f"{version} is not in the history: HEAD is replaced by itself")
     return "HEAD"
 
 
 class UpgradedPool(WholePath):
-    """Stand-ins, and daemons of the version before in processes of their own."""
+    """Stand-ins, and daemons of an earlier version in processes of their own."""
 
-    def __init__(self, tasks, folder):
+    def __init__(self, tasks, folder, version):
         super().__init__(None, tasks)
+        self.version = version
         self.store = Store()
         self.desks = [Endpoint(f"desk-{n}", "desk") for n in (1, 2)]
         self.engines = [Engine(f"engine-{n}", "llm") for n in (1, 2)]
@@ -71,7 +69,7 @@
 
     def _unpack_before(self):
         packed = subprocess.run(
-            ["git", "archive", earlier_version(), "packages", "platform"],
+            ["git", "archive", earlier_version(self.version), "packages", "platform"],
             cwd=ROOT,
             check=True,
             capture_output=True,
@@ -113,9 +111,9 @@
                 process.wait()
 
 
-@given("a pool of {daemons:d} daemons of the version before, in processes of their own")
-def pool_before(context, daemons):
-    context.daemons = daemons
+@given("a pool of {daemons:d} daemons of version {version}, in processes of their own")
+def pool_before(context, daemons, version):
+    context.daemons, context.version = daemons, version
 
 
 async def one_call(pool, number, answers):
@@ -154,7 +152,7 @@
     async def story(folder):
         context.answers = []
         async with anyio.create_task_group() as tasks:
-            pool = context.pool = UpgradedPool(tasks, folder)
+            pool = context.pool = UpgradedPool(tasks, folder, context.version)
             try:
                 await pool.start_all(context.daemons)
                 await anyio.sleep(SETTLE_S)
