A question for a tunnel whose stream is reset no longer ends its forwarder

Callers saw: a daemon that another host asked for a tunnel ended, and with it all its calls, without an answer, when the asking host reset its stream while the forwarder connected to the endpoint.

Cause: under uvloop a connection that is gone has no socket, and set_options took that it has one. The AttributeError was not one of the stream's errors, and ended the task group of the daemon.

Why the fix works: there is nothing to set on a connection that is gone, on either side of a tunnel. What is read from or written to it next finds the stream's own error, which is handled.

--- a/features/paths/steps/tunnel_steps.py
+++ b/features/paths/steps/tunnel_steps.py
@@ -2,6 +2,7 @@
 from collections import Counter
 from contextlib import AsyncExitStack
 from types import SimpleNamespace
+from unittest import mock
 
 import anyio
 import httpx
@@ -9,7 +10,7 @@
 from anyio.abc import SocketAttribute
 from behave import given, then, when
 from cut_steps import CONTACT_S, FirstTries, linked
-from whole_path import NO_TLS
+from whole_path import NO_TLS, WholePath, whole_path
 
 from knapweedbridge_core.codec import encode
 from knapweedbridge_core.serving import (
@@ -18,10 +19,16 @@
     EndpointPaths,
     Forwarders,
 )
-from knapweedbridge_core.serving.tunnel_messages import TunnelOpened
+from knapweedbridge_core.serving.tunnel_messages import TunnelAsked, TunnelOpened
+from knapweedbridge_daemon.handshake import Handshake
 from knapweedbridge_daemon.peer_sockets import PeerListener, connect_peer
 from knapweedbridge_daemon.peers import Peers
-from knapweedbridge_daemon.serving.byte_stream import ByteStream
+from knapweedbridge_daemon.serving import forwarding
+from knapweedbridge_daemon.serving.byte_stream import (
+    RESET_ON_CLOSE,
+    ByteStream,
+    connect_stream,
+)
 from knapweedbridge_daemon.serving.forwarding import Forwarding
 from knapweedbridge_daemon.serving.http_client import (
     Destination,
@@ -111,8 +118,8 @@
     hub = hub_of("host-1", "", paths_of(what), draining=what == "that drains")
     if "know the endpoint" in what:
         hub.beliefs.fleet.endpoints.clear()
-    forwarding = Forwarding(hub, 0 if "too many" in what else 10)
-    serve_tunnel = None if "no tunnels" in what else forwarding.serve
+    carried = Forwarding(hub, 0 if "too many" in what else 10)
+    serve_tunnel = None if "no tunnels" in what else carried.serve
 
     async def story():
         async with anyio.create_task_group() as tasks:
@@ -131,6 +138,71 @@
     anyio.run(story)
 
 
+@when("a host that asks for a tunnel resets its stream while a call waits")
+def asker_resets(context):
+    context.ended, context.response = None, None
+
+    async def run(name, host):
+        try:
+            await host.run()
+        except Exception as error:
+            context.ended = error
+
+    async def slow(ip, port):
+        await anyio.sleep(0.2)
+        return await connect_stream(ip, port)
+
+    async def ask_and_reset(path):
+        desk = path.desks[0]
+        secret = next(
+            item[0] for key, item in path.store.items.items() if "secret" in key
+        )
+        stream = await connect_peer("127.0.0.1", path.ports[0][2])
+        await Handshake("host-9", 1, secret).greet(stream, "host-0")
+        await stream.send(encode(TunnelAsked(desk.name, desk.entry()["address"])))
+        await anyio.sleep(0.05)
+        stream.raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        stream.abort()
+
+    async def call(path):
+        try:
+            context.response = await path.call("POST", "/order/1")
+        except httpx.HTTPError as error:
+            context.response = error
+
+    async def story():
+        with mock.patch.object(WholePath, "_run", staticmethod(run)):
+            async with whole_path(1) as path:
+                for desk in path.desks:
+                    desk.work_s = 1.0
+                with mock.patch.object(
+                    forwarding,
+                    "byte_stream",
+                    SimpleNamespace(connect_stream=slow),
+                ):
+                    async with anyio.create_task_group() as calls:
+                        calls.start_soon(call, path)
+                        await anyio.sleep(0.2)
+                        await ask_and_reset(path)
+                        await anyio.sleep(0.5)
+                context.lines = path.lines()
+
+    anyio.run(story, backend_options={"use_uvloop": True})
+
+
+@then("the daemon serves on, and the call is answered with {status:d}")
+def serves_on(context, status):
+    outcomes = [
+        line["outcome"]
+        for line in context.lines
+        if line["message_type"] == "request.ended"
+    ]
+    seen = context.ended, context.response, outcomes
+    assert context.ended is None, seen
+    assert isinstance(context.response, httpx.Response), seen
+    assert context.response.status_code == status, seen
+
+
 @then("none is opened, and the endpoint counts as {state}")
 def none_opened(context, state):
     assert context.error is not None
--- a/features/paths/tunnels.feature
+++ b/features/paths/tunnels.feature
@@ -28,6 +28,13 @@
       | a daemon with links that does not reach it | lost    |
       | a daemon that may have no links            | unknown |
 
+  Scenario: A question for a tunnel whose stream is reset costs the forwarder nothing
+    Guards against forwarders that end, with all their calls, as an asking host does.
+
+    Given the whole path
+    When a host that asks for a tunnel resets its stream while a call waits
+    Then the daemon serves on, and the call is answered with 200
+
   Scenario: A caller that leaves ends its call at the endpoint, through a tunnel too
     Guards against endpoints that work on for callers who have left.
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/byte_stream.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/byte_stream.py
@@ -38,6 +38,9 @@
 
 def set_options(raw: Any) -> None:
     """Have the system end a connection that something between its ends has lost."""
+    if raw is None:
+        # The connection is gone already.
+        return
     for level, option, value in SOCKET_OPTIONS:
         with suppress(OSError):
             raw.setsockopt(level, option, value)
