A call that met an error of ours is not logged as left by its caller

Operators saw: request.ended with the outcome caller_left for a call that had met an error of the daemon's own and got 500, so that the line to look for when callers say that they did not leave was also that of our faults.

Cause: caller_left is what a call's outcome is until something else is known, and an error on the way out of the call did not set it. It is now `fault`, unless it is the error that says that the caller's connection is gone.

Evidence: the four rows of "A call that meets an error of the daemon's own is answered" in features/platform/whole_path.feature, with a check of the outcome by the review, made stricter (the line must be there and say fault), failed before (caller_left) and pass.

--- a/features/platform/steps/path_steps.py
+++ b/features/platform/steps/path_steps.py
@@ -115,6 +115,9 @@
 
     await path.until(faults, "the error is logged")
     context.faults = faults()
+    context.ended = [
+        line for line in path.lines() if line["message_type"] == "request.ended"
+    ]
 
 
 @then("it is answered with {status:d}, and the connection ends after that")
@@ -130,6 +133,12 @@
     assert context.next.status_code == 200, context.next
 
 
+@then("the call's line has the outcome {outcome}")
+def own_error_outcome(context, outcome):
+    outcomes = {line["request"]: line["outcome"] for line in context.ended}
+    assert outcomes.get("second") == outcome, outcomes
+
+
 @when('"{method}" "{path_}" is called with body "{body}"')
 @played
 async def called_with(context, path, method, path_, body):
--- a/features/platform/whole_path.feature
+++ b/features/platform/whole_path.feature
@@ -38,6 +38,7 @@
     When a "<kind>" call on a kept connection meets an error in "<where>"
     Then it is answered with 500, and the connection ends after that
     And the daemon counts the error, and goes on to serve
+    And the call's line has the outcome fault
 
     Examples:
       | kind  | where                  |
--- a/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
@@ -13,6 +13,7 @@
 from knapweedbridge_daemon.serving.dialects import CallDetails, DialectError, Refusal
 from knapweedbridge_daemon.serving.http_server import (
     BadRequestError,
+    CallerGoneError,
     ReceivedRequest,
     Responder,
 )
@@ -169,6 +170,11 @@
                 outcome = await self._runner.run(call)
             if bound.cancelled_caught:
                 outcome = await self._break_off(call)
+        except CallerGoneError:
+            raise
+        except Exception:
+            outcome = "fault"
+            raise
         finally:
             if not call.progress.may_have_run:
                 self._shares.give_back(call.account, details.tokens)
