Calls under way are answered when a background task of the daemon fails

Callers saw: an error in any background task ended the daemon and closed the connections of all its calls without an answer, those that had been passed on too. No daemon.fault line told why.

Cause: callers' handlers ran in the task group of the background tasks, so that its cancellation was the end of every handler. Callers' faces now run in a task group around it. When a background task fails, the error is counted (daemon.fault, with the place of the first error of a group), calls are ended as at the end of the time to stop, by one shared method, callers have the same moment to read their answers, and then the error ends the process as before. An ordinary stop cancels both groups at once, as before. An error that keeps the daemon from listening is logged as daemon.fault as well now.

--- a/features/platform/steps/path_steps.py
+++ b/features/platform/steps/path_steps.py
@@ -8,7 +8,14 @@
 import anyio
 import httpx
 from behave import given, then, when
-from whole_path import configuration, free_port, settings_fields, whole_path
+from standins import header
+from whole_path import (
+    WholePath,
+    configuration,
+    free_port,
+    settings_fields,
+    whole_path,
+)
 
 from knapweedbridge_core.errors import CheckError
 from knapweedbridge_daemon.serving import attempting, placing
@@ -17,6 +24,7 @@
     Destination,
 )
 from knapweedbridge_daemon.serving.settings import read_serving_settings
+from knapweedbridge_daemon.serving.sweeping import EndpointSweep
 from knapweedbridge_daemon.serving.wire import RequestHead, WireRequest
 
 ROOT = Path(__file__).parents[3]
@@ -139,6 +147,65 @@
     assert outcomes.get("second") == outcome, outcomes
 
 
+@when("a background task fails while a call on a kept connection waits")
+def background_error(context):
+    context.ended = None
+
+    async def run(name, host):
+        try:
+            await host.run()
+        except Exception as error:
+            context.ended = error
+
+    async def call(client):
+        named = {"Request-Id": "second"}
+        try:
+            context.response = await client.post("/order/1", headers=named)
+        except httpx.HTTPError as error:
+            context.response = error
+
+    def is_passed_on(path):
+        arrived = [each for desk in path.desks for each in desk.requests]
+        return "second" in [header(each, "Request-Id") for each in arrived]
+
+    async def play(path, failing):
+        async with path.kept_connection() as client:
+            opened = await client.get("/look/1", headers={"Request-Id": "first"})
+            assert opened.status_code == 200, opened
+            for desk in path.desks:
+                desk.behaviour = ["silent"]
+            async with anyio.create_task_group() as calls:
+                calls.start_soon(call, client)
+                await path.until(lambda: is_passed_on(path), "it is passed on")
+                failing.set()
+        await path.until(lambda: context.ended, "the daemon ends")
+        context.lines = path.lines()
+
+    async def story():
+        failing = anyio.Event()
+
+        async def fail(sweep):
+            await failing.wait()
+            raise KeyError("planted")
+
+        with (
+            mock.patch.object(WholePath, "_run", staticmethod(run)),
+            mock.patch.object(EndpointSweep, "run", fail),
+        ):
+            async with whole_path() as path:
+                await play(path, failing)
+
+    anyio.run(story)
+
+
+@then("the error is logged with its place, and ends the daemon")
+def background_error_logged(context):
+    faults = [line for line in context.lines if line["message_type"] == "daemon.fault"]
+    assert ["planted" in line["error"] for line in faults] == [True], faults
+    assert "path_steps.py" in faults[0]["places"], faults
+    assert context.ended is not None
+
+
 @when('"{method}" "{path_}" is called with body "{body}"')
 @played
 async def called_with(context, path, method, path_, body):
--- a/features/platform/whole_path.feature
+++ b/features/platform/whole_path.feature
@@ -47,6 +47,14 @@
       | order | Attempting._take_whole |
       | draft | Attempting._relay      |
 
+  Scenario: Calls under way when a background task fails are answered
+    Guards against daemons that end by an error and close callers' connections unanswered.
+
+    Given the whole path
+    When a background task fails while a call on a kept connection waits
+    Then it is answered with 504, and the connection ends after that
+    And the error is logged with its place, and ends the daemon
+
   Scenario: Method, path, query and body reach the endpoint unchanged
     Given the whole path
     When "POST" "/order/a%20b?x=1&y=%2F" is called with body "abc"
--- a/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
@@ -70,6 +70,8 @@
     def count_fault(self, error: Exception) -> None:
         """Count an error of the daemon's own code, with its place."""
         self._hub.measures.count("internal_errors")
+        while isinstance(error, ExceptionGroup):
+            error = error.exceptions[0]
         places = "".join(traceback.format_exception(error)[-LAST_PLACES:])
         self._hub.log.error("daemon.fault", error=repr(error), places=places)
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -148,33 +148,41 @@
         held = HeldMemory(hub)
         handle = held.guard(app.handle)
         face = CallersFace(handle, app.limits, app.count_bad, app.count_fault)
-        async with anyio.create_task_group() as tasks:
-            connector = EndpointConnector(hub, Tunnels(hub), tasks)
-            hub.pool.connector = connector
-            tasks.start_soon(connector.run)
-            await self._listen(tasks, hub, face, app)
-            tasks.start_soon(hub.log.run)
-            tasks.start_soon(follower.run)
-            tasks.start_soon(lease.run)
-            tasks.start_soon(lease.claim)
-            tasks.start_soon(lease.make_secret)
-            tasks.start_soon(link.run, tasks, self._address("peers"))
-            tasks.start_soon(link.owners.run, tasks)
-            tasks.start_soon(link.running.run)
-            tasks.start_soon(link.relaying.run)
-            tasks.start_soon(StoreMarks(hub, link.send).run)
-            tasks.start_soon(EndpointSweep(hub, link).run)
-            tasks.start_soon(LapseCheck(hub).run)
-            tasks.start_soon(SoftwareRecords(hub).run)
-            tasks.start_soon(held.run)
-            await self._await_stop(hub, lease, face, app, link.forwarding)
-            tasks.cancel_scope.cancel()
+        async with anyio.create_task_group() as callers:
+            try:
+                async with anyio.create_task_group() as tasks:
+                    connector = EndpointConnector(hub, Tunnels(hub), tasks)
+                    hub.pool.connector = connector
+                    tasks.start_soon(connector.run)
+                    await self._listen(callers, hub, face, app)
+                    tasks.start_soon(hub.log.run)
+                    tasks.start_soon(follower.run)
+                    tasks.start_soon(lease.run)
+                    tasks.start_soon(lease.claim)
+                    tasks.start_soon(lease.make_secret)
+                    tasks.start_soon(link.run, tasks, self._address("peers"))
+                    tasks.start_soon(link.owners.run, tasks)
+                    tasks.start_soon(link.running.run)
+                    tasks.start_soon(link.relaying.run)
+                    tasks.start_soon(StoreMarks(hub, link.send).run)
+                    tasks.start_soon(EndpointSweep(hub, link).run)
+                    tasks.start_soon(LapseCheck(hub).run)
+                    tasks.start_soon(SoftwareRecords(hub).run)
+                    tasks.start_soon(held.run)
+                    await self._await_stop(hub, lease, face, app, link.forwarding)
+                    callers.cancel_scope.cancel()
+            except Exception as error:
+                app.count_fault(error)
+                # A cancellation meanwhile must not replace the error.
+                with anyio.CancelScope(shield=True):
+                    await self._end_calls(face, app)
+                raise
 
     def _address(self, name: str) -> tuple[str, int]:
         return split_address(self._settings.get("listen", name))
 
     async def _listen(
-        self, tasks: TaskGroup, hub: Hub, face: CallersFace, app: CallersApp
+        self, callers: TaskGroup, hub: Hub, face: CallersFace, app: CallersApp
     ) -> None:
         side = SideFaces(hub)
         counts = app.count_bad, app.count_fault
@@ -186,7 +194,7 @@
             listener = await anyio.create_tcp_listener(
                 local_host=ip, local_port=port, backlog=BACKLOG, reuse_port=False
             )
-            tasks.start_soon(listener.serve, served.serve)
+            callers.start_soon(listener.serve, served.serve)
 
     async def _await_stop(
         self,
@@ -248,6 +256,12 @@
                 return
             await anyio.sleep(0.1)
         hub.log.error("daemon.cut", running=app.running)
+        await self._end_calls(face, app)
+
+    @staticmethod
+    async def _end_calls(face: CallersFace, app: CallersApp) -> None:
+        """End all calls, and give callers a moment to read the answers."""
+        face.closing = True
         app.end_calls()
         with anyio.move_on_after(LAST_ANSWERS_S):
             while face.open_connections:
