A call whose answer fails before a byte of it is written is answered

Callers would see: an error of ours after the head of an answer was taken, and before its first bytes were written, closed the connection that they keep, without an answer.

Cause: whether an answer had begun was taken for whether the caller has some of it. The head is only kept by Responder.start, until the first part of the body comes. Whether 500 is written goes by whether bytes were handed to the connection now, and it is packed by a packer of its own, as that of the failed answer has counted its head and part of its body.

--- a/features/platform/steps/path_steps.py
+++ b/features/platform/steps/path_steps.py
@@ -18,7 +18,7 @@
 )
 
 from knapweedbridge_core.errors import CheckError
-from knapweedbridge_daemon.serving import attempting, placing
+from knapweedbridge_daemon.serving import attempting, http_server, placing
 from knapweedbridge_daemon.serving.http_client import (
     ConnectionPool,
     Destination,
@@ -94,6 +94,7 @@
     "Attempting._exchange": (attempting.Attempting, "_exchange"),
     "Attempting._relay": (attempting.Attempting, "_relay"),
     "Attempting._take_whole": (attempting.Attempting, "_take_whole"),
+    "Responder.end": (http_server.CallerConnection, "pack_data"),
 }
 
 
--- a/features/platform/whole_path.feature
+++ b/features/platform/whole_path.feature
@@ -47,6 +47,14 @@
       | order | Attempting._take_whole |
       | draft | Attempting._relay      |
 
+  Scenario: A call whose answer fails before a byte of it is written is answered
+    Guards against kept connections that an error between head and body closes.
+
+    Given the whole path
+    When a "look" call on a kept connection meets an error in "Responder.end"
+    Then it is answered with 500, and the connection ends after that
+    And the daemon counts the error, and goes on to serve
+
   Scenario: Calls under way when a background task fails are answered
     Guards against daemons that end by an error and close callers' connections unanswered.
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/http_server.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/http_server.py
@@ -53,6 +53,7 @@
     _connection: "CallerConnection"
     begun: bool = False
     ended: bool = False
+    is_written: bool = False
     _unsent: bytes = field(default=b"")
 
     async def start(self, head: ResponseHead) -> None:
@@ -66,7 +67,7 @@
         if self._unsent:
             packed = self._unsent + packed
             self._unsent = b""
-        await self._connection.write(packed)
+        await self._write(packed)
 
     async def end(self, data: bytes = b"") -> None:
         """Write the last part, and the end of the answer."""
@@ -77,7 +78,7 @@
         self._unsent = b""
         # Told before the write: the caller may act on the answer at once.
         self.ended = True
-        await self._connection.write(packed)
+        await self._write(packed)
 
     async def answer(
         self, status: int, headers: Headers, body: bytes, close: bool = False
@@ -93,7 +94,11 @@
         """Write a head that has been taken and not written yet."""
         if self._unsent:
             packed, self._unsent = self._unsent, b""
-            await self._connection.write(packed)
+            await self._write(packed)
+
+    async def _write(self, packed: bytes) -> None:
+        self.is_written = self.is_written or bool(packed)
+        await self._connection.write(packed)
 
 
 Handler = Callable[[ReceivedRequest, Responder], Awaitable[None]]
@@ -121,7 +126,7 @@
                 return
             request, framing = found
             self._packer = ResponsePacker(request.head.method, framing)
-            if not await self._handle(request) or not self._packer.keeps:
+            if not await self._handle(request, framing) or not self._packer.keeps:
                 await self._linger()
                 return
             if self._reader.has_unread:
@@ -151,7 +156,7 @@
                 self._face.idle.discard(self)
         return await self._reader.read(limits)
 
-    async def _handle(self, request: ReceivedRequest) -> bool:
+    async def _handle(self, request: ReceivedRequest, framing: Framing) -> bool:
         """Run the handler; False where the connection must end."""
         if self._wire.has_ended:
             return False
@@ -167,17 +172,19 @@
                 is_gone = True
             except Exception as error:
                 self._face.count_fault(error)
-                await self._answer_fault(responder)
+                if not responder.is_written:
+                    # What was packed of the answer that failed does not count.
+                    self._packer = ResponsePacker(request.head.method, framing)
+                    await self._answer_fault(responder)
             finally:
                 self._wire.on_end = None
         return responder.ended and not (is_gone or self._wire.has_ended)
 
     @staticmethod
     async def _answer_fault(responder: Responder) -> None:
-        """Answer a request that met an error of ours, unless its answer has begun."""
-        if not responder.begun:
-            with suppress(CallerGoneError):
-                await responder.answer(FAULT_STATUS, [], b"", close=True)
+        """Answer a request that met an error of ours before any byte was written."""
+        with suppress(CallerGoneError):
+            await responder.answer(FAULT_STATUS, [], b"", close=True)
 
     def pack_head(self, head: ResponseHead) -> bytes:
         """Encode the head of an answer."""
