Only requests of streaming routes count as resumed

By reading the diff: a request of another kind that names a last event was refused where two software versions serve, though its response depends on none. A table asks for all kinds of routes.

--- a/features/software_versions/decisions.feature
+++ b/features/software_versions/decisions.feature
@@ -22,6 +22,18 @@
       | a keeper knows the only version      |       | current | none/v1/current            | v1      | no      |
       | all answer, one version              | v1    | current | none/v1;none/v1;none/v1    | v1      | yes     |
 
+  Scenario Outline: Only streams are resumed: <kind>
+    Guards against requests refused for a version that their response does not depend on.
+
+    When a request of a route of the kind <kind> names the last event that its caller has
+    Then it counts as resumed: <resumed>
+
+    Examples:
+      | kind           | resumed |
+      | stream         | yes     |
+      | idempotent     | no      |
+      | non_idempotent | no      |
+
   Scenario: Another host's answer, or a second one of the same, counts nothing
     Guards against a question that takes a late answer for one of its keepers.
 
--- a/features/software_versions/steps/decision_steps.py
+++ b/features/software_versions/steps/decision_steps.py
@@ -7,13 +7,16 @@
 from parse import with_pattern
 
 from knapweedbridge_core.serving import (
+    CallKind,
     EndpointRecord,
     Fleet,
     OriginQuestion,
     OriginTable,
+    Route,
     SoftwareVersions,
     StreamOrigin,
     VersionView,
+    WeightedService,
     origin_keepers,
     understands,
 )
@@ -22,6 +25,8 @@
     OriginAsked,
     OriginsRecorded,
 )
+from knapweedbridge_daemon.serving.call import Call
+from knapweedbridge_daemon.serving.dialects import CallDetails
 
 MESSAGES = {
     "OriginsRecorded": OriginsRecorded([]),
@@ -199,3 +204,18 @@
 @then("a daemon of protocol {protocol:d} understands {message:w}: {gets:w}")
 def daemon_understands(context, protocol, message, gets):
     assert understands(protocol, MESSAGES[message]) == (gets == "yes")
+
+
+@when(
+    "a request of a route of the kind {kind} names the last event that its caller has"
+)
+def names_last_event(context, kind):
+    services = (WeightedService("s", 1.0),)
+    route = Route("r", "h", "/", CallKind(kind), services, 15.0, 1.0)
+    details = CallDetails(call_id="c", after_event="3")
+    context.call = Call(None, None, route, "s", details, 0.0)
+
+
+@then("it counts as resumed: {resumed}")
+def counts_as_resumed(context, resumed):
+    assert context.call.is_resumed == context.call.has_begun == (resumed == "yes")
--- a/packages/daemon/src/knapweedbridge_daemon/serving/call.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/call.py
@@ -2,7 +2,13 @@
 
 from dataclasses import dataclass, field
 
-from knapweedbridge_core.serving import CallProgress, ClientAccount, Endpoint, Route
+from knapweedbridge_core.serving import (
+    CallKind,
+    CallProgress,
+    ClientAccount,
+    Endpoint,
+    Route,
+)
 from knapweedbridge_daemon.serving.clock import loop_time_s
 from knapweedbridge_daemon.serving.dialects import CallDetails
 from knapweedbridge_daemon.serving.http_server import ReceivedRequest, Responder
@@ -97,10 +103,15 @@
         stated_s = self.details.deadline_s
         return self.request.received_s + (stated_s or self.route.timeout_s)
 
+    @property
+    def is_resumed(self) -> bool:
+        """Whether its caller has had events of its stream by an earlier attempt."""
+        return self.route.kind is CallKind.STREAM and self.details.is_resumed
+
     @property
     def has_begun(self) -> bool:
         """Whether its caller has had events of its stream, by any attempt."""
-        return self.progress.begun or self.details.is_resumed
+        return self.progress.begun or self.is_resumed
 
     def may_go_to(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint's events fit those that its caller has."""
--- a/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
@@ -30,7 +30,7 @@
 
     async def run(self, call: Call) -> str:
         """Run a call, and answer it; return a word for how it ended."""
-        if call.details.is_resumed:
+        if call.is_resumed:
             refusal = await self._link.resuming.resume(call)
             if refusal is not None:
                 return await self._give_up(call, refusal)
