--- a/packages/standins/src/knapweedbridge_standins/serving_histories/stream_origins.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_histories/stream_origins.py
@@ -471,7 +471,7 @@
                 await self._roll(self._next())
 
     def _next(self) -> str:
-        """Choose a new version, or one of before."""
+        """Choose a new version, or a previous one."""
         if self._luck.random() < 0.6:
             self._version += 1
             return f"v{self._version}"
