--- a/packages/core/src/knapweedbridge_core/serving/retry_budget.py
+++ b/packages/core/src/knapweedbridge_core/serving/retry_budget.py
@@ -22,6 +22,28 @@
                 times.popleft()
 
 
+@dataclass(slots=True, frozen=True)
+class Allowance:
+    """What one daemon may repeat at a service, and has repeated, in a window.
+
+    Parameters
+    ----------
+    requests, repeats : int
+        Callers' requests in the window, and the repeats that were granted.
+    allowed : float
+        Most repeats.
+    """
+
+    requests: int
+    repeats: int
+    allowed: float
+
+    @property
+    def has_room(self) -> bool:
+        """Return whether one more repeat is allowed."""
+        return self.repeats + 1 <= self.allowed
+
+
 class RetryBudget:
     """Bounds repeats by a share of requests, plus this daemon's part of a slack.
 
@@ -56,13 +78,18 @@
         daemons : int
             Daemons that share the slack, this one among them.
         """
-        window = self._window(service, now_s)
-        allowed = self.ratio * len(window.requests) + self.slack / max(1, daemons)
-        if len(window.repeats) + 1 > SHARE_USED * allowed:
+        if not self.allowance(service, daemons, now_s).has_room:
             return False
-        window.repeats.append(now_s)
+        self._services[service].repeats.append(now_s)
         return True
 
+    def allowance(self, service: str, daemons: int, now_s: float) -> Allowance:
+        """Return what this daemon may repeat; see `spend`."""
+        window = self._window(service, now_s)
+        requests, repeats = len(window.requests), len(window.repeats)
+        allowed = self.ratio * requests + self.slack / max(1, daemons)
+        return Allowance(requests, repeats, SHARE_USED * allowed)
+
     def _window(self, service: str, now_s: float) -> ServiceWindow:
         window = self._services[service]
         window.trim(now_s - self.window_s)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
@@ -11,6 +11,9 @@
 from knapweedbridge_daemon.serving.http_client import NotSentError
 from knapweedbridge_daemon.serving.hub import Hub
 
+MARK_DIGITS = 8
+"""Digits of a call's mark in log lines: enough to find it when it comes again."""
+
 LONGEST_LOGGED_S = 3600.0
 """Logged where a version was superseded before this daemon knew of the store."""
 
@@ -171,6 +174,7 @@
         self._hub.log.info(
             "attempt.ended",
             request=call.details.call_id,
+            mark=call.mark[:MARK_DIGITS],
             endpoint=target.endpoint.name,
             software=target.endpoint.record.software,
             version=target.version,
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -88,7 +88,7 @@
             endpoint.note_unreachable(loop_time_s())
             self._records.unreachable(endpoint, error)
             if error.is_lost:
-                await self._link.endpoint_lost(endpoint.name)
+                await self._link.endpoint_lost(endpoint.name, "unreachable")
         except (BrokenError, BrokenEventsError) as error:
             end, detail = AttemptEnd.BROKEN, str(error)
             call.progress.runs.add(endpoint.name)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
@@ -7,6 +7,7 @@
 import anyio
 
 from knapweedbridge_core.serving import FaceLimits, Route, fingerprint
+from knapweedbridge_daemon.serving.attempt_records import MARK_DIGITS
 from knapweedbridge_daemon.serving.call import Call
 from knapweedbridge_daemon.serving.call_terms import CallTerms, TermsFinder
 from knapweedbridge_daemon.serving.calls import CallRunner
@@ -161,6 +162,12 @@
         blamed_s = self._hub.crashes.refused_for_s(call.mark, anyio.current_time())
         if blamed_s:
             refusal = Refusal(503, "blamed", blamed_s)
+            self._hub.log.info(
+                "call.blamed",
+                request=details.call_id,
+                mark=call.mark[:MARK_DIGITS],
+                refused_for_s=round(blamed_s, 1),
+            )
             await self._refuse(request, responder, refusal, details)
             return
         over_quota = await self._shares.take(call.account, details.tokens)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
@@ -62,7 +62,25 @@
         now_s = anyio.current_time()
         if self._hub.crashes.refused_for_s(call.mark, now_s):
             return False
-        return self._hub.budget.spend(call.service, self._hub.daemons, now_s)
+        return self._spend_repeat(call, end, now_s)
+
+    def _spend_repeat(self, call: Call, end: AttemptEnd, now_s: float) -> bool:
+        """Return whether the retry budget has room for a call to be sent again."""
+        hub = self._hub
+        before = hub.budget.allowance(call.service, hub.daemons, now_s)
+        is_granted = hub.budget.spend(call.service, hub.daemons, now_s)
+        hub.measures.count("repeats", "granted" if is_granted else "denied")
+        hub.log.info(
+            "repeat.granted" if is_granted else "repeat.denied",
+            request=call.details.call_id,
+            service=call.service,
+            after=end.value,
+            requests=before.requests,
+            repeats=before.repeats,
+            allowed=round(before.allowed, 1),
+            daemons=hub.daemons,
+        )
+        return is_granted
 
     async def _fail(self, call: Call, end: AttemptEnd) -> str:
         if call.responder.begun:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -140,7 +140,7 @@
     async def _serve(self, hub: Hub) -> None:
         link = PeerLink(hub, round(self._settings.get("limits", "tunnels")))
         follower = StoreFollower(
-            hub, link.ask_relay, link.endpoint_lost, link.relaying.store_changed
+            hub, link.ask_relay, link.endpoint_unlisted, link.relaying.store_changed
         )
         link.on_store_told = follower.heard
         lease = LeaseKeeper(hub, follower, link.owners.stop)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -24,6 +24,7 @@
 from knapweedbridge_daemon.peer_sockets import PeerListener
 from knapweedbridge_daemon.peers import Peers
 from knapweedbridge_daemon.serving.answer_signs import AnswerSigns
+from knapweedbridge_daemon.serving.attempt_records import MARK_DIGITS
 from knapweedbridge_daemon.serving.engine_owners import EngineOwners, ToOwner
 from knapweedbridge_daemon.serving.forwarding import Forwarding
 from knapweedbridge_daemon.serving.hub import Hub
@@ -49,6 +50,9 @@
 ASK_ALL_S = 0.2
 """Pause between questions for all of an engine, where a telling was missed."""
 
+MOST_MARKS_LOGGED = 16
+"""Marks of calls that one log line carries."""
+
 
 class PeerLink:
     """Sends and takes the messages between daemons.
@@ -271,12 +275,29 @@
             endpoint.asked_all_s = now_s
             await self.send(owner, EngineAsked(endpoint.name))
 
-    async def endpoint_lost(self, endpoint: str) -> None:
-        """Blame the calls that an endpoint was lost with, on all daemons."""
+    async def endpoint_unlisted(self, endpoint: str) -> None:
+        """Take that an endpoint's entry was removed."""
+        await self.endpoint_lost(endpoint, "unlisted")
+
+    async def endpoint_lost(self, endpoint: str, cause: str) -> None:
+        """Blame the calls that an endpoint was lost with, on all daemons.
+
+        Parameters
+        ----------
+        cause : str
+            What shows the loss, for the log.
+        """
         marks = self._hub.crashes.lost(endpoint, anyio.current_time())
+        self._hub.log.info(
+            "calls.blamed" if marks else "endpoint.lost",
+            endpoint=endpoint,
+            cause=cause,
+            calls=len(marks),
+            marks=[mark[:MARK_DIGITS] for mark in marks[:MOST_MARKS_LOGGED]],
+        )
         if not marks:
             return
-        self._hub.log.info("calls.blamed", endpoint=endpoint, calls=len(marks))
+        self._hub.measures.count("calls_blamed", value=len(marks))
         for daemon in list(self._hub.beliefs.daemons):
             if daemon != self._hub.identity.name:
                 await self.send(daemon, CallsBlamed(endpoint, marks))
--- a/packages/daemon/src/knapweedbridge_daemon/serving/sweeping.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/sweeping.py
@@ -57,5 +57,5 @@
             before_ms=before.record.started_ms,
         )
         await hub.pool.close_idle_to(before.record.address)
-        await self._link.endpoint_lost(before.name)
+        await self._link.endpoint_lost(before.name, "restarted")
         hub.engines_changed.tell()
