Red stories: requests that crash endpoints, by kind, body and what is there after the crash

A deadly request comes by three hosts in turn: with and without a body, look-ups, orders and streams; endpoints that refuse connections, are silent, or are back at once under a new id or their own; hosts that were not started, started again or heard nothing as the others learned; all hosts started again; several such requests, and innocent ones, also of the same path and body. Stand-ins: endpoints that end by a request and are started again at their address.

--- /dev/null
+++ b/features/crashes/environment.py
@@ -0,0 +1,8 @@
+import sys
+from pathlib import Path
+
+AREAS = Path(__file__).parent.parent
+
+# Its daemons and stand-ins are those of the whole path on the platform's wire.
+for folder in ("platform", "platform/steps", "accounts", "crashes"):
+    sys.path.insert(0, str(AREAS / folder))
--- a/features/platform/standins.py
+++ b/features/platform/standins.py
@@ -22,19 +22,24 @@
         self.address = ""
         self.faults = []
         self.calls = []
+        self.port = 0
         self.scope = anyio.CancelScope()
+        self.ended = anyio.Event()
 
     async def run(self, *, task_status=anyio.TASK_STATUS_IGNORED):
         face = CallersFace(
             self.handle, lambda: FaceLimits(), self.faults.append, self.faults.append
         )
-        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        listener = await anyio.create_tcp_listener(
+            local_host="127.0.0.1", local_port=self.port
+        )
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         self.address = f"127.0.0.1:{port}"
         with self.scope:
             async with listener:
                 task_status.started()
                 await listener.serve(face.serve)
+        self.ended.set()
 
     def crash(self):
         """End at once: all connections break, and new ones are refused."""
--- a/features/platform/whole_path.py
+++ b/features/platform/whole_path.py
@@ -175,12 +175,15 @@
 class WholePath:
     """The whole path: a store, two plain endpoints, two engines and daemons."""
 
+    plain_kind = Endpoint
+    engine_kind = Engine
+
     def __init__(self, stack, tasks):
         self._stack = stack
         self.tasks = tasks
         self.store = Store()
-        self.desks = [Endpoint(f"desk-{n}", "desk") for n in (1, 2)]
-        self.engines = [Engine(f"engine-{n}", "llm") for n in (1, 2)]
+        self.desks = [self.plain_kind(f"desk-{n}", "desk") for n in (1, 2)]
+        self.engines = [self.engine_kind(f"engine-{n}", "llm") for n in (1, 2)]
         self.ports = []
         self.metrics_ports = []
         self.logs = []
@@ -352,10 +355,12 @@
 
 
 @asynccontextmanager
-async def whole_path(daemons=1, lease_ms=1000, bounds=None, prepare=nothing):
+async def whole_path(
+    daemons=1, lease_ms=1000, bounds=None, prepare=nothing, kind=WholePath
+):
     async with AsyncExitStack() as stack:
         tasks = await stack.enter_async_context(anyio.create_task_group())
-        path = WholePath(stack, tasks)
+        path = kind(stack, tasks)
         path.lease_ms = lease_ms
         path.bounds = bounds or {}
         path.prepare = prepare
