Calls without a body are known when they come again, and callers are told apart

Callers saw all endpoints of a service end in turn, again and again: a look-up without a body crashes each endpoint that runs it, comes again by any host, and was never refused.

Cause: the mark of a call was made of its target and body, and a call with a body of under 16 bytes had none, as it 'cannot be told from others on its path'. It can: by its caller.

The mark is made of the account, the caller's address, host, method, target and body, so that every call has one, and the same request of another caller stays innocent. The row of the decision table which said that a call of 0 bytes lost with two endpoints is not refused held the fault; it says the opposite now. The new table of marks failed before: there was no caller in them.

--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -344,10 +344,27 @@
       | 1      | 100   | seen by this daemon        | no      |
       | 2      | 100   | seen by this daemon        | yes     |
       | 2      | 100   | told by another daemon     | yes     |
-      | 2      | 0     | seen by this daemon        | no      |
+      | 2      | 0     | seen by this daemon        | yes     |
       | 2      | 100   | but they lived on          | no      |
       | 2      | 100   | seen more than 60 s ago    | no      |
 
+  Scenario Outline: A call that comes again is known, another <part> is another call
+    Guards against calls without a body that crash endpoints and are not known again, and
+    against blame of other callers' calls.
+
+    When a call comes again with another <part>: <value>
+    Then it is taken for the same call: <same>
+
+    Examples:
+      | part    | value     | same |
+      | method  | GET       | yes  |
+      | account | north     | no   |
+      | sender  | 10.0.0.2  | no   |
+      | host    | desk      | no   |
+      | method  | DELETE    | no   |
+      | target  | /look/1?a | no   |
+      | body    | x         | no   |
+
   Scenario: What is handed on of the store fits a small link
     A host with a link of 5 Mbit/s watched the store for its data centre. What it
     handed on filled the link; its own calls got no answer, and all heard 5 s late.
--- a/features/serving/steps/decision_steps.py
+++ b/features/serving/steps/decision_steps.py
@@ -300,10 +300,29 @@
     assert context.again == (again == "yes")
 
 
+def mark_of(
+    account="", sender="10.0.0.1", host="shop", method="GET", target="/look/1", body=""
+):
+    """Return the mark of a call."""
+    return fingerprint(
+        account, sender, host, method.encode(), target.encode(), body.encode()
+    )
+
+
+@when("a call comes again with another {part}: {value}")
+def comes_again_with(context, part, value):
+    context.is_same = mark_of() == mark_of(**{part: value})
+
+
+@then("it is taken for the same call: {same}")
+def taken_for_same(context, same):
+    assert context.is_same == (same == "yes")
+
+
 @when("a call of {size:d} bytes was lost with {losses:d} endpoints, {how}")
 def lost_with(context, size, losses, how):
     ledger = context.ledger = CrashLedger()
-    context.mark = fingerprint(b"/draft/1", b"x" * size)
+    context.mark = mark_of(body="x" * size)
     at_s = NOW_S - 70 if "ago" in how else NOW_S - 1
     for number in range(losses):
         name = f"e{number}"
@@ -319,7 +338,7 @@
 def is_refused(context, refused):
     found = context.ledger.refused_for_s(context.mark, NOW_S + 2)
     assert (found > 0) == (refused == "yes"), found
-    other = fingerprint(b"/draft/1", b"y" * 100)
+    other = mark_of(body="y" * 100)
     assert context.ledger.refused_for_s(other, NOW_S + 2) == 0
 
 
--- a/packages/core/src/knapweedbridge_core/serving/crashes.py
+++ b/packages/core/src/knapweedbridge_core/serving/crashes.py
@@ -18,15 +18,27 @@
 """How long after a call broke its endpoint's loss may show: an entry lapses after
 three heartbeats of 1.2 s."""
 
-SHORTEST_BODY_BYTES = 16
-"""A call without a body of its own cannot be told from others on its path."""
 
-
-def fingerprint(target: bytes, body: bytes) -> str:
-    """Return what a call is known by when it comes again, or an empty text."""
-    if len(body) < SHORTEST_BODY_BYTES:
-        return ""
-    return hashlib.blake2b(target + b"\0" + body, digest_size=16).hexdigest()
+def fingerprint(
+    account: str, sender: str, host: str, method: bytes, target: bytes, body: bytes
+) -> str:
+    """Return what a call is known by when it comes again, by any host.
+
+    Its caller counts: others send the same look-up, and theirs may do no harm.
+
+    Parameters
+    ----------
+    account : str
+        Client account that it runs for; empty: none.
+    sender : str
+        Network address of its caller.
+    host, method, target, body : str, bytes, bytes, bytes
+        What it asks for.
+    """
+    parts = (account.encode(), sender.encode(), host.encode(), method, target)
+    lengths = b",".join(b"%d" % len(part) for part in parts)
+    told = b"\0".join((lengths, *parts, body))
+    return hashlib.blake2b(told, digest_size=16).hexdigest()
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/byte_stream.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/byte_stream.py
@@ -87,6 +87,12 @@
             own.connection_lost(before.exception)
         return own
 
+    @property
+    def peer_host(self) -> str:
+        """Network address of the other end; empty where the connection is gone."""
+        name = self._transport.get_extra_info("peername")
+        return str(name[0]) if name else ""
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See `asyncio.BaseProtocol`."""
         self._transport = cast(asyncio.Transport, transport)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
@@ -20,6 +20,7 @@
 )
 from knapweedbridge_daemon.serving.hub import Hub
 from knapweedbridge_daemon.serving.quota_shares import QuotaShares
+from knapweedbridge_daemon.serving.wire import get_header
 
 STOPPING_AFTER_S = 0.05
 """When to come back after a refusal of a daemon that stops: another takes it at once.
@@ -150,7 +151,7 @@
             route.service_of(details.stream_id),
             details,
             request.received_s + allowed_s,
-            mark=fingerprint(request.head.target, request.body),
+            mark=_mark(request, terms),
             spent_s=self._hub.deadlines.spent_s(
                 route.name, details.deadline_s, request.received_s
             ),
@@ -245,3 +246,16 @@
             paused_at_s=round(call.paused_s, 4),
             took_s=round(now_s - call.request.received_s, 4),
         )
+
+
+def _mark(request: ReceivedRequest, terms: CallTerms) -> str:
+    """Return what a request is known by when its caller sends it again."""
+    head, account = request.head, terms.account
+    return fingerprint(
+        account.name if account else "",
+        request.sender,
+        get_header(head.headers, b"host") or "",
+        head.method,
+        head.target,
+        request.body,
+    )
--- a/packages/daemon/src/knapweedbridge_daemon/serving/request_reading.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/request_reading.py
@@ -46,11 +46,14 @@
         Its body.
     received_s : float
         When its head was read, on the daemon's clock.
+    sender : str
+        Network address that it came from, without a port; empty where that is unknown.
     """
 
     head: RequestHead
     body: bytes
     received_s: float
+    sender: str = ""
 
 
 class RequestReader:
@@ -98,7 +101,7 @@
         body = await self._read_body(framing, limits)
         if body is None:
             return None
-        return ReceivedRequest(head, body, received_s), framing
+        return ReceivedRequest(head, body, received_s, self._wire.peer_host), framing
 
     async def _receive(self, within_s: float) -> bytes:
         """Receive; nothing is returned where the connection ended in any way."""
