The loss of an endpoint is proved at once, by whatever it is that shows it

Callers saw a request end 5 to 16 endpoints though its mark was known (red stories; 4 to 7 for look-ups, up to 16 for streams). Cause: an attempt that breaks is evidence only once the loss of its endpoint is proved, and that took until another call failed to connect, the entry lapsed (3.6 s and more), or never: an endpoint that was back at once under a new id refused nothing and was not listed as restarted; one that was silent broke no attempt, as those were given up by us or by their caller, which did not count; a loss that was known first did not count for a call that ended later; and two starts under one id were one loss.

- An attempt without a whole answer counts however it ended, and a loss that shows within 6 s of it, before or after, is held against it.
Losses are told apart by start.
- The host on which it broke asks the endpoint for its health at once, by another connection, once a second at most; after a silence, when that has lasted for 2 s.
Refused, with two other hosts that have links: lost.
Answered by another id: lost.
Another entry at its address: lost.
- A host that is asked whether it reaches an endpoint, and has had no traffic itself, tries another endpoint before it says that it cannot tell: of quiet hosts none could prove a loss.
- An endpoint that said it was leaving is not lost when its entry goes.

Stand-ins answer /health, which is no request.

--- a/features/crashes/steps/crash_steps.py
+++ b/features/crashes/steps/crash_steps.py
@@ -15,7 +15,7 @@
 from stories import WRITTEN_S
 from whole_path import WholePath, whole_path
 
-from knapweedbridge_daemon.serving.peer_link import PeerLink
+from knapweedbridge_daemon.serving.crash_watch import CrashWatch
 
 BODY = b"a body that is long enough to be known again"
 BODIES = {"with a body": BODY, "without body": b""}
@@ -104,13 +104,13 @@
     if was == "was not started":
         await path.kill_daemon("host-2")
     if was == "heard no other host":
-        heard = PeerLink._take_blamed
+        heard = CrashWatch.heard
 
         async def hear_nothing(link, daemon, message):
             if link._hub.identity.name != "host-2":
                 await heard(link, daemon, message)
 
-        PeerLink._take_blamed = hear_nothing
+        CrashWatch.heard = hear_nothing
     try:
         await end_two(context, path, hosts[:2])
         if was != "heard no other host":
@@ -119,7 +119,7 @@
         await ask_all(context, path, hosts)
     finally:
         if was == "heard no other host":
-            PeerLink._take_blamed = heard
+            CrashWatch.heard = heard
 
 
 @when("a deadly look-up ends two endpoints, and all hosts start again")
--- a/features/platform/standins.py
+++ b/features/platform/standins.py
@@ -334,6 +334,10 @@
         if expected not in (None, self.name):
             await self.refuse(responder, 421)
             return
+        if request.head.path == "/health":
+            headers = [(b"Instance-Id", self.name.encode())]
+            await responder.answer(200, headers, b"")
+            return
         self.requests.append(request)
         if self.rest_s is not None:
             await self.answer(request, responder, "shed")
--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -347,6 +347,10 @@
       | 2      | 0     | seen by this daemon        | yes     |
       | 2      | 100   | but they lived on          | no      |
       | 2      | 100   | seen more than 60 s ago    | no      |
+      | 2      | 100   | seen 5 s later             | yes     |
+      | 2      | 100   | seen 7 s later             | no      |
+      | 2      | 100   | known before it ended      | yes     |
+      | 2      | 100   | of two starts of one       | yes     |
 
   Scenario Outline: A call that comes again is known, another <part> is another call
     Guards against calls without a body that crash endpoints and are not known again, and
--- a/features/serving/steps/decision_steps.py
+++ b/features/serving/steps/decision_steps.py
@@ -7,6 +7,7 @@
     AttemptEnd,
     CallProgress,
     CrashLedger,
+    EndpointStart,
     Fleet,
     LoadOn,
     NamedVersions,
@@ -20,6 +21,7 @@
     VersionsNow,
     WaitFor,
     fingerprint,
+    loss_id,
     may_send_again,
     parse_model,
 )
@@ -324,14 +326,21 @@
     ledger = context.ledger = CrashLedger()
     context.mark = mark_of(body="x" * size)
     at_s = NOW_S - 70 if "ago" in how else NOW_S - 1
+    proof_s = 5.0 if "5 s later" in how else 7.0 if "7 s later" in how else 0.5
     for number in range(losses):
-        name = f"e{number}"
+        lost_s = at_s + 2 * number
+        start = EndpointStart(
+            *("e", 1 + number) if "starts" in how else (f"e{number}", 0)
+        )
         if "told" in how:
-            ledger.told(context.mark, name, at_s + 2 * number)
-            continue
-        ledger.broke(context.mark, name, at_s + 2 * number)
-        if "lived" not in how:
-            ledger.lost(name, at_s + 2 * number + 0.5)
+            ledger.told(context.mark, loss_id(start), lost_s)
+        elif "before" in how:
+            ledger.lost(start, lost_s)
+            ledger.ended(context.mark, start, lost_s + 0.5)
+        else:
+            ledger.ended(context.mark, start, lost_s)
+            if "lived" not in how:
+                ledger.lost(start, lost_s + proof_s)
 
 
 @then("it is refused: {refused}, and another call: no")
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -22,7 +22,7 @@
 from knapweedbridge_core.serving.beliefs import Belief, Beliefs
 from knapweedbridge_core.serving.brittle import RoomBudget
 from knapweedbridge_core.serving.caller_wait import CallerCase, UsualDeadlines
-from knapweedbridge_core.serving.crashes import CrashLedger, fingerprint
+from knapweedbridge_core.serving.crashes import CrashLedger, fingerprint, loss_id
 from knapweedbridge_core.serving.deployment import (
     BaseModel,
     CallKind,
@@ -216,6 +216,7 @@
     "claimants",
     "era_of",
     "fingerprint",
+    "loss_id",
     "first_byte_patience_s",
     "first_event_patience_s",
     "has_spare",
--- a/packages/core/src/knapweedbridge_core/serving/crashes.py
+++ b/packages/core/src/knapweedbridge_core/serving/crashes.py
@@ -10,13 +10,17 @@
 from dataclasses import dataclass
 
 from knapweedbridge_core.blame import Blame, Verdict
+from knapweedbridge_core.serving.endpoint_records import EndpointStart
 
 LAPSE_S = 60.0
 """How long blame holds; callers give up on such a call within seconds."""
 
-PROOF_S = 4.0
-"""How long after a call broke its endpoint's loss may show: an entry lapses after
-three heartbeats of 1.2 s."""
+PROOF_S = 6.0
+"""Longest time from a call's end to the proof that its endpoint was lost by then. The
+entry of an endpoint that is silent lapses after three heartbeats of 1.2 s, is removed
+within a second, and a relay tells of it within another."""
+
+ENDINGS_KEPT = 1000
 
 
 def fingerprint(
@@ -42,55 +46,93 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Broke:
-    """A call that broke off at an endpoint."""
+class Ending:
+    """A call that ended at a start of an endpoint without a whole answer."""
 
     fingerprint: str
-    endpoint: str
+    start: EndpointStart
     at_s: float
 
+    def is_recent(self, now_s: float) -> bool:
+        """Return whether a loss that shows now may have ended it."""
+        return now_s - self.at_s <= PROOF_S
+
+
+def loss_id(start: EndpointStart) -> str:
+    """Return what the loss of a start of an endpoint is known by on all hosts."""
+    return f"{start.endpoint} {start.started_ms}"
+
 
 class CrashLedger:
     """What one daemon knows of calls that were lost with their endpoints."""
 
     def __init__(self) -> None:
         self._blame = Blame(lapse_s=LAPSE_S)
-        self._broke: deque[Broke] = deque(maxlen=1000)
-
-    def broke(self, mark: str, endpoint: str, now_s: float) -> None:
-        """Note that a call broke off; the endpoint may have been lost with it."""
-        if mark:
-            self._broke.append(Broke(mark, endpoint, now_s))
+        self._endings: deque[Ending] = deque(maxlen=ENDINGS_KEPT)
+        self._lost: dict[EndpointStart, float] = {}
+
+    def ended(self, mark: str, start: EndpointStart, now_s: float) -> bool:
+        """Record that a call ended at an endpoint without a whole answer.
+
+        It broke off, or nobody waits for it any more: the endpoint may be silent.
+
+        Returns
+        -------
+        is_blamed : bool
+            Whether the endpoint's loss was known before, so that the call is blamed.
+        """
+        if any(
+            each.may_be(start) and now_s - at_s <= PROOF_S
+            for each, at_s in self._lost.items()
+        ):
+            self.told(mark, loss_id(start), now_s)
+            return True
+        self._endings.append(Ending(mark, start, now_s))
+        return False
 
     def has_broken(self, endpoint: str, now_s: float) -> bool:
-        """Return whether a call has broken off at an endpoint of late."""
+        """Return whether a call has ended badly at an endpoint of late."""
         return any(
-            each.endpoint == endpoint and now_s - each.at_s <= PROOF_S
-            for each in self._broke
+            each.start.endpoint == endpoint and each.is_recent(now_s)
+            for each in self._endings
         )
 
-    def lost(self, endpoint: str, now_s: float) -> list[str]:
-        """Take that an endpoint is lost; return the calls that are to be blamed."""
-        found = [
-            each.fingerprint
-            for each in self._broke
-            if each.endpoint == endpoint and now_s - each.at_s <= PROOF_S
-        ]
-        kept = [each for each in self._broke if each.endpoint != endpoint]
-        self._broke = deque(kept, maxlen=self._broke.maxlen)
-        for mark in found:
-            self.told(mark, endpoint, now_s)
+    def lost(self, start: EndpointStart, now_s: float) -> dict[str, list[str]]:
+        """Record that an endpoint is lost; return the calls that are to be blamed.
+
+        Parameters
+        ----------
+        start : EndpointStart
+            Which start of it; without a time, any.
+
+        Returns
+        -------
+        dict of str to list of str
+            Marks of calls, by loss.
+        """
+        recent = self._lost.items()
+        self._lost = {each: at_s for each, at_s in recent if now_s - at_s <= PROOF_S}
+        self._lost[start] = now_s
+        found: dict[str, list[str]] = {}
+        kept: list[Ending] = []
+        for each in self._endings:
+            if not each.start.may_be(start):
+                kept.append(each)
+            elif each.is_recent(now_s):
+                marks = found.setdefault(loss_id(each.start), [])
+                if each.fingerprint not in marks:
+                    marks.append(each.fingerprint)
+                    self.told(each.fingerprint, loss_id(each.start), now_s)
+        self._endings = deque(kept, maxlen=ENDINGS_KEPT)
         return found
 
-    def told(self, mark: str, endpoint: str, now_s: float) -> None:
-        """Blame a call for an endpoint's loss, here or at another daemon."""
-        self._blame.suspect(mark, endpoint, endpoint, now_s)
-        self._blame.proved(mark, endpoint)
+    def told(self, mark: str, loss: str, now_s: float) -> None:
+        """Blame a call for the loss of an endpoint, here or at another daemon."""
+        self._blame.suspect(mark, loss, loss, now_s)
+        self._blame.proved(mark, loss)
 
     def refused_for_s(self, mark: str, now_s: float) -> float:
         """Return for how long a call is refused; 0 where it may run."""
-        if not mark:
-            return 0.0
         self._blame.lapse(now_s)
         if self._blame.judge(mark, now_s) is not Verdict.REFUSE:
             return 0.0
--- a/packages/core/src/knapweedbridge_core/serving/endpoint.py
+++ b/packages/core/src/knapweedbridge_core/serving/endpoint.py
@@ -92,6 +92,8 @@
         What its owner published of that; see `service_speeds`.
     usable : bool
         Whether its entry in the list can be read; if not, it gets no new work.
+    answered_s : float
+        When it last answered a call of this daemon.
     unlisted_s : float or None
         When its entry was removed; None where it is listed.
     lapsed_until_s : float
@@ -115,6 +117,7 @@
     lapsed_until_s: float = math.inf
     suspect_until_s: float = 0.0
     failures_in_row: int = 0
+    answered_s: float = -math.inf
     failure_share: float = 0.0
     failure_s: float = 0.0
     slowness: float = 1.0
@@ -301,7 +304,8 @@
         self.failures_in_row = min(self.failures_in_row + 1, 8)
         self.suspect_until_s = now_s + min(pause_s, SUSPECT_LONGEST_S)
 
-    def note_answer(self) -> None:
+    def note_answer(self, now_s: float) -> None:
         """End the back-off: the endpoint answers."""
+        self.answered_s = now_s
         self.failures_in_row = 0
         self.suspect_until_s = 0.0
--- a/packages/core/src/knapweedbridge_core/serving/fleet.py
+++ b/packages/core/src/knapweedbridge_core/serving/fleet.py
@@ -33,6 +33,8 @@
         self.endpoints: dict[str, Endpoint] = {}
         self._by_service: dict[str, dict[str, Endpoint]] = {}
         self._restarted: list[Endpoint] = []
+        self._by_address: dict[str, str] = {}
+        self._replaced: list[str] = []
         self._lapsed: dict[str, Endpoint] = {}
         self.paced = PacedEngines()
         self.software = SoftwareVersions()
@@ -50,6 +52,7 @@
             endpoint = self._begin(endpoint, record, now_s)
         started_ms = record.started_ms or endpoint.record.started_ms
         endpoint.record = replace(record, started_ms=started_ms)
+        self._note_address(record)
         endpoint.usable = True
         endpoint.note_listed()
         self._lapsed.pop(endpoint.name, None)
@@ -65,6 +68,22 @@
             )
         return endpoint
 
+    def _note_address(self, record: EndpointRecord) -> None:
+        before = self._by_address.get(record.address, record.endpoint)
+        if before != record.endpoint and before in self.endpoints:
+            self._replaced.append(before)
+        self._by_address[record.address] = record.endpoint
+
+    @property
+    def has_losses(self) -> bool:
+        """Whether endpoints were replaced or started again that nobody has taken."""
+        return bool(self._replaced or self._restarted)
+
+    def take_replaced(self) -> list[str]:
+        """Return, once, the endpoints at whose addresses others were listed since."""
+        found, self._replaced = self._replaced, []
+        return found
+
     def still_leaving(self, record: EndpointRecord) -> EndpointRecord:
         """Return a record of an older copy of the list, with a leaving that was heard.
 
@@ -289,6 +308,8 @@
         record = endpoint.record
         self.software.dropped(record.service, record.software, now_s)
         del self.endpoints[endpoint.name]
+        if self._by_address.get(record.address) == endpoint.name:
+            del self._by_address[record.address]
         self.changes += 1
         self._lapsed.pop(endpoint.name, None)
         self.paced.forget(endpoint)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -70,7 +70,7 @@
         forecast = self._records.forecast(call, endpoint, began_s)
         self._link.running.begin(endpoint, model, call.unread_tokens)
         end = AttemptEnd.ABANDONED
-        detail = ""
+        detail, is_closed = "", False
         try:
             if model is not None:
                 await self._link.turns.take(endpoint, call.unread_tokens, call.urgency)
@@ -88,16 +88,19 @@
             endpoint.note_unreachable(loop_time_s())
             self._records.unreachable(endpoint, error)
             if error.is_lost:
-                await self._link.endpoint_lost(endpoint.name, "unreachable")
+                self._link.crashes.note_lost(endpoint.name, "unreachable")
         except (BrokenError, BrokenEventsError) as error:
             end, detail = AttemptEnd.BROKEN, str(error)
             call.progress.runs.add(endpoint.name)
-            if not isinstance(error, NotBegunError):
-                self._hub.crashes.broke(call.mark, endpoint.name, loop_time_s())
+            is_closed = not isinstance(error, NotBegunError)
         finally:
             if end is AttemptEnd.ABANDONED:
                 # Broken off by its caller or by a deadline, it may run all the same.
                 call.progress.runs.add(endpoint.name)
+            if end in (AttemptEnd.BROKEN, AttemptEnd.ABANDONED):
+                self._link.crashes.attempt_ended(
+                    call.mark, endpoint, forecast.sent_s or None, is_closed
+                )
             self._records.learn(call, endpoint, forecast, end)
             self._note_read(call, endpoint)
             whole = end not in (AttemptEnd.BROKEN, AttemptEnd.ABANDONED)
@@ -167,7 +170,7 @@
                     call.details.call_id, headers
                 ),
             )
-            endpoint.note_answer()
+            endpoint.note_answer(loop_time_s())
             if not connection.forwarder:
                 self._hub.paths.linked_s = loop_time_s()
             proved = self._hub.dialects.endpoints.read_answer(answer)
@@ -223,6 +226,7 @@
             # Its address went to another: the one that was believed in is gone.
             call.refused.add(endpoint.name)
             endpoint.note_unreachable(now_s)
+            self._link.crashes.note_lost(endpoint.name, "replaced")
         elif not proved.wrong_endpoint or model not in endpoint.held:
             call.refused.add(endpoint.name)
         elif not endpoint.is_heard(now_s):
--- a/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
@@ -291,6 +291,8 @@
         if changed:
             self._hub.beliefs_changed.tell()
             self._hub.engines_changed.tell()
+        if changed and self._hub.beliefs.fleet.has_losses:
+            self._hub.losses_changed.tell()
 
     def _note_listing(self, key: str, endpoint: str, now_s: float) -> None:
         """Take that an engine's entry tells of its adapters alone.
@@ -312,6 +314,10 @@
             outage_over_s=round(self._hub.outage.over_for_s(now_s), 3),
         )
 
+    def _is_leaving(self, endpoint: str) -> bool:
+        known = self._hub.beliefs.fleet.endpoints.get(endpoint)
+        return known is not None and known.leaves
+
     def _take_one(self, item: StoreItem, known_s: float) -> bool:
         hub = self._hub
         self._missing.discard(item.key)
@@ -322,7 +328,7 @@
         belief = self._reader.read(item)
         if belief is None:
             return False
-        if isinstance(belief, EndpointGone):
+        if isinstance(belief, EndpointGone) and not self._is_leaving(belief.endpoint):
             self._gone.append(belief.endpoint)
         now_s = anyio.current_time()
         if isinstance(belief, EndpointNamed) and now_s < self._settled_s:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/dialects.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/dialects.py
@@ -218,6 +218,10 @@
     def read_order_answer(self, head: ResponseHead, body: bytes) -> OrderAnswer:
         """Decode an endpoint's answer to an order."""
 
+    @abstractmethod
+    def health(self, address: str, endpoint: str, path: str) -> WireRequest:
+        """Encode the question for an endpoint's health, which no other answers."""
+
     @abstractmethod
     def report(self, address: str) -> WireRequest:
         """Encode the question for a report."""
--- a/packages/daemon/src/knapweedbridge_daemon/serving/forwarding.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/forwarding.py
@@ -1,6 +1,7 @@
 """Carries connections to endpoints for hosts that have lost their links."""
 
 import contextlib
+import random
 
 import anyio
 import msgpack
@@ -23,6 +24,11 @@
 CONNECT_S = 0.3
 """How long an endpoint is tried: the host that asks waits beside its own attempt."""
 
+MOST_TRIED = 3
+TRY_S = 0.1
+"""Other endpoints that are tried, and for how long each, to find out whether this host
+has links."""
+
 CLOSE_S = 2.0
 """How long the asking host may take to read the last bytes of a tunnel."""
 
@@ -92,7 +98,7 @@
                     *split_address(asked.address)
                 )
         except (OSError, TimeoutError):
-            is_linked = self._hub.paths.is_linked(loop_time_s())
+            is_linked = await self._is_linked(asked.address)
             reason = "unreachable" if is_linked else "unsure"
             await self._refuse(host, stream, asked, reason)
             return
@@ -103,6 +109,32 @@
             await stream.send(encode(TunnelOpened(self.tunnels)))
             await self._carry(stream, upstream)
 
+    async def _is_linked(self, missed: str) -> bool:
+        """Return whether this host reaches an endpoint, other than one that it missed.
+
+        A host without traffic has had no answer of late; it tries another endpoint.
+        """
+        paths, fleet = self._hub.paths, self._hub.beliefs.fleet
+        if not paths.is_linked(loop_time_s()):
+            others = [
+                each.record.address
+                for each in fleet.engines()
+                if each.record.address != missed
+                and each.suspect_until_s <= loop_time_s()
+            ]
+            for address in random.sample(others, min(MOST_TRIED, len(others))):
+                if not paths.is_linked(loop_time_s()):
+                    await self._try(address)
+        return paths.is_linked(loop_time_s())
+
+    async def _try(self, address: str) -> None:
+        """Open a connection to an endpoint, and keep it for calls."""
+        with contextlib.suppress(OSError, TimeoutError):
+            with anyio.fail_after(TRY_S):
+                stream = await byte_stream.connect_stream(*split_address(address))
+            self._hub.paths.note_direct(address, loop_time_s())
+            self._hub.pool.adopt(stream, address)
+
     async def _carry(self, stream: PeerSocket, upstream: ByteStream) -> None:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._carry_up, stream, upstream, tasks.cancel_scope)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -140,7 +140,10 @@
     async def _serve(self, hub: Hub) -> None:
         link = PeerLink(hub, round(self._settings.get("limits", "tunnels")))
         follower = StoreFollower(
-            hub, link.ask_relay, link.endpoint_unlisted, link.relaying.store_changed
+            hub,
+            link.ask_relay,
+            link.crashes.endpoint_unlisted,
+            link.relaying.store_changed,
         )
         link.on_store_told = follower.heard
         lease = LeaseKeeper(hub, follower, link.owners.stop)
@@ -163,6 +166,7 @@
                     tasks.start_soon(link.run, tasks, self._address("peers"))
                     tasks.start_soon(link.owners.run, tasks)
                     tasks.start_soon(link.running.run)
+                    tasks.start_soon(link.crashes.run, tasks)
                     tasks.start_soon(link.relaying.run)
                     tasks.start_soon(StoreMarks(hub, link.send).run)
                     tasks.start_soon(EndpointSweep(hub, link).run)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
@@ -131,6 +131,7 @@
     steady_s: Callable[[], float] = suspended_clock_s
     engines_changed: Changes = field(default_factory=Changes)
     beliefs_changed: Changes = field(default_factory=Changes)
+    losses_changed: Changes = field(default_factory=Changes)
     lease_revision: int = 0
     store_era: int = 0
     draining: bool = False
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -24,7 +24,7 @@
 from knapweedbridge_daemon.peer_sockets import PeerListener
 from knapweedbridge_daemon.peers import Peers
 from knapweedbridge_daemon.serving.answer_signs import AnswerSigns
-from knapweedbridge_daemon.serving.attempt_records import MARK_DIGITS
+from knapweedbridge_daemon.serving.crash_watch import CrashWatch
 from knapweedbridge_daemon.serving.engine_owners import EngineOwners, ToOwner
 from knapweedbridge_daemon.serving.forwarding import Forwarding
 from knapweedbridge_daemon.serving.hub import Hub
@@ -50,9 +50,6 @@
 ASK_ALL_S = 0.2
 """Pause between questions for all of an engine, where a telling was missed."""
 
-MOST_MARKS_LOGGED = 16
-"""Marks of calls that one log line carries."""
-
 
 class PeerLink:
     """Sends and takes the messages between daemons.
@@ -77,6 +74,7 @@
         self.owners = EngineOwners(hub, self.send, self.permits, self.signs)
         self.shares = QuotaShares(hub, self.send)
         self.resuming = StreamResuming(hub, self.send)
+        self.crashes = CrashWatch(hub, self.send)
         self._relays_asked_s: dict[str, float] = {}
         self.on_store_told: Callable[[str, StoreTold], int] = lambda *told: 0
         self._peers: Peers | None = None
@@ -88,7 +86,7 @@
             EngineTold: self._take_of_owner,
             EngineChanged: self._take_of_owner,
             TurnsGiven: self._take_turns,
-            CallsBlamed: self._take_blamed,
+            CallsBlamed: self.crashes.heard,
             OwnerAnswered: self._take_answered,
         }
         takers |= dict.fromkeys((ShareAsked, ShareGiven), self.shares.heard)
@@ -161,11 +159,6 @@
     async def _take_turns(self, daemon: str, message: TurnsGiven) -> None:
         self.turns.given(message)
 
-    async def _take_blamed(self, daemon: str, message: CallsBlamed) -> None:
-        now_s = anyio.current_time()
-        for mark in message.fingerprints:
-            self._hub.crashes.told(mark, message.endpoint, now_s)
-
     async def _take_of_owner(
         self, daemon: str, message: EngineTold | EngineChanged
     ) -> None:
@@ -275,33 +268,6 @@
             endpoint.asked_all_s = now_s
             await self.send(owner, EngineAsked(endpoint.name))
 
-    async def endpoint_unlisted(self, endpoint: str) -> None:
-        """Take that an endpoint's entry was removed."""
-        await self.endpoint_lost(endpoint, "unlisted")
-
-    async def endpoint_lost(self, endpoint: str, cause: str) -> None:
-        """Blame the calls that an endpoint was lost with, on all daemons.
-
-        Parameters
-        ----------
-        cause : str
-            What shows the loss, for the log.
-        """
-        marks = self._hub.crashes.lost(endpoint, anyio.current_time())
-        self._hub.log.info(
-            "calls.blamed" if marks else "endpoint.lost",
-            endpoint=endpoint,
-            cause=cause,
-            calls=len(marks),
-            marks=[mark[:MARK_DIGITS] for mark in marks[:MOST_MARKS_LOGGED]],
-        )
-        if not marks:
-            return
-        self._hub.measures.count("calls_blamed", value=len(marks))
-        for daemon in list(self._hub.beliefs.daemons):
-            if daemon != self._hub.identity.name:
-                await self.send(daemon, CallsBlamed(endpoint, marks))
-
     async def _take_answered(self, daemon: str, message: OwnerAnswered) -> None:
         endpoint = self._hub.beliefs.fleet.endpoints.get(message.endpoint)
         if endpoint is not None:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/sweeping.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/sweeping.py
@@ -28,7 +28,7 @@
     async def run(self) -> None:
         """Look again and again until cancelled."""
         while True:
-            await anyio.sleep(SWEEP_S)
+            await self._hub.losses_changed.wait(SWEEP_S)
             self._forget_unlisted()
             for before in self._hub.beliefs.fleet.take_restarted():
                 await self._end_start(before)
@@ -57,5 +57,7 @@
             before_ms=before.record.started_ms,
         )
         await hub.pool.close_idle_to(before.record.address)
-        await self._link.endpoint_lost(before.name, "restarted")
+        await self._link.crashes.endpoint_lost(
+            before.name, "restarted", before.record.started_ms
+        )
         hub.engines_changed.tell()
--- a/packages/standins/src/knapweedbridge_standins/relay_pool/pool.py
+++ b/packages/standins/src/knapweedbridge_standins/relay_pool/pool.py
@@ -61,7 +61,7 @@
         self.follower = StoreFollower(
             self.hub,
             self.link.ask_relay,
-            self.link.endpoint_unlisted,
+            self.link.crashes.endpoint_unlisted,
             self.link.relaying.store_changed,
         )
         self.link.on_store_told = self.follower.heard
