What crashes endpoints is refused by all hosts, also those that did not hear of it

Callers saw a host that was started after the others had learned of a deadly request go on passing it on; after a restart of all hosts nobody knew it (red stories: 502 by the new host, two more endpoints). Cause: blame was told once, to the hosts that were listed at that moment, and kept in each process. Class: what must last was kept in memory alone.

The store says which calls are refused, under a lease: three keepers count the losses of a call, and the first of them that lives writes; all hosts follow the store already, through relays in a large pool. It is written again where it is missing. In a large pool losses are told to the keepers alone, no longer to every host. Hosts ask before each send, so that a call which waits is not sent once it is refused.

A whole answer clears a call everywhere: innocent calls that ran beside a deadly one twice in a minute were refused though they had been answered meanwhile.

Ruled out: telling the whole table to each host that links, as the own interface does; it says nothing to a host that reaches the store and no other host.

Five new rows in the tables of decisions. Protocol 4: one message that earlier versions do not understand.

--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -351,6 +351,20 @@
       | 2      | 100   | seen 7 s later             | no      |
       | 2      | 100   | known before it ended      | yes     |
       | 2      | 100   | of two starts of one       | yes     |
+      | 2      | 100   | answered between them      | no      |
+
+  Scenario Outline: A call that crashes an endpoint again <after> s after two losses
+    Guards against calls that cost two endpoints each time that their refusal lapses.
+
+    When a call is lost with two endpoints, and with one more each time that it may run
+    Then <after> s after the second loss <lost> endpoints are lost, and it is refused
+
+    Examples:
+      | after | lost |
+      | 59    | 2    |
+      | 659   | 3    |
+      | 6659  | 4    |
+      | 86000 | 6    |
 
   Scenario Outline: A call that comes again is known, another <part> is another call
     Guards against calls without a body that crash endpoints and are not known again, and
--- a/features/serving/steps/decision_steps.py
+++ b/features/serving/steps/decision_steps.py
@@ -332,6 +332,8 @@
         start = EndpointStart(
             *("e", 1 + number) if "starts" in how else (f"e{number}", 0)
         )
+        if number and "answered" in how:
+            ledger.answered(context.mark)
         if "told" in how:
             ledger.told(context.mark, loss_id(start), lost_s)
         elif "before" in how:
@@ -343,6 +345,27 @@
                 ledger.lost(start, lost_s + proof_s)
 
 
+@when("a call is lost with two endpoints, and with one more each time that it may run")
+def lost_again(context):
+    context.ledger, context.mark = CrashLedger(), mark_of()
+    context.lost_s = []
+    for now_s in range(86_400):
+        if not context.ledger.refused_for_s(context.mark, now_s):
+            start = EndpointStart(f"e{len(context.lost_s)}", 0)
+            context.ledger.ended(context.mark, start, now_s)
+            context.ledger.lost(start, now_s)
+            context.lost_s.append(now_s)
+
+
+@then(
+    "{after:d} s after the second loss {lost:d} endpoints are lost, and it is refused"
+)
+def lost_by_then(context, after, lost):
+    second_s = context.lost_s[1]
+    found = [at_s for at_s in context.lost_s if at_s <= second_s + after]
+    assert len(found) == lost, context.lost_s
+
+
 @then("it is refused: {refused}, and another call: no")
 def is_refused(context, refused):
     found = context.ledger.refused_for_s(context.mark, NOW_S + 2)
--- a/packages/core/src/knapweedbridge_core/blame.py
+++ b/packages/core/src/knapweedbridge_core/blame.py
@@ -13,6 +13,9 @@
 SAME_LOSS_S = 1.0
 UNPROVED_S = 5.0
 
+LAPSE_GROWTH = 10.0
+"""Times that a refusal lasts longer than the one before it."""
+
 
 class Verdict(Enum):
     """What may be done with a request."""
@@ -48,14 +51,30 @@
 
 @dataclass(slots=True)
 class Suspect:
-    """What is held against one fingerprint."""
+    """What is held against one fingerprint.
+
+    Parameters
+    ----------
+    refusals : int
+        How often it was refused until that lapsed.
+    released_s : float
+        When the last refusal lapsed.
+    """
 
     losses: dict[str, Loss] = field(default_factory=dict)
+    refusals: int = 0
+    released_s: float = 0.0
 
     @property
     def last_s(self) -> float:
-        """Time of the last loss."""
-        return max((loss.at_s for loss in self.losses.values()), default=0.0)
+        """Time of the last loss, or of the end of the refusal before."""
+        times = (loss.at_s for loss in self.losses.values())
+        return max(times, default=self.released_s)
+
+    def is_refused(self, now_s: float) -> bool:
+        """Return whether it may not run; one that was refused before has one loss."""
+        proved = sum(loss.is_proved(now_s) for loss in self.losses.values())
+        return proved >= (1 if self.refusals else LOSSES_REFUSED)
 
 
 class Blame:
@@ -67,11 +86,20 @@
         How long after its last loss a fingerprint stays suspected.
     suspects : int
         Greatest number of entries; the oldest with one loss falls out first.
+    longest_lapse_s : float or None
+        Longest refusal, where each lasts longer than the one before it; None: all last
+        as long as the first.
     """
 
-    def __init__(self, lapse_s: float = 600.0, suspects: int = 1000) -> None:
+    def __init__(
+        self,
+        lapse_s: float = 600.0,
+        suspects: int = 1000,
+        longest_lapse_s: float | None = None,
+    ) -> None:
         self.lapse_s = lapse_s
         self.suspects = suspects
+        self.longest_lapse_s = longest_lapse_s
         self._table: dict[str, Suspect] = {}
 
     def judge(self, fingerprint: str, now_s: float) -> Verdict:
@@ -79,8 +107,7 @@
         suspect = self._table.get(fingerprint)
         if suspect is None:
             return Verdict.FREE
-        proved = sum(loss.is_proved(now_s) for loss in suspect.losses.values())
-        if proved >= LOSSES_REFUSED:
+        if suspect.is_refused(now_s):
             return Verdict.REFUSE
         # A broken stream is not yet a lost endpoint: with the second loss still
         # unproved the request waits for the probe instead of being refused.
@@ -91,7 +118,23 @@
     def refused_for_s(self, fingerprint: str, now_s: float) -> float:
         """Return the seconds until the blame of a fingerprint lapses."""
         suspect = self._table.get(fingerprint)
-        return max(0.0, suspect.last_s + self.lapse_s - now_s) if suspect else 0.0
+        if suspect is None:
+            return 0.0
+        return max(0.0, suspect.last_s + self._lapse_of_s(suspect) - now_s)
+
+    def _lapse_of_s(self, suspect: Suspect) -> float:
+        if self.longest_lapse_s is None:
+            return self.lapse_s
+        return min(self.longest_lapse_s, self.lapse_s * LAPSE_GROWTH**suspect.refusals)
+
+    def knows(self, fingerprint: str) -> bool:
+        """Return whether anything is held against a fingerprint."""
+        return fingerprint in self._table
+
+    def refused(self, now_s: float) -> list[str]:
+        """Return the fingerprints that are refused."""
+        table = self._table.items()
+        return [each for each, suspect in table if suspect.is_refused(now_s)]
 
     def suspect(
         self, fingerprint: str, loss_id: str, endpoint: str, now_s: float
@@ -125,7 +168,7 @@
         if suspect is None:
             return
         suspect.losses.pop(loss_id, None)
-        if not suspect.losses:
+        if not (suspect.losses or suspect.refusals):
             del self._table[fingerprint]
 
     def clear(self, fingerprint: str) -> bool:
@@ -137,9 +180,15 @@
         return suspect.losses.get(loss_id) if suspect else None
 
     def lapse(self, now_s: float) -> None:
-        """Forget what is older than the lapse."""
+        """Forget what is older than its lapse; what was refused is on probation."""
         for fingerprint, suspect in list(self._table.items()):
-            if now_s - suspect.last_s >= self.lapse_s:
+            if now_s - suspect.last_s < self._lapse_of_s(suspect):
+                continue
+            if self.longest_lapse_s is not None and suspect.is_refused(now_s):
+                suspect.losses.clear()
+                suspect.refusals += 1
+                suspect.released_s = now_s
+            else:
                 del self._table[fingerprint]
 
     def _bound(self) -> None:
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -22,7 +22,12 @@
 from knapweedbridge_core.serving.beliefs import Belief, Beliefs
 from knapweedbridge_core.serving.brittle import RoomBudget
 from knapweedbridge_core.serving.caller_wait import CallerCase, UsualDeadlines
-from knapweedbridge_core.serving.crashes import CrashLedger, fingerprint, loss_id
+from knapweedbridge_core.serving.crashes import (
+    CrashLedger,
+    fingerprint,
+    loss_id,
+    refusal_keepers,
+)
 from knapweedbridge_core.serving.deployment import (
     BaseModel,
     CallKind,
@@ -217,6 +222,7 @@
     "era_of",
     "fingerprint",
     "loss_id",
+    "refusal_keepers",
     "first_byte_patience_s",
     "first_event_patience_s",
     "has_spare",
--- a/packages/core/src/knapweedbridge_core/serving/belief_records.py
+++ b/packages/core/src/knapweedbridge_core/serving/belief_records.py
@@ -117,6 +117,29 @@
     endpoint: str
 
 
+@record
+class CallRefused:
+    """The store says that a call which crashes endpoints is refused.
+
+    Parameters
+    ----------
+    mark : str
+        What it is known by.
+    for_s : float
+        For how long, in seconds from the writing.
+    """
+
+    mark: str
+    for_s: float
+
+
+@record
+class CallAllowed:
+    """The store says so of a call no more."""
+
+    mark: str
+
+
 @record
 class SecretNamed:
     """The secret by which daemons know each other."""
@@ -138,5 +161,7 @@
     | LinksBack
     | OwnerNamed
     | OwnerGone
+    | CallRefused
+    | CallAllowed
     | SecretNamed
 )
--- a/packages/core/src/knapweedbridge_core/serving/beliefs.py
+++ b/packages/core/src/knapweedbridge_core/serving/beliefs.py
@@ -7,6 +7,8 @@
 from knapweedbridge_core.rendezvous import choose
 from knapweedbridge_core.serving.belief_records import (
     Belief,
+    CallAllowed,
+    CallRefused,
     DaemonGone,
     DaemonNamed,
     DeploymentNamed,
@@ -45,6 +47,8 @@
 __all__ = [
     "Belief",
     "Beliefs",
+    "CallAllowed",
+    "CallRefused",
     "DaemonGone",
     "DaemonNamed",
     "DeploymentNamed",
@@ -119,6 +123,11 @@
         """The daemons that may keep parts of quotas, by data centre."""
         return quota_keepers(self._rank())
 
+    @property
+    def keepers(self) -> dict[str, list[str]]:
+        """The daemons that may keep what a few must know of a call, by data centre."""
+        return self.ranks if self.is_small_pool else self.quota_keepers
+
     @property
     def ranks(self) -> dict[str, list[str]]:
         """The daemons that duties fall to; another object with each change."""
--- a/packages/core/src/knapweedbridge_core/serving/crashes.py
+++ b/packages/core/src/knapweedbridge_core/serving/crashes.py
@@ -2,18 +2,25 @@
 
 A caller sends such a call again and again, by any daemon; each time an endpoint is
 lost with all that it ran. Those others are blamed as well, but only once: with two
-losses a call is refused, and what is innocent is hardly ever lost twice.
+losses a call is refused, and what is innocent is hardly ever lost twice. A few keepers
+publish in the platform's store what is refused, for hosts that start later or did not
+hear the others.
 """
 
 import hashlib
 from collections import deque
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 
 from knapweedbridge_core.blame import Blame, Verdict
+from knapweedbridge_core.rendezvous import choose_spread
 from knapweedbridge_core.serving.endpoint_records import EndpointStart
 
 LAPSE_S = 60.0
-"""How long blame holds; callers give up on such a call within seconds."""
+"""How long blame holds at first; callers give up on such a call within seconds."""
+
+LONGEST_LAPSE_S = 86_400.0
+"""Longest refusal: each that lapses costs one more endpoint."""
 
 PROOF_S = 6.0
 """Longest time from a call's end to the proof that its endpoint was lost by then. The
@@ -22,6 +29,9 @@
 
 ENDINGS_KEPT = 1000
 
+KEEPERS = 3
+"""Hosts that count the losses of one call, in as many data centres as there are."""
+
 
 def fingerprint(
     account: str, sender: str, host: str, method: bytes, target: bytes, body: bytes
@@ -58,6 +68,17 @@
         return now_s - self.at_s <= PROOF_S
 
 
+def refusal_keepers(mark: str, candidates: Mapping[str, Sequence[str]]) -> list[str]:
+    """Name the hosts that publish the refusal of a call, in the order in which they do.
+
+    Parameters
+    ----------
+    candidates : dict of str to sequence of str
+        Hosts that may, by data centre.
+    """
+    return choose_spread(mark, candidates, KEEPERS)
+
+
 def loss_id(start: EndpointStart) -> str:
     """Return what the loss of a start of an endpoint is known by on all hosts."""
     return f"{start.endpoint} {start.started_ms}"
@@ -67,7 +88,8 @@
     """What one daemon knows of calls that were lost with their endpoints."""
 
     def __init__(self) -> None:
-        self._blame = Blame(lapse_s=LAPSE_S)
+        self._blame = Blame(LAPSE_S, longest_lapse_s=LONGEST_LAPSE_S)
+        self._published: dict[str, float] = {}
         self._endings: deque[Ending] = deque(maxlen=ENDINGS_KEPT)
         self._lost: dict[EndpointStart, float] = {}
 
@@ -131,9 +153,46 @@
         self._blame.suspect(mark, loss, loss, now_s)
         self._blame.proved(mark, loss)
 
+    def answered(self, mark: str) -> bool:
+        """Record that a call got a whole answer, so that it crashes nothing.
+
+        Returns
+        -------
+        was_known : bool
+            Whether anything was held against it.
+        """
+        was_published = self._published.pop(mark, None) is not None
+        return self._blame.clear(mark) or was_published
+
+    def published(self, mark: str, for_s: float, now_s: float) -> None:
+        """Record that the store says for how long a call is refused."""
+        self._published[mark] = now_s + for_s
+
+    def unpublished(self, mark: str) -> None:
+        """Record that the store says nothing of a call any more."""
+        self._published.pop(mark, None)
+
+    def to_publish(self, now_s: float) -> dict[str, float]:
+        """Return the calls that the store should refuse and does not, and for how long.
+
+        Returns
+        -------
+        dict of str to float
+            Seconds by mark.
+        """
+        self._blame.lapse(now_s)
+        return {
+            mark: self._blame.refused_for_s(mark, now_s)
+            for mark in self._blame.refused(now_s)
+            if mark not in self._published
+        }
+
     def refused_for_s(self, mark: str, now_s: float) -> float:
         """Return for how long a call is refused; 0 where it may run."""
+        published_s = max(0.0, self._published.get(mark, 0.0) - now_s)
+        if not self._blame.knows(mark):
+            return published_s
         self._blame.lapse(now_s)
         if self._blame.judge(mark, now_s) is not Verdict.REFUSE:
-            return 0.0
-        return self._blame.refused_for_s(mark, now_s)
+            return published_s
+        return max(published_s, self._blame.refused_for_s(mark, now_s))
--- a/packages/core/src/knapweedbridge_core/serving/messages.py
+++ b/packages/core/src/knapweedbridge_core/serving/messages.py
@@ -316,3 +316,10 @@
 
     endpoint: str
     fingerprints: list[str]
+
+
+@message
+class CallsCleared:
+    """These calls got whole answers: they crash no endpoint."""
+
+    fingerprints: list[str]
--- a/packages/core/src/knapweedbridge_core/serving/protocols.py
+++ b/packages/core/src/knapweedbridge_core/serving/protocols.py
@@ -6,6 +6,7 @@
 kept from daemons that speak it.
 """
 
+from knapweedbridge_core.serving.messages import CallsCleared
 from knapweedbridge_core.serving.origin_messages import (
     OriginAnswered,
     OriginAsked,
@@ -14,7 +15,7 @@
 from knapweedbridge_core.serving.permit_messages import RoomAsked, TurnedAway
 
 FIRST_PROTOCOL = 1
-PROTOCOL = 3
+PROTOCOL = 4
 """Rises with each kind of message, or meaning of one, that earlier versions lack."""
 
 SINCE: dict[type, int] = {
@@ -23,6 +24,7 @@
     OriginsRecorded: 3,
     OriginAsked: 3,
     OriginAnswered: 3,
+    CallsCleared: 4,
 }
 """The protocols that brought kinds of messages; others are of the first."""
 
--- a/packages/core/src/knapweedbridge_core/serving/stream_origins.py
+++ b/packages/core/src/knapweedbridge_core/serving/stream_origins.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
 
-from knapweedbridge_core.rendezvous import score
+from knapweedbridge_core.rendezvous import choose_spread
 
 KEEPERS = 3
 """Hosts that keep the origin of one stream, in as many data centres as there are."""
@@ -96,12 +96,7 @@
     candidates : dict of str to sequence of str
         Hosts that may keep origins, by data centre.
     """
-    ordered: list[tuple[int, int, str]] = []
-    for names in candidates.values():
-        scored = sorted(((score(stream, name), name) for name in names), reverse=True)
-        # The first of each data centre come before the second of any.
-        ordered += [(place, -found, name) for place, (found, name) in enumerate(scored)]
-    return [name for _, _, name in sorted(ordered)[:KEEPERS]]
+    return choose_spread(stream, candidates, KEEPERS)
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/believing.py
@@ -8,6 +8,9 @@
 
 from knapweedbridge_core.serving import era_of
 from knapweedbridge_core.serving.beliefs import (
+    Belief,
+    CallAllowed,
+    CallRefused,
     DeploymentNamed,
     EndpointGone,
     EndpointNamed,
@@ -314,6 +317,19 @@
             outage_over_s=round(self._hub.outage.over_for_s(now_s), 3),
         )
 
+    def _draw_conclusions(self, belief: Belief, now_s: float) -> None:
+        """Have those know who keep something of what has changed."""
+        hub = self._hub
+        match belief:
+            case CallRefused(mark, for_s):
+                hub.crashes.published(mark, for_s, now_s)
+            case CallAllowed(mark):
+                hub.crashes.unpublished(mark)
+            case VersionNamed(model):
+                hub.patience.named(model)
+            case DeploymentNamed(deployment):
+                hub.rates.accept_pauses(deployment.longest_pauses_s())
+
     def _is_leaving(self, endpoint: str) -> bool:
         known = self._hub.beliefs.fleet.endpoints.get(endpoint)
         return known is not None and known.leaves
@@ -338,11 +354,8 @@
             self._note_unlisted(belief.endpoint, item.revision, now_s)
         if isinstance(belief, EndpointNamed) and not changed:
             self._note_listing(item.key, belief.record.endpoint, now_s)
-        if changed and isinstance(belief, VersionNamed):
-            hub.patience.named(belief.model)
-        if changed and isinstance(belief, DeploymentNamed):
-            hub.rates.accept_pauses(belief.deployment.longest_pauses_s())
         if changed:
+            self._draw_conclusions(belief, now_s)
             hub.log.info(
                 "belief.changed",
                 key=item.key,
--- a/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
@@ -38,7 +38,12 @@
             target = await self._placing.place(call)
             if isinstance(target, Refusal):
                 return await self._unplaced(call, target)
+            blamed_s = self._hub.crashes.refused_for_s(call.mark, anyio.current_time())
+            if blamed_s:
+                return await self._unplaced(call, Refusal(503, "blamed", blamed_s))
             end = await self._attempt(call, target)
+            if end in (AttemptEnd.ANSWERED, AttemptEnd.FAILED):
+                self._link.crashes.answered(call.mark)
             if end is AttemptEnd.ANSWERED:
                 self._link.resuming.ended(call)
                 return "answered"
--- a/packages/daemon/src/knapweedbridge_daemon/serving/crash_watch.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/crash_watch.py
@@ -1,13 +1,18 @@
 """Finds out which endpoints were lost with calls, and has hosts blame those calls."""
 
-from collections.abc import Iterable
+from collections import defaultdict
 from dataclasses import dataclass
 
 import anyio
 from anyio.abc import TaskGroup
 
-from knapweedbridge_core.serving import Endpoint, EndpointStart, loss_id
-from knapweedbridge_core.serving.messages import CallsBlamed
+from knapweedbridge_core.serving import (
+    Endpoint,
+    EndpointStart,
+    loss_id,
+    refusal_keepers,
+)
+from knapweedbridge_core.serving.messages import CallsBlamed, CallsCleared
 from knapweedbridge_daemon.serving.attempt_records import MARK_DIGITS
 from knapweedbridge_daemon.serving.clock import loop_time_s
 from knapweedbridge_daemon.serving.http_client import (
@@ -63,12 +68,19 @@
         Beliefs, connections and the ledger of crashes.
     send : callable
         Sends a message to a daemon.
+
+    Attributes
+    ----------
+    not_refused : set of str
+        Calls that got answers, whose refusal the store must not say any more.
     """
 
     def __init__(self, hub: Hub, send: Send) -> None:
         self._hub = hub
         self._send = send
+        self.not_refused: set[str] = set()
         self._blamed: list[tuple[str, str]] = []
+        self._cleared: list[str] = []
         self._lost: list[tuple[str, str]] = []
         self._to_probe: list[Suspicion] = []
         self._probed_s: dict[str, float] = {}
@@ -113,19 +125,33 @@
     async def run(self, tasks: TaskGroup) -> None:
         """Draw conclusions until cancelled."""
         while True:
-            if not (self._lost or self._blamed or self._to_probe):
+            if not (self._lost or self._blamed or self._to_probe or self._cleared):
                 await self._hub.losses_changed.wait(LOOK_S)
             for name in self._hub.beliefs.fleet.take_replaced():
                 if self._hub.crashes.has_broken(name, loop_time_s()):
                     self._lost.append((name, "replaced"))
             while self._lost:
                 await self.endpoint_lost(*self._lost.pop())
+            await self._clear()
             while self._blamed:
                 loss, mark = self._blamed.pop()
                 await self._tell(loss, [mark], "known")
             while self._to_probe:
                 tasks.start_soon(self._probe, self._to_probe.pop())
 
+    async def _clear(self) -> None:
+        marks, self._cleared = self._cleared, []
+        if not marks:
+            return
+        self.not_refused.update(marks)
+        self._hub.log.info(
+            "calls.cleared",
+            calls=len(marks),
+            marks=[mark[:MARK_DIGITS] for mark in marks[:MOST_MARKS_LOGGED]],
+        )
+        for daemon, of_daemon in self._hearers(marks).items():
+            await self._send(daemon, CallsCleared(of_daemon))
+
     async def _probe(self, suspicion: Suspicion) -> None:
         """Ask an endpoint for its health; another may stand at its address by now.
 
@@ -202,15 +228,36 @@
             calls=len(marks),
             marks=[mark[:MARK_DIGITS] for mark in marks[:MOST_MARKS_LOGGED]],
         )
-        for daemon in self._others():
-            await self._send(daemon, CallsBlamed(loss, marks))
+        for daemon, of_daemon in self._hearers(marks).items():
+            await self._send(daemon, CallsBlamed(loss, of_daemon))
+        self._hub.losses_changed.tell()
 
-    def _others(self) -> Iterable[str]:
-        own = self._hub.identity.name
-        return [name for name in self._hub.beliefs.daemons if name != own]
+    def _hearers(self, marks: list[str]) -> dict[str, list[str]]:
+        """Return which other daemons hear of which calls: in a large pool, keepers."""
+        own, beliefs = self._hub.identity.name, self._hub.beliefs
+        found: dict[str, list[str]] = defaultdict(list)
+        if beliefs.is_small_pool:
+            found.update((name, marks) for name in beliefs.daemons)
+        else:
+            for mark in marks:
+                for name in refusal_keepers(mark, beliefs.keepers):
+                    found[name].append(mark)
+        found.pop(own, None)
+        return found
+
+    def answered(self, mark: str) -> None:
+        """Record that a call got a whole answer."""
+        if self._hub.crashes.answered(mark):
+            self._cleared.append(mark)
+            self._hub.losses_changed.tell()
 
-    async def heard(self, daemon: str, message: CallsBlamed) -> None:
-        """Receive what another daemon blames."""
+    async def heard(self, daemon: str, message: CallsBlamed | CallsCleared) -> None:
+        """Receive what another daemon blames, or blames no more."""
         now_s = anyio.current_time()
         for mark in message.fingerprints:
-            self._hub.crashes.told(mark, message.endpoint, now_s)
+            if isinstance(message, CallsBlamed):
+                self._hub.crashes.told(mark, message.endpoint, now_s)
+            else:
+                self._hub.crashes.answered(mark)
+                self.not_refused.add(mark)
+        self._hub.losses_changed.tell()
--- a/packages/daemon/src/knapweedbridge_daemon/serving/dialects.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/dialects.py
@@ -287,6 +287,10 @@
         """Key under which a daemon says that its host reaches no endpoint."""
         return f"{self.prefix}links/{name}"
 
+    def refused_call(self, mark: str) -> str:
+        """Key under which daemons say that a call is refused."""
+        return f"{self.prefix}refused/{mark}"
+
     @property
     def secret(self) -> str:
         """Key of the secret that daemons share."""
--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -32,6 +32,7 @@
 from knapweedbridge_daemon.serving.lease_keeping import LeaseKeeper
 from knapweedbridge_daemon.serving.measures import Measures
 from knapweedbridge_daemon.serving.peer_link import PeerLink
+from knapweedbridge_daemon.serving.refusal_records import RefusalRecords
 from knapweedbridge_daemon.serving.settings import ServingSettings
 from knapweedbridge_daemon.serving.side_faces import SideFaces
 from knapweedbridge_daemon.serving.software_records import SoftwareRecords
@@ -172,6 +173,8 @@
                     tasks.start_soon(EndpointSweep(hub, link).run)
                     tasks.start_soon(LapseCheck(hub).run)
                     tasks.start_soon(SoftwareRecords(hub).run)
+                    refusals = RefusalRecords(hub, link.crashes.not_refused)
+                    tasks.start_soon(refusals.run)
                     tasks.start_soon(held.run)
                     await self._await_stop(hub, lease, face, app, link.forwarding)
                     callers.cancel_scope.cancel()
--- a/packages/daemon/src/knapweedbridge_daemon/serving/own_records.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/own_records.py
@@ -5,6 +5,8 @@
 from knapweedbridge_core.serving import DaemonRecord, OwnerRecord
 from knapweedbridge_core.serving.beliefs import (
     Belief,
+    CallAllowed,
+    CallRefused,
     DaemonGone,
     DaemonNamed,
     LinksBack,
@@ -49,6 +51,11 @@
     return msgpack.packb(sorted(versions))
 
 
+def pack_refused(for_s: float) -> bytes:
+    """Encode for how long a call is refused, in seconds."""
+    return msgpack.packb([float(for_s)])
+
+
 def read_own(
     keys: OwnKeys, key: str, value: bytes | None, revision: int
 ) -> Belief | None:
@@ -63,6 +70,8 @@
             return _read_owner(name, value, revision)
         if kind == "links":
             return _read_links(name, value)
+        if kind == "refused":
+            return _read_refused(name, value)
         if kind == "software":
             return _read_software(name, value)
         if kind == "protocols" and value is not None:
@@ -101,6 +110,14 @@
     return LinksLost(name, incarnation)
 
 
+def _read_refused(mark: str, value: bytes | None) -> Belief:
+    if value is None:
+        return CallAllowed(mark)
+    (for_s,) = msgpack.unpackb(value)
+    _check(for_s, float)
+    return CallRefused(mark, for_s)
+
+
 def _read_software(service: str, value: bytes | None) -> Belief:
     versions = msgpack.unpackb(value) if value is not None else []
     _check(versions, list)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -10,6 +10,7 @@
 from knapweedbridge_core.serving import Endpoint, understands
 from knapweedbridge_core.serving.messages import (
     CallsBlamed,
+    CallsCleared,
     EngineAsked,
     EngineChanged,
     EngineTold,
@@ -87,6 +88,7 @@
             EngineChanged: self._take_of_owner,
             TurnsGiven: self._take_turns,
             CallsBlamed: self.crashes.heard,
+            CallsCleared: self.crashes.heard,
             OwnerAnswered: self._take_answered,
         }
         takers |= dict.fromkeys((ShareAsked, ShareGiven), self.shares.heard)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/stream_resuming.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/stream_resuming.py
@@ -140,7 +140,6 @@
 
     def _candidates(self) -> dict[str, list[str]]:
         beliefs = self._hub.beliefs
-        ranks = beliefs.ranks if beliefs.is_small_pool else beliefs.quota_keepers
         return {
             data_centre: [
                 name
@@ -148,7 +147,7 @@
                 if name == self._hub.identity.name
                 or understands(beliefs.protocol_of(name), PROBE)
             ]
-            for data_centre, names in ranks.items()
+            for data_centre, names in beliefs.keepers.items()
         }
 
     async def _publish(self, streams: list[tuple[str, StreamOrigin]]) -> None:
