A call that ends after a long silence does not end its daemon

Callers of a host whose call was left 2 s or more after it was sent lost all that ran there: the probe of the silent endpoint slept for a negative time, which is an error, and an error of a background task ends the daemon.

--- a/features/crashes/crashes.feature
+++ b/features/crashes/crashes.feature
@@ -50,6 +50,13 @@
     When a deadly look-up ends two endpoints, and all hosts start again
     Then it is refused by all hosts within 1 s of their readiness, and ends no further endpoint
 
+  Scenario: A call that is left after a silence of 2.3 s costs its host nothing
+    Guards against daemons that end by an error as they probe an endpoint that was silent.
+
+    Given the whole path with 3 daemons
+    When a caller leaves a silent endpoint after 2.3 s
+    Then its host serves on, and has counted no error of its own
+
   Scenario: Several deadly requests side by side end two endpoints each at most
     Guards against blame that counts for one request at a time.
 
--- a/features/crashes/crashing.py
+++ b/features/crashes/crashing.py
@@ -128,12 +128,14 @@
             self._path.store.remove(f"servers/{old.name}")
 
 
-async def send(path, kind, daemon, agent=DEADLY, caller="127.0.0.1", body=b""):
+async def send(
+    path, kind, daemon, agent=DEADLY, caller="127.0.0.1", body=b"", deadline_ms=1200
+):
     """Make a call as one caller; return its status, or 0 without an answer."""
     headers = {
         "Host": "shop.example",
         "Request-Id": f"{kind}-{os.urandom(4).hex()}",
-        "Deadline-Ms": "1200",
+        "Deadline-Ms": str(deadline_ms),
         "User-Agent": agent.decode(),
     }
     if kind in ("draft", "note"):
--- a/features/crashes/steps/crash_steps.py
+++ b/features/crashes/steps/crash_steps.py
@@ -215,3 +215,22 @@
 def innocent_served(context, most):
     not_served = [n for n, status in context.later.items() if status != 200]
     assert len(not_served) <= most, (context.first, context.later)
+
+
+@when("a caller leaves a silent endpoint after {seconds:g} s")
+@played
+async def leaves_after(context, path, seconds):
+    for each in path.desks:
+        each.go_dark()
+    with anyio.move_on_after(seconds):
+        await send(path, "order", 0, INNOCENT, body=BODY, deadline_ms=4000)
+    await anyio.sleep(0.3)
+    context.status = await send(path, "draft", 0, INNOCENT, body=BODY)
+    await anyio.sleep(WRITTEN_S)
+    context.kinds = {line["message_type"] for line in path.lines(0)}
+
+
+@then("its host serves on, and has counted no error of its own")
+def serves_on(context):
+    assert context.status == 200, context.status
+    assert "daemon.fault" not in context.kinds
--- a/packages/daemon/src/knapweedbridge_daemon/serving/crash_watch.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/crash_watch.py
@@ -159,7 +159,7 @@
         """
         endpoint, cause = suspicion.endpoint, ""
         if not suspicion.is_closed:
-            await anyio.sleep(suspicion.sent_s + SILENT_S - loop_time_s())
+            await anyio.sleep(max(0.0, suspicion.sent_s + SILENT_S - loop_time_s()))
             if endpoint.answered_s > suspicion.sent_s:
                 return
         try:
