A deadly request is known by whichever address its caller comes

Cause: the address was taken for the caller, which it is not behind several of them.

A mark has two parts now, what is asked for and the address. Two losses by one address refuse that address, as before; losses by two addresses, with no answer to the same request by any address in between, refuse it for all. So an innocent request with the same path and body stays served as long as one caller alone does harm, and whoever gets an answer clears the request. Cost: a third endpoint where each arrival has another address and is sent twice.

Ruled out: marks without the address, which refuse the same look-up of innocent callers.

--- a/features/crashes/crashes.feature
+++ b/features/crashes/crashes.feature
@@ -30,6 +30,19 @@
       | note  | with a body  | silent  | 3    |
       | note  | with a body  | same id | 2    |
 
+  Scenario Outline: A deadly <kind> request of a caller whose address changes
+    Guards against callers behind several addresses, whose requests count as different ones.
+
+    Given the whole path with 3 daemons
+    When a "<kind>" request without body crashes each endpoint that runs it, and comes by another address each time
+    Then at most 3 endpoints are lost, and the last 3 times it is refused
+
+    Examples:
+      | kind  |
+      | look  |
+      | order |
+      | note  |
+
   Scenario Outline: A host that <was> when the others learned of a deadly request refuses it
     Guards against hosts that go on passing on what the others refuse.
 
--- a/features/crashes/crashing.py
+++ b/features/crashes/crashing.py
@@ -151,11 +151,11 @@
     return answer.status_code
 
 
-async def come_again(path, kind, hosts, times, body):
-    """Send a deadly request to hosts in turn."""
+async def come_again(path, kind, hosts, times, body, callers=("127.0.0.1",)):
+    """Send a deadly request to hosts in turn, by some addresses in turn."""
     statuses = []
     for number in range(times):
-        host = hosts[number % len(hosts)]
-        statuses.append(await send(path, kind, host, body=body))
+        host, caller = hosts[number % len(hosts)], callers[number % len(callers)]
+        statuses.append(await send(path, kind, host, caller=caller, body=body))
         await anyio.sleep(COMES_AGAIN_S)
     return statuses
--- a/features/crashes/steps/crash_steps.py
+++ b/features/crashes/steps/crash_steps.py
@@ -68,6 +68,21 @@
     ]
 
 
+@when(
+    'a "{kind}" request without body crashes each endpoint that runs it, and comes by '
+    "another address each time"
+)
+@played
+async def comes_by_addresses(context, path, kind):
+    if kind == "note":
+        assert await send(path, "draft", 0, INNOCENT, body=BODY) == 200
+    context.pool = CrashingPool(path, "refuses")
+    callers = [f"127.0.0.{number}" for number in range(20, 30)]
+    context.statuses = await come_again(
+        path, kind, range(context.daemons), 10, b"", callers
+    )
+
+
 @then("at most {lost:d} endpoints are lost, and the last {times:d} times it is refused")
 def lost_and_refused(context, lost, times):
     assert len(context.pool.lost_s) <= lost, context.pool.lost_s
--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -353,6 +353,22 @@
       | 2      | 100   | of two starts of one       | yes     |
       | 2      | 100   | answered between them      | no      |
 
+  Scenario Outline: A request that crashes endpoints by several addresses: <addresses>
+    Guards against callers whose address changes, and against blame of innocent ones.
+
+    When a request by the addresses <addresses> is lost with an endpoint each
+    Then it is refused by address a: <by a>, and by address z: <by z>
+
+    Examples:
+      | addresses               | by a | by z |
+      | a                       | no   | no   |
+      | a, a                    | yes  | no   |
+      | a, b                    | yes  | yes  |
+      | a, a, a                 | yes  | no   |
+      | a, then answered, b     | no   | no   |
+      | a, a, then z answered   | yes  | no   |
+      | a, b, then z answered   | no   | no   |
+
   Scenario Outline: A call that crashes an endpoint again <after> s after two losses
     Guards against calls that cost two endpoints each time that their refusal lapses.
 
--- a/features/serving/steps/decision_steps.py
+++ b/features/serving/steps/decision_steps.py
@@ -345,6 +345,28 @@
                 ledger.lost(start, lost_s + proof_s)
 
 
+@when("a request by the addresses {story} is lost with an endpoint each")
+def lost_by_addresses(context, story):
+    context.ledger = CrashLedger()
+    last = "a"
+    for number, word in enumerate(story.split(", ")):
+        if word.endswith("answered"):
+            sender = "z" if "z" in word else last
+            context.ledger.answered(mark_of(sender=sender))
+            continue
+        last = word
+        context.ledger.told(mark_of(sender=word), f"e{number} 0", NOW_S + 2 * number)
+
+
+@then("it is refused by address a: {by_a}, and by address z: {by_z}")
+def refused_by(context, by_a, by_z):
+    found = {
+        sender: context.ledger.refused_for_s(mark_of(sender=sender), NOW_S + 9) > 0
+        for sender in "az"
+    }
+    assert found == {"a": by_a == "yes", "z": by_z == "yes"}, found
+
+
 @when("a call is lost with two endpoints, and with one more each time that it may run")
 def lost_again(context):
     context.ledger, context.mark = CrashLedger(), mark_of()
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -24,6 +24,7 @@
 from knapweedbridge_core.serving.caller_wait import CallerCase, UsualDeadlines
 from knapweedbridge_core.serving.crashes import (
     CrashLedger,
+    asked_of,
     fingerprint,
     loss_id,
     refusal_keepers,
@@ -220,6 +221,7 @@
     "claim_due_s",
     "claimants",
     "era_of",
+    "asked_of",
     "fingerprint",
     "loss_id",
     "refusal_keepers",
--- a/packages/core/src/knapweedbridge_core/serving/crashes.py
+++ b/packages/core/src/knapweedbridge_core/serving/crashes.py
@@ -29,6 +29,12 @@
 
 ENDINGS_KEPT = 1000
 
+SEPARATOR = "-"
+
+SENDERS_REFUSED = 2
+"""Addresses by which a request has crashed endpoints, and has had no answer, so that it
+is refused by whichever address it comes."""
+
 KEEPERS = 3
 """Hosts that count the losses of one call, in as many data centres as there are."""
 
@@ -38,7 +44,8 @@
 ) -> str:
     """Return what a call is known by when it comes again, by any host.
 
-    Its caller counts: others send the same look-up, and theirs may do no harm.
+    Its caller counts: others send the same look-up, and theirs may do no harm. The mark
+    of what is asked for comes first, as a caller may come by another address.
 
     Parameters
     ----------
@@ -49,10 +56,16 @@
     host, method, target, body : str, bytes, bytes, bytes
         What it asks for.
     """
-    parts = (account.encode(), sender.encode(), host.encode(), method, target)
+    parts = (account.encode(), host.encode(), method, target)
     lengths = b",".join(b"%d" % len(part) for part in parts)
-    told = b"\0".join((lengths, *parts, body))
-    return hashlib.blake2b(told, digest_size=16).hexdigest()
+    asked = hashlib.blake2b(b"\0".join((lengths, *parts, body)), digest_size=16)
+    caller = hashlib.blake2b(sender.encode(), digest_size=8)
+    return f"{asked.hexdigest()}{SEPARATOR}{caller.hexdigest()}"
+
+
+def asked_of(mark: str) -> str:
+    """Return the part of a mark that is the same for all addresses of a caller."""
+    return mark.partition(SEPARATOR)[0]
 
 
 @dataclass(slots=True, frozen=True)
@@ -76,7 +89,7 @@
     candidates : dict of str to sequence of str
         Hosts that may, by data centre.
     """
-    return choose_spread(mark, candidates, KEEPERS)
+    return choose_spread(asked_of(mark), candidates, KEEPERS)
 
 
 def loss_id(start: EndpointStart) -> str:
@@ -90,6 +103,7 @@
     def __init__(self) -> None:
         self._blame = Blame(LAPSE_S, longest_lapse_s=LONGEST_LAPSE_S)
         self._published: dict[str, float] = {}
+        self._senders: dict[str, set[str]] = {}
         self._endings: deque[Ending] = deque(maxlen=ENDINGS_KEPT)
         self._lost: dict[EndpointStart, float] = {}
 
@@ -150,8 +164,11 @@
 
     def told(self, mark: str, loss: str, now_s: float) -> None:
         """Blame a call for the loss of an endpoint, here or at another daemon."""
-        self._blame.suspect(mark, loss, loss, now_s)
-        self._blame.proved(mark, loss)
+        asked = asked_of(mark)
+        for each in (mark, asked):
+            self._blame.suspect(each, loss, loss, now_s)
+            self._blame.proved(each, loss)
+        self._senders.setdefault(asked, set()).add(mark)
 
     def answered(self, mark: str) -> bool:
         """Record that a call got a whole answer, so that it crashes nothing.
@@ -161,8 +178,13 @@
         was_known : bool
             Whether anything was held against it.
         """
-        was_published = self._published.pop(mark, None) is not None
-        return self._blame.clear(mark) or was_published
+        asked = asked_of(mark)
+        self._senders.pop(asked, None)
+        was_known = False
+        for each in (mark, asked):
+            was_published = self._published.pop(each, None) is not None
+            was_known = self._blame.clear(each) or was_published or was_known
+        return was_known
 
     def published(self, mark: str, for_s: float, now_s: float) -> None:
         """Record that the store says for how long a call is refused."""
@@ -178,21 +200,35 @@
         Returns
         -------
         dict of str to float
-            Seconds by mark.
+            Seconds by mark, or by the part of it that is the same for all addresses.
         """
-        self._blame.lapse(now_s)
+        self._lapse(now_s)
         return {
-            mark: self._blame.refused_for_s(mark, now_s)
-            for mark in self._blame.refused(now_s)
-            if mark not in self._published
+            each: self._blame.refused_for_s(each, now_s)
+            for each in self._blame.refused(now_s)
+            if each not in self._published and self._is_decided(each)
         }
 
+    def _lapse(self, now_s: float) -> None:
+        self._blame.lapse(now_s)
+        if len(self._senders) > len(self._blame):
+            known = self._senders.items()
+            self._senders = {each: s for each, s in known if self._blame.knows(each)}
+
+    def _is_decided(self, mark: str) -> bool:
+        """Return whether losses count against a mark; see `SENDERS_REFUSED`."""
+        is_whole = SEPARATOR in mark
+        return is_whole or len(self._senders.get(mark, ())) >= SENDERS_REFUSED
+
     def refused_for_s(self, mark: str, now_s: float) -> float:
         """Return for how long a call is refused; 0 where it may run."""
+        return max(self._refused_for_s(each, now_s) for each in (mark, asked_of(mark)))
+
+    def _refused_for_s(self, mark: str, now_s: float) -> float:
         published_s = max(0.0, self._published.get(mark, 0.0) - now_s)
-        if not self._blame.knows(mark):
+        if not (self._blame.knows(mark) and self._is_decided(mark)):
             return published_s
-        self._blame.lapse(now_s)
+        self._lapse(now_s)
         if self._blame.judge(mark, now_s) is not Verdict.REFUSE:
             return published_s
         return max(published_s, self._blame.refused_for_s(mark, now_s))
--- a/packages/daemon/src/knapweedbridge_daemon/serving/refusal_records.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/refusal_records.py
@@ -2,7 +2,7 @@
 
 import anyio
 
-from knapweedbridge_core.serving import refusal_keepers
+from knapweedbridge_core.serving import asked_of, refusal_keepers
 from knapweedbridge_daemon.errors import StoreError
 from knapweedbridge_daemon.serving.attempt_records import MARK_DIGITS
 from knapweedbridge_daemon.serving.hub import Hub
@@ -85,9 +85,8 @@
 
     async def _remove(self, mark: str) -> None:
         try:
-            await self._hub.dialects.store.commit(
-                Transaction(deletes=(self._key(mark),))
-            )
+            keys = self._key(mark), self._key(asked_of(mark))
+            await self._hub.dialects.store.commit(Transaction(deletes=keys))
         except StoreError as error:
             self._note("refusal.not_removed", mark, error=str(error))
 
