The retry budget's slack is shared by all hosts that were listed in its window

Each host takes its part of the slack by the number of hosts that it lists at that moment. That number falls where it must not: a host that has just started lists few of those that started with it, and a store that has lost the leases, or takes keys away, leaves one or two in the list; each host then takes the part of several.

The most hosts that were listed within the window share it, and in its first 3 s a host takes its part by degrees, as the others come to be listed.

--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -215,6 +215,18 @@
       | 7       | 10       | 68   |
       | 9       | 0        | 54   |
 
+  Scenario Outline: Repeats of nine daemons stay within the allowance while <story>
+    Guards against daemons that each take the part of several.
+
+    When nine daemons repeat all they may for 40 s, while <story>
+    Then no window of 10 s has more repeats than are allowed
+
+    Examples:
+      | story                                         |
+      | nothing else happens                          |
+      | all start at once and list the others late    |
+      | the store loses their records for some time   |
+
   Scenario Outline: Whether a call is sent again: <kind>, <end>, <runs> runs of <most>
     When a <kind> call with <most> attempts and <runs> runs ends as <end>
     Then it may be sent again: <again>
--- a/packages/core/src/knapweedbridge_core/serving/retry_budget.py
+++ b/packages/core/src/knapweedbridge_core/serving/retry_budget.py
@@ -7,6 +7,9 @@
 """Share of the allowance that daemons use; the rest covers that their windows and
 the count of daemons are not the same everywhere."""
 
+LISTED_S = 3.0
+"""Time after a daemon's start in which those that started with it are listed."""
+
 
 @dataclass(slots=True)
 class ServiceWindow:
@@ -58,37 +61,65 @@
         Repeats allowed besides in one window, over all daemons.
     window_s : float
         Length of the window, in seconds.
+    started_s : float or None
+        When this daemon started; None: long ago.
     """
 
-    def __init__(self, ratio: float, slack: float, window_s: float) -> None:
+    def __init__(
+        self,
+        ratio: float,
+        slack: float,
+        window_s: float,
+        started_s: float | None = None,
+    ) -> None:
         self.ratio = ratio
         self.slack = slack
         self.window_s = window_s
         self._services: dict[str, ServiceWindow] = defaultdict(ServiceWindow)
+        self._daemons: deque[tuple[float, int]] = deque()
+        self._started_s = started_s
+
+    def note_daemons(self, daemons: int, now_s: float) -> None:
+        """Record how many daemons are listed, this one among them.
+
+        The most of a window share the slack: records go missing with their leases.
+        """
+        known = self._daemons
+        while known and known[0][0] < now_s - self.window_s:
+            known.popleft()
+        while known and known[-1][1] <= daemons:
+            known.pop()
+        known.append((now_s, daemons))
+
+    @property
+    def daemons(self) -> int:
+        """Daemons that share the slack."""
+        return self._daemons[0][1] if self._daemons else 1
 
     def note_request(self, service: str, now_s: float) -> None:
         """Count a caller's request for a service."""
         self._window(service, now_s).requests.append(now_s)
 
-    def spend(self, service: str, daemons: int, now_s: float) -> bool:
-        """Take one repeat; False where the allowance is used up.
-
-        Parameters
-        ----------
-        daemons : int
-            Daemons that share the slack, this one among them.
-        """
-        if not self.allowance(service, daemons, now_s).has_room:
+    def spend(self, service: str, now_s: float) -> bool:
+        """Take one repeat; False where the allowance is used up."""
+        if not self.allowance(service, now_s).has_room:
             return False
         self._services[service].repeats.append(now_s)
         return True
 
-    def allowance(self, service: str, daemons: int, now_s: float) -> Allowance:
+    def allowance(self, service: str, now_s: float) -> Allowance:
         """Return what this daemon may repeat; see `spend`."""
         window = self._window(service, now_s)
         requests, repeats = len(window.requests), len(window.repeats)
-        allowed = self.ratio * requests + self.slack / max(1, daemons)
-        return Allowance(requests, repeats, SHARE_USED * allowed)
+        slack = self._slack_known(now_s) * self.slack / max(1, self.daemons)
+        allowed = SHARE_USED * (self.ratio * requests + slack)
+        return Allowance(requests, repeats, allowed)
+
+    def _slack_known(self, now_s: float) -> float:
+        """Return the share of the slack that may be used while others start too."""
+        if self._started_s is None:
+            return 1.0
+        return min(1.0, (now_s - self._started_s) / LISTED_S)
 
     def _window(self, service: str, now_s: float) -> ServiceWindow:
         window = self._services[service]
--- a/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
@@ -72,8 +72,8 @@
     def _spend_repeat(self, call: Call, end: AttemptEnd, now_s: float) -> bool:
         """Return whether the retry budget has room for a call to be sent again."""
         hub = self._hub
-        before = hub.budget.allowance(call.service, hub.daemons, now_s)
-        is_granted = hub.budget.spend(call.service, hub.daemons, now_s)
+        before = hub.budget.allowance(call.service, now_s)
+        is_granted = hub.budget.spend(call.service, now_s)
         hub.measures.count("repeats", "granted" if is_granted else "denied")
         hub.log.info(
             "repeat.granted" if is_granted else "repeat.denied",
@@ -83,7 +83,7 @@
             requests=before.requests,
             repeats=before.repeats,
             allowed=round(before.allowed, 1),
-            daemons=hub.daemons,
+            daemons=hub.budget.daemons,
         )
         return is_granted
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -109,6 +109,7 @@
             get("limits", "retry_ratio"),
             get("limits", "retry_slack"),
             get("limits", "retry_window_s"),
+            anyio.current_time(),
         )
         log = DecisionLog(
             identity.name,
