Repeats count from the moment at which they are sent

A repeat was counted when it was granted. A granted repeat holds its room until it is sent, counts for a whole window from then on, and gives the room back where its call ends without it.

--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -216,7 +216,8 @@
       | 9       | 0        | 54   |
 
   Scenario Outline: Repeats of nine daemons stay within the allowance while <story>
-    Guards against daemons that each take the part of several.
+    Guards against daemons that each take the part of several, or send in one window what
+    they were granted in two.
 
     When nine daemons repeat all they may for 40 s, while <story>
     Then no window of 10 s has more repeats than are allowed
@@ -226,6 +227,7 @@
       | nothing else happens                          |
       | all start at once and list the others late    |
       | the store loses their records for some time   |
+      | what is granted waits for 3 s now and then    |
 
   Scenario Outline: Whether a call is sent again: <kind>, <end>, <runs> runs of <most>
     When a <kind> call with <most> attempts and <runs> runs ends as <end>
--- a/features/serving/steps/decision_steps.py
+++ b/features/serving/steps/decision_steps.py
@@ -329,7 +329,9 @@
             now_s = tenth / 10
             due = [each for each in waiting if each[0] <= now_s]
             waiting = [each for each in waiting if each[0] > now_s]
-            self.arrivals_s += [now_s] * len(due)
+            for _, host in due:
+                host.sent("s", now_s)
+                self.arrivals_s.append(now_s)
             for host in hosts:
                 host.note_daemons(self.listed(now_s), now_s)
                 if tenth % 10 == 0:
--- a/packages/core/src/knapweedbridge_core/serving/retry_budget.py
+++ b/packages/core/src/knapweedbridge_core/serving/retry_budget.py
@@ -13,10 +13,17 @@
 
 @dataclass(slots=True)
 class ServiceWindow:
-    """Requests and repeats of one service in the last window."""
+    """Requests and repeats of one service in the last window.
+
+    Parameters
+    ----------
+    granted : int
+        Repeats that were granted and not sent yet.
+    """
 
     requests: deque[float] = field(default_factory=deque)
     repeats: deque[float] = field(default_factory=deque)
+    granted: int = 0
 
     def trim(self, before_s: float) -> None:
         """Forget what is older than the window."""
@@ -32,7 +39,7 @@
     Parameters
     ----------
     requests, repeats : int
-        Callers' requests in the window, and the repeats that were granted.
+        Callers' requests in the window, and the repeats that were sent or are to be.
     allowed : float
         Most repeats.
     """
@@ -104,13 +111,24 @@
         """Take one repeat; False where the allowance is used up."""
         if not self.allowance(service, now_s).has_room:
             return False
-        self._services[service].repeats.append(now_s)
+        self._services[service].granted += 1
         return True
 
+    def sent(self, service: str, now_s: float) -> None:
+        """Record that a repeat which was granted is sent: from now on it counts."""
+        window = self._window(service, now_s)
+        window.granted -= 1
+        window.repeats.append(now_s)
+
+    def give_back(self, service: str) -> None:
+        """Record that a repeat which was granted is not sent."""
+        self._services[service].granted -= 1
+
     def allowance(self, service: str, now_s: float) -> Allowance:
         """Return what this daemon may repeat; see `spend`."""
         window = self._window(service, now_s)
-        requests, repeats = len(window.requests), len(window.repeats)
+        requests = len(window.requests)
+        repeats = len(window.repeats) + window.granted
         slack = self._slack_known(now_s) * self.slack / max(1, self.daemons)
         allowed = SHARE_USED * (self.ratio * requests + slack)
         return Allowance(requests, repeats, allowed)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -78,6 +78,9 @@
                 end = AttemptEnd.WITHHELD
                 return end
             call.progress.sends += 1
+            if call.holds_repeat:
+                call.holds_repeat = False
+                self._hub.budget.sent(call.service, loop_time_s())
             self._records.sent(call, target, forecast)
             patience = self._patience(call, target, forecast)
             with self._hub.patience.waiting(patience):
--- a/packages/daemon/src/knapweedbridge_daemon/serving/call.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/call.py
@@ -55,6 +55,8 @@
         What it is known by when it comes again.
     spent_s : float
         Time that its caller had spent on earlier attempts, in seconds.
+    holds_repeat : bool
+        Whether it was granted a repeat that is not sent yet.
     overdue_rank : int or None
         Rank that an overdue call has at an engine; None: that of its route.
     waits_overdue : bool
@@ -88,6 +90,7 @@
     mark: str = ""
     account: ClientAccount | None = None
     spent_s: float = 0.0
+    holds_repeat: bool = False
     overdue_rank: int | None = None
     waits_overdue: bool = False
     is_keyed: bool = False
--- a/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
@@ -30,6 +30,13 @@
 
     async def run(self, call: Call) -> str:
         """Run a call, and answer it; return a word for how it ended."""
+        try:
+            return await self._run(call)
+        finally:
+            if call.holds_repeat:
+                self._hub.budget.give_back(call.service)
+
+    async def _run(self, call: Call) -> str:
         if call.is_resumed:
             refusal = await self._link.resuming.resume(call)
             if refusal is not None:
@@ -74,6 +81,7 @@
         hub = self._hub
         before = hub.budget.allowance(call.service, now_s)
         is_granted = hub.budget.spend(call.service, now_s)
+        call.holds_repeat = is_granted
         hub.measures.count("repeats", "granted" if is_granted else "denied")
         hub.log.info(
             "repeat.granted" if is_granted else "repeat.denied",
