--- a/features/platform/steps/path_steps.py
+++ b/features/platform/steps/path_steps.py
@@ -539,6 +539,10 @@
     "half a head": b"GET /look/1 HTTP/1.1\r\nHost: sh",
     "an unreadable header": b"GET /look/1 HTTP/1.1\r\nHost: shop.example\r\n"
     b"Deadline-Ms: soon\r\n\r\n",
+    "a deadline of nan ms": b"GET /look/1 HTTP/1.1\r\nHost: shop.example\r\n"
+    b"Deadline-Ms: nan\r\n\r\n",
+    "a deadline of 0 ms": b"GET /look/1 HTTP/1.1\r\nHost: shop.example\r\n"
+    b"Deadline-Ms: 0\r\n\r\n",
 }
 
 
--- a/features/platform/whole_path.feature
+++ b/features/platform/whole_path.feature
@@ -207,6 +207,8 @@
       | no request at all     | 400    |
       | half a head           | 408    |
       | an unreadable header  | 400    |
+      | a deadline of nan ms  | 400    |
+      | a deadline of 0 ms    | 503    |
 
   Scenario Outline: An endpoint answers a long body early, and <then it>
     An order was answered "may have run", and was lost: its endpoint had refused it
--- a/packages/daemon/src/knapweedbridge_daemon/serving/call.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/call.py
@@ -104,7 +104,8 @@
     def caller_until_s(self) -> float:
         """When its caller's last attempt is over, on the daemon's clock."""
         stated_s = self.details.deadline_s
-        return self.request.received_s + (stated_s or self.route.timeout_s)
+        waits_s = self.route.timeout_s if stated_s is None else stated_s
+        return self.request.received_s + waits_s
 
     @property
     def is_resumed(self) -> bool:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
@@ -143,7 +143,8 @@
         details: CallDetails,
     ) -> None:
         route = terms.route
-        allowed_s = min(details.deadline_s or DEADLINE_S, route.timeout_s)
+        stated_s = details.deadline_s
+        allowed_s = min(DEADLINE_S if stated_s is None else stated_s, route.timeout_s)
         call = Call(
             request,
             responder,
