--- a/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
@@ -145,6 +145,9 @@
         route = terms.route
         stated_s = details.deadline_s
         allowed_s = min(DEADLINE_S if stated_s is None else stated_s, route.timeout_s)
+        if allowed_s <= 0:
+            await self._refuse(request, responder, Refusal(503, "too_late"), details)
+            return
         call = Call(
             request,
             responder,
