A loss that two addresses share is held against neither address's request as a whole

Innocent callers of the same path and body were refused for a minute: their call ran beside the deadly one, was lost with the same endpoint, and so two addresses had a loss each. A loss counts for the request as a whole only where one address alone had it. Three rows in the table, of which 'a, a, z beside a' was refused for z before.

--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -382,6 +382,9 @@
       | a, then answered, b     | no   | no   |
       | a, a, then z answered   | yes  | no   |
       | a, b, then z answered   | no   | no   |
+      | a, a, z beside a        | yes  | no   |
+      | a, z beside a, b        | no   | no   |
+      | a, z beside a, b, c     | yes  | yes  |
 
   Scenario Outline: A call that crashes an endpoint again <after> s after two losses
     Guards against calls that cost two endpoints each time that their refusal lapses.
--- a/features/serving/steps/decision_steps.py
+++ b/features/serving/steps/decision_steps.py
@@ -425,8 +425,9 @@
             sender = "z" if "z" in word else last
             context.ledger.answered(mark_of(sender=sender))
             continue
-        last = word
-        context.ledger.told(mark_of(sender=word), f"e{number} 0", NOW_S + 2 * number)
+        last, _, beside = word.partition(" beside ")
+        at = number - 1 if beside else number
+        context.ledger.told(mark_of(sender=last), f"e{at} 0", NOW_S + 2 * number)
 
 
 @then("it is refused by address a: {by_a}, and by address z: {by_z}")
--- a/packages/core/src/knapweedbridge_core/serving/crashes.py
+++ b/packages/core/src/knapweedbridge_core/serving/crashes.py
@@ -32,8 +32,8 @@
 SEPARATOR = "-"
 
 SENDERS_REFUSED = 2
-"""Addresses by which a request has crashed endpoints, and has had no answer, so that it
-is refused by whichever address it comes."""
+"""Addresses by each of which a request has crashed an endpoint, without an answer by
+any, so that it is refused by whichever address it comes."""
 
 KEEPERS = 3
 """Hosts that count the losses of one call, in as many data centres as there are."""
@@ -103,7 +103,7 @@
     def __init__(self) -> None:
         self._blame = Blame(LAPSE_S, longest_lapse_s=LONGEST_LAPSE_S)
         self._published: dict[str, float] = {}
-        self._senders: dict[str, set[str]] = {}
+        self._senders: dict[str, dict[str, set[str]]] = {}
         self._endings: deque[Ending] = deque(maxlen=ENDINGS_KEPT)
         self._lost: dict[EndpointStart, float] = {}
 
@@ -168,7 +168,8 @@
         for each in (mark, asked):
             self._blame.suspect(each, loss, loss, now_s)
             self._blame.proved(each, loss)
-        self._senders.setdefault(asked, set()).add(mark)
+        losses = self._senders.setdefault(asked, {})
+        losses.setdefault(loss, set()).add(mark)
 
     def answered(self, mark: str) -> bool:
         """Record that a call got a whole answer, so that it crashes nothing.
@@ -216,13 +217,20 @@
             self._senders = {each: s for each, s in known if self._blame.knows(each)}
 
     def _is_decided(self, mark: str) -> bool:
-        """Return whether losses count against a mark; see `SENDERS_REFUSED`."""
-        is_whole = SEPARATOR in mark
-        return is_whole or len(self._senders.get(mark, ())) >= SENDERS_REFUSED
+        """Return whether losses count against a mark; see `SENDERS_REFUSED`.
+
+        A loss that two addresses share counts for none: one may have run beside it.
+        """
+        if SEPARATOR in mark:
+            return True
+        losses = self._senders.get(mark, {}).values()
+        alone = {next(iter(each)) for each in losses if len(each) == 1}
+        return len(alone) >= SENDERS_REFUSED
 
     def refused_for_s(self, mark: str, now_s: float) -> float:
         """Return for how long a call is refused; 0 where it may run."""
-        return max(self._refused_for_s(each, now_s) for each in (mark, asked_of(mark)))
+        parts = mark, asked_of(mark)
+        return max(self._refused_for_s(each, now_s) for each in parts)
 
     def _refused_for_s(self, mark: str, now_s: float) -> float:
         published_s = max(0.0, self._published.get(mark, 0.0) - now_s)
