Soak: requests that end the endpoints which run them, and callers of the same request

Two requests a run (SOAK_DEADLY) come again and again by any host and end each endpoint that runs them; after the third and 3 s hosts without trouble may send at most three more. Another address sends the same one, and its calls are counted. Calls have paths of their own now, as those of different callers have: all look-ups of the soak were one request.

--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -7,7 +7,7 @@
 
 import anyio
 import httpx
-from soak_checks import EVENTS, StreamEvents
+from soak_checks import DEADLY, EVENTS, StreamEvents
 from soak_pool import Pool
 
 CLIENTS = 12
@@ -17,6 +17,9 @@
 """Time below which a caller does not try once more."""
 
 TRIES_AGAIN = 3
+SENDERS = ("127.0.0.2", "127.0.0.3")
+"""Addresses of the caller of a deadly request, and of one that sends the same."""
+
 BREAKS = 0.3
 """Share of first answers whose connection breaks between the host and its caller."""
 
@@ -88,6 +91,43 @@
                     await self.one_call(http, luck, kind, call)
                 await anyio.sleep(luck.uniform(0, 0.1))
 
+    async def repeat_deadly(self, number: int, until_s: float) -> None:
+        """Send a request that ends endpoints again and again, by any host.
+
+        Another caller sends the same one, which does no harm.
+        """
+        luck = random.Random(f"deadly {number}")
+        kind = luck.choice(["look", "order", "draft"])
+        body = luck.choice([b"", b"a body of some length"])
+        asked = f"{DEADLY}-{os.getpid()}-{number}"
+        turn = 0
+        ways = [httpx.AsyncHTTPTransport(local_address=each) for each in SENDERS]
+        async with (
+            httpx.AsyncClient(timeout=6, transport=ways[0]) as deadly,
+            httpx.AsyncClient(timeout=6, transport=ways[1]) as innocent,
+        ):
+            while anyio.current_time() < until_s:
+                turn += 1
+                name = luck.choice(sorted(self._pool.ports))
+                call = f"{asked}-{turn}"
+                self._watched.taken_by[call] = name
+                url = self._url(name, kind, asked)
+                await self._send(deadly, url, call, body)
+                await anyio.sleep(luck.uniform(0.2, 1.0))
+                answer = await self._send(innocent, url, f"like-{call}", body)
+                self._pool.deadly.served[answer] += 1
+
+    @staticmethod
+    async def _send(http, url: str, call: str, body: bytes) -> str:
+        headers = headers_of(call, "base/a1")
+        if "/draft/" not in url:
+            del headers["Model"]
+        try:
+            response = await http.post(url, headers=headers, content=body)
+        except httpx.HTTPError as error:
+            return type(error).__name__
+        return str(response.status_code)
+
     async def one_call(self, http, luck, kind: str, call: str) -> str:
         """Make a call, and return its status or how it failed."""
         name = luck.choice(sorted(self._pool.ports))
@@ -97,9 +137,8 @@
         if kind != "draft":
             del headers["Model"]
         try:
-            response = await http.post(
-                self._url(name, kind), headers=headers, content=b"prompt"
-            )
+            url = self._url(name, kind, call)
+            response = await http.post(url, headers=headers, content=b"prompt")
         except httpx.HTTPError as error:
             outcome = type(error).__name__
         else:
@@ -109,8 +148,8 @@
         self._pool.cuts.count(side, outcome)
         return outcome
 
-    def _url(self, name: str, kind: str) -> str:
-        return f"http://127.0.0.1:{self._pool.ports[name][0]}/{kind}/1"
+    def _url(self, name: str, kind: str, asked: str) -> str:
+        return f"http://127.0.0.1:{self._pool.ports[name][0]}/{kind}/{asked}"
 
     def _check_answer(self, kind: str, call: str, response) -> None:
         self._check_head(call, response, kind == "order")
@@ -179,7 +218,7 @@
         if draft.begun_by:
             headers["Resumes"] = draft.begun_by
             headers["Last-Event-Id"] = str(draft.events.count)
-        url = self._url(draft.host, "draft")
+        url = self._url(draft.host, "draft", draft.call)
         try:
             with anyio.fail_after(draft.left_s):
                 async with http.stream(
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -20,6 +20,15 @@
 CONTACT_S = 3.0
 """Time after which disturbance of a host or of the store is over for its callers."""
 
+DEADLY = "deadly"
+"""What the ids of requests begin with that end the endpoints which run them."""
+
+DIES_AFTER_S = 0.02
+LOST_FREE = 3
+MOST_LATE = 3
+"""Endpoints that a deadly request may end, and how many more by hosts without trouble
+later than `CONTACT_S` after that."""
+
 ORDER = "ORDER"
 EVENTS = 10
 LEAST_TAKEN_UP = 12
@@ -154,6 +163,34 @@
             self._watched.broken(f"served at cut and linked hosts: {share} of {tries}")
 
 
+class DeadlyRequests:
+    """Requests that end endpoints: a few of these, and then hardly any more."""
+
+    def __init__(self, watched: Watched) -> None:
+        self._watched = watched
+        self._ended_s: dict[str, list[float]] = defaultdict(list)
+        self._late: Counter[str] = Counter()
+        self.served: Counter[str] = Counter()
+
+    def ended(self, call: str) -> None:
+        """Check that an endpoint may still be ended by a call's request."""
+        request = call.rpartition("-")[0]
+        ended_s, now_s = self._ended_s[request], anyio.current_time()
+        is_late = len(ended_s) >= LOST_FREE and now_s - ended_s[2] > CONTACT_S
+        ended_s.append(now_s)
+        host = self._watched.taken_by.get(call, "")
+        if is_late and self._watched.are_calm(host, "store"):
+            self._late[request] += 1
+        if self._late[request] > MOST_LATE:
+            self._watched.broken(f"{request} ended {len(ended_s)} endpoints")
+
+    def __str__(self) -> str:
+        """Return how many endpoints each request has ended, for people."""
+        ended = sorted(map(len, self._ended_s.values()))
+        late = sum(self._late.values())
+        return f"{ended}, late {late}, like them {dict(self.served)}"
+
+
 class StreamEvents:
     """The events of one stream, over one answer and all tries."""
 
@@ -261,6 +298,11 @@
             held = not isinstance(self, Engine) or self._holds(request)
             if held and behaviour != "shed" and count:
                 watched.ran(self, request)
+                call = header(request, "Request-Id") or ""
+                if call.startswith(DEADLY):
+                    await anyio.sleep(DIES_AFTER_S)
+                    self.on_deadly(self, call)
+                    await anyio.sleep_forever()
             await super().answer(request, responder, behaviour)
 
         async def _stream(self, request, responder, behaviour):
--- a/bench/soak_disturbances.py
+++ b/bench/soak_disturbances.py
@@ -169,12 +169,7 @@
 
     async def _crash_endpoint(self) -> None:
         name = self.luck.choice(sorted(self.pool.endpoints))
-        endpoint, proxy = self.pool.endpoints.pop(name)
-        endpoint.scope.cancel()
-        proxy.reset()
-        await anyio.sleep(self.luck.uniform(0.2, 2))
-        self.pool.store.remove(f"servers/{endpoint.name}")
-        await self.pool.add_endpoint(endpoint.service, endpoint.software)
+        await self.pool.crash(name)
 
     async def _drain_endpoint(self) -> None:
         name = self.luck.choice(sorted(self.pool.endpoints))
--- a/bench/soak_plants.py
+++ b/bench/soak_plants.py
@@ -39,6 +39,11 @@
         "names = self.forwarders.in_order(loop_time_s())[:MOST_ASKED]",
         "names: list[str] = []",
     ),
+    "never refuses what crashes": (
+        CORE + "crashes.py",
+        "return max(self._refused_for_s(each, now_s) for each in parts)",
+        "return 0.0",
+    ),
     "never sees who leaves": (
         CORE + "endpoint.py",
         "return self.usable and not self.leaves and is_listed",
--- a/bench/soak_pool.py
+++ b/bench/soak_pool.py
@@ -11,7 +11,14 @@
 from pathlib import Path
 
 import anyio
-from soak_checks import CONTACT_S, CutHosts, StreamShares, Watched, watched_by
+from soak_checks import (
+    CONTACT_S,
+    CutHosts,
+    DeadlyRequests,
+    StreamShares,
+    Watched,
+    watched_by,
+)
 from soak_plants import ROOT, plant_fault
 from soak_proxy import Proxy
 from standins import Endpoint, Engine, Store
@@ -53,11 +60,13 @@
         self.watched = Watched()
         self.cuts = CutHosts(self.watched)
         self.shares = StreamShares()
+        self.deadly = DeadlyRequests(self.watched)
         self.store = Store()
         self.newest: dict[str, int] = {}
         self.daemons: dict[str, subprocess.Popen] = {}
         self.store_proxies: dict[str, Proxy] = {}
         self.endpoints: dict[str, tuple[Endpoint, Proxy]] = {}
+        self.deadly_requests = int(os.environ.get("SOAK_DEADLY", "2"))
         self._made = 0
         self._folder = Path(tempfile.mkdtemp(prefix="soak-", dir=ROOT))
         stack.callback(shutil.rmtree, self._folder)
@@ -96,6 +105,7 @@
         endpoint = watched_by(kind, self.watched, software)(
             f"{service}-{self._made}", service
         )
+        endpoint.on_deadly = self.end_by_request
         endpoint.newest = self.newest
         if self.releases:
             endpoint.pause_s = self.luck.uniform(*EVENT_PAUSES_S)
@@ -106,6 +116,21 @@
         endpoint.listed_s = anyio.current_time()
         self.write_entry(endpoint, proxy, "ready")
 
+    async def crash(self, name: str) -> None:
+        """End an endpoint, and start another in its place a while later."""
+        endpoint, proxy = self.endpoints.pop(name)
+        endpoint.scope.cancel()
+        proxy.reset()
+        await anyio.sleep(self.luck.uniform(0.2, 2))
+        self.store.remove(f"servers/{endpoint.name}")
+        await self.add_endpoint(endpoint.service, endpoint.software)
+
+    def end_by_request(self, endpoint: Endpoint, call: str) -> None:
+        """Have a deadly request end the endpoint that runs it."""
+        if endpoint.name in self.endpoints:
+            self.deadly.ended(call)
+            self.tasks.start_soon(self.crash, endpoint.name)
+
     def write_entry(self, endpoint: Endpoint, proxy: Proxy, state: str) -> None:
         """Write an endpoint's entry."""
         entry = endpoint.entry(state=state, address=proxy.address)
--- a/bench/soak_serving.py
+++ b/bench/soak_serving.py
@@ -1,7 +1,8 @@
 """Real daemons on the platform's wire, under faults from outside, checked meanwhile.
 
 ``SOAK_SEEDS`` (``1-3``: first and last), ``SOAK_S`` (20), ``SOAK_DAEMONS`` (3),
-``SOAK_RELEASES`` (1; 0: no engine gets new software, and no stream is taken up) and
+``SOAK_RELEASES`` (1; 0: no engine gets new software, and no stream is taken up),
+``SOAK_DEADLY`` (2: requests that end the endpoints which run them) and
 ``SOAK_PLANT`` (a planted fault's name; the run must then find it) come from the
 environment. Ends only processes that it started.
 """
@@ -43,6 +44,8 @@
             busy.start_soon(self.disturbances.run, until_s)
             for client in range(CLIENTS):
                 busy.start_soon(self.callers.call_on, client, until_s)
+            for number in range(self.pool.deadly_requests):
+                busy.start_soon(self.callers.repeat_deadly, number, until_s)
         self.pool.cuts.check()
         await self._recover()
         lost = self.pool.shares.violation()
@@ -74,7 +77,8 @@
             f"{sum(outcomes.values())} requests {dict(outcomes)},"
             f" faults {self.disturbances.counts}, begun {dict(watched.begun)},"
             f" at cut and linked hosts {self.pool.cuts.tries},"
-            f" streams {self.pool.shares}, {len(watched.violations)} violations"
+            f" streams {self.pool.shares}, ended by deadly requests {self.pool.deadly},"
+            f" {len(watched.violations)} violations"
         )
 
 
