A failed scenario on the whole path keeps its daemons' logs

Of the red row (503 no_place beside load) no run had left a log. Areas whose stories run on the whole path write the logs of a failed scenario's daemons to target/failed, and print the folder; seen with a row that was made to fail.

--- a/features/admission/environment.py
+++ b/features/admission/environment.py
@@ -10,3 +10,6 @@
 
 def before_scenario(context, scenario):
     context.daemons = 1
+
+
+from whole_path import keep_failed_logs as after_scenario  # noqa: E402, F401
--- a/features/crashes/environment.py
+++ b/features/crashes/environment.py
@@ -6,3 +6,5 @@
 # Its daemons and stand-ins are those of the whole path on the platform's wire.
 for folder in ("platform", "platform/steps", "accounts", "crashes"):
     sys.path.insert(0, str(AREAS / folder))
+
+from whole_path import keep_failed_logs as after_scenario  # noqa: E402, F401
--- a/features/platform/whole_path.py
+++ b/features/platform/whole_path.py
@@ -21,6 +21,9 @@
 from knapweedbridge_daemon.serving.settings import read_serving_settings
 
 TEMPLATE = Path(__file__).parents[2] / "platform/settings.ini"
+FAILED = Path(__file__).parents[2] / "target/failed"
+"""Where the logs of failed scenarios are kept."""
+
 HOST = contextvars.ContextVar("host", default="")
 """Name of the host whose daemon runs the present task."""
 
@@ -185,6 +188,7 @@
         self.desks = [self.plain_kind(f"desk-{n}", "desk") for n in (1, 2)]
         self.engines = [self.engine_kind(f"engine-{n}", "llm") for n in (1, 2)]
         self.ports = []
+        self.kept_logs = {}
         self.metrics_ports = []
         self.logs = []
         self.lease_ms = 1000
@@ -287,6 +291,12 @@
         self._hosts[name] = self._hosts[name].again()
         self.tasks.start_soon(self._hosts[name].run)
 
+    def keep_logs(self):
+        """Keep what the daemons have logged beyond the end of the path."""
+        for number, log in enumerate(self.logs):
+            log.seek(0)
+            self.kept_logs[f"host-{number}"] = log.read()
+
     def lines(self, daemon=0):
         self.logs[daemon].seek(0)
         return [json.loads(line) for line in self.logs[daemon].read().splitlines()]
@@ -371,4 +381,18 @@
             await path.until(lambda: path.is_owned(daemons), "engines have owners")
             yield path
         finally:
+            path.keep_logs()
             tasks.cancel_scope.cancel()
+
+
+def keep_failed_logs(context, scenario):
+    """Write the logs of a failed scenario's daemons to a folder, and name it."""
+    path = getattr(context, "path", None)
+    if scenario.status.name == "passed" or path is None:
+        return
+    name = re.sub(r"[^a-z0-9]+", "-", scenario.name.lower()).strip("-")
+    folder = FAILED / f"{name[:80]}-{os.getpid()}"
+    folder.mkdir(parents=True, exist_ok=True)
+    for host, log in path.kept_logs.items():
+        (folder / f"{host}.log").write_bytes(log)
+    print(f"logs of the daemons: {folder.relative_to(FAILED.parents[1])}")
