--- a/packages/daemon/src/knapweedbridge_daemon/serving/sweeping.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/sweeping.py
@@ -27,15 +27,21 @@
 
     async def run(self) -> None:
         """Look again and again until cancelled."""
+        due_s = anyio.current_time() + SWEEP_S
         while True:
-            await self._hub.losses_changed.wait(SWEEP_S)
-            self._forget_unlisted()
+            await self._hub.losses_changed.wait(max(0.0, due_s - anyio.current_time()))
             for before in self._hub.beliefs.fleet.take_restarted():
                 await self._end_start(before)
-            engines = self._hub.beliefs.fleet.engines()
-            addresses = {each.record.address for each in engines}
-            self._hub.paths.keep_only(addresses)
-            await self._hub.pool.close_idle(addresses)
+            if anyio.current_time() >= due_s:
+                await self._sweep()
+                due_s = anyio.current_time() + SWEEP_S
+
+    async def _sweep(self) -> None:
+        self._forget_unlisted()
+        engines = self._hub.beliefs.fleet.engines()
+        addresses = {each.record.address for each in engines}
+        self._hub.paths.keep_only(addresses)
+        await self._hub.pool.close_idle(addresses)
 
     def _forget_unlisted(self) -> None:
         hub = self._hub
