--- a/features/accounts/stories.py
+++ b/features/accounts/stories.py
@@ -3,13 +3,13 @@
 import functools
 
 import anyio
-from whole_path import whole_path
+from whole_path import WholePath, whole_path
 
 WRITTEN_S = 0.15
 """Lines of logs are written some moments after what they tell."""
 
 
-def played(begin=None, lease_ms=1000):
+def played(begin=None, lease_ms=1000, kind=WholePath):
     """Make a step of a story; ``begin`` is awaited with the path before it."""
 
     def make(work):
@@ -17,7 +17,8 @@
         def step(context, **values):
             async def story():
                 bounds = getattr(context, "bounds", {})
-                async with whole_path(context.daemons, lease_ms, bounds) as path:
+                made = whole_path(context.daemons, lease_ms, bounds, kind=kind)
+                async with made as path:
                     context.path = path
                     if begin is not None:
                         await begin(path)
--- a/features/crashes/crashing.py
+++ b/features/crashes/crashing.py
@@ -1,11 +1,8 @@
 """Endpoints that a deadly request crashes, and callers who send one again and again."""
 
-import os
-
 import anyio
 import httpx
 from standins import Endpoint, Engine, header
-from whole_path import NO_TLS
 
 CRASHES_AFTER_S = 0.02
 DOWN_S = 0.4
@@ -132,22 +129,15 @@
     path, kind, daemon, agent=DEADLY, caller="127.0.0.1", body=b"", deadline_ms=1200
 ):
     """Make a call as one caller; return its status, or 0 without an answer."""
-    headers = {
-        "Host": "shop.example",
-        "Request-Id": f"{kind}-{os.urandom(4).hex()}",
-        "Deadline-Ms": str(deadline_ms),
-        "User-Agent": agent.decode(),
-    }
+    headers = {"Deadline-Ms": str(deadline_ms), "User-Agent": agent.decode()}
     if kind in ("draft", "note"):
         headers |= {"Model": "base/a1", "Token-Counts": "100,30"}
-    url = f"http://127.0.0.1:{path.ports[daemon][0]}/{kind}/of-one-caller"
-    way = httpx.AsyncHTTPTransport(local_address=caller, verify=NO_TLS)
     method = "POST" if body or kind in ("draft", "note") else "GET"
-    async with httpx.AsyncClient(transport=way, timeout=4) as client:
-        try:
-            answer = await client.request(method, url, headers=headers, content=body)
-        except httpx.HTTPError:
-            return 0
+    asked = f"/{kind}/of-one-caller"
+    try:
+        answer = await path.call(method, asked, daemon, headers, caller, content=body)
+    except httpx.HTTPError:
+        return 0
     return answer.status_code
 
 
--- a/features/crashes/steps/crash_steps.py
+++ b/features/crashes/steps/crash_steps.py
@@ -1,5 +1,3 @@
-import functools
-
 import anyio
 import path_steps  # noqa: F401
 from behave import then, when
@@ -12,8 +10,8 @@
     come_again,
     send,
 )
-from stories import WRITTEN_S
-from whole_path import WholePath, whole_path
+from stories import WRITTEN_S, played
+from whole_path import WholePath
 
 from knapweedbridge_daemon.serving.crash_watch import CrashWatch
 
@@ -32,27 +30,14 @@
     engine_kind = CrashingEngine
 
 
-def played(work):
-    """Run a scenario's whole story in one event loop."""
-
-    @functools.wraps(work)
-    def step(context, **values):
-        async def story():
-            async with whole_path(context.daemons, kind=CrashingPath) as path:
-                context.path = path
-                await work(context, path, **values)
-                await anyio.sleep(WRITTEN_S)
-
-        anyio.run(story)
-
-    return step
+crashing = played(kind=CrashingPath)
 
 
 @when(
     'a "{kind}" request "{body}" crashes each endpoint that runs it, and comes by all '
     "hosts in turn"
 )
-@played
+@crashing
 async def comes_in_turn(context, path, kind, body):
     how, times = context.table[0]
     if kind in ("draft", "note"):
@@ -72,7 +57,7 @@
     'a "{kind}" request without body crashes each endpoint that runs it, and comes by '
     "another address each time"
 )
-@played
+@crashing
 async def comes_by_addresses(context, path, kind):
     if kind == "note":
         assert await send(path, "draft", 0, INNOCENT, body=BODY) == 200
@@ -113,7 +98,7 @@
 
 
 @when("a deadly look-up ends two endpoints by two hosts, and the third {was} then")
-@played
+@crashing
 async def third_host(context, path, was):
     hosts = list(range(context.daemons))
     if was == "was not started":
@@ -138,7 +123,7 @@
 
 
 @when("a deadly look-up ends two endpoints, and all hosts start again")
-@played
+@crashing
 async def all_start_again(context, path):
     hosts = list(range(context.daemons))
     await end_two(context, path, hosts)
@@ -159,7 +144,7 @@
 
 
 @when("{count:d} deadly look-ups of several callers come by all hosts in turn")
-@played
+@crashing
 async def several_deadly(context, path, count):
     context.pool = CrashingPool(path, "refuses")
     context.statuses = {}
@@ -186,7 +171,7 @@
 @when(
     "a deadly look-up comes by all hosts in turn beside {innocent:d} innocent look-ups"
 )
-@played
+@crashing
 async def beside_innocent(context, path, innocent):
     context.pool = CrashingPool(path, "refuses")
     for each in path.desks:
@@ -233,7 +218,7 @@
 
 
 @when("a caller leaves a silent endpoint after {seconds:g} s")
-@played
+@crashing
 async def leaves_after(context, path, seconds):
     for each in path.desks:
         each.go_dark()
--- a/features/platform/whole_path.py
+++ b/features/platform/whole_path.py
@@ -340,7 +340,10 @@
             verify=NO_TLS,
         )
 
-    async def call(self, method, path, daemon=0, headers=None, **more):
+    async def call(
+        self, method, path, daemon=0, headers=None, caller="127.0.0.1", **more
+    ):
+        """Make a call, from an address of its own."""
         url = f"http://127.0.0.1:{self.ports[daemon][0]}{path}"
         sent = {
             "Host": "shop.example",
@@ -348,7 +351,8 @@
             "Deadline-Ms": "4000",
             **(headers or {}),
         }
-        async with httpx.AsyncClient(timeout=8, verify=NO_TLS) as client:
+        way = httpx.AsyncHTTPTransport(local_address=caller, verify=NO_TLS)
+        async with httpx.AsyncClient(timeout=8, transport=way) as client:
             return await client.request(method, url, headers=sent, **more)
 
     def name_version(self, adapter, version):
