Logs tell the shared parts of a prompt, the head of an answer, and each refusal as blamed

A request that was refused after it was placed had no call.blamed line; it has one now, with its mark. No decision changes.

--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -105,6 +105,7 @@
     PromptTurn,
     WindowPacing,
 )
+from knapweedbridge_core.serving.prompt_parts import shared_parts
 from knapweedbridge_core.serving.protocols import PROTOCOL, understands
 from knapweedbridge_core.serving.quota_purse import QuotaPurse, nearest_first
 from knapweedbridge_core.serving.quotas import (
@@ -240,6 +241,7 @@
     "refusal_keepers",
     "relays",
     "resumes",
+    "shared_parts",
     "revision_of",
     "split",
     "stamp",
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
@@ -14,6 +14,9 @@
 MARK_DIGITS = 8
 """Digits of a call's mark in log lines: enough to find it when it comes again."""
 
+MOST_PARTS_LOGGED = 8
+"""Parts of a prompt that one log line carries."""
+
 LONGEST_LOGGED_S = 3600.0
 """Logged where a version was superseded before this daemon knew of the store."""
 
@@ -45,6 +48,8 @@
         first event came; None: there was none.
     forwarder : str
         Host that carried it; empty: it went over this host's own link.
+    head_s : float or None
+        When the head of its answer came.
     """
 
     began_s: float
@@ -59,6 +64,7 @@
     superseded_s: float | None = None
     forwarder: str = ""
     first_superseded_s: float | None = None
+    head_s: float | None = None
 
 
 class AttemptRecords:
@@ -175,6 +181,7 @@
             "attempt.ended",
             request=call.details.call_id,
             mark=call.mark[:MARK_DIGITS],
+            parts=[part[:MARK_DIGITS] for part in call.parts[:MOST_PARTS_LOGGED]],
             endpoint=target.endpoint.name,
             software=target.endpoint.record.software,
             version=target.version,
@@ -190,6 +197,7 @@
             prompt_tokens=call.details.prompt_tokens,
             turn_s=round(max(0.0, forecast.sent_s - forecast.began_s), 4),
             forecast_s=round(forecast.expected_s, 4),
+            head_s=_rounded(forecast.head_s and forecast.head_s - forecast.began_s),
             first_s=_rounded(first_s - forecast.began_s if first_s else None),
             unread_tokens=forecast.unread_tokens,
             took_s=round(now_s - forecast.began_s, 4),
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -173,7 +173,8 @@
                     call.details.call_id, headers
                 ),
             )
-            endpoint.note_answer(loop_time_s())
+            forecast.head_s = loop_time_s()
+            endpoint.note_answer(forecast.head_s)
             if not connection.forwarder:
                 self._hub.paths.linked_s = loop_time_s()
             proved = self._hub.dialects.endpoints.read_answer(answer)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/call.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/call.py
@@ -53,6 +53,8 @@
         When its answer is due at the latest, on the daemon's clock.
     mark : str
         What it is known by when it comes again.
+    parts : tuple of str
+        Marks of the parts of its prompt that others may share.
     spent_s : float
         Time that its caller had spent on earlier attempts, in seconds.
     holds_repeat : bool
@@ -88,6 +90,7 @@
     accepted: bool = False
     placed: bool = False
     mark: str = ""
+    parts: tuple[str, ...] = ()
     account: ClientAccount | None = None
     spent_s: float = 0.0
     holds_repeat: bool = False
--- a/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from knapweedbridge_core.serving import FaceLimits, Route, fingerprint
+from knapweedbridge_core.serving import FaceLimits, Route, fingerprint, shared_parts
 from knapweedbridge_daemon.serving.attempt_records import MARK_DIGITS
 from knapweedbridge_daemon.serving.call import Call
 from knapweedbridge_daemon.serving.call_terms import CallTerms, TermsFinder
@@ -156,6 +156,7 @@
             details,
             request.received_s + allowed_s,
             mark=_mark(request, terms),
+            parts=shared_parts(details.prompt_parts),
             spent_s=self._hub.deadlines.spent_s(
                 route.name, details.deadline_s, request.received_s
             ),
--- a/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
@@ -3,6 +3,7 @@
 import anyio
 
 from knapweedbridge_core.serving import AttemptEnd, may_send_again
+from knapweedbridge_daemon.serving.attempt_records import MARK_DIGITS
 from knapweedbridge_daemon.serving.attempting import Attempting
 from knapweedbridge_daemon.serving.call import Call, Target
 from knapweedbridge_daemon.serving.dialects import Refusal
@@ -47,6 +48,12 @@
                 return await self._unplaced(call, target)
             blamed_s = self._hub.crashes.refused_for_s(call.mark, anyio.current_time())
             if blamed_s:
+                self._hub.log.info(
+                    "call.blamed",
+                    request=call.details.call_id,
+                    mark=call.mark[:MARK_DIGITS],
+                    refused_for_s=round(blamed_s, 1),
+                )
                 return await self._unplaced(call, Refusal(503, "blamed", blamed_s))
             end = await self._attempt(call, target)
             if end in (AttemptEnd.ANSWERED, AttemptEnd.FAILED):
