--- /dev/null
+++ b/features/prompt_parts/steps/part_steps.py
@@ -0,0 +1,214 @@
+import random
+
+import anyio
+import path_steps  # noqa: F401
+from behave import then, when
+from crashing import CrashingPool
+from prompt_parts import DEADLY, PartsPath, Traffic, crash_by_parts, parts_of
+from stories import played
+
+from knapweedbridge_daemon.serving.crash_watch import CrashWatch
+
+BACK_S = 1.0
+"""Time after a loss within which the engine is back and known."""
+
+LATE_S = 1.0
+PARTS = (f"{DEADLY}01", f"{DEADLY}02")
+in_parts = played(kind=PartsPath)
+
+
+@when("prompts of {parts:d} parts crash the engines that begin an answer, no two alike")
+@in_parts
+async def prompts_crash(context, path, parts):
+    place, ends, how, times = context.table[0]
+    context.traffic = Traffic(path, tuple(range(3)), parts - 2, int(place))
+    await context.traffic.warm_up()
+    context.pool = crash_by_parts(path, how, ends)
+    await context.traffic.come(int(times))
+
+
+@when("prompts with 2 deadly parts come at once, no two alike")
+@in_parts
+async def two_parts(context, path):
+    context.traffic = Traffic(path, tuple(range(3)))
+    await context.traffic.warm_up()
+    context.pool = crash_by_parts(path, "refuses")
+    async with anyio.create_task_group() as tasks:
+        for part in PARTS:
+            tasks.start_soon(context.traffic.come, 20, part)
+            await anyio.sleep(0.03)
+
+
+@then(
+    "at most {lost:d} engines are lost, and the last {times:d} deadly requests are "
+    "refused"
+)
+def parts_refused(context, lost, times):
+    found = context.pool.lost_s
+    print(f"{len(found)} engines lost")
+    assert len(found) <= lost, found
+    last = context.traffic.deadly[-times:]
+    assert all(each.status == 503 and each.is_blamed for each in last), last
+
+
+@then(
+    "sound requests are served from 1 s after the last loss, and at most {most:d} are "
+    "refused as blamed"
+)
+def sound_served(context, most):
+    sound, lost_s = context.traffic.sound, context.pool.lost_s
+    blamed = [each for each in sound if each.is_blamed]
+    print(f"{len(blamed)} of {len(sound)} sound requests refused as blamed")
+    assert len(blamed) <= most, blamed
+    later = [each for each in sound if each.at_s > lost_s[-1] + BACK_S]
+    assert later
+    assert all(each.is_served for each in later), later
+
+
+async def ask_all(context, path, traffic):
+    """Send the deadly part to all hosts, once they are ready; note what it ends."""
+    before = len(context.pool.lost_s)
+    await anyio.sleep(LATE_S)
+    traffic.deadly.clear()
+    traffic.hosts = tuple(range(context.daemons))
+    await traffic.come(6)
+    context.more = len(context.pool.lost_s) - before
+
+
+async def meet(context, path, hosts):
+    """Have some hosts meet a deadly part until they refuse it."""
+    context.traffic = Traffic(path, tuple(hosts))
+    await context.traffic.warm_up()
+    context.pool = crash_by_parts(path, "refuses")
+    await context.traffic.come(14)
+    await anyio.sleep(BACK_S)
+
+
+def hearing(was, hears):
+    """Return how the third host receives what others tell it of losses."""
+
+    async def receive(link, daemon, message):
+        if link._hub.identity.name != "host-2":
+            await hears(link, daemon, message)
+        elif was == "heard the others 1 s late":
+            await anyio.sleep(LATE_S)
+            await hears(link, daemon, message)
+
+    return receive
+
+
+@when("two hosts meet a deadly part, and the third {was} then")
+@in_parts
+async def third_host(context, path, was):
+    hears = CrashWatch.heard
+    if was == "was not started":
+        await path.kill_daemon("host-2")
+    elif was.startswith("heard"):
+        CrashWatch.heard = hearing(was, hears)
+    try:
+        await meet(context, path, range(2))
+        if not was.startswith("heard"):
+            await path.restart_daemon("host-2")
+            await path.until_ready(2)
+        await ask_all(context, path, context.traffic)
+    finally:
+        CrashWatch.heard = hears
+
+
+@when("hosts meet a deadly part, and all of them start again")
+@in_parts
+async def all_start_again(context, path):
+    await meet(context, path, range(3))
+    for host in range(3):
+        await path.restart_daemon(f"host-{host}")
+    for host in range(3):
+        await path.until_ready(host)
+    await ask_all(context, path, context.traffic)
+
+
+@then(
+    "all hosts refuse it within 1 s of their readiness, and {more:d} more engines are "
+    "lost"
+)
+def refused_by_all(context, more):
+    deadly = context.traffic.deadly
+    assert all(each.status == 503 for each in deadly), deadly
+    assert context.more <= more, context.more
+
+
+@when("2 deadly parts come once to each host, and then again")
+@in_parts
+async def once_to_each(context, path):
+    traffic = context.traffic = Traffic(path, tuple(range(3)))
+    await traffic.warm_up()
+    context.pool = crash_by_parts(path, "refuses")
+    for turn in range(4):
+        for part in PARTS:
+            await traffic.come(3, part, pause_s=0.3)
+        await anyio.sleep(0.1 * turn)
+
+
+@when("half of the engines end at once {times:d} times beside sound requests")
+@in_parts
+async def half_ends(context, path, times):
+    traffic = context.traffic = Traffic(path, tuple(range(3)))
+    await traffic.warm_up()
+    for each in path.engines:
+        each.pause_s = 0.02
+    context.pool = CrashingPool(path, "refuses")
+    luck = random.Random(63)
+    context.ended_s = []
+
+    async def end_half():
+        for _ in range(times):
+            await anyio.sleep(1.2)
+            context.ended_s.append(anyio.current_time())
+            for each in luck.sample(path.engines, len(path.engines) // 2):
+                context.pool.crash(each)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(end_half)
+        for number in range(240):
+            tasks.start_soon(traffic.send, traffic.sound, number, number % 3)
+            await anyio.sleep(0.025)
+
+
+@then("at most {most:d} sound request is refused as blamed, and no later one")
+def none_blamed(context, most):
+    sound = context.traffic.sound
+    blamed = [each for each in sound if each.is_blamed]
+    print(f"{len(blamed)} of {len(sound)} sound requests refused as blamed")
+    assert len(blamed) <= most, blamed
+    assert all(each.at_s < context.ended_s[-1] + BACK_S for each in blamed), blamed
+
+
+@when("a deadly part ends an engine, and the proof of its loss takes {seconds:g} s")
+@in_parts
+async def proof_takes(context, path, seconds):
+    traffic = context.traffic = Traffic(path, (0,))
+    await traffic.warm_up()
+    context.pool = crash_by_parts(path, "refuses")
+    probe = CrashWatch._find_loss
+
+    async def slow_probe(link, endpoint):
+        await anyio.sleep(seconds)
+        return await probe(link, endpoint)
+
+    CrashWatch._find_loss = slow_probe
+    try:
+        await traffic.come(1)
+    finally:
+        CrashWatch._find_loss = probe
+    context.reached_s = [
+        at_s
+        for engine in [*path.engines]
+        for request, at_s in zip(engine.requests, engine.arrivals_s, strict=False)
+        if any(part.startswith(DEADLY) for part in parts_of(request)[:-1])
+    ]
+    context.proof_s = seconds
+
+
+@then("no request with the part reaches an engine within those {seconds:g} s")
+def not_within(context, seconds):
+    first_s, *later = sorted(context.pool.lost_s)
+    assert all(at_s - first_s >= seconds for at_s in later), context.pool.lost_s
