A part of prompts that crashes endpoints is known, and refused by all hosts

Cause: a loss was held against whole requests alone, and against all that broke off beside it alike. No request came again, so none of the harmful ones had two losses.

Why the fix works: no answer ever begins on a deadly part. An endpoint that runs on for 0.2 s after the first event shows that all parts of the prompt are sound; what breaks off before is held against the parts that are left. Two losses by requests that differ refuse what they have in common, unless another part was at more of them, or at the same ones. Hosts tell each other the losses, and object where they know a part to be sound; the store says what is refused, under leases, as for whole requests. A refusal that lapses is tried by one host after the other, 5 s apart. Bounds: 4096 sound parts, 1000 suspects, 64 calls a loss, 32 parts a prompt; in a large pool keepers alone are told. Losses of one moment (0.3 s) count once, unless the part was at most of them, and are judged 0.3 s later.

Also: the story of a host that hears no other patched a daemon that had its handlers already, so it heard them; it is started again with the patch now.

--- a/features/crashes/steps/crash_steps.py
+++ b/features/crashes/steps/crash_steps.py
@@ -111,6 +111,9 @@
                 await heard(link, daemon, message)
 
         CrashWatch.heard = hear_nothing
+        # A daemon that runs has its handlers already.
+        await path.restart_daemon("host-2")
+        await path.until_ready(2)
     try:
         await end_two(context, path, hosts[:2])
         if was != "heard no other host":
--- a/features/prompt_parts/prompt_parts.py
+++ b/features/prompt_parts/prompt_parts.py
@@ -35,6 +35,7 @@
         is_own = header(request, "Expect-Instance") in (None, self.name)
         is_deadly = any(each.startswith(DEADLY) for each in parts_of(request)[:-1])
         if is_own and is_deadly and self._would_run(request):
+            self.pool.reached_s.append(anyio.current_time())
             await anyio.sleep(CRASHES_AFTER_S)
             await self._begin(request, responder)
             self.pool.crash(self)
@@ -157,6 +158,7 @@
 def crash_by_parts(path, how, ends="after its head"):
     """Return the pool of a path whose engines end in one way."""
     pool = CrashingPool(path, how)
+    pool.reached_s = []
     for each in path.engines:
         each.ends = ends
     return pool
--- a/features/prompt_parts/steps/part_steps.py
+++ b/features/prompt_parts/steps/part_steps.py
@@ -4,7 +4,7 @@
 import path_steps  # noqa: F401
 from behave import then, when
 from crashing import CrashingPool
-from prompt_parts import DEADLY, PartsPath, Traffic, crash_by_parts, parts_of
+from prompt_parts import DEADLY, PartsPath, Traffic, crash_by_parts
 from stories import played
 
 from knapweedbridge_daemon.serving.crash_watch import CrashWatch
@@ -105,6 +105,9 @@
         await path.kill_daemon("host-2")
     elif was.startswith("heard"):
         CrashWatch.heard = hearing(was, hears)
+        # A daemon that runs has its handlers already.
+        await path.restart_daemon("host-2")
+        await path.until_ready(2)
     try:
         await meet(context, path, range(2))
         if not was.startswith("heard"):
@@ -188,27 +191,20 @@
     traffic = context.traffic = Traffic(path, (0,))
     await traffic.warm_up()
     context.pool = crash_by_parts(path, "refuses")
-    probe = CrashWatch._find_loss
+    lost = CrashWatch.endpoint_lost
 
-    async def slow_probe(link, endpoint):
+    async def lost_later(link, *loss):
         await anyio.sleep(seconds)
-        return await probe(link, endpoint)
+        await lost(link, *loss)
 
-    CrashWatch._find_loss = slow_probe
+    CrashWatch.endpoint_lost = lost_later
     try:
         await traffic.come(1)
     finally:
-        CrashWatch._find_loss = probe
-    context.reached_s = [
-        at_s
-        for engine in [*path.engines]
-        for request, at_s in zip(engine.requests, engine.arrivals_s, strict=False)
-        if any(part.startswith(DEADLY) for part in parts_of(request)[:-1])
-    ]
-    context.proof_s = seconds
+        CrashWatch.endpoint_lost = lost
 
 
 @then("no request with the part reaches an engine within those {seconds:g} s")
 def not_within(context, seconds):
-    first_s, *later = sorted(context.pool.lost_s)
-    assert all(at_s - first_s >= seconds for at_s in later), context.pool.lost_s
+    first_s, *later = context.pool.reached_s
+    assert all(at_s - first_s >= seconds for at_s in later), context.pool.reached_s
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -22,8 +22,14 @@
 from knapweedbridge_core.serving.beliefs import Belief, Beliefs
 from knapweedbridge_core.serving.brittle import RoomBudget
 from knapweedbridge_core.serving.caller_wait import CallerCase, UsualDeadlines
+from knapweedbridge_core.serving.crash_parts import (
+    LostCall,
+    PartLedger,
+    refusal_mark,
+)
 from knapweedbridge_core.serving.crashes import (
     CrashLedger,
+    LossFound,
     asked_of,
     fingerprint,
     loss_id,
@@ -168,6 +174,8 @@
     "LeaseClock",
     "LoadOn",
     "LoadTimes",
+    "LossFound",
+    "LostCall",
     "MemoryBudget",
     "ModelRef",
     "NamedVersions",
@@ -184,6 +192,7 @@
     "PROTOCOL",
     "PartBucket",
     "PermitPacer",
+    "PartLedger",
     "PlacementAsk",
     "PlainAsk",
     "PlainCounter",
@@ -239,6 +248,7 @@
     "permit_keeper",
     "ranked",
     "refusal_keepers",
+    "refusal_mark",
     "relays",
     "resumes",
     "shared_parts",
--- a/packages/core/src/knapweedbridge_core/serving/crashes.py
+++ b/packages/core/src/knapweedbridge_core/serving/crashes.py
@@ -4,16 +4,23 @@
 lost with all that it ran. Those others are blamed as well, but only once: with two
 losses a call is refused, and what is innocent is hardly ever lost twice. A few keepers
 publish in the platform's store what is refused, for hosts that start later or did not
-hear the others.
+hear the others. Calls that share a deadly part of their prompts are each new: see
+`crash_parts`.
 """
 
 import hashlib
-from collections import deque
-from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
+import math
+from collections import OrderedDict, deque
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
 
 from knapweedbridge_core.blame import Blame, Verdict
 from knapweedbridge_core.rendezvous import choose_spread
+from knapweedbridge_core.serving.crash_parts import (
+    LostCall,
+    PartLedger,
+    parts_refused,
+)
 from knapweedbridge_core.serving.endpoint_records import EndpointStart
 
 LAPSE_S = 60.0
@@ -27,7 +34,12 @@
 entry of an endpoint that is silent lapses after three heartbeats of 1.2 s, is removed
 within a second, and a relay tells of it within another."""
 
+JUDGED_S = 1.0
+"""Longest wait for the proof of a loss."""
+
 ENDINGS_KEPT = 1000
+MOMENTS_KEPT = 512
+"""Losses whose times are kept, to tell which endpoints ended together."""
 
 SEPARATOR = "-"
 
@@ -68,18 +80,54 @@
     return mark.partition(SEPARATOR)[0]
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Ending:
-    """A call that ended at a start of an endpoint without a whole answer."""
+    """A call that ended at a start of an endpoint without a whole answer.
+
+    Parameters
+    ----------
+    parts : tuple of str
+        Marks of the parts of its prompt; empty where its answer had begun.
+    sent_s : float
+        When it was sent there.
+    is_judged : bool
+        Whether nobody waits any more for what became of the endpoint.
+    """
 
     fingerprint: str
     start: EndpointStart
     at_s: float
+    parts: tuple[str, ...] = ()
+    sent_s: float = -math.inf
+    is_judged: bool = True
 
     def is_recent(self, now_s: float) -> bool:
         """Return whether a loss that shows now may have ended it."""
         return now_s - self.at_s <= PROOF_S
 
+    def is_awaited(self, now_s: float) -> bool:
+        """Return whether what became of the endpoint is about to show."""
+        return not self.is_judged and now_s - self.at_s < JUDGED_S
+
+
+@dataclass(slots=True)
+class LossFound:
+    """An endpoint's loss, and what is held for it.
+
+    Parameters
+    ----------
+    at_s : float
+        When its first call broke off.
+    marks : list of str
+        Marks of the calls that are blamed.
+    calls : list of LostCall
+        Those of them with parts that may have caused it.
+    """
+
+    at_s: float
+    marks: list[str] = field(default_factory=list)
+    calls: list[LostCall] = field(default_factory=list)
+
 
 def refusal_keepers(mark: str, candidates: Mapping[str, Sequence[str]]) -> list[str]:
     """Name the hosts that publish the refusal of a call, in the order in which they do.
@@ -98,33 +146,73 @@
 
 
 class CrashLedger:
-    """What one daemon knows of calls that were lost with their endpoints."""
+    """What one daemon knows of calls that were lost with their endpoints.
+
+    Attributes
+    ----------
+    parts : PartLedger
+        What it knows of the parts of their prompts.
+    """
 
     def __init__(self) -> None:
+        self.parts = PartLedger()
+        self.parts.losses_s = lambda: list(self._moments.values())
         self._blame = Blame(LAPSE_S, longest_lapse_s=LONGEST_LAPSE_S)
         self._published: dict[str, float] = {}
+        self._held: dict[str, float] = {}
         self._senders: dict[str, dict[str, set[str]]] = {}
         self._endings: deque[Ending] = deque(maxlen=ENDINGS_KEPT)
         self._lost: dict[EndpointStart, float] = {}
-
-    def ended(self, mark: str, start: EndpointStart, now_s: float) -> bool:
+        self._moments: OrderedDict[str, float] = OrderedDict()
+
+    def ended(
+        self,
+        mark: str,
+        start: EndpointStart,
+        now_s: float,
+        parts: tuple[str, ...] = (),
+        sent_s: float = -math.inf,
+        is_judged: bool = True,
+    ) -> LossFound | None:
         """Record that a call ended at an endpoint without a whole answer.
 
         It broke off, or nobody waits for it any more: the endpoint may be silent.
 
+        Parameters
+        ----------
+        parts, sent_s, is_judged
+            As in `Ending`.
+
         Returns
         -------
-        is_blamed : bool
-            Whether the endpoint's loss was known before, so that the call is blamed.
+        found : LossFound or None
+            What is held for the endpoint's loss, where that was known before.
         """
-        if any(
-            each.may_be(start) and now_s - at_s <= PROOF_S
+        ending = Ending(mark, start, now_s, parts, sent_s, is_judged)
+        lost_s = [
+            at_s
             for each, at_s in self._lost.items()
-        ):
-            self.told(mark, loss_id(start), now_s)
-            return True
-        self._endings.append(Ending(mark, start, now_s))
-        return False
+            if each.may_be(start) and now_s - at_s <= PROOF_S
+        ]
+        if not lost_s:
+            self._endings.append(ending)
+            return None
+        found = LossFound(min(lost_s))
+        if sent_s < found.at_s:
+            self._hold(found, ending, now_s)
+        return found
+
+    def _hold(self, found: LossFound, ending: Ending, now_s: float) -> None:
+        """Hold a loss against a call, and against the parts of its prompt."""
+        if ending.fingerprint in found.marks:
+            return
+        found.marks.append(ending.fingerprint)
+        self.told(ending.fingerprint, loss_id(ending.start), found.at_s)
+        parts = tuple(self.parts.unsound(ending.parts, now_s))
+        if parts:
+            call = LostCall(asked_of(ending.fingerprint), parts)
+            found.calls.append(call)
+            self.parts.blamed(loss_id(ending.start), [call], found.at_s)
 
     def has_broken(self, endpoint: str, now_s: float) -> bool:
         """Return whether a call has ended badly at an endpoint of late."""
@@ -133,8 +221,43 @@
             for each in self._endings
         )
 
-    def lost(self, start: EndpointStart, now_s: float) -> dict[str, list[str]]:
-        """Record that an endpoint is lost; return the calls that are to be blamed.
+    def awaits(self, mark: str, parts: Sequence[str], now_s: float) -> bool:
+        """Return whether a loss is about to be judged that a call may have caused."""
+        unsound = set(self.parts.unsound(parts, now_s))
+        is_open = any(
+            each.is_awaited(now_s)
+            and (each.fingerprint == mark or not unsound.isdisjoint(each.parts))
+            for each in self._endings
+        )
+        if is_open or self.parts.waits_until_s(parts, now_s):
+            return True
+        marks = mark, asked_of(mark)
+        return any(self._held.get(each, 0.0) > now_s for each in marks)
+
+    def hold(self, marks: Iterable[str], parts: Iterable[str], now_s: float) -> None:
+        """Record that a host has a loss to judge that suspects may have caused."""
+        until_s = now_s + JUDGED_S
+        held = self._held.items()
+        self._held = {each: end_s for each, end_s in held if end_s > now_s}
+        self._held |= {each: until_s for each in marks if self._blame.knows(each)}
+        self.parts.hold(parts, until_s, now_s)
+
+    def suspects_of(
+        self, mark: str, parts: Sequence[str], now_s: float
+    ) -> tuple[str, ...]:
+        """Return what of a call a loss is held against."""
+        asked = asked_of(mark)
+        own = (asked,) if self._blame.knows(asked) else ()
+        return own + tuple(self.parts.suspected(parts, now_s))
+
+    def lived(self, start: EndpointStart, by_s: float) -> None:
+        """Record that an endpoint runs on, although calls ended there by a moment."""
+        for each in self._endings:
+            if each.start.may_be(start) and each.at_s <= by_s:
+                each.is_judged = True
+
+    def lost(self, start: EndpointStart, now_s: float) -> dict[str, LossFound]:
+        """Record that an endpoint is lost; return what is held for it.
 
         Parameters
         ----------
@@ -143,25 +266,32 @@
 
         Returns
         -------
-        dict of str to list of str
-            Marks of calls, by loss.
+        dict of str to LossFound
+            By loss.
         """
-        recent = self._lost.items()
-        self._lost = {each: at_s for each, at_s in recent if now_s - at_s <= PROOF_S}
-        self._lost[start] = now_s
-        found: dict[str, list[str]] = {}
-        kept: list[Ending] = []
-        for each in self._endings:
-            if not each.start.may_be(start):
-                kept.append(each)
-            elif each.is_recent(now_s):
-                marks = found.setdefault(loss_id(each.start), [])
-                if each.fingerprint not in marks:
-                    marks.append(each.fingerprint)
-                    self.told(each.fingerprint, loss_id(each.start), now_s)
+        of_start = [each for each in self._endings if each.start.may_be(start)]
+        recent = [each for each in of_start if each.is_recent(now_s)]
+        first_s = min((each.at_s for each in recent), default=now_s)
+        known = self._lost.items()
+        self._lost = {each: at_s for each, at_s in known if now_s - at_s <= PROOF_S}
+        self._lost.setdefault(start, first_s)
+        self.note_loss(start.endpoint, first_s)
+        found: dict[str, LossFound] = {}
+        for each in recent:
+            # What was sent when others had broken off already came to a lost endpoint.
+            if each.sent_s < first_s:
+                loss = found.setdefault(loss_id(each.start), LossFound(first_s))
+                self._hold(loss, each, now_s)
+        kept = (each for each in self._endings if not each.start.may_be(start))
         self._endings = deque(kept, maxlen=ENDINGS_KEPT)
         return found
 
+    def note_loss(self, endpoint: str, at_s: float) -> None:
+        """Record when an endpoint was lost, whatever is held for that."""
+        self._moments.setdefault(endpoint, at_s)
+        while len(self._moments) > MOMENTS_KEPT:
+            self._moments.popitem(last=False)
+
     def told(self, mark: str, loss: str, now_s: float) -> None:
         """Blame a call for the loss of an endpoint, here or at another daemon."""
         asked = asked_of(mark)
@@ -189,11 +319,17 @@
 
     def published(self, mark: str, for_s: float, now_s: float) -> None:
         """Record that the store says for how long a call is refused."""
-        self._published[mark] = now_s + for_s
+        if parts_refused(mark):
+            self.parts.published(mark, for_s, now_s)
+        else:
+            self._published[mark] = now_s + for_s
 
-    def unpublished(self, mark: str) -> None:
+    def unpublished(self, mark: str, now_s: float) -> None:
         """Record that the store says nothing of a call any more."""
-        self._published.pop(mark, None)
+        if parts_refused(mark):
+            self.parts.unpublished(mark, now_s)
+        else:
+            self._published.pop(mark, None)
 
     def to_publish(self, now_s: float) -> dict[str, float]:
         """Return the calls that the store should refuse and does not, and for how long.
@@ -204,7 +340,7 @@
             Seconds by mark, or by the part of it that is the same for all addresses.
         """
         self._lapse(now_s)
-        return {
+        return self.parts.to_publish(now_s) | {
             each: self._blame.refused_for_s(each, now_s)
             for each in self._blame.refused(now_s)
             if each not in self._published and self._is_decided(each)
@@ -227,10 +363,19 @@
         alone = {next(iter(each)) for each in losses if len(each) == 1}
         return len(alone) >= SENDERS_REFUSED
 
-    def refused_for_s(self, mark: str, now_s: float) -> float:
-        """Return for how long a call is refused; 0 where it may run."""
-        parts = mark, asked_of(mark)
-        return max(self._refused_for_s(each, now_s) for each in parts)
+    def refused_for_s(
+        self, mark: str, now_s: float, parts: Sequence[str] = ()
+    ) -> float:
+        """Return for how long a call is refused; 0 where it may run.
+
+        Parameters
+        ----------
+        parts : sequence of str
+            Marks of the shared parts of its prompt.
+        """
+        marks = mark, asked_of(mark)
+        by_marks_s = max(self._refused_for_s(each, now_s) for each in marks)
+        return max(by_marks_s, self.parts.refused_for_s(parts, now_s))
 
     def _refused_for_s(self, mark: str, now_s: float) -> float:
         published_s = max(0.0, self._published.get(mark, 0.0) - now_s)
--- a/packages/core/src/knapweedbridge_core/serving/protocols.py
+++ b/packages/core/src/knapweedbridge_core/serving/protocols.py
@@ -6,7 +6,12 @@
 kept from daemons that speak it.
 """
 
-from knapweedbridge_core.serving.messages import CallsCleared
+from knapweedbridge_core.serving.messages import (
+    CallsCleared,
+    PartsBlamed,
+    PartsCleared,
+    SuspectsHeld,
+)
 from knapweedbridge_core.serving.origin_messages import (
     OriginAnswered,
     OriginAsked,
@@ -15,7 +20,7 @@
 from knapweedbridge_core.serving.permit_messages import RoomAsked, TurnedAway
 
 FIRST_PROTOCOL = 1
-PROTOCOL = 4
+PROTOCOL = 5
 """Rises with each kind of message, or meaning of one, that earlier versions lack."""
 
 SINCE: dict[type, int] = {
@@ -25,6 +30,9 @@
     OriginAsked: 3,
     OriginAnswered: 3,
     CallsCleared: 4,
+    PartsBlamed: 5,
+    PartsCleared: 5,
+    SuspectsHeld: 5,
 }
 """The protocols that brought kinds of messages; others are of the first."""
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
@@ -50,6 +50,8 @@
         Host that carried it; empty: it went over this host's own link.
     head_s : float or None
         When the head of its answer came.
+    has_stayed : bool
+        Whether the endpoint ran on after the first event.
     """
 
     began_s: float
@@ -65,6 +67,7 @@
     forwarder: str = ""
     first_superseded_s: float | None = None
     head_s: float | None = None
+    has_stayed: bool = False
 
 
 class AttemptRecords:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -38,6 +38,10 @@
 MOST_BUFFERED_BYTES = 8 << 20
 """Longest answer that is held until it is whole; plain answers are some kB."""
 
+STAYED_S = 0.2
+"""Time that an endpoint runs on after a first event, so that what it answers is sound:
+one that a prompt crashes ends within a tenth of a second."""
+
 NOT_READY_S = 0.04
 """Wait after an engine refused a call as its adapter's load is not done."""
 
@@ -102,7 +106,11 @@
                 call.progress.runs.add(endpoint.name)
             if end in (AttemptEnd.BROKEN, AttemptEnd.ABANDONED):
                 self._link.crashes.attempt_ended(
-                    call.mark, endpoint, forecast.sent_s or None, is_closed
+                    call,
+                    endpoint,
+                    forecast.sent_s or None,
+                    is_closed,
+                    forecast.has_stayed,
                 )
             self._records.learn(call, endpoint, forecast, end)
             self._note_read(call, endpoint)
@@ -251,6 +259,9 @@
         elif call.event_s is not None:
             self._link.running.paused(endpoint, now_s - call.event_s)
             self._hub.rates.saw_gap(endpoint, now_s - call.event_s)
+        if not forecast.has_stayed and now_s - forecast.first_s >= STAYED_S:
+            forecast.has_stayed = True
+            self._link.crashes.begun(call)
         call.note_events(now_s)
 
     async def _take_whole(
--- a/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
@@ -166,13 +166,16 @@
         self._hub.budget.note_daemons(self._hub.daemons, anyio.current_time())
         self._hub.budget.note_request(call.service, anyio.current_time())
         outcome = "caller_left"
-        blamed_s = self._hub.crashes.refused_for_s(call.mark, anyio.current_time())
+        blamed_s = self._hub.crashes.refused_for_s(
+            call.mark, anyio.current_time(), call.parts
+        )
         if blamed_s:
             refusal = Refusal(503, "blamed", blamed_s)
             self._hub.log.info(
                 "call.blamed",
                 request=details.call_id,
                 mark=call.mark[:MARK_DIGITS],
+                parts=[part[:MARK_DIGITS] for part in call.parts],
                 refused_for_s=round(blamed_s, 1),
             )
             await self._refuse(request, responder, refusal, details)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
@@ -43,21 +43,11 @@
             if refusal is not None:
                 return await self._give_up(call, refusal)
         while True:
-            target = await self._placing.place(call)
-            if isinstance(target, Refusal):
-                return await self._unplaced(call, target)
-            blamed_s = self._hub.crashes.refused_for_s(call.mark, anyio.current_time())
-            if blamed_s:
-                self._hub.log.info(
-                    "call.blamed",
-                    request=call.details.call_id,
-                    mark=call.mark[:MARK_DIGITS],
-                    refused_for_s=round(blamed_s, 1),
-                )
-                return await self._unplaced(call, Refusal(503, "blamed", blamed_s))
-            end = await self._attempt(call, target)
+            end = await self._try_once(call, self._blamed_for_s(call))
+            if isinstance(end, Refusal):
+                return await self._unplaced(call, end)
             if end in (AttemptEnd.ANSWERED, AttemptEnd.FAILED):
-                self._link.crashes.answered(call.mark)
+                self._link.crashes.answered(call)
             if end is AttemptEnd.ANSWERED:
                 self._link.resuming.ended(call)
                 return "answered"
@@ -66,6 +56,33 @@
             if not self._send_again(call, end):
                 return await self._fail(call, end)
 
+    async def _try_once(self, call: Call, blamed_s: float) -> AttemptEnd | Refusal:
+        """Make one attempt of a call, or return why it is not sent."""
+        if blamed_s:
+            return self._refuse_blamed(call, blamed_s)
+        target = await self._placing.place(call)
+        if isinstance(target, Refusal):
+            return target
+        blamed_s = self._blamed_for_s(call)
+        if blamed_s:
+            return self._refuse_blamed(call, blamed_s)
+        return await self._attempt(call, target)
+
+    def _refuse_blamed(self, call: Call, blamed_s: float) -> Refusal:
+        self._hub.log.info(
+            "call.blamed",
+            request=call.details.call_id,
+            mark=call.mark[:MARK_DIGITS],
+            parts=[part[:MARK_DIGITS] for part in call.parts],
+            refused_for_s=round(blamed_s, 1),
+        )
+        return Refusal(503, "blamed", blamed_s)
+
+    def _blamed_for_s(self, call: Call) -> float:
+        return self._hub.crashes.refused_for_s(
+            call.mark, anyio.current_time(), call.parts
+        )
+
     async def _attempt(self, call: Call, target: Target) -> AttemptEnd:
         end = AttemptEnd.ABANDONED
         try:
@@ -79,7 +96,7 @@
         if not may_send_again(call.route, call.progress, end):
             return False
         now_s = anyio.current_time()
-        if self._hub.crashes.refused_for_s(call.mark, now_s):
+        if self._blamed_for_s(call):
             return False
         return self._spend_repeat(call, end, now_s)
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/crash_watch.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/crash_watch.py
@@ -1,6 +1,5 @@
 """Finds out which endpoints were lost with calls, and has hosts blame those calls."""
 
-from collections import defaultdict
 from dataclasses import dataclass
 
 import anyio
@@ -9,11 +8,19 @@
 from knapweedbridge_core.serving import (
     Endpoint,
     EndpointStart,
+    LossFound,
+    asked_of,
     loss_id,
-    refusal_keepers,
 )
-from knapweedbridge_core.serving.messages import CallsBlamed, CallsCleared
-from knapweedbridge_daemon.serving.attempt_records import MARK_DIGITS
+from knapweedbridge_core.serving.messages import (
+    CallsBlamed,
+    CallsCleared,
+    PartsBlamed,
+    PartsCleared,
+    SuspectsHeld,
+)
+from knapweedbridge_daemon.serving.blame_telling import BlameTelling, lost_calls
+from knapweedbridge_daemon.serving.call import Call
 from knapweedbridge_daemon.serving.clock import loop_time_s
 from knapweedbridge_daemon.serving.http_client import (
     BrokenError,
@@ -22,9 +29,6 @@
 )
 from knapweedbridge_daemon.serving.hub import Hub, Send
 
-MOST_MARKS_LOGGED = 16
-"""Marks of calls that one log line carries."""
-
 LOOK_S = 0.5
 """Longest pause between looks for endpoints that were replaced."""
 
@@ -34,6 +38,9 @@
 PROBE_EVERY_S = 1.0
 """Pause between probes of one endpoint: an endpoint accepts connections slowly."""
 
+ACCUSED_S = 10.0
+"""How long another host may answer that a part which this one accuses is sound."""
+
 PROBE_S = 1.0
 """How long a probe may take: health waits for a slot as calls do."""
 
@@ -59,8 +66,11 @@
     is_closed: bool
 
 
+OfLosses = CallsBlamed | CallsCleared | PartsBlamed | PartsCleared | SuspectsHeld
+
+
 class CrashWatch:
-    """Blames the calls that endpoints were lost with.
+    """Blames the calls that endpoints were lost with, and parts of their prompts.
 
     Parameters
     ----------
@@ -78,15 +88,29 @@
     def __init__(self, hub: Hub, send: Send) -> None:
         self._hub = hub
         self._send = send
+        self._telling = BlameTelling(hub, send)
+        hub.crashes.parts.turn_of = self._turn_of
         self.not_refused: set[str] = set()
-        self._blamed: list[tuple[str, str]] = []
+        self._found: list[tuple[str, LossFound]] = []
         self._cleared: list[str] = []
+        self._held: tuple[set[str], set[str]] = (set(), set())
+        self._accused_s: dict[str, float] = {}
         self._lost: list[tuple[str, str]] = []
         self._to_probe: list[Suspicion] = []
         self._probed_s: dict[str, float] = {}
 
+    def _turn_of(self, mark: str) -> int:
+        """Return this host's place among those that publish a refusal, the first: 0."""
+        keepers, own = self._telling.keepers(mark), self._hub.identity.name
+        return keepers.index(own) if own in keepers else len(keepers)
+
     def attempt_ended(
-        self, mark: str, endpoint: Endpoint, sent_s: float | None, is_closed: bool
+        self,
+        call: Call,
+        endpoint: Endpoint,
+        sent_s: float | None,
+        is_closed: bool,
+        has_stayed: bool,
     ) -> None:
         """Record that an attempt ended without a whole answer.
 
@@ -96,16 +120,36 @@
             When it was sent, on the event loop's clock; None: it was not.
         is_closed : bool
             Whether its connection broke, so that the endpoint may be gone by now.
+        has_stayed : bool
+            Whether the endpoint ran on after it had begun the answer.
         """
         if sent_s is None:
             return
         now_s = loop_time_s()
-        if self._hub.crashes.ended(mark, endpoint.start, now_s):
-            self._blamed.append((loss_id(endpoint.start), mark))
+        crashes = self._hub.crashes
+        parts = () if has_stayed else call.parts
+        is_suspected = bool(crashes.suspects_of(call.mark, parts, now_s))
+        found = crashes.ended(
+            call.mark,
+            endpoint.start,
+            now_s,
+            parts,
+            sent_s,
+            is_judged=not (is_closed or is_suspected),
+        )
+        if found is not None:
+            self._found.append((loss_id(endpoint.start), found))
         else:
+            if is_suspected:
+                self._hold(call, parts, now_s)
             self._probe_once(Suspicion(endpoint, sent_s, is_closed), now_s)
         self._hub.losses_changed.tell()
 
+    def _hold(self, call: Call, parts: tuple[str, ...], now_s: float) -> None:
+        marks, held_parts = self._held
+        marks.update((call.mark, asked_of(call.mark)))
+        held_parts.update(self._hub.crashes.parts.suspected(parts, now_s))
+
     def _probe_once(self, suspicion: Suspicion, now_s: float) -> None:
         recent = self._probed_s.items()
         self._probed_s = {
@@ -125,32 +169,37 @@
     async def run(self, tasks: TaskGroup) -> None:
         """Draw conclusions until cancelled."""
         while True:
-            if not (self._lost or self._blamed or self._to_probe or self._cleared):
+            if not self._has_work():
                 await self._hub.losses_changed.wait(LOOK_S)
             for name in self._hub.beliefs.fleet.take_replaced():
                 if self._hub.crashes.has_broken(name, loop_time_s()):
                     self._lost.append((name, "replaced"))
+            await self._tell_held()
             while self._lost:
                 await self.endpoint_lost(*self._lost.pop())
             await self._clear()
-            while self._blamed:
-                loss, mark = self._blamed.pop()
-                await self._tell(loss, [mark], "known")
+            while self._found:
+                loss, found = self._found.pop()
+                await self._tell({loss: found}, "known")
             while self._to_probe:
                 tasks.start_soon(self._probe, self._to_probe.pop())
 
+    def _has_work(self) -> bool:
+        waiting = self._lost, self._found, self._to_probe, self._cleared
+        return any((*waiting, *self._held, self._hub.crashes.parts.to_clear))
+
+    async def _tell_held(self) -> None:
+        (marks, parts), self._held = self._held, (set(), set())
+        if marks or parts:
+            await self._telling.held(marks, parts)
+
     async def _clear(self) -> None:
         marks, self._cleared = self._cleared, []
-        if not marks:
-            return
         self.not_refused.update(marks)
-        self._hub.log.info(
-            "calls.cleared",
-            calls=len(marks),
-            marks=[mark[:MARK_DIGITS] for mark in marks[:MOST_MARKS_LOGGED]],
-        )
-        for daemon, of_daemon in self._hearers(marks).items():
-            await self._send(daemon, CallsCleared(of_daemon))
+        await self._telling.calls_cleared(marks)
+        ledger = self._hub.crashes.parts
+        parts, ledger.to_clear = ledger.to_clear, set()
+        await self._telling.parts_cleared(parts)
 
     async def _probe(self, suspicion: Suspicion) -> None:
         """Ask an endpoint for its health; another may stand at its address by now.
@@ -158,9 +207,12 @@
         Where no connection stands other hosts are asked for one.
         """
         endpoint, cause = suspicion.endpoint, ""
+        asked_s = loop_time_s()
         if not suspicion.is_closed:
             await anyio.sleep(max(0.0, suspicion.sent_s + SILENT_S - loop_time_s()))
+            asked_s = loop_time_s()
             if endpoint.answered_s > suspicion.sent_s:
+                self._hub.crashes.lived(endpoint.start, asked_s)
                 return
         try:
             with anyio.move_on_after(PROBE_S):
@@ -175,6 +227,9 @@
         if cause:
             endpoint.note_unreachable(loop_time_s())
             await self.endpoint_lost(endpoint.name, cause, endpoint.start.started_ms)
+        else:
+            self._hub.crashes.lived(endpoint.start, asked_s)
+        self._hub.losses_changed.tell()
 
     async def _find_loss(self, endpoint: Endpoint) -> str:
         """Return what shows that an endpoint is gone; empty: nothing does."""
@@ -212,52 +267,68 @@
             Which start of the endpoint it was; 0: any.
         """
         found = self._hub.crashes.lost(
-            EndpointStart(endpoint, started_ms), anyio.current_time()
+            EndpointStart(endpoint, started_ms), loop_time_s()
         )
-        for loss, marks in found.items():
-            await self._tell(loss, marks, cause)
+        await self._tell(found, cause)
         if not found:
             self._hub.log.info("endpoint.lost", endpoint=endpoint, cause=cause)
 
-    async def _tell(self, loss: str, marks: list[str], cause: str) -> None:
-        self._hub.measures.count("calls_blamed", value=len(marks))
-        self._hub.log.info(
-            "calls.blamed",
-            endpoint=loss.partition(" ")[0],
-            cause=cause,
-            calls=len(marks),
-            marks=[mark[:MARK_DIGITS] for mark in marks[:MOST_MARKS_LOGGED]],
-        )
-        for daemon, of_daemon in self._hearers(marks).items():
-            await self._send(daemon, CallsBlamed(loss, of_daemon))
+    async def _tell(self, found: dict[str, LossFound], cause: str) -> None:
+        now_s = loop_time_s()
+        accused = self._accused_s.items()
+        self._accused_s = {
+            part: at_s for part, at_s in accused if now_s - at_s < ACCUSED_S
+        }
+        for held in found.values():
+            parts = {part for call in held.calls for part in call.parts}
+            self._accused_s |= dict.fromkeys(parts, now_s)
+        await self._telling.losses(found, cause)
         self._hub.losses_changed.tell()
 
-    def _hearers(self, marks: list[str]) -> dict[str, list[str]]:
-        """Return which other daemons hear of which calls: in a large pool, keepers."""
-        own, beliefs = self._hub.identity.name, self._hub.beliefs
-        found: dict[str, list[str]] = defaultdict(list)
-        if beliefs.is_small_pool:
-            found.update((name, marks) for name in beliefs.daemons)
-        else:
-            for mark in marks:
-                for name in refusal_keepers(mark, beliefs.keepers):
-                    found[name].append(mark)
-        found.pop(own, None)
-        return found
-
-    def answered(self, mark: str) -> None:
+    def answered(self, call: Call) -> None:
         """Record that a call got a whole answer."""
-        if self._hub.crashes.answered(mark):
-            self._cleared.append(mark)
+        if self._hub.crashes.answered(call.mark):
+            self._cleared.append(call.mark)
+        self.begun(call)
+
+    def begun(self, call: Call) -> None:
+        """Record that an endpoint that stayed has begun a call's answer."""
+        ledger = self._hub.crashes.parts
+        ledger.begun(call.parts, loop_time_s())
+        if self._cleared or ledger.to_clear:
             self._hub.losses_changed.tell()
 
-    async def heard(self, daemon: str, message: CallsBlamed | CallsCleared) -> None:
-        """Receive what another daemon blames, or blames no more."""
-        now_s = anyio.current_time()
-        for mark in message.fingerprints:
-            if isinstance(message, CallsBlamed):
-                self._hub.crashes.told(mark, message.endpoint, now_s)
-            else:
-                self._hub.crashes.answered(mark)
-                self.not_refused.add(mark)
+    async def heard(self, daemon: str, message: OfLosses) -> None:
+        """Receive what another daemon knows of losses."""
+        now_s, crashes = loop_time_s(), self._hub.crashes
+        match message:
+            case CallsBlamed():
+                crashes.note_loss(message.endpoint.partition(" ")[0], now_s)
+                for mark in message.fingerprints:
+                    crashes.told(mark, message.endpoint, now_s)
+            case CallsCleared():
+                for mark in message.fingerprints:
+                    crashes.answered(mark)
+                    self.not_refused.add(mark)
+            case PartsBlamed():
+                await self._accused(daemon, message, now_s)
+            case PartsCleared():
+                self._contradicted(message, now_s)
+            case SuspectsHeld():
+                crashes.hold(message.fingerprints, message.parts, now_s)
         self._hub.losses_changed.tell()
+
+    async def _accused(self, daemon: str, message: PartsBlamed, now_s: float) -> None:
+        """Receive another host's accusation, and object where a part is sound."""
+        at_s = now_s - max(0.0, message.age_s)
+        self._hub.crashes.note_loss(message.loss.partition(" ")[0], at_s)
+        calls = lost_calls(message)
+        sound = self._hub.crashes.parts.blamed(message.loss, calls, at_s)
+        if sound:
+            await self._send(daemon, PartsCleared(sound))
+
+    def _contradicted(self, message: PartsCleared, now_s: float) -> None:
+        """Receive that parts are sound; those that were told of a loss are told so."""
+        ledger = self._hub.crashes.parts
+        known = ledger.cleared(message.parts, now_s)
+        ledger.to_clear.update(part for part in known if part in self._accused_s)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -9,8 +9,6 @@
 from knapweedbridge_core.peer_events import PeerHeard, PeerUnlinked
 from knapweedbridge_core.serving import Endpoint, understands
 from knapweedbridge_core.serving.messages import (
-    CallsBlamed,
-    CallsCleared,
     EngineAsked,
     EngineChanged,
     EngineTold,
@@ -25,7 +23,7 @@
 from knapweedbridge_daemon.peer_sockets import PeerListener
 from knapweedbridge_daemon.peers import Peers
 from knapweedbridge_daemon.serving.answer_signs import AnswerSigns
-from knapweedbridge_daemon.serving.crash_watch import CrashWatch
+from knapweedbridge_daemon.serving.crash_watch import CrashWatch, OfLosses
 from knapweedbridge_daemon.serving.engine_owners import EngineOwners, ToOwner
 from knapweedbridge_daemon.serving.forwarding import Forwarding
 from knapweedbridge_daemon.serving.hub import Hub
@@ -87,11 +85,10 @@
             EngineTold: self._take_of_owner,
             EngineChanged: self._take_of_owner,
             TurnsGiven: self._take_turns,
-            CallsBlamed: self.crashes.heard,
-            CallsCleared: self.crashes.heard,
             OwnerAnswered: self._take_answered,
         }
         takers |= dict.fromkeys((ShareAsked, ShareGiven), self.shares.heard)
+        takers |= dict.fromkeys(get_args(OfLosses), self.crashes.heard)
         of_calls = get_args(OfPlain) + get_args(OfPermits)
         takers |= dict.fromkeys(of_calls, self._take_of_calls)
         takers |= dict.fromkeys(get_args(OfOrigins), self.resuming.heard)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/refusal_records.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/refusal_records.py
@@ -58,6 +58,9 @@
             waited_s = now_s - self._missing_since_s[mark]
             if turn_s is not None and waited_s >= turn_s:
                 await self._write(mark, for_s)
+        withdrawn = self._hub.crashes.parts.withdrawn
+        self._not_refused.update(withdrawn)
+        withdrawn.clear()
         while self._not_refused:
             mark = self._not_refused.pop()
             if self._turn_s(mark) is not None:
@@ -85,7 +88,7 @@
 
     async def _remove(self, mark: str) -> None:
         try:
-            keys = self._key(mark), self._key(asked_of(mark))
+            keys = tuple({self._key(mark), self._key(asked_of(mark))})
             await self._hub.dialects.store.commit(Transaction(deletes=keys))
         except StoreError as error:
             self._note("refusal.not_removed", mark, error=str(error))
