A broken attempt is not sent again before the loss that it may cause is judged

Requests that share a suspected part went to one engine each, side by side.

Cause: a repeat went out at once, also where the connection had just broken and the proof that the endpoint is gone was some milliseconds away.

Of the calls of a host that share something suspected one is sent at a time.

--- a/packages/daemon/src/knapweedbridge_daemon/serving/call.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/call.py
@@ -55,6 +55,8 @@
         What it is known by when it comes again.
     parts : tuple of str
         Marks of the parts of its prompt that others may share.
+    suspects : tuple of str
+        What of it a loss was held against as it was sent.
     spent_s : float
         Time that its caller had spent on earlier attempts, in seconds.
     holds_repeat : bool
@@ -91,6 +93,7 @@
     placed: bool = False
     mark: str = ""
     parts: tuple[str, ...] = ()
+    suspects: tuple[str, ...] = ()
     account: ClientAccount | None = None
     spent_s: float = 0.0
     holds_repeat: bool = False
--- a/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/calls.py
@@ -10,6 +10,7 @@
 from knapweedbridge_daemon.serving.hub import Hub
 from knapweedbridge_daemon.serving.peer_link import PeerLink
 from knapweedbridge_daemon.serving.placing import BUSY_AFTER_S, Placing
+from knapweedbridge_daemon.serving.suspect_calls import SuspectCalls
 
 
 class CallRunner:
@@ -28,6 +29,7 @@
         self._link = link
         self._placing = Placing(hub, link)
         self._attempting = Attempting(hub, link)
+        self._suspects = SuspectCalls(hub)
 
     async def run(self, call: Call) -> str:
         """Run a call, and answer it; return a word for how it ended."""
@@ -43,7 +45,11 @@
             if refusal is not None:
                 return await self._give_up(call, refusal)
         while True:
-            end = await self._try_once(call, self._blamed_for_s(call))
+            blamed_s = await self._suspects.admit(call)
+            try:
+                end = await self._try_once(call, blamed_s)
+            finally:
+                self._suspects.release(call)
             if isinstance(end, Refusal):
                 return await self._unplaced(call, end)
             if end in (AttemptEnd.ANSWERED, AttemptEnd.FAILED):
