Losses of one moment count once against a request

Cause: any two losses refused a request, and a call that was sent after others had broken off at an endpoint counted among those that it was lost with.

Why the fix works: losses within 0.3 s count once unless the request was at most of them, and the second one is judged 0.3 s later, when those of its moment are known; the call waits meanwhile. What was sent when others had broken off is not blamed.

Evidence: features/prompt_parts/ledger.feature: rows "2 of 5" and "2 of 35" fail without it.

--- /dev/null
+++ b/features/prompt_parts/ledger.feature
@@ -0,0 +1,98 @@
+Feature: What is concluded from losses, without a network
+
+  Scenario Outline: A request on <own> of <all> endpoints that end within <within> s is refused: <refused>
+    Guards against blame of innocent requests where many endpoints end together.
+
+    When a request breaks off at <own> of <all> endpoints that end within <within> s
+    Then 2 s later it is refused: <refused>
+
+    Examples:
+      | own | all | within | refused |
+      | 1   | 1   | 0      | no      |
+      | 2   | 2   | 0.1    | yes     |
+      | 2   | 3   | 0.1    | yes     |
+      | 2   | 5   | 0.1    | no      |
+      | 2   | 35  | 0.1    | no      |
+      | 2   | 5   | 8      | yes     |
+
+  Scenario: A request that was sent to an endpoint after that had ended
+    Guards against blame of repeats that come to an endpoint which is gone already.
+
+    When a request breaks off at two endpoints, at the second one after others did there
+    Then 2 s later it is refused: no
+
+  Scenario Outline: Losses of <losses> refuse <refused>
+    Guards against sound parts that are refused for what ran beside them.
+
+    Given part f is sound
+    When endpoints are lost with prompts of the parts
+      | losses   |
+      | <losses> |
+    Then of the prompts <asked> these are refused: <refused>
+
+    Examples: a loss each, its prompts apart by a blank
+      | losses                        | asked           | refused |
+      | f.p                           | f.p             | none    |
+      | f.p / f.p                     | f.p f.q f       | f.p     |
+      | f.p.r / f.p.s                 | f.p f.r f.s     | f.p     |
+      | p.f / f.p                     | p f.p           | p f.p   |
+      | f.p f.q / f.p                 | f.p f.q         | f.p     |
+      | f.p f.q / f.p f.q             | f.p f.q         | none    |
+      | f.p f.q / f.p f.q / f.p       | f.p f.q         | f.p     |
+      | f.p f.q / f.p f.q / f.p f.q   | f.p f.q         | f.p f.q |
+      | f.p.r / f.p.r                 | f.p f.r f.p.r   | f.p.r   |
+      | f.p.r / f.p.r / f.p           | f.p f.r f.p.r   | f.p f.p.r |
+      | f.p f.q / f.p / f.q           | f.p f.q         | f.p f.q |
+      | f / f / f                     | f f.p           | none    |
+
+  Scenario: One request that is lost again and again does not refuse its parts
+    Guards against parts that are refused as one request with them crashes endpoints.
+
+    When one request of the parts p is lost with 4 endpoints
+    Then of the prompts p these are refused: none
+
+  Scenario Outline: A part on which an answer began <when>
+    Guards against parts that are sound and stay refused.
+
+    When a part is refused, and an answer on it began <when>
+    Then it is refused after that: <refused>
+
+    Examples:
+      | when                      | refused |
+      | here before               | no      |
+      | here after                | no      |
+      | at another host after     | no      |
+      | here before, the store says | no    |
+      | nowhere                   | yes     |
+      | nowhere, the store says   | yes     |
+      | here 121 s before         | yes     |
+
+  Scenario Outline: A part whose refusal has lapsed, at the host whose turn is <turn>
+    Guards against all hosts trying a part at once when its refusal lapses.
+
+    When a part is refused at a host whose turn is <turn>, and prompts with it still come
+    Then it is refused for <first> s at first, and <lost> endpoints are lost within <within> s
+
+    Examples:
+      | turn | first | within | lost |
+      | 0    | 60    | 600    | 3    |
+      | 0    | 60    | 6000   | 4    |
+      | 1    | 65    | 600    | 3    |
+      | 3    | 75    | 600    | 3    |
+
+  Scenario Outline: What is kept of <many> <what> is bounded
+    Guards against tables that grow with the prompts of a day.
+
+    When <many> <what> were seen
+    Then at most <kept> of them are kept, and the newest and those with most losses are
+
+    Examples:
+      | many  | what          | kept |
+      | 10000 | sound parts   | 4096 |
+      | 3000  | suspect parts | 1000 |
+
+  Scenario: A loss is told with as many calls as it may be
+    Guards against messages that grow with the calls of an endpoint.
+
+    When an endpoint is lost with 500 calls of parts of their own
+    Then at most 64 calls are told
--- /dev/null
+++ b/features/prompt_parts/steps/ledger_steps.py
@@ -0,0 +1,192 @@
+from behave import given, then, when
+
+from knapweedbridge_core.serving import (
+    CrashLedger,
+    EndpointStart,
+    LostCall,
+    PartLedger,
+    fingerprint,
+    refusal_mark,
+)
+from knapweedbridge_core.serving.crash_parts import MOST_CALLS, MOST_SUSPECTS
+
+NOW_S = 1000.0
+LATER_S = 2.0
+MARK = fingerprint("", "a", "h", b"GET", b"/", b"")
+
+
+def parts_in(text):
+    return tuple(text.split("."))
+
+
+@when(
+    "a request breaks off at {own:d} of {every:d} endpoints that end within "
+    "{within:g} s"
+)
+def breaks_at_some(context, own, every, within):
+    ledger = context.ledger = CrashLedger()
+    context.until_s = NOW_S + within
+    for number in range(every):
+        start = EndpointStart(f"e{number}", 0)
+        at_s = NOW_S + within * number / every
+        if number >= every - own:
+            ledger.ended(MARK, start, at_s, sent_s=at_s - 0.5)
+        ledger.lost(start, at_s)
+
+
+@when("a request breaks off at two endpoints, at the second one after others did there")
+def comes_too_late(context):
+    ledger = context.ledger = CrashLedger()
+    context.until_s = NOW_S
+    first, second = EndpointStart("e1", 0), EndpointStart("e2", 0)
+    other = fingerprint("", "b", "h", b"GET", b"/b", b"")
+    ledger.ended(MARK, first, NOW_S - 5, sent_s=NOW_S - 6)
+    ledger.lost(first, NOW_S - 5)
+    ledger.ended(other, second, NOW_S, sent_s=NOW_S - 1)
+    ledger.ended(MARK, second, NOW_S + 0.02, sent_s=NOW_S + 0.01)
+    ledger.lost(second, NOW_S + 0.03)
+
+
+@then("2 s later it is refused: {refused}")
+def request_refused(context, refused):
+    found = context.ledger.refused_for_s(MARK, context.until_s + LATER_S)
+    assert (found > 0) == (refused == "yes"), found
+
+
+@given("part f is sound")
+def first_is_sound(context):
+    context.parts = PartLedger()
+    context.parts.begun(["f"], NOW_S - 5)
+
+
+@when("endpoints are lost with prompts of the parts")
+def lost_with(context):
+    number = 0
+    losses = context.table[0]["losses"].split(" / ")
+    for place, prompts in enumerate(losses):
+        calls = []
+        for prompt in prompts.split():
+            number += 1
+            calls.append(LostCall(f"r{number}", parts_in(prompt)))
+        context.parts.blamed(f"e{place} 0", calls, NOW_S + place)
+    context.at_s = NOW_S + len(losses) + LATER_S
+
+
+@then("of the prompts {asked} these are refused: {refused}")
+def prompts_refused(context, asked, refused):
+    found = [
+        prompt
+        for prompt in asked.split()
+        if context.parts.refused_for_s(parts_in(prompt), context.at_s)
+    ]
+    assert found == (refused.split() if refused != "none" else []), found
+
+
+@when("one request of the parts p is lost with {count:d} endpoints")
+def one_request(context, count):
+    context.parts = PartLedger()
+    for number in range(count):
+        context.parts.blamed(f"e{number} 0", [LostCall("r", ("p",))], NOW_S + number)
+    context.at_s = NOW_S + count + LATER_S
+
+
+def lose(ledger, number, at_s, part="p"):
+    """Have an endpoint be lost with a prompt that no other equals."""
+    ledger.blamed(f"e{number} 0", [LostCall(f"r{number}", (part,))], at_s)
+
+
+@when("a part is refused, and an answer on it began {when_begun}")
+def answer_began(context, when_begun):
+    ledger = context.parts = PartLedger()
+    if "before" in when_begun:
+        ledger.begun(["p"], NOW_S - (121 if "121" in when_begun else 1))
+    if "the store says" in when_begun:
+        ledger.published(refusal_mark(["p"]), 60.0, NOW_S + 2)
+    else:
+        lose(ledger, 0, NOW_S)
+        lose(ledger, 1, NOW_S + 2)
+    if when_begun == "here after":
+        ledger.begun(["p"], NOW_S + 3)
+        assert ledger.to_clear == {"p"}
+    if when_begun == "at another host after":
+        ledger.cleared(["p"], NOW_S + 3)
+
+
+@then("it is refused after that: {refused}")
+def part_refused(context, refused):
+    found = context.parts.refused_for_s(("f", "p"), NOW_S + 5)
+    assert (found > 0) == (refused == "yes"), found
+
+
+@when(
+    "a part is refused at a host whose turn is {turn:d}, and prompts with it still come"
+)
+def still_come(context, turn):
+    ledger = context.parts = PartLedger()
+    ledger.turn_of = lambda mark: turn
+    context.lost_s = []
+    for now_s in range(10_000):
+        if not ledger.refused_for_s(("p",), now_s) and not ledger.waits_until_s(
+            ("p",), now_s
+        ):
+            lose(ledger, len(context.lost_s), now_s)
+            context.lost_s.append(now_s)
+
+
+@then(
+    "it is refused for {first:d} s at first, and {lost:d} endpoints are lost within "
+    "{within:d} s"
+)
+def lost_within(context, first, lost, within):
+    second_s, third_s = context.lost_s[1:3]
+    assert third_s - second_s == first, context.lost_s
+    found = [at_s for at_s in context.lost_s if at_s <= second_s + within]
+    assert len(found) == lost, context.lost_s
+
+
+@when("{many:d} sound parts were seen")
+def many_sound(context, many):
+    ledger = context.parts = PartLedger()
+    for number in range(many):
+        ledger.begun([f"p{number}"], NOW_S)
+    context.newest = f"p{many - 1}"
+    every = [f"p{number}" for number in range(many)]
+    context.kept = many - len(ledger.unsound(every, NOW_S))
+    assert not ledger.unsound([context.newest], NOW_S)
+
+
+@when("{many:d} suspect parts were seen")
+def many_suspects(context, many):
+    ledger = context.parts = PartLedger()
+    lose(ledger, 0, NOW_S, "often")
+    lose(ledger, 1, NOW_S + 0.5, "often")
+    for number in range(many):
+        lose(ledger, 2 + number, NOW_S + 1 + number / many, f"p{number}")
+    context.kept = len(ledger)
+    assert ledger.suspected([f"p{many - 1}", "often"], NOW_S) == [
+        f"p{many - 1}",
+        "often",
+    ]
+
+
+@then(
+    "at most {kept:d} of them are kept, and the newest and those with most losses are"
+)
+def kept_at_most(context, kept):
+    assert context.kept <= kept, context.kept
+
+
+@when("an endpoint is lost with {count:d} calls of parts of their own")
+def lost_with_many(context, count):
+    ledger, start = CrashLedger(), EndpointStart("e", 0)
+    for number in range(count):
+        mark = fingerprint("", "a", "h", b"GET", b"/%d" % number, b"")
+        ledger.ended(mark, start, NOW_S, (f"p{number}",), NOW_S - 1)
+    (context.found,) = ledger.lost(start, NOW_S).values()
+    assert len(ledger.parts) <= MOST_SUSPECTS
+
+
+@then("at most {most:d} calls are told")
+def told_at_most(context, most):
+    assert most == MOST_CALLS
+    assert len(context.found.calls) <= most, len(context.found.calls)
--- a/packages/core/src/knapweedbridge_core/blame.py
+++ b/packages/core/src/knapweedbridge_core/blame.py
@@ -131,6 +131,16 @@
         """Return whether anything is held against a fingerprint."""
         return fingerprint in self._table
 
+    def losses_s(self, fingerprint: str) -> list[float]:
+        """Return the times of the losses that are held against a fingerprint."""
+        suspect = self._table.get(fingerprint)
+        return [loss.at_s for loss in suspect.losses.values()] if suspect else []
+
+    def was_refused(self, fingerprint: str) -> bool:
+        """Return whether an earlier refusal of a fingerprint has lapsed."""
+        suspect = self._table.get(fingerprint)
+        return suspect is not None and suspect.refusals > 0
+
     def refused(self, now_s: float) -> list[str]:
         """Return the fingerprints that are refused."""
         table = self._table.items()
--- a/packages/core/src/knapweedbridge_core/serving/crashes.py
+++ b/packages/core/src/knapweedbridge_core/serving/crashes.py
@@ -14,14 +14,17 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
-from knapweedbridge_core.blame import Blame, Verdict
+from knapweedbridge_core.blame import LOSSES_REFUSED, Blame, Verdict
 from knapweedbridge_core.rendezvous import choose_spread
 from knapweedbridge_core.serving.crash_parts import (
+    MOST_CALLS,
+    SETTLE_S,
     LostCall,
     PartLedger,
     parts_refused,
 )
 from knapweedbridge_core.serving.endpoint_records import EndpointStart
+from knapweedbridge_core.serving.loss_moments import count_losses
 
 LAPSE_S = 60.0
 """How long blame holds at first; callers give up on such a call within seconds."""
@@ -209,7 +212,7 @@
         found.marks.append(ending.fingerprint)
         self.told(ending.fingerprint, loss_id(ending.start), found.at_s)
         parts = tuple(self.parts.unsound(ending.parts, now_s))
-        if parts:
+        if parts and len(found.calls) < MOST_CALLS:
             call = LostCall(asked_of(ending.fingerprint), parts)
             found.calls.append(call)
             self.parts.blamed(loss_id(ending.start), [call], found.at_s)
@@ -232,7 +235,9 @@
         if is_open or self.parts.waits_until_s(parts, now_s):
             return True
         marks = mark, asked_of(mark)
-        return any(self._held.get(each, 0.0) > now_s for each in marks)
+        return any(self._held.get(each, 0.0) > now_s for each in marks) or not all(
+            self._is_settled(each, now_s) for each in marks
+        )
 
     def hold(self, marks: Iterable[str], parts: Iterable[str], now_s: float) -> None:
         """Record that a host has a loss to judge that suspects may have caused."""
@@ -343,7 +348,9 @@
         return self.parts.to_publish(now_s) | {
             each: self._blame.refused_for_s(each, now_s)
             for each in self._blame.refused(now_s)
-            if each not in self._published and self._is_decided(each)
+            if each not in self._published
+            and self._is_decided(each)
+            and self._is_settled(each, now_s)
         }
 
     def _lapse(self, now_s: float) -> None:
@@ -357,12 +364,22 @@
 
         A loss that two addresses share counts for none: one may have run beside it.
         """
+        if not self._blame.was_refused(mark):
+            losses_s = self._blame.losses_s(mark)
+            if count_losses(losses_s, list(self._moments.values())) < LOSSES_REFUSED:
+                return False
         if SEPARATOR in mark:
             return True
         losses = self._senders.get(mark, {}).values()
         alone = {next(iter(each)) for each in losses if len(each) == 1}
         return len(alone) >= SENDERS_REFUSED
 
+    def _is_settled(self, mark: str, now_s: float) -> bool:
+        """Return whether the losses of the moment in which a mark had its last show."""
+        losses_s = self._blame.losses_s(mark)
+        is_decisive = len(losses_s) == LOSSES_REFUSED
+        return not is_decisive or now_s >= max(losses_s) + SETTLE_S
+
     def refused_for_s(
         self, mark: str, now_s: float, parts: Sequence[str] = ()
     ) -> float:
@@ -381,6 +398,8 @@
         published_s = max(0.0, self._published.get(mark, 0.0) - now_s)
         if not (self._blame.knows(mark) and self._is_decided(mark)):
             return published_s
+        if not self._is_settled(mark, now_s):
+            return published_s
         self._lapse(now_s)
         if self._blame.judge(mark, now_s) is not Verdict.REFUSE:
             return published_s
