Stories of answers that break hold their streams until the break

They wait at their third event now until the engine has ended, and the engine ends once all have begun.

--- a/features/platform/standins.py
+++ b/features/platform/standins.py
@@ -394,6 +394,7 @@
         self.queue_s = 0.0
         self.newest = {}
         self.begun = []
+        self.goes_on = None
 
     def start_again(self):
         """Lose all that it held, under the id that it has."""
@@ -491,6 +492,8 @@
                     await responder.send(event[:7])
                 # Without an end the connection is closed.
                 return
+            if self.goes_on is not None and number == first + 2:
+                await self.goes_on.wait()
             await responder.send(event)
             await anyio.sleep(self.pause_s)
         await responder.end()
--- a/features/software_versions/steps/answer_steps.py
+++ b/features/software_versions/steps/answer_steps.py
@@ -11,9 +11,7 @@
 
 STREAMS = 8
 PAUSE_S = 0.1
-"""Time between two events; the engines of v2 are listed before an answer is cut."""
-
-STARTED_S = 2 * PAUSE_S
+"""Time between two events."""
 
 
 async def crash(scene, engines):
@@ -35,15 +33,21 @@
 
 
 async def run_streams(scene, model, meanwhile):
+    """Run streams that go on past two events once something has happened."""
+    goes_on = anyio.Event()
     for engine in scene.path.engines:
-        engine.pause_s = PAUSE_S
+        engine.pause_s, engine.goes_on = PAUSE_S, goes_on
     callers = [StreamCaller(scene.path, model) for _ in range(STREAMS)]
     scene.callers += callers
     async with anyio.create_task_group() as tasks:
         for caller in callers:
             tasks.start_soon(caller.ask, 0)
-        await anyio.sleep(STARTED_S)
+        await scene.path.until(
+            lambda: all(caller.has_events(1) for caller in callers),
+            "all streams have begun",
+        )
         await meanwhile()
+        goes_on.set()
 
 
 @when(
