Soak: requests that share a part which ends engines, and sound ones beside them

Requests with a deadly part, no two alike, come by any host beside sound ones of the same caller that share all else; a part may end five engines, then three by hosts without trouble. At least half of the sound ones that come to hosts without trouble are served, where there are 20. SOAK_PARTS (1) says how many parts.

--- a/bench/soak_callers.py
+++ b/bench/soak_callers.py
@@ -7,7 +7,7 @@
 
 import anyio
 import httpx
-from soak_checks import DEADLY, EVENTS, StreamEvents
+from soak_checks import DEADLY, EVENTS, PART, StreamEvents
 from soak_pool import Pool
 
 CLIENTS = 12
@@ -117,9 +117,37 @@
                 answer = await self._send(innocent, url, f"like-{call}", body)
                 self._pool.deadly.served[answer] += 1
 
+    async def repeat_part(self, number: int, until_s: float) -> None:
+        """Send requests that share a part which ends engines, by any host.
+
+        No two are alike. Sound ones share their caller and all else of their prompts.
+        """
+        luck = random.Random(f"part {number}")
+        asked = f"{DEADLY}-{PART}-{os.getpid()}-{number}"
+        turn = 0
+        way = httpx.AsyncHTTPTransport(local_address=SENDERS[0])
+        async with httpx.AsyncClient(timeout=6, transport=way) as http:
+            while anyio.current_time() < until_s:
+                turn += 1
+                own = f"{os.getpid():x}{number:x}{turn:04x}"
+                for call, part in (
+                    (f"{asked}-{turn}", f"dead{number}"),
+                    (f"sound-{asked}-{turn}", f"bb{turn % 3}"),
+                ):
+                    name = luck.choice(sorted(self._pool.ports))
+                    self._watched.taken_by[call] = name
+                    url = self._url(name, "draft", call)
+                    prompt = f"aa{number}:50,{part}:30,cc{own}:20"
+                    answer = await self._send(http, url, call, call.encode(), prompt)
+                    if part.startswith("bb"):
+                        self._pool.deadly.count_sound(name, answer)
+                    await anyio.sleep(luck.uniform(0.1, 0.5))
+
     @staticmethod
-    async def _send(http, url: str, call: str, body: bytes) -> str:
+    async def _send(http, url: str, call: str, body: bytes, prompt: str = "") -> str:
         headers = headers_of(call, "base/a1")
+        if prompt:
+            headers["Prompt-Prefix"] = prompt
         if "/draft/" not in url:
             del headers["Model"]
         try:
--- a/bench/soak_checks.py
+++ b/bench/soak_checks.py
@@ -29,6 +29,12 @@
 """Endpoints that a deadly request may end, and how many more by hosts without trouble
 later than `CONTACT_S` after that."""
 
+PART = "part"
+PARTS_LOST_FREE = 5
+LEAST_SOUND = 20
+"""Endpoints that requests with one part of their prompts may end, and how many sound
+requests beside them must have been made so that their share is judged."""
+
 ORDER = "ORDER"
 EVENTS = 10
 LEAST_TAKEN_UP = 12
@@ -171,12 +177,14 @@
         self._ended_s: dict[str, list[float]] = defaultdict(list)
         self._late: Counter[str] = Counter()
         self.served: Counter[str] = Counter()
+        self.sound: Counter[str] = Counter()
 
     def ended(self, call: str) -> None:
         """Check that an endpoint may still be ended by a call's request."""
         request = call.rpartition("-")[0]
         ended_s, now_s = self._ended_s[request], anyio.current_time()
-        is_late = len(ended_s) >= LOST_FREE and now_s - ended_s[2] > CONTACT_S
+        free = PARTS_LOST_FREE if f"-{PART}-" in request else LOST_FREE
+        is_late = len(ended_s) >= free and now_s - ended_s[free - 1] > CONTACT_S
         ended_s.append(now_s)
         host = self._watched.taken_by.get(call, "")
         if is_late and self._watched.are_calm(host, "store"):
@@ -188,7 +196,24 @@
         """Return how many endpoints each request has ended, for people."""
         ended = sorted(map(len, self._ended_s.values()))
         late = sum(self._late.values())
-        return f"{ended}, late {late}, like them {dict(self.served)}"
+        return (
+            f"{ended}, late {late}, like them {dict(self.served)},"
+            f" sound beside deadly parts {dict(self.sound)}"
+        )
+
+    def count_sound(self, host: str, answer: str) -> None:
+        """Count a sound request that shares all but one part with deadly ones.
+
+        Those count that come to a host without trouble, while the store has none.
+        """
+        if self._watched.are_calm(host, "store"):
+            self.sound[answer] += 1
+
+    def check_sound(self) -> None:
+        """Check that at least half of the sound requests were served."""
+        total = self.sound.total()
+        if total >= LEAST_SOUND and self.sound["200"] < total / 2:
+            self._watched.broken(f"LOST: beside deadly parts {dict(self.sound)}")
 
 
 class StreamEvents:
--- a/bench/soak_plants.py
+++ b/bench/soak_plants.py
@@ -41,9 +41,14 @@
     ),
     "never refuses what crashes": (
         CORE + "crashes.py",
-        "return max(self._refused_for_s(each, now_s) for each in parts)",
+        "return max(by_marks_s, self.parts.refused_for_s(parts, now_s))",
         "return 0.0",
     ),
+    "never refuses parts that crash": (
+        CORE + "crashes.py",
+        "return max(by_marks_s, self.parts.refused_for_s(parts, now_s))",
+        "return by_marks_s",
+    ),
     "never sees who leaves": (
         CORE + "endpoint.py",
         "return self.usable and not self.leaves and is_listed",
--- a/bench/soak_pool.py
+++ b/bench/soak_pool.py
@@ -67,6 +67,7 @@
         self.store_proxies: dict[str, Proxy] = {}
         self.endpoints: dict[str, tuple[Endpoint, Proxy]] = {}
         self.deadly_requests = int(os.environ.get("SOAK_DEADLY", "2"))
+        self.deadly_parts = int(os.environ.get("SOAK_PARTS", "1"))
         self._made = 0
         self._folder = Path(tempfile.mkdtemp(prefix="soak-", dir=ROOT))
         stack.callback(shutil.rmtree, self._folder)
--- a/bench/soak_serving.py
+++ b/bench/soak_serving.py
@@ -2,9 +2,10 @@
 
 ``SOAK_SEEDS`` (``1-3``: first and last), ``SOAK_S`` (20), ``SOAK_DAEMONS`` (3),
 ``SOAK_RELEASES`` (1; 0: no engine gets new software, and no stream is taken up),
-``SOAK_DEADLY`` (2: requests that end the endpoints which run them) and
-``SOAK_PLANT`` (a planted fault's name; the run must then find it) come from the
-environment. Ends only processes that it started.
+``SOAK_DEADLY`` (2: requests that end the endpoints which run them), ``SOAK_PARTS`` (1:
+parts of prompts that end the engines which begin an answer on them) and ``SOAK_PLANT``
+(a planted fault's name; the run must then find it) come from the environment. Ends only
+processes that it started.
 """
 
 import os
@@ -46,7 +47,10 @@
                 busy.start_soon(self.callers.call_on, client, until_s)
             for number in range(self.pool.deadly_requests):
                 busy.start_soon(self.callers.repeat_deadly, number, until_s)
+            for number in range(self.pool.deadly_parts):
+                busy.start_soon(self.callers.repeat_part, number, until_s)
         self.pool.cuts.check()
+        self.pool.deadly.check_sound()
         await self._recover()
         lost = self.pool.shares.violation()
         if lost:
