Stories of answers that end with their connection, and of most callers at one host

Answers and streams without length or chunks, on the whole path: whole where they end in order; sent again, resumed or cut where they are reset or end inside an event (10 rows).

--- /dev/null
+++ b/features/handover/environment.py
@@ -0,0 +1,10 @@
+import sys
+from pathlib import Path
+
+AREAS = Path(__file__).parent.parent
+
+# Its daemons and stand-ins are those of the whole path on the platform's wire.
+for folder in ("platform", "platform/steps", "accounts"):
+    sys.path.insert(0, str(AREAS / folder))
+
+from whole_path import keep_failed_logs as after_scenario  # noqa: E402, F401
