--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -228,6 +228,8 @@
       | all start at once and list the others late    |
       | the store loses their records for some time   |
       | what is granted waits for 3 s now and then    |
+      | all start again at 15 s                       |
+      | one after the other starts again each second  |
 
   Scenario Outline: Whether a call is sent again: <kind>, <end>, <runs> runs of <most>
     When a <kind> call with <most> attempts and <runs> runs ends as <end>
--- a/features/serving/steps/decision_steps.py
+++ b/features/serving/steps/decision_steps.py
@@ -319,16 +319,27 @@
         """Return how long what is granted waits until it is sent."""
         return 3.0 if "waits" in self.story and now_s % 20 < 10 else 0.0
 
+    def restarted(self, tenth):
+        """Return which daemons start again at a moment."""
+        if "all start again" in self.story and tenth == 150:
+            return range(self.daemons)
+        if "one after the other" in self.story and tenth >= 120 and tenth % 10 == 0:
+            return [tenth // 10 % self.daemons]
+        return []
+
+    def start(self, now_s):
+        """Return the budget of a daemon that starts."""
+        return RetryBudget(self.ratio, self.slack, self.window_s, now_s)
+
     def play(self, seconds):
-        hosts = [
-            RetryBudget(self.ratio, self.slack, self.window_s, 0.0)
-            for _ in range(self.daemons)
-        ]
+        hosts = [self.start(0.0) for _ in range(self.daemons)]
         waiting = []
         for tenth in range(10 * seconds):
             now_s = tenth / 10
             due = [each for each in waiting if each[0] <= now_s]
             waiting = [each for each in waiting if each[0] > now_s]
+            for number in self.restarted(tenth):
+                hosts[number] = self.start(now_s)
             for _, host in due:
                 host.sent("s", now_s)
                 self.arrivals_s.append(now_s)
