Stories: a refusal that lapses while such requests still come; who is told of a loss

In a large pool a loss with two calls of three parts is told to 18 hosts at most, whatever the pool's size.

--- a/features/prompt_parts/ledger.feature
+++ b/features/prompt_parts/ledger.feature
@@ -96,3 +96,15 @@
 
     When an endpoint is lost with 500 calls of parts of their own
     Then at most 64 calls are told
+
+  Scenario Outline: In a <pool> pool of <hosts> hosts a loss is told to <told> at most
+    Guards against messages that grow with the fleet.
+
+    When a host of a <pool> pool of <hosts> hosts tells a loss with 2 calls of 3 parts each
+    Then <told> hosts receive it at most, and each only the calls that it keeps parts of
+
+    Examples:
+      | pool  | hosts | told |
+      | small | 9     | 8    |
+      | large | 79    | 18   |
+      | large | 2100  | 18   |
--- a/features/prompt_parts/parts.feature
+++ b/features/prompt_parts/parts.feature
@@ -58,6 +58,14 @@
     When 2 deadly parts come once to each host, and then again
     Then at most 7 engines are lost, and the last 6 deadly requests are refused
 
+  Scenario: A refusal that lapses while such requests still come costs one more engine
+    Guards against all hosts trying a deadly part again when its refusal has lapsed.
+
+    Given the whole path with 3 daemons
+    When a refusal lapses after 3 s, and prompts with its part go on coming for 12 s
+    Then at most 4 engines are lost, and the last 6 deadly requests are refused
+    And sound requests are served from 1 s after the last loss, and at most 2 are refused as blamed
+
   Scenario: Half of the engines end by themselves four times, and nothing is refused for it
     Guards against blame of requests that were on several engines which ended together.
 
--- a/features/prompt_parts/steps/ledger_steps.py
+++ b/features/prompt_parts/steps/ledger_steps.py
@@ -1,14 +1,20 @@
+from types import SimpleNamespace
+
+import anyio
 from behave import given, then, when
 
 from knapweedbridge_core.serving import (
     CrashLedger,
     EndpointStart,
+    LossFound,
     LostCall,
     PartLedger,
     fingerprint,
+    refusal_keepers,
     refusal_mark,
 )
 from knapweedbridge_core.serving.crash_parts import MOST_CALLS, MOST_SUSPECTS
+from knapweedbridge_daemon.serving.blame_telling import BlameTelling
 
 NOW_S = 1000.0
 LATER_S = 2.0
@@ -190,3 +196,65 @@
 def told_at_most(context, most):
     assert most == MOST_CALLS
     assert len(context.found.calls) <= most, len(context.found.calls)
+
+
+class Nowhere:
+    """A log, and measures, that keep nothing."""
+
+    def info(self, *line, **fields):
+        pass
+
+    def count(self, *what, **value):
+        pass
+
+
+class Pool:
+    """What is believed of a pool, and what its first host tells the others."""
+
+    def __init__(self, hosts, is_small):
+        names = [f"host-{number}" for number in range(hosts)]
+        self.is_small_pool = is_small
+        self.daemons = dict.fromkeys(names)
+        self.keepers = {f"hall-{n}": names[n::3] for n in range(3)}
+        self.sent = []
+
+    async def send(self, daemon, message):
+        self.sent.append((daemon, message))
+
+
+@when(
+    "a host of a {pool} pool of {hosts:d} hosts tells a loss with 2 calls of 3 parts "
+    "each"
+)
+def tells_loss(context, pool, hosts):
+    beliefs = context.pool = Pool(hosts, pool == "small")
+    hub = SimpleNamespace(
+        beliefs=beliefs,
+        identity=SimpleNamespace(name="host-0"),
+        log=Nowhere(),
+        measures=Nowhere(),
+    )
+    calls = [
+        LostCall("r1", ("a1", "a2", "a3")),
+        LostCall("r2", ("b1", "b2", "b3")),
+    ]
+
+    async def tell():
+        found = LossFound(anyio.current_time(), [], calls)
+        await BlameTelling(hub, beliefs.send).losses({"e1 0": found}, "unlisted")
+
+    anyio.run(tell)
+
+
+@then(
+    "{told:d} hosts receive it at most, and each only the calls that it keeps parts of"
+)
+def told_hosts(context, told):
+    pool = context.pool
+    assert 0 < len(pool.sent) <= told, len(pool.sent)
+    assert len({daemon for daemon, _ in pool.sent}) == len(pool.sent)
+    for daemon, message in pool.sent:
+        for _, *parts in message.calls:
+            marks = [refusal_mark((part,)) for part in parts]
+            kept = any(daemon in refusal_keepers(m, pool.keepers) for m in marks)
+            assert pool.is_small_pool or kept, (daemon, message)
--- a/features/prompt_parts/steps/part_steps.py
+++ b/features/prompt_parts/steps/part_steps.py
@@ -1,12 +1,14 @@
 import random
+from unittest import mock
 
 import anyio
 import path_steps  # noqa: F401
 from behave import then, when
 from crashing import CrashingPool
-from prompt_parts import DEADLY, PartsPath, Traffic, crash_by_parts
+from prompt_parts import COMES_AGAIN_S, DEADLY, PartsPath, Traffic, crash_by_parts
 from stories import played
 
+from knapweedbridge_core.serving import crash_parts
 from knapweedbridge_daemon.serving.crash_watch import CrashWatch
 
 BACK_S = 1.0
@@ -39,6 +41,19 @@
             await anyio.sleep(0.03)
 
 
+@when(
+    "a refusal lapses after {lapse:g} s, and prompts with its part go on coming for "
+    "{seconds:g} s"
+)
+@in_parts
+async def lapses(context, path, lapse, seconds):
+    context.traffic = Traffic(path, tuple(range(3)))
+    await context.traffic.warm_up()
+    context.pool = crash_by_parts(path, "refuses")
+    with mock.patch.object(crash_parts, "LAPSE_S", lapse):
+        await context.traffic.come(int(seconds / COMES_AGAIN_S))
+
+
 @then(
     "at most {lost:d} engines are lost, and the last {times:d} deadly requests are "
     "refused"
