--- a/features/prompt_parts/steps/part_steps.py
+++ b/features/prompt_parts/steps/part_steps.py
@@ -8,7 +8,7 @@
 from prompt_parts import COMES_AGAIN_S, DEADLY, PartsPath, Traffic, crash_by_parts
 from stories import played
 
-from knapweedbridge_core.serving import crash_parts
+from knapweedbridge_core.serving import suspect_parts
 from knapweedbridge_daemon.serving.crash_watch import CrashWatch
 
 BACK_S = 1.0
@@ -50,7 +50,7 @@
     context.traffic = Traffic(path, tuple(range(3)))
     await context.traffic.warm_up()
     context.pool = crash_by_parts(path, "refuses")
-    with mock.patch.object(crash_parts, "LAPSE_S", lapse):
+    with mock.patch.object(suspect_parts, "LAPSE_S", lapse):
         await context.traffic.come(int(seconds / COMES_AGAIN_S))
 
 
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -21,20 +21,14 @@
 from knapweedbridge_core.serving.backpressure import Backpressure
 from knapweedbridge_core.serving.beliefs import Belief, Beliefs
 from knapweedbridge_core.serving.brittle import RoomBudget
-from knapweedbridge_core.serving.caller_wait import CallerCase, UsualDeadlines
-from knapweedbridge_core.serving.crash_parts import (
-    LostCall,
-    PartLedger,
-    refusal_mark,
-)
-from knapweedbridge_core.serving.crashes import (
-    CrashLedger,
-    LossFound,
+from knapweedbridge_core.serving.call_marks import (
     asked_of,
     fingerprint,
-    loss_id,
     refusal_keepers,
 )
+from knapweedbridge_core.serving.caller_wait import CallerCase, UsualDeadlines
+from knapweedbridge_core.serving.crash_parts import PartLedger
+from knapweedbridge_core.serving.crashes import CrashLedger
 from knapweedbridge_core.serving.deployment import (
     BaseModel,
     CallKind,
@@ -45,6 +39,7 @@
     Service,
     WeightedService,
 )
+from knapweedbridge_core.serving.endings import LossFound, loss_id
 from knapweedbridge_core.serving.endpoint import Endpoint
 from knapweedbridge_core.serving.endpoint_paths import EndpointPaths
 from knapweedbridge_core.serving.endpoint_records import EndpointRecord, EndpointStart
@@ -135,6 +130,7 @@
     VersionView,
     origin_keepers,
 )
+from knapweedbridge_core.serving.suspect_parts import LostCall, refusal_mark
 
 __all__ = [
     "Accounts",
--- a/packages/core/src/knapweedbridge_core/serving/crashes.py
+++ b/packages/core/src/knapweedbridge_core/serving/crashes.py
@@ -8,23 +8,28 @@
 `crash_parts`.
 """
 
-import hashlib
 import math
 from collections import OrderedDict, deque
-from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Iterable, Sequence
+from itertools import takewhile
 
 from knapweedbridge_core.blame import LOSSES_REFUSED, Blame, Verdict
-from knapweedbridge_core.rendezvous import choose_spread
+from knapweedbridge_core.serving.call_marks import SEPARATOR, asked_of
 from knapweedbridge_core.serving.crash_parts import (
     MOST_CALLS,
     SETTLE_S,
-    LostCall,
     PartLedger,
-    parts_refused,
+)
+from knapweedbridge_core.serving.endings import (
+    JUDGED_S,
+    PROOF_S,
+    Ending,
+    LossFound,
+    loss_id,
 )
 from knapweedbridge_core.serving.endpoint_records import EndpointStart
 from knapweedbridge_core.serving.loss_moments import count_losses
+from knapweedbridge_core.serving.suspect_parts import LostCall, parts_refused
 
 LAPSE_S = 60.0
 """How long blame holds at first; callers give up on such a call within seconds."""
@@ -32,121 +37,16 @@
 LONGEST_LAPSE_S = 86_400.0
 """Longest refusal: each that lapses costs one more endpoint."""
 
-PROOF_S = 6.0
-"""Longest time from a call's end to the proof that its endpoint was lost by then. The
-entry of an endpoint that is silent lapses after three heartbeats of 1.2 s, is removed
-within a second, and a relay tells of it within another."""
-
-JUDGED_S = 1.0
-"""Longest wait for the proof of a loss."""
 
 ENDINGS_KEPT = 1000
 MOMENTS_KEPT = 512
 """Losses whose times are kept, to tell which endpoints ended together."""
 
-SEPARATOR = "-"
 
 SENDERS_REFUSED = 2
 """Addresses by each of which a request has crashed an endpoint, without an answer by
 any, so that it is refused by whichever address it comes."""
 
-KEEPERS = 3
-"""Hosts that count the losses of one call, in as many data centres as there are."""
-
-
-def fingerprint(
-    account: str, sender: str, host: str, method: bytes, target: bytes, body: bytes
-) -> str:
-    """Return what a call is known by when it comes again, by any host.
-
-    Its caller counts: others send the same look-up, and theirs may do no harm. The mark
-    of what is asked for comes first, as a caller may come by another address.
-
-    Parameters
-    ----------
-    account : str
-        Client account that it runs for; empty: none.
-    sender : str
-        Network address of its caller.
-    host, method, target, body : str, bytes, bytes, bytes
-        What it asks for.
-    """
-    parts = (account.encode(), host.encode(), method, target)
-    lengths = b",".join(b"%d" % len(part) for part in parts)
-    asked = hashlib.blake2b(b"\0".join((lengths, *parts, body)), digest_size=16)
-    caller = hashlib.blake2b(sender.encode(), digest_size=8)
-    return f"{asked.hexdigest()}{SEPARATOR}{caller.hexdigest()}"
-
-
-def asked_of(mark: str) -> str:
-    """Return the part of a mark that is the same for all addresses of a caller."""
-    return mark.partition(SEPARATOR)[0]
-
-
-@dataclass(slots=True)
-class Ending:
-    """A call that ended at a start of an endpoint without a whole answer.
-
-    Parameters
-    ----------
-    parts : tuple of str
-        Marks of the parts of its prompt; empty where its answer had begun.
-    sent_s : float
-        When it was sent there.
-    is_judged : bool
-        Whether nobody waits any more for what became of the endpoint.
-    """
-
-    fingerprint: str
-    start: EndpointStart
-    at_s: float
-    parts: tuple[str, ...] = ()
-    sent_s: float = -math.inf
-    is_judged: bool = True
-
-    def is_recent(self, now_s: float) -> bool:
-        """Return whether a loss that shows now may have ended it."""
-        return now_s - self.at_s <= PROOF_S
-
-    def is_awaited(self, now_s: float) -> bool:
-        """Return whether what became of the endpoint is about to show."""
-        return not self.is_judged and now_s - self.at_s < JUDGED_S
-
-
-@dataclass(slots=True)
-class LossFound:
-    """An endpoint's loss, and what is held for it.
-
-    Parameters
-    ----------
-    at_s : float
-        When its first call broke off.
-    marks : list of str
-        Marks of the calls that are blamed.
-    calls : list of LostCall
-        Those of them with parts that may have caused it.
-    """
-
-    at_s: float
-    marks: list[str] = field(default_factory=list)
-    calls: list[LostCall] = field(default_factory=list)
-
-
-def refusal_keepers(mark: str, candidates: Mapping[str, Sequence[str]]) -> list[str]:
-    """Name the hosts that publish the refusal of a call, in the order in which they do.
-
-    Parameters
-    ----------
-    candidates : dict of str to sequence of str
-        Hosts that may, by data centre.
-    """
-    return choose_spread(asked_of(mark), candidates, KEEPERS)
-
-
-def loss_id(start: EndpointStart) -> str:
-    """Return what the loss of a start of an endpoint is known by on all hosts."""
-    return f"{start.endpoint} {start.started_ms}"
-
 
 class CrashLedger:
     """What one daemon knows of calls that were lost with their endpoints.
@@ -227,10 +127,13 @@
     def awaits(self, mark: str, parts: Sequence[str], now_s: float) -> bool:
         """Return whether a loss is about to be judged that a call may have caused."""
         unsound = set(self.parts.unsound(parts, now_s))
+        recent = takewhile(
+            lambda each: now_s - each.at_s < JUDGED_S, reversed(self._endings)
+        )
         is_open = any(
             each.is_awaited(now_s)
             and (each.fingerprint == mark or not unsound.isdisjoint(each.parts))
-            for each in self._endings
+            for each in recent
         )
         if is_open or self.parts.waits_until_s(parts, now_s):
             return True
