Calls do not wait for the loss of an endpoint that was just found alive

Cause: an endpoint is probed once a second; calls that broke after its probe waited for one that was not made. A probe vouched only for what had broken off before it was sent.

Why the fix works: a call waits only while a probe is under way, or where it is suspected already, and the answer of a probe vouches for all that had broken off by then. What shows that an endpoint is gone stands in a module of its own; behaviour as it was.

--- a/features/prompt_parts/parts.feature
+++ b/features/prompt_parts/parts.feature
@@ -79,3 +79,10 @@
     Given the whole path with 1 daemons
     When a deadly part ends an engine, and the proof of its loss takes 0.4 s
     Then no request with the part reaches an engine within those 0.4 s
+
+  Scenario: Calls whose connections are reset are sent again at once where their endpoint lives
+    Guards against calls that wait for a loss which did not happen.
+
+    Given the whole path with 1 daemons
+    When the connections of 6 look-ups are reset at once, and their endpoints run on
+    Then all of them are served within 0.5 s
--- a/features/prompt_parts/steps/part_steps.py
+++ b/features/prompt_parts/steps/part_steps.py
@@ -6,7 +6,9 @@
 from behave import then, when
 from crashing import CrashingPool
 from prompt_parts import COMES_AGAIN_S, DEADLY, PartsPath, Traffic, crash_by_parts
+from standins import Endpoint
 from stories import played
+from whole_path import WholePath
 
 from knapweedbridge_core.serving import suspect_parts
 from knapweedbridge_daemon.serving.crash_watch import CrashWatch
@@ -15,6 +17,7 @@
 """Time after a loss within which the engine is back and known."""
 
 LATE_S = 1.0
+RUNS_S = 0.03
 PARTS = (f"{DEADLY}01", f"{DEADLY}02")
 in_parts = played(kind=PartsPath)
 
@@ -223,3 +226,48 @@
 def not_within(context, seconds):
     first_s, *later = context.pool.reached_s
     assert all(at_s - first_s >= seconds for at_s in later), context.pool.reached_s
+
+
+class ResettingEndpoint(Endpoint):
+    """An endpoint that resets the connections of its first requests."""
+
+    resets = 0
+
+    async def answer(self, request, responder, behaviour):
+        await anyio.sleep(RUNS_S)
+        if ResettingEndpoint.resets:
+            ResettingEndpoint.resets -= 1
+            responder._connection._wire.reset()
+            return
+        await super().answer(request, responder, behaviour)
+
+
+class ResettingPath(WholePath):
+    """A whole path with such endpoints."""
+
+    plain_kind = ResettingEndpoint
+
+
+@when(
+    "the connections of {count:d} look-ups are reset at once, and their endpoints run "
+    "on"
+)
+@played(kind=ResettingPath)
+async def are_reset(context, path, count):
+    ResettingEndpoint.resets = count
+    context.took_s = {}
+
+    async def look(number):
+        began_s = anyio.current_time()
+        answer = await path.call("GET", f"/look/{number}")
+        context.took_s[number] = answer.status_code, anyio.current_time() - began_s
+
+    async with anyio.create_task_group() as tasks:
+        for number in range(count):
+            tasks.start_soon(look, number)
+
+
+@then("all of them are served within {seconds:g} s")
+def served_within(context, seconds):
+    found = context.took_s.values()
+    assert all(status == 200 and took_s < seconds for status, took_s in found), found
--- a/packages/daemon/src/knapweedbridge_daemon/serving/crash_watch.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/crash_watch.py
@@ -22,12 +22,9 @@
 from knapweedbridge_daemon.serving.blame_telling import BlameTelling, lost_calls
 from knapweedbridge_daemon.serving.call import Call
 from knapweedbridge_daemon.serving.clock import loop_time_s
-from knapweedbridge_daemon.serving.http_client import (
-    BrokenError,
-    Destination,
-    NotSentError,
-)
+from knapweedbridge_daemon.serving.http_client import BrokenError, NotSentError
 from knapweedbridge_daemon.serving.hub import Hub, Send
+from knapweedbridge_daemon.serving.loss_proof import find_loss
 
 LOOK_S = 0.5
 """Longest pause between looks for endpoints that were replaced."""
@@ -98,6 +95,7 @@
         self._lost: list[tuple[str, str]] = []
         self._to_probe: list[Suspicion] = []
         self._probed_s: dict[str, float] = {}
+        self._probing: set[str] = set()
 
     def _turn_of(self, mark: str) -> int:
         """Return this host's place among those that publish a refusal, the first: 0."""
@@ -129,20 +127,19 @@
         crashes = self._hub.crashes
         parts = () if has_stayed else call.parts
         is_suspected = bool(crashes.suspects_of(call.mark, parts, now_s))
+        is_probed = self._probe_once(Suspicion(endpoint, sent_s, is_closed), now_s)
         found = crashes.ended(
             call.mark,
             endpoint.start,
             now_s,
             parts,
             sent_s,
-            is_judged=not (is_closed or is_suspected),
+            is_judged=not (is_suspected or (is_closed and is_probed)),
         )
         if found is not None:
             self._found.append((loss_id(endpoint.start), found))
-        else:
-            if is_suspected:
-                self._hold(call, parts, now_s)
-            self._probe_once(Suspicion(endpoint, sent_s, is_closed), now_s)
+        elif is_suspected:
+            self._hold(call, parts, now_s)
         self._hub.losses_changed.tell()
 
     def _hold(self, call: Call, parts: tuple[str, ...], now_s: float) -> None:
@@ -150,16 +147,27 @@
         marks.update((call.mark, asked_of(call.mark)))
         held_parts.update(self._hub.crashes.parts.suspected(parts, now_s))
 
-    def _probe_once(self, suspicion: Suspicion, now_s: float) -> None:
+    def _probe_once(self, suspicion: Suspicion, now_s: float) -> bool:
+        """Have an endpoint probed, unless that was done of late.
+
+        Returns
+        -------
+        is_probed : bool
+            Whether a probe will tell what has become of it.
+        """
         recent = self._probed_s.items()
         self._probed_s = {
             name: at_s for name, at_s in recent if now_s - at_s < PROBE_EVERY_S
         }
         name = suspicion.endpoint.name
+        if name in self._probing:
+            return True
         if name in self._probed_s or len(self._probed_s) >= MOST_PROBES:
-            return
+            return False
         self._probed_s[name] = now_s
+        self._probing.add(name)
         self._to_probe.append(suspicion)
+        return True
 
     def note_lost(self, endpoint: str, cause: str) -> None:
         """Record that an endpoint is gone; see `endpoint_lost`."""
@@ -202,21 +210,27 @@
         await self._telling.parts_cleared(parts)
 
     async def _probe(self, suspicion: Suspicion) -> None:
+        """Find out whether an endpoint that calls broke off at is gone."""
+        try:
+            await self._ask_health(suspicion)
+        finally:
+            self._probing.discard(suspicion.endpoint.name)
+
+    async def _ask_health(self, suspicion: Suspicion) -> None:
         """Ask an endpoint for its health; another may stand at its address by now.
 
         Where no connection stands other hosts are asked for one.
         """
-        endpoint, cause = suspicion.endpoint, ""
-        asked_s = loop_time_s()
+        endpoint, cause, lives = suspicion.endpoint, "", False
         if not suspicion.is_closed:
             await anyio.sleep(max(0.0, suspicion.sent_s + SILENT_S - loop_time_s()))
-            asked_s = loop_time_s()
             if endpoint.answered_s > suspicion.sent_s:
-                self._hub.crashes.lived(endpoint.start, asked_s)
+                self._note_lives(endpoint)
                 return
         try:
             with anyio.move_on_after(PROBE_S):
-                cause = await self._find_loss(endpoint)
+                cause = await find_loss(self._hub, endpoint)
+                lives = not cause
         except NotSentError as error:
             cause = "unreachable" if error.is_lost else ""
         except BrokenError as error:
@@ -227,28 +241,13 @@
         if cause:
             endpoint.note_unreachable(loop_time_s())
             await self.endpoint_lost(endpoint.name, cause, endpoint.start.started_ms)
-        else:
-            self._hub.crashes.lived(endpoint.start, asked_s)
-        self._hub.losses_changed.tell()
+        elif lives:
+            self._note_lives(endpoint)
 
-    async def _find_loss(self, endpoint: Endpoint) -> str:
-        """Return what shows that an endpoint is gone; empty: nothing does."""
-        hub, record, pressure = self._hub, endpoint.record, endpoint.pressure
-        destination = Destination(record.address, endpoint.name)
-        deployment = hub.beliefs.deployment
-        service = deployment.services.get(record.service) if deployment else None
-        if service is None or pressure.is_limited or pressure.is_brittle:
-            # A question would take the room of a call.
-            stream = await hub.pool.connector.connect(destination)
-            hub.pool.adopt(stream, record.address)
-            return ""
-        dialect = hub.dialects.endpoints
-        question = dialect.health(record.address, endpoint.name, service.health_path)
-        async with hub.pool.connection(destination) as connection:
-            head, _ = await connection.call(question)
-        answer = dialect.read_answer(head)
-        is_other = answer.wrong_endpoint and answer.endpoint != endpoint.name
-        return "replaced" if is_other else ""
+    def _note_lives(self, endpoint: Endpoint) -> None:
+        """Let calls go on that waited for the judgement of an endpoint's loss."""
+        self._hub.crashes.lived(endpoint.start, loop_time_s())
+        self._hub.losses_changed.tell()
 
     async def endpoint_unlisted(self, endpoint: str) -> None:
         """Record that an endpoint's entry was removed."""
--- /dev/null
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/loss_proof.py
@@ -0,0 +1,25 @@
+"""What shows that an endpoint is gone."""
+
+from knapweedbridge_core.serving import Endpoint
+from knapweedbridge_daemon.serving.http_client import Destination
+from knapweedbridge_daemon.serving.hub import Hub
+
+
+async def find_loss(hub: Hub, endpoint: Endpoint) -> str:
+    """Return what shows that an endpoint is gone; empty: nothing does."""
+    record, pressure = endpoint.record, endpoint.pressure
+    destination = Destination(record.address, endpoint.name)
+    deployment = hub.beliefs.deployment
+    service = deployment.services.get(record.service) if deployment else None
+    if service is None or pressure.is_limited or pressure.is_brittle:
+        # A question would take the room of a call.
+        stream = await hub.pool.connector.connect(destination)
+        hub.pool.adopt(stream, record.address)
+        return ""
+    dialect = hub.dialects.endpoints
+    question = dialect.health(record.address, endpoint.name, service.health_path)
+    async with hub.pool.connection(destination) as connection:
+        head, _ = await connection.call(question)
+    answer = dialect.read_answer(head)
+    is_other = answer.wrong_endpoint and answer.endpoint != endpoint.name
+    return "replaced" if is_other else ""
