--- a/features/prompt_parts/steps/ledger_steps.py
+++ b/features/prompt_parts/steps/ledger_steps.py
@@ -14,7 +14,7 @@
     refusal_mark,
 )
 from knapweedbridge_core.serving.crash_parts import MOST_CALLS, MOST_SUSPECTS
-from knapweedbridge_daemon.serving.blame_telling import BlameTelling
+from knapweedbridge_daemon.serving.blame_notifier import BlameNotifier
 
 NOW_S = 1000.0
 LATER_S = 2.0
@@ -241,7 +241,9 @@
 
     async def tell():
         found = LossFound(anyio.current_time(), [], calls)
-        await BlameTelling(hub, beliefs.send).losses({"e1 0": found}, "unlisted")
+        await BlameNotifier(hub, beliefs.send).notify_losses(
+            {"e1 0": found}, "unlisted"
+        )
 
     anyio.run(tell)
 
--- a/packages/core/src/knapweedbridge_core/serving/protocols.py
+++ b/packages/core/src/knapweedbridge_core/serving/protocols.py
@@ -6,7 +6,7 @@
 kept from daemons that speak it.
 """
 
-from knapweedbridge_core.serving.messages import (
+from knapweedbridge_core.serving.blame_messages import (
     CallsCleared,
     PartsBlamed,
     PartsCleared,
--- a/packages/daemon/src/knapweedbridge_daemon/serving/blame_telling.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/blame_notifier.py
@@ -1,4 +1,4 @@
-"""Tells other hosts which calls and parts of prompts endpoints were lost with."""
+"""Notifies other hosts of the calls and parts that endpoints were lost with."""
 
 from collections import defaultdict
 from collections.abc import Iterable, Mapping, Sequence
@@ -9,7 +9,7 @@
     refusal_keepers,
     refusal_mark,
 )
-from knapweedbridge_core.serving.messages import (
+from knapweedbridge_core.serving.blame_messages import (
     CallsBlamed,
     CallsCleared,
     PartsBlamed,
@@ -29,7 +29,7 @@
     return [mark[:MARK_DIGITS] for mark in list(marks)[:MOST_MARKS_LOGGED]]
 
 
-class BlameTelling:
+class BlameNotifier:
     """Sends what this host knows of losses to those that keep it.
 
     In a small pool these are all hosts, in a large one the keepers of each mark.
@@ -50,8 +50,8 @@
         """Return the hosts that publish a refusal, in the order in which they do."""
         return refusal_keepers(mark, self._hub.beliefs.keepers)
 
-    async def losses(self, found: Mapping[str, LossFound], cause: str) -> None:
-        """Tell what endpoints were lost with, and log it."""
+    async def notify_losses(self, found: Mapping[str, LossFound], cause: str) -> None:
+        """Notify other hosts of what endpoints were lost with, and log it."""
         for loss, held in found.items():
             self._hub.measures.count("calls_blamed", value=len(held.marks))
             self._hub.log.info(
@@ -77,16 +77,16 @@
             ]
             await self._send(daemon, PartsBlamed(loss, calls, age_s))
 
-    async def calls_cleared(self, marks: Sequence[str]) -> None:
-        """Tell that calls got whole answers."""
+    async def notify_calls_cleared(self, marks: Sequence[str]) -> None:
+        """Notify other hosts that calls got whole answers."""
         if not marks:
             return
         self._hub.log.info("calls.cleared", calls=len(marks), marks=logged(marks))
         for daemon, of_daemon in self._hearers(marks).items():
             await self._send(daemon, CallsCleared(of_daemon))
 
-    async def parts_cleared(self, parts: Iterable[str]) -> None:
-        """Tell that parts are sound."""
+    async def notify_parts_cleared(self, parts: Iterable[str]) -> None:
+        """Notify other hosts that parts are sound."""
         told = sorted(parts)
         if not told:
             return
@@ -94,8 +94,8 @@
         for daemon, of_daemon in self._hearers_of_parts(told).items():
             await self._send(daemon, PartsCleared(sorted(of_daemon)))
 
-    async def held(self, marks: Iterable[str], parts: Iterable[str]) -> None:
-        """Tell that a loss which suspects may have caused is about to be judged."""
+    async def notify_held(self, marks: Iterable[str], parts: Iterable[str]) -> None:
+        """Notify other hosts that a loss is about to be judged."""
         by_daemon: dict[str, tuple[list[str], list[str]]] = defaultdict(
             lambda: ([], [])
         )
--- a/packages/daemon/src/knapweedbridge_daemon/serving/crash_watch.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/crash_watch.py
@@ -12,14 +12,14 @@
     asked_of,
     loss_id,
 )
-from knapweedbridge_core.serving.messages import (
+from knapweedbridge_core.serving.blame_messages import (
     CallsBlamed,
     CallsCleared,
     PartsBlamed,
     PartsCleared,
     SuspectsHeld,
 )
-from knapweedbridge_daemon.serving.blame_telling import BlameTelling, lost_calls
+from knapweedbridge_daemon.serving.blame_notifier import BlameNotifier, lost_calls
 from knapweedbridge_daemon.serving.call import Call
 from knapweedbridge_daemon.serving.clock import loop_time_s
 from knapweedbridge_daemon.serving.http_client import BrokenError, NotSentError
@@ -85,7 +85,7 @@
     def __init__(self, hub: Hub, send: Send) -> None:
         self._hub = hub
         self._send = send
-        self._telling = BlameTelling(hub, send)
+        self._notifier = BlameNotifier(hub, send)
         hub.crashes.parts.turn_of = self._turn_of
         self.not_refused: set[str] = set()
         self._found: list[tuple[str, LossFound]] = []
@@ -99,7 +99,7 @@
 
     def _turn_of(self, mark: str) -> int:
         """Return this host's place among those that publish a refusal, the first: 0."""
-        keepers, own = self._telling.keepers(mark), self._hub.identity.name
+        keepers, own = self._notifier.keepers(mark), self._hub.identity.name
         return keepers.index(own) if own in keepers else len(keepers)
 
     def attempt_ended(
@@ -182,13 +182,13 @@
             for name in self._hub.beliefs.fleet.take_replaced():
                 if self._hub.crashes.has_broken(name, loop_time_s()):
                     self._lost.append((name, "replaced"))
-            await self._tell_held()
+            await self._notify_held()
             while self._lost:
                 await self.endpoint_lost(*self._lost.pop())
             await self._clear()
             while self._found:
                 loss, found = self._found.pop()
-                await self._tell({loss: found}, "known")
+                await self._notify({loss: found}, "known")
             while self._to_probe:
                 tasks.start_soon(self._probe, self._to_probe.pop())
 
@@ -196,18 +196,18 @@
         waiting = self._lost, self._found, self._to_probe, self._cleared
         return any((*waiting, *self._held, self._hub.crashes.parts.to_clear))
 
-    async def _tell_held(self) -> None:
+    async def _notify_held(self) -> None:
         (marks, parts), self._held = self._held, (set(), set())
         if marks or parts:
-            await self._telling.held(marks, parts)
+            await self._notifier.notify_held(marks, parts)
 
     async def _clear(self) -> None:
         marks, self._cleared = self._cleared, []
         self.not_refused.update(marks)
-        await self._telling.calls_cleared(marks)
+        await self._notifier.notify_calls_cleared(marks)
         ledger = self._hub.crashes.parts
         parts, ledger.to_clear = ledger.to_clear, set()
-        await self._telling.parts_cleared(parts)
+        await self._notifier.notify_parts_cleared(parts)
 
     async def _probe(self, suspicion: Suspicion) -> None:
         """Find out whether an endpoint that calls broke off at is gone."""
@@ -268,11 +268,11 @@
         found = self._hub.crashes.lost(
             EndpointStart(endpoint, started_ms), loop_time_s()
         )
-        await self._tell(found, cause)
+        await self._notify(found, cause)
         if not found:
             self._hub.log.info("endpoint.lost", endpoint=endpoint, cause=cause)
 
-    async def _tell(self, found: dict[str, LossFound], cause: str) -> None:
+    async def _notify(self, found: dict[str, LossFound], cause: str) -> None:
         now_s = loop_time_s()
         accused = self._accused_s.items()
         self._accused_s = {
@@ -281,7 +281,7 @@
         for held in found.values():
             parts = {part for call in held.calls for part in call.parts}
             self._accused_s |= dict.fromkeys(parts, now_s)
-        await self._telling.losses(found, cause)
+        await self._notifier.notify_losses(found, cause)
         self._hub.losses_changed.tell()
 
     def answered(self, call: Call) -> None:
