--- a/packages/core/src/knapweedbridge_core/serving/crash_parts.py
+++ b/packages/core/src/knapweedbridge_core/serving/crash_parts.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from collections import OrderedDict
+from collections import OrderedDict, defaultdict
 from collections.abc import Callable, Iterable, Sequence
 
 from knapweedbridge_core.serving.loss_moments import count_losses
@@ -67,6 +67,7 @@
         self.to_clear: set[str] = set()
         self._sound: OrderedDict[str, float] = OrderedDict()
         self._suspects: dict[str, SuspectPart] = {}
+        self._by_loss: defaultdict[str, set[str]] = defaultdict(set)
         self._published: dict[str, float] = {}
         self._held: dict[str, float] = {}
 
@@ -86,7 +87,7 @@
         for part in parts:
             self._sound[part] = now_s
             self._sound.move_to_end(part)
-            was_suspected = self._suspects.pop(part, None) is not None
+            was_suspected = self._forget(part)
             if self._withdraw(part, now_s) or was_suspected:
                 known.append(part)
             self._held.pop(part, None)
@@ -94,6 +95,21 @@
             self._sound.popitem(last=False)
         return known
 
+    def _forget(self, part: str) -> bool:
+        """Hold nothing against a part any more; return whether anything was."""
+        suspect = self._suspects.pop(part, None)
+        if suspect is None:
+            return False
+        self._forget_losses(part, suspect)
+        return True
+
+    def _forget_losses(self, part: str, suspect: SuspectPart) -> None:
+        for loss in suspect.losses:
+            self._by_loss[loss].discard(part)
+            if not self._by_loss[loss]:
+                del self._by_loss[loss]
+        suspect.losses.clear()
+
     def _withdraw(self, part: str, now_s: float) -> bool:
         """Drop the refusals that a sound part leaves without a suspect."""
         marks = [
@@ -132,6 +148,7 @@
                 suspect.companions &= parts
                 known = suspect.losses.setdefault(loss, PartLoss(at_s))
                 known.requests.add(call.request)
+                self._by_loss[loss].add(part)
         self._bound()
         return sorted(sound)
 
@@ -145,7 +162,7 @@
                     table[each].last_s,
                 ),
             )
-            del table[oldest]
+            self._forget(oldest)
 
     def hold(self, parts: Iterable[str], until_s: float, now_s: float) -> None:
         """Record that a host has a loss to judge that parts may have caused."""
@@ -230,10 +247,10 @@
             return
         if self._is_refused(part, suspect, now_s):
             suspect.released_s = suspect.lapses_s
-            suspect.losses.clear()
+            self._forget_losses(part, suspect)
             suspect.refusals += 1
         else:
-            self._suspects.pop(part, None)
+            self._forget(part)
 
     def _is_refused(self, part: str, suspect: SuspectPart, now_s: float) -> bool:
         if len(suspect.losses) < suspect.needed:
@@ -253,13 +270,9 @@
 
     def _rivals(self, part: str, suspect: SuspectPart) -> list[SuspectPart]:
         """Return other suspects of the same losses, which may be by themselves."""
-        return [
-            each
-            for name, each in self._suspects.items()
-            if name != part
-            and name not in suspect.companions
-            and not each.losses.keys().isdisjoint(suspect.losses)
-        ]
+        names = set().union(*(self._by_loss[loss] for loss in suspect.losses))
+        others = names - suspect.companions - {part}
+        return [self._suspects[name] for name in others]
 
     @staticmethod
     def _unexplained(
--- a/packages/daemon/src/knapweedbridge_daemon/serving/refusal_records.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/refusal_records.py
@@ -16,6 +16,9 @@
 """How long each keeper waits for the one before it to write: a write takes some
 milliseconds, and reaches all hosts within a few tenths of a second."""
 
+LOOK_AGAIN_S = 0.1
+"""Shortest pause between looks: in a storm of losses something changes all the time."""
+
 SHORTEST_LEASE_S, LONGEST_LEASE_S = 1.0, 600.0
 """Bounds of the store's leases; what is refused for longer is recorded again."""
 
@@ -44,6 +47,7 @@
             await self._hub.losses_changed.wait(self._pause_s())
             if self._hub.synced:
                 await self._look()
+                await anyio.sleep(LOOK_AGAIN_S)
 
     def _pause_s(self) -> float:
         return STEP_S if self._missing_since_s else LOOK_S
