Calls that ended long before do not hide which one an endpoint was lost with

Cause: the moment of a loss was that of the first call that had ended there, also of one whose caller left; what was sent after it was taken to have come to a lost endpoint.

Three new rows of prompt_parts/ledger failed without it.

--- a/features/prompt_parts/ledger.feature
+++ b/features/prompt_parts/ledger.feature
@@ -21,6 +21,18 @@
     When a request breaks off at two endpoints, at the second one after others did there
     Then 2 s later it is refused: no
 
+  Scenario Outline: A request lost with an endpoint at which <before> is blamed all the same
+    Guards against calls that ended before, and hide which one the endpoint was lost with.
+
+    When a request breaks off at two endpoints, at each of which <before>
+    Then 2 s later it is refused: yes
+
+    Examples:
+      | before                                   |
+      | a caller had left 3 s before             |
+      | a connection was reset 3 s before        |
+      | a connection was reset, and it was alive |
+
   Scenario Outline: Losses of <losses> refuse <refused>
     Guards against sound parts that are refused for what ran beside them.
 
--- a/features/prompt_parts/steps/ledger_steps.py
+++ b/features/prompt_parts/steps/ledger_steps.py
@@ -53,6 +53,22 @@
     ledger.lost(second, NOW_S + 0.03)
 
 
+@when("a request breaks off at two endpoints, at each of which {before}")
+def ended_before(context, before):
+    ledger = context.ledger = CrashLedger()
+    context.until_s = NOW_S + 8
+    other = fingerprint("", "b", "h", b"GET", b"/b", b"")
+    for number, at_s in enumerate((NOW_S, NOW_S + 8)):
+        start = EndpointStart(f"e{number}", 0)
+        ago_s = 0.2 if "alive" in before else 3.0
+        is_closed = "reset" in before
+        ledger.ended(other, start, at_s - ago_s, (), at_s - 4, is_closed)
+        if "alive" in before:
+            ledger.lived(start, at_s - ago_s / 2)
+        ledger.ended(MARK, start, at_s, sent_s=at_s - 0.1)
+        ledger.lost(start, at_s + 0.01)
+
+
 @then("2 s later it is refused: {refused}")
 def request_refused(context, refused):
     found = context.ledger.refused_for_s(MARK, context.until_s + LATER_S)
--- a/packages/core/src/knapweedbridge_core/serving/crashes.py
+++ b/packages/core/src/knapweedbridge_core/serving/crashes.py
@@ -28,7 +28,7 @@
     loss_id,
 )
 from knapweedbridge_core.serving.endpoint_records import EndpointStart
-from knapweedbridge_core.serving.loss_moments import count_losses
+from knapweedbridge_core.serving.loss_moments import MOMENT_S, count_losses
 from knapweedbridge_core.serving.suspect_parts import LostCall, parts_refused
 
 LAPSE_S = 60.0
@@ -75,6 +75,7 @@
         now_s: float,
         parts: tuple[str, ...] = (),
         sent_s: float = -math.inf,
+        is_closed: bool = True,
         is_judged: bool = True,
     ) -> LossFound | None:
         """Record that a call ended at an endpoint without a whole answer.
@@ -83,7 +84,7 @@
 
         Parameters
         ----------
-        parts, sent_s, is_judged
+        parts, sent_s, is_closed, is_judged
             As in `Ending`.
 
         Returns
@@ -91,7 +92,7 @@
         found : LossFound or None
             What is held for the endpoint's loss, where that was known before.
         """
-        ending = Ending(mark, start, now_s, parts, sent_s, is_judged)
+        ending = Ending(mark, start, now_s, parts, sent_s, is_closed, is_judged)
         lost_s = [
             at_s
             for each, at_s in self._lost.items()
@@ -163,6 +164,7 @@
         for each in self._endings:
             if each.start.may_be(start) and each.at_s <= by_s:
                 each.is_judged = True
+                each.is_closed = False
 
     def lost(self, start: EndpointStart, now_s: float) -> dict[str, LossFound]:
         """Record that an endpoint is lost; return what is held for it.
@@ -179,7 +181,7 @@
         """
         of_start = [each for each in self._endings if each.start.may_be(start)]
         recent = [each for each in of_start if each.is_recent(now_s)]
-        first_s = min((each.at_s for each in recent), default=now_s)
+        first_s = self._broke_s(recent, now_s)
         known = self._lost.items()
         self._lost = {each: at_s for each, at_s in known if now_s - at_s <= PROOF_S}
         self._lost.setdefault(start, first_s)
@@ -194,6 +196,19 @@
         self._endings = deque(kept, maxlen=ENDINGS_KEPT)
         return found
 
+    @staticmethod
+    def _broke_s(endings: Sequence[Ending], now_s: float) -> float:
+        """Return when the connections to an endpoint that is lost broke.
+
+        Those that broke long before the last of them, and callers who left, show
+        nothing of it.
+        """
+        closed_s = [each.at_s for each in endings if each.is_closed]
+        last_s = max(closed_s, default=now_s)
+        return min(
+            (at_s for at_s in closed_s if last_s - at_s <= MOMENT_S), default=now_s
+        )
+
     def note_loss(self, endpoint: str, at_s: float) -> None:
         """Record when an endpoint was lost, whatever is held for that."""
         self._moments.setdefault(endpoint, at_s)
--- a/packages/core/src/knapweedbridge_core/serving/endings.py
+++ b/packages/core/src/knapweedbridge_core/serving/endings.py
@@ -25,6 +25,8 @@
         Marks of the parts of its prompt; empty where its answer had begun.
     sent_s : float
         When it was sent there.
+    is_closed : bool
+        Whether its connection broke, and the endpoint has not been found alive since.
     is_judged : bool
         Whether nobody waits any more for what became of the endpoint.
     """
@@ -34,6 +36,7 @@
     at_s: float
     parts: tuple[str, ...] = ()
     sent_s: float = -math.inf
+    is_closed: bool = True
     is_judged: bool = True
 
     def is_recent(self, now_s: float) -> bool:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/crash_watch.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/crash_watch.py
@@ -134,6 +134,7 @@
             now_s,
             parts,
             sent_s,
+            is_closed,
             is_judged=not (is_suspected or (is_closed and is_probed)),
         )
         if found is not None:
