--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
@@ -52,6 +52,15 @@
         When the head of the response arrived.
     has_survived : bool
         Whether the endpoint kept running after the first event.
+    connection, carried : int
+        Number of the attempt's connection, and how many requests it had carried,
+        this one included; 0: there was none.
+    status : int
+        Status of the response; 0: there was none.
+    answered_id : str or None
+        Request id that the response named.
+    discarded : int
+        How many responses that belong to other requests were read before it.
     """
 
     began_s: float
@@ -68,6 +77,11 @@
     first_superseded_s: float | None = None
     head_s: float | None = None
     has_survived: bool = False
+    connection: int = 0
+    carried: int = 0
+    status: int = 0
+    answered_id: str | None = None
+    discarded: int = 0
 
 
 class AttemptRecords:
@@ -200,6 +214,11 @@
             limit_per_s=forecast.limit_per_s,
             forwarder=forecast.forwarder,
             outcome=end.value,
+            connection=forecast.connection,
+            carried=forecast.carried,
+            status=forecast.status,
+            answered_id=forecast.answered_id,
+            discarded=forecast.discarded,
             prompt_tokens=call.details.prompt_tokens,
             turn_s=round(max(0.0, forecast.sent_s - forecast.began_s), 4),
             forecast_s=round(forecast.expected_s, 4),
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -181,6 +181,8 @@
             Destination(endpoint.record.address, endpoint.name)
         ) as connection:
             forecast.forwarder = connection.forwarder
+            forecast.connection = connection.number
+            forecast.carried = connection.requests + 1
             answer = await connection.exchange(
                 head,
                 call.request.body,
@@ -193,6 +195,8 @@
             if not connection.forwarder:
                 self._hub.paths.linked_s = loop_time_s()
             proved = self._hub.dialects.endpoints.read_response(answer)
+            forecast.status, forecast.answered_id = answer.status, proved.call_id
+            forecast.discarded = connection.discarded
             await self._link.backpressure.take(target.endpoint, proved, forecast.sent_s)
             if proved.not_run:
                 async for _ in connection.read_body():
--- a/packages/daemon/src/knapweedbridge_daemon/serving/client_connection.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/client_connection.py
@@ -6,6 +6,7 @@
 transports of the event loop.
 """
 
+import itertools
 import re
 import select
 from collections.abc import AsyncGenerator, Callable
@@ -51,6 +52,8 @@
 
 _TIMEOUT = re.compile(r"timeout=(\d+)")
 
+_numbers = itertools.count(1)
+
 ResponseFilter = Callable[[Headers], bool]
 """Returns whether the headers are those of the response to the request."""
 
@@ -87,8 +90,12 @@
     ----------
     forwarder : str
         Host that tunnels the connection; empty if it is direct.
+    number : int
+        Number of the connection, counted by process, for the log.
     requests : int
         Number of requests written.
+    discarded : int
+        Number of responses that were discarded because they belong to other requests.
     idle_until_s : float
         Time at which the idle connection expires, on the event loop's clock.
     """
@@ -96,7 +103,9 @@
     def __init__(self, stream: ClientStream, address: str) -> None:
         self.address = address
         self.forwarder = stream.forwarder
+        self.number = next(_numbers)
         self.requests = 0
+        self.discarded = 0
         self.idle_until_s = 0.0
         self._stream = stream
         self._method = b""
@@ -209,6 +218,7 @@
             head = await self._read_final_head()
             if is_response(head.headers):
                 return head
+            self.discarded += 1
             async for _ in self.read_body():
                 pass
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/dialects.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/dialects.py
@@ -150,6 +150,8 @@
         it becomes overloaded; None if it states none.
     unreadable : tuple of str
         Header values that could not be decoded.
+    call_id : str or None
+        Id of the call that the response names; None if it names none.
     """
 
     not_run: bool
@@ -163,6 +165,7 @@
     turned_away: bool = False
     brittle_per_s: float | None = None
     unreadable: tuple[str, ...] = ()
+    call_id: str | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owner.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owner.py
@@ -277,7 +277,7 @@
         request = self._hub.dialects.endpoints.report(record.address)
         self._hub.metrics.count("reports")
         try:
-            head, body = await self._exchange(request, REPORT_TIMEOUT_S)
+            head, body, _ = await self._exchange(request, REPORT_TIMEOUT_S)
             if head.status != 200:
                 raise DialectError(f"status {head.status}")
             report = self._hub.dialects.endpoints.read_report(body)
@@ -311,7 +311,8 @@
 
     async def _exchange(
         self, request: WireRequest, timeout_s: float
-    ) -> tuple[ResponseHead, bytes]:
+    ) -> tuple[ResponseHead, bytes, int]:
+        """Return a response, and how many requests its connection has carried."""
         # Never through a tunnel: orders that arrive from two hosts count as those of
         # two owners.
         destination = Destination(
@@ -319,7 +320,8 @@
         )
         with anyio.fail_after(timeout_s):
             async with self._hub.pool.connection(destination) as connection:
-                return await connection.call(request)
+                head, body = await connection.call(request)
+                return head, body, connection.requests
 
     async def _send_order(self, order: Order) -> None:
         hub = self._hub
@@ -331,14 +333,17 @@
             hub.identity.name,
             self.number,
         )
-        answer, status = OrderAnswer.UNKNOWN, 0
+        answer, status, carried = OrderAnswer.UNKNOWN, 0, 0
+        answered_id: str | None = None
         sent_s = anyio.current_time()
         try:
-            head, body = await self._exchange(request, ORDER_RESPONSE_TIMEOUT_S)
-            answer, status = dialect.read_order_answer(head, body), head.status
-            await self._backpressure.take(
-                self.endpoint, dialect.read_response(head), sent_s
+            head, body, carried = await self._exchange(
+                request, ORDER_RESPONSE_TIMEOUT_S
             )
+            answer, status = dialect.read_order_answer(head, body), head.status
+            details = dialect.read_response(head)
+            answered_id = details.call_id
+            await self._backpressure.take(self.endpoint, details, sent_s)
         except NotSentError:
             answer = OrderAnswer.REFUSED
         except (ConnectionBrokenError, TimeoutError):
@@ -362,6 +367,8 @@
             number=self.number,
             answer=answer.value,
             status=status,
+            carried=carried,
+            answered_id=answered_id,
         )
 
     def _count_other_loads(self) -> None:
