--- a/features/platform/standins.py
+++ b/features/platform/standins.py
@@ -309,9 +309,10 @@
             (b"Response-Seal", f"seal-of-{self.name}".encode()),
         ]
 
-    async def refuse(self, responder, status):
+    async def refuse(self, request, responder, status):
         headers = [
             *self.signs(),
+            (b"Request-Id", (header(request, "Request-Id") or "").encode()),
             (b"Not-Run", b"1"),
             (b"Instance-Id", self.name.encode()),
         ]
@@ -332,7 +333,7 @@
         self.arrivals_s.append(anyio.current_time())
         expected = header(request, "Expect-Instance")
         if expected not in (None, self.name):
-            await self.refuse(responder, 421)
+            await self.refuse(request, responder, 421)
             return
         if request.head.path == "/health":
             headers = [(b"Instance-Id", self.name.encode())]
@@ -359,7 +360,7 @@
             await anyio.sleep(30)
         elif behaviour == "shed":
             self.requests.pop()
-            await self.refuse(responder, 503)
+            await self.refuse(request, responder, 503)
         elif behaviour == "fail":
             await responder.answer(500, self.sealed(request), b"failed")
         elif behaviour == "in the last moment":
@@ -462,7 +463,7 @@
     async def answer(self, request, responder, behaviour):
         if not self._holds(request):
             self.requests.pop()
-            await self.refuse(responder, 421)
+            await self.refuse(request, responder, 421)
             return
         if behaviour not in ("well", "cut", "cut in an event"):
             await super().answer(request, responder, behaviour)
