Attribute each response to one request of its connection

Cause: an answer counted as that of an attempt if it named the call's id or no id. The id is that of the call, so a late second 503 or 421 to an earlier attempt on the same connection named it as well; answers to orders, reports and checks name none, shared connections with calls, and counted whatever they named. The class: what is read from a connection is taken for the answer to the latest request although it may be that to an earlier one.

Why it works: NamedResponses, a decision without I/O, attributes a response to the current request only if it names its id and no earlier request on the connection had it, or if there was no earlier request. An answer that may be another's proves nothing ("may have run").

Tests: the early server names ids, and reads the end of one body apart from the next head; the call that has timed out is named, and the test asserts that it had an open connection.

--- a/features/platform/steps/path_steps.py
+++ b/features/platform/steps/path_steps.py
@@ -1,5 +1,6 @@
 import functools
 import os
+import re
 import subprocess
 import sys
 from pathlib import Path
@@ -23,9 +24,10 @@
 from knapweedbridge_daemon.serving.http_client import (
     ConnectionPool,
     Destination,
+    RequestIdentity,
 )
 from knapweedbridge_daemon.serving.settings import read_serving_settings
-from knapweedbridge_daemon.serving.wire import RequestHead, WireRequest
+from knapweedbridge_daemon.serving.wire import RequestHead, get_header
 
 ROOT = Path(__file__).parents[3]
 REFUSED = "request.refused"
@@ -580,7 +582,9 @@
     assert not any(desk.requests for desk in context.path.desks)
 
 
-EARLY = b"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+EARLY = (
+    b"HTTP/1.1 503 Full\r\nRequest-Id: %b\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+)
 
 
 class EarlyServer:
@@ -588,19 +592,20 @@
 
     def __init__(self, closes):
         self._closes = closes
-        self.got_bytes = []
 
     async def serve(self, stream):
         async with stream:
+            got = b""
             while True:
-                got = await stream.receive()
-                if not self.got_bytes or self.got_bytes[-1] >= LONG_BODY_BYTES:
-                    self.got_bytes.append(0)
-                    await stream.send(EARLY)
-                    if self._closes:
-                        await anyio.sleep(0.05)
-                        return
-                self.got_bytes[-1] += len(got)
+                head, _, got = (got or await stream.receive()).partition(b"\r\n\r\n")
+                name = re.search(rb"Request-Id: ([^\r]*)", head)[1]
+                await stream.send(EARLY % name)
+                if self._closes:
+                    await anyio.sleep(0.05)
+                    return
+                while len(got) < LONG_BODY_BYTES:
+                    got += await stream.receive()
+                got = got[LONG_BODY_BYTES:]
 
 
 LONG_BODY_BYTES = 8 << 20
@@ -609,11 +614,7 @@
 @when("an endpoint answers 503 before a body of 8 MB is read, and {ends}")
 def early_answer(context, ends):
     server = EarlyServer(closes=ends == "closes")
-    head = RequestHead(
-        b"POST",
-        b"/order/1",
-        [(b"Host", b"h"), (b"Content-Length", b"%d" % LONG_BODY_BYTES)],
-    )
+    length = (b"Content-Length", b"%d" % LONG_BODY_BYTES)
 
     async def story():
         listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
@@ -621,12 +622,20 @@
         pool = ConnectionPool()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(listener.serve, server.serve)
-            for _ in range(1 if server._closes else 2):
+            for name in ("first",) if server._closes else ("first", "second"):
+                identity = RequestIdentity(
+                    name, lambda headers: get_header(headers, b"request-id")
+                )
+                headers = [(b"Host", b"h"), length, (b"Request-Id", name.encode())]
+                head = RequestHead(b"POST", b"/order/1", headers)
                 async with pool.connection(
-                    Destination(f"127.0.0.1:{port}")
+                    Destination(f"127.0.0.1:{port}"), name
                 ) as connection:
-                    request = WireRequest(head, b"x" * LONG_BODY_BYTES)
-                    context.early_head, _ = await connection.call(request)
+                    context.early_head = await connection.exchange(
+                        head, b"x" * LONG_BODY_BYTES, identity
+                    )
+                    async for _ in connection.read_body():
+                        pass
             context.reused = pool.reused
             await pool.aclose()
             tasks.cancel_scope.cancel()
--- a/features/wire/steps/caller_steps.py
+++ b/features/wire/steps/caller_steps.py
@@ -15,6 +15,7 @@
     ConnectionPool,
     Destination,
     NotSentError,
+    RequestIdentity,
 )
 from knapweedbridge_daemon.serving.wire import RequestHead, ResponseHead
 
@@ -58,13 +59,15 @@
             address = f"127.0.0.1:{await server.start(tasks)}"
             pool = ConnectionPool()
             head = RequestHead(b"GET", b"/", [(b"Host", b"h")])
-            for deadline_s in (5.0, 0.0):
+            for name, deadline_s in (("first", 5.0), ("second", 0.0)):
+                identity = RequestIdentity(name, lambda headers: None)
                 with anyio.move_on_after(deadline_s):
-                    async with pool.connection(Destination(address)) as connection:
-                        await connection.exchange(head, b"", lambda headers: True)
-                        async for _ in connection.read_body():
+                    async with pool.connection(Destination(address), name) as lent:
+                        await lent.exchange(head, b"", identity)
+                        async for _ in lent.read_body():
                             pass
             await anyio.sleep(0.05)
+            assert pool.reused == 1, "the second call had no open connection"
             context.requests = len(server.requests)
             await pool.aclose()
             tasks.cancel_scope.cancel()
@@ -201,7 +204,7 @@
             head, context.outcome = RequestHead(b"GET", b"/", headers), "sent"
             try:
                 async with pool.connection(Destination(address)) as connection:
-                    await connection.exchange(head, b"", lambda found: True)
+                    await connection.exchange(head, b"")
             except NotSentError:
                 context.outcome = "not sent"
             context.requests = len(server.requests)
--- a/features/wire/steps/wire_steps.py
+++ b/features/wire/steps/wire_steps.py
@@ -20,6 +20,7 @@
     ConnectionBrokenError,
     ConnectionPool,
     Destination,
+    RequestIdentity,
 )
 from knapweedbridge_daemon.serving.wire import RequestHead, get_header
 
@@ -104,7 +105,7 @@
     try:
         with anyio.fail_after(RESPONSE_TIMEOUT_S):
             async with pool.connection(Destination(address)) as connection:
-                await connection.exchange(head, b"", is_own_response)
+                await connection.exchange(head, b"", MINE)
                 async for part in connection.read_body():
                     body += part
                 await anyio.sleep(SETTLE_S)
@@ -117,8 +118,7 @@
     return "kept" if is_kept else "closed", body
 
 
-def is_own_response(headers):
-    return get_header(headers, b"request-id") in (None, "mine")
+MINE = RequestIdentity("mine", lambda headers: get_header(headers, b"request-id"))
 
 
 @functools.cache
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -118,6 +118,12 @@
     split,
 )
 from knapweedbridge_core.serving.rejection_budget import RejectionBudget
+from knapweedbridge_core.serving.response_attribution import (
+    Attribution,
+    NamedResponses,
+    OrderedResponses,
+    ResponseAttribution,
+)
 from knapweedbridge_core.serving.retry_budget import RetryBudget
 from knapweedbridge_core.serving.software_versions import SoftwareVersions
 from knapweedbridge_core.serving.speed_reports import SpeedReports
@@ -138,8 +144,12 @@
     "Admit",
     "AdmitAll",
     "AttemptEnd",
+    "Attribution",
     "Backpressure",
     "BaseModel",
+    "NamedResponses",
+    "OrderedResponses",
+    "ResponseAttribution",
     "StoreEvent",
     "ClusterState",
     "CallKind",
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -27,6 +27,7 @@
     ConnectionBrokenError,
     Destination,
     NotSentError,
+    RequestIdentity,
 )
 from knapweedbridge_daemon.serving.hub import Hub
 from knapweedbridge_daemon.serving.peer_link import PeerLink
@@ -177,19 +178,17 @@
     ) -> AttemptEnd:
         head = self._attempt_head(call, target)
         endpoint = target.endpoint
+        destination = Destination(endpoint.record.address, endpoint.name)
+        identity = RequestIdentity(
+            call.details.call_id, self._hub.dialects.endpoints.read_call_id
+        )
         async with self._hub.pool.connection(
-            Destination(endpoint.record.address, endpoint.name)
+            destination, identity.request_id
         ) as connection:
             forecast.forwarder = connection.forwarder
             forecast.connection = connection.number
             forecast.carried = connection.requests + 1
-            answer = await connection.exchange(
-                head,
-                call.request.body,
-                lambda headers: self._hub.dialects.endpoints.matches_call(
-                    call.details.call_id, headers
-                ),
-            )
+            answer = await connection.exchange(head, call.request.body, identity)
             forecast.head_s = loop_time_s()
             endpoint.record_answer(forecast.head_s)
             if not connection.forwarder:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/client_connection.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/client_connection.py
@@ -10,10 +10,12 @@
 import re
 import select
 from collections.abc import AsyncGenerator, Callable
+from dataclasses import dataclass
 
 import anyio
 from anyio.lowlevel import checkpoint_if_cancelled
 
+from knapweedbridge_core.serving import Attribution, ResponseAttribution
 from knapweedbridge_daemon.errors import DaemonError
 from knapweedbridge_daemon.serving.client_streams import ClientStream
 from knapweedbridge_daemon.serving.http_bodies import (
@@ -54,8 +56,25 @@
 
 _numbers = itertools.count(1)
 
-ResponseFilter = Callable[[Headers], bool]
-"""Returns whether the headers are those of the response to the request."""
+
+@dataclass(slots=True, frozen=True)
+class RequestIdentity:
+    """How the response to a request is recognized.
+
+    Parameters
+    ----------
+    request_id : str
+        Id that the response names; empty if it names none.
+    read_id : callable
+        Returns the id that the headers of a response name, or None.
+    """
+
+    request_id: str
+    read_id: Callable[[Headers], str | None]
+
+
+UNNAMED = RequestIdentity("", lambda headers: None)
+"""Identity of requests without an id."""
 
 
 class NotSentError(DaemonError):
@@ -85,6 +104,8 @@
         Underlying connection, which is closed with this one.
     address : str
         IP address and port of the server.
+    attribution : ResponseAttribution
+        Attributes responses to the requests of the connection.
 
     Attributes
     ----------
@@ -100,7 +121,9 @@
         Time at which the idle connection expires, on the event loop's clock.
     """
 
-    def __init__(self, stream: ClientStream, address: str) -> None:
+    def __init__(
+        self, stream: ClientStream, address: str, attribution: ResponseAttribution
+    ) -> None:
         self.address = address
         self.forwarder = stream.forwarder
         self.number = next(_numbers)
@@ -108,6 +131,7 @@
         self.discarded = 0
         self.idle_until_s = 0.0
         self._stream = stream
+        self._attribution = attribution
         self._method = b""
         self._unread = b""
         self._body: BodyDecoder = LengthBody(0)
@@ -115,8 +139,12 @@
         self._is_sent = False
         self._is_persistent = True
 
+    def may_carry(self, request_id: str) -> bool:
+        """Return whether the response to a request with this id can be recognized."""
+        return self._attribution.may_carry(request_id)
+
     async def exchange(
-        self, head: RequestHead, body: bytes, is_response: ResponseFilter
+        self, head: RequestHead, body: bytes, identity: RequestIdentity = UNNAMED
     ) -> ResponseHead:
         """Send a request and read the head of its response.
 
@@ -124,16 +152,17 @@
         ----------
         head, body : RequestHead, bytes
             Request to send.
-        is_response : callable
-            Returns whether a response with given headers belongs to the request.
+        identity : RequestIdentity
+            How the response is recognized.
 
         Raises
         ------
         NotSentError
-            If the request cannot be encoded.
+            If the request cannot be encoded, if the server has sent bytes or closed the
+            connection before it, or if its response could not be recognized.
         ConnectionBrokenError
-            If the connection broke before a response; part of the request may have
-            been written.
+            If the connection broke before a response, or if a response may belong to
+            another request; part of the request may have been written.
         """
         try:
             packed = pack_request(head, body)
@@ -142,17 +171,31 @@
         # A write does not yield to the event loop, so calls that have timed out or
         # whose caller has disconnected must be cancelled before it.
         await checkpoint_if_cancelled()
+        self._check_usable(identity.request_id)
+        self._attribution.record_request(identity.request_id)
         self.requests += 1
         self._method = head.method
         self._is_sent = False
         if len(packed) > MAX_BUFFERED_BYTES:
-            return await self._exchange_long(packed, is_response)
+            return await self._exchange_long(packed, identity)
         await self._write(packed)
         self._is_sent = True
-        return await self._read_head(is_response)
+        return await self._read_head(identity)
+
+    def _check_usable(self, request_id: str) -> None:
+        """Check that the response to a request can be told from what came before."""
+        if self._unread or self._stream.has_news:
+            raise NotSentError(
+                f"{self.address}: bytes or an end before the request", is_lost=False
+            )
+        if not self.may_carry(request_id):
+            raise NotSentError(
+                f"{self.address}: the connection has carried {request_id!r} before",
+                is_lost=False,
+            )
 
     async def _exchange_long(
-        self, packed: bytes, is_response: ResponseFilter
+        self, packed: bytes, identity: RequestIdentity
     ) -> ResponseHead:
         # A server may reject a long body before it has read it, and close the
         # connection. The write then fails and unread bytes are lost, among them the
@@ -164,7 +207,7 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._write_long, packed)
             try:
-                response = await self._read_head(is_response)
+                response = await self._read_head(identity)
             except ConnectionBrokenError as error:
                 broken = error
             if broken or not self._is_persistent:
@@ -189,10 +232,12 @@
 
         Raises
         ------
+        NotSentError
+            See `exchange`.
         ConnectionBrokenError
             If the connection broke before the end of the response.
         """
-        head = await self.exchange(request.head, request.body, lambda headers: True)
+        head = await self.exchange(request.head, request.body)
         parts = [part async for part in self.read_body()]
         return head, b"".join(parts)
 
@@ -208,7 +253,7 @@
         except OSError as error:
             raise ConnectionBrokenError(f"{self.address}: {error!r}") from error
 
-    async def _read_head(self, is_response: ResponseFilter) -> ResponseHead:
+    async def _read_head(self, identity: RequestIdentity) -> ResponseHead:
         """Read the head of the response to the request that was sent.
 
         A server may respond to an earlier request a second time before it responds to
@@ -216,8 +261,15 @@
         """
         while True:
             head = await self._read_final_head()
-            if is_response(head.headers):
+            named_id = identity.read_id(head.headers)
+            attribution = self._attribution.attribute(named_id)
+            if attribution is Attribution.CURRENT:
                 return head
+            if attribution is Attribution.UNKNOWN:
+                raise ConnectionBrokenError(
+                    f"{self.address}: status {head.status} may be the response to "
+                    "another request"
+                )
             self.discarded += 1
             async for _ in self.read_body():
                 pass
@@ -307,12 +359,15 @@
         """Prepare for the next request; return False if the connection must be closed.
 
         Bytes that follow a complete response belong to no request, so a connection
-        that has received such bytes is not reused.
+        that has received such bytes is not reused. Neither is one on which the response
+        to another request could not be recognized.
         """
         is_clean = not (self._unread or self._stream.has_news)
         is_complete = self._body.is_complete and self._is_sent
         if not (is_clean and is_complete and self._is_persistent):
             return False
+        if self._attribution.is_exhausted:
+            return False
         self.idle_until_s = now_s + KEEP_ALIVE_SHARE * self._keep_alive_s
         return True
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/dialects.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/dialects.py
@@ -221,8 +221,8 @@
         """Return the headers of an attempt: those of the caller and added ones."""
 
     @abstractmethod
-    def matches_call(self, call_id: str, headers: Headers) -> bool:
-        """Return whether the headers of a response name the call."""
+    def read_call_id(self, headers: Headers) -> str | None:
+        """Return the id of the call that a response names, or None if it has none."""
 
     @abstractmethod
     def read_response(self, head: ResponseHead) -> ResponseDetails:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/http_client.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/http_client.py
@@ -2,19 +2,21 @@
 
 from abc import ABC, abstractmethod
 from collections import defaultdict, deque
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
 import anyio
 
 from knapweedbridge_core.addresses import split_address
+from knapweedbridge_core.serving import NamedResponses, ResponseAttribution
 from knapweedbridge_daemon.serving import byte_stream
 from knapweedbridge_daemon.serving.byte_stream import ByteStream
 from knapweedbridge_daemon.serving.client_connection import (
     ClientConnection,
     ConnectionBrokenError,
     NotSentError,
+    RequestIdentity,
 )
 from knapweedbridge_daemon.serving.client_streams import ClientStream
 from knapweedbridge_daemon.serving.clock import loop_time_s
@@ -27,6 +29,7 @@
     "Destination",
     "DirectConnector",
     "NotSentError",
+    "RequestIdentity",
 ]
 
 CONNECT_TIMEOUT_S = 0.6
@@ -88,6 +91,11 @@
 class ConnectionPool:
     """Pool of idle connections by address.
 
+    Parameters
+    ----------
+    make_attribution : callable
+        Returns how responses on a new connection are attributed to its requests.
+
     Attributes
     ----------
     connector : Connector
@@ -96,7 +104,10 @@
         How many connections were opened, and how often an idle one was reused.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, make_attribution: Callable[[], ResponseAttribution] = NamedResponses
+    ) -> None:
+        self._make_attribution = make_attribution
         self._idle: dict[str, deque[ClientConnection]] = defaultdict(deque)
         self.connector: Connector = DirectConnector()
         self.opened = 0
@@ -104,20 +115,25 @@
 
     @asynccontextmanager
     async def connection(
-        self, destination: Destination
+        self, destination: Destination, request_id: str = ""
     ) -> AsyncGenerator[ClientConnection, None]:
         """Lend a connection; it returns to the pool if its last response ended cleanly.
 
+        Parameters
+        ----------
+        request_id : str
+            Id of the request that it is lent for; empty if it has none.
+
         Raises
         ------
         NotSentError
             If no connection can be established.
         """
-        connection = await self._take_idle(destination)
+        connection = await self._take_idle(destination, request_id)
         if connection is None:
             stream = await self.connector.connect(destination)
             self.opened += 1
-            connection = ClientConnection(stream, destination.address)
+            connection = self._make_connection(stream, destination.address)
         else:
             self.reused += 1
         kept = False
@@ -133,15 +149,22 @@
     def adopt(self, stream: ClientStream, address: str) -> None:
         """Add a connection on which nothing was sent yet."""
         self.opened += 1
-        connection = ClientConnection(stream, address)
+        connection = self._make_connection(stream, address)
         connection.mark_unused(loop_time_s())
         self._idle[address].append(connection)
 
-    async def _take_idle(self, destination: Destination) -> ClientConnection | None:
+    def _make_connection(self, stream: ClientStream, address: str) -> ClientConnection:
+        return ClientConnection(stream, address, self._make_attribution())
+
+    async def _take_idle(
+        self, destination: Destination, request_id: str
+    ) -> ClientConnection | None:
         idle = self._idle[destination.address]
         for connection in reversed(list(idle)):
             if destination.is_direct and connection.forwarder:
                 continue
+            if not connection.may_carry(request_id):
+                continue
             idle.remove(connection)
             if self._is_usable(connection):
                 return connection
