Bound what is read of endpoints that send bytes without end

Callers saw nothing yet; the daemon read on until the deadline of the call or the time-out of its own request, without a bound: 256 MiB, where the stand-in stops, of a refusal's body, of an answer to another call and of a report, 44 MB of the answer to an order in 50 ms. A report or a check could so end a daemon by its memory.

What goes beyond is closed and counts as broken: a call that may run once is not sent again.

--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -2,6 +2,8 @@
 
 import math
 
+import anyio
+
 from knapweedbridge_core.serving import (
     AttemptEnd,
     Endpoint,
@@ -42,6 +44,13 @@
 MAX_BUFFERED_BYTES = 8 << 20
 """Longest response that is buffered until complete; plain ones have some kB."""
 
+MAX_REFUSAL_BYTES = 65536
+REFUSAL_TIMEOUT_S = 0.25
+"""Longest body of a refusal, and how long its end is awaited."""
+
+MAX_SKIPPED_BYTES = 1 << 20
+"""Most bytes of a stream in a row that complete no event for the caller."""
+
 SURVIVED_S = 0.2
 """Time after the first event past which an endpoint has survived the prompt: one that a
 prompt crashes ends within a tenth of a second."""
@@ -198,8 +207,7 @@
             forecast.discarded = connection.discarded
             await self._link.backpressure.take(target.endpoint, proved, forecast.sent_s)
             if proved.not_run:
-                async for _ in connection.read_body():
-                    pass
+                await self._read_refusal(connection)
                 await self._record_refusal(call, target, answer, proved)
                 return AttemptEnd.NOT_RUN
             call.progress.runs.add(target.endpoint.name)
@@ -220,6 +228,15 @@
                 )
             return await self._take_whole(call, connection, answer)
 
+    @staticmethod
+    async def _read_refusal(connection: ClientConnection) -> None:
+        """Read the body of a refusal; one without an end proves nothing."""
+        with anyio.move_on_after(REFUSAL_TIMEOUT_S) as scope:
+            async for _ in connection.read_body(MAX_REFUSAL_BYTES):
+                pass
+        if scope.cancelled_caught:
+            raise ConnectionBrokenError("the refusal does not end")
+
     def _attempt_head(self, call: Call, target: Target) -> RequestHead:
         head = call.request.head
         details = AttemptDetails(
@@ -284,16 +301,14 @@
     async def _take_whole(
         self, call: Call, connection: ClientConnection, answer: ResponseHead
     ) -> AttemptEnd:
-        parts: list[bytes] = []
-        size = 0
-        async for part in connection.read_body():
-            parts.append(part)
-            size += len(part)
-            if size > MAX_BUFFERED_BYTES:
+        body = bytearray()
+        async for part in connection.read_body(2 * MAX_BUFFERED_BYTES):
+            body += part
+            if len(body) > MAX_BUFFERED_BYTES:
                 raise ConnectionBrokenError(
                     f"the response is longer than {MAX_BUFFERED_BYTES} bytes"
                 )
-        buffered = BufferedResponse(answer, b"".join(parts))
+        buffered = BufferedResponse(answer, bytes(body))
         if answer.status >= 500 or call.responder.begun:
             # A started stream cannot be replaced by another response.
             call.failure = buffered
@@ -313,10 +328,15 @@
         resumed = call.progress.begun
         splitter = EventSplitter(call.last_event if resumed else None)
         send = call.responder.send
+        skipped_bytes = 0
         async for chunk in connection.read_body():
             events = splitter.feed(chunk)
             if not events.count:
+                skipped_bytes += len(chunk)
+                if skipped_bytes > MAX_SKIPPED_BYTES:
+                    raise ConnectionBrokenError("the stream goes on without events")
                 continue
+            skipped_bytes = 0
             now_s = loop_time_s()
             if forecast.first_s is None:
                 self._hub.first_byte_timeouts.record_start(timeout)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/client_connection.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/client_connection.py
@@ -7,6 +7,7 @@
 """
 
 import itertools
+import math
 import re
 import select
 from collections.abc import AsyncGenerator, Callable
@@ -45,7 +46,15 @@
 """Share of the server's keep-alive timeout for which an idle connection is kept. If a
 request crosses the server's close, it is unknown whether the request was run."""
 
+MAX_KEEP_ALIVE_S = 60.0
 MAX_HEAD_BYTES = 65536
+MAX_DISCARDED_BYTES = 262144
+"""Most bytes of interim responses and of responses to other requests that are read
+before the response to a request."""
+
+MAX_BODY_BYTES = 1 << 20
+"""Longest body of a response to a request of this daemon."""
+
 MAX_BUFFERED_BYTES = 65536
 """Size up to which a request is written before its response is read. The event loop
 buffers this much without waiting for the server."""
@@ -132,6 +141,7 @@
         self.idle_until_s = 0.0
         self._stream = stream
         self._attribution = attribution
+        self._discarded_bytes = 0
         self._method = b""
         self._unread = b""
         self._body: BodyDecoder = LengthBody(0)
@@ -174,6 +184,7 @@
         self._check_usable(identity.request_id)
         self._attribution.record_request(identity.request_id)
         self.requests += 1
+        self._discarded_bytes = 0
         self._method = head.method
         self._is_sent = False
         if len(packed) > MAX_BUFFERED_BYTES:
@@ -227,7 +238,9 @@
             return
         self._is_sent = True
 
-    async def call(self, request: WireRequest) -> tuple[ResponseHead, bytes]:
+    async def call(
+        self, request: WireRequest, max_body_bytes: int = MAX_BODY_BYTES
+    ) -> tuple[ResponseHead, bytes]:
         """Send a request of this daemon and read the complete response.
 
         Raises
@@ -235,11 +248,14 @@
         NotSentError
             See `exchange`.
         ConnectionBrokenError
-            If the connection broke before the end of the response.
+            If the connection broke before the end of the response, or if its body is
+            longer than ``max_body_bytes``.
         """
         head = await self.exchange(request.head, request.body)
-        parts = [part async for part in self.read_body()]
-        return head, b"".join(parts)
+        body = bytearray()
+        async for part in self.read_body(max_body_bytes):
+            body += part
+        return head, bytes(body)
 
     async def _write(self, packed: bytes) -> None:
         try:
@@ -271,8 +287,15 @@
                     "another request"
                 )
             self.discarded += 1
-            async for _ in self.read_body():
-                pass
+            async for part in self.read_body(MAX_DISCARDED_BYTES):
+                self._count_discarded(len(part))
+
+    def _count_discarded(self, size: int) -> None:
+        self._discarded_bytes += size
+        if self._discarded_bytes > MAX_DISCARDED_BYTES:
+            raise ConnectionBrokenError(
+                f"{self.address}: {self._discarded_bytes} bytes before the response"
+            )
 
     async def _read_final_head(self) -> ResponseHead:
         while True:
@@ -285,6 +308,7 @@
                 raise ConnectionBrokenError(
                     f"{self.address}: unexpected protocol switch"
                 )
+            self._count_discarded(len(block))
             if head.status < 200:
                 continue
             self._is_persistent = self._is_persistent and not framing.closes
@@ -314,24 +338,37 @@
     def _update_keep_alive(self, headers: Headers) -> None:
         keep_alive = get_header(headers, b"keep-alive")
         found = _TIMEOUT.search(keep_alive) if keep_alive else None
-        self._keep_alive_s = float(found[1]) if found else DEFAULT_KEEP_ALIVE_S
+        stated_s = float(found[1]) if found else DEFAULT_KEEP_ALIVE_S
+        self._keep_alive_s = min(stated_s, MAX_KEEP_ALIVE_S)
 
-    async def read_body(self) -> AsyncGenerator[bytes, None]:
+    async def read_body(
+        self, max_bytes: float = math.inf
+    ) -> AsyncGenerator[bytes, None]:
         """Yield the parts of the response body until its end is certain.
 
+        Parameters
+        ----------
+        max_bytes : float
+            Most bytes that are read, including the framing of the body.
+
         Raises
         ------
         ConnectionBrokenError
-            If the body is truncated.
+            If the body is truncated or too long.
         """
-        body = self._body
+        body, size = self._body, 0
         while not body.is_complete:
+            if size > max_bytes:
+                raise ConnectionBrokenError(
+                    f"{self.address}: a body of over {max_bytes} bytes"
+                )
             data, self._unread = self._unread, b""
             if not data:
                 data = await self._receive()
             if not data:
                 self._finish_body(body)
                 return
+            size += len(data)
             part = self._decode(body, data)
             if part:
                 yield part
@@ -375,6 +412,11 @@
         """Start the idle timeout of a connection on which nothing was sent yet."""
         self.idle_until_s = now_s + KEEP_ALIVE_SHARE * self._keep_alive_s
 
+    @property
+    def has_news(self) -> bool:
+        """Whether bytes or the end of the connection have arrived."""
+        return self._stream.has_news
+
     def is_silent(self) -> bool:
         """Return whether an idle connection has neither ended nor received bytes."""
         if self._stream.has_news:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/http_client.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/http_client.py
@@ -175,6 +175,10 @@
         is_fresh = connection.idle_until_s > loop_time_s()
         return is_fresh and self._is_carried(connection) and connection.is_silent()
 
+    def _may_stay_idle(self, connection: ClientConnection, now_s: float) -> bool:
+        is_fresh = connection.idle_until_s > now_s and not connection.has_news
+        return is_fresh and self._is_carried(connection)
+
     def _is_carried(self, connection: ClientConnection) -> bool:
         forwarder = connection.forwarder
         if not forwarder:
@@ -184,6 +188,8 @@
     async def close_idle(self, wanted: set[str] | None = None) -> None:
         """Close the idle connections that have expired or are no longer wanted.
 
+        Those that have received bytes or were closed by the server expire at once.
+
         Parameters
         ----------
         wanted : set of str or None
@@ -196,7 +202,7 @@
             kept = [
                 each
                 for each in connections
-                if is_wanted and each.idle_until_s > now_s and self._is_carried(each)
+                if is_wanted and self._may_stay_idle(each, now_s)
             ]
             expired += [each for each in connections if each not in kept]
             self._idle[address] = deque(kept)
