Number requests between daemons apart from those of a previous process

Daemons send responses to a host by name, and all processes numbered their requests from 1, so that a response to a process that has ended could match a request of its successor: a permit, a turn, the load of an endpoint, or the origin of another stream. Not seen by callers.

--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -138,6 +138,7 @@
     origin_coordinators,
 )
 from knapweedbridge_core.serving.suspect_parts import LostCall, refusal_key
+from knapweedbridge_core.serving.tickets import make_tickets
 
 __all__ = [
     "Accounts",
@@ -233,6 +234,7 @@
     "WaitFor",
     "WeightedService",
     "WindowPacing",
+    "make_tickets",
     "request_digest",
     "choose_counted",
     "choose_plain",
--- a/packages/daemon/src/knapweedbridge_daemon/serving/permits.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/permits.py
@@ -3,7 +3,6 @@
 For each endpoint one daemon, its coordinator, issues the permits of all daemons.
 """
 
-import itertools
 from dataclasses import dataclass, field
 from itertools import chain
 
@@ -14,6 +13,7 @@
     EndpointStart,
     PermitBucket,
     RejectionBudget,
+    make_tickets,
     permit_coordinator,
     understands,
 )
@@ -73,7 +73,7 @@
         self._hub = hub
         self._send = send
         self._relaying = relaying
-        self._tickets = itertools.count(1)
+        self._tickets = make_tickets()
         self._pending: dict[int, PendingRequest] = {}
         self._buckets: dict[str, PermitBucket] = {}
         self._rejections: dict[str, RejectionBudget] = {}
--- a/packages/daemon/src/knapweedbridge_daemon/serving/plain_load_client.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/plain_load_client.py
@@ -1,12 +1,16 @@
 """Requests the load of plain endpoints from the daemons that count it."""
 
-import itertools
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 import anyio
 
-from knapweedbridge_core.serving import Endpoint, EndpointStart, PlainState
+from knapweedbridge_core.serving import (
+    Endpoint,
+    EndpointStart,
+    PlainState,
+    make_tickets,
+)
 from knapweedbridge_core.serving.plain_messages import (
     PlainLoadRequest,
     PlainLoadResponse,
@@ -63,7 +67,7 @@
         self._hub = hub
         self._send = send
         self._calls = calls
-        self._tickets = itertools.count(NO_TICKET + 1)
+        self._tickets = make_tickets()
         self._queries: dict[int, LoadQuery] = {}
         self._known: dict[str, KnownState] = {}
         self._counting_incarnations: dict[str, int] = {}
--- a/packages/daemon/src/knapweedbridge_daemon/serving/stream_resumer.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/stream_resumer.py
@@ -1,6 +1,5 @@
 """Records which software versions started streams, to resume them there."""
 
-import itertools
 from collections import defaultdict
 from dataclasses import dataclass, field
 
@@ -12,6 +11,7 @@
     OriginTable,
     StreamOrigin,
     VersionView,
+    make_tickets,
     origin_coordinators,
     understands,
 )
@@ -91,7 +91,7 @@
         self._hub = hub
         self._send = send
         self._began_s: float | None = None
-        self._tickets = itertools.count(1)
+        self._tickets = make_tickets()
         self._pending: dict[int, PendingQuery] = {}
         self._own = OriginTable()
         self._kept = OriginTable()
--- a/packages/daemon/src/knapweedbridge_daemon/serving/turns.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/turns.py
@@ -1,6 +1,5 @@
 """Waits for the turns of this daemon's prompts, which the engines' owners grant."""
 
-import itertools
 import math
 from collections.abc import Callable, Iterable
 
@@ -11,6 +10,7 @@
     EndpointStart,
     PromptTurn,
     WindowPacing,
+    make_tickets,
 )
 from knapweedbridge_core.serving.messages import TurnGrant, TurnRequest
 from knapweedbridge_core.serving.prompt_pacing import LONGEST_WAIT_S, passes_at_once
@@ -52,7 +52,7 @@
         self._record_prompt_sent = record_prompt_sent
         self._hub = hub
         self._send = send
-        self._tickets = itertools.count(1)
+        self._tickets = make_tickets()
         self._waiting: dict[int, anyio.Event] = {}
         self._own_pacers: dict[str, WindowPacing] = {}
 
