Calls that may run once get a connection of their own on the product's own interface

A refusal of an earlier call that came late, a second time, was taken for the refusal of the next call: "not run", although it ran.

The story failed (Answer 200, NotRun endpoint_refused) and passes (Answer 200, Answer 200). Such calls now use the client that keeps no connection, as orders, checks and resumes do already: what is read there can only be theirs. Cost: a connection for each call that may run once. Calls that may be repeated keep the pool.

--- a/features/attempts/endpoints.feature
+++ b/features/attempts/endpoints.feature
@@ -42,6 +42,13 @@
       | read   | 2     | Unknown stream_broken, Unknown stream_broken |
       | half   | 1     | Unknown stream_broken                        |
 
+  Scenario: A refusal of an earlier call comes late, on a connection that is kept
+    Guards against calls that run twice by a late second refusal, which names no call.
+
+    Given a server that does "answer late" on each connection and closes it
+    When 2 calls that may run once are made to an engine one after the other
+    Then the attempt ends as "Answer 200, Answer 200"
+
   Scenario: A refused connection proves that nothing ran
     Given a port on which nothing listens
     When 1 attempts are made, each after the connection was closed
--- a/features/attempts/steps/endpoint_steps.py
+++ b/features/attempts/steps/endpoint_steps.py
@@ -10,12 +10,15 @@
 from knapweedbridge_daemon.relay import Relay
 
 ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+REFUSAL = b"HTTP/1.1 429 Full\r\ncontent-length: 0\r\n\r\n"
 
 
 async def attempt(client, address, engine):
     endpoint = HttpEndpoint(client, address, engine)
     try:
         async with endpoint.stream("POST", "/x", b"{}", {}, 2.0) as response:
+            async for _ in response.chunks:
+                pass
             return f"Answer {response.status}"
     except AttemptFailedError as error:
         return f"{type(error.outcome).__name__} {error.outcome.reason}"
@@ -55,7 +58,9 @@
                     if not connection.recv(65536):
                         break
                     self.requests += 1
-                    if step == "answer":
+                    if step == "late":
+                        connection.sendall(REFUSAL + ANSWER)
+                    elif step == "answer":
                         connection.sendall(ANSWER)
                     elif step == "half":
                         connection.sendall(ANSWER[:20])
@@ -95,6 +100,19 @@
     context.found = ", ".join(anyio.run(run))
 
 
+@when("{count:d} calls that may run once are made to an engine one after the other")
+def calls_that_run_once(context, count):
+    async def run():
+        found = []
+        async with Connections(Bounds(connection_idle_s=60.0)) as connections:
+            for _ in range(count):
+                async with connections.for_attempt(runs_once=True) as client:
+                    found.append(await attempt(client, context.server.address, True))
+        return found
+
+    context.found = ", ".join(anyio.run(run))
+
+
 @then('the attempt ends as "{outcome}"')
 def ended_as(context, outcome):
     assert context.found == outcome, context.found
--- a/packages/daemon/src/knapweedbridge_daemon/calls.py
+++ b/packages/daemon/src/knapweedbridge_daemon/calls.py
@@ -179,8 +179,8 @@
             head_s = min(left_s, self._first_s)
         path = raw_target(self._http.scope)
         async with AsyncExitStack() as stack:
-            pooled = self._connections.pooled()
-            client = await stack.enter_async_context(pooled)
+            lent = self._connections.for_attempt(self._wanted.non_idempotent)
+            client = await stack.enter_async_context(lent)
             endpoint = HttpEndpoint(client, step.address, model is not None)
             attempt = endpoint.stream(
                 self._http.method, path, self._body, self._headers(step), head_s
--- a/packages/daemon/src/knapweedbridge_daemon/connections.py
+++ b/packages/daemon/src/knapweedbridge_daemon/connections.py
@@ -86,6 +86,23 @@
             if pool.retired and not pool.users:
                 await pool.client.aclose()
 
+    @asynccontextmanager
+    async def for_attempt(self, runs_once: bool) -> AsyncIterator[httpx.AsyncClient]:
+        """Lend the client for an attempt.
+
+        Parameters
+        ----------
+        runs_once : bool
+            Whether the request may run only once. It then gets a connection of its own:
+            on a kept one, a late second response to an earlier request could be taken
+            for its own, as these responses name no request.
+        """
+        if runs_once:
+            yield self.fresh
+            return
+        async with self.pooled() as client:
+            yield client
+
     async def retire(self) -> None:
         """Reuse none of the present connections; those at work go on."""
         pool, self._pool = self._pool, None
