An owner goes on after an order that its engine did not count

Callers saw: 503, as adapters were not loaded at one or more engines.

Cause: an unload of an adapter whose load had just been accepted is answered 200 ("what is ordered holds already"), and not always counted by the engine.

Now a report that counts fewer orders applies once a second has passed since the last order that was counted, longer than reports are old.

--- a/features/serving/decisions.feature
+++ b/features/serving/decisions.feature
@@ -163,6 +163,17 @@
     When a free place comes by a report
     Then the wanted adapter is loaded
 
+  Scenario Outline: A report that counts fewer orders, <after> s after the last answer
+    Guards against engines that get no orders again after one that they did not count.
+
+    When an unload is answered as done, and the engine did not count it
+    Then a report <after> s later is <effect>
+
+    Examples:
+      | after | effect  |
+      | 0.3   | ignored |
+      | 1.5   | applied |
+
   Scenario: An order without an answer does not hold up the next
     An engine left an order unanswered. The owner waited half a second for it, and
     again for the next: loads came to a stop while the engine was well.
--- a/features/serving/steps/keeper_steps.py
+++ b/features/serving/steps/keeper_steps.py
@@ -170,3 +170,26 @@
     context.keeper.request_adapter(adapter("a1"), 0, NOW_S + 4)
     order = context.keeper.next_order(NOW_S + 4)
     assert order.model == adapter("a1"), order
+
+
+@when("an unload is answered as done, and the engine did not count it")
+def uncounted_unload(context):
+    keeper = context.keeper = keeper_with(1, ["a1"])
+    keeper.request_adapter(adapter("a2"), 0, NOW_S + 0.1)
+    order = keeper.next_order(NOW_S + 0.1)
+    assert order.kind is OrderKind.UNLOAD, order
+    keeper.answered(order, OrderAnswer.DONE, NOW_S + 0.1)
+    order = keeper.next_order(NOW_S + 0.1)
+    keeper.answered(order, OrderAnswer.CONFLICT, NOW_S + 0.1)
+
+
+@then("a report {after_s:g} s later is {effect}")
+def report_later(context, after_s, effect):
+    now_s = NOW_S + 0.1 + after_s
+    context.keeper.request_adapter(adapter("a2"), 0, now_s)
+    context.keeper.apply_report(EngineReport(0, ("m",), {}, {}), now_s)
+    order = context.keeper.next_order(now_s)
+    if effect == "ignored":
+        assert order is None, order
+    else:
+        assert (order.kind, order.sequence) == (OrderKind.LOAD, 0), order
--- a/packages/core/src/knapweedbridge_core/serving/engine_controller.py
+++ b/packages/core/src/knapweedbridge_core/serving/engine_controller.py
@@ -4,6 +4,7 @@
 engine confirms it. More orders than an engine has places crash it with all its calls.
 """
 
+import math
 from collections import OrderedDict
 from collections.abc import Collection, Iterable, Mapping
 
@@ -48,6 +49,9 @@
 """Time before a base model's load is ordered again, in load times: concurrent loads
 share the weight store's bandwidth."""
 
+MAX_REPORT_AGE_S = 1.0
+"""Age that a report may have. Engines report values that are some hundred ms old."""
+
 STUCK_S = 0.4
 """Age of a request from which on the reason for its delay is reported."""
 
@@ -96,6 +100,7 @@
         self._is_uncertain = True
         self.loading_elsewhere = 0
         self.engines = 1
+        self._counted_s = -math.inf
         self._requests: OrderedDict[ModelRef, AdapterRequest] = OrderedDict()
         self._calls = EngineCalls()
         self._recent = RecentAdapters(recent, limits.recent_adapters)
@@ -196,14 +201,22 @@
         )
         return max(0, self.limits.adapter_places - taken)
 
-    def apply_report(self, report: EngineReport, now_s: float) -> None:
+    def apply_report(self, report: EngineReport, now_s: float) -> bool:
         """Apply a report that was requested after the last order's answer.
 
-        A report that counts fewer orders than were accepted predates them and would
-        show places as free that are taken, so it is ignored.
+        A report that counts fewer orders than were accepted may predate them and would
+        show places as free that are taken, so it is ignored for as long as reports may
+        be old. After that the engine has not counted an order whose outcome already
+        held, and only the report shows which order it expects next.
+
+        Returns
+        -------
+        is_applied : bool
+            Whether the report was applied.
         """
-        if report.sequence < self.sequence:
-            return
+        may_predate = now_s - self._counted_s < MAX_REPORT_AGE_S
+        if report.sequence < self.sequence and may_predate:
+            return False
         self.sequence = report.sequence
         self.bases = set(report.bases)
         shown = {**report.adapters, **report.coming}
@@ -212,6 +225,7 @@
         for model, version in shown.items():
             self._apply_reported(model, version, model in report.coming, now_s)
         self._is_uncertain = False
+        return True
 
     def _apply_reported(
         self, model: ModelRef, version: int, coming: bool, now_s: float
@@ -299,6 +313,7 @@
         """Apply an engine's answer to an order."""
         if answer in (OrderAnswer.STARTED, OrderAnswer.DONE):
             self.sequence += 1
+            self._counted_s = now_s
             self._apply_accepted(order, answer, now_s)
         elif answer is not OrderAnswer.UNKNOWN:
             self._is_uncertain = True
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owner.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owner.py
@@ -293,7 +293,16 @@
             return
         if self._detect_restart(report):
             return
-        self.controller.apply_report(report, anyio.current_time())
+        expected = self.controller.sequence
+        is_applied = self.controller.apply_report(report, anyio.current_time())
+        if report.sequence < expected:
+            self._hub.log.info(
+                "engine.report_behind",
+                engine=self.endpoint.name,
+                sequence=expected,
+                reported=report.sequence,
+                applied=is_applied,
+            )
         self._updates.mark_adapters_changed()
 
     def _detect_restart(self, report: EngineReport) -> bool:
