Blocks of ports are claimed, not computed from the process id

A block is claimed now by a socket that stays bound to its last port, as the features of operators did already; the claim is atomic and ends with the process. One piece of code serves the areas, the soak and the operators' platform.

--- a/features/operators/embedded_platform.py
+++ b/features/operators/embedded_platform.py
@@ -5,7 +5,6 @@
 import io
 import json
 import os
-import socket
 import tempfile
 from functools import partial
 from pathlib import Path
@@ -22,30 +21,14 @@
 from knapweedbridge_standins.key_value import KeyValueStandIn
 from knapweedbridge_standins.plain import PlainStandIn
 from knapweedbridge_standins.platform import HostListStandIn, WeightStoreStandIn
+from knapweedbridge_standins.port_blocks import claim_block
 
 BASE_PORTS = range(28000, 32000, 100)
-GUARD_PORT = 99
+PORTS_A_RUN = 99
 START_S = 20.0
 STOP_S = 10.0
 
 
-def claim_ports():
-    """Find ports that no other run on this machine uses, and keep them claimed.
-
-    Two runs on the same ports spoke to each other's daemons: the second saw
-    generations and conflicts that were the first one's.
-    """
-    for base_port in BASE_PORTS:
-        guard = socket.socket()
-        try:
-            guard.bind(("127.0.0.1", base_port + GUARD_PORT))
-        except OSError:
-            guard.close()
-            continue
-        return base_port, guard
-    raise RuntimeError("every block of ports is in use")
-
-
 class EmbeddedPlatform:
     """Three daemons, two engines and the platform; started when first used.
 
@@ -54,8 +37,8 @@
     """
 
     def __init__(self):
-        base_port, self._guard = claim_ports()
-        self.example = Example(base_port)
+        self._block = claim_block(BASE_PORTS, PORTS_A_RUN)
+        self.example = Example(self._block.first)
         self._runner = None
         self._tasks = []
         self._daemons = {}
@@ -207,7 +190,7 @@
             self.wait(self._stop())
             self._runner.close()
             self._folder.cleanup()
-        self._guard.close()
+        self._block.close()
 
     async def _stop(self):
         await self._client.aclose()
--- a/features/platform/whole_path.py
+++ b/features/platform/whole_path.py
@@ -1,6 +1,7 @@
 """Daemons and stand-ins in one process, over real sockets on loopback."""
 
 import contextvars
+import functools
 import gc
 import itertools
 import json
@@ -19,6 +20,7 @@
 from knapweedbridge_core.serving.store_eras import revision_of
 from knapweedbridge_daemon.serving.host import ServingHost
 from knapweedbridge_daemon.serving.settings import read_serving_settings
+from knapweedbridge_standins.port_blocks import claim_block
 
 TEMPLATE = Path(__file__).parents[2] / "platform/settings.ini"
 FAILED = Path(__file__).parents[2] / "target/failed"
@@ -36,20 +38,23 @@
 came back some times held it for seconds, and the daemons' leases lapsed."""
 
 
-FIRST_PORT, PORTS_A_RUN = 10_000, 200
-# Below the ports of outgoing connections, and apart for areas that run side by side.
-PORTS = itertools.cycle(
-    range(
-        FIRST_PORT + os.getpid() % 50 * PORTS_A_RUN,
-        FIRST_PORT + (os.getpid() % 50 + 1) * PORTS_A_RUN,
-    )
-)
+PORTS_A_RUN = 199
+FIRST_PORTS = range(10_000, 20_000, PORTS_A_RUN + 1)
+"""First ports of the blocks, below the ports of outgoing connections."""
+
+
+@functools.cache
+def own_ports():
+    """Return an endless iterator over the ports of this process, and their block."""
+    block = claim_block(FIRST_PORTS, PORTS_A_RUN)
+    return itertools.cycle(block.ports), block
 
 
 def free_port():
     """Return a port that nobody listens on and that the kernel gives no connection."""
+    ports, _ = own_ports()
     while True:
-        port = next(PORTS)
+        port = next(ports)
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
