A fault of the soak takes its endpoint at once

A deadly request or a release looked whether the endpoint was there and took it in a task of its own, before which another fault could take it. Whoever ends an endpoint now takes it in the same turn, and a fault whose endpoint is taken does nothing.

--- a/bench/soak_disturbances.py
+++ b/bench/soak_disturbances.py
@@ -169,7 +169,9 @@
 
     async def _crash_endpoint(self) -> None:
         name = self.luck.choice(sorted(self.pool.endpoints))
-        await self.pool.crash(name)
+        taken = self.pool.take_endpoint(name)
+        if taken is not None:
+            await self.pool.crash(*taken)
 
     async def _drain_endpoint(self) -> None:
         name = self.luck.choice(sorted(self.pool.endpoints))
@@ -241,19 +243,19 @@
             await self.pool.add_endpoint("llm", software)
             await anyio.sleep(gap_s * self.luck.uniform(0.7, 1.3))
             old = self.luck.choice(others)
-            if old.name in self.pool.endpoints:
-                self.pool.tasks.start_soon(self._retire, old.name)
+            taken = self.pool.take_endpoint(old.name)
+            if taken is not None:
+                self.pool.tasks.start_soon(self._retire, *taken)
             await anyio.sleep(gap_s * self.luck.uniform(0.7, 1.3))
 
-    async def _retire(self, name: str) -> None:
+    async def _retire(self, endpoint: Endpoint, proxy: Proxy) -> None:
         """End an engine of a release: it drains, or is gone after a short while."""
-        endpoint, proxy = self.pool.endpoints.pop(name)
         if self.luck.random() < 0.7:
             await self._drain(endpoint, proxy)
             return
         self.pool.write_entry(endpoint, proxy, "draining")
-        self.watched.left_s[name] = anyio.current_time()
+        self.watched.left_s[endpoint.name] = anyio.current_time()
         await anyio.sleep(self.luck.uniform(0.3, 1.0))
         endpoint.scope.cancel()
         proxy.reset()
-        self.pool.store.remove(f"servers/{name}")
+        self.pool.store.remove(f"servers/{endpoint.name}")
--- a/bench/soak_pool.py
+++ b/bench/soak_pool.py
@@ -24,8 +24,11 @@
 from standins import Endpoint, Engine, Store
 from whole_path import TEMPLATE, configuration, fill, settings_fields
 
+from knapweedbridge_standins.port_blocks import claim_block
+
 HERE = Path(__file__).parent
-FIRST_PORT, PORTS_A_RUN = 20_000, 40
+PORTS_A_RUN = 39
+FIRST_PORTS = range(20_000, 28_000, PORTS_A_RUN + 1)
 RELEASED_ENGINES = 5
 EVENT_PAUSES_S = (0.08, 0.2)
 """Shortest and longest pause between events where streams are to be taken up: faults
@@ -73,11 +76,11 @@
         stack.callback(shutil.rmtree, self._folder)
         stack.callback(self._end_daemons)
         self._root = plant_fault(self._folder, plant)
-        # Ports that the kernel gives away may be another run's a moment later.
-        port = FIRST_PORT + os.getpid() % 300 * PORTS_A_RUN
+        block = claim_block(FIRST_PORTS, PORTS_A_RUN)
+        stack.callback(block.close)
+        ports = block.ports
         self.ports = {
-            f"host-{n}": list(range(port + 4 * n, port + 4 * n + 4))
-            for n in range(daemons)
+            f"host-{n}": list(ports[4 * n : 4 * n + 4]) for n in range(daemons)
         }
 
     async def start(self) -> None:
@@ -117,9 +120,12 @@
         endpoint.listed_s = anyio.current_time()
         self.write_entry(endpoint, proxy, "ready")
 
-    async def crash(self, name: str) -> None:
-        """End an endpoint, and start another in its place a while later."""
-        endpoint, proxy = self.endpoints.pop(name)
+    def take_endpoint(self, name: str) -> tuple[Endpoint, Proxy] | None:
+        """Return an endpoint that is to be ended; None if another fault ends it."""
+        return self.endpoints.pop(name, None)
+
+    async def crash(self, endpoint: Endpoint, proxy: Proxy) -> None:
+        """End a taken endpoint, and start another in its place a while later."""
         endpoint.scope.cancel()
         proxy.reset()
         await anyio.sleep(self.luck.uniform(0.2, 2))
@@ -128,9 +134,10 @@
 
     def end_by_request(self, endpoint: Endpoint, call: str) -> None:
         """Have a deadly request end the endpoint that runs it."""
-        if endpoint.name in self.endpoints:
+        taken = self.take_endpoint(endpoint.name)
+        if taken is not None:
             self.deadly.ended(call)
-            self.tasks.start_soon(self.crash, endpoint.name)
+            self.tasks.start_soon(self.crash, *taken)
 
     def write_entry(self, endpoint: Endpoint, proxy: Proxy, state: str) -> None:
         """Write an endpoint's entry."""
