--- a/bench/soak_disturbances.py
+++ b/bench/soak_disturbances.py
@@ -33,6 +33,7 @@
             self._drain_endpoint,
             self._spoil,
             self._spoil,
+            self._repeat_answers,
             self._limit_endpoint,
             self._rest_endpoint,
             self._leave_in_answers,
@@ -195,6 +196,14 @@
         endpoint.scope.cancel()
         self.pool.store.remove(f"servers/{endpoint.name}")
 
+    async def _repeat_answers(self) -> None:
+        """Have an endpoint refuse calls, and send its answers late once more."""
+        endpoint = self._choose_endpoint()
+        endpoint.late = "previous answer"
+        endpoint.behaviour += ["shed", "well"] * self.luck.randint(2, 6)
+        await anyio.sleep(self.luck.uniform(1.0, 4.0))
+        endpoint.late = ""
+
     async def _limit_endpoint(self) -> None:
         endpoint = self._choose_endpoint()
         with self.watched.troubled(answers_of(endpoint.name)):
--- a/bench/soak_pool.py
+++ b/bench/soak_pool.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 import anyio
+from faulty_endpoints import FaultyEndpoint, FaultyEngine
 from soak_checks import (
     CONTACT_S,
     CutHosts,
@@ -21,7 +22,7 @@
 )
 from soak_plants import ROOT, plant_fault
 from soak_proxy import Proxy
-from standins import Endpoint, Engine, Store
+from standins import Endpoint, Store
 from whole_path import TEMPLATE, configuration, fill, settings_fields
 
 from knapweedbridge_standins.port_blocks import claim_block
@@ -105,7 +106,7 @@
     async def add_endpoint(self, service: str, software: str = "v1") -> None:
         """Start an endpoint of some software, and list it."""
         self._made += 1
-        kind = Engine if service == "llm" else Endpoint
+        kind = FaultyEngine if service == "llm" else FaultyEndpoint
         endpoint = watched_by(kind, self.watched, software)(
             f"{service}-{self._made}", service
         )
--- a/bench/soak_serving.py
+++ b/bench/soak_serving.py
@@ -18,7 +18,8 @@
 import anyio
 import httpx
 
-sys.path.insert(0, str(Path(__file__).parent.parent / "features/platform"))
+for area in ("platform", "exchanges"):
+    sys.path.insert(0, str(Path(__file__).parent.parent / "features" / area))
 
 from soak_callers import CLIENTS, Callers  # noqa: E402
 from soak_checks import ORDER, StreamShares  # noqa: E402
--- a/features/exchanges/faulty_endpoints.py
+++ b/features/exchanges/faulty_endpoints.py
@@ -94,11 +94,10 @@
     async def handle(self, request, responder):
         kind = KINDS.get(request.head.path, "call")
         connection = responder._connection
-        is_first = all(each[0] is not connection for each in self.exchanges)
         name = header(request, "Request-Id")
         self.exchanges.append((connection, kind, name))
         late = self._latest.get(connection)
-        if self.late == "unnamed refusal" and not is_first:
+        if self.late == "unnamed refusal" and self._has_carried(connection):
             await connection.write(UNNAMED_REFUSAL % self.name.encode())
         elif self.late == "previous answer" and late:
             await connection.write(late)
@@ -109,6 +108,10 @@
             return
         await super().handle(request, RecordingResponder(responder, self._latest))
 
+    def _has_carried(self, connection):
+        """Return whether a connection carried a request before the present one."""
+        return sum(each[0] is connection for each in self.exchanges) > 1
+
     async def pour(self, connection, what, name):
         """Send bytes until the daemon closes the connection."""
         first, then = ENDLESS[what]
