--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempt_records.py
@@ -60,7 +60,7 @@
     answered_id : str or None
         Request id that the response named.
     discarded : int
-        How many responses that belong to other requests were read before it.
+        How many responses to other requests its connection had discarded.
     """
 
     began_s: float
