Derive the count of requests and the rest of a connection from what is there

Read again: NamedResponses kept a count beside the ids that it counts, and the pool judged a lent connection and an idle one by two versions of the same conditions.

--- a/packages/core/src/knapweedbridge_core/serving/response_attribution.py
+++ b/packages/core/src/knapweedbridge_core/serving/response_attribution.py
@@ -83,22 +83,20 @@
     without an id therefore needs a connection of its own.
     """
 
-    __slots__ = ("_carried_ids", "_current_id", "_requests")
+    __slots__ = ("_carried_ids", "_current_id")
 
     def __init__(self) -> None:
         self._carried_ids: set[str] = set()
         self._current_id = ""
-        self._requests = 0
 
     @property
     def is_exhausted(self) -> bool:
         """See `ResponseAttribution.is_exhausted`."""
-        is_unnamed = self._requests > 0 and not self._current_id
-        return is_unnamed or self._requests >= MAX_REQUESTS
+        return "" in self._carried_ids or len(self._carried_ids) >= MAX_REQUESTS
 
     def may_carry(self, request_id: str) -> bool:
         """See `ResponseAttribution.may_carry`."""
-        if not self._requests:
+        if not self._carried_ids:
             return True
         if self.is_exhausted or not request_id:
             return False
@@ -108,12 +106,11 @@
         """See `ResponseAttribution.record_request`."""
         self._carried_ids.add(request_id)
         self._current_id = request_id
-        self._requests += 1
 
     def attribute(self, named_id: str | None) -> Attribution:
         """See `ResponseAttribution.attribute`."""
         if not named_id or not self._current_id:
-            is_only = self._requests == 1
+            is_only = len(self._carried_ids) == 1
             return Attribution.CURRENT if is_only else Attribution.UNKNOWN
         if named_id == self._current_id:
             return Attribution.CURRENT
--- a/packages/daemon/src/knapweedbridge_daemon/serving/http_client.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/http_client.py
@@ -172,8 +172,8 @@
         return None
 
     def _is_usable(self, connection: ClientConnection) -> bool:
-        is_fresh = connection.idle_until_s > loop_time_s()
-        return is_fresh and self._is_carried(connection) and connection.is_silent()
+        may_stay = self._may_stay_idle(connection, loop_time_s())
+        return may_stay and connection.is_silent()
 
     def _may_stay_idle(self, connection: ClientConnection, now_s: float) -> bool:
         is_fresh = connection.idle_until_s > now_s and not connection.has_news
