Red: crowds of clients outside the limits, at every listener of both daemons

What callers saw: clients that do not behave ended a process. Tests first: 28 crowds of 60 to 600 separate clients, each from an address of its own, at the daemons' own processes. Checked are the process's life, memory (resident, and received and not read yet), descriptors, and one ordinary request at each address while the crowd stays and afterwards. Nothing measures time or a share; time-outs only end what hangs.

features/run.py plays this area by itself, after the others. A daemon in a process of its own moved from the steps of signals to a module, with its machine and limits to set.

--- a/features/platform/steps/signal_steps.py
+++ b/features/platform/steps/signal_steps.py
@@ -1,81 +1,14 @@
-import os
 import signal
-import subprocess
-import sys
-import tempfile
-from pathlib import Path
 
 import anyio
 import httpx
 from behave import given, then, when
-from path_steps import ROOT
-from standins import Endpoint, Engine, Store, header
-from whole_path import TEMPLATE, WholePath, configuration, fill, free_port
-from whole_path import settings_fields as fields_of
+from separate_daemon import play_separately
+from standins import header
 
-GRACE_S = 6
 EVENTS = 10
 
 
-class SeparateDaemon(WholePath):
-    """A store, two endpoints and one daemon in a process of its own."""
-
-    def __init__(self, tasks, folder, grace_s=GRACE_S):
-        super().__init__(None, tasks)
-        self.store = Store()
-        self.engine = Engine("engine-1", "llm")
-        self.engine.held = {"a1": (1, 0.0)}
-        self.desk = Endpoint("desk-1", "desk")
-        self.grace_s = grace_s
-        self._folder = folder
-        self.process = None
-
-    async def start(self):
-        for server in (self.store, self.engine, self.desk):
-            await self.tasks.start(server.run)
-        self.store.put("op/config", configuration())
-        for endpoint in (self.engine, self.desk):
-            self.store.put(f"servers/{endpoint.name}", endpoint.entry())
-        ports = [free_port() for _ in range(3)]
-        self.ports.append(ports)
-        fields = fields_of("host-0", self.store.address, ports)
-        fields["bounds"]["grace_s"] = self.grace_s
-        text = fill(TEMPLATE.read_text(), fields)
-        file = Path(self._folder) / "settings.ini"
-        file.write_text(text.replace("127.0.0.1:9464", f"127.0.0.1:{free_port()}"))
-        self.process = subprocess.Popen(
-            [sys.executable, str(ROOT / "platform/start.py")],
-            env={**os.environ, "KNAPWEEDBRIDGE_NODE_FILE": str(file)},
-            stdout=subprocess.DEVNULL,
-        )
-        await self.until_ready()
-
-    async def ended(self):
-        with anyio.fail_after(self.grace_s + 3):
-            while self.process.poll() is None:
-                await anyio.sleep(0.05)
-        return self.process.returncode
-
-
-def play_separately(story, grace_s=GRACE_S):
-    """Run a story with a daemon in a process of its own, which ends with it."""
-
-    async def play(folder):
-        async with anyio.create_task_group() as tasks:
-            path = SeparateDaemon(tasks, folder, grace_s)
-            try:
-                await path.start()
-                await story(path)
-            finally:
-                if path.process and path.process.poll() is None:
-                    path.process.kill()
-                    path.process.wait()
-                tasks.cancel_scope.cancel()
-
-    with tempfile.TemporaryDirectory() as folder:
-        anyio.run(play, folder)
-
-
 @given("a daemon in a process of its own, and a draft of {seconds:d} s")
 def separate_daemon(context, seconds):
     context.pause_s = seconds / EVENTS
--- a/features/platform/whole_path.py
+++ b/features/platform/whole_path.py
@@ -74,6 +74,7 @@
         },
         "internal_ports": [ports[2], ports[2]],
         "platform": {"address": store},
+        "limits": {"memory_mb": 300, "max_fds": 4100},
         "bounds": {
             "contact_ms": 1000,
             "retry_budget_ratio": 0.2,
--- a/features/run.py
+++ b/features/run.py
@@ -16,6 +16,9 @@
 ROOT = Path(__file__).parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 AREAS_AT_ONCE = 4
+ALONE = frozenset({"crowds"})
+"""Areas that run by themselves, after the others: they measure their processes."""
+
 AREA_TIMEOUT_S = 1200
 """Ends an area that hangs. The longest one needs minutes of processor time alone."""
 
@@ -77,8 +80,10 @@
         for path in sorted((ROOT / "features").glob("*/steps"))
         if not named or path.parent.name in named
     ]
+    shared = [area for area in areas if area.name not in ALONE]
     with ThreadPoolExecutor(AREAS_AT_ONCE) as pool:
-        verdicts = list(pool.map(run_area, areas))
+        verdicts = list(pool.map(run_area, shared))
+    verdicts += [run_area(area) for area in areas if area.name in ALONE]
     known = KNOWN_RED.read_text().splitlines() if KNOWN_RED.exists() else []
     expected = {line.partition("|")[0].strip() for line in known if line.strip()}
     failed = [name.strip() for verdict in verdicts for name in verdict.failed]
