Peers that have proved nothing give way to further ones

What peers saw: a host whose address for peers was held by 600 silent connections answered no handshake, and had no descriptors for endpoints and the store (500 of 500 open; 'the stream ended in the handshake').

Cause: connections are accepted without a limit, and each may wait 2 s for its handshake. Now a listener has a limit for connections without a proof; the oldest of them is closed for a new one. A peer proves itself within milliseconds, so a crowd that goes on connecting closes its own.

--- a/packages/daemon/src/knapweedbridge_daemon/peer_sockets.py
+++ b/packages/daemon/src/knapweedbridge_daemon/peer_sockets.py
@@ -7,13 +7,17 @@
 """
 
 import asyncio
+import itertools
 from collections import deque
 from collections.abc import Callable, Coroutine
+from functools import partial
 from typing import Any, cast
 
 import anyio
 from anyio.abc import ByteStream
 
+from knapweedbridge_core.connection_limit import ConnectionLimit
+
 MOST_UNREAD_BYTES = 262_144
 """Bytes that wait for their reader past which no more are taken from the system."""
 
@@ -27,6 +31,11 @@
     ----------
     on_made : callable, optional
         Takes the stream when the connection stands.
+
+    Attributes
+    ----------
+    on_settled : callable
+        Called when the peer has proved itself, and when the connection is lost.
     """
 
     def __init__(
@@ -44,6 +53,7 @@
         self._reader: asyncio.Future[None] | None = None
         self._may_write = asyncio.Event()
         self._may_write.set()
+        self.on_settled: Callable[[], None] = lambda: None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """See `asyncio.BaseProtocol.connection_made`."""
@@ -68,6 +78,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """See `asyncio.BaseProtocol.connection_lost`."""
         self._lost, self._error = True, exc
+        self.on_settled()
         self._wake_reader()
         self._may_write.set()
 
@@ -192,13 +203,22 @@
 class PeerListener:
     """An address that is listened on for connections from peers.
 
+    Parameters
+    ----------
+    most_unproven : int, optional
+        Most connections of peers that have not proved themselves; 0: no limit. The
+        oldest of them is closed for a further one.
+
     Attributes
     ----------
     address : str
         The address, with the port that was given where none was asked for.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, most_unproven: int = 0) -> None:
+        self._limit = ConnectionLimit(most_unproven)
+        self._unproven: dict[int, PeerSocket] = {}
+        self._numbers = itertools.count(1)
         self._server: asyncio.Server | None = None
         self._made: deque[PeerSocket] = deque()
         self._arrived = asyncio.Event()
@@ -215,9 +235,24 @@
 
     def _take(self, made: PeerSocket) -> None:
         # Called by the event loop outside of any task, where none can be started.
+        self._make_room()
+        number = next(self._numbers)
+        self._unproven[number] = made
+        self._limit.add(number, asyncio.get_running_loop().time())
+        made.on_settled = partial(self._settle, number)
         self._made.append(made)
         self._arrived.set()
 
+    def _make_room(self) -> None:
+        if self._limit.is_full:
+            oldest = self._limit.choose(asyncio.get_running_loop().time())
+            if oldest is not None:
+                self._unproven[oldest].abort()
+
+    def _settle(self, number: int) -> None:
+        if self._unproven.pop(number, None) is not None:
+            self._limit.remove(number)
+
     async def serve(self, serve: Serve) -> None:
         """Serve each connection in a task of its own until cancelled."""
         try:
--- a/packages/daemon/src/knapweedbridge_daemon/peers.py
+++ b/packages/daemon/src/knapweedbridge_daemon/peers.py
@@ -273,6 +273,7 @@
             with contextlib.suppress(*STREAM_ERRORS):
                 with anyio.fail_after(HANDSHAKE_TIMEOUT_S):
                     greeting = await self._handshake.welcome(stream)
+                stream.on_settled()
                 heard = self._admit(greeting.host, greeting.incarnation)
                 each = StreamIn(stream, _now_s())
                 heard.streams.append(each)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -65,10 +65,13 @@
         The state of this daemon, which messages update.
     tunnels : int
         Most tunnels to endpoints that are forwarded for other hosts at once.
+    most_unproven : int
+        Most connections of peers that have not proved themselves yet; 0: no limit.
     """
 
-    def __init__(self, hub: Hub, tunnels: int = 0) -> None:
+    def __init__(self, hub: Hub, tunnels: int = 0, most_unproven: int = 0) -> None:
         self._hub = hub
+        self._most_unproven = most_unproven
         self.running = RunningCalls(hub, self.send)
         self.turns = Turns(hub, self.send, self.running.record_prompt_sent)
         self.relaying = UpdateRelay(hub, self.send)
@@ -128,7 +131,7 @@
             identity.incarnation,
             serve_tunnel=self.forwarding.serve,
         )
-        listener = PeerListener()
+        listener = PeerListener(self._most_unproven)
         await listener.listen(*address)
         tasks.start_soon(listener.serve, self._peers.serve)
         known: dict[str, int] = {}
