Connections to endpoints stay within a limit

What callers saw: with 150 connections of pipelined requests a daemon had all 500 descriptors open, 327 of them to one endpoint, and lost its lease (store: Too many open files).

Cause: requests that name one id share no kept connection, since a response could belong to either; so each opened another, and idle ones stayed until their timeout. A pool has a limit now: beyond it an idle connection is closed, or the request waits for one, in order, for as long as connecting may take. Then it counts as not sent, and the endpoint not as lost.

--- a/packages/daemon/src/knapweedbridge_daemon/serving/http_client.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/http_client.py
@@ -100,6 +100,8 @@
     ----------
     connector : Connector
         Opens new connections.
+    limit : int
+        Most open connections; 0: no limit.
     opened, reused : int
         How many connections were opened, and how often an idle one was reused.
     """
@@ -110,6 +112,9 @@
         self._make_attribution = make_attribution
         self._idle: dict[str, deque[ClientConnection]] = defaultdict(deque)
         self.connector: Connector = DirectConnector()
+        self.limit = 0
+        self._open = 0
+        self._waiting: dict[anyio.Event, None] = {}
         self.opened = 0
         self.reused = 0
 
@@ -131,9 +136,7 @@
         """
         connection = await self._take_idle(destination, request_id)
         if connection is None:
-            stream = await self.connector.connect(destination)
-            self.opened += 1
-            connection = self._make_connection(stream, destination.address)
+            connection = await self._connect(destination)
         else:
             self.reused += 1
         kept = False
@@ -143,12 +146,69 @@
         finally:
             if kept:
                 self._idle[destination.address].append(connection)
+                self._release_waiting()
             else:
-                await connection.aclose()
+                await self._close(connection)
+
+    async def _connect(self, destination: Destination) -> ClientConnection:
+        await self._make_room()
+        self._open += 1
+        try:
+            stream = await self.connector.connect(destination)
+        except BaseException:
+            self._count_closed()
+            raise
+        self.opened += 1
+        return self._make_connection(stream, destination.address)
+
+    async def _make_room(self) -> None:
+        """Close an idle connection, or wait for one, if there is no room for one more.
+
+        Raises
+        ------
+        NotSentError
+            If all connections stay in use.
+        """
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                while 0 < self.limit <= self._open:
+                    idle = max(self._idle.values(), key=len, default=None)
+                    if idle:
+                        await self._close(idle.popleft())
+                    else:
+                        await self._await_release()
+        except TimeoutError:
+            raise NotSentError(
+                f"all {self._open} connections are in use", is_lost=False
+            ) from None
+
+    async def _await_release(self) -> None:
+        released = anyio.Event()
+        self._waiting[released] = None
+        try:
+            await released.wait()
+        finally:
+            self._waiting.pop(released, None)
+
+    def _release_waiting(self) -> None:
+        """Let the task that has waited longest look for room again."""
+        if self._waiting:
+            released = next(iter(self._waiting))
+            del self._waiting[released]
+            released.set()
+
+    async def _close(self, connection: ClientConnection) -> None:
+        self._count_closed()
+        await connection.aclose()
+
+    def _count_closed(self) -> None:
+        self._open -= 1
+        self._release_waiting()
 
     def adopt(self, stream: ClientStream, address: str) -> None:
         """Add a connection on which nothing was sent yet."""
         self.opened += 1
+        self._open += 1
         connection = self._make_connection(stream, address)
         connection.mark_unused(loop_time_s())
         self._idle[address].append(connection)
@@ -168,7 +228,7 @@
             idle.remove(connection)
             if self._is_usable(connection):
                 return connection
-            await connection.aclose()
+            await self._close(connection)
         return None
 
     def _is_usable(self, connection: ClientConnection) -> bool:
@@ -210,12 +270,12 @@
                 del self._idle[address]
         # Closed last, as other tasks may take a connection while one is closing.
         for connection in expired:
-            await connection.aclose()
+            await self._close(connection)
 
     async def close_idle_to(self, address: str) -> None:
         """Close the idle connections to an address."""
         for connection in self._idle.pop(address, ()):
-            await connection.aclose()
+            await self._close(connection)
 
     async def aclose(self) -> None:
         """Close all idle connections."""
