The serving daemon counts what callers send before it holds it

What callers saw: crowds of clients outside the limits ended a daemon (memory, or EMFILE out of accept), or it answered nobody while bodies of tiny chunks were decoded. At ready and metrics the same.

Cause: bodies counted once they were complete, against a budget that was off; nothing limited connections, and an error of accept ended the daemon; one read of 64 KiB was decoded at once, some ten thousand chunks.

A body counts twice, as received and as sent on, before its bytes are kept; what is announced and can't be served is refused after its head; bodies that are being received take half of the budget and give way, the stalled first, then those of the sender that holds most (body_intake.py). Connections give way: idle, unfinished, then those whose caller reads nothing; never a request that is served (connection_limit.py). A decoder takes 512 chunks a step, one step an iteration of the event loop, eight bodies at once (decode_turns.py). Refusals say 503 and Retry-After. The three classes share the reader and the server, so they come in one commit.

Bodies of 1 MB in chunks of 1 and 2 bytes, or sent slowly, are served in calm.

held_mb = 0 means a share of the machine's memory now; it was unlimited.

--- a/features/crowds/crowds.feature
+++ b/features/crowds/crowds.feature
@@ -10,6 +10,7 @@
     Then the process lives
     And it has stayed within its memory and its descriptors
     And one ordinary request at each address is answered, meanwhile and afterwards
+    And nothing is held afterwards
 
     Examples:
       | address | clients | crowd                              |
@@ -53,3 +54,23 @@
       | administration | 250     | announce far more than allowed     |
       | administration | 600     | send nothing                       |
       | peers          | 600     | send nothing                       |
+
+  Scenario Outline: In calm the "<program>" daemon takes a body of 1 MB: <how>
+    Guards against limits that a single client inside the limits meets.
+
+    Given the "<program>" daemon on a machine with 192 MB and 500 descriptors
+    When a client sends a body of <bytes> bytes: <how>
+    Then it is answered with <status>
+
+    Examples:
+      | program | bytes   | how                   | status |
+      | serving | 1000000 | at once               | 200    |
+      | serving | 1000000 | in chunks of 2 bytes  | 200    |
+      | serving | 1000000 | in chunks of 1 byte   | 200    |
+      | serving | 1000000 | in parts, with pauses | 200    |
+      | serving | 1000001 | at once               | 413    |
+      | serving | 1000002 | in chunks of 2 bytes  | 413    |
+      | own     | 1000000 | at once               | 200    |
+      | own     | 1000000 | in chunks of 2 bytes  | 200    |
+      | own     | 1000000 | in parts, with pauses | 200    |
+      | own     | 1000001 | at once               | 413    |
--- a/features/crowds/steps/crowd_steps.py
+++ b/features/crowds/steps/crowd_steps.py
@@ -16,6 +16,11 @@
 """Descriptors that ordinary requests may have left open, as kept connections."""
 
 
+PARTS, PAUSE_S = 20, 0.2
+"""A slow client sends its body in so many parts, with pauses."""
+
+CALM_TIMEOUT_S = 60
+
 CLOSING_TRIES = 100
 """How often the daemon's descriptors are counted until its connections are closed."""
 
@@ -86,6 +91,7 @@
                 context.after = await answers(program)
                 context.is_alive = program.is_alive()
                 context.left = await count_left(program, watch, calm_descriptors)
+                context.held_bytes = await program.held_bytes()
             context.watch = watch
             context.log = program.log_tail()
 
@@ -117,3 +123,53 @@
     assert context.meanwhile, context.log
     assert all(context.meanwhile.values()), (context.meanwhile, context.log)
     assert all(context.after.values()), (context.after, context.log)
+
+
+def body_parts(how, size):
+    """Return the header that frames a body, and its parts as they are sent."""
+    if how.startswith("in chunks of "):
+        each = int(how.split()[3])
+        part = b"%x\r\n%b\r\n" % (each, b"x" * each)
+        return "Transfer-Encoding: chunked", [part * (size // each), b"0\r\n\r\n"]
+    parts = PARTS if how == "in parts, with pauses" else 1
+    return f"Content-Length: {size}", [b"x" * (size // parts)] * parts
+
+
+@when("a client sends a body of {size:d} bytes: {how}")
+def calm_client(context, size, how):
+    async def play(folder):
+        limits = context.memory_mb, context.descriptors
+        async with context.start(folder, *limits) as program:
+            listener = program.listeners["callers"]
+            header, parts = body_parts(how, size)
+            head = listener.head.replace("\\n", "\r\n") + f"\r\n{header}\r\n\r\n"
+            with anyio.fail_after(CALM_TIMEOUT_S):
+                stream = await anyio.connect_tcp("127.0.0.1", listener.port)
+                async with stream, anyio.create_task_group() as tasks:
+                    tasks.start_soon(send_parts, stream, [head.encode(), *parts])
+                    context.answer = await stream.receive()
+                    tasks.cancel_scope.cancel()
+
+    with tempfile.TemporaryDirectory() as folder:
+        anyio.run(play, folder)
+
+
+async def send_parts(stream, parts):
+    for part in parts:
+        try:
+            await stream.send(part)
+        except anyio.BrokenResourceError:
+            # The server may answer and close before it has read everything.
+            return
+        if len(parts) > PARTS:
+            await anyio.sleep(PAUSE_S)
+
+
+@then("it is answered with {status:d}")
+def calm_answer(context, status):
+    assert context.answer.startswith(b"HTTP/1.1 %d " % status), context.answer[:300]
+
+
+@then("nothing is held afterwards")
+def nothing_held(context):
+    assert context.held_bytes == 0, context.held_bytes
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -20,9 +20,11 @@
     resumes,
 )
 from knapweedbridge_core.serving.backpressure import Backpressure
+from knapweedbridge_core.serving.body_intake import BodyIntake, IncompleteBody
 from knapweedbridge_core.serving.caller_wait import PendingRequest, UsualDeadlines
 from knapweedbridge_core.serving.cluster_state import ClusterState, StoreEvent
 from knapweedbridge_core.serving.crashes import CrashLedger
+from knapweedbridge_core.serving.decode_turns import DecodeTurns
 from knapweedbridge_core.serving.deployment import (
     BaseModel,
     CallKind,
@@ -150,6 +152,7 @@
     "Attribution",
     "Backpressure",
     "BaseModel",
+    "BodyIntake",
     "NamedResponses",
     "OrderedResponses",
     "ResponseAttribution",
@@ -161,6 +164,7 @@
     "ClientAccount",
     "CrashLedger",
     "DaemonRecord",
+    "DecodeTurns",
     "Deployment",
     "Endpoint",
     "EndpointPaths",
@@ -179,6 +183,7 @@
     "QuotaGrant",
     "SubscriberMarks",
     "HeldKind",
+    "IncompleteBody",
     "LateAdmission",
     "LearnedRates",
     "LeaseClock",
--- a/packages/core/src/knapweedbridge_core/serving/memory_budget.py
+++ b/packages/core/src/knapweedbridge_core/serving/memory_budget.py
@@ -18,6 +18,7 @@
 class HeldKind(Enum):
     """What memory is used for."""
 
+    INCOMPLETE = "incomplete"
     BODIES = "bodies"
     RESPONSES = "responses"
     PEERS = "peers"
@@ -51,6 +52,10 @@
         """Total memory in use."""
         return sum(self._held.values())
 
+    def held(self, kind: HeldKind) -> int:
+        """Return the memory in use for one purpose."""
+        return self._held[kind]
+
     @property
     def is_scarce(self) -> bool:
         """Whether more than `SCARCE_SHARE` of the budget is used."""
--- a/packages/core/src/knapweedbridge_core/settings.py
+++ b/packages/core/src/knapweedbridge_core/settings.py
@@ -6,6 +6,7 @@
 
 from knapweedbridge_core.errors import CheckError
 from knapweedbridge_core.faults import Fault
+from knapweedbridge_core.machine_settings import HOLDING_KEYS, MACHINE_KEYS
 from knapweedbridge_core.schema import (
     Address,
     Choice,
@@ -29,6 +30,7 @@
         {
             "name": Key(Name(), None, "Name of the host in the platform's list."),
             "data_centre": Key(Name(), None, "Data centre of the host."),
+            **MACHINE_KEYS,
         },
     ),
     "listen": Section(
@@ -111,6 +113,7 @@
                 "4194304",
                 "Largest body of a request, bytes.",
             ),
+            **HOLDING_KEYS,
             "drain_grace_s": Key(
                 Number(0, 600),
                 "5",
--- a/packages/daemon/src/knapweedbridge_daemon/serving/admin_handlers.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/admin_handlers.py
@@ -21,8 +21,8 @@
 
     @staticmethod
     def limits() -> RequestLimits:
-        """Return the limits of requests to these handlers."""
-        return RequestLimits()
+        """Return the limits of requests to these handlers, which have no bodies."""
+        return RequestLimits(body_bytes=0)
 
     async def ready(self, request: ReceivedRequest, responder: Responder) -> None:
         """Respond to a readiness check of the load balancer."""
@@ -63,5 +63,9 @@
             "store_disturbed": float(anyio.current_time() < hub.outage.lapsed_until_s),
             "store_age_s": hub.news_age_s,
             "held_bytes": hub.memory.held_bytes,
+            "held_bytes_limit": hub.memory.limit_bytes,
+            "caller_connections": len(hub.connections),
+            "caller_connections_limit": hub.connections.limit,
+            "caller_connections_evicted": hub.connections.evicted,
             "log_lines_dropped": sum(hub.log.dropped.values()),
         }
--- a/packages/daemon/src/knapweedbridge_daemon/serving/byte_stream.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/byte_stream.py
@@ -56,10 +56,17 @@
     ----------
     on_end : callable or None
         Called when the other side sends no more, or the connection is lost.
+    on_block : callable or None
+        Called with True when a write has to wait for the other side, and with False
+        when it waits no more.
+    most_unread_bytes : int
+        Unread bytes beyond which reading is paused.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, most_unread_bytes: int = MAX_UNREAD_BYTES) -> None:
         self.on_end: Callable[[], Any] | None = None
+        self.on_block: Callable[[bool], Any] | None = None
+        self.most_unread_bytes = most_unread_bytes
         self._transport: asyncio.Transport
         self._loop = asyncio.get_running_loop()
         self._chunks: deque[bytes] = deque()
@@ -75,14 +82,16 @@
         self._timer: asyncio.TimerHandle | None = None
 
     @classmethod
-    def from_anyio(cls, stream: SocketStream) -> "ByteStream":
+    def from_anyio(
+        cls, stream: SocketStream, most_unread_bytes: int = MAX_UNREAD_BYTES
+    ) -> "ByteStream":
         """Return a stream that takes over the connection of an accepted anyio stream.
 
         anyio does not expose the transport publicly; its version is pinned.
         """
         transport = cast(Any, stream)._transport
         previous = cast(Any, stream)._protocol
-        taken_over = cls()
+        taken_over = cls(most_unread_bytes)
         taken_over.connection_made(transport)
         transport.set_protocol(taken_over)
         for chunk in previous.read_queue:
@@ -111,10 +120,15 @@
         """See `asyncio.Protocol`."""
         self._chunks.append(data)
         self._unread_bytes += len(data)
-        if self._unread_bytes > MAX_UNREAD_BYTES and self._is_reading:
+        if self._unread_bytes > self.most_unread_bytes:
+            self.pause_reading()
+        self._wake_reader()
+
+    def pause_reading(self) -> None:
+        """Read nothing more from the connection until what was read is received."""
+        if self._is_reading and not self.has_ended:
             self._is_reading = False
             self._transport.pause_reading()
-        self._wake_reader()
 
     def eof_received(self) -> bool:
         """See `asyncio.Protocol`; the connection stays open for writing."""
@@ -254,10 +268,14 @@
 
     async def _await_writable(self) -> None:
         self._write_waiter = self._loop.create_future()
+        if self.on_block is not None:
+            self.on_block(True)
         try:
             await self._write_waiter
         finally:
             self._write_waiter = None
+            if self.on_block is not None:
+                self.on_block(False)
 
     def _connection_error(self) -> ConnectionError:
         return ConnectionError(repr(self._error) if self._error else "closed")
--- a/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/callers_app.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from knapweedbridge_core.connection_limit import RETRY_AFTER_S
 from knapweedbridge_core.serving import RequestLimits, Route, fingerprint, shared_parts
 from knapweedbridge_daemon.serving.account_quotas import AccountQuotas
 from knapweedbridge_daemon.serving.attempt_records import MARK_DIGITS
@@ -20,7 +21,8 @@
     Responder,
 )
 from knapweedbridge_daemon.serving.hub import Hub
-from knapweedbridge_daemon.serving.wire import get_header
+from knapweedbridge_daemon.serving.request_reading import OverloadedError
+from knapweedbridge_daemon.serving.wire import Headers, get_header
 
 STOPPING_RETRY_AFTER_S = 0.05
 """Retry-After of a stopping daemon: another one takes the request at once."""
@@ -73,6 +75,18 @@
         self._hub.metrics.count("bad_requests", str(error.status))
         self._hub.log.info("request.bad", status=error.status, error=str(error))
 
+    def pack_refusal(self, error: BadRequestError) -> tuple[Headers, bytes]:
+        """Return headers and body of the response to a request that was not read."""
+        if not isinstance(error, OverloadedError):
+            return [], b""
+        refusal = Refusal(error.status, error.reason, RETRY_AFTER_S)
+        return self._hub.dialects.callers.refusal(refusal)
+
+    def record_accept_failure(self, error: OSError) -> None:
+        """Count and log a connection that could not be accepted."""
+        self._hub.metrics.count("connections_not_accepted")
+        self._hub.log.error("connection.not_accepted", error=repr(error))
+
     def count_internal_error(self, error: Exception) -> None:
         """Count and log an unexpected exception, with the end of its traceback."""
         self._hub.metrics.count("internal_errors")
--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -9,6 +9,8 @@
 from anyio.abc import TaskGroup
 
 from knapweedbridge_core.addresses import split_address
+from knapweedbridge_core.connection_limit import ConnectionLimit
+from knapweedbridge_core.machine_settings import shares_of
 from knapweedbridge_core.serving import (
     AdmitAll,
     MemoryBudget,
@@ -18,7 +20,10 @@
     RetryBudget,
     StoreOutage,
 )
+from knapweedbridge_daemon.own_machine import find_own_machine
+from knapweedbridge_daemon.serving.accepting import accept_connections, listen
 from knapweedbridge_daemon.serving.admin_handlers import AdminHandlers
+from knapweedbridge_daemon.serving.body_reception import BodyReception
 from knapweedbridge_daemon.serving.call_runner import CallRunner
 from knapweedbridge_daemon.serving.callers_app import CallersApp
 from knapweedbridge_daemon.serving.decision_log import DecisionLog
@@ -76,6 +81,8 @@
     ) -> None:
         self._settings = settings
         self._log_descriptor = log_descriptor
+        values = settings.values
+        self._shares = shares_of(values["host"], values["limits"], find_own_machine())
 
     async def run(self) -> None:
         """Serve until a stop signal, then finish the calls in flight."""
@@ -134,14 +141,20 @@
             ),
             lease_s=lease_s,
             overload=OVERLOAD_POLICIES[get("admission", "overdue_calls")](),
-            memory=MemoryBudget(round(get("limits", "held_mb") * 1_000_000)),
+            connections=ConnectionLimit(self._shares.caller_connections),
+            memory=MemoryBudget(self._shares.held_bytes),
         )
         hub.cluster.older_version_s = get("engines", "older_version_ms") / 1000
         hub.cluster.fleet.speeds.enabled = get("engines", "learn_speeds") == "yes"
         return hub
 
     async def _serve(self, hub: Hub) -> None:
-        link = PeerLink(hub, round(self._settings.get("limits", "tunnels")))
+        hub.pool.limit = self._shares.endpoint_connections
+        link = PeerLink(
+            hub,
+            round(self._settings.get("limits", "tunnels")),
+            self._shares.unproven_peers,
+        )
         follower = StoreFollower(
             hub,
             link.subscribe,
@@ -155,7 +168,13 @@
         memory_guard = MemoryGuard(hub)
         handle = memory_guard.guard(app.handle)
         server = HttpServer(
-            handle, app.limits, app.count_bad_request, app.count_internal_error
+            handle,
+            app.limits,
+            app.count_bad_request,
+            app.count_internal_error,
+            BodyReception(memory_guard.intake),
+            hub.connections,
+            app.pack_refusal,
         )
         async with anyio.create_task_group() as callers:
             try:
@@ -202,16 +221,21 @@
         self, callers: TaskGroup, hub: Hub, server: HttpServer, app: CallersApp
     ) -> None:
         admin = AdminHandlers(hub)
-        counts = app.count_bad_request, app.count_internal_error
-        ready = HttpServer(admin.ready, admin.limits, *counts)
-        metrics = HttpServer(admin.metrics, admin.limits, *counts)
-        servers = {"callers": server, "ready": ready, "metrics": metrics}
-        for name, served in servers.items():
-            ip, port = self._address(name)
-            listener = await anyio.create_tcp_listener(
-                local_host=ip, local_port=port, backlog=BACKLOG, reuse_port=False
+        servers = {"callers": server}
+        for name, handle in (("ready", admin.ready), ("metrics", admin.metrics)):
+            servers[name] = HttpServer(
+                handle,
+                admin.limits,
+                app.count_bad_request,
+                app.count_internal_error,
+                connections=ConnectionLimit(self._shares.side_connections),
+                pack_refusal=app.pack_refusal,
             )
-            callers.start_soon(listener.serve, served.serve)
+        for name, served in servers.items():
+            for each in await listen(*self._address(name), BACKLOG):
+                callers.start_soon(
+                    accept_connections, each, served, app.record_accept_failure
+                )
 
     async def _await_stop(
         self,
--- a/packages/daemon/src/knapweedbridge_daemon/serving/http_bodies.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/http_bodies.py
@@ -5,6 +5,11 @@
 
 MAX_CHUNK_LINE_BYTES = 4096
 MAX_TRAILER_BYTES = 65536
+MAX_EXTENSION_BYTES = 65536
+"""Most bytes of chunk extensions in one body, which carry nothing of it."""
+
+ELEMENTS_A_STEP = 512
+"""Chunks that are decoded at once, in about half a millisecond."""
 
 MAX_SIZE_DIGITS = 16
 """Maximum number of hexadecimal digits in a chunk size."""
@@ -27,12 +32,14 @@
         Whether the end of the body was received.
     rest : bytes
         Bytes received after the end of the body.
+    has_more : bool
+        Whether a further step decodes more of the bytes that were received.
     """
 
     is_complete: bool = False
+    has_more: bool = False
     rest: bytes = b""
 
-    @abstractmethod
     def feed(self, data: bytes) -> bytes:
         """Decode received bytes and return the part of the body in them.
 
@@ -41,6 +48,23 @@
         BodyError
             If the bytes violate the framing.
         """
+        part = self.step(data)
+        if not self.has_more:
+            return part
+        parts = [part]
+        while self.has_more:
+            parts.append(self.step(b""))
+        return b"".join(parts)
+
+    @abstractmethod
+    def step(self, data: bytes) -> bytes:
+        """Decode like `feed`, but no more than a bounded number of elements.
+
+        Raises
+        ------
+        BodyError
+            If the bytes violate the framing.
+        """
 
     def end(self) -> None:
         """Handle an orderly end of the connection.
@@ -66,8 +90,8 @@
         self._remaining = length
         self.is_complete = length == 0
 
-    def feed(self, data: bytes) -> bytes:
-        """See `BodyDecoder.feed`."""
+    def step(self, data: bytes) -> bytes:
+        """See `BodyDecoder.step`."""
         remaining = self._remaining
         if len(data) < remaining:
             self._remaining = remaining - len(data)
@@ -81,8 +105,8 @@
 class UnboundedBody(BodyDecoder):
     """Body that extends to the end of the connection."""
 
-    def feed(self, data: bytes) -> bytes:
-        """See `BodyDecoder.feed`."""
+    def step(self, data: bytes) -> bytes:
+        """See `BodyDecoder.step`."""
         return data
 
     def end(self) -> None:
@@ -94,35 +118,46 @@
     """Chunked body; trailers are validated and discarded."""
 
     def __init__(self) -> None:
-        self._buffered = b""
+        self._buffer = b""
+        self._start = 0
         self._remaining = 0
         self._expects_chunk_end = False
         self._in_trailers = False
         self._trailer_bytes = 0
-
-    def feed(self, data: bytes) -> bytes:
-        """See `BodyDecoder.feed`."""
-        buffer = self._buffered + data if self._buffered else data
-        self._buffered = b""
+        self._extension_bytes = 0
+
+    def step(self, data: bytes) -> bytes:
+        """See `BodyDecoder.step`."""
+        if data:
+            left = self._buffer[self._start :]
+            self._buffer, self._start = left + data if left else data, 0
+        buffer, start = self._buffer, self._start
         parts: list[bytes] = []
-        start = 0
         if not (self._remaining or self._expects_chunk_end or self._in_trailers):
             start = self._decode_whole_chunks(buffer, start, parts)
-        while not self.is_complete:
+        elements = 2 * len(parts)
+        self.has_more = True
+        while not self.is_complete and elements < 2 * ELEMENTS_A_STEP:
             end = self._decode_element(buffer, start, parts)
             if end == start:
+                self.has_more = False
                 break
             start = end
+            elements += 1
+        self._start = start
         if self.is_complete:
+            self.has_more = False
             self.rest += buffer[start:]
-        else:
-            self._buffered = buffer[start:]
+        if not self.has_more:
+            self._buffer, self._start = (
+                (b"", 0) if self.is_complete else (buffer[start:], 0)
+            )
         return parts[0] if len(parts) == 1 else b"".join(parts)
 
     @staticmethod
     def _decode_whole_chunks(buffer: bytes, start: int, parts: list[bytes]) -> int:
         """Decode complete chunks, the common case; return where they end."""
-        while True:
+        while len(parts) < ELEMENTS_A_STEP:
             end = buffer.find(b"\r\n", start, start + MAX_SIZE_DIGITS + 2)
             if end < 0 or not _SIZE.fullmatch(buffer, start, end):
                 return start
@@ -132,6 +167,7 @@
                 return start
             parts.append(buffer[end + 2 : stop])
             start = stop + 2
+        return start
 
     def _decode_element(self, buffer: bytes, start: int, parts: list[bytes]) -> int:
         """Decode one element of the framing; return where the next one starts."""
@@ -171,6 +207,9 @@
         found = _SIZE_LINE.fullmatch(line)
         if found is None:
             raise BodyError("invalid chunk size")
+        self._extension_bytes += len(line) - len(found[1])
+        if self._extension_bytes > MAX_EXTENSION_BYTES:
+            raise BodyError("oversized chunk extensions")
         self._remaining = int(found[1], 16)
         self._in_trailers = not self._remaining
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/http_server.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/http_server.py
@@ -5,6 +5,7 @@
 httptools directly on the transports of the event loop.
 """
 
+import itertools
 from collections.abc import Awaitable, Callable
 from contextlib import closing, suppress
 from dataclasses import dataclass, field
@@ -13,12 +14,15 @@
 from anyio.abc import SocketStream
 from anyio.lowlevel import checkpoint
 
+from knapweedbridge_core.connection_limit import ConnectionLimit, ConnectionState
 from knapweedbridge_core.serving import RequestLimits
+from knapweedbridge_daemon.serving.body_reception import BodyReception
 from knapweedbridge_daemon.serving.byte_stream import ByteStream
 from knapweedbridge_daemon.serving.clock import loop_time_s
 from knapweedbridge_daemon.serving.http_heads import Framing
 from knapweedbridge_daemon.serving.request_reading import (
     BadRequestError,
+    NoConnectionError,
     ReceivedRequest,
     RequestReader,
 )
@@ -38,6 +42,13 @@
 """How long a closing connection is still read. Closing it with unread bytes would
 reset it, and the caller could lose a response that was just written."""
 
+LINGER_BYTES = 131_072
+"""Most bytes that are read from a closing connection. What comes after them is left
+unread, so that a caller that goes on sending costs no more."""
+
+MOST_UNREAD_BYTES = 16384
+"""Unread bytes of a caller beyond which reading from its connection is paused."""
+
 INTERNAL_ERROR_STATUS = 500
 """Status of the response after an internal error; the request may have run."""
 
@@ -112,6 +123,11 @@
 Handler = Callable[[ReceivedRequest, Responder], Awaitable[None]]
 
 
+def pack_empty_refusal(error: BadRequestError) -> tuple[Headers, bytes]:
+    """Return no headers and no body for a refusal."""
+    return [], b""
+
+
 class CallerConnection:
     """Connection of one caller.
 
@@ -126,9 +142,12 @@
     def __init__(self, server: "HttpServer", stream: SocketStream) -> None:
         self._server = server
         self._stream = stream
-        self._wire = ByteStream.from_anyio(stream)
-        self._reader = RequestReader(self._wire)
+        self._wire = ByteStream.from_anyio(stream, MOST_UNREAD_BYTES)
+        self._wire.on_block = self._record_block
+        self._reader = RequestReader(self._wire, server.reception)
         self._packer = ResponsePacker(b"", Framing())
+        self._state = ConnectionState.IDLE
+        self.number = next(server.numbers)
 
     async def serve(self) -> None:
         """Serve requests until either side closes the connection."""
@@ -141,12 +160,14 @@
             if found is None:
                 return
             request, framing = found
+            self._enter(ConnectionState.SERVING)
             self._packer = ResponsePacker(request.head.method, framing)
             if not await self._handle(request, framing) or not self._packer.keeps:
                 await self._linger()
                 return
             if self._reader.has_unread:
                 # Yields to other tasks between pipelined requests.
+                self._enter(ConnectionState.RECEIVING)
                 await checkpoint()
 
     def close(self) -> None:
@@ -167,14 +188,28 @@
         limits = self._server.limits()
         self._packer = ResponsePacker(b"", Framing())
         if not self._reader.has_unread:
+            self._enter(ConnectionState.IDLE)
             self._server.idle.add(self)
             try:
                 if not await self._reader.await_request(limits):
                     return None
             finally:
                 self._server.idle.discard(self)
+        self._enter(ConnectionState.RECEIVING)
         return await self._reader.read(limits)
 
+    def _enter(self, state: ConnectionState) -> None:
+        self._state = state
+        self._server.connections.enter(self.number, state, loop_time_s())
+
+    def _record_block(self, is_blocked: bool) -> None:
+        state = ConnectionState.BLOCKED if is_blocked else self._state
+        self._server.connections.enter(self.number, state, loop_time_s())
+
+    def evict(self) -> None:
+        """Close the connection for a new one; no request of it is being served."""
+        self._wire.close()
+
     async def _handle(self, request: ReceivedRequest, framing: Framing) -> bool:
         """Run the handler; return False if the connection must be closed."""
         if self._wire.has_ended:
@@ -232,10 +267,15 @@
         except OSError as error:
             raise CallerDisconnectedError(repr(error)) from error
 
+    async def refuse_connection(self) -> None:
+        """Refuse the first request, which is not read."""
+        await self._refuse(NoConnectionError("no room for one more connection"))
+
     async def _refuse(self, error: BadRequestError) -> None:
         self._server.count_bad_request(error)
+        headers, body = self._server.pack_refusal(error)
         try:
-            await Responder(self).answer(error.status, [], b"", close=True)
+            await Responder(self).answer(error.status, headers, body, close=True)
         except CallerDisconnectedError:
             return
         await self._linger()
@@ -246,9 +286,15 @@
             return
         self._wire.send_eof()
         deadline_s = loop_time_s() + LINGER_S
+        left_bytes = LINGER_BYTES
         with suppress(ConnectionError, TimeoutError):
-            while await self._wire.receive_by(deadline_s):
-                pass
+            while left_bytes > 0:
+                received = await self._wire.receive_by(deadline_s)
+                if not received:
+                    return
+                left_bytes -= len(received)
+            self._wire.pause_reading()
+            await anyio.sleep(deadline_s - loop_time_s())
 
 
 class HttpServer:
@@ -264,15 +310,23 @@
         Called with the error of each request that could not be read.
     count_internal_error : callable
         Called with each error raised by the daemon's own code.
+    reception : BodyReception, optional
+        Counts the bodies that are being received; by default without a limit.
+    connections : ConnectionLimit, optional
+        Limits the open connections; by default there is no limit.
+    pack_refusal : callable, optional
+        Returns headers and body of the response to a request that could not be read.
 
     Attributes
     ----------
     closing : bool
         Whether connections are closed after their next response.
-    open_connections : int
-        Number of open connections.
+    connections : ConnectionLimit
+        The open connections by state.
     idle : set of CallerConnection
         Connections without a request in progress.
+    numbers : iterator of int
+        Numbers for connections.
     """
 
     def __init__(
@@ -281,14 +335,28 @@
         limits: Callable[[], RequestLimits],
         count_bad_request: Callable[[BadRequestError], None],
         count_internal_error: Callable[[Exception], None],
+        reception: BodyReception | None = None,
+        connections: ConnectionLimit | None = None,
+        pack_refusal: Callable[
+            [BadRequestError], tuple[Headers, bytes]
+        ] = pack_empty_refusal,
     ) -> None:
         self.handler = handler
         self.limits = limits
         self.count_bad_request = count_bad_request
         self.count_internal_error = count_internal_error
+        self.reception = BodyReception() if reception is None else reception
+        self.connections = ConnectionLimit() if connections is None else connections
+        self.pack_refusal = pack_refusal
         self.closing = False
-        self.open_connections = 0
         self.idle: set[CallerConnection] = set()
+        self.numbers = itertools.count(1)
+        self._open: dict[int, CallerConnection] = {}
+
+    @property
+    def open_connections(self) -> int:
+        """Number of open connections."""
+        return len(self.connections)
 
     def close_idle(self) -> None:
         """Close the connections that have no request in progress."""
@@ -296,14 +364,38 @@
             connection.close_idle()
 
     async def serve(self, stream: SocketStream) -> None:
-        """Serve one connection until it is closed."""
-        self.open_connections += 1
+        """Serve one connection until it is closed.
+
+        If there is no room for it, another one is closed, or it is refused.
+        """
         try:
             connection = CallerConnection(self, stream)
-            with closing(connection):
-                await connection.serve()
+            has_room = self._make_room()
+            self._open[connection.number] = connection
+            self.connections.add(connection.number, loop_time_s())
+            try:
+                with closing(connection):
+                    if has_room:
+                        await connection.serve()
+                    elif self.connections.may_refuse:
+                        await connection.refuse_connection()
+            finally:
+                del self._open[connection.number]
+                self.connections.remove(connection.number)
         except Exception as error:
             # An error outside any request only closes this caller's connection.
             self.count_internal_error(error)
-        finally:
-            self.open_connections -= 1
+
+    def _make_room(self) -> bool:
+        """Return whether one more connection may be served, evicting another one."""
+        if not self.connections.is_full:
+            return True
+        return self.evict_one()
+
+    def evict_one(self) -> bool:
+        """Close the connection that gives way to a new one, if there is one."""
+        number = self.connections.choose(loop_time_s())
+        if number is None:
+            return False
+        self._open[number].evict()
+        return True
--- a/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from knapweedbridge_core.connection_limit import ConnectionLimit
 from knapweedbridge_core.serving import (
     AdmitAll,
     ClusterState,
@@ -114,6 +115,8 @@
         Estimates the time that callers have spent on earlier attempts.
     overload : OverloadPolicy
         Treatment of calls that engines cannot answer in time.
+    connections : ConnectionLimit
+        Open connections of callers.
     memory : MemoryBudget
         Bound on the memory that is held for callers.
     first_byte_timeouts : FirstByteTimeouts
@@ -149,6 +152,7 @@
     tolerance: QuotaTolerance = QuotaTolerance()
     deadlines: UsualDeadlines = field(default_factory=UsualDeadlines)
     overload: OverloadPolicy = field(default_factory=AdmitAll)
+    connections: ConnectionLimit = field(default_factory=ConnectionLimit)
     memory: MemoryBudget = field(default_factory=MemoryBudget)
     first_byte_timeouts: FirstByteTimeouts = field(init=False)
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/memory_guard.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/memory_guard.py
@@ -6,7 +6,8 @@
 
 import anyio
 
-from knapweedbridge_core.serving import HeldKind, MemoryBudget
+from knapweedbridge_core.serving import BodyIntake, HeldKind, MemoryBudget
+from knapweedbridge_core.serving.body_intake import COPIES
 from knapweedbridge_core.serving.memory_budget import RETRY_AFTER_S
 from knapweedbridge_daemon.serving.dialects import Refusal
 from knapweedbridge_daemon.serving.http_server import (
@@ -33,11 +34,17 @@
     ----------
     hub : Hub
         The budget, the log and the metrics.
+
+    Attributes
+    ----------
+    intake : BodyIntake
+        Decides which bodies are received.
     """
 
     def __init__(self, hub: Hub) -> None:
         self._hub = hub
         self._budget: MemoryBudget = hub.memory
+        self.intake = BodyIntake(hub.memory)
         self._disconnects: dict[int, Callable[[], None]] = {}
 
     def guard(self, handler: Handler) -> Handler:
@@ -56,12 +63,8 @@
         return guarded
 
     def refusal(self, body_bytes: int) -> Refusal | None:
-        """Return the refusal of a request with such a body; None if it is accepted.
-
-        The reader of requests may call this after a head, so that the body of a refused
-        request is never held.
-        """
-        if not self._budget.must_refuse(body_bytes):
+        """Return the refusal of a request with such a body; None if it is accepted."""
+        if not body_bytes or not self.intake.must_refuse(body_bytes):
             return None
         self._hub.metrics.count("requests", "no_memory")
         self._hub.log.info(
@@ -75,7 +78,7 @@
     async def _handle(
         self, handler: Handler, request: ReceivedRequest, responder: Responder
     ) -> None:
-        with self.holding(HeldKind.BODIES, len(request.body)):
+        with self.holding(HeldKind.BODIES, COPIES * len(request.body)):
             with anyio.CancelScope() as scope:
                 watched = WatchedResponder(responder, self, scope)
                 await handler(request, cast(Responder, watched))
--- a/packages/daemon/src/knapweedbridge_daemon/serving/request_reading.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/request_reading.py
@@ -3,10 +3,13 @@
 from contextlib import suppress
 from dataclasses import dataclass
 
+import anyio
+
 from knapweedbridge_core.serving import RequestLimits
+from knapweedbridge_daemon.serving.body_reception import BodyReception
 from knapweedbridge_daemon.serving.byte_stream import ByteStream
 from knapweedbridge_daemon.serving.clock import loop_time_s
-from knapweedbridge_daemon.serving.http_bodies import BodyError
+from knapweedbridge_daemon.serving.http_bodies import BodyDecoder, BodyError
 from knapweedbridge_daemon.serving.http_heads import (
     END_OF_HEAD,
     Framing,
@@ -34,6 +37,39 @@
         self.status = status
 
 
+class OverloadedError(BadRequestError):
+    """Raised for a request that is not read because too much is held.
+
+    Attributes
+    ----------
+    reason : str
+        What there is too much of, for the response.
+    """
+
+    reason: str = "overloaded"
+
+    def __init__(self, message: str) -> None:
+        super().__init__(503, message)
+
+
+class NoMemoryError(OverloadedError):
+    """Raised for a request whose body cannot be received for lack of memory."""
+
+    reason = "no_memory"
+
+
+class NoTurnError(OverloadedError):
+    """Raised for a body of tiny chunks while others are decoded."""
+
+    reason = "no_turn"
+
+
+class NoConnectionError(OverloadedError):
+    """Raised on a connection for which there is no room."""
+
+    reason = "no_connection"
+
+
 @dataclass(slots=True, frozen=True)
 class ReceivedRequest:
     """Complete request.
@@ -63,10 +99,13 @@
     ----------
     stream : ByteStream
         Connection of the caller.
+    reception : BodyReception
+        Counts the bodies of all connections while they are received.
     """
 
-    def __init__(self, stream: ByteStream) -> None:
+    def __init__(self, stream: ByteStream, reception: BodyReception) -> None:
         self._stream = stream
+        self._reception = reception
         self._unread = b""
 
     @property
@@ -146,29 +185,63 @@
         return block
 
     async def _read_body(self, framing: Framing, limits: RequestLimits) -> bytes | None:
-        if (framing.length or 0) > limits.body_bytes:
+        announced_bytes = framing.length or 0
+        if announced_bytes > limits.body_bytes:
             raise BadRequestError(413, "the body is too large")
+        if announced_bytes and self._reception.must_refuse(announced_bytes):
+            raise NoMemoryError("no memory for the body")
         if framing.expects_continue:
             with suppress(ConnectionError):
                 await self._stream.send(CONTINUE)
-        body = request_body(framing)
-        parts: list[bytes] = []
-        size = 0
-        while not body.is_complete:
-            data, self._unread = self._unread, b""
-            try:
-                data = data or await self._receive(limits.idle_timeout_s)
-                part = body.feed(data)
-            except TimeoutError:
-                raise BadRequestError(408, "the body took too long") from None
-            except BodyError as error:
-                raise BadRequestError(400, str(error)) from error
-            if not data:
-                return None
-            parts.append(part)
-            size += len(part)
-            if size > limits.body_bytes:
-                raise BadRequestError(413, "the body is too large")
-            if body.is_complete:
-                self._unread = body.rest
-        return parts[0] if len(parts) == 1 else b"".join(parts)
+        decoder = request_body(framing)
+        data, self._unread = self._unread, b""
+        if not decoder.is_complete or data:
+            first = self._decode(decoder, data, limits.body_bytes)
+            if not decoder.is_complete:
+                return await self._receive_body(decoder, first, limits)
+            self._unread = decoder.rest
+            return first
+        return b""
+
+    async def _receive_body(
+        self, decoder: BodyDecoder, first: bytes, limits: RequestLimits
+    ) -> bytes | None:
+        """Receive a body that did not come with its head; it may be evicted."""
+        with anyio.CancelScope() as scope:
+            with self._reception.body(self._stream.peer_host, scope.cancel) as body:
+                received = bytearray()
+                part = first
+                while True:
+                    received += part
+                    if part and not body.grow(len(part)):
+                        raise NoMemoryError("no memory for the body")
+                    if decoder.is_complete:
+                        self._unread = decoder.rest
+                        return bytes(received)
+                    if decoder.has_more:
+                        if not await body.await_turn():
+                            raise NoTurnError("too many bodies of tiny chunks")
+                        data = b""
+                    else:
+                        data = await self._receive_part(limits.idle_timeout_s)
+                        if not data:
+                            return None
+                    most_bytes = limits.body_bytes - len(received)
+                    part = self._decode(decoder, data, most_bytes)
+        raise NoMemoryError("the body gave way to others")
+
+    async def _receive_part(self, within_s: float) -> bytes:
+        try:
+            return await self._receive(within_s)
+        except TimeoutError:
+            raise BadRequestError(408, "the body took too long") from None
+
+    @staticmethod
+    def _decode(decoder: BodyDecoder, data: bytes, most_bytes: int) -> bytes:
+        try:
+            part = decoder.step(data)
+        except BodyError as error:
+            raise BadRequestError(400, str(error)) from error
+        if len(part) > most_bytes:
+            raise BadRequestError(413, "the body is too large")
+        return part
--- a/packages/daemon/src/knapweedbridge_daemon/serving/settings.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/settings.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from knapweedbridge_core.errors import CheckError
+from knapweedbridge_core.machine_settings import HOLDING_KEYS, MACHINE_KEYS
 from knapweedbridge_core.schema import (
     Address,
     Choice,
@@ -21,6 +22,7 @@
         {
             "name": Key(Name(), None, "Name of the host."),
             "data_centre": Key(Name(), None, "Data centre of the host."),
+            **MACHINE_KEYS,
         },
     ),
     "listen": Section(
@@ -84,12 +86,7 @@
                 "0",
                 "Further units over an account's quota that are accepted.",
             ),
-            "held_mb": Key(
-                Number(0, 1_000_000),
-                "0",
-                "Memory held for callers above which requests with bodies are "
-                "refused, MB; 0: unlimited.",
-            ),
+            **HOLDING_KEYS,
             "tunnels": Key(
                 Number(0, 100_000),
                 "400",
