Our own interfaces keep within memory and descriptors

What clients saw: crowds at the callers' or the administration's address took 349 MB to 6.7 GB, or all descriptors, so that nobody was answered, endpoints and peers included; 62 descriptors were still open 10 s after a crowd.

Causes: bodies without a budget; no limit of connections. The web server's library keeps a connection that its client has closed until the keep-alive timeout of 30 s, and ends a call through the queue of its messages: where the application didn't read a body, the queue was full, and the connection stayed open while its client sent.

Now connections are accepted by us, within a limit and by the same decision as the serving daemon's, and served by the library's connection class; they end with their client, and the rest of a refused body is discarded until the call has ended. Bodies count as they are received, in one budget for callers and operators; bodies of tiny pieces take turns. Refused with 503 (overload, not run) and Retry-After. Of a body that is too large as much again is discarded as is allowed; it was 16 MiB.

--- a/features/crowds/programs.py
+++ b/features/crowds/programs.py
@@ -128,6 +128,10 @@
     def log_tail(self):
         """Return the end of what it wrote."""
 
+    async def held_bytes(self):
+        """Return what it holds for callers once their connections are closed."""
+        return 0
+
 
 class ServingDaemon(Program):
     """The daemon on the users' platform."""
@@ -150,6 +154,20 @@
     def log_tail(self):
         return self._path.log.read_text()[-3000:]
 
+    async def held_bytes(self):
+        """See `Program.held_bytes`."""
+        held = None
+        for _ in range(TRIES * TRY_TIMEOUT_S):
+            if not self.is_alive():
+                break
+            page = (await self._path.metrics()).splitlines()
+            named = [line for line in page if "_held_bytes " in line]
+            held = float(next(line for line in named if line[0] != "#").split()[1])
+            if not held:
+                break
+            await anyio.sleep(0.1)
+        return held
+
 
 @asynccontextmanager
 async def serving_daemon(folder, memory_mb, descriptors):
@@ -178,7 +196,10 @@
 
     def settings(self, place):
         most = REQUEST_LIMITS["max_body_bytes"]
-        return super().settings(place) + f"\n[requests]\nmax_body_bytes = {most}\n"
+        machine = f"[host]\nmemory_mb = {self._memory_mb}\n"
+        machine += f"descriptors = {self._descriptors}\nfile_descriptors = 200"
+        text = super().settings(place).replace("[host]", machine)
+        return text + f"\n[requests]\nmax_body_bytes = {most}\n"
 
     def _start(self, name, command):
         if not name.startswith("host-"):
--- a/packages/daemon/src/knapweedbridge_daemon/administration.py
+++ b/packages/daemon/src/knapweedbridge_daemon/administration.py
@@ -26,6 +26,7 @@
     read_rollback_body,
 )
 from knapweedbridge_daemon.api_errors import ApiError, ErrorCode, faults_error
+from knapweedbridge_daemon.body_reading import BodyReader
 from knapweedbridge_daemon.driver import Driver
 from knapweedbridge_daemon.errors import GenerationGoneError, StoreError
 from knapweedbridge_daemon.history import list_generations
@@ -59,6 +60,8 @@
         Hash of a key that works while no configuration is in force.
     drain : callable
         Starts the graceful end of this daemon.
+    bodies : BodyReader, optional
+        Receives bodies within the memory for them; by default there is no limit.
     """
 
     def __init__(
@@ -67,7 +70,9 @@
         store: KeyValueStore,
         first_key_hash: str,
         drain: Drain | None = None,
+        bodies: BodyReader | None = None,
     ) -> None:
+        self._bodies = BodyReader() if bodies is None else bodies
         self._driver = driver
         self._store = store
         self._proposals = Proposals(store, driver.bridge)
@@ -123,25 +128,25 @@
         return {"generation": generation, "sections": visible(caller, sections)}
 
     async def _check(self, request: Request, caller: Caller) -> Any:
-        body = await read_folder_body(request)
+        body = await read_folder_body(self._bodies, request)
         checked = await self._proposals.check(caller, body.files)
         return {"sections": len(visible(caller, checked.wanted))}
 
     async def _diff(self, request: Request, caller: Caller) -> Any:
-        body = await read_folder_body(request)
+        body = await read_folder_body(self._bodies, request)
         checked = await self._proposals.check(caller, body.files)
         found = await run_off_loop(checked.changes)
         changes = [asdict(change) for change in found]
         return {"generation": checked.generation, "changes": changes}
 
     async def _apply(self, request: Request, caller: Caller) -> Any:
-        body = await read_folder_body(request)
+        body = await read_folder_body(self._bodies, request)
         based_on = self._base(body.based_on)
         ended = await self._proposals.apply(caller, based_on, body.files)
         return self._end_write(caller, based_on, ended)
 
     async def _rollback(self, request: Request, caller: Caller) -> Any:
-        body = await read_rollback_body(request)
+        body = await read_rollback_body(self._bodies, request)
         based_on = self._base(body.based_on)
         ended = await self._proposals.rollback(caller, based_on, body.generation)
         return self._end_write(caller, based_on, ended)
@@ -244,7 +249,10 @@
 
     async def _start_drain(self, request: Request, caller: Caller) -> Any:
         require_administrator(caller)
-        named, host = await read_host_body(request), self._driver.bridge.host
+        named, host = (
+            await read_host_body(self._bodies, request),
+            self._driver.bridge.host,
+        )
         if named != host:
             message = f"this is {host}, not {named}: ask that host's own daemon"
             raise ApiError(ErrorCode.NOT_FOUND, message)
--- a/packages/daemon/src/knapweedbridge_daemon/api_bodies.py
+++ b/packages/daemon/src/knapweedbridge_daemon/api_bodies.py
@@ -8,6 +8,11 @@
 from starlette.requests import Request
 
 from knapweedbridge_daemon.api_errors import ApiError, ErrorCode
+from knapweedbridge_daemon.body_reading import (
+    BodyReader,
+    BodyRefusedError,
+    BodyTooLargeError,
+)
 
 MAX_BODY_BYTES = 32 << 20
 
@@ -44,9 +49,9 @@
     based_on: int | None
 
 
-async def read_folder_body(request: Request) -> FolderBody:
+async def read_folder_body(bodies: BodyReader, request: Request) -> FolderBody:
     """Read the body of apply, check and diff; may raise ApiError."""
-    body = await _read_object(request, {"based_on", "files"})
+    body = await _read_object(bodies, request, {"based_on", "files"})
     files = body.get("files")
     if not isinstance(files, dict) or not files:
         raise _bad("files: an object of texts by file name, with one file at least")
@@ -56,18 +61,18 @@
     return FolderBody(_optional_generation(body, "based_on"), files)
 
 
-async def read_rollback_body(request: Request) -> RollbackBody:
+async def read_rollback_body(bodies: BodyReader, request: Request) -> RollbackBody:
     """Read the body of rollback; may raise ApiError."""
-    body = await _read_object(request, {"based_on", "generation"})
+    body = await _read_object(bodies, request, {"based_on", "generation"})
     generation = _optional_generation(body, "generation")
     if generation is None:
         raise _bad("generation: missing; a whole number from 0")
     return RollbackBody(generation, _optional_generation(body, "based_on"))
 
 
-async def read_host_body(request: Request) -> str:
+async def read_host_body(bodies: BodyReader, request: Request) -> str:
     """Read the body of drain, which names the host; may raise ApiError."""
-    body = await _read_object(request, {"host"})
+    body = await _read_object(bodies, request, {"host"})
     host = body.get("host")
     if not isinstance(host, str):
         raise _bad("host: the name of the daemon's host, a text")
@@ -91,13 +96,15 @@
             raise _bad(f"{name}: unknown parameter; allowed: {', '.join(allowed)}")
 
 
-async def _read_object(request: Request, allowed: set[str]) -> dict[str, Any]:
-    raw = bytearray()
-    async for chunk in request.stream():
-        raw += chunk
-        if len(raw) > MAX_BODY_BYTES:
-            message = f"the body is over {MAX_BODY_BYTES} bytes"
-            raise ApiError(ErrorCode.TOO_LARGE, message)
+async def _read_object(
+    bodies: BodyReader, request: Request, allowed: set[str]
+) -> dict[str, Any]:
+    try:
+        raw = await bodies.read(request, MAX_BODY_BYTES)
+    except BodyTooLargeError as error:
+        raise ApiError(ErrorCode.TOO_LARGE, str(error)) from None
+    except BodyRefusedError as error:
+        raise ApiError(ErrorCode.OVERLOAD, str(error)) from None
     try:
         body = json.loads(raw)
     except (ValueError, RecursionError) as error:
--- a/packages/daemon/src/knapweedbridge_daemon/api_errors.py
+++ b/packages/daemon/src/knapweedbridge_daemon/api_errors.py
@@ -20,6 +20,7 @@
     TOO_LARGE = "too_large"
     FAULTS = "faults"
     STORE_DOWN = "store_down"
+    OVERLOAD = "overload"
 
 
 STATUS = {
@@ -31,7 +32,9 @@
     ErrorCode.TOO_LARGE: 413,
     ErrorCode.FAULTS: 422,
     ErrorCode.STORE_DOWN: 503,
+    ErrorCode.OVERLOAD: 503,
 }
+RETRY_AFTER_S = 1
 
 
 class ApiError(Exception):
@@ -55,7 +58,9 @@
     def response(self) -> Response:
         """Make the answer."""
         body = {"error": {"code": str(self.code), "message": str(self)}, **self.details}
-        return JSONResponse(body, status_code=STATUS[self.code])
+        status = STATUS[self.code]
+        later = {"Retry-After": str(RETRY_AFTER_S)} if status == 503 else None
+        return JSONResponse(body, status_code=status, headers=later)
 
 
 def faults_error(faults: list[Fault]) -> ApiError:
--- a/packages/daemon/src/knapweedbridge_daemon/caller_bodies.py
+++ b/packages/daemon/src/knapweedbridge_daemon/caller_bodies.py
@@ -9,9 +9,13 @@
 
 from knapweedbridge_core.outcomes import Reason
 from knapweedbridge_daemon.answers import RefusedError
+from knapweedbridge_daemon.body_reading import (
+    BodyReader,
+    BodyRefusedError,
+    BodyTooLargeError,
+)
 
 BODY_TIMEOUT_S = 30.0
-DISCARDED_BYTES = 16 << 20
 
 
 @dataclass(slots=True, frozen=True)
@@ -22,11 +26,13 @@
     streamed: bool
 
 
-async def read_body(request: Request, max_bytes: int) -> bytes:
+async def read_body(bodies: BodyReader, request: Request, max_bytes: int) -> bytes:
     """Read the body of a request.
 
     Parameters
     ----------
+    bodies : BodyReader
+        Receives bodies within the memory for them.
     max_bytes : int
         Largest body taken.
 
@@ -34,33 +40,21 @@
     ------
     RefusedError
         With `Reason.BODY_TOO_LARGE`, or `Reason.BODY_TIMEOUT` where the body
-        did not arrive in `BODY_TIMEOUT_S`.
+        did not arrive in `BODY_TIMEOUT_S`, or `Reason.OVERLOAD` where there is
+        no memory for it.
     """
     try:
         with anyio.fail_after(BODY_TIMEOUT_S):
-            return await _read(request, max_bytes)
+            return await bodies.read(request, max_bytes)
+    except BodyTooLargeError as error:
+        raise RefusedError(Reason.BODY_TOO_LARGE, str(error)) from None
+    except BodyRefusedError as error:
+        raise RefusedError(Reason.OVERLOAD, str(error)) from None
     except TimeoutError:
         text = f"the body did not arrive within {BODY_TIMEOUT_S:g} s"
         raise RefusedError(Reason.BODY_TIMEOUT, text) from None
 
 
-async def _read(request: Request, max_bytes: int) -> bytes:
-    chunks: list[bytes] = []
-    size = 0
-    async for chunk in request.stream():
-        size += len(chunk)
-        if size <= max_bytes:
-            chunks.append(chunk)
-        elif size > max_bytes + DISCARDED_BYTES:
-            break
-    # The rest was read and dropped: a connection closed on unread bytes is
-    # reset, and the caller would see the reset in place of the answer.
-    if size > max_bytes:
-        text = f"the body is over {max_bytes} bytes"
-        raise RefusedError(Reason.BODY_TOO_LARGE, text)
-    return b"".join(chunks)
-
-
 def read_model_body(body: bytes) -> ModelBody:
     """Check the body of a chat completions or completions request.
 
--- a/packages/daemon/src/knapweedbridge_daemon/callers.py
+++ b/packages/daemon/src/knapweedbridge_daemon/callers.py
@@ -15,6 +15,7 @@
 from knapweedbridge_core.outcomes import NotRun, Reason, Unknown
 from knapweedbridge_core.rules import RuleResult
 from knapweedbridge_daemon.answers import RefusedError, send_error, send_json
+from knapweedbridge_daemon.body_reading import BodyReader, BodyRefusedError
 from knapweedbridge_daemon.caller_bodies import read_body, read_model_body
 from knapweedbridge_daemon.caller_headers import (
     Asked,
@@ -62,14 +63,21 @@
         Connections to endpoints.
     bounds : FaceBounds
         Bounds on requests.
+    bodies : BodyReader
+        Receives bodies within the memory for them.
     """
 
     def __init__(
-        self, driver: Driver, connections: Connections, bounds: FaceBounds
+        self,
+        driver: Driver,
+        connections: Connections,
+        bounds: FaceBounds,
+        bodies: BodyReader,
     ) -> None:
         self._driver = driver
         self._connections = connections
         self._bounds = bounds
+        self._bodies = bodies
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Serve one connection event of the web server."""
@@ -87,6 +95,8 @@
         except RefusedError as error:
             outcome = NotRun(error.reason)
             await send_error(answer, outcome, str(error), error.headers)
+        except BodyRefusedError as error:
+            await send_error(answer, NotRun(Reason.OVERLOAD), str(error))
         except ClientDisconnect:
             return
         except Exception:
@@ -115,7 +125,8 @@
         wanted, body = await self._describe(request, asked, catalogue, key)
         answer.own_id = wanted.request_id
         call = Call(self._driver, self._connections, request, answer, body, wanted)
-        await call.run()
+        with self._bodies.holding(body):
+            await call.run()
 
     async def _serve_models(
         self, request: Request, answer: "_Answer", catalogue: Catalogue
@@ -132,12 +143,12 @@
     async def _describe(
         self, request: Request, asked: Asked, catalogue: Catalogue, key: KeyEntry
     ) -> tuple[events.Request, bytes]:
-        path = request.scope["path"]
+        path, max_bytes = request.scope["path"], self._bounds.max_body_bytes
         if path in MODEL_PATHS:
-            body = await read_body(request, self._bounds.max_body_bytes)
+            body = await read_body(self._bodies, request, max_bytes)
             return _describe_model(body, asked, catalogue, key), body
         service = catalogue.service(path)
-        body = await read_body(request, self._bounds.max_body_bytes)
+        body = await read_body(self._bodies, request, max_bytes)
         ruling = catalogue.judge_call(service, request.method, path)
         called = f"{request.method} {raw_target(request.scope)}"
         wanted = _request(
--- a/packages/daemon/src/knapweedbridge_daemon/daemon.py
+++ b/packages/daemon/src/knapweedbridge_daemon/daemon.py
@@ -13,9 +13,12 @@
 from knapweedbridge_core import Bridge, events
 from knapweedbridge_core.addresses import split_address
 from knapweedbridge_core.context import Timing
+from knapweedbridge_core.machine_settings import shares_of
+from knapweedbridge_core.serving import MemoryBudget
 from knapweedbridge_core.settings import Settings
 from knapweedbridge_core.timeline import Timeline
 from knapweedbridge_daemon.administration import Administration
+from knapweedbridge_daemon.body_reading import BodyReader
 from knapweedbridge_daemon.callers import CallersApp, FaceBounds
 from knapweedbridge_daemon.connections import Bounds, Connections
 from knapweedbridge_daemon.draining import Drain, DrainBounds
@@ -25,6 +28,7 @@
 from knapweedbridge_daemon.hosts import HostList, HttpHostList
 from knapweedbridge_daemon.metrics import Metrics
 from knapweedbridge_daemon.observer import Observer
+from knapweedbridge_daemon.own_machine import find_own_machine
 from knapweedbridge_daemon.peer_sockets import PeerListener
 from knapweedbridge_daemon.peers import Peers
 from knapweedbridge_daemon.probes import Prober
@@ -45,6 +49,8 @@
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
+        values = settings.values
+        self._shares = shares_of(values["host"], values["requests"], find_own_machine())
         self._incarnation = time.time_ns()
         self._stop = anyio.Event()
         self.cut_requests = 0
@@ -109,17 +115,21 @@
         requests = settings.values["requests"]
         bounds = DrainBounds(requests["drain_grace_s"], requests["drain_timeout_s"])
         drain = Drain(driver, bounds)
+        bodies = BodyReader(MemoryBudget(self._shares.held_bytes))
         administration = Administration(
-            driver, store, first_key_hash, partial(_begin_drain, drain)
+            driver, store, first_key_hash, partial(_begin_drain, drain), bodies
         ).app()
         face_bounds = FaceBounds(requests["deadline_s"], requests["max_body_bytes"])
-        callers = drain.face(CallersApp(driver, connections, face_bounds))
+        callers = drain.face(CallersApp(driver, connections, face_bounds, bodies))
         # The drain ends the callers' calls by its own bounds, before the servers.
         last_s = bounds.timeout_s + CLOSING_S
         certificates = open_certificates(settings.values["listen"])
         poll_s = settings.get("listen", "certificate_poll_s")
         keeper = CertificateKeeper(certificates, poll_s, driver.record, driver.count)
-        faces = {"callers": callers, "administration": administration}
+        faces = {
+            "callers": (callers, self._shares.caller_connections),
+            "administration": (administration, self._shares.side_connections),
+        }
         async with anyio.create_task_group() as background:
             peers = self._make_peers(driver)
             driver.peers = peers
@@ -134,10 +144,10 @@
             background.start_soon(keeper.run)
             driver.record("daemon.started")
             async with anyio.create_task_group() as tasks:
-                for name, app in faces.items():
+                for name, (app, most) in faces.items():
                     address = settings.get("listen", name)
                     config = make_config(address, last_s, certificates)
-                    tasks.start_soon(serve_until, app, config, drain.closed)
+                    tasks.start_soon(serve_until, app, config, drain.closed, most)
             await drain.hand_over()
             self.cut_requests = drain.cut_requests
             driver.record("daemon.stopped")
@@ -152,7 +162,7 @@
 
     async def _serve_peers(self, peers: Peers) -> None:
         ip, port = split_address(self._settings.get("listen", "peers"))
-        listener = PeerListener()
+        listener = PeerListener(self._shares.unproven_peers)
         await listener.listen(ip, port)
         await listener.serve(peers.serve)
 
