A body beside which nothing is held may take the whole budget

What callers would have seen: on a small machine a body inside the limits was refused each time it came, also in calm, as bodies that are being received may take half of the budget only: an operators' folder of 32 MiB on a machine with 300 MB. Found by reading. A body alone is now refused only if its two copies exceed the whole budget; rows in features/holding, which failed before.

The former MemoryBudget.must_refuse had no caller left but a test, which asks BodyIntake now: stricter, as that counts a body twice.

--- a/features/holding/holding.feature
+++ b/features/holding/holding.feature
@@ -62,6 +62,7 @@
       | small beside complete ones   | 850  | a 60                       | b      | 10   | 0       | none    | received |
       | large beside complete ones   | 700  | a 10                       | b      | 90   | 0       | b       | refused  |
       | small ones displace large    | 800  | a 60, b 20                 | c      | 25   | 0       | a       | received |
+      | too large beside another     | 0    | a 10                       | b      | 600  | 0       | b       | refused  |
 
   Scenario: A body that gave way receives nothing more
     Guards against the reader that goes on until it notices.
@@ -73,6 +74,14 @@
     And a receives nothing more
     And nothing is held when all have ended
 
+  Scenario: A body beside which nothing is held may take the whole budget
+    Guards against bodies inside the limits that a small machine refuses each time.
+
+    Given a budget of 1000 kB for callers, of which complete requests hold 0 kB
+    Then an announced body of 500 kB is received
+    And an announced body of 501 kB is refused
+    And a body of 500 kB that comes alone is received
+
   Scenario Outline: An announced body is refused before it is read: <announced> kB beside <kept> kB
     Guards against reading what cannot be served.
 
@@ -84,7 +93,10 @@
       | announced | kept | outcome  |
       | 60        | 0    | received |
       | 400       | 0    | received |
-      | 401       | 0    | refused  |
+      | 500       | 0    | received |
+      | 501       | 0    | refused  |
+      | 401       | 1    | refused  |
+      | 399       | 1    | received |
       | 60        | 870  | received |
       | 60        | 890  | refused  |
       | 100       | 700  | refused  |
--- a/features/holding/steps/holding_steps.py
+++ b/features/holding/steps/holding_steps.py
@@ -294,3 +294,10 @@
     assert context.outcome == outcome, context.outcome
     assert context.connector.most <= context.limit, context.connector.most
     assert context.connector.open == 0 or context.outcome == "refused"
+
+
+@then("a body of {size:d} kB that comes alone is received")
+def comes_alone(context, size):
+    body = begin(context, "a")
+    assert all(context.intake.grow(body, KB, 0.0) for _ in range(size))
+    assert context.evicted == []
--- a/features/plain/steps/memory_steps.py
+++ b/features/plain/steps/memory_steps.py
@@ -3,7 +3,7 @@
 import anyio
 from behave import given, then, when
 
-from knapweedbridge_core.serving import HeldKind, MemoryBudget
+from knapweedbridge_core.serving import BodyIntake, HeldKind, MemoryBudget
 from knapweedbridge_daemon.serving.http_server import (
     CallerDisconnectedError,
     ReceivedRequest,
@@ -56,12 +56,13 @@
 @when("500 callers come in {seconds:g} s with bodies of {body:d} kB, and read {reads}")
 def callers_come(context, seconds, body, reads):
     budget, readers = context.budget, []
+    intake = BodyIntake(budget)
     context.most_bytes = context.refused = context.gone = 0
     came, now_s = 0, 0.0
     while came < CALLERS or readers:
         while came < CALLERS and came * seconds / CALLERS <= now_s:
             came += 1
-            if budget.must_refuse(body * 1000):
+            if intake.must_refuse(body * 1000):
                 context.refused += 1
             else:
                 pause_s = PAUSES_S[reads]
--- a/packages/core/src/knapweedbridge_core/serving/body_intake.py
+++ b/packages/core/src/knapweedbridge_core/serving/body_intake.py
@@ -77,12 +77,13 @@
         """
         unfinished = self._budget.held(HeldKind.INCOMPLETE)
         kept_bytes = self._budget.held_bytes - unfinished
-        return self._exceeds(kept_bytes + COPIES * body_bytes, body_bytes)
+        return self._exceeds(kept_bytes, COPIES * body_bytes)
 
-    def _exceeds(self, held_bytes: int, body_bytes: int) -> bool:
-        limit_bytes = self._budget.limit_bytes
-        share = 1.0 if body_bytes <= SMALL_BODY_BYTES else LARGE_BODIES_SHARE
-        return 0 < share * limit_bytes < held_bytes
+    def _exceeds(self, others_bytes: int, body_bytes: int) -> bool:
+        """Return whether a body exceeds what others leave; one alone may take all."""
+        is_small = body_bytes <= COPIES * SMALL_BODY_BYTES
+        share = 1.0 if is_small or not others_bytes else LARGE_BODIES_SHARE
+        return 0 < share * self._budget.limit_bytes < others_bytes + body_bytes
 
     def begin(
         self, sender: str, evict: Callable[[], None], now_s: float
@@ -135,10 +136,12 @@
 
     def _is_exhausted(self, body: IncompleteBody) -> bool:
         budget = self._budget
+        others_bytes = budget.held_bytes - body.held_bytes
         unfinished_bytes = budget.held(HeldKind.INCOMPLETE)
-        if 0 < UNFINISHED_SHARE * budget.limit_bytes < unfinished_bytes:
+        limit_bytes = UNFINISHED_SHARE * budget.limit_bytes
+        if others_bytes and 0 < limit_bytes < unfinished_bytes:
             return True
-        return self._exceeds(budget.held_bytes, body.held_bytes // COPIES)
+        return self._exceeds(others_bytes, body.held_bytes)
 
     def _choose(self, now_s: float) -> IncompleteBody:
         """Return the body that gives way."""
--- a/packages/core/src/knapweedbridge_core/serving/memory_budget.py
+++ b/packages/core/src/knapweedbridge_core/serving/memory_budget.py
@@ -65,12 +65,6 @@
         """Add to the bytes in use; a negative size releases bytes."""
         self._held[kind] += size_bytes
 
-    def must_refuse(self, body_bytes: int) -> bool:
-        """Return whether a request with a body of some size must be rejected."""
-        if not self.limit_bytes or not body_bytes:
-            return False
-        return self.held_bytes + body_bytes > self.limit_bytes
-
     def begin_write(self, size_bytes: int, now_s: float) -> int:
         """Record bytes that a caller has yet to read; return the write's number."""
         self._last_reader += 1
--- a/packages/daemon/src/knapweedbridge_daemon/serving/http_server.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/http_server.py
@@ -207,7 +207,7 @@
         self._server.connections.enter(self.number, state, loop_time_s())
 
     def evict(self) -> None:
-        """Close the connection for a new one; no request of it is being served."""
+        """Close the connection, as it gives way to a new one."""
         self._wire.close()
 
     async def _handle(self, request: ReceivedRequest, framing: Framing) -> bool:
