--- a/features/crowds/programs.py
+++ b/features/crowds/programs.py
@@ -26,6 +26,10 @@
 PAUSE_S = 0.5
 """Pause of a client before its next try, where nothing says how long."""
 
+RELEASE_TRIES = 1200
+"""How often a daemon is asked whether it holds anything. What its clients sent before
+they left may still be decoded; that ends, however slow the machine is."""
+
 FILE_DESCRIPTORS = 200
 """Descriptors of the machine that are set aside for files."""
 
@@ -157,7 +161,7 @@
     async def held_bytes(self):
         """See `Program.held_bytes`."""
         held = None
-        for _ in range(TRIES * TRY_TIMEOUT_S):
+        for _ in range(RELEASE_TRIES):
             if not self.is_alive():
                 break
             page = (await self._path.metrics()).splitlines()
