Docstrings say which served requests give way to new connections

ConnectionLimit and FaceServer claimed that a request being served is never cut. One whose caller has read nothing of the response for a second is, as the decision and its tests say.

--- a/packages/core/src/knapweedbridge_core/connection_limit.py
+++ b/packages/core/src/knapweedbridge_core/connection_limit.py
@@ -33,7 +33,8 @@
 class ConnectionLimit:
     """Open connections by state, each state in the order in which it was entered.
 
-    A request that is being served never gives way to a new connection.
+    A request that is being served gives way to a new connection only if its caller has
+    read nothing of the response for `BLOCKED_S`.
 
     Parameters
     ----------
--- a/packages/daemon/src/knapweedbridge_daemon/face_server.py
+++ b/packages/daemon/src/knapweedbridge_daemon/face_server.py
@@ -72,8 +72,8 @@
 class FaceServer:
     """Serves one ASGI application within a limit of connections.
 
-    Idle connections are closed for new ones, then those whose request is not complete;
-    a request that is complete is never cut for a new connection.
+    Which connection is closed for a new one is decided by `ConnectionLimit`. Without
+    one the new connection is closed.
 
     Parameters
     ----------
