--- a/review/8/case.py
+++ b/review/8/case.py
@@ -22,10 +22,10 @@
 )
 
 DAEMONS = 2
-SERVERS = 9
-SERVER_PROCESSES = 3
-CLIENTS = 285
-"""Clients of one daemon. The servers have 9 x 64 slots."""
+SERVERS = 15
+SERVER_PROCESSES = 5
+CLIENTS = 450
+"""Clients of one daemon. The servers have 15 x 64 slots."""
 
 LONG_PATH = "/look/long/1"
 SHORT_PATH = "/look/short/1"
