--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,14 +1,15 @@
-"""Answers that are being gathered fill the memory of daemons: see claim.txt."""
+"""Clients that read slowly lose answers that the daemon had taken: see claim.txt."""
 
 import asyncio
-import contextlib
+import signal
+import socket
 import sys
-import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent / "lib2"))
 
+from engines import BASE, Engine, engine_service  # noqa: E402
 from platform_standins import (  # noqa: E402
     HOST,
     LIMITS,
@@ -17,143 +18,133 @@
     Store,
     main,
     now_s,
+    pack_request,
+    read_chunks,
+    read_head,
     route,
     trouble,
 )
 
-DAEMONS = 2
-SERVERS = 15
-SERVER_PROCESSES = 5
-CLIENTS = 450
-"""Clients of one daemon. The servers have 15 x 64 slots."""
-
-LONG_PATH = "/look/long/1"
-SHORT_PATH = "/look/short/1"
-"""The servers answer the first with a megabyte, the second with 800 bytes."""
-
-MEMORY_MB = 300
-ENDS_S = 108.0
-MOST_ENDS = 2
-"""Three ends of a process on two machines break the rule."""
-
-
-def resident_mb(process: int) -> float:
-    """Return the resident memory of a process."""
-    with contextlib.suppress(OSError):
-        for line in Path(f"/proc/{process}/status").read_text().splitlines():
-            if line.startswith("VmRSS:"):
-                return int(line.split()[1]) / 1024
-    return 0.0
-
-
-async def start_process(*words: str) -> asyncio.subprocess.Process:
-    """Start a program of this folder."""
-    return await asyncio.create_subprocess_exec(
-        "python3", *words, cwd=FOLDER, stdout=asyncio.subprocess.PIPE
+CLIENTS = 12
+EVENTS = 57
+PIECE_BYTES = 200
+WINDOW_BYTES = 4096
+"""Receive buffer of a client; links have small windows."""
+
+PAUSE_S = 4.0
+"""How long a client reads nothing, once, in the middle of its stream."""
+
+DEADLINE_MS = 15_000
+MOST_CLOSED = 3
+
+
+async def connect(port: int) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a connection with a small window."""
+    raw = socket.socket()
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, WINDOW_BYTES)
+    raw.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(raw, (HOST, port))
+    return await asyncio.open_connection(sock=raw, limit=512)
+
+
+def stream_request(call: str) -> bytes:
+    """Return a request for a stream."""
+    return pack_request(
+        "POST",
+        "/note/1",
+        call,
+        b"prompt",
+        Deadline_Ms=str(DEADLINE_MS),
+        Model=f"{BASE}/a1",
+        Token_Counts="300,171",
     )
 
 
-async def note_lines(
-    process: asyncio.subprocess.Process, name: str, record: Record
-) -> None:
-    """Write what a program prints into the record."""
-    while line := await process.stdout.readline():
-        record.note(f"{name}: {line.decode().strip()}")
-
-
-async def list_server(store: Store, name: str, port: int) -> None:
-    """Write a server's entry as it does itself, each 1.2 s."""
-    born = int(time.time() * 1000)
-    number = 0
-    while True:
-        number += 1
-        entry = {
-            "service": "desk",
-            "address": f"{HOST}:{port}",
-            "zone": "hall-a",
-            "version": "1",
-            "slots": 64,
-            "state": "ready",
-            "cold_left_ms": 0,
-            "seq": number,
-            "born": born,
-        }
-        store.put(f"servers/{name}", entry)
-        await asyncio.sleep(1.2)
-
-
-async def keep_running(daemon: Daemon, ends: dict[str, int], record: Record) -> None:
-    """End the process whenever it exceeds its memory, and start it again."""
-    noted_s = 0.0
-    while True:
-        await asyncio.sleep(0.1)
-        now_mb = resident_mb(daemon.process.pid)
-        if now_s() - noted_s > 2.0:
-            noted_s = now_s()
-            record.note(f"{daemon.name} resident {now_mb:.0f} MB")
-        if now_mb > MEMORY_MB:
-            await daemon.end()
-            ends[daemon.name] += 1
-            record.note(f"{daemon.name} ended: {now_mb:.0f} MB, {MEMORY_MB} allowed")
-            await asyncio.sleep(0.3)
-            await daemon.start()
+async def read_stream(reader: asyncio.StreamReader, pause_s: float) -> int:
+    """Read a stream to its end, with a pause in its middle; return its events."""
+    head = await read_head(reader)
+    if head is None:
+        raise ConnectionError("closed without an answer")
+    if " 200 " not in head[0]:
+        raise ValueError(head[0])
+    events = 0
+    async for chunk in read_chunks(reader):
+        events += chunk.count(b"\n\n")
+        if events >= 5 and pause_s:
+            await asyncio.sleep(pause_s)
+            pause_s = 0.0
+    return events
+
+
+async def call_on(number: int, port: int, record: Record) -> str:
+    """Ask for two streams on one connection; return how the second ended."""
+    reader, writer = await connect(port)
+    call = f"slow-{number}"
+    try:
+        writer.write(stream_request(f"first-{number}"))
+        await read_stream(reader, 0.0)
+        sent_s = now_s()
+        writer.write(stream_request(call))
+        record.note(f"sent {call}")
+        try:
+            events = await read_stream(reader, PAUSE_S if trouble() else 0.0)
+        except (ConnectionError, asyncio.IncompleteReadError) as error:
+            after_s = now_s() - sent_s
+            record.note(f"cut {call} after {after_s:.2f} s: {error!r}")
+            return "cut"
+        record.note(f"answered {call}, {events} events, {now_s() - sent_s:.2f} s")
+        return "answered" if events == EVENTS else "incomplete"
+    finally:
+        writer.close()
 
 
 async def play(record: Record, folder: Path) -> int:
     """Play the case."""
     store = Store()
     await store.start()
+    engines = [Engine(f"engine-{n}", "llm", record) for n in (1, 2)]
+    for engine in engines:
+        engine.events, engine.piece = EVENTS, "x" * PIECE_BYTES
+        engine.held["a1"] = 1
+        await engine.start()
     store.put(
         "op/config",
         {
             "version": 1,
-            "routes": [route("look", "desk", "idempotent")],
-            "services": [{"name": "desk", "health_path": "/health", "max_conns": 370}],
+            "routes": [route("note", "llm", "streaming", gap_aim_ms=250)],
+            "services": [engine_service("llm")],
             "limits": LIMITS,
         },
     )
-    tasks = [asyncio.create_task(store.expire())]
-    processes: list[asyncio.subprocess.Process] = []
-    daemons = [Daemon(f"edge-{n}", store.address, folder) for n in range(DAEMONS)]
-    ends = {daemon.name: 0 for daemon in daemons}
+    tasks = [asyncio.create_task(engine.beat(store)) for engine in engines]
+    tasks.append(asyncio.create_task(store.expire()))
+    daemon = Daemon("edge-1", store.address, folder)
     try:
-        names = [f"desk-{n}" for n in range(SERVERS)]
-        for first in range(SERVER_PROCESSES):
-            own = names[first::SERVER_PROCESSES]
-            process = await start_process("server_process.py", *own)
-            processes.append(process)
-            for name in own:
-                port = int(await process.stdout.readline())
-                tasks.append(asyncio.create_task(list_server(store, name, port)))
-        for daemon in daemons:
-            await daemon.start()
-        for daemon in daemons:
-            await daemon.until_ready()
+        await daemon.start()
+        await daemon.until_ready()
+        # The time in which the rules call the machine in touch.
         await asyncio.sleep(4.0)
-        for daemon in daemons:
-            tasks.append(asyncio.create_task(keep_running(daemon, ends, record)))
-            path = LONG_PATH if trouble() else SHORT_PATH
-            process = await start_process(
-                "client_process.py", str(daemon.callers), str(CLIENTS), path
-            )
-            processes.append(process)
-            tasks.append(asyncio.create_task(note_lines(process, daemon.name, record)))
-        while now_s() < ENDS_S and min(ends.values()) <= MOST_ENDS:
-            await asyncio.sleep(0.2)
+        first = asyncio.gather(
+            *(call_on(n, daemon.callers, record) for n in range(CLIENTS))
+        )
+        # Planned work at the same time: settings files change.
+        await asyncio.sleep(1.5)
+        daemon.send(signal.SIGHUP)
+        record.note("SIGHUP")
+        ends = await first
     finally:
+        await daemon.end()
         for task in tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        for process in processes:
-            with contextlib.suppress(ProcessLookupError):
-                process.kill()
-            await process.wait()
-        for daemon in daemons:
-            await daemon.end()
-        await store.stop()
-    record.note(f"ends by memory: {ends}")
-    print(f"processes that ended by themselves, by memory: {ends}")
-    return 1 if min(ends.values()) > MOST_ENDS else 0
+        for each in [store, *engines]:
+            await each.stop()
+    runs = [call for engine in engines for call in engine.runs]
+    lost = sum(end == "cut" and f"slow-{n}" in runs for n, end in enumerate(ends))
+    record.note(f"{lost} of {CLIENTS} requests ran and were cut: {ends}")
+    print(f"{lost} of {CLIENTS} requests ran and their connections were cut")
+    if not any(call.startswith("first-") for call in runs):
+        return 2
+    return 1 if lost > MOST_CLOSED else 0
 
 
 if __name__ == "__main__":
