The settings template needs no table of the machine's limits

DEPLOY.md lets a field be absent.

The platform fills such a section once for each entry of the table, so the same number stands several times; memory_mb and descriptors accept that, and no text as not stated. The template check of the tests fills sections in the same way.

--- a/features/platform/steps/path_steps.py
+++ b/features/platform/steps/path_steps.py
@@ -1,4 +1,5 @@
 import functools
+import json
 import os
 import re
 import subprocess
@@ -750,6 +751,24 @@
         context.message = str(error)
 
 
+@when("the template is filled with {limits}")
+def template_filled(context, limits):
+    from whole_path import TEMPLATE, fill
+
+    fields = settings_fields("h", "127.0.0.1:1", [free_port() for _ in range(3)])
+    del fields["limits"]
+    if limits != "no limits":
+        fields["limits"] = json.loads(limits)
+    text = fill(TEMPLATE.read_text(), fields)
+    context.host = read_serving_settings("settings.ini", text).values["host"]
+
+
+@then("the settings allow {memory:d} MB and {descriptors:d} descriptors")
+def settings_allow(context, memory, descriptors):
+    found = context.host["memory_mb"], context.host["descriptors"]
+    assert found == (memory, descriptors), found
+
+
 @then('the check names "{place}"')
 def check_names(context, place):
     assert place in context.message, context.message
--- a/features/platform/whole_path.feature
+++ b/features/platform/whole_path.feature
@@ -238,6 +238,19 @@
     And a call is answered with 503 and when to come back
     And the log tells that call's id and why
 
+  Scenario Outline: The template states the machine's limits where there are any: <limits>
+    Guards against a template that cannot be filled where a field's table is absent.
+
+    When the template is filled with <limits>
+    Then the settings allow <memory> MB and <descriptors> descriptors
+
+    Examples:
+      | limits                                   | memory | descriptors |
+      | {"memory_mb": 300, "max_fds": 4100}      | 300    | 4100        |
+      | {"memory_mb": 300, "cores": 2}           | 300    | 0           |
+      | {}                                       | 0      | 0           |
+      | no limits                                | 0      | 0           |
+
   Scenario Outline: Settings are checked whole: <fault>
     When the settings have <fault>
     Then the check names "<place>"
--- a/features/platform/whole_path.py
+++ b/features/platform/whole_path.py
@@ -94,7 +94,12 @@
             found = found[int(part)] if isinstance(found, list) else found.get(part, "")
         return found
 
-    kept = SECTION.sub(lambda match: match[2] if look_up(match[1]) else "", template)
+    def repeat(match):
+        found = look_up(match[1])
+        times = len(found) if isinstance(found, list | dict) else bool(found)
+        return match[2] * times
+
+    kept = SECTION.sub(repeat, template)
     return PLACEHOLDER.sub(lambda match: str(look_up(match[1])), kept)
 
 
--- a/packages/core/src/knapweedbridge_core/machine_settings.py
+++ b/packages/core/src/knapweedbridge_core/machine_settings.py
@@ -4,16 +4,16 @@
 from typing import Any
 
 from knapweedbridge_core.resource_shares import MB, Machine, ResourceShares, divide
-from knapweedbridge_core.schema import Key, Number
+from knapweedbridge_core.schema import Key, Number, RepeatedNumber
 
 MACHINE_KEYS = {
     "memory_mb": Key(
-        Number(0, 100_000_000),
+        RepeatedNumber(0, 100_000_000),
         "0",
         "Memory that this daemon may use, MB; 0: that of the machine.",
     ),
     "descriptors": Key(
-        Number(0, 100_000_000, whole=True),
+        RepeatedNumber(0, 100_000_000, whole=True),
         "0",
         "Descriptors that this daemon may open; 0: the limit of its process.",
     ),
--- a/packages/core/src/knapweedbridge_core/schema.py
+++ b/packages/core/src/knapweedbridge_core/schema.py
@@ -108,6 +108,24 @@
         return value
 
 
+class RepeatedNumber(Number):
+    """A number that may stand several times, as a template may repeat it.
+
+    An empty text is read as 0.
+    """
+
+    def __init__(self, low: float, high: float, whole: bool = False) -> None:
+        super().__init__(low, high, whole)
+        self.allowed += ", or the same one several times"
+
+    def read(self, text: str) -> float | int:
+        """Return the number."""
+        numbers = set(text.split()) or {"0"}
+        if len(numbers) > 1:
+            raise ValueError(text)
+        return super().read(numbers.pop())
+
+
 class Choice(ValueType):
     """One of a few words."""
 
