A host doesn't return to an engine within a turn of another owner

Cause: an engine whose owner's host had started again counted as free since long ago, so any host claimed it at once. When that host was stopped and released the engine, the first one claimed it, though its previous process had ordered a moment before. No claim asked what the claimant's own host had done.

Ruled out: late orders (the third ones bear A's new number), overlapping leases.

Change: Succession (core, no I/O) says from when on a host may take up a duty that it has not held last: a turn after its last action, or after its start, as the process before may have acted until then. No record, message or call to the store is added. An engine whose owner's host starts again is free from that moment, and that host comes first for one interval of claims. Hosts within their turn are left out of the order of claims, so others don't wait for them. owner.deferred and claims_deferred show each wait.

--- a/features/serving/steps/kept_view_steps.py
+++ b/features/serving/steps/kept_view_steps.py
@@ -20,6 +20,8 @@
     ModelRef,
     OwnerRecord,
     Service,
+    StoreOutage,
+    Succession,
 )
 from knapweedbridge_core.serving.cluster_state import (
     DaemonNamed,
@@ -59,13 +61,15 @@
         cluster.take(EndpointNamed(record(f"e{n}")), -100.0)
         cluster.take(OwnerNamed(f"e{n}", OwnerRecord(f"h{n}", 5, 10)), -100.0)
     return SimpleNamespace(
-        identity=SimpleNamespace(name="h0", data_centre="d0"),
+        identity=SimpleNamespace(name="h0", data_centre="d0", incarnation=4),
         cluster=cluster,
         paths=EndpointPaths(),
         lease_s=3.0,
         lease_revision=5,
         lease=LeaseClock(float("inf")),
         load_times=LoadTimes(),
+        outage=StoreOutage(3.0),
+        succession=Succession(),
         rates=LearnedRates(),
         metrics=MetricsRegistry(),
         log=Log(),
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -141,6 +141,7 @@
     VersionView,
     origin_coordinators,
 )
+from knapweedbridge_core.serving.succession import Succession
 from knapweedbridge_core.serving.suspect_parts import LostCall, refusal_key
 from knapweedbridge_core.serving.tickets import make_tickets
 
@@ -234,6 +235,7 @@
     "StoreAge",
     "StoreOutage",
     "StreamOrigin",
+    "Succession",
     "AddressedUpdate",
     "TooLate",
     "UsualDeadlines",
--- a/packages/core/src/knapweedbridge_core/serving/cluster_state.py
+++ b/packages/core/src/knapweedbridge_core/serving/cluster_state.py
@@ -1,6 +1,7 @@
 """A daemon's copy of what the platform's store says, which is never set back."""
 
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from itertools import chain
 
@@ -105,6 +106,7 @@
     _relays: dict[str, list[str]] = field(default_factory=dict)
     _links_lost: dict[str, int] = field(default_factory=dict)
     _protocols: dict[str, ProtocolNamed] = field(default_factory=dict)
+    _started_s: dict[str, float] = field(default_factory=dict)
 
     @property
     def without_links(self) -> set[str]:
@@ -212,11 +214,11 @@
             case EndpointNamed() | EndpointUnreadable() | EndpointGone():
                 return self._take_listing(store_event, now_s, lapsed_until_s)
             case DaemonNamed(record):
-                self.daemons[record.name] = record
-                self._daemons_changed(now_s)
+                self._take_daemon(record, now_s)
             case DaemonGone(name):
                 self.daemons.pop(name, None)
                 self._protocols.pop(name, None)
+                self._started_s.pop(name, None)
                 self._daemons_changed(now_s)
             case SoftwareServed() | SoftwareRecorded():
                 self._take_software(store_event, now_s)
@@ -228,6 +230,16 @@
                 self.secret = secret
         return True
 
+    def _take_daemon(self, record: DaemonRecord, now_s: float) -> None:
+        known = self.daemons.get(record.name)
+        self.daemons[record.name] = record
+        if known is None or known.incarnation < record.incarnation:
+            self._started_s[record.name] = now_s
+            for endpoint, owner in self.owners.items():
+                if owner.owner == record.name and self.is_dead(owner):
+                    self.free_since_s.setdefault(endpoint, now_s)
+        self._daemons_changed(now_s)
+
     def _daemons_changed(self, now_s: float) -> None:
         self._ranks = None
         self.owner_changes += 1
@@ -369,6 +381,37 @@
         record = self.owners.get(endpoint)
         return record is None or not record.owner or self.is_dead(record)
 
+    def possible_claimants(
+        self, endpoint: str, now_s: float, turn_s: float
+    ) -> Iterable[DaemonRecord]:
+        """Return the daemons that may claim an engine without an owner now.
+
+        A daemon that has released it does not reach it, and one that has just started
+        leaves it to others for a turn, unless its host was the last owner.
+
+        Parameters
+        ----------
+        turn_s : float
+            See `Succession`.
+        """
+        last, without_links = self.owners.get(endpoint), self.without_links
+        if last is None and not without_links:
+            return self.daemons.values()
+        return [
+            each
+            for each in self.daemons.values()
+            if each.name not in without_links
+            and (last is None or self._may_succeed(each, last, now_s - turn_s))
+        ]
+
+    def _may_succeed(
+        self, daemon: DaemonRecord, last: OwnerRecord, started_before_s: float
+    ) -> bool:
+        if last.owner == daemon.name:
+            return True
+        started_s = self._started_s.get(daemon.name, -math.inf)
+        return daemon.incarnation != last.incarnation and started_s <= started_before_s
+
     def silent_predecessors(
         self, endpoint: str, now_s: float, lease_s: float
     ) -> list[LostOwner]:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owner.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owner.py
@@ -345,6 +345,7 @@
         answer, status, carried = OrderAnswer.UNKNOWN, 0, 0
         answered_id: str | None = None
         sent_s = anyio.current_time()
+        hub.succession.record_action(self.endpoint.name, sent_s)
         try:
             head, body, carried = await self._exchange(
                 request, ORDER_RESPONSE_TIMEOUT_S
--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -19,6 +19,7 @@
     QuotaTolerance,
     RetryBudget,
     StoreOutage,
+    Succession,
 )
 from knapweedbridge_daemon.own_machine import find_own_machine
 from knapweedbridge_daemon.serving.accepting import accept_connections, listen
@@ -140,6 +141,9 @@
                 get("limits", "quota_slack"),
             ),
             lease_s=lease_s,
+            succession=Succession(
+                anyio.current_time(), get("engines", "turn_ms") / 1000
+            ),
             overload=OVERLOAD_POLICIES[get("admission", "overdue_calls")](),
             connections=ConnectionLimit(self._shares.caller_connections),
             memory=MemoryBudget(self._shares.held_bytes),
--- a/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
@@ -26,6 +26,7 @@
     RetryBudget,
     StoreAge,
     StoreOutage,
+    Succession,
     UsualDeadlines,
 )
 from knapweedbridge_daemon.serving.decision_log import DecisionLog
@@ -98,6 +99,8 @@
     outage : StoreOutage
         Until when missing entries may have expired in an outage of the store, by the
         event loop's clock.
+    succession : Succession
+        When this daemon may take up a duty of another one.
     lease_revision : int
         Revision of the store at the start of the present lease.
     era_since_s : float or None
@@ -134,6 +137,7 @@
     cluster: ClusterState = field(default_factory=ClusterState)
     crashes: CrashLedger = field(default_factory=CrashLedger)
     lease: LeaseClock = field(default_factory=LeaseClock)
+    succession: Succession = field(default_factory=Succession)
     load_times: LoadTimes = field(default_factory=LoadTimes)
     rates: EngineRates = field(default_factory=LearnedRates)
     store_age: StoreAge = field(default_factory=StoreAge)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/lease_controller.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/lease_controller.py
@@ -3,7 +3,6 @@
 import random
 import secrets
 import sys
-from collections.abc import Iterable
 
 import anyio
 
@@ -13,6 +12,7 @@
     Endpoint,
     may_claim,
 )
+from knapweedbridge_core.serving.ownership import CLAIM_INTERVAL_S
 from knapweedbridge_daemon.errors import StoreError
 from knapweedbridge_daemon.serving.engine_owner import ORDER_TIMEOUT_S
 from knapweedbridge_daemon.serving.hub import Hub, suspended_clock_s
@@ -76,6 +76,7 @@
         self._failing = False
         self._started_s = anyio.current_time()
         self._claimed_s: dict[str, float] = {}
+        self._deferred_until_s: dict[str, float] = {}
         self._candidates: list[Endpoint] = []
         self._candidates_of: tuple[int, int] | None = None
 
@@ -202,49 +203,64 @@
 
     def _due(self) -> list[Endpoint]:
         hub, now_s = self._hub, anyio.current_time()
-        daemons = hub.cluster.daemons
-        own = daemons.get(hub.identity.name)
-        if own is None:
+        own = hub.cluster.daemons.get(hub.identity.name)
+        if own is None or hub.paths.has_lost_links:
             # Only listed daemons claim: others have no place in the order of claims.
             return []
-        due: list[Endpoint] = []
-        if hub.paths.has_lost_links:
-            return []
-        for endpoint in self._find_candidates():
-            if not self._is_free(endpoint, now_s):
-                continue
-            record = endpoint.record
-            free_s = hub.cluster.free_since_s.get(record.endpoint)
-            if free_s is None:
-                free_s = max(
-                    endpoint.first_listed_s, self._started_s + FIRST_CLAIM_DELAY_S
-                )
-            free_for_s = now_s - free_s
-            eligible = self._find_eligible(record.endpoint)
-            if may_claim(
-                own, record.endpoint, record.data_centre, eligible, free_for_s
-            ):
-                due.append(endpoint)
-        return due
-
-    def _find_eligible(self, engine: str) -> Iterable[DaemonRecord]:
-        """Return the daemons that may claim a free engine.
-
-        A daemon that has released it does not reach it, and others need not wait for
-        its turn to pass.
-        """
-        cluster = self._hub.cluster
-        without_links = cluster.without_links
-        released = cluster.owners.get(engine)
-        if released is None and not without_links:
-            return cluster.daemons.values()
-        released_by = released.incarnation if released else None
         return [
-            each
-            for each in cluster.daemons.values()
-            if each.name not in without_links and each.incarnation != released_by
+            endpoint
+            for endpoint in self._find_candidates()
+            if self._is_free(endpoint, now_s) and self._is_due(own, endpoint, now_s)
         ]
 
+    def _is_due(self, own: DaemonRecord, endpoint: Endpoint, now_s: float) -> bool:
+        """Return whether this daemon may claim an engine now."""
+        hub, name = self._hub, endpoint.name
+        if self._held_last(name):
+            return True
+        last = hub.cluster.owners.get(name)
+        had_another = last is not None or now_s < hub.outage.lapsed_until_s
+        may_return_s = hub.succession.may_return_s(name, had_another)
+        free_s = max(may_return_s, self._free_since_s(endpoint))
+        if last is not None and last.owner in hub.cluster.daemons:
+            # The host of the last owner has started again and comes first.
+            free_s += CLAIM_INTERVAL_S
+        if now_s < may_return_s:
+            self._log_deferred(name, may_return_s)
+            return False
+        able = hub.cluster.possible_claimants(name, now_s, hub.succession.turn_s)
+        return may_claim(own, name, endpoint.record.data_centre, able, now_s - free_s)
+
+    def _held_last(self, engine: str) -> bool:
+        """Return whether the last owner of an engine was this daemon's host."""
+        last, identity = self._hub.cluster.owners.get(engine), self._hub.identity
+        if last is None:
+            return False
+        released_here = not last.owner and last.incarnation == identity.incarnation
+        return last.owner == identity.name or released_here
+
+    def _free_since_s(self, endpoint: Endpoint) -> float:
+        free_s = self._hub.cluster.free_since_s.get(endpoint.name)
+        if free_s is not None:
+            return free_s
+        return max(endpoint.first_listed_s, self._started_s + FIRST_CLAIM_DELAY_S)
+
+    def _log_deferred(self, engine: str, until_s: float) -> None:
+        """Log once that an engine is left to others for a turn."""
+        if self._deferred_until_s.get(engine) == until_s:
+            return
+        now_s, deferred = anyio.current_time(), self._deferred_until_s.items()
+        self._deferred_until_s = {each: at_s for each, at_s in deferred if at_s > now_s}
+        self._deferred_until_s[engine] = until_s
+        self._hub.metrics.count("claims_deferred")
+        last = self._hub.cluster.owners.get(engine)
+        self._hub.log.info(
+            "owner.deferred",
+            engine=engine,
+            last_number=last.number if last else 0,
+            for_s=round(until_s - now_s, 3),
+        )
+
     def _find_candidates(self) -> list[Endpoint]:
         """Return the engines that no other living daemon owns.
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/settings.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/settings.py
@@ -99,8 +99,14 @@
         },
     ),
     "engines": Section(
-        "Learning of engine speeds, and versions of adapters that engines may serve.",
+        "Owners and speeds of engines, and versions of adapters that they may serve.",
         {
+            "turn_ms": Key(
+                Number(0, 600_000),
+                "3000",
+                "How long after its last order a host must not return as an engine's "
+                "owner if another one has owned it meanwhile, ms.",
+            ),
             "older_version_ms": Key(
                 Number(0, 600_000),
                 "5000",
--- a/packages/standins/src/knapweedbridge_standins/serving_histories/__init__.py
+++ b/packages/standins/src/knapweedbridge_standins/serving_histories/__init__.py
@@ -21,10 +21,12 @@
     play_lost_hosts,
     play_stream_origins,
 )
+from knapweedbridge_standins.serving_histories.turns import play_turns
 from knapweedbridge_standins.serving_histories.versions import play_versions
 
 HISTORIES = {
     "who orders an engine": play_owners,
+    "who returns to an engine": play_turns,
     "what an engine is ordered": play_orders,
     "what is in force": play_beliefs,
     "at most once": play_repeats,
@@ -55,5 +57,6 @@
     "play_removed_entries",
     "play_repeats",
     "play_stream_origins",
+    "play_turns",
     "play_versions",
 ]
