--- a/packages/core/src/knapweedbridge_core/codec.py
+++ b/packages/core/src/knapweedbridge_core/codec.py
@@ -71,9 +71,18 @@
 
 
 def encode(instance: Any) -> bytes:
-    """Encode a message."""
+    """Encode a message.
+
+    Raises
+    ------
+    MessageError
+        If a field holds what a message cannot hold, such as a number beyond 64 bits.
+    """
     values = values_of(instance)
-    return msgpack.packb([tag_of(instance), *values], default=_pack_default)
+    try:
+        return msgpack.packb([tag_of(instance), *values], default=_pack_default)
+    except (TypeError, ValueError, OverflowError) as error:
+        raise MessageError(f"{tag_of(instance)} cannot be encoded: {error}") from error
 
 
 def unpacker(max_message_bytes: int = MAX_MESSAGE_BYTES) -> msgpack.Unpacker:
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -132,7 +132,13 @@
 from knapweedbridge_core.serving.software_versions import SoftwareVersions
 from knapweedbridge_core.serving.speed_reports import SpeedReports
 from knapweedbridge_core.serving.store_age import StoreAge, SubscriberMarks
-from knapweedbridge_core.serving.store_eras import era_of, revision_of, stamp
+from knapweedbridge_core.serving.store_eras import (
+    MAX_ERA,
+    MAX_REVISION,
+    era_of,
+    revision_of,
+    stamp,
+)
 from knapweedbridge_core.serving.store_outage import StoreOutage
 from knapweedbridge_core.serving.stream_origins import (
     OriginQuery,
@@ -146,6 +152,8 @@
 from knapweedbridge_core.serving.tickets import make_tickets
 
 __all__ = [
+    "MAX_ERA",
+    "MAX_REVISION",
     "Accounts",
     "Admit",
     "AdmitAll",
--- a/packages/core/src/knapweedbridge_core/serving/store_eras.py
+++ b/packages/core/src/knapweedbridge_core/serving/store_eras.py
@@ -11,6 +11,10 @@
 """Bits of a stamp below the era: enough for a million changes per second for twelve
 days."""
 
+MAX_REVISION = (1 << REVISION_BITS) - 1
+MAX_ERA = (1 << 22) - 1
+"""Stamps fit into messages between daemons, which hold 64 bits."""
+
 
 def stamp(era: int, revision: int) -> int:
     """Return the stamp of a revision; 0, which is no revision, has stamp 0."""
@@ -24,4 +28,4 @@
 
 def revision_of(stamped: int) -> int:
     """Return the store's own revision of a stamp."""
-    return stamped & ((1 << REVISION_BITS) - 1)
+    return stamped & MAX_REVISION
--- a/packages/daemon/src/knapweedbridge_daemon/gauges.py
+++ b/packages/daemon/src/knapweedbridge_daemon/gauges.py
@@ -38,6 +38,7 @@
     "peers.dropped_messages": lambda levels: levels.peer_bytes.dropped_messages,
     "peers.heard_bytes": lambda levels: levels.peer_bytes.heard_bytes,
     "peers.sent_bytes": lambda levels: levels.peer_bytes.sent_bytes,
+    "peers.unencodable_messages": lambda levels: levels.peer_bytes.unencodable_messages,
     "requests.live": lambda levels: levels.live_requests,
     "timeline.events": lambda levels: levels.timeline_events,
 }
--- a/packages/daemon/src/knapweedbridge_daemon/peer_streams.py
+++ b/packages/daemon/src/knapweedbridge_daemon/peer_streams.py
@@ -20,6 +20,7 @@
     heard_bytes: int = 0
     dropped_messages: int = 0
     unknown_messages: int = 0
+    unencodable_messages: int = 0
 
 
 class Outbox:
--- a/packages/daemon/src/knapweedbridge_daemon/peers.py
+++ b/packages/daemon/src/knapweedbridge_daemon/peers.py
@@ -216,7 +216,9 @@
             while outbox and len(packed) < BATCH_BYTES:
                 message = outbox.take()
                 stamped = stamped or self._clock.is_wanted(message)
-                packed += encode(message)
+                packed += self._encode(message)
+            if not packed:
+                continue
             if stamped:
                 packed = self._clock.pack() + packed
             if link.unanswered_since_s is None:
@@ -224,6 +226,14 @@
             self.bytes.sent_bytes += len(packed)
             await stream.send(packed)
 
+    def _encode(self, message: Any) -> bytes:
+        """Encode a message; one that cannot be encoded is dropped and counted."""
+        try:
+            return encode(message)
+        except MessageError:
+            self.bytes.unencodable_messages += 1
+            return b""
+
     @staticmethod
     async def _read_answers(link: LinkOut, stream: PeerSocket) -> None:
         while True:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/event_stream.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/event_stream.py
@@ -64,7 +64,7 @@
 
     def __init__(self, after: str | None = None) -> None:
         self._buffer = b""
-        self._after = int(after) if after and after.isdecimal() else None
+        self._after = _rank(after) if after and after.isdecimal() else None
 
     @property
     def rest(self) -> bytes:
@@ -111,4 +111,10 @@
     def _is_known(self, event_id: str | None) -> bool:
         if self._after is None or event_id is None or not event_id.isdecimal():
             return False
-        return int(event_id) <= self._after
+        return _rank(event_id) <= self._after
+
+
+def _rank(event_id: str) -> tuple[int, str]:
+    """Return a value by which decimal ids of any length are ordered."""
+    digits = event_id.lstrip("0")
+    return len(digits), digits
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -150,6 +150,8 @@
                 if starts.get(name, start) != start:
                     self.owners.forget_daemon(name)
             known = starts
+            dropped = self._peers.bytes.unencodable_messages
+            self._hub.metrics.gauges["messages_unencodable"] = dropped
             self.quotas.parts.refresh()
             await self._hub.cluster_changed.wait(5.0)
 
