A call beyond what its quota can ever hold doesn't shut out its account

Cause: the coordinator answers with the time until its bucket covers the call, and the asking daemon skips the coordinator for that long, also for calls that need little. The bucket never holds as much.

Change: a call that needs more than all parts of the quota can grant at once, beyond what the daemon holds already, is refused at once, without a message. Calls below that wait as before, for seconds at most.

Evidence: the new scenario of accounts/numbers.feature failed before (429 for a call of 400 tokens on all three daemons, 2.5 s later) and passes now.

--- a/features/accounts/numbers.feature
+++ b/features/accounts/numbers.feature
@@ -8,6 +8,14 @@
     When "shop" with 4000 tokens a second sends 300,18446744073709551615 tokens to each daemon
     Then each of these calls got 429 with a Retry-After
 
+  Scenario: A call beyond what its quota can ever hold doesn't shut out its account
+    Guards against one large call after which a daemon refuses all calls of the account.
+
+    Given the whole path with 3 daemons
+    When "shop" with 4000 tokens a second sends 300,10000000 tokens to each daemon
+    Then each of these calls got 429 with a Retry-After
+    And a call of "shop" with 300,100 tokens is answered by each daemon
+
   Scenario Outline: What a caller states is kept to what daemons can hold: <header> <text>
     Guards against numbers of callers that leave the process in a form that cannot be sent.
 
--- a/packages/core/src/knapweedbridge_core/serving/quotas.py
+++ b/packages/core/src/knapweedbridge_core/serving/quotas.py
@@ -91,6 +91,11 @@
     most: float
     overdraft: float
 
+    @property
+    def total_capacity(self) -> float:
+        """Most units that all parts together can grant at once."""
+        return self.parts * (max(self.most, 1.0) + self.overdraft)
+
 
 def split(quota: Quota, tolerance: QuotaTolerance, candidates: int) -> QuotaPart:
     """Divide a quota into parts that together stay within the tolerance.
--- a/packages/daemon/src/knapweedbridge_daemon/serving/account_quotas.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/account_quotas.py
@@ -9,7 +9,12 @@
 
 import anyio
 
-from knapweedbridge_core.serving import ClientAccount, QuotaBalance, QuotaGrant
+from knapweedbridge_core.serving import (
+    ClientAccount,
+    QuotaBalance,
+    QuotaGrant,
+    QuotaPart,
+)
 from knapweedbridge_core.serving.messages import QuotaRequest, QuotaResponse
 from knapweedbridge_daemon.serving.dialects import Refusal
 from knapweedbridge_daemon.serving.hub import Hub, Send
@@ -76,6 +81,10 @@
             return None
         units, now_s = account.quota.cost(tokens), anyio.current_time()
         local = self._local_quotas[account.name]
+        part = self.parts.part(account.name)
+        if part is not None and units - local.balance.held(now_s) > part.total_capacity:
+            # No coordinator ever has as much, and waiting would delay other calls.
+            return self._refuse_oversized(account.name, units, part)
         local.balance.record_use(units, now_s)
         if local.waiting or not local.balance.spend(units, now_s):
             return await self._wait_for(account.name, local, units)
@@ -108,6 +117,17 @@
                 local.waiting.remove(waiter)
         return None if waiter.has_units else self._refusal(account, local, units)
 
+    def _refuse_oversized(self, account: str, units: int, part: QuotaPart) -> Refusal:
+        wait_s = part.total_capacity / part.rate_per_s / part.parts
+        self._hub.metrics.count("quota", "oversized")
+        self._hub.log.info(
+            "quota.oversized",
+            account=account,
+            units=units,
+            most=round(part.total_capacity),
+        )
+        return Refusal(429, "over_quota", wait_s + random.uniform(*RETRY_JITTER_S))
+
     def _refusal(self, account: str, local: LocalQuota, units: int) -> Refusal:
         has_silent_coordinator = local.balance.has_silent_coordinator(
             self.parts.coordinators(account)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/quota_parts.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/quota_parts.py
@@ -99,6 +99,12 @@
         found = self._splits.get(account)
         return found.coordinators if found else []
 
+    def part(self, account: str) -> QuotaPart | None:
+        """Return one of the equal parts of an account's quota; None: not known."""
+        self.refresh()
+        found = self._splits.get(account)
+        return found.part if found else None
+
     def grant(self, message: QuotaRequest) -> QuotaGrant:
         """Grant units of the part assigned to this daemon, if there is one."""
         self.refresh()
