A client that pauses its reading keeps its connection

Cause: TCP_USER_TIMEOUT of 2.5 s, meant for peers that are gone. Linux applies it to a closed window as well, so it also ends peers whose kernel answers every probe.

Change: UnacknowledgedOutput (core, no I/O) tells the two apart by the kernel's counters of transmissions and probes without an answer. OutputMonitor checks connections with unacknowledged output twice a second and sets the timeout to 60 s while the peer answers, to 2.5 s otherwise. Lost peers are noticed as before; idle connections cost nothing.

--- a/packages/daemon/src/knapweedbridge_daemon/serving/byte_stream.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/byte_stream.py
@@ -15,16 +15,22 @@
 
 from anyio.abc import SocketStream
 
+from knapweedbridge_core.serving.unacknowledged_output import LOST_PEER_TIMEOUT_MS
 from knapweedbridge_daemon.serving.client_streams import ClientStream
+from knapweedbridge_daemon.serving.output_monitor import (
+    MonitoredStream,
+    OutputMonitor,
+    read_output,
+)
 
 MAX_UNREAD_BYTES = 65536
 """Unread bytes beyond which reading from the connection is paused."""
 
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_PROBES = 2
-USER_TIMEOUT_MS = 2500
 """A connection whose state was lost by a device on the path shows no error by itself.
-Keepalive probes and this timeout for unacknowledged bytes close it in about 3 s."""
+Keepalive probes close an idle one in about 3 s, and the timeout for unacknowledged
+output one that has written."""
 
 SOCKET_OPTIONS = (
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
@@ -32,7 +38,7 @@
     (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
     (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
     (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, LOST_PEER_TIMEOUT_MS),
 )
 
 
@@ -49,7 +55,7 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
-class ByteStream(asyncio.Protocol, ClientStream):
+class ByteStream(asyncio.Protocol, ClientStream, MonitoredStream):
     """TCP connection with one reading and one writing task.
 
     Attributes
@@ -80,6 +86,8 @@
         self._write_waiter: asyncio.Future[None] | None = None
         self._deadline_s = math.inf
         self._timer: asyncio.TimerHandle | None = None
+        self._monitor = OutputMonitor.of(self._loop)
+        self._output_timeout_ms = LOST_PEER_TIMEOUT_MS
 
     @classmethod
     def from_anyio(
@@ -261,6 +269,7 @@
         if self._is_lost or self._transport.is_closing():
             raise self._connection_error()
         self._transport.write(data)
+        self._monitor.watch(self)
         if not self._is_writable:
             await self._await_writable()
         if self._is_lost or self._transport.is_closing():
@@ -277,6 +286,23 @@
             if self.on_block is not None:
                 self.on_block(False)
 
+    def update_timeout(self) -> bool:
+        """See `MonitoredStream.update_timeout`."""
+        raw = self._transport.get_extra_info("socket")
+        if self._is_lost or raw is None:
+            return False
+        try:
+            output = read_output(raw)
+            if output.timeout_ms != self._output_timeout_ms:
+                raw.setsockopt(
+                    socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, output.timeout_ms
+                )
+                self._output_timeout_ms = output.timeout_ms
+        except OSError:
+            # The connection is being closed.
+            return False
+        return output.is_pending
+
     def _connection_error(self) -> ConnectionError:
         return ConnectionError(repr(self._error) if self._error else "closed")
 
