A coordinator acts once the previous ones have stopped

Cause: a lease says that a daemon is listed, not that it still has the duties its list gives it. The new coordinator waited 1 s; the previous one, turned away, kept its old list and granted until its lease ended, up to 9.4 s later.

Change: Takeover (core, no I/O) knows which former holders of duties may still act: each until it has released them, has started again, or its lease is over. A daemon that is listed anew announces itself to at most seven daemons a data centre, which take it into their lists and confirm (DaemonJoined, JoinAcknowledged, protocol 7). Until all have, it grants nothing; nor does a coordinator whose list is older than a lease. A listing without a break needs no announcement. Permits of limited endpoints follow the same rule, and owners of engines use Takeover in place of a set and an event.

After a rollback of the store, a new coordinator also waits for those whose records are lost; the record of the era, now an event of the store, says when that is over.

Why it works: the previous holder confirms only after it has the new one in its list, by which it grants nothing; one that confirms nothing stops when its list is a lease old, and the new one waits as long.

--- a/features/accounts/steps/coordinator_steps.py
+++ b/features/accounts/steps/coordinator_steps.py
@@ -52,6 +52,7 @@
 
     def renew(self):
         self.hub.lease.record_renewal(1e9, LEASE_S)
+        self.hub.store_age.confirm(1e9)
 
     async def _send(self, daemon, message):
         peer = self._peers[daemon]
--- /dev/null
+++ b/features/accounts/takeover.feature
@@ -0,0 +1,45 @@
+Feature: One coordinator of a quota after another
+  A daemon that the store turns away coordinates by an outdated list until its lease ends.
+
+  Scenario Outline: A daemon that is listed again coordinates once the previous one has stopped: <story>
+    Guards against two daemons that grant one quota while the store turns one of them away.
+
+    Given three daemons, of which the first coordinator of an account is down
+    When it is listed again while the store turns the second one away, which <state>
+    Then it grants units from <least> to <most> s after its listing
+    And in no window are more units granted than the quota allows
+
+    Examples:
+      | story                     | state                                    | least | most |
+      | it hears of it            | hears of it                              | 0     | 1.2  |
+      | the first word is lost    | loses messages for 0.5 s                 | 0.4   | 1.2  |
+      | it is cut off             | is cut off from the others               | 9     | 10.5 |
+      | its lease ends            | is cut off and no longer listed after 6 s | 5.5   | 6.5  |
+      | its process starts again  | is cut off and starts again after 3 s    | 2.5   | 3.5  |
+
+  Scenario: A daemon of the previous release is waited for as in that release
+    Guards against accounts without a coordinator for the time of a lease in each rollout.
+
+    Given three daemons, of which the first coordinator of an account is down
+    When it is listed again while the store turns the second one away, which is cut off and speaks protocol 6
+    Then it grants units from 0.8 to 1.5 s after its listing
+
+  Scenario: A daemon that is turned away sends its calls to the one that is listed
+    Guards against calls refused for seconds at daemons with an outdated list.
+
+    Given three daemons, of which the first coordinator of an account is down
+    When it is listed again while the store turns the second one away, which hears of it
+    Then calls at the second one are run again within 1.5 s of its listing
+
+  Scenario Outline: After a rollback of the store a duty without a record may still be held: <story>
+    Guards against a second coordinator beside one whose record the store has lost.
+
+    Given three daemons, of which the first coordinator of an account is down
+    When the store rolls back <ago> s before it is listed, and <record>
+    Then it grants units from <least> to <most> s after its listing
+
+    Examples:
+      | story                         | ago | record                          | least | most |
+      | it may                        | 1   | nobody has recorded when        | 9     | 11   |
+      | it was long ago               | 60  | a daemon has recorded when      | 0     | 1.2  |
+      | nobody had served before      | 1   | the secret is of that era       | 0     | 1.2  |
--- a/features/compatibility/bytes.feature
+++ b/features/compatibility/bytes.feature
@@ -6,7 +6,7 @@
     Given all modules of the core are loaded
 
   Scenario: No message is lost or added by a rename
-    Then the messages of this release are AdapterMissed AdapterWanted BlameCleared BlameTold CallsBlamed CallsCleared CallsRunning ClaimAnswered ClaimAsk ClaimEndKept ClaimEnded ConfigurationAsk ConfigurationChanged ConfigurationRoot CountsTold EngineAsked EngineChanged EngineTold EvictionIntent EvictionNoted EvictionOver GrantAsk GrantGiven GrantRefused GrantReturned GrantsAsk GrantsHeld HandOver Heartbeat Introduction LeavingTold LimitHeard LimitTold LoadEnded LoadFailed LoadPlaced LoadRefused LoadWanted MembersAsk MembersTold OriginAnswered OriginAsked OriginsRecorded OwnerAnswered OwnerRose OwnershipEnded OwnershipTaken PartTold PartsAsk PartsBlamed PartsCleared PermitAnswered PermitAsked PlainAnswered PlainAsked PlainRunning ProbeAsk ProbeTold RelayAsked RoomAsked ShareAsked ShareGiven SilenceAsk SilenceTold SlotDeclined SlotWanted SlotsChanged StoreMarked StoreTold SuspectsHeld TunnelAsked TunnelOpened TunnelRefused TurnAsked TurnedAway TurnsGiven UsesTold
+    Then the messages of this release are AdapterMissed AdapterWanted BlameCleared BlameTold CallsBlamed CallsCleared CallsRunning ClaimAnswered ClaimAsk ClaimEndKept ClaimEnded ConfigurationAsk ConfigurationChanged ConfigurationRoot CountsTold DaemonJoined EngineAsked EngineChanged EngineTold EvictionIntent EvictionNoted EvictionOver GrantAsk GrantGiven GrantRefused GrantReturned GrantsAsk GrantsHeld HandOver Heartbeat Introduction JoinAcknowledged LeavingTold LimitHeard LimitTold LoadEnded LoadFailed LoadPlaced LoadRefused LoadWanted MembersAsk MembersTold OriginAnswered OriginAsked OriginsRecorded OwnerAnswered OwnerRose OwnershipEnded OwnershipTaken PartTold PartsAsk PartsBlamed PartsCleared PermitAnswered PermitAsked PlainAnswered PlainAsked PlainRunning ProbeAsk ProbeTold RelayAsked RoomAsked ShareAsked ShareGiven SilenceAsk SilenceTold SlotDeclined SlotWanted SlotsChanged StoreMarked StoreTold SuspectsHeld TunnelAsked TunnelOpened TunnelRefused TurnAsked TurnedAway TurnsGiven UsesTold
 
   Scenario Outline: A message of an earlier release is read, and sent in the same bytes: <tag>
     When the message <packed> of an earlier release is read
@@ -29,6 +29,7 @@
       | ConfigurationChanged | 96b4436f6e66696775726174696f6e4368616e676564a2733166a273338169a2733681a2733809 |
       | ConfigurationRoot | 94b1436f6e66696775726174696f6e526f6f7465a2733291a27334 |
       | CountsTold | 93aa436f756e7473546f6c649102cb400c000000000000 |
+      | DaemonJoined | 96ac4461656d6f6e4a6f696e65646667a27333a273346a |
       | EngineAsked | 92ab456e67696e6541736b6564a27331 |
       | EngineChanged | dc0011ad456e67696e654368616e676564a273316667919205a27835919207a278376c6d6e6f91a373313372cb402f000000000000cb4030800000000000cb4031800000000000c3cb4033800000000000 |
       | EngineTold | dc0012aa456e67696e65546f6c64a273316667919205a278356a6b6c6d91a3733131cb402900000000000071cb402d000000000000cb402f000000000000cb4030800000000000cb4031800000000000c3cb4033800000000000 |
@@ -44,6 +45,7 @@
       | HandOver | 98a848616e644f766572a273316691c70b0192a861646170746572340491c70b0192a861646170746572360691a2733891a373313091c70c0192a96164617074657231320c |
       | Heartbeat | 98a9486561727462656174a273316667c3696a9108 |
       | Introduction | 92ac496e74726f64756374696f6ea27331 |
+      | JoinAcknowledged | 93b04a6f696e41636b6e6f776c65646765646667 |
       | LeavingTold | 94ab4c656176696e67546f6c64a27331c3c3 |
       | LimitHeard | 95aa4c696d69744865617264a2733166cb4012000000000000cb4016000000000000 |
       | LimitTold | 95a94c696d6974546f6c64a2733166cb4012000000000000cb4016000000000000 |
--- a/packages/core/src/knapweedbridge_core/serving/__init__.py
+++ b/packages/core/src/knapweedbridge_core/serving/__init__.py
@@ -147,7 +147,7 @@
     VersionView,
     origin_coordinators,
 )
-from knapweedbridge_core.serving.succession import Succession
+from knapweedbridge_core.serving.succession import Succession, Takeover
 from knapweedbridge_core.serving.suspect_parts import LostCall, refusal_key
 from knapweedbridge_core.serving.tickets import make_tickets
 
@@ -244,6 +244,7 @@
     "StoreOutage",
     "StreamOrigin",
     "Succession",
+    "Takeover",
     "AddressedUpdate",
     "TooLate",
     "UsualDeadlines",
--- a/packages/core/src/knapweedbridge_core/serving/cluster_state.py
+++ b/packages/core/src/knapweedbridge_core/serving/cluster_state.py
@@ -28,6 +28,7 @@
 from knapweedbridge_core.serving.store_events import (
     CallAllowed,
     CallRefused,
+    DaemonAnnounced,
     DaemonGone,
     DaemonNamed,
     DeploymentNamed,
@@ -50,6 +51,7 @@
     "CallAllowed",
     "CallRefused",
     "ClusterState",
+    "DaemonAnnounced",
     "DaemonGone",
     "DaemonNamed",
     "DeploymentNamed",
@@ -213,13 +215,8 @@
                 return self._take_version(model, version, known_s)
             case EndpointNamed() | EndpointUnreadable() | EndpointGone():
                 return self._take_listing(store_event, now_s, lapsed_until_s)
-            case DaemonNamed(record):
-                self._take_daemon(record, now_s)
-            case DaemonGone(name):
-                self.daemons.pop(name, None)
-                self._protocols.pop(name, None)
-                self._started_s.pop(name, None)
-                self._daemons_changed(now_s)
+            case DaemonNamed() | DaemonAnnounced() | DaemonGone():
+                return self._take_daemon_listing(store_event, now_s)
             case SoftwareServed() | SoftwareRecorded():
                 self._take_software(store_event, now_s)
             case LinksLost() | LinksBack() | ProtocolNamed():
@@ -230,6 +227,21 @@
                 self.secret = secret
         return True
 
+    def _take_daemon_listing(
+        self, listing: DaemonNamed | DaemonAnnounced | DaemonGone, now_s: float
+    ) -> bool:
+        match listing:
+            case DaemonNamed(record):
+                self._take_daemon(record, now_s)
+            case DaemonAnnounced():
+                return self._take_announced(listing, now_s)
+            case DaemonGone(name):
+                self.daemons.pop(name, None)
+                self._protocols.pop(name, None)
+                self._started_s.pop(name, None)
+                self._daemons_changed(now_s)
+        return True
+
     def _take_daemon(self, record: DaemonRecord, now_s: float) -> None:
         known = self.daemons.get(record.name)
         self.daemons[record.name] = record
@@ -240,6 +252,19 @@
                     self.free_since_s.setdefault(endpoint, now_s)
         self._daemons_changed(now_s)
 
+    def _take_announced(self, event: DaemonAnnounced, now_s: float) -> bool:
+        """Take a daemon's own word that the store lists it, ahead of the store's."""
+        record = event.record
+        known = self.daemons.get(record.name)
+        is_new = known is None or known.incarnation < record.incarnation
+        if is_new:
+            self._take_daemon(record, now_s)
+        if self.daemons[record.name].incarnation == record.incarnation:
+            self._protocols[record.name] = ProtocolNamed(
+                record.name, record.incarnation, event.protocol
+            )
+        return is_new
+
     def _daemons_changed(self, now_s: float) -> None:
         self._ranks = None
         self.owner_changes += 1
@@ -404,6 +429,18 @@
             and (last is None or self._may_succeed(each, last, now_s - turn_s))
         ]
 
+    def announcement_recipients(self, own: str) -> list[str]:
+        """Return the daemons that may hold duties of this one until they know of it.
+
+        Parameters
+        ----------
+        own : str
+            Name of this daemon.
+        """
+        others = [each for each in self.daemons.values() if each.name != own]
+        without_own = chain(*ranked(others).values())
+        return sorted({*without_own, *chain(*self.ranks.values())} - {own})
+
     def _may_succeed(
         self, daemon: DaemonRecord, last: OwnerRecord, started_before_s: float
     ) -> bool:
--- a/packages/core/src/knapweedbridge_core/serving/ownership.py
+++ b/packages/core/src/knapweedbridge_core/serving/ownership.py
@@ -90,14 +90,36 @@
     ends_s : float
         Earliest time at which the store may end the lease, by a clock that keeps
         running while the host is suspended. 0: there is no lease.
+    term : int
+        Increases when the daemon is listed after a time in which it may not have been:
+        its duties may have passed on meanwhile.
     """
 
     ends_s: float = 0.0
+    term: int = 0
+    _unlisted_s: float = 0.0
 
     def record_renewal(self, sent_s: float, ttl_s: float) -> None:
         """Record that the store accepted a renewal that was sent at ``sent_s``."""
         # The store counts from the arrival of the call, which is after its sending.
         self.ends_s = max(self.ends_s, sent_s + ttl_s)
+        self._unlisted_s = max(self._unlisted_s, self.ends_s)
+
+    def record_listing(self, sent_s: float, ttl_s: float, now_s: float) -> None:
+        """Record that the store has listed the daemon under a new lease.
+
+        Parameters
+        ----------
+        sent_s : float
+            When the lease was requested.
+        now_s : float
+            When the response to the write of the record arrived.
+        """
+        # A store that lost the previous lease early lost it by a rollback, after which
+        # other daemons wait until it must have ended.
+        if now_s >= self._unlisted_s:
+            self.term += 1
+        self.record_renewal(sent_s, ttl_s)
 
     def record_loss(self) -> None:
         """Record that the lease is lost."""
--- a/packages/core/src/knapweedbridge_core/serving/protocols.py
+++ b/packages/core/src/knapweedbridge_core/serving/protocols.py
@@ -12,6 +12,7 @@
     PartsCleared,
     SuspectsHeld,
 )
+from knapweedbridge_core.serving.join_messages import DaemonJoined, JoinAcknowledged
 from knapweedbridge_core.serving.origin_messages import (
     OriginRequest,
     OriginResponse,
@@ -20,7 +21,7 @@
 from knapweedbridge_core.serving.permit_messages import CallRejected, CapacityRequest
 
 FIRST_PROTOCOL = 1
-PROTOCOL = 6
+PROTOCOL = 7
 """Increases with each new message, or new meaning of one."""
 
 BEGIN_ON_RECORDED = 6
@@ -37,6 +38,8 @@
     PartsBlamed: 5,
     PartsCleared: 5,
     SuspectsHeld: 5,
+    DaemonJoined: 7,
+    JoinAcknowledged: 7,
 }
 """Protocol versions that introduced messages; all others belong to the first."""
 
--- a/packages/core/src/knapweedbridge_core/serving/store_events.py
+++ b/packages/core/src/knapweedbridge_core/serving/store_events.py
@@ -61,6 +61,20 @@
     record: DaemonRecord
 
 
+@record
+class DaemonAnnounced:
+    """A daemon says that the store lists it.
+
+    Parameters
+    ----------
+    protocol : int
+        Protocol version that it speaks.
+    """
+
+    record: DaemonRecord
+    protocol: int
+
+
 @record
 class DaemonGone:
     """The store no longer lists a daemon."""
@@ -68,6 +82,22 @@
     name: str
 
 
+@record
+class EraNamed:
+    """A daemon has recorded by when an era of the store had begun.
+
+    Parameters
+    ----------
+    era : int
+        The era.
+    since_s : float
+        Time of day by which it had begun; 0: before any daemon served.
+    """
+
+    era: int
+    since_s: float
+
+
 @record
 class ProtocolNamed:
     """A daemon publishes the protocol version of its present start."""
@@ -188,7 +218,9 @@
     | EndpointUnreadable
     | EndpointGone
     | DaemonNamed
+    | DaemonAnnounced
     | DaemonGone
+    | EraNamed
     | ProtocolNamed
     | SoftwareServed
     | SoftwareRecorded
--- a/packages/daemon/src/knapweedbridge_daemon/serving/engine_owner.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/engine_owner.py
@@ -15,6 +15,7 @@
     Order,
     OrderAnswer,
     OrderKind,
+    Takeover,
     parse_model,
 )
 from knapweedbridge_core.serving.engine_updates import (
@@ -105,7 +106,7 @@
         self._send = send
         self._wake = Wake()
         self._predecessors_released = anyio.Event()
-        self._predecessors: set[str] = set()
+        self._takeover = Takeover()
         self._reported_s = float("-inf")
         self._requesters: set[str] = set()
         self.controller = EngineController(
@@ -196,32 +197,30 @@
         """Record that a former owner has stopped sending orders."""
         if number != self.number:
             return
-        self._predecessors.discard(daemon)
-        if not self._predecessors:
+        now_s = anyio.current_time()
+        self._takeover.record_release(daemon, now_s)
+        if not self._takeover.silent(now_s):
             self._predecessors_released.set()
 
     async def _await_predecessors(self) -> None:
-        hub, name = self._hub, self.endpoint.name
-        silent = [
-            each
-            for each in hub.cluster.silent_predecessors(
-                name, anyio.current_time(), hub.lease_s
-            )
+        hub, name, now_s = self._hub, self.endpoint.name, anyio.current_time()
+        until_s = {
+            each.record.owner: each.lost_s + hub.lease_s
+            for each in hub.cluster.silent_predecessors(name, now_s, hub.lease_s)
             if each.record.owner != hub.identity.name
-        ]
-        if not silent:
+        }
+        if not until_s:
             return
-        self._predecessors = {each.record.owner for each in silent}
-        predecessors = sorted(self._predecessors)
-        for owner in predecessors:
+        self._takeover = Takeover(until_s, now_s)
+        for owner in sorted(until_s):
             await self._send(owner, OwnershipClaimed(name, self.number))
-        with anyio.move_on_at(max(each.lost_s for each in silent) + hub.lease_s):
+        with anyio.move_on_at(self._takeover.free_s):
             await self._predecessors_released.wait()
-        self._hub.log.info(
+        hub.log.info(
             "owner.succeeded",
-            engine=self.endpoint.name,
+            engine=name,
             number=self.number,
-            predecessors=predecessors,
+            predecessors=sorted(until_s),
             answered=self._predecessors_released.is_set(),
         )
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -142,7 +142,7 @@
             ),
             lease_s=lease_s,
             succession=Succession(
-                anyio.current_time(), get("engines", "turn_ms") / 1000
+                anyio.current_time(), get("engines", "turn_ms") / 1000, lease_s
             ),
             overload=OVERLOAD_POLICIES[get("admission", "overdue_calls")](),
             connections=ConnectionLimit(self._shares.caller_connections),
@@ -194,6 +194,7 @@
                     tasks.start_soon(lease.create_secret)
                     tasks.start_soon(link.run, tasks, self._address("peers"))
                     tasks.start_soon(link.owners.run, tasks)
+                    tasks.start_soon(link.joining.run)
                     tasks.start_soon(link.running.run)
                     tasks.start_soon(link.crashes.run, tasks)
                     tasks.start_soon(link.relaying.run)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
@@ -29,6 +29,7 @@
     Succession,
     UsualDeadlines,
 )
+from knapweedbridge_daemon.serving.clock import least_age_s
 from knapweedbridge_daemon.serving.decision_log import DecisionLog
 from knapweedbridge_daemon.serving.dialects import Dialects
 from knapweedbridge_daemon.serving.first_byte_timeouts import FirstByteTimeouts
@@ -103,11 +104,15 @@
         When this daemon may take up a duty of another one.
     lease_revision : int
         Revision of the store at the start of the present lease.
+    known_revision : int
+        Revision of the store up to which its changes are known.
     era_since_s : float or None
         Time of day at which this daemon learnt that the store's era had begun; None: it
         had begun before this daemon read the store.
     store_era : int
         Newest known era of the store; see `store_eras`.
+    recorded_era : int
+        Newest era whose beginning is recorded in the store.
     ends_s : float or None
         When this daemon ends, once it rejects calls that may last longer.
     lease_s : float
@@ -147,8 +152,10 @@
     cluster_changed: ChangeNotifier = field(default_factory=ChangeNotifier)
     losses_changed: ChangeNotifier = field(default_factory=ChangeNotifier)
     lease_revision: int = 0
+    known_revision: int = 0
     store_era: int = 0
     era_since_s: float | None = None
+    recorded_era: int = 0
     draining: bool = False
     ends_s: float | None = None
     synced: bool = False
@@ -172,6 +179,7 @@
         """
         if era <= self.store_era:
             return
+        self.succession.record_rollback(anyio.current_time(), self.synced)
         if self.synced:
             self.log.error("store.came_back_older", era=era, before=self.store_era)
             self.metrics.count("store_eras")
@@ -181,11 +189,29 @@
             self.outage.record_rollback(anyio.current_time())
         self.store_era = era
 
+    def record_era(self, era: int, since_s: float) -> None:
+        """Record by which time of day an era of the store had begun."""
+        self.recorded_era = max(self.recorded_era, era)
+        if era == self.store_era:
+            now_s = anyio.current_time()
+            self.succession.record_era_age(least_age_s(since_s), now_s)
+
     @property
     def news_age_s(self) -> float:
         """Upper bound on the age of the known state of the store, in seconds."""
         return self.store_age.age_s(self.steady_s())
 
+    def may_coordinate(self) -> bool:
+        """Return whether nobody else acts in the duties that this daemon's list gives.
+
+        A daemon that the list lacks waits until it is older than a lease.
+        """
+        return (
+            self.lease.may_order(self.steady_s())
+            and self.news_age_s <= self.lease_s
+            and self.succession.has_taken_over(self.lease.term, anyio.current_time())
+        )
+
     @property
     def ready(self) -> bool:
         """Whether callers may be routed to this daemon."""
--- a/packages/daemon/src/knapweedbridge_daemon/serving/lease_controller.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/lease_controller.py
@@ -130,7 +130,7 @@
         revision = await self._put_record()
         if self._hub.lease_revision == sys.maxsize:
             self._hub.lease_revision = revision
-        self._hub.lease.record_renewal(sent_s, self._lease_s)
+        self._hub.lease.record_listing(sent_s, self._lease_s, suspended_clock_s())
 
     def _is_recorded(self) -> bool:
         identity = self._hub.identity
--- a/packages/daemon/src/knapweedbridge_daemon/serving/own_records.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/own_records.py
@@ -29,7 +29,7 @@
     StoreEvent,
 )
 from knapweedbridge_core.serving.software_versions import NO_RECORD, VersionRecord
-from knapweedbridge_core.serving.store_events import OriginsStored
+from knapweedbridge_core.serving.store_events import EraNamed, OriginsStored
 from knapweedbridge_core.serving.stream_origins import StreamOrigin
 from knapweedbridge_daemon.serving.dialects import DaemonKeys, DialectError
 
@@ -159,8 +159,6 @@
     """
     kind, _, name = key.removeprefix(keys.prefix).partition("/")
     with _decoding(f"{key}: no record of ours"):
-        if kind == "secret":
-            return SecretNamed(value) if value else None
         if kind == "daemons":
             return _read_daemon(name, value)
         if kind == "owners":
@@ -173,10 +171,19 @@
             return _read_software(name, value)
         if kind == "versions":
             return _read_versions(name, value, revision)
-        if kind == "origins" and value is not None:
-            return _read_origins(value)
-        if kind == "protocols" and value is not None:
-            return _read_protocol(name, value)
+        return _read_lasting(kind, name, value) if value is not None else None
+
+
+def _read_lasting(kind: str, name: str, value: bytes) -> StoreEvent | None:
+    """Decode an item whose removal changes nothing."""
+    if kind == "secret":
+        return SecretNamed(value) if value else None
+    if kind == "origins":
+        return _read_origins(value)
+    if kind == "protocols":
+        return _read_protocol(name, value)
+    if kind == "era":
+        return EraNamed(*read_era(value))
     return None
 
 
--- a/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/peer_link.py
@@ -8,6 +8,7 @@
 
 from knapweedbridge_core.peer_events import PeerDisconnected, PeerMessage
 from knapweedbridge_core.serving import Endpoint, understands
+from knapweedbridge_core.serving.join_messages import DaemonJoined, JoinAcknowledged
 from knapweedbridge_core.serving.messages import (
     EngineDelta,
     EngineSnapshot,
@@ -28,6 +29,7 @@
 from knapweedbridge_daemon.serving.engine_owners import EngineOwners, OwnerMessage
 from knapweedbridge_daemon.serving.forwarding import TunnelForwarder
 from knapweedbridge_daemon.serving.hub import Hub
+from knapweedbridge_daemon.serving.joining import JoinAnnouncer
 from knapweedbridge_daemon.serving.origin_publisher import OriginPublisher
 from knapweedbridge_daemon.serving.permits import PermitMessage, Permits
 from knapweedbridge_daemon.serving.plain_router import PlainRouter
@@ -80,6 +82,7 @@
         self.backpressure = BackpressureRecorder(hub, self.permits)
         self.forwarding = TunnelForwarder(hub, tunnels)
         self.owners = EngineOwners(hub, self.send, self.permits, self.backpressure)
+        self.joining = JoinAnnouncer(hub, self.send)
         self.quotas = AccountQuotas(hub, self.send)
         self.origins = OriginPublisher(hub, self.send)
         self.resuming = StreamResumer(hub, self.send, self.origins)
@@ -98,6 +101,7 @@
             OwnerAck: self._handle_owner_ack,
         }
         handlers |= dict.fromkeys((QuotaRequest, QuotaResponse), self.quotas.handle)
+        handlers |= dict.fromkeys((DaemonJoined, JoinAcknowledged), self.joining.handle)
         handlers |= dict.fromkeys(get_args(LossMessage), self.crashes.handle)
         call_messages = get_args(PlainMessage) + get_args(PermitMessage)
         handlers |= dict.fromkeys(call_messages, self._handle_call_message)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/permits.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/permits.py
@@ -29,7 +29,7 @@
     TAKE_OVER_S,
     UNLEASED_SHARE,
 )
-from knapweedbridge_daemon.serving.hub import Hub, Send, suspended_clock_s
+from knapweedbridge_daemon.serving.hub import Hub, Send
 from knapweedbridge_daemon.serving.update_relay import UpdateRelay
 
 RESPONSE_TIMEOUT_S = 0.05
@@ -266,8 +266,8 @@
         if bucket.update_limit(message.limit_per_s, received_s, now_s):
             await self._broadcast_limit(endpoint, bucket, now_s)
         if isinstance(message, PermitRequest):
-            leased = self._hub.lease.may_order(suspended_clock_s())
-            wait_s = bucket.take(now_s, 1.0 if leased else UNLEASED_SHARE)
+            may_coordinate = self._hub.may_coordinate()
+            wait_s = bucket.take(now_s, 1.0 if may_coordinate else UNLEASED_SHARE)
             self._hub.metrics.count("permits", "not_given" if wait_s else "given")
             response = PermitResponse(endpoint.name, message.ticket, wait_s)
             await self._send(daemon, response)
--- a/packages/daemon/src/knapweedbridge_daemon/serving/quota_parts.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/quota_parts.py
@@ -19,7 +19,7 @@
 )
 from knapweedbridge_core.serving.messages import QuotaRequest
 from knapweedbridge_core.serving.quotas import LEAST_WAIT_S, TAKE_OVER_S
-from knapweedbridge_daemon.serving.hub import Hub, suspended_clock_s
+from knapweedbridge_daemon.serving.hub import Hub
 
 
 @dataclass(slots=True, frozen=True)
@@ -39,6 +39,22 @@
     coordinators: list[str]
 
 
+@dataclass(slots=True, frozen=True)
+class AssignedPart:
+    """A part of a quota that is assigned to this daemon.
+
+    Parameters
+    ----------
+    since_s : float
+        When it was assigned.
+    had_coordinator : bool
+        Whether another daemon may have granted its units before.
+    """
+
+    since_s: float
+    had_coordinator: bool
+
+
 class QuotaParts:
     """The parts of accounts' quotas, and the buckets of those that this daemon grants.
 
@@ -52,10 +68,12 @@
         self._hub = hub
         self._seen: tuple[object, object] = (None, None)
         self._splits: dict[str, SplitQuota] = {}
+        self._assigned: dict[str, AssignedPart] = {}
         self._buckets: dict[str, QuotaBucket] = {}
+        self._term = 0
 
     def refresh(self) -> None:
-        """Add buckets for the parts assigned to this daemon, and drop the others."""
+        """Find the parts that are assigned to this daemon, and drop the others."""
         cluster = self._hub.cluster
         seen = cluster.ranks, cluster.deployment
         if seen[0] is self._seen[0] and seen[1] is self._seen[1]:
@@ -77,10 +95,11 @@
         for account in owned:
             # The parts of a new account had no previous coordinator.
             is_new = had_deployment and account not in before
-            empty_s = now_s if is_new else now_s + TAKE_OVER_S
-            self._buckets.setdefault(account, QuotaBucket(empty_s))
-        for account in self._buckets.keys() - set(owned):
-            del self._buckets[account]
+            assigned = AssignedPart(now_s, had_coordinator=not is_new)
+            self._assigned.setdefault(account, assigned)
+        for account in self._assigned.keys() - set(owned):
+            del self._assigned[account]
+            self._buckets.pop(account, None)
 
     def _split(self, account: str, quota: Quota) -> SplitQuota:
         cluster, identity = self._hub.cluster, self._hub.identity
@@ -109,10 +128,8 @@
         """Grant units of the part assigned to this daemon, if there is one."""
         self.refresh()
         found = self._splits.get(message.account)
-        bucket = self._buckets.get(message.account)
-        # After its lease a coordinator may have a successor that grants the same part.
-        is_listed = self._hub.lease.may_order(suspended_clock_s())
-        if found is None or bucket is None or not is_listed:
+        bucket = self._bucket(message.account)
+        if found is None or bucket is None:
             return QuotaGrant(0, LEAST_WAIT_S, is_known=False)
         return bucket.give(
             found.part,
@@ -121,3 +138,20 @@
             message.ahead,
             anyio.current_time(),
         )
+
+    def _bucket(self, account: str) -> QuotaBucket | None:
+        """Return the bucket of a part; None if another daemon may grant its units."""
+        hub = self._hub
+        assigned = self._assigned.get(account)
+        if assigned is None or not hub.may_coordinate():
+            return None
+        if self._term != hub.lease.term:
+            # While this daemon was not listed, others may have granted units.
+            self._term = hub.lease.term
+            self._buckets.clear()
+        if account not in self._buckets:
+            empty_s = assigned.since_s
+            if assigned.had_coordinator:
+                empty_s = max(empty_s + TAKE_OVER_S, hub.succession.free_s(empty_s))
+            self._buckets[account] = QuotaBucket(empty_s)
+        return self._buckets[account]
--- a/packages/daemon/src/knapweedbridge_daemon/serving/retry_reserver.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/retry_reserver.py
@@ -7,10 +7,10 @@
 from knapweedbridge_core.serving import RecordedService, RetryGrant, RetryRecord
 from knapweedbridge_daemon.errors import StoreError
 from knapweedbridge_daemon.serving.dialects import DialectError
+from knapweedbridge_daemon.serving.era_age import read_era_age_s
 from knapweedbridge_daemon.serving.hub import Hub
 from knapweedbridge_daemon.serving.own_records import (
     pack_retries,
-    read_era,
     read_retries,
 )
 from knapweedbridge_daemon.store import Transaction
@@ -24,9 +24,6 @@
 RESERVE_TIMEOUT_S = 0.3
 """How long a call waits for the reservation of its retry."""
 
-CLOCK_MARGIN_S = 10.0
-"""Largest assumed difference between the times of day of two hosts."""
-
 FAILURE_PAUSE_S = 0.5
 MAX_FAILURE_PAUSE_S = 4.0
 """Pause after a failed reservation, in which calls do not wait for another; it doubles
@@ -173,14 +170,8 @@
         written_era = record.era if record else 0
         if written_era == store.era:
             return True
-        found = await store.read(hub.dialects.daemon_keys.era)
-        if found is None:
-            return False
-        era, since_s = read_era(found[0])
-        lasted_s = time.time() - since_s
-        return (
-            era == store.era and lasted_s >= hub.budget.record_lasts_s + CLOCK_MARGIN_S
-        )
+        age_s = await read_era_age_s(hub)
+        return age_s is not None and age_s >= hub.budget.record_lasts_s
 
     async def _write(self, service: str, revision: int) -> int | None:
         """Reserve retries; return the revision of the record, None if unknown."""
--- a/packages/daemon/src/knapweedbridge_daemon/serving/software_records.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/software_records.py
@@ -1,7 +1,5 @@
 """Record in the store on which software versions of a service streams may begin."""
 
-import time
-
 import anyio
 
 from knapweedbridge_core.serving.software_versions import (
@@ -11,8 +9,9 @@
 from knapweedbridge_core.serving.store_events import SoftwareRecorded
 from knapweedbridge_daemon.errors import StoreError
 from knapweedbridge_daemon.serving.dialects import DialectError
+from knapweedbridge_daemon.serving.era_age import read_era_age_s
 from knapweedbridge_daemon.serving.hub import Hub
-from knapweedbridge_daemon.serving.own_records import pack_versions, read_era
+from knapweedbridge_daemon.serving.own_records import pack_versions
 from knapweedbridge_daemon.serving.version_reader import VersionReader
 from knapweedbridge_daemon.store import Transaction
 
@@ -33,9 +32,6 @@
 """Age of the known state of the store past which versions may have come and gone
 unseen."""
 
-CLOCK_MARGIN_S = 10.0
-"""Most by which clocks of two hosts differ: the time of day jumps by seconds."""
-
 
 class SoftwareRecords:
     """Task that keeps the records of the versions on which streams may begin.
@@ -111,15 +107,11 @@
         if anyio.current_time() - self._began_s > STREAM_LIFE_S:
             return True
         try:
-            found = await self._hub.dialects.store.read(
-                self._hub.dialects.daemon_keys.era
-            )
-            lasting, since_s = read_era(found[0]) if found else (None, 0.0)
+            age_s = await read_era_age_s(self._hub)
         except (StoreError, DialectError) as error:
             self._hub.log.info("software.era_unknown", error=str(error))
             return False
-        lasted_s = time.time() - since_s
-        return lasting == era and lasted_s > STREAM_LIFE_S + CLOCK_MARGIN_S
+        return age_s is not None and age_s > STREAM_LIFE_S
 
     def _missing_s(self, service: str) -> float:
         """Return for how long a service's record has been out of date."""
--- a/packages/daemon/src/knapweedbridge_daemon/serving/store_follower.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/store_follower.py
@@ -17,7 +17,7 @@
     VersionNamed,
 )
 from knapweedbridge_core.serving.messages import StoreUpdate
-from knapweedbridge_core.serving.store_events import OriginsStored
+from knapweedbridge_core.serving.store_events import EraNamed, OriginsStored
 from knapweedbridge_daemon.errors import StoreError
 from knapweedbridge_daemon.serving.hub import Hub
 from knapweedbridge_daemon.serving.item_reader import ItemReader
@@ -125,7 +125,7 @@
         items = [each for each in unpack_items(message) if self._is_new(each)]
         since = self._revision
         self._take(items, known_s)
-        self._revision = message.revision
+        self._record_revision(message.revision)
         # A relay that the store rejects subscribes to another relay and passes its
         # updates on. The returned mark proves freshness to its own subscribers just as
         # a call to the store would.
@@ -137,6 +137,9 @@
         self._update_received.set()
         return 0
 
+    def _record_revision(self, revision: int) -> None:
+        self._revision = self._hub.known_revision = revision
+
     def _is_new(self, item: StoreItem) -> bool:
         return item.revision > self._revision
 
@@ -238,7 +241,7 @@
             since = self._revision
             self._source_relay = ""
             self._take(items, self._hub.store_age.known_s)
-            self._revision = max(self._revision, found.revision)
+            self._record_revision(max(self._revision, found.revision))
             self._calls.record_answer(began_s)
             self._relay_changes(since, items, began_s)
             if found.items:
@@ -260,12 +263,15 @@
         self._source_relay = ""
         self._update_era(era_of(found.revision))
         keys = {item.key for item in found.items} | self._missing_keys
+        daemon_key = self._hub.dialects.daemon_keys.daemon
+        announced = {daemon_key(name) for name in self._hub.cluster.daemons}
         removed = [
-            StoreItem(key, None, found.revision) for key in self._known_keys - keys
+            StoreItem(key, None, found.revision)
+            for key in (self._known_keys | announced) - keys
         ]
         items = list(chain(found.items, removed))
         self._take(items, self._hub.store_age.known_s)
-        self._revision = found.revision
+        self._record_revision(found.revision)
         if self._revision_before_loss:
             # Subscribers continue from the revision they know. Otherwise each of them
             # would read the whole store once its history was compacted.
@@ -342,6 +348,8 @@
                 hub.crashes.record_published(mark, for_s, now_s)
             case CallAllowed(mark):
                 hub.crashes.record_unpublished(mark, now_s)
+            case EraNamed(era, since_s):
+                hub.record_era(era, since_s)
             case VersionNamed(model):
                 hub.first_byte_timeouts.record_version(model)
             case DeploymentNamed(deployment):
