A daemon that starts after a rollback of the store waits for lost owners

Cause: which owners have lost their records each process knows for itself. One that starts after the rollback took an engine without a record for one without an owner.

Change: Succession knows until when holders may act whose records are lost, a lease after the rollback. A process that has not followed the store until then claims no engine before; running ones ask the former owner as they did, and leave new processes out of the order of claims. The record of the era shortens the wait of processes that start later.

--- a/features/serving/steps/succession_steps.py
+++ b/features/serving/steps/succession_steps.py
@@ -1,3 +1,5 @@
+import re
+import time
 from types import SimpleNamespace
 
 import anyio
@@ -12,6 +14,7 @@
     RetryBudget,
     Service,
     Succession,
+    Takeover,
     claimants,
 )
 from knapweedbridge_core.serving.cluster_state import (
@@ -28,6 +31,7 @@
 
 NOW_S = 100.0
 TURN_S = 3.0
+LEASE_S = 10.0
 ENGINE = EndpointRecord("e1", "llm", "a", "d0", 8, False, ("m",))
 LLM = Service("llm", "/", 10, EngineLimits(8, 10_000, 4, 1000.0, 1.0))
 
@@ -36,8 +40,7 @@
     return DaemonRecord(name, incarnation, "a:1", "d0")
 
 
-@given("h0, which started {started:g} s ago and last ordered e1 {ordered}")
-def host_started(context, started, ordered):
+def make_hub(context, started):
     log = SimpleNamespace(info=lambda kind, **fields: None)
     context.hub = hub = Hub(
         Identity("h0", 5, "d0", "a:1"),
@@ -45,12 +48,15 @@
         RetryBudget(0.2, 50, 10),
         log,
         MetricsRegistry(),
-        succession=Succession(NOW_S - started, TURN_S),
+        succession=Succession(NOW_S - started, TURN_S, LEASE_S),
+        lease_s=LEASE_S,
     )
     context.started_s = NOW_S - started
-    if ordered != "never":
-        seconds = float(ordered.removesuffix(" s ago"))
-        hub.succession.record_action("e1", NOW_S - seconds)
+    return hub
+
+
+def list_engine(hub):
+    """List h0 and e1, long ago."""
     for event in (
         DeploymentNamed(Deployment(1, (), {"llm": LLM})),
         EndpointNamed(ENGINE),
@@ -59,6 +65,37 @@
         hub.cluster.take(event, NOW_S - 90)
 
 
+@given("h0, which started {started:g} s ago and last ordered e1 {ordered}")
+def host_started(context, started, ordered):
+    hub = make_hub(context, started)
+    if ordered != "never":
+        seconds = float(ordered.removesuffix(" s ago"))
+        hub.succession.record_action("e1", NOW_S - seconds)
+    list_engine(hub)
+
+
+@given("h0, which started {started:g} s ago in an era of the store that {era}")
+def host_started_in_era(context, started, era):
+    hub = make_hub(context, started)
+
+    async def begin():
+        await anyio.sleep(NOW_S - started)
+        hub.note_store_era(2)
+        if era == "began with the first secret":
+            hub.record_era(2, 0.0)
+        elif era != "has no record":
+            ago_s = float(re.search(r"began (\d+) s", era)[1])
+            hub.record_era(2, time.time() - ago_s)
+
+    run_virtually(begin())
+    list_engine(hub)
+
+
+@given("the store rolls back {ago:g} s ago")
+def rolls_back(context, ago):
+    context.hub.succession.record_rollback(NOW_S - ago, knows_holders=True)
+
+
 def take(context, event, ago_s=0.0):
     context.hub.cluster.take(event, NOW_S - ago_s)
 
@@ -103,6 +140,34 @@
     take(context, own("", 11, 6))
 
 
+@when("e1's record is lost with the store's")
+def record_lost(context):
+    take(context, OwnerGone("e1"), 1)
+
+
+@given("former holders that may act until {until}")
+def former_holders(context, until):
+    rows = re.findall(r"(h\d) (\d+)", until)
+    context.now_s = 0.0 if rows else 100.0
+    context.takeover = Takeover({name: float(s) for name, s in rows}, context.now_s)
+
+
+@when("{names} at {seconds:d}")
+def holders_release(context, names, seconds):
+    for name, at_s in re.findall(r"(h\d)\D* at (\d+)", f"{names} at {seconds}"):
+        context.takeover.record_release(name, float(at_s))
+
+
+@when("nobody releases")
+def nobody_releases(context):
+    pass
+
+
+@then("duties are free from {seconds:d} s on")
+def free_from(context, seconds):
+    assert context.takeover.free_s == seconds, context.takeover.free_s
+
+
 @then("it may claim e1: {may}")
 def may_claim_engine(context, may):
     async def due():
--- a/features/serving/succession.feature
+++ b/features/serving/succession.feature
@@ -41,3 +41,43 @@
     Guards against hosts that are killed, stopped and started again, and alternate as owners.
 
     Then 60 random histories of "who returns to an engine" break nothing
+
+  Scenario Outline: A host that starts after a rollback of the store claims no engine whose owner may act: <story>
+    Guards against a second owner beside one that the store turns away and has lost the record of.
+
+    Given h0, which started <ago> s ago in an era of the store that <era>
+    And of e1's owner, <record>
+    Then it may claim e1: <may>
+
+    Examples:
+      | story                          | ago | era                          | record                       | may |
+      | its owner may be turned away   | 8   | has no record                | there is no record           | no  |
+      | by an outdated record it is it | 8   | has no record                | h0's process before owned it | no  |
+      | that owner's lease has ended   | 11  | has no record                | there is no record           | yes |
+      | the era began long ago         | 8   | began 60 s before by others  | there is no record           | yes |
+      | the era began just before      | 8   | began 1 s before by others   | there is no record           | no  |
+      | nobody had served before it    | 8   | began with the first secret  | there is no record           | yes |
+
+  Scenario: Hosts that started after a rollback hold up no other
+    Guards against an engine without an owner while hosts wait that cannot claim.
+
+    Given h0, which started 60 s ago and last ordered e1 never
+    And the store rolls back 2 s ago
+    And the hosts before it in e1's order have just started
+    When e1's record is lost with the store's
+    Then it may claim e1: yes
+
+  Scenario Outline: Duties pass on when the former holders have stopped: <story>
+    Guards against a holder that begins beside another, or waits for one that has released.
+
+    Given former holders that may act until <until>
+    When <released>
+    Then duties are free from <free> s on
+
+    Examples:
+      | story                      | until        | released                       | free |
+      | there is none              | -            | nobody releases                | 100  |
+      | all release                | h1 10, h2 12 | h1 releases at 3, h2 at 5      | 5    |
+      | one is silent              | h1 10, h2 12 | h1 releases at 3               | 12   |
+      | another is silent          | h1 10, h2 12 | h2 releases at 3               | 10   |
+      | a stranger releases        | h1 10        | h7 releases at 3               | 10   |
--- a/packages/core/src/knapweedbridge_core/serving/cluster_state.py
+++ b/packages/core/src/knapweedbridge_core/serving/cluster_state.py
@@ -46,6 +46,7 @@
     StoreEvent,
     VersionNamed,
 )
+from knapweedbridge_core.serving.succession import Succession
 
 __all__ = [
     "CallAllowed",
@@ -407,26 +408,25 @@
         return record is None or not record.owner or self.is_dead(record)
 
     def possible_claimants(
-        self, endpoint: str, now_s: float, turn_s: float
+        self, endpoint: str, now_s: float, succession: Succession
     ) -> Iterable[DaemonRecord]:
         """Return the daemons that may claim an engine without an owner now.
 
         A daemon that has released it does not reach it, and one that has just started
-        leaves it to others for a turn, unless its host was the last owner.
-
-        Parameters
-        ----------
-        turn_s : float
-            See `Succession`.
+        leaves it to others for a turn, unless its host was the last owner. One that has
+        started after a rollback of the store may not know the last owner.
         """
         last, without_links = self.owners.get(endpoint), self.without_links
-        if last is None and not without_links:
+        latest_start_s = succession.knows_holders_since_s(now_s)
+        if last is None and not without_links and latest_start_s == math.inf:
             return self.daemons.values()
+        turn_began_s = now_s - succession.turn_s
         return [
             each
             for each in self.daemons.values()
             if each.name not in without_links
-            and (last is None or self._may_succeed(each, last, now_s - turn_s))
+            and self._started_s.get(each.name, -math.inf) <= latest_start_s
+            and (last is None or self._may_succeed(each, last, turn_began_s))
         ]
 
     def announcement_recipients(self, own: str) -> list[str]:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/lease_controller.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/lease_controller.py
@@ -3,6 +3,7 @@
 import random
 import secrets
 import sys
+import time
 
 import anyio
 
@@ -168,6 +169,7 @@
         key = hub.dialects.daemon_keys.era
         value = pack_era(hub.store_era, hub.era_since_s)
         await hub.dialects.store.commit(Transaction(puts={key: value}))
+        hub.recorded_era = hub.store_era
         hub.era_since_s = None
 
     def _drop_lease(self) -> None:
@@ -197,10 +199,28 @@
                 continue
             await self._lost_links.publish(self._lease)
             await self._lost_links.release_unreachable(self._lease)
+            await self._record_unrecorded_era()
             for endpoint in self._due():
                 if self._lease_era == self._hub.store_era:
                     await self._claim(endpoint)
 
+    async def _record_unrecorded_era(self) -> None:
+        """Record the era in which this daemon has started, if nobody has.
+
+        Daemons that start later then know when all leases of earlier eras have ended.
+        """
+        hub = self._hub
+        is_unknown = anyio.current_time() < hub.succession.unknown_until_s
+        # The first daemon records the era together with the secret.
+        is_served = bool(hub.cluster.secret)
+        if not is_unknown or not is_served or hub.recorded_era == hub.store_era:
+            return
+        hub.era_since_s = time.time()
+        try:
+            await self._record_era()
+        except StoreError as error:
+            hub.log.info("lease.era_not_recorded", error=str(error))
+
     def _due(self) -> list[Endpoint]:
         hub, now_s = self._hub, anyio.current_time()
         own = hub.cluster.daemons.get(hub.identity.name)
@@ -216,7 +236,7 @@
     def _is_due(self, own: DaemonRecord, endpoint: Endpoint, now_s: float) -> bool:
         """Return whether this daemon may claim an engine now."""
         hub, name = self._hub, endpoint.name
-        if self._held_last(name):
+        if self._held_last(name) and now_s >= hub.succession.unknown_until_s:
             return True
         last = hub.cluster.owners.get(name)
         had_another = last is not None or now_s < hub.outage.lapsed_until_s
@@ -228,7 +248,7 @@
         if now_s < may_return_s:
             self._log_deferred(name, may_return_s)
             return False
-        able = hub.cluster.possible_claimants(name, now_s, hub.succession.turn_s)
+        able = hub.cluster.possible_claimants(name, now_s, hub.succession)
         return may_claim(own, name, endpoint.record.data_centre, able, now_s - free_s)
 
     def _held_last(self, engine: str) -> bool:
