A response with the status 000 is no answer

Cause: aiohttp takes any three digits for a status, and nothing checked the number.

Change: a final status below 200 is a broken response, as over h11 and in the serving daemon, whose one reader of responses rejects it.

Evidence: attempts/endpoints.feature, three of twelve rows failed before (Answer 0, 99 and 101), all pass; wire/responses.feature, two rows for the serving daemon, passed before.

--- a/features/attempts/endpoints.feature
+++ b/features/attempts/endpoints.feature
@@ -27,6 +27,27 @@
       | engine | 503    | {"error": {"code": "overloaded"}}    | NotRun endpoint_refused |
       | engine | 503    | {"error": {"code": "what"}}          | Unknown endpoint_failed |
 
+  Scenario Outline: A number that is no status is no answer: <method> over <client> gets <status>
+    Guards against callers who get the bytes of a server in trouble as an answer.
+
+    When an endpoint answers a <method> over <client> with the status line number <status>
+    Then the attempt ends as "<outcome>"
+
+    Examples:
+      | method | client  | status | outcome               |
+      | POST   | aiohttp | 000    | Unknown stream_broken |
+      | POST   | aiohttp | 099    | Unknown stream_broken |
+      | POST   | aiohttp | 101    | Unknown stream_broken |
+      | POST   | aiohttp | 200    | Answer 200            |
+      | POST   | aiohttp | 599    | Answer 599            |
+      | POST   | aiohttp | 600    | Answer 600            |
+      | POST   | httpx   | 000    | Unknown stream_broken |
+      | POST   | httpx   | 099    | Unknown stream_broken |
+      | POST   | httpx   | 101    | Unknown stream_broken |
+      | GET    | aiohttp | 000    | Unknown stream_broken |
+      | GET    | aiohttp | 099    | Unknown stream_broken |
+      | GET    | aiohttp | 600    | Answer 600            |
+
   Scenario Outline: "Not run" is proved by no byte having been written
     The server closes a pooled connection. If it was closed before the request was
     written, the request did not run; if after, it may have. The library raises nearly
--- a/features/attempts/steps/endpoint_steps.py
+++ b/features/attempts/steps/endpoint_steps.py
@@ -13,10 +13,10 @@
 REFUSAL = b"HTTP/1.1 429 Full\r\ncontent-length: 0\r\n\r\n"
 
 
-async def attempt(client, address, engine):
+async def attempt(client, address, engine, method="POST"):
     endpoint = HttpEndpoint(client, address, engine)
     try:
-        async with endpoint.stream("POST", "/x", b"{}", {}, 2.0) as response:
+        async with endpoint.stream(method, "/x", b"{}", {}, 2.0) as response:
             async for _ in response.chunks:
                 pass
             return f"Answer {response.status}"
@@ -64,9 +64,28 @@
                         connection.sendall(ANSWER)
                     elif step == "half":
                         connection.sendall(ANSWER[:20])
+                    elif step.isdigit():
+                        connection.sendall(ANSWER.replace(b"200", step.encode()))
             self.closed.set()
 
 
+@when(
+    "an endpoint answers a {method} over {client} with the status line number {status}"
+)
+def answers_with_number(context, method, client, status):
+    server = Server([status])
+    server.start()
+
+    async def run():
+        async with (
+            Connections(Bounds(stream_client=client)) as connections,
+            connections.pooled() as used,
+        ):
+            return await attempt(used, server.address, False, method)
+
+    context.found = anyio.run(run)
+
+
 @given('a server that does "{script}" on each connection and closes it')
 def server(context, script):
     context.server = Server(script.split())
--- a/features/wire/responses.feature
+++ b/features/wire/responses.feature
@@ -35,6 +35,8 @@
       | an invalid header name        | stays open | broken  | broken  |
       | a folded header               | stays open | broken  | kept    |
       | a status of two digits        | stays open | broken  | broken  |
+      | the status 000                | stays open | broken  | broken  |
+      | the status 099                | stays open | broken  | broken  |
       | a protocol switch             | stays open | broken  | broken  |
       | not HTTP                      | stays open | broken  | broken  |
       | an endless head               | stays open | broken  | broken  |
--- a/features/wire/wire_cases.py
+++ b/features/wire/wire_cases.py
@@ -104,6 +104,8 @@
     "an invalid header name": OK + b"X(: a\r\nContent-Length: 0\r\n\r\n",
     "a folded header": OK + b"X: a\r\n b\r\nContent-Length: 0\r\n\r\n",
     "a status of two digits": b"HTTP/1.1 20 OK\r\nContent-Length: 0\r\n\r\n",
+    "the status 000": b"HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+    "the status 099": b"HTTP/1.1 099 OK\r\nContent-Length: 0\r\n\r\n",
     "a protocol switch": b"HTTP/1.1 101 S\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
     "not HTTP": b"SSH-2.0-server\r\n\r\n",
     "an endless head": OK + b"X: " + b"a" * 70000,
--- a/packages/daemon/src/knapweedbridge_daemon/stream_transport.py
+++ b/packages/daemon/src/knapweedbridge_daemon/stream_transport.py
@@ -14,6 +14,9 @@
 from knapweedbridge_daemon.plain_transport import PoolOptions, make_plain_transport
 
 STREAMING_METHOD = "POST"
+LEAST_STATUS = 200
+"""Lowest status of a final response."""
+
 TURNS_TO_HEAR = 2
 WRITING_EVENT = "http11.send_request_headers.started"
 AUTOMATIC_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
@@ -63,6 +66,10 @@
                 timeout=_timeout(request),
                 trace_request_ctx=request.extensions.get("trace"),
             )
+        if response.status < LEAST_STATUS:
+            # aiohttp accepts any three digits, and ends an exchange with a 101.
+            response.close()
+            raise httpx.RemoteProtocolError(f"status {response.status:03}")
         return httpx.Response(
             response.status,
             headers=list(response.raw_headers),
