Responses count toward the memory for callers while they are gathered

Cause: a response that is no stream is gathered up to 8 MiB, and counted only once it was written. One was bounded, the sum of many was not.

Change: gathered bytes count in the intake of bodies. If memory is exhausted, a response of the endpoint that sends most gives way, the one with the least received first; its endpoint isn't blamed.

--- a/features/plain/steps/memory_steps.py
+++ b/features/plain/steps/memory_steps.py
@@ -122,6 +122,7 @@
 def request_gets(context, body, answer, reads):
     hub = SimpleNamespace(
         memory=context.budget,
+        intake=BodyIntake(context.budget),
         metrics=MetricsRegistry(),
         log=SimpleNamespace(info=lambda kind, **fields: None),
         dialects=SimpleNamespace(callers=PlatformCallers()),
--- a/packages/core/src/knapweedbridge_core/serving/body_intake.py
+++ b/packages/core/src/knapweedbridge_core/serving/body_intake.py
@@ -37,6 +37,9 @@
         When bytes of it were last received.
     held_bytes : int
         Memory that it takes.
+    is_response : bool
+        Whether an endpoint sends it in response to a request. One that is nearly
+        complete is kept, as its request has run.
     is_evicted : bool
         Whether it had to give way.
     """
@@ -44,6 +47,7 @@
     sender: str
     evict: Callable[[], None]
     progress_s: float
+    is_response: bool = False
     held_bytes: int = 0
     is_evicted: bool = False
 
@@ -86,10 +90,14 @@
         return 0 < share * self._budget.limit_bytes < others_bytes + body_bytes
 
     def begin(
-        self, sender: str, evict: Callable[[], None], now_s: float
+        self,
+        sender: str,
+        evict: Callable[[], None],
+        now_s: float,
+        is_response: bool = False,
     ) -> IncompleteBody:
         """Record that a body is being received; `end` must follow."""
-        body = IncompleteBody(sender, evict, now_s)
+        body = IncompleteBody(sender, evict, now_s, is_response)
         self._bodies[body] = None
         return body
 
@@ -150,6 +158,6 @@
             key=lambda each: (
                 now_s - each.progress_s >= STALLED_S and each.held_bytes > 0,
                 self._by_sender.get(each.sender, 0),
-                each.held_bytes,
+                -each.held_bytes if each.is_response else each.held_bytes,
             ),
         )
--- a/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/attempting.py
@@ -24,6 +24,11 @@
     FirstByteTimeout,
     FirstByteTimeoutError,
 )
+from knapweedbridge_daemon.serving.gathering import (
+    MAX_RESPONSE_BYTES,
+    NoMemoryError,
+    gather_response,
+)
 from knapweedbridge_daemon.serving.http_client import (
     ClientConnection,
     ConnectionBrokenError,
@@ -41,9 +46,6 @@
 )
 from knapweedbridge_daemon.sse import BrokenEventsError
 
-MAX_BUFFERED_BYTES = 8 << 20
-"""Longest response that is buffered until complete; plain ones have some kB."""
-
 MAX_REFUSAL_BYTES = 65536
 REFUSAL_TIMEOUT_S = 0.25
 """Longest body of a refusal, and how long its end is awaited."""
@@ -88,7 +90,7 @@
         forecast = self._records.forecast(call, endpoint, began_s)
         self._link.running.begin(endpoint, model, call.unread_tokens)
         end = AttemptEnd.ABANDONED
-        detail, is_closed = "", False
+        detail, is_closed, is_own_fault = "", False, False
         try:
             if model is not None:
                 await self._link.turns.take(endpoint, call.unread_tokens, call.urgency)
@@ -112,12 +114,14 @@
             end, detail = AttemptEnd.BROKEN, str(error)
             call.progress.runs.add(endpoint.name)
             is_closed = not isinstance(error, FirstByteTimeoutError)
+            is_own_fault = isinstance(error, NoMemoryError)
         finally:
             if end is AttemptEnd.ABANDONED:
                 # Cancelled by its caller or by a deadline, it may run all the same.
                 call.progress.runs.add(endpoint.name)
             self._settle_retry(call)
-            if end in (AttemptEnd.BROKEN, AttemptEnd.ABANDONED):
+            is_unclear = end in (AttemptEnd.BROKEN, AttemptEnd.ABANDONED)
+            if is_unclear and not is_own_fault:
                 self._link.crashes.record_failed_attempt(
                     call,
                     endpoint,
@@ -314,14 +318,9 @@
     async def _take_whole(
         self, call: Call, connection: ClientConnection, answer: ResponseHead
     ) -> AttemptEnd:
-        body = bytearray()
-        async for part in connection.read_body(2 * MAX_BUFFERED_BYTES):
-            body += part
-            if len(body) > MAX_BUFFERED_BYTES:
-                raise ConnectionBrokenError(
-                    f"the response is longer than {MAX_BUFFERED_BYTES} bytes"
-                )
-        buffered = BufferedResponse(answer, bytes(body))
+        parts = connection.read_body(2 * MAX_RESPONSE_BYTES)
+        body = await gather_response(self._hub.intake, connection.address, parts)
+        buffered = BufferedResponse(answer, body)
         if answer.status >= 500 or call.responder.begun:
             # A started stream cannot be replaced by another response.
             call.failure = buffered
--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -176,7 +176,7 @@
             app.limits,
             app.count_bad_request,
             app.count_internal_error,
-            BodyReception(memory_guard.intake),
+            BodyReception(hub.intake),
             hub.connections,
             app.pack_refusal,
         )
--- a/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/hub.py
@@ -11,6 +11,7 @@
 from knapweedbridge_core.connection_limit import ConnectionLimit
 from knapweedbridge_core.serving import (
     AdmitAll,
+    BodyIntake,
     ClusterState,
     CrashLedger,
     EndpointPaths,
@@ -127,6 +128,8 @@
         Open connections of callers.
     memory : MemoryBudget
         Bound on the memory that is held for callers.
+    intake : BodyIntake
+        Decides which bodies of requests and responses are received.
     first_byte_timeouts : FirstByteTimeouts
         Bounds the patience with attempts that have not begun.
     """
@@ -165,9 +168,11 @@
     overload: OverloadPolicy = field(default_factory=AdmitAll)
     connections: ConnectionLimit = field(default_factory=ConnectionLimit)
     memory: MemoryBudget = field(default_factory=MemoryBudget)
+    intake: BodyIntake = field(init=False)
     first_byte_timeouts: FirstByteTimeouts = field(init=False)
 
     def __post_init__(self) -> None:
+        self.intake = BodyIntake(self.memory)
         self.first_byte_timeouts = FirstByteTimeouts(self.cluster, self.steady_s)
 
     def note_store_era(self, era: int) -> None:
--- a/packages/daemon/src/knapweedbridge_daemon/serving/memory_guard.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/memory_guard.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from knapweedbridge_core.serving import BodyIntake, HeldKind, MemoryBudget
+from knapweedbridge_core.serving import HeldKind, MemoryBudget
 from knapweedbridge_core.serving.body_intake import COPIES
 from knapweedbridge_core.serving.memory_budget import RETRY_AFTER_S
 from knapweedbridge_daemon.serving.dialects import Refusal
@@ -34,17 +34,11 @@
     ----------
     hub : Hub
         The budget, the log and the metrics.
-
-    Attributes
-    ----------
-    intake : BodyIntake
-        Decides which bodies are received.
     """
 
     def __init__(self, hub: Hub) -> None:
         self._hub = hub
         self._budget: MemoryBudget = hub.memory
-        self.intake = BodyIntake(hub.memory)
         self._disconnects: dict[int, Callable[[], None]] = {}
 
     def guard(self, handler: Handler) -> Handler:
@@ -64,7 +58,7 @@
 
     def refusal(self, body_bytes: int) -> Refusal | None:
         """Return the refusal of a request with such a body; None if it is accepted."""
-        if not body_bytes or not self.intake.must_refuse(body_bytes):
+        if not body_bytes or not self._hub.intake.must_refuse(body_bytes):
             return None
         self._hub.metrics.count("requests", "no_memory")
         self._hub.log.info(
