The soak waits for an endpoint that it can disturb

The soak's own fault: it now disturbs the next endpoint that joins, so it disturbs as much as before.

--- a/bench/soak_disturbances.py
+++ b/bench/soak_disturbances.py
@@ -130,7 +130,7 @@
         await self._spoil_link(name, self.pool.store_proxies[name])
 
     async def _endpoint_link(self) -> None:
-        name = self.luck.choice(sorted(self.pool.endpoints))
+        name = await self._choose_name()
         await self._spoil_link(name, self.pool.endpoints[name][1])
 
     async def _spoil_link(self, name: str, proxy: Proxy) -> None:
@@ -165,15 +165,21 @@
             self.watched.named_s[adapter][version] = anyio.current_time()
             await anyio.sleep(gap_s * self.luck.uniform(0.7, 1.3))
 
-    def _choose_endpoint(self) -> Endpoint:
-        return self.pool.endpoints[self.luck.choice(sorted(self.pool.endpoints))][0]
+    async def _choose_name(self) -> str:
+        """Return the name of an endpoint, once there is one."""
+        while not self.pool.endpoints:
+            await anyio.sleep(0.05)
+        return self.luck.choice(sorted(self.pool.endpoints))
+
+    async def _choose_endpoint(self) -> Endpoint:
+        return self.pool.endpoints[await self._choose_name()][0]
 
     async def _crash_endpoint(self) -> None:
-        name = self.luck.choice(sorted(self.pool.endpoints))
+        name = await self._choose_name()
         await self.pool.crash(*self.pool.endpoints.pop(name))
 
     async def _drain_endpoint(self) -> None:
-        name = self.luck.choice(sorted(self.pool.endpoints))
+        name = await self._choose_name()
         endpoint, proxy = self.pool.endpoints.pop(name)
         await self.pool.add_endpoint(endpoint.service, endpoint.software)
         await self._drain(endpoint, proxy)
@@ -186,7 +192,7 @@
         self.pool.store.remove(f"servers/{endpoint.name}")
 
     async def _leave_in_answers(self) -> None:
-        name = self.luck.choice(sorted(self.pool.endpoints))
+        name = await self._choose_name()
         endpoint, _ = self.pool.endpoints.pop(name)
         await self.pool.add_endpoint(endpoint.service, endpoint.software)
         endpoint.leaves = True
@@ -196,28 +202,28 @@
 
     async def _repeat_answers(self) -> None:
         """Have an endpoint refuse calls, and send its answers late once more."""
-        endpoint = self._choose_endpoint()
+        endpoint = await self._choose_endpoint()
         endpoint.late = "previous answer"
         endpoint.behaviour += ["shed", "well"] * self.luck.randint(2, 6)
         await anyio.sleep(self.luck.uniform(1.0, 4.0))
         endpoint.late = ""
 
     async def _limit_endpoint(self) -> None:
-        endpoint = self._choose_endpoint()
+        endpoint = await self._choose_endpoint()
         with self.watched.troubled(answers_of(endpoint.name)):
             endpoint.limit_per_s = self.luck.choice([0.5, 2, 8])
             await anyio.sleep(self.luck.uniform(1, 5))
             endpoint.limit_per_s = None
 
     async def _rest_endpoint(self) -> None:
-        endpoint = self._choose_endpoint()
+        endpoint = await self._choose_endpoint()
         with self.watched.troubled(answers_of(endpoint.name)):
             endpoint.retry_after_s = self.luck.uniform(0.5, 2)
             await anyio.sleep(self.luck.uniform(0.5, 2))
             endpoint.retry_after_s = None
 
     async def _spoil(self) -> None:
-        endpoint = self._choose_endpoint()
+        endpoint = await self._choose_endpoint()
         kinds = ["fail", "shed", "silent", "unsealed", "cut", "cut in an event"]
         endpoint.behaviour += [self.luck.choice(kinds) for _ in range(6)]
         with self.watched.troubled(answers_of(endpoint.name)):
