A daemon that stops rejects late calls while it hands over

What callers saw: where the hand-over of a stopping daemon's engines takes longer than 2.6 s, calls of any length are taken until it is over; then the daemon ends with an internal error, and all its calls are cut (found while checking a report of calls that were taken late in the grace and cut at its end).

Cause: the time from which calls are rejected was set after the hand-over, and what was left of the 2.6 s was passed to anyio.sleep as a negative number, a ValueError.

Change: the hand-over runs beside the wait, and the daemon ends early once both are done. The closing of a connection sleeps until a time too.

Evidence: serving/stopping.feature, three of seven rows failed before with that error, all pass.

--- a/packages/daemon/src/knapweedbridge_daemon/serving/host.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/host.py
@@ -292,19 +292,30 @@
         hub.draining = True
         server.closing = True
         hub.log.info("daemon.draining", running=app.running)
-        await lease.hand_over()
-        await anyio.sleep(started_s + ACCEPT_CALLS_S - anyio.current_time())
-        # Requests that arrive from here on have crossed the closing of their
-        # connections, and are rejected if they may outlast this daemon.
-        hub.ends_s = ends_s
-        while anyio.current_time() < ends_s:
-            server.close_idle()
-            if not (app.running or server.open_connections or forwarding.tunnels):
-                return
-            await anyio.sleep(0.1)
+        async with anyio.create_task_group() as tasks:
+            handed_over = anyio.Event()
+            tasks.start_soon(self._hand_over, lease, handed_over)
+            await anyio.sleep_until(started_s + ACCEPT_CALLS_S)
+            # Requests that arrive from here on have crossed the closing of their
+            # connections, and are rejected if they may outlast this daemon.
+            hub.ends_s = ends_s
+            while anyio.current_time() < ends_s:
+                server.close_idle()
+                is_serving = (
+                    app.running or server.open_connections or forwarding.tunnels
+                )
+                if handed_over.is_set() and not is_serving:
+                    return
+                await anyio.sleep(0.1)
+            tasks.cancel_scope.cancel()
         hub.log.error("daemon.cut", running=app.running)
         await self._abort_calls(server, app)
 
+    @staticmethod
+    async def _hand_over(lease: LeaseController, handed_over: anyio.Event) -> None:
+        await lease.hand_over()
+        handed_over.set()
+
     @staticmethod
     async def _abort_calls(server: HttpServer, app: CallersApp) -> None:
         """Abort all calls, and give callers a moment to read the responses."""
--- a/packages/daemon/src/knapweedbridge_daemon/serving/http_server.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/http_server.py
@@ -294,7 +294,7 @@
                     return
                 left_bytes -= len(received)
             self._wire.pause_reading()
-            await anyio.sleep(deadline_s - loop_time_s())
+            await anyio.sleep_until(deadline_s)
 
 
 class HttpServer:
