A daemon that is listed anew begins with empty parts of new accounts too

What was seen (reading the change): a coordinator whose account was new when it was assigned kept the time of that assignment through a break of its listing, so it began again with a full part, though another daemon may have granted units meanwhile.

Change: every part begins empty when the takeover of the present term is over.

--- a/features/accounts/steps/takeover_steps.py
+++ b/features/accounts/steps/takeover_steps.py
@@ -14,6 +14,7 @@
     QuotaUnit,
     RetryBudget,
     Succession,
+    Takeover,
     coordinators,
 )
 from knapweedbridge_core.serving.cluster_state import (
@@ -23,6 +24,7 @@
     ProtocolNamed,
 )
 from knapweedbridge_core.serving.join_messages import DaemonJoined, JoinAcknowledged
+from knapweedbridge_core.serving.messages import QuotaRequest
 from knapweedbridge_core.serving.protocols import PROTOCOL
 from knapweedbridge_daemon.serving.account_quotas import AccountQuotas
 from knapweedbridge_daemon.serving.hub import Hub, Identity
@@ -248,3 +250,49 @@
         if name == world.second and at_s > world.listed_s + 0.1
     ]
     assert after and min(after) <= seconds, after[:3]
+
+
+async def list_anew(context, seconds):
+    context.world = world = World()
+    daemon = world.add(world.first)
+    hub, now_s = daemon.hub, anyio.current_time()
+    hub.cluster.take(DeploymentNamed(Deployment(1, (), {})), now_s)
+    hub.cluster.take(DaemonNamed(record_of(world.first)), now_s)
+    daemon.quotas.parts.refresh()
+    accounts = Accounts((ACCOUNT,))
+    hub.cluster.take(DeploymentNamed(Deployment(2, (), {}, accounts=accounts)), now_s)
+    daemon.quotas.parts.refresh()
+    await renew(daemon)
+    await anyio.sleep(9)
+    await renew(daemon)
+    assert daemon.quotas.parts.grant(QuotaRequest("shop", UNITS, 0, 0)).units
+    hub.lease.record_loss()
+    await anyio.sleep(seconds)
+    await renew(daemon)
+    request = QuotaRequest("shop", 1, 100_000, 0)
+    context.units = daemon.quotas.parts.grant(request).units
+
+
+async def renew(daemon):
+    """List a daemon under a lease, whose term no other daemon knows of yet."""
+    hub, now_s = daemon.hub, anyio.current_time()
+    hub.lease.record_listing(now_s, LEASE_S, now_s)
+    hub.store_age.confirm(now_s)
+    if not hub.succession.has_taken_over(hub.lease.term, now_s):
+        hub.succession.begin_term(hub.lease.term, Takeover({}, now_s))
+    await anyio.sleep(0.01)
+
+
+@given("a daemon that coordinates an account since its configuration was added")
+def coordinates_new(context):
+    pass
+
+
+@when("its lease ends and it is listed anew {how} {seconds:d} s")
+def listed_anew(context, how, seconds):
+    run_virtually(list_anew(context, seconds))
+
+
+@then("it grants {least:d} to {most:d} units at once")
+def grants_units(context, least, most):
+    assert least <= context.units <= most, context.units
--- a/features/accounts/takeover.feature
+++ b/features/accounts/takeover.feature
@@ -43,3 +43,15 @@
       | it may                        | 1   | nobody has recorded when        | 9     | 11   |
       | it was long ago               | 60  | a daemon has recorded when      | 0     | 1.2  |
       | nobody had served before      | 1   | the secret is of that era       | 0     | 1.2  |
+
+  Scenario Outline: A daemon that is listed anew <when> begins with <what>
+    Guards against a burst that is granted twice, and against accounts that lose theirs.
+
+    Given a daemon that coordinates an account since its configuration was added
+    When its lease ends and it is listed anew <when>
+    Then it grants <least> to <most> units at once
+
+    Examples:
+      | when         | what           | least | most |
+      | after 12 s   | an empty part  | 0     | 500  |
+      | within 5 s   | what it had    | 1000  | 2000 |
--- a/packages/daemon/src/knapweedbridge_daemon/serving/quota_parts.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/quota_parts.py
@@ -150,8 +150,9 @@
             self._term = hub.lease.term
             self._buckets.clear()
         if account not in self._buckets:
-            empty_s = assigned.since_s
+            empty_s = max(assigned.since_s, hub.succession.takeover.free_s)
             if assigned.had_coordinator:
-                empty_s = max(empty_s + TAKE_OVER_S, hub.succession.free_s(empty_s))
+                free_s = hub.succession.free_s(assigned.since_s)
+                empty_s = max(assigned.since_s + TAKE_OVER_S, free_s)
             self._buckets[account] = QuotaBucket(empty_s)
         return self._buckets[account]
