An announced daemon that the store doesn't confirm is forgotten

What was seen (reading the change): an announcement that arrives after its daemon has left the store's list, as at a host that stood still meanwhile, listed that daemon until the next whole read of the store; requests for units went to nobody.

Change: an announced daemon is listed for a lease at most, unless the store lists it.

Evidence: accounts/takeover.feature, the row 'it has left' fails where an announcement counts without end.

--- a/features/accounts/steps/takeover_steps.py
+++ b/features/accounts/steps/takeover_steps.py
@@ -18,6 +18,8 @@
     coordinators,
 )
 from knapweedbridge_core.serving.cluster_state import (
+    ClusterState,
+    DaemonAnnounced,
     DaemonGone,
     DaemonNamed,
     DeploymentNamed,
@@ -296,3 +298,27 @@
 @then("it grants {least:d} to {most:d} units at once")
 def grants_units(context, least, most):
     assert least <= context.units <= most, context.units
+
+
+@given("a daemon that hears an announcement")
+def hears_announcement(context):
+    context.cluster = ClusterState()
+    context.cluster.take(DaemonNamed(record_of("h0")), 0.0)
+    event = DaemonAnnounced(record_of("h1"), PROTOCOL, LEASE_S)
+    assert context.cluster.take(event, 0.0)
+    assert context.cluster.protocol_of("h1") == PROTOCOL
+
+
+@when("the store {says}")
+def store_says(context, says):
+    if "lists it" in says:
+        context.cluster.take(DaemonNamed(record_of("h1")), 2.0)
+    if "no longer" in says:
+        context.cluster.take(DaemonGone("h1"), 3.0)
+
+
+@then("the announced one is {listed} 11 s later")
+def announced_is(context, listed):
+    context.cluster.update_clock(11.0)
+    found = "h1" in context.cluster.daemons
+    assert found == (listed == "listed"), context.cluster.daemons
--- a/features/accounts/takeover.feature
+++ b/features/accounts/takeover.feature
@@ -55,3 +55,16 @@
       | when         | what           | least | most |
       | after 12 s   | an empty part  | 0     | 500  |
       | within 5 s   | what it had    | 1000  | 2000 |
+
+  Scenario Outline: An announced daemon is listed until the store would have confirmed it: <story>
+    Guards against duties of a daemon that left before its announcement arrived.
+
+    Given a daemon that hears an announcement
+    When <confirmation>
+    Then the announced one is <listed> 11 s later
+
+    Examples:
+      | story                  | confirmation                          | listed     |
+      | the store confirms it  | the store lists it 2 s later          | listed     |
+      | it has left            | the store says nothing                | not listed |
+      | it leaves              | the store lists it, and no longer     | not listed |
--- a/packages/core/src/knapweedbridge_core/serving/cluster_state.py
+++ b/packages/core/src/knapweedbridge_core/serving/cluster_state.py
@@ -110,6 +110,7 @@
     _links_lost: dict[str, int] = field(default_factory=dict)
     _protocols: dict[str, ProtocolNamed] = field(default_factory=dict)
     _started_s: dict[str, float] = field(default_factory=dict)
+    _announced_until_s: dict[str, float] = field(default_factory=dict)
 
     @property
     def without_links(self) -> set[str]:
@@ -167,6 +168,10 @@
         self._starting = now_s < self._first_s + STARTING_S
         if now_s >= self._large_until_s:
             self._large_until_s = -math.inf
+        for name, until_s in list(self._announced_until_s.items()):
+            if now_s >= until_s:
+                # The announcement was late: the daemon has left the list since.
+                self._take_daemon_listing(DaemonGone(name), now_s)
 
     def relays_for(self, name: str, data_centre: str) -> list[str]:
         """Return the relays that a daemon may subscribe to, its own first.
@@ -233,10 +238,12 @@
     ) -> bool:
         match listing:
             case DaemonNamed(record):
+                self._announced_until_s.pop(record.name, None)
                 self._take_daemon(record, now_s)
             case DaemonAnnounced():
                 return self._take_announced(listing, now_s)
             case DaemonGone(name):
+                self._announced_until_s.pop(name, None)
                 self.daemons.pop(name, None)
                 self._protocols.pop(name, None)
                 self._started_s.pop(name, None)
@@ -259,6 +266,7 @@
         known = self.daemons.get(record.name)
         is_new = known is None or known.incarnation < record.incarnation
         if is_new:
+            self._announced_until_s[record.name] = event.until_s
             self._take_daemon(record, now_s)
         if self.daemons[record.name].incarnation == record.incarnation:
             self._protocols[record.name] = ProtocolNamed(
--- a/packages/core/src/knapweedbridge_core/serving/store_events.py
+++ b/packages/core/src/knapweedbridge_core/serving/store_events.py
@@ -69,10 +69,13 @@
     ----------
     protocol : int
         Protocol version that it speaks.
+    until_s : float
+        Time by which the store must have confirmed it.
     """
 
     record: DaemonRecord
     protocol: int
+    until_s: float
 
 
 @record
--- a/packages/daemon/src/knapweedbridge_daemon/serving/joining.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/joining.py
@@ -127,8 +127,9 @@
         record = DaemonRecord(
             daemon, message.incarnation, message.address, message.data_centre
         )
-        event = DaemonAnnounced(record, message.protocol)
-        if hub.cluster.take(event, anyio.current_time()):
+        now_s = anyio.current_time()
+        event = DaemonAnnounced(record, message.protocol, now_s + hub.lease_s)
+        if hub.cluster.take(event, now_s):
             hub.log.info("daemon.announced", daemon=daemon)
             hub.cluster_changed.tell()
         answer = JoinAcknowledged(message.term, message.incarnation)
