A whole read of the store leaves announced daemons alone

Found reading the change: a whole read also removed each listed daemon that it lacked, and a lease's time without confirmation does that for announced ones already. A read that began before the daemon was listed would have removed one whose announcement had just been confirmed, and its former coordinator would have granted again for a moment (by reading; not shown by a run). The second way goes.

--- a/packages/daemon/src/knapweedbridge_daemon/serving/store_follower.py
+++ b/packages/daemon/src/knapweedbridge_daemon/serving/store_follower.py
@@ -263,11 +263,8 @@
         self._source_relay = ""
         self._update_era(era_of(found.revision))
         keys = {item.key for item in found.items} | self._missing_keys
-        daemon_key = self._hub.dialects.daemon_keys.daemon
-        announced = {daemon_key(name) for name in self._hub.cluster.daemons}
         removed = [
-            StoreItem(key, None, found.revision)
-            for key in (self._known_keys | announced) - keys
+            StoreItem(key, None, found.revision) for key in self._known_keys - keys
         ]
         items = list(chain(found.items, removed))
         self._take(items, self._hub.store_age.known_s)
